--- /dev/null
+++ b/libraries/agent_core/agent_events.h
@@ -0,0 +1,117 @@
+#ifndef DANDELIONSPUR_LIBRARIES_AGENT_CORE_AGENT_EVENTS_H_
+#define DANDELIONSPUR_LIBRARIES_AGENT_CORE_AGENT_EVENTS_H_
+
+#include <boost/describe.hpp>
+#include <variant>
+
+#include "libraries/protocol/agent_messages.h"
+
+namespace dandelionspur {
+
+// The upstream beside this agent has announced itself.
+struct UpstreamAnnounced {
+  static constexpr const char* kName = "upstream_announced";
+  AgentDescription description;
+};
+BOOST_DESCRIBE_STRUCT(UpstreamAnnounced, (), (description))
+
+struct EntryConnected {
+  static constexpr const char* kName = "entry_connected";
+  EntryId entry;
+};
+BOOST_DESCRIBE_STRUCT(EntryConnected, (), (entry))
+
+struct EntryDisconnected {
+  static constexpr const char* kName = "entry_disconnected";
+  EntryId entry;
+};
+BOOST_DESCRIBE_STRUCT(EntryDisconnected, (), (entry))
+
+struct EntryMessageReceived {
+  static constexpr const char* kName = "entry_message_received";
+  EntryId from;
+  EntryToAgentMessage message;
+};
+BOOST_DESCRIBE_STRUCT(EntryMessageReceived, (), (from, message))
+
+// How a call of the upstream ended: kNotSent means that the upstream has
+// certainly not received the task.
+BOOST_DEFINE_ENUM_CLASS(UpstreamResult, kSucceeded, kFailed, kBroken, kNotSent)
+
+struct UpstreamEnded {
+  static constexpr const char* kName = "upstream_ended";
+  TaskId task;
+  UpstreamResult result = UpstreamResult::kBroken;
+  Payload body;
+  Duration elapsed{};
+};
+BOOST_DESCRIBE_STRUCT(UpstreamEnded, (), (task, result, body, elapsed))
+
+struct AgentViewRead {
+  static constexpr const char* kName = "view_read";
+  View view;
+};
+BOOST_DESCRIBE_STRUCT(AgentViewRead, (), (view))
+
+struct LeaveRequested {
+  static constexpr const char* kName = "leave_requested";
+};
+BOOST_DESCRIBE_STRUCT(LeaveRequested, (), ())
+
+struct AgentTick {
+  static constexpr const char* kName = "tick";
+};
+BOOST_DESCRIBE_STRUCT(AgentTick, (), ())
+
+using AgentEvent =
+    std::variant<UpstreamAnnounced, EntryConnected, EntryDisconnected,
+                 EntryMessageReceived, UpstreamEnded, AgentViewRead,
+                 LeaveRequested, AgentTick>;
+
+struct SendToEntry {
+  static constexpr const char* kName = "send_to_entry";
+  EntryId to;
+  AgentMessage message;
+};
+BOOST_DESCRIBE_STRUCT(SendToEntry, (), (to, message))
+
+struct RunOnUpstream {
+  static constexpr const char* kName = "run_on_upstream";
+  TaskId task;
+  Payload body;
+  Duration time_left{};
+};
+BOOST_DESCRIBE_STRUCT(RunOnUpstream, (), (task, body, time_left))
+
+struct StopOnUpstream {
+  static constexpr const char* kName = "stop_on_upstream";
+  TaskId task;
+};
+BOOST_DESCRIBE_STRUCT(StopOnUpstream, (), (task))
+
+// Keep a connection to every member of this view.
+struct ConnectToMembers {
+  static constexpr const char* kName = "connect_to_members";
+  View view;
+};
+BOOST_DESCRIBE_STRUCT(ConnectToMembers, (), (view))
+
+// Nothing runs any more after a request to leave.
+struct AgentDrained {
+  static constexpr const char* kName = "agent_drained";
+};
+BOOST_DESCRIBE_STRUCT(AgentDrained, (), ())
+
+struct StartRefusalCounted {
+  static constexpr const char* kName = "start_refusal_counted";
+  Reason reason = Reason::kNoFreeSlot;
+};
+BOOST_DESCRIBE_STRUCT(StartRefusalCounted, (), (reason))
+
+using AgentEffect =
+    std::variant<SendToEntry, RunOnUpstream, StopOnUpstream, ConnectToMembers,
+                 AgentDrained, StartRefusalCounted>;
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_AGENT_CORE_AGENT_EVENTS_H_
--- /dev/null
+++ b/libraries/agent_core/started_set.cc
@@ -0,0 +1,109 @@
+#include "libraries/agent_core/started_set.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionspur {
+
+bool StartedSet::IsForbidden(const Start& start) const {
+  const auto found = this->forbidden.find(start.task);
+  return found != this->forbidden.end() &&
+         Attempt{start.ballot, start.attempt} <= found->second;
+}
+
+void StartedSet::Insert(const Start& start, Timestamp now) {
+  this->last_seen_time = now;
+  this->tasks.emplace(start.task, Entry{});
+  this->running_attempts.emplace(start.task,
+                                 Attempt{start.ballot, start.attempt});
+  this->expiry_order.push_back({now, start.task});
+}
+
+void StartedSet::MarkNotRun(const TaskId& id) {
+  const auto attempt = this->running_attempts.find(id);
+  if (attempt == this->running_attempts.end()) return;
+  this->Forbid(id, attempt->second.ballot, attempt->second.number);
+  this->running_attempts.erase(attempt);
+  this->tasks.erase(id);
+}
+
+void StartedSet::MarkFinished(const TaskId& id, TaskOutcome outcome,
+                              Payload result) {
+  const auto found = this->tasks.find(id);
+  if (found == this->tasks.end()) return;
+  found->second = Entry{StartedState::kFinished, outcome};
+  this->running_attempts.erase(id);
+  this->answer_bytes += result.size();
+  this->answers.insert_or_assign(id, std::move(result));
+  this->answer_order.push_back(id);
+  while (this->answer_bytes > this->limits.maximum_answer_bytes) {
+    this->DropOldestAnswer();
+  }
+}
+
+TaskReport StartedSet::Report(const TaskId& id) const {
+  TaskReport report;
+  report.task = id;
+  const auto found = this->tasks.find(id);
+  if (found == this->tasks.end()) return report;
+  report.state = found->second.state;
+  report.outcome = found->second.outcome;
+  const auto answer = this->answers.find(id);
+  if (answer == this->answers.end()) return report;
+  report.result = answer->second;
+  report.result_kept = true;
+  return report;
+}
+
+void StartedSet::Forbid(const TaskId& id, const Ballot& ballot,
+                        std::uint32_t attempt) {
+  Attempt& highest = this->forbidden[id];
+  highest = std::max(highest, Attempt{ballot, attempt});
+  this->forbidden_order.push_back({this->last_seen_time, id});
+}
+
+std::vector<StartedJob> StartedSet::TasksOf(
+    const std::unordered_set<BucketId>& buckets,
+    std::uint32_t bucket_count) const {
+  std::unordered_map<JobKey, std::size_t> positions;
+  std::vector<StartedJob> jobs;
+  for (const auto& [id, entry] : this->tasks) {
+    if (!buckets.contains(BucketOf(id.key, bucket_count))) continue;
+    const auto [position, inserted] = positions.emplace(id.key, jobs.size());
+    if (inserted) jobs.push_back({id.key, {}});
+    jobs[position->second].tasks.push_back(id.task);
+  }
+  return jobs;
+}
+
+void StartedSet::Expire(Timestamp now) {
+  this->last_seen_time = now;
+  const Timestamp horizon = now - this->limits.duplicate_window;
+  while (!this->expiry_order.empty() &&
+         this->expiry_order.front().since < horizon) {
+    const Remembered oldest = this->expiry_order.front();
+    const auto found = this->tasks.find(oldest.id);
+    const bool running = found != this->tasks.end() &&
+                         found->second.state == StartedState::kRunning;
+    // A running task keeps its place until it ends.
+    if (running) break;
+    this->expiry_order.pop_front();
+    if (found != this->tasks.end()) this->tasks.erase(found);
+  }
+  while (!this->forbidden_order.empty() &&
+         this->forbidden_order.front().since < horizon) {
+    this->forbidden.erase(this->forbidden_order.front().id);
+    this->forbidden_order.pop_front();
+  }
+}
+
+void StartedSet::DropOldestAnswer() {
+  const TaskId oldest = this->answer_order.front();
+  this->answer_order.pop_front();
+  const auto found = this->answers.find(oldest);
+  if (found == this->answers.end()) return;
+  this->answer_bytes -= found->second.size();
+  this->answers.erase(found);
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/libraries/agent_core/started_set.h
@@ -0,0 +1,98 @@
+#ifndef DANDELIONSPUR_LIBRARIES_AGENT_CORE_STARTED_SET_H_
+#define DANDELIONSPUR_LIBRARIES_AGENT_CORE_STARTED_SET_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "libraries/base/ballot.h"
+#include "libraries/base/payload.h"
+#include "libraries/base/time.h"
+#include "libraries/protocol/agent_messages.h"
+
+namespace dandelionspur {
+
+struct StartedSetLimits {
+  std::size_t maximum_tasks = 200'000;
+  std::size_t maximum_answer_bytes = 16U * 1024U * 1024U;
+  // How long a finished task is remembered.
+  Duration duplicate_window = std::chrono::minutes(10);
+};
+
+struct TaskIdHash {
+  std::size_t operator()(const TaskId& id) const {
+    constexpr std::uint64_t kOddMultiplier = 0x9E3779B97F4A7C15ULL;
+    return id.key.low ^ ((id.task.value() + 1ULL) * kOddMultiplier);
+  }
+};
+
+// The tasks that an agent has started, and how they ended. A task enters
+// before its upstream is called and stays for the duplicate window; answers
+// are kept up to a number of bytes, oldest dropped first.
+class StartedSet {
+ public:
+  explicit StartedSet(const StartedSetLimits& configured)
+      : limits(configured) {}
+
+  [[nodiscard]] bool IsFull() const {
+    return this->tasks.size() >= this->limits.maximum_tasks;
+  }
+  // Whether this start was answered "not run" or renounced before.
+  [[nodiscard]] bool IsForbidden(const Start& start) const;
+  // Enters a task that is not in the set yet.
+  void Insert(const Start& start, Timestamp now);
+  [[nodiscard]] bool Contains(const TaskId& id) const {
+    return this->tasks.contains(id);
+  }
+  // Takes a task out that the upstream has certainly not received, and keeps
+  // its start from taking effect again.
+  void MarkNotRun(const TaskId& id);
+  void MarkFinished(const TaskId& id, TaskOutcome outcome, Payload result);
+  [[nodiscard]] TaskReport Report(const TaskId& id) const;
+  // No start of `id` up to this ballot and attempt takes effect any more.
+  void Forbid(const TaskId& id, const Ballot& ballot, std::uint32_t attempt);
+  // The started tasks whose bucket is in `buckets`, grouped by job.
+  [[nodiscard]] std::vector<StartedJob> TasksOf(
+      const std::unordered_set<BucketId>& buckets,
+      std::uint32_t bucket_count) const;
+  // Forgets what is older than the duplicate window and not running.
+  void Expire(Timestamp now);
+  [[nodiscard]] std::size_t size() const { return this->tasks.size(); }
+
+ private:
+  struct Entry {
+    StartedState state = StartedState::kRunning;
+    TaskOutcome outcome = TaskOutcome::kUnknown;
+  };
+  struct Attempt {
+    Ballot ballot;
+    std::uint32_t number = 0;
+    auto operator<=>(const Attempt&) const = default;
+  };
+  struct Remembered {
+    Timestamp since;
+    TaskId id;
+  };
+
+  void DropOldestAnswer();
+
+  StartedSetLimits limits;
+  std::unordered_map<TaskId, Entry, TaskIdHash> tasks;
+  std::unordered_map<TaskId, Attempt, TaskIdHash> running_attempts;
+  std::unordered_map<TaskId, Attempt, TaskIdHash> forbidden;
+  std::unordered_map<TaskId, Payload, TaskIdHash> answers;
+  std::deque<TaskId> answer_order;
+  std::deque<Remembered> expiry_order;
+  std::deque<Remembered> forbidden_order;
+  std::size_t answer_bytes = 0;
+  Timestamp last_seen_time;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_AGENT_CORE_STARTED_SET_H_
--- /dev/null
+++ b/libraries/configuration/object_reader.cc
@@ -0,0 +1,178 @@
+#include "libraries/configuration/object_reader.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+namespace dandelionspur {
+namespace {
+
+const nlohmann::json& EmptyObject() {
+  static const nlohmann::json empty = nlohmann::json::object();
+  return empty;
+}
+
+std::string Describe(IntegerRange range) {
+  return "an integer from " + std::to_string(range.minimum) + " to " +
+         std::to_string(range.maximum);
+}
+
+}  // namespace
+
+Result<nlohmann::json> ParseJsonWithComments(std::string_view text,
+                                             const std::string& source) {
+  try {
+    return nlohmann::json::parse(text, nullptr, true, true);
+  } catch (const nlohmann::json::exception& exception) {
+    return Fail(source + ": not valid JSON: " + exception.what());
+  }
+}
+
+Result<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return Fail(path + ": can't be opened");
+  std::ostringstream content;
+  content << file.rdbuf();
+  return content.str();
+}
+
+ObjectReader::ObjectReader(std::string source_name, std::string field_path,
+                           const nlohmann::json& object)
+    : source(std::move(source_name)),
+      path(std::move(field_path)),
+      fields(&object) {
+  if (object.is_object()) return;
+  this->fields = &EmptyObject();
+  this->problem = this->source + ": " +
+                  (this->path.empty() ? "the document" : this->path) +
+                  " must be an object";
+}
+
+std::int64_t ObjectReader::Integer(const std::string& name,
+                                   IntegerRange range) {
+  const nlohmann::json* field = this->RequiredField(name);
+  if (field == nullptr) return range.minimum;
+  if (!field->is_number_integer() ||
+      field->get<std::int64_t>() < range.minimum ||
+      field->get<std::int64_t>() > range.maximum) {
+    this->Problem(name, "must be " + Describe(range));
+    return range.minimum;
+  }
+  return field->get<std::int64_t>();
+}
+
+std::int64_t ObjectReader::IntegerOr(const std::string& name,
+                                     IntegerRange range,
+                                     std::int64_t fallback) {
+  return this->Field(name) == nullptr ? fallback : this->Integer(name, range);
+}
+
+Duration ObjectReader::Milliseconds(const std::string& name,
+                                    IntegerRange range) {
+  return std::chrono::milliseconds(this->Integer(name, range));
+}
+
+Duration ObjectReader::MillisecondsOr(const std::string& name,
+                                      IntegerRange range, Duration fallback) {
+  return this->Field(name) == nullptr ? fallback
+                                      : this->Milliseconds(name, range);
+}
+
+std::string ObjectReader::Text(const std::string& name) {
+  const nlohmann::json* field = this->RequiredField(name);
+  if (field == nullptr) return {};
+  if (!field->is_string() || field->get_ref<const std::string&>().empty()) {
+    this->Problem(name, "must be a string that is not empty");
+    return {};
+  }
+  return field->get<std::string>();
+}
+
+std::string ObjectReader::TextOr(const std::string& name,
+                                 std::string fallback) {
+  return this->Field(name) == nullptr ? std::move(fallback) : this->Text(name);
+}
+
+std::size_t ObjectReader::ChoiceOr(const std::string& name,
+                                   const std::vector<std::string>& allowed,
+                                   std::size_t fallback) {
+  if (this->Field(name) == nullptr) return fallback;
+  const std::string text = this->Text(name);
+  const auto found = std::find(allowed.begin(), allowed.end(), text);
+  if (found != allowed.end()) {
+    return static_cast<std::size_t>(found - allowed.begin());
+  }
+  std::string list;
+  for (const std::string& choice : allowed) {
+    list += (list.empty() ? "" : ", ") + choice;
+  }
+  this->Problem(name, "must be one of: " + list);
+  return fallback;
+}
+
+ObjectReader ObjectReader::Object(const std::string& name) {
+  const nlohmann::json* field = this->RequiredField(name);
+  return {this->source, this->path + name + ".",
+          field == nullptr ? EmptyObject() : *field};
+}
+
+std::vector<ObjectReader> ObjectReader::Objects(const std::string& name) {
+  std::vector<ObjectReader> readers;
+  const nlohmann::json* field = this->RequiredField(name);
+  if (field == nullptr) return readers;
+  if (!field->is_array()) {
+    this->Problem(name, "must be a list of objects");
+    return readers;
+  }
+  for (std::size_t i = 0; i < field->size(); ++i) {
+    readers.emplace_back(this->source,
+                         this->path + name + "[" + std::to_string(i) + "].",
+                         field->at(i));
+  }
+  return readers;
+}
+
+bool ObjectReader::Has(const std::string& name) const {
+  return this->fields->contains(name);
+}
+
+void ObjectReader::Absorb(ObjectReader& nested) {
+  nested.CheckUnknownFields();
+  if (!this->problem) this->problem = nested.problem;
+}
+
+void ObjectReader::Problem(const std::string& name, const std::string& what) {
+  if (this->problem) return;
+  this->problem =
+      this->source + ": field \"" + this->path + name + "\" " + what;
+}
+
+Result<void> ObjectReader::Finish() {
+  this->CheckUnknownFields();
+  if (this->problem) return Fail(*this->problem);
+  return {};
+}
+
+const nlohmann::json* ObjectReader::Field(const std::string& name) {
+  this->asked.push_back(name);
+  const auto found = this->fields->find(name);
+  return found == this->fields->end() ? nullptr : &*found;
+}
+
+const nlohmann::json* ObjectReader::RequiredField(const std::string& name) {
+  const nlohmann::json* field = this->Field(name);
+  if (field == nullptr) this->Problem(name, "is missing");
+  return field;
+}
+
+void ObjectReader::CheckUnknownFields() {
+  for (const auto& [name, value] : this->fields->items()) {
+    if (std::find(this->asked.begin(), this->asked.end(), name) ==
+        this->asked.end()) {
+      this->Problem(name, "is unknown");
+    }
+  }
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/libraries/configuration/service_document.cc
@@ -0,0 +1,96 @@
+#include "libraries/configuration/service_document.h"
+
+#include <algorithm>
+
+#include "libraries/configuration/object_reader.h"
+#include "libraries/protocol/job.h"
+
+namespace dandelionspur {
+namespace {
+
+constexpr IntegerRange kVersionRange{0, INT64_MAX};
+constexpr IntegerRange kQueueRange{1, 10'000'000};
+constexpr IntegerRange kTasksRange{
+    1, static_cast<std::int64_t>(kMaximumTasksPerJob)};
+constexpr IntegerRange kDeadlineRangeMilliseconds{1, 3'600'000};
+constexpr IntegerRange kWindowRangeMilliseconds{1'000, 86'400'000};
+constexpr IntegerRange kPercentRange{0, 100};
+constexpr IntegerRange kWeightRange{1, 1'000};
+constexpr IntegerRange kRunningRange{1, 1'000'000};
+
+constexpr std::int64_t kDefaultQueuedTasks = 20'000;
+constexpr std::int64_t kDefaultRetryPercent = 10;
+constexpr std::int64_t kDefaultEjectedPercent = 30;
+constexpr Duration kDefaultDeadline = std::chrono::seconds(30);
+constexpr Duration kDefaultMaximumDeadline = std::chrono::minutes(5);
+constexpr Duration kDefaultWindow = std::chrono::minutes(10);
+
+TeamPolicy ReadTeam(ObjectReader& reader) {
+  TeamPolicy team;
+  team.team = TeamName(reader.Text("name"));
+  team.weight =
+      static_cast<std::uint32_t>(reader.IntegerOr("weight", kWeightRange, 1));
+  team.maximum_running = static_cast<std::uint32_t>(reader.IntegerOr(
+      "maximum_running", kRunningRange, kRunningRange.maximum));
+  return team;
+}
+
+void ReadTeams(ObjectReader& reader, ServiceDocument& document) {
+  if (!reader.Has("teams")) return;
+  for (ObjectReader& nested : reader.Objects("teams")) {
+    document.teams.push_back(ReadTeam(nested));
+    reader.Absorb(nested);
+  }
+  for (std::size_t i = 0; i < document.teams.size(); ++i) {
+    for (std::size_t j = 0; j < i; ++j) {
+      if (document.teams[i].team == document.teams[j].team) {
+        reader.Problem("teams", "must not name a team twice");
+      }
+    }
+  }
+}
+
+}  // namespace
+
+Result<ServiceDocument> ParseServiceDocument(const std::string& text,
+                                             const std::string& source) {
+  BOOST_LEAF_AUTO(json, ParseJsonWithComments(text, source));
+  ObjectReader reader(source, "", json);
+  ServiceDocument document;
+  document.service = ServiceName(reader.Text("service"));
+  document.version = DocumentVersion(static_cast<std::uint64_t>(
+      reader.IntegerOr("version", kVersionRange, 0)));
+  document.change_id = ChangeId(reader.TextOr("change_id", ""));
+  document.owner = TeamName(reader.Text("owner"));
+  document.placement = static_cast<PlacementKind>(reader.ChoiceOr(
+      "placement", {"fastest_free", "random", "round_robin", "two_choices"},
+      0));
+  document.order = static_cast<OrderKind>(reader.ChoiceOr(
+      "order", {"shortest_remaining", "first_in_first_out"}, 0));
+  document.maximum_queued_tasks = static_cast<std::uint32_t>(reader.IntegerOr(
+      "maximum_queued_tasks", kQueueRange, kDefaultQueuedTasks));
+  document.maximum_tasks_per_job = static_cast<std::uint32_t>(
+      reader.IntegerOr("maximum_tasks_per_job", kTasksRange,
+                       static_cast<std::int64_t>(kMaximumTasksPerJob)));
+  document.default_deadline = reader.MillisecondsOr(
+      "default_deadline_ms", kDeadlineRangeMilliseconds, kDefaultDeadline);
+  document.maximum_deadline =
+      reader.MillisecondsOr("maximum_deadline_ms", kDeadlineRangeMilliseconds,
+                            kDefaultMaximumDeadline);
+  document.duplicate_window = reader.MillisecondsOr(
+      "duplicate_window_ms", kWindowRangeMilliseconds, kDefaultWindow);
+  document.retry_percent = static_cast<std::uint32_t>(
+      reader.IntegerOr("retry_percent", kPercentRange, kDefaultRetryPercent));
+  document.maximum_ejected_percent =
+      static_cast<std::uint32_t>(reader.IntegerOr(
+          "maximum_ejected_percent", kPercentRange, kDefaultEjectedPercent));
+  ReadTeams(reader, document);
+  if (document.default_deadline > document.maximum_deadline) {
+    reader.Problem("default_deadline_ms",
+                   "must not exceed maximum_deadline_ms");
+  }
+  BOOST_LEAF_CHECK(reader.Finish());
+  return document;
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/libraries/configuration/settings.cc
@@ -0,0 +1,115 @@
+#include "libraries/configuration/settings.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include "libraries/configuration/object_reader.h"
+
+namespace dandelionspur {
+namespace {
+
+constexpr IntegerRange kThreadRange{1, 64};
+constexpr IntegerRange kBucketRange{1, 4096};
+constexpr IntegerRange kConnectionRange{1, 1024};
+constexpr IntegerRange kRememberedRange{1'000, 10'000'000};
+constexpr IntegerRange kByteRange{1'024, 1'073'741'824};
+constexpr IntegerRange kWindowRangeMilliseconds{1'000, 86'400'000};
+constexpr IntegerRange kSuspectRangeMilliseconds{100, 60'000};
+constexpr IntegerRange kRemoveRangeMilliseconds{200, 600'000};
+constexpr IntegerRange kLeaseRangeMilliseconds{200, 600'000};
+constexpr IntegerRange kWriteIntervalRangeMilliseconds{100, 3'600'000};
+
+constexpr std::int64_t kDefaultThreads = 2;
+constexpr std::int64_t kDefaultBuckets = 128;
+constexpr std::int64_t kDefaultConnections = 60;
+constexpr std::int64_t kDefaultRemembered = 200'000;
+constexpr std::int64_t kDefaultAnswerBytes = 16'777'216;
+constexpr std::int64_t kDefaultSpoolBytes = 16'777'216;
+constexpr Duration kDefaultWindow = std::chrono::minutes(10);
+constexpr Duration kDefaultSuspectAfter = std::chrono::milliseconds(1'000);
+constexpr Duration kDefaultRemoveAfter = std::chrono::milliseconds(5'000);
+constexpr Duration kDefaultLease = std::chrono::seconds(10);
+constexpr Duration kDefaultWriteInterval = std::chrono::seconds(10);
+
+Endpoint ReadEndpoint(ObjectReader& reader, const std::string& name) {
+  ObjectReader nested = reader.Object(name);
+  Endpoint endpoint;
+  endpoint.address = nested.Text("address");
+  endpoint.port =
+      static_cast<std::uint16_t>(nested.Integer("port", kPortRange));
+  boost::system::error_code error;
+  boost::asio::ip::make_address(endpoint.address, error);
+  if (error) nested.Problem("address", "must be an IP number");
+  reader.Absorb(nested);
+  return endpoint;
+}
+
+RecordingSettings ReadRecording(ObjectReader& reader) {
+  RecordingSettings settings{kDefaultSpoolBytes, kDefaultWriteInterval};
+  if (!reader.Has("recording")) return settings;
+  ObjectReader nested = reader.Object("recording");
+  settings.spool_bytes = static_cast<std::uint64_t>(
+      nested.IntegerOr("spool_bytes", kByteRange, kDefaultSpoolBytes));
+  settings.write_interval = nested.MillisecondsOr(
+      "write_interval_ms", kWriteIntervalRangeMilliseconds,
+      kDefaultWriteInterval);
+  reader.Absorb(nested);
+  return settings;
+}
+
+}  // namespace
+
+Result<EntrySettings> ParseEntrySettings(const std::string& text,
+                                         const std::string& source) {
+  BOOST_LEAF_AUTO(json, ParseJsonWithComments(text, source));
+  ObjectReader reader(source, "", json);
+  EntrySettings settings;
+  settings.data_centre = DataCentreName(reader.Text("data_centre"));
+  settings.callers = ReadEndpoint(reader, "callers");
+  settings.peers = ReadEndpoint(reader, "peers");
+  settings.admin = ReadEndpoint(reader, "admin");
+  settings.table = ReadEndpoint(reader, "table");
+  settings.input_output_threads = static_cast<std::uint32_t>(
+      reader.IntegerOr("input_output_threads", kThreadRange, kDefaultThreads));
+  settings.bucket_count = static_cast<std::uint32_t>(
+      reader.IntegerOr("bucket_count", kBucketRange, kDefaultBuckets));
+  settings.duplicate_window = reader.MillisecondsOr(
+      "duplicate_window_ms", kWindowRangeMilliseconds, kDefaultWindow);
+  settings.suspect_after = reader.MillisecondsOr(
+      "suspect_after_ms", kSuspectRangeMilliseconds, kDefaultSuspectAfter);
+  settings.remove_after = reader.MillisecondsOr(
+      "remove_after_ms", kRemoveRangeMilliseconds, kDefaultRemoveAfter);
+  settings.recording = ReadRecording(reader);
+  if (settings.remove_after < settings.suspect_after) {
+    reader.Problem("remove_after_ms", "must not be below suspect_after_ms");
+  }
+  BOOST_LEAF_CHECK(reader.Finish());
+  return settings;
+}
+
+Result<AgentSettings> ParseAgentSettings(const std::string& text,
+                                         const std::string& source) {
+  BOOST_LEAF_AUTO(json, ParseJsonWithComments(text, source));
+  ObjectReader reader(source, "", json);
+  AgentSettings settings;
+  settings.data_centre = DataCentreName(reader.Text("data_centre"));
+  settings.admin = ReadEndpoint(reader, "admin");
+  settings.table = ReadEndpoint(reader, "table");
+  settings.upstream_connections = static_cast<std::uint32_t>(reader.IntegerOr(
+      "upstream_connections", kConnectionRange, kDefaultConnections));
+  settings.bucket_count = static_cast<std::uint32_t>(
+      reader.IntegerOr("bucket_count", kBucketRange, kDefaultBuckets));
+  settings.maximum_remembered_tasks =
+      static_cast<std::uint32_t>(reader.IntegerOr(
+          "maximum_remembered_tasks", kRememberedRange, kDefaultRemembered));
+  settings.maximum_answer_bytes = static_cast<std::uint64_t>(reader.IntegerOr(
+      "maximum_answer_bytes", kByteRange, kDefaultAnswerBytes));
+  settings.duplicate_window = reader.MillisecondsOr(
+      "duplicate_window_ms", kWindowRangeMilliseconds, kDefaultWindow);
+  settings.lease =
+      reader.MillisecondsOr("lease_ms", kLeaseRangeMilliseconds, kDefaultLease);
+  settings.recording = ReadRecording(reader);
+  BOOST_LEAF_CHECK(reader.Finish());
+  return settings;
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/libraries/entry_core/entry_core.cc
@@ -0,0 +1,521 @@
+#include "libraries/entry_core/entry_core.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionspur {
+
+EntryCore::EntryCore(const EntryCoreSettings& configured)
+    : settings(configured),
+      peers(configured.suspect_after),
+      ownership(this->settings, this->registry, this->peers, this->outbox),
+      confirmer(this->settings, this->ownership, this->registry, this->outbox),
+      home(this->settings, this->ownership, this->registry, this->confirmer,
+           this->outbox),
+      relays(this->settings, this->ownership, this->peers, this->home,
+             this->outbox),
+      hand_over(this->settings, this->ownership, this->peers, this->outbox) {}
+
+std::vector<EntryEffect> EntryCore::Handle(const EntryEvent& event,
+                                           Timestamp now) {
+  this->current_time = now;
+  std::visit([this](const auto& alternative) { this->On(alternative); }, event);
+  this->Settle();
+  return this->outbox.Take();
+}
+
+bool EntryCore::IsReady() const {
+  const bool has_agent =
+      std::any_of(this->registry.all().begin(), this->registry.all().end(),
+                  [](const auto& item) {
+                    return item.second.connected && item.second.ready;
+                  });
+  return !this->draining && this->IsMember() &&
+         this->ownership.IsSynchronized() && has_agent &&
+         !this->documents_in_force.empty();
+}
+
+void EntryCore::On(const CallerSubmitted& event) {
+  const JobKey& key = event.job.key;
+  const KeptAnswer* answer = this->home.FindAnswer(key);
+  if (answer != nullptr && answer->body_digest == event.job.body_digest) {
+    this->outbox.Answer(event.request, key, answer->answer);
+    return;
+  }
+  const BucketId bucket = this->ownership.BucketOfKey(key);
+  if (this->ownership.IsActive(bucket)) {
+    this->home.Accept(event.job, event.request, std::nullopt,
+                      this->current_time);
+    return;
+  }
+  this->relays.Submit(event.job, this->current_time + event.job.time_allowed,
+                      {event.request}, this->current_time);
+}
+
+void EntryCore::On(const CallerCancelled& event) {
+  if (this->relays.Cancel(event.key)) return;
+  const BucketId bucket = this->ownership.BucketOfKey(event.key);
+  if (this->ownership.IsActive(bucket)) {
+    this->home.Cancel(event.key, this->current_time);
+    return;
+  }
+  const EntryId target =
+      this->ownership.ExpectedHome(bucket, this->current_time);
+  if (target != EntryId() && target != this->settings.self) {
+    this->outbox.ToPeer(target, CancelJob{event.key});
+  }
+}
+
+void EntryCore::On(const PeerConnected& event) {
+  this->peers.Connected(event.peer, this->current_time);
+  this->SendState(event.peer);
+  this->ownership.RepeatRequests();
+  this->hand_over.RepeatRequests();
+}
+
+void EntryCore::On(const PeerDisconnected& event) {
+  this->peers.Disconnected(event.peer, this->current_time);
+}
+
+void EntryCore::On(const PeerProvenDead& event) {
+  this->peers.ProvenDead(event.peer, this->current_time);
+}
+
+void EntryCore::On(const PeerMessageReceived& event) {
+  this->peers.Heard(event.from, this->current_time);
+  std::visit([&](const auto& message) { this->OnPeer(event.from, message); },
+             event.message);
+}
+
+void EntryCore::On(const AgentConnected& event) {
+  KnownAgent& agent = this->registry.Add(event.agent);
+  agent.connected = true;
+  agent.last_heard = this->current_time;
+  agent.credits = 0;
+  agent.demand_told = false;
+  this->silent_agents.erase(event.agent);
+  this->ownership.RequestFromAgent(event.agent);
+  this->home.OnAgentConnected(event.agent);
+}
+
+void EntryCore::On(const AgentDisconnected& event) {
+  KnownAgent* agent = this->registry.Find(event.agent);
+  if (agent == nullptr) return;
+  agent->connected = false;
+  agent->credits = 0;
+  this->silent_agents.emplace(event.agent, this->current_time);
+}
+
+void EntryCore::On(const AgentProvenDead& event) {
+  this->LoseAgent(event.agent);
+}
+
+void EntryCore::On(const AgentMessageReceived& event) {
+  if (KnownAgent* agent = this->registry.Find(event.from)) {
+    agent->last_heard = this->current_time;
+  }
+  std::visit([&](const auto& message) { this->OnAgent(event.from, message); },
+             event.message);
+}
+
+void EntryCore::On(const ViewRead& event) { this->AdoptView(event.view); }
+
+void EntryCore::On(const DocumentRead& event) {
+  this->AdoptDocument(event.document);
+}
+
+void EntryCore::On(const DrainRequested& /*event*/) {
+  if (this->draining) return;
+  this->draining = true;
+  this->hand_over.BeginDeparture();
+}
+
+void EntryCore::On(const EntryTick& /*event*/) {
+  const Timestamp now = this->current_time;
+  const bool was_paused =
+      this->last_tick != Timestamp() &&
+      now - this->last_tick > this->settings.suspect_after / 2;
+  if (was_paused) {
+    this->peers.ForgiveSilence(now);
+    this->registry.ForgiveSilence(now);
+  }
+  this->last_tick = now;
+  this->home.Tick(now);
+  this->relays.Tick(now);
+  this->confirmer.Advance(now);
+  if (now >= this->next_repeat) {
+    this->next_repeat = now + this->settings.repeat_interval;
+    this->ownership.RepeatRequests();
+    this->home.RepeatRequests(now);
+    this->hand_over.RepeatRequests();
+    this->RemoveDeadMembers();
+    this->ownership.Expire(now - this->settings.duplicate_window);
+    this->registry.Expire(now - this->settings.duplicate_window);
+  }
+  if (now >= this->next_heartbeat) {
+    this->next_heartbeat = now + this->settings.heartbeat_interval;
+    this->SendHeartbeats();
+  }
+  this->ContinueDrain();
+}
+
+void EntryCore::OnPeer(EntryId from, const PeerState& message) {
+  for (const AgentSummary& summary : message.agents) {
+    this->registry.Add(summary.agent);
+    if (summary.lost_at) this->LoseAgent(summary.agent);
+  }
+  this->AdoptView(message.view);
+  this->Observe(message.promises);
+  const bool speaks_of_this_view = message.view.epoch >= this->joined_in &&
+                                   this->view().Find(from) != nullptr;
+  if (message.synchronized && speaks_of_this_view && this->IsMember()) {
+    this->ownership.MarkSynchronized();
+  }
+}
+
+void EntryCore::OnPeer(EntryId from, const PromiseRequest& message) {
+  this->MoveJobs(this->ownership.OnPromiseRequest(from, message));
+}
+
+void EntryCore::OnPeer(EntryId from, const PromiseReply& message) {
+  this->MoveJobs(
+      this->ownership.OnPromiseReply(from, message, this->current_time));
+}
+
+void EntryCore::OnPeer(EntryId from, const WitnessRequest& message) {
+  WitnessReply reply;
+  for (const WitnessedKey& asked : message.keys) {
+    const BucketId bucket = this->ownership.BucketOfKey(asked.known.key);
+    const Ballot promised = this->ownership.Promised(bucket);
+    if (promised > asked.ballot) {
+      reply.higher.push_back({bucket, promised});
+      continue;
+    }
+    // An entry that is leaving has handed over already what it knows.
+    if (this->draining) continue;
+    this->Observe({{bucket, asked.ballot}});
+    this->ownership.Remember(asked.known, this->current_time);
+    reply.keys.push_back(asked);
+  }
+  this->outbox.ToPeer(from, std::move(reply));
+}
+
+void EntryCore::OnPeer(EntryId /*from*/, const WitnessReply& message) {
+  this->Observe(message.higher);
+  this->home.OnWitnessReply(message, this->current_time);
+}
+
+void EntryCore::OnPeer(EntryId from, const Relay& message) {
+  const BucketId bucket = this->ownership.BucketOfKey(message.job.key);
+  this->Observe({{bucket, message.promised}});
+  const Ballot promised = this->ownership.Promised(bucket);
+  if (this->ownership.IsActive(bucket)) {
+    std::optional<EntryId> witness;
+    if (this->view().Find(from) != nullptr) witness = from;
+    this->home.Accept(message.job, RelayOrigin{from, message.attempt}, witness,
+                      this->current_time);
+    return;
+  }
+  const bool will_be_home =
+      this->ownership.Phase(bucket) == OwnershipPhase::kCollecting ||
+      (this->IsMember() &&
+       this->ownership.ExpectedHome(bucket, this->current_time) ==
+           this->settings.self);
+  if (will_be_home) {
+    this->relays.Park(
+        {from, message, this->current_time + message.job.time_allowed});
+    return;
+  }
+  this->outbox.ToPeer(from,
+                      RelayMoved{message.job.key, message.attempt, promised});
+}
+
+void EntryCore::OnPeer(EntryId from, const RelayAnswer& message) {
+  const BucketId bucket = this->ownership.BucketOfKey(message.key);
+  this->Observe({{bucket, message.ballot}});
+  this->relays.OnAnswer(from, message);
+}
+
+void EntryCore::OnPeer(EntryId /*from*/, const RelayMoved& message) {
+  const BucketId bucket = this->ownership.BucketOfKey(message.key);
+  this->Observe({{bucket, message.promised}});
+  this->relays.OnMoved(message, this->current_time);
+}
+
+void EntryCore::OnPeer(EntryId /*from*/, const CancelJob& message) {
+  this->home.Cancel(message.key, this->current_time);
+}
+
+void EntryCore::OnPeer(EntryId from, const ConfirmRequest& message) {
+  ConfirmReply reply;
+  reply.sequence = message.sequence;
+  for (const BucketBallot& asked : message.buckets) {
+    if (asked.bucket.value() >= this->settings.bucket_count) continue;
+    const Ballot promised = this->ownership.Promised(asked.bucket);
+    if (promised <= asked.ballot) {
+      reply.confirmed.push_back(asked.bucket);
+    } else {
+      reply.higher.push_back({asked.bucket, promised});
+    }
+  }
+  this->outbox.ToPeer(from, std::move(reply));
+}
+
+void EntryCore::OnPeer(EntryId /*from*/, const ConfirmReply& message) {
+  this->Observe(message.higher);
+  this->home.OnRefusalsConfirmed(this->confirmer.OnEntryReply(message),
+                                 this->current_time);
+  this->confirmer.Advance(this->current_time);
+}
+
+void EntryCore::OnPeer(EntryId from, const HandOver& message) {
+  this->hand_over.Answer(from, message, this->current_time);
+}
+
+void EntryCore::OnPeer(EntryId from, const HandOverReply& message) {
+  this->Observe(message.higher);
+  this->hand_over.OnReply(from, message);
+}
+
+void EntryCore::OnPeer(EntryId /*from*/, const Healed& message) {
+  for (const BucketId bucket : message.buckets) {
+    for (const EntryId lost : message.lost) {
+      this->ownership.MarkHealed(bucket, lost);
+    }
+  }
+}
+
+void EntryCore::OnPeer(EntryId /*from*/, const DocumentPush& message) {
+  for (const VersionedDocument& document : message.documents) {
+    this->AdoptDocument(document);
+  }
+}
+
+void EntryCore::OnPeer(EntryId from, const PeerHeartbeat& message) {
+  // Whoever is behind gets told; the table may be out of reach for it.
+  if (message.epoch < this->view().epoch) this->SendState(from);
+}
+
+void EntryCore::OnAgent(AgentId from, const Register& message) {
+  for (const AgentId replaced : this->registry.Register(message.description)) {
+    this->LoseAgent(replaced);
+  }
+  KnownAgent& agent = this->registry.Add(from);
+  agent.connected = true;
+  this->outbox.ToAgent(
+      from, RegisterAcknowledged{this->view(), this->ownership.Promises()});
+}
+
+void EntryCore::OnAgent(AgentId from, const AgentReady& message) {
+  KnownAgent* agent = this->registry.Find(from);
+  if (agent == nullptr || message.epoch < this->view().epoch) return;
+  agent->ready = true;
+  this->ownership.RequestFromAgent(from);
+}
+
+void EntryCore::OnAgent(AgentId from, const AgentPromiseReply& message) {
+  this->MoveJobs(
+      this->ownership.OnAgentPromiseReply(from, message, this->current_time));
+  this->home.OnHistoryGrown(this->current_time);
+}
+
+void EntryCore::OnAgent(AgentId from, const TaskFinished& message) {
+  this->home.OnTaskFinished(from, message, this->current_time);
+}
+
+void EntryCore::OnAgent(AgentId from, const TaskNotRun& message) {
+  const BucketId bucket = this->ownership.BucketOfKey(message.task.key);
+  this->Observe({{bucket, message.promised}});
+  this->home.OnTaskNotRun(from, message, this->current_time);
+}
+
+void EntryCore::OnAgent(AgentId from, const RenounceReply& message) {
+  this->home.OnRenounceReply(from, message, this->current_time);
+}
+
+void EntryCore::OnAgent(AgentId from, const CreditGrant& message) {
+  KnownAgent* agent = this->registry.Find(from);
+  if (agent == nullptr) return;
+  agent->credits += message.credits;
+  agent->demand_told = false;
+}
+
+void EntryCore::OnAgent(AgentId from, const CreditRecall& /*message*/) {
+  this->home.OnCreditRecall(from);
+}
+
+void EntryCore::OnAgent(AgentId from, const AgentLeaving& /*message*/) {
+  KnownAgent* agent = this->registry.Find(from);
+  if (agent != nullptr) agent->leaving = true;
+}
+
+void EntryCore::OnAgent(AgentId /*from*/, const AgentHeartbeat& /*message*/) {}
+
+void EntryCore::OnAgent(AgentId /*from*/, const ConfirmReply& message) {
+  this->Observe(message.higher);
+  this->home.OnRefusalsConfirmed(this->confirmer.OnAgentReply(message),
+                                 this->current_time);
+  this->confirmer.Advance(this->current_time);
+}
+
+void EntryCore::AdoptView(const View& view) {
+  if (view.epoch <= this->view().epoch) return;
+  this->MoveJobs(this->ownership.AdoptView(view));
+  this->hand_over.OnViewChange();
+  for (const ViewMember& member : view.members) {
+    if (member.entry == this->settings.self) continue;
+    this->peers.Expect(member.entry, this->current_time);
+  }
+  this->outbox.Add(ViewInForce{view});
+  if (!this->IsMember()) {
+    const bool unexpected = this->member_since && !this->draining;
+    if (unexpected && !this->removal_reported) {
+      this->removal_reported = true;
+      this->outbox.Add(RemovedFromView{});
+    }
+    return;
+  }
+  if (!this->member_since) {
+    this->member_since = this->current_time;
+    this->joined_in = view.epoch;
+    const bool first_ever = view.members.size() == 1 && view.losses.empty();
+    if (first_ever) this->ownership.MarkSynchronized();
+  }
+  for (const ViewMember& member : view.members) this->SendState(member.entry);
+}
+
+void EntryCore::AdoptDocument(const VersionedDocument& document) {
+  VersionedDocument& current = this->documents_in_force[document.service];
+  if (document.version <= current.version) return;
+  const auto parsed = OrElse(
+      [&]() -> Result<std::optional<ServiceDocument>> {
+        BOOST_LEAF_AUTO(value, ParseServiceDocument(document.text,
+                                                    document.service.value()));
+        return value;
+      },
+      [](const std::string&) { return std::optional<ServiceDocument>(); });
+  // The document was checked when it was written; one that does not parse
+  // comes from a newer release, and the one in force stays.
+  if (!parsed) return;
+  current = document;
+  this->home.ApplyDocument(*parsed);
+  this->outbox.Add(DocumentInForce{document});
+  for (const ViewMember& member : this->view().members) {
+    if (!this->peers.IsConnected(member.entry)) continue;
+    this->outbox.ToPeer(member.entry, DocumentPush{{document}});
+  }
+}
+
+PeerState EntryCore::StateForPeers() const {
+  return PeerState{this->view(), this->ownership.IsSynchronized(),
+                   this->registry.Summaries(), this->ownership.Promises()};
+}
+
+void EntryCore::SendState(EntryId peer) {
+  if (peer == this->settings.self || !this->peers.IsConnected(peer)) return;
+  this->outbox.ToPeer(peer, this->StateForPeers());
+  DocumentPush documents;
+  for (const auto& [service, document] : this->documents_in_force) {
+    documents.documents.push_back(document);
+  }
+  if (!documents.documents.empty()) {
+    this->outbox.ToPeer(peer, std::move(documents));
+  }
+}
+
+void EntryCore::Settle() {
+  const Timestamp now = this->current_time;
+  if (!this->draining) {
+    this->ownership.Acquire(this->ownership.Vacant(now), now);
+  }
+  const std::vector<BucketId> activated = this->ownership.ActivateReady(now);
+  if (!activated.empty()) {
+    this->relays.OnActivated(activated, now);
+    this->hand_over.Heal(activated);
+  }
+  this->home.Dispatch(now);
+}
+
+void EntryCore::MoveJobs(const std::vector<BucketId>& lost) {
+  for (const BucketId bucket : lost) {
+    for (const EvictedJob& job : this->home.Evict(bucket, this->current_time)) {
+      this->relays.Submit(job.submission, job.deadline, job.callers,
+                          this->current_time);
+    }
+    this->relays.OnBucketLost(bucket);
+  }
+}
+
+void EntryCore::Observe(const std::vector<BucketBallot>& seen) {
+  std::vector<BucketId> lost;
+  for (const BucketBallot& ballot : seen) {
+    if (this->ownership.Observe(ballot)) lost.push_back(ballot.bucket);
+  }
+  this->MoveJobs(lost);
+}
+
+void EntryCore::LoseAgent(AgentId agent) {
+  const KnownAgent* known = this->registry.Find(agent);
+  if (known != nullptr && known->lost_at) return;
+  this->registry.MarkLost(agent, this->current_time);
+  this->silent_agents.erase(agent);
+  this->home.OnAgentLost(agent, this->current_time);
+}
+
+void EntryCore::RemoveDeadMembers() {
+  const Timestamp now = this->current_time;
+  // An agent can't act for longer than the duplicate window after its last
+  // word: docs/design/at-most-once.md, assumption on pauses.
+  const std::map<AgentId, Timestamp> silent = this->silent_agents;
+  for (const auto& [agent, since] : silent) {
+    if (now - since > this->settings.duplicate_window) {
+      this->LoseAgent(agent);
+    }
+  }
+  if (!this->IsMember() || this->draining) return;
+  if (this->member_since &&
+      now - *this->member_since > this->settings.duplicate_window) {
+    // Whatever was unknown at the start is older than any key that may run.
+    this->ownership.MarkSynchronized();
+  }
+  for (const ViewMember& member : this->view().members) {
+    if (member.entry == this->settings.self) continue;
+    const std::optional<Timestamp> dead = this->peers.DeadSince(member.entry);
+    const bool silent_too_long =
+        this->peers.SilenceOf(member.entry, now) > this->settings.remove_after;
+    if (!dead && !silent_too_long) continue;
+    const EntryLoss loss{member.entry, dead.value_or(now),
+                         dead ? LossProof::kProvenDead : LossProof::kSilent};
+    const Timestamp horizon = now - this->settings.duplicate_window;
+    this->outbox.Add(ProposeView{
+        WithLoss(WithoutLossesBefore(this->view(), horizon), loss)});
+    return;
+  }
+}
+
+void EntryCore::SendHeartbeats() {
+  for (const ViewMember& member : this->view().members) {
+    if (!this->peers.IsConnected(member.entry)) continue;
+    this->outbox.ToPeer(member.entry, PeerHeartbeat{this->view().epoch});
+  }
+}
+
+void EntryCore::ContinueDrain() {
+  if (!this->draining) return;
+  if (this->IsMember()) {
+    const bool alone = this->view().members.size() == 1;
+    if (!alone && this->hand_over.DepartureComplete()) {
+      this->departed = true;
+      this->outbox.Add(
+          ProposeView{WithoutMember(this->view(), this->settings.self)});
+    }
+    // Alone there is nobody to hand over to; the jobs end here.
+    if (!alone) return;
+  }
+  const bool idle = this->home.size() == 0 && this->relays.size() == 0;
+  if (!idle || this->drained_reported) return;
+  this->drained_reported = true;
+  this->outbox.Add(EntryDrained{});
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/libraries/entry_core/entry_core_settings.h
@@ -0,0 +1,34 @@
+#ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_ENTRY_CORE_SETTINGS_H_
+#define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_ENTRY_CORE_SETTINGS_H_
+
+#include <boost/describe.hpp>
+#include <cstdint>
+
+#include "libraries/base/identifiers.h"
+#include "libraries/base/time.h"
+
+namespace dandelionspur {
+
+struct EntryCoreSettings {
+  EntryId self;
+  // Same for all entries and agents, for ever.
+  std::uint32_t bucket_count = 0;
+  // How long keys, losses and answers are remembered.
+  Duration duplicate_window = std::chrono::minutes(10);
+  Duration suspect_after = std::chrono::milliseconds(1000);
+  Duration remove_after = std::chrono::milliseconds(5000);
+  // Unanswered requests between processes are repeated at this interval.
+  Duration repeat_interval = std::chrono::milliseconds(250);
+  Duration heartbeat_interval = std::chrono::milliseconds(250);
+  std::uint64_t maximum_answer_bytes = 16U * 1024U * 1024U;
+  // Seeds the choices of the random placement baselines.
+  std::uint64_t placement_seed = 1;
+};
+BOOST_DESCRIBE_STRUCT(EntryCoreSettings, (),
+                      (self, bucket_count, duplicate_window, suspect_after,
+                       remove_after, repeat_interval, heartbeat_interval,
+                       maximum_answer_bytes, placement_seed))
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_ENTRY_CORE_ENTRY_CORE_SETTINGS_H_
--- /dev/null
+++ b/libraries/entry_core/entry_events.h
@@ -0,0 +1,185 @@
+#ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_ENTRY_EVENTS_H_
+#define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_ENTRY_EVENTS_H_
+
+#include <boost/describe.hpp>
+#include <variant>
+#include <vector>
+
+#include "libraries/protocol/agent_messages.h"
+#include "libraries/protocol/entry_messages.h"
+
+namespace dandelionspur {
+
+struct CallerSubmitted {
+  static constexpr const char* kName = "caller_submitted";
+  RequestId request;
+  JobSubmission job;
+};
+BOOST_DESCRIBE_STRUCT(CallerSubmitted, (), (request, job))
+
+struct CallerCancelled {
+  static constexpr const char* kName = "caller_cancelled";
+  JobKey key;
+};
+BOOST_DESCRIBE_STRUCT(CallerCancelled, (), (key))
+
+struct PeerConnected {
+  static constexpr const char* kName = "peer_connected";
+  EntryId peer;
+};
+BOOST_DESCRIBE_STRUCT(PeerConnected, (), (peer))
+
+struct PeerDisconnected {
+  static constexpr const char* kName = "peer_disconnected";
+  EntryId peer;
+};
+BOOST_DESCRIBE_STRUCT(PeerDisconnected, (), (peer))
+
+// The peer's address refuses connections, or another incarnation answers
+// there.
+struct PeerProvenDead {
+  static constexpr const char* kName = "peer_proven_dead";
+  EntryId peer;
+};
+BOOST_DESCRIBE_STRUCT(PeerProvenDead, (), (peer))
+
+struct PeerMessageReceived {
+  static constexpr const char* kName = "peer_message_received";
+  EntryId from;
+  PeerMessage message;
+};
+BOOST_DESCRIBE_STRUCT(PeerMessageReceived, (), (from, message))
+
+struct AgentConnected {
+  static constexpr const char* kName = "agent_connected";
+  AgentId agent;
+};
+BOOST_DESCRIBE_STRUCT(AgentConnected, (), (agent))
+
+struct AgentDisconnected {
+  static constexpr const char* kName = "agent_disconnected";
+  AgentId agent;
+};
+BOOST_DESCRIBE_STRUCT(AgentDisconnected, (), (agent))
+
+struct AgentProvenDead {
+  static constexpr const char* kName = "agent_proven_dead";
+  AgentId agent;
+};
+BOOST_DESCRIBE_STRUCT(AgentProvenDead, (), (agent))
+
+struct AgentMessageReceived {
+  static constexpr const char* kName = "agent_message_received";
+  AgentId from;
+  AgentMessage message;
+};
+BOOST_DESCRIBE_STRUCT(AgentMessageReceived, (), (from, message))
+
+struct ViewRead {
+  static constexpr const char* kName = "view_read";
+  View view;
+};
+BOOST_DESCRIBE_STRUCT(ViewRead, (), (view))
+
+struct DocumentRead {
+  static constexpr const char* kName = "document_read";
+  VersionedDocument document;
+};
+BOOST_DESCRIBE_STRUCT(DocumentRead, (), (document))
+
+struct DrainRequested {
+  static constexpr const char* kName = "drain_requested";
+};
+BOOST_DESCRIBE_STRUCT(DrainRequested, (), ())
+
+struct EntryTick {
+  static constexpr const char* kName = "tick";
+};
+BOOST_DESCRIBE_STRUCT(EntryTick, (), ())
+
+using EntryEvent =
+    std::variant<CallerSubmitted, CallerCancelled, PeerConnected,
+                 PeerDisconnected, PeerProvenDead, PeerMessageReceived,
+                 AgentConnected, AgentDisconnected, AgentProvenDead,
+                 AgentMessageReceived, ViewRead, DocumentRead, DrainRequested,
+                 EntryTick>;
+
+struct AnswerCaller {
+  static constexpr const char* kName = "answer_caller";
+  RequestId request;
+  JobKey key;
+  JobAnswer answer;
+};
+BOOST_DESCRIBE_STRUCT(AnswerCaller, (), (request, key, answer))
+
+struct SendToPeer {
+  static constexpr const char* kName = "send_to_peer";
+  EntryId to;
+  PeerMessage message;
+};
+BOOST_DESCRIBE_STRUCT(SendToPeer, (), (to, message))
+
+struct SendToAgent {
+  static constexpr const char* kName = "send_to_agent";
+  AgentId to;
+  EntryToAgentMessage message;
+};
+BOOST_DESCRIBE_STRUCT(SendToAgent, (), (to, message))
+
+// Write this view if the table still holds the one before it.
+struct ProposeView {
+  static constexpr const char* kName = "propose_view";
+  View view;
+};
+BOOST_DESCRIBE_STRUCT(ProposeView, (), (view))
+
+// This view is in force here; keep a connection to every member.
+struct ViewInForce {
+  static constexpr const char* kName = "view_in_force";
+  View view;
+};
+BOOST_DESCRIBE_STRUCT(ViewInForce, (), (view))
+
+struct DocumentInForce {
+  static constexpr const char* kName = "document_in_force";
+  VersionedDocument document;
+};
+BOOST_DESCRIBE_STRUCT(DocumentInForce, (), (document))
+
+// A start was refused and the task goes elsewhere.
+struct RetryCounted {
+  static constexpr const char* kName = "retry_counted";
+  Reason reason = Reason::kNoFreeSlot;
+};
+BOOST_DESCRIBE_STRUCT(RetryCounted, (), (reason))
+
+BOOST_DEFINE_ENUM_CLASS(OwnershipPhase, kNone, kCollecting, kActive)
+
+// This entry began to act, or stopped acting, as home of buckets.
+struct OwnershipChanged {
+  static constexpr const char* kName = "ownership_changed";
+  OwnershipPhase phase = OwnershipPhase::kNone;
+  std::vector<BucketBallot> buckets;
+};
+BOOST_DESCRIBE_STRUCT(OwnershipChanged, (), (phase, buckets))
+
+// The others took this entry out of the view; it can only start anew.
+struct RemovedFromView {
+  static constexpr const char* kName = "removed_from_view";
+};
+BOOST_DESCRIBE_STRUCT(RemovedFromView, (), ())
+
+// Nothing is left to do after a request to drain.
+struct EntryDrained {
+  static constexpr const char* kName = "entry_drained";
+};
+BOOST_DESCRIBE_STRUCT(EntryDrained, (), ())
+
+using EntryEffect =
+    std::variant<AnswerCaller, SendToPeer, SendToAgent, ProposeView,
+                 ViewInForce, DocumentInForce, RetryCounted, OwnershipChanged,
+                 RemovedFromView, EntryDrained>;
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_ENTRY_CORE_ENTRY_EVENTS_H_
--- /dev/null
+++ b/libraries/entry_core/home_job.h
@@ -0,0 +1,81 @@
+#ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_HOME_JOB_H_
+#define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_HOME_JOB_H_
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+#include "libraries/protocol/entry_messages.h"
+#include "libraries/protocol/job.h"
+
+namespace dandelionspur {
+
+// Where a relayed submission came from.
+struct RelayOrigin {
+  EntryId entry;
+  AttemptNumber attempt;
+};
+
+// Who waits for a job's answer: a caller of this entry, or another entry.
+using Waiter = std::variant<RequestId, RelayOrigin>;
+
+enum class TaskPhase {
+  kQueued,
+  kStarted,
+  // Found in an agent's started set after a change of home; its state is
+  // being asked for.
+  kQuerying,
+  kSucceeded,
+};
+
+struct TaskRecord {
+  TaskPhase phase = TaskPhase::kQueued;
+  AgentId agent;
+  std::uint32_t attempt = 0;
+  // A start of this task was refused before.
+  bool retried = false;
+  Payload result;
+};
+
+enum class JobPhase {
+  // Another entry must know the key before the first start.
+  kAwaitingWitness,
+  // The agents must tell what a former home started.
+  kAwaitingHistory,
+  kRunning,
+  // Will be answered "not run" once that is proven.
+  kRefusing,
+};
+
+// A job at its home.
+struct HomeJob {
+  JobSubmission submission;
+  Timestamp accepted_at;
+  Timestamp deadline;
+  JobPhase phase = JobPhase::kAwaitingWitness;
+  bool witnessed = false;
+  // Known from before this ballot.
+  bool carried = false;
+  Reason refusal = Reason::kComplete;
+  Duration retry_after{};
+  std::vector<Waiter> waiters;
+  std::vector<TaskRecord> tasks;
+  // Tasks to start, the next one last.
+  std::vector<TaskIndex> queued;
+  std::uint32_t succeeded = 0;
+  // Starts that have not been proven "not run".
+  std::uint32_t started = 0;
+  // Declared time of the queued tasks.
+  Duration queued_work{};
+  // Position in the service's queue; meaningful while `is_queued`.
+  std::int64_t rank = 0;
+  bool is_queued = false;
+
+  [[nodiscard]] Duration TimeLeft(Timestamp now) const {
+    return std::max(Duration(), this->deadline - now);
+  }
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_ENTRY_CORE_HOME_JOB_H_
--- /dev/null
+++ b/libraries/entry_core/home_jobs.cc
@@ -0,0 +1,708 @@
+#include "libraries/entry_core/home_jobs.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace dandelionspur {
+namespace {
+
+constexpr std::uint32_t kFailuresBeforeProbation = 3;
+constexpr Duration kFirstProbation = std::chrono::milliseconds(500);
+constexpr std::uint32_t kMaximumProbationDoublings = 6;
+constexpr double kSpeedAverageWeight = 0.2;
+constexpr double kMaximumSlowness = 50;
+constexpr Duration kMinimumRetryAfter = std::chrono::milliseconds(100);
+constexpr std::uint32_t kPercent = 100;
+
+Duration ProbationTime(std::uint32_t failures) {
+  const std::uint32_t beyond = failures < kFailuresBeforeProbation
+                                   ? 0
+                                   : failures - kFailuresBeforeProbation;
+  return kFirstProbation * (1U << std::min(beyond, kMaximumProbationDoublings));
+}
+
+}  // namespace
+
+HomeJobs::HomeJobs(const EntryCoreSettings& configured, Ownership& owner,
+                   AgentRegistry& registry, RefusalConfirmer& refusals,
+                   EntryOutbox& effects)
+    : settings(configured),
+      ownership(owner),
+      agents(registry),
+      confirmer(refusals),
+      outbox(effects),
+      kept(configured.maximum_answer_bytes, configured.duplicate_window) {}
+
+void HomeJobs::ApplyDocument(const ServiceDocument& document) {
+  const auto found = this->services.find(document.service);
+  if (found != this->services.end()) {
+    found->second.Apply(document);
+    return;
+  }
+  this->services.emplace(document.service,
+                         ServiceState(document, this->settings.placement_seed));
+}
+
+void HomeJobs::Accept(const JobSubmission& submission, const Waiter& waiter,
+                      std::optional<EntryId> witness, Timestamp now) {
+  const JobKey& key = submission.key;
+  if (const KeptAnswer* answer = this->kept.Find(key)) {
+    const bool same = answer->body_digest == submission.body_digest;
+    this->AnswerWaiter(
+        waiter, key,
+        same ? answer->answer : JobAnswer::MayHaveRun(Reason::kKeyReused));
+    return;
+  }
+  if (HomeJob* job = this->Find(key)) {
+    if (job->submission.body_digest != submission.body_digest) {
+      this->AnswerWaiter(waiter, key,
+                         JobAnswer::MayHaveRun(Reason::kKeyReused));
+      return;
+    }
+    job->waiters.push_back(waiter);
+    if (witness) job->witnessed = true;
+    this->Advance(*job, now);
+    return;
+  }
+  switch (this->ownership.StandingOf(key, submission.created)) {
+    case KeyStanding::kUnknowable:
+      this->AnswerWaiter(waiter, key,
+                         JobAnswer::MayHaveRun(Reason::kHistoryLost));
+      return;
+    case KeyStanding::kClosed:
+      this->AnswerWaiter(waiter, key,
+                         JobAnswer::MayHaveRun(Reason::kAnswerNotKept));
+      return;
+    case KeyStanding::kCarried:
+      this->Create(submission, waiter, witness, true, now);
+      return;
+    case KeyStanding::kFresh:
+      this->Create(submission, waiter, witness, false, now);
+      return;
+  }
+}
+
+void HomeJobs::Create(const JobSubmission& submission, const Waiter& waiter,
+                      std::optional<EntryId> witness, bool carried,
+                      Timestamp now) {
+  this->ownership.Remember({submission.key, now}, now);
+  HomeJob& job = this->jobs[submission.key];
+  job.submission = submission;
+  job.accepted_at = now;
+  job.deadline = now + submission.time_allowed;
+  job.witnessed = witness.has_value();
+  job.carried = carried;
+  job.waiters.push_back(waiter);
+  job.tasks.resize(submission.tasks.size());
+  this->deadlines.emplace(job.deadline, submission.key);
+  const std::optional<Reason> obstacle =
+      carried ? std::nullopt : this->AdmissionObstacle(job, now);
+  if (obstacle) {
+    this->Refuse(job, *obstacle, now);
+    return;
+  }
+  this->Advance(job, now);
+}
+
+std::optional<Reason> HomeJobs::AdmissionObstacle(const HomeJob& job,
+                                                  Timestamp now) {
+  const auto found = this->services.find(job.submission.service);
+  if (found == this->services.end()) return Reason::kUnknownService;
+  const ServiceState& service = found->second;
+  const ServiceDocument& document = service.document();
+  if (!service.Admits(job.submission.team)) return Reason::kQuotaExceeded;
+  if (job.tasks.size() > document.maximum_tasks_per_job) {
+    return Reason::kImpossibleJob;
+  }
+  const Duration window =
+      std::min(document.duplicate_window, this->settings.duplicate_window);
+  const std::optional<Timestamp>& created = job.submission.created;
+  if (created && *created + window < now) return Reason::kKeyExpired;
+  if (service.queued_tasks() + job.tasks.size() >
+      document.maximum_queued_tasks) {
+    return Reason::kQueueFull;
+  }
+  const std::uint32_t slots = this->agents.SlotsOf(job.submission.service);
+  if (slots == 0) return std::nullopt;
+  const double wait = static_cast<double>(service.queued_work().count()) *
+                      service.declared_error() / slots;
+  if (wait > static_cast<double>(job.submission.time_allowed.count())) {
+    return Reason::kDeadlineTooShort;
+  }
+  return std::nullopt;
+}
+
+void HomeJobs::Refuse(HomeJob& job, Reason reason, Timestamp now) {
+  // An old key may have run before, and a carried one too.
+  if (job.carried || job.started > 0 || reason == Reason::kKeyExpired) {
+    this->Finish(job, JobAnswer::MayHaveRun(reason), now);
+    return;
+  }
+  this->LeaveQueue(job);
+  this->blocked.erase(job.submission.key);
+  job.phase = JobPhase::kRefusing;
+  job.refusal = reason;
+  const ServiceState* service = this->Service(job);
+  job.retry_after = kMinimumRetryAfter;
+  if (service != nullptr) {
+    const std::uint32_t slots =
+        std::max(1U, this->agents.SlotsOf(job.submission.service));
+    job.retry_after += service->queued_work() / slots;
+  }
+  this->confirmer.Add(job.submission.key);
+  this->confirmer.Advance(now);
+}
+
+void HomeJobs::Advance(HomeJob& job, Timestamp now) {
+  if (job.phase == JobPhase::kRunning || job.phase == JobPhase::kRefusing) {
+    return;
+  }
+  if (!job.witnessed) {
+    if (this->blocked.insert(job.submission.key).second) {
+      this->AskWitness(job, now);
+    }
+    return;
+  }
+  if (job.carried) {
+    job.phase = JobPhase::kAwaitingHistory;
+    this->blocked.insert(job.submission.key);
+    const HistoryState history = this->ownership.HistoryOf(job.submission.key);
+    if (history == HistoryState::kIncomplete) return;
+    const std::vector<FoundTask> found =
+        this->ownership.FoundTasks(job.submission.key);
+    if (history == HistoryState::kLost && found.size() < job.tasks.size()) {
+      this->Finish(job, JobAnswer::MayHaveRun(Reason::kAgentLost), now);
+      return;
+    }
+  }
+  this->blocked.erase(job.submission.key);
+  this->StartRunning(job);
+}
+
+void HomeJobs::AskWitness(const HomeJob& job, Timestamp now) {
+  const BucketId bucket = this->ownership.BucketOfKey(job.submission.key);
+  const std::optional<EntryId> witness =
+      this->ownership.WitnessFor(bucket, now);
+  if (!witness) return;
+  const WitnessedKey key{{job.submission.key, job.accepted_at},
+                         this->ownership.Promised(bucket)};
+  this->outbox.ToPeer(*witness, WitnessRequest{{key}});
+}
+
+void HomeJobs::StartRunning(HomeJob& job) {
+  job.phase = JobPhase::kRunning;
+  ServiceState* service = this->Service(job);
+  const BucketId bucket = this->ownership.BucketOfKey(job.submission.key);
+  if (job.carried) {
+    for (const FoundTask& found :
+         this->ownership.FoundTasks(job.submission.key)) {
+      if (found.task.value() >= job.tasks.size()) continue;
+      TaskRecord& task = job.tasks[found.task.value()];
+      const TaskId id{job.submission.key, found.task};
+      task.phase = TaskPhase::kQuerying;
+      task.agent = found.agent;
+      ++job.started;
+      if (service != nullptr) service->TaskStarted(job.submission.team);
+      if (KnownAgent* agent = this->agents.Find(found.agent)) {
+        ++agent->running;
+      }
+      this->outstanding[found.agent].insert(id);
+      this->outbox.ToAgent(found.agent,
+                           Renounce{id, this->ownership.Promised(bucket), 0});
+    }
+  }
+  // Longest first, so that the last task to end is a short one.
+  std::vector<TaskIndex> order;
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+    if (job.tasks[i].phase == TaskPhase::kQueued) order.emplace_back(i);
+  }
+  std::stable_sort(order.begin(), order.end(),
+                   [&](TaskIndex left, TaskIndex right) {
+                     return job.submission.tasks[left.value()].declared <
+                            job.submission.tasks[right.value()].declared;
+                   });
+  for (const TaskIndex task : order) this->QueueTask(job, task);
+}
+
+void HomeJobs::QueueTask(HomeJob& job, TaskIndex task) {
+  ServiceState* service = this->Service(job);
+  if (service == nullptr) return;
+  const Duration declared = job.submission.tasks[task.value()].declared;
+  service->Dequeue(job);
+  job.queued.push_back(task);
+  job.queued_work += declared;
+  service->TaskQueued(declared);
+  service->Enqueue(job, this->agents.SlotsOf(job.submission.service));
+}
+
+void HomeJobs::LeaveQueue(HomeJob& job) {
+  ServiceState* service = this->Service(job);
+  if (service == nullptr) return;
+  service->Dequeue(job);
+  for (const TaskIndex task : job.queued) {
+    service->TaskUnqueued(job.submission.tasks[task.value()].declared);
+  }
+  job.queued.clear();
+  job.queued_work = Duration();
+}
+
+void HomeJobs::Cancel(const JobKey& key, Timestamp now) {
+  HomeJob* job = this->Find(key);
+  if (job != nullptr) this->Abandon(*job, Reason::kCancelled, now);
+}
+
+void HomeJobs::Abandon(HomeJob& job, Reason reason, Timestamp now) {
+  if (job.phase == JobPhase::kRefusing) {
+    // The proof did not come while anybody could still wait for it.
+    if (reason == Reason::kDeadlineExceeded &&
+        now >= job.deadline + 2 * this->settings.repeat_interval) {
+      this->Finish(job, JobAnswer::MayHaveRun(job.refusal), now);
+    }
+    return;
+  }
+  this->Refuse(job, reason, now);
+}
+
+std::vector<EvictedJob> HomeJobs::Evict(BucketId bucket, Timestamp now) {
+  std::vector<JobKey> moved;
+  for (const auto& [key, job] : this->jobs) {
+    if (this->ownership.BucketOfKey(key) == bucket) moved.push_back(key);
+  }
+  std::sort(moved.begin(), moved.end());
+  std::vector<EvictedJob> evicted;
+  for (const JobKey& key : moved) {
+    HomeJob& job = this->jobs.at(key);
+    EvictedJob gone;
+    for (const Waiter& waiter : job.waiters) {
+      if (const RequestId* request = std::get_if<RequestId>(&waiter)) {
+        gone.callers.push_back(*request);
+        continue;
+      }
+      const RelayOrigin& origin = std::get<RelayOrigin>(waiter);
+      this->outbox.ToPeer(
+          origin.entry,
+          RelayMoved{key, origin.attempt, this->ownership.Promised(bucket)});
+    }
+    if (!gone.callers.empty()) {
+      gone.deadline = job.deadline;
+      gone.submission = job.submission;
+      gone.submission.time_allowed = job.TimeLeft(now);
+      evicted.push_back(std::move(gone));
+    }
+    this->LeaveQueue(job);
+    this->Erase(job);
+  }
+  return evicted;
+}
+
+void HomeJobs::OnWitnessReply(const WitnessReply& reply, Timestamp now) {
+  for (const WitnessedKey& witnessed : reply.keys) {
+    HomeJob* job = this->Find(witnessed.known.key);
+    if (job == nullptr || job->witnessed) continue;
+    const BucketId bucket = this->ownership.BucketOfKey(witnessed.known.key);
+    if (witnessed.ballot != this->ownership.Promised(bucket)) continue;
+    job->witnessed = true;
+    this->Advance(*job, now);
+  }
+}
+
+void HomeJobs::OnTaskFinished(AgentId from, const TaskFinished& message,
+                              Timestamp now) {
+  KnownAgent* agent = this->agents.Find(from);
+  if (agent != nullptr) agent->credits += message.credits;
+  const TaskReport& report = message.report;
+  HomeJob* job = this->Find(report.task.key);
+  const bool known_task =
+      job != nullptr && report.task.task.value() < job->tasks.size();
+  if (known_task && agent != nullptr) {
+    ServiceState* service = this->Service(*job);
+    if (service != nullptr) {
+      const Duration declared =
+          job->submission.tasks[report.task.task.value()].declared;
+      this->ObserveOutcome(*agent, *service, report.outcome, now);
+      if (report.outcome == TaskOutcome::kSucceeded) {
+        this->ObserveSpeed(*agent, *service, declared, message.elapsed);
+      }
+    }
+  }
+  this->OnTaskEnded(from, report, now);
+}
+
+void HomeJobs::OnTaskEnded(AgentId from, const TaskReport& report,
+                           Timestamp now) {
+  HomeJob* job = this->Find(report.task.key);
+  if (job == nullptr || report.task.task.value() >= job->tasks.size()) return;
+  TaskRecord& task = job->tasks[report.task.task.value()];
+  const bool awaited = (task.phase == TaskPhase::kStarted ||
+                        task.phase == TaskPhase::kQuerying) &&
+                       task.agent == from;
+  if (!awaited) return;
+  this->TaskNoLongerStarted(*job, task);
+  task.phase = TaskPhase::kSucceeded;
+  if (report.outcome == TaskOutcome::kFailed) {
+    this->Finish(*job, JobAnswer::Ran(Reason::kTaskFailed), now);
+    return;
+  }
+  if (report.outcome == TaskOutcome::kUnknown) {
+    this->Finish(*job, JobAnswer::MayHaveRun(Reason::kUpstreamBroken), now);
+    return;
+  }
+  if (!report.result_kept) {
+    this->Finish(*job, JobAnswer::Ran(Reason::kAnswerNotKept), now);
+    return;
+  }
+  task.result = report.result;
+  ++job->succeeded;
+  if (job->succeeded < job->tasks.size()) return;
+  std::vector<Payload> results;
+  results.reserve(job->tasks.size());
+  for (const TaskRecord& done : job->tasks) results.push_back(done.result);
+  this->Finish(*job, JobAnswer::Complete(std::move(results)), now);
+}
+
+void HomeJobs::OnTaskNotRun(AgentId from, const TaskNotRun& message,
+                            Timestamp now) {
+  KnownAgent* agent = this->agents.Find(from);
+  if (agent != nullptr) {
+    agent->credits += message.credits;
+    if (message.reason == Reason::kUpstreamUnreachable) {
+      ++agent->consecutive_failures;
+      agent->usable_from = now + ProbationTime(agent->consecutive_failures);
+    }
+  }
+  HomeJob* job = this->Find(message.task.key);
+  if (job == nullptr || message.task.task.value() >= job->tasks.size()) return;
+  TaskRecord& task = job->tasks[message.task.task.value()];
+  if (task.phase != TaskPhase::kStarted || task.agent != from) return;
+  this->TaskNoLongerStarted(*job, task);
+  this->Requeue(*job, message.task.task, message.reason, now);
+}
+
+void HomeJobs::OnRenounceReply(AgentId from, const RenounceReply& message,
+                               Timestamp now) {
+  const TaskReport& report = message.report;
+  if (report.state == StartedState::kFinished) {
+    this->OnTaskEnded(from, report, now);
+    return;
+  }
+  HomeJob* job = this->Find(report.task.key);
+  if (job == nullptr || report.task.task.value() >= job->tasks.size()) return;
+  TaskRecord& task = job->tasks[report.task.task.value()];
+  const bool awaited = (task.phase == TaskPhase::kStarted ||
+                        task.phase == TaskPhase::kQuerying) &&
+                       task.agent == from;
+  if (!awaited) return;
+  if (report.state == StartedState::kRunning) {
+    task.phase = TaskPhase::kStarted;
+    return;
+  }
+  if (task.phase == TaskPhase::kQuerying) {
+    // The agent had started the task and has forgotten it since.
+    this->Finish(*job, JobAnswer::MayHaveRun(Reason::kAnswerNotKept), now);
+    return;
+  }
+  this->TaskNoLongerStarted(*job, task);
+  this->Requeue(*job, report.task.task, Reason::kRenounced, now);
+}
+
+void HomeJobs::OnCreditRecall(AgentId from) {
+  KnownAgent* agent = this->agents.Find(from);
+  if (agent == nullptr || !agent->description) return;
+  const auto found = this->services.find(agent->description->service);
+  const bool idle =
+      found == this->services.end() || found->second.queued_tasks() == 0;
+  const std::uint32_t returned = idle ? (agent->credits + 1) / 2 : 0;
+  agent->credits -= returned;
+  this->outbox.ToAgent(from, CreditReturn{returned});
+}
+
+void HomeJobs::OnRefusalsConfirmed(
+    const std::vector<ConfirmedRefusal>& confirmed, Timestamp /*now*/) {
+  for (const ConfirmedRefusal& refusal : confirmed) {
+    HomeJob* job = this->Find(refusal.key);
+    if (job == nullptr || job->phase != JobPhase::kRefusing) continue;
+    const JobAnswer answer =
+        JobAnswer::NotRun(job->refusal, refusal.proof, job->retry_after);
+    for (const Waiter& waiter : job->waiters) {
+      this->AnswerWaiter(waiter, refusal.key, answer);
+    }
+    // Not kept: a later submission of the key may run.
+    this->Erase(*job);
+  }
+}
+
+void HomeJobs::OnAgentConnected(AgentId agent) {
+  const auto found = this->outstanding.find(agent);
+  if (found == this->outstanding.end()) return;
+  for (const TaskId& id : found->second) {
+    const HomeJob* job = this->Find(id.key);
+    if (job == nullptr) continue;
+    const BucketId bucket = this->ownership.BucketOfKey(id.key);
+    this->outbox.ToAgent(agent, Renounce{id, this->ownership.Promised(bucket),
+                                         job->tasks[id.task.value()].attempt});
+  }
+}
+
+void HomeJobs::OnAgentLost(AgentId agent, Timestamp now) {
+  const auto found = this->outstanding.find(agent);
+  if (found == this->outstanding.end()) return;
+  const std::set<TaskId> tasks = found->second;
+  for (const TaskId& id : tasks) {
+    HomeJob* job = this->Find(id.key);
+    if (job == nullptr) continue;
+    this->Finish(*job, JobAnswer::MayHaveRun(Reason::kAgentLost), now);
+  }
+  this->outstanding.erase(agent);
+}
+
+void HomeJobs::Tick(Timestamp now) {
+  std::vector<JobKey> overdue;
+  for (const auto& [deadline, key] : this->deadlines) {
+    if (deadline > now) break;
+    overdue.push_back(key);
+  }
+  for (const JobKey& key : overdue) {
+    HomeJob* job = this->Find(key);
+    if (job != nullptr) this->Abandon(*job, Reason::kDeadlineExceeded, now);
+  }
+  this->OnHistoryGrown(now);
+  this->kept.Expire(now);
+}
+
+void HomeJobs::OnHistoryGrown(Timestamp now) {
+  const std::set<JobKey> waiting = this->blocked;
+  for (const JobKey& key : waiting) {
+    HomeJob* job = this->Find(key);
+    if (job != nullptr) this->Advance(*job, now);
+  }
+}
+
+void HomeJobs::RepeatRequests(Timestamp now) {
+  for (const JobKey& key : this->blocked) {
+    const HomeJob* job = this->Find(key);
+    if (job != nullptr && !job->witnessed) this->AskWitness(*job, now);
+  }
+}
+
+void HomeJobs::Dispatch(Timestamp now) {
+  for (auto& [name, service] : this->services) {
+    if (service.queued_tasks() > 0) this->DispatchService(service, now);
+  }
+}
+
+void HomeJobs::DispatchService(ServiceState& service, Timestamp now) {
+  while (const std::optional<JobKey> key = service.Next()) {
+    HomeJob& job = this->jobs.at(*key);
+    const TaskIndex index = job.queued.back();
+    const TaskRecord& task = job.tasks[index.value()];
+    const Candidates candidates = this->CandidatesFor(job, task, now);
+    if (candidates.empty()) break;
+    const std::size_t choice =
+        std::visit([&](auto& policy) { return policy.Choose(candidates); },
+                   service.placement());
+    PlacementReason reason = PlacementReason::kFastestFree;
+    if (candidates.size() == 1) reason = PlacementReason::kOnlyCandidate;
+    if (task.retried) reason = PlacementReason::kRetryElsewhere;
+    KnownAgent& agent = *this->agents.Find(candidates[choice]->agent);
+    if (agent.consecutive_failures >= kFailuresBeforeProbation) {
+      reason = PlacementReason::kProbation;
+    }
+    this->StartTask(job, index, agent, reason, now);
+  }
+  if (service.queued_tasks() > 0) this->TellDemand(service, now);
+}
+
+Candidates HomeJobs::CandidatesFor(const HomeJob& job, const TaskRecord& task,
+                                   Timestamp now) {
+  const BucketId bucket = this->ownership.BucketOfKey(job.submission.key);
+  Candidates candidates;
+  const KnownAgent* last_resort = nullptr;
+  for (const KnownAgent* agent :
+       this->agents.OfService(job.submission.service)) {
+    if (!this->MayTakeTask(*agent, now)) continue;
+    if (!this->ownership.AgentPromised(bucket, agent->agent)) continue;
+    if (task.retried && agent->agent == task.agent) {
+      last_resort = agent;
+      continue;
+    }
+    candidates.push_back(agent);
+  }
+  if (candidates.empty() && last_resort != nullptr) {
+    candidates.push_back(last_resort);
+  }
+  return candidates;
+}
+
+bool HomeJobs::MayTakeTask(const KnownAgent& agent, Timestamp now) const {
+  if (agent.credits == 0 || !agent.IsUsable(now, this->settings.suspect_after))
+    return false;
+  const bool on_trial = agent.consecutive_failures >= kFailuresBeforeProbation;
+  return !on_trial || agent.running == 0;
+}
+
+void HomeJobs::StartTask(HomeJob& job, TaskIndex task, KnownAgent& agent,
+                         PlacementReason reason, Timestamp now) {
+  ServiceState& service = *this->Service(job);
+  const TaskRequest& request = job.submission.tasks[task.value()];
+  service.Dequeue(job);
+  job.queued.pop_back();
+  job.queued_work -= request.declared;
+  service.TaskUnqueued(request.declared);
+  service.Enqueue(job, this->agents.SlotsOf(job.submission.service));
+  service.TaskStarted(job.submission.team);
+  TaskRecord& record = job.tasks[task.value()];
+  record.phase = TaskPhase::kStarted;
+  record.agent = agent.agent;
+  ++record.attempt;
+  ++job.started;
+  ++agent.running;
+  --agent.credits;
+  agent.demand_told = service.queued_tasks() > 0;
+  const TaskId id{job.submission.key, task};
+  this->outstanding[agent.agent].insert(id);
+  const BucketId bucket = this->ownership.BucketOfKey(job.submission.key);
+  this->outbox.ToAgent(
+      agent.agent,
+      Start{id, this->ownership.Promised(bucket), record.attempt, agent.agent,
+            job.TimeLeft(now), reason, service.queued_tasks(), request.body});
+}
+
+void HomeJobs::TellDemand(ServiceState& service, Timestamp now) {
+  for (KnownAgent* agent : this->agents.OfService(service.document().service)) {
+    if (agent->demand_told || agent->credits > 0) continue;
+    if (!agent->IsUsable(now, this->settings.suspect_after)) continue;
+    agent->demand_told = true;
+    this->outbox.ToAgent(agent->agent, CreditRequest{service.queued_tasks()});
+  }
+}
+
+void HomeJobs::TaskNoLongerStarted(HomeJob& job, TaskRecord& task) {
+  const std::size_t index = static_cast<std::size_t>(&task - job.tasks.data());
+  const TaskId id{job.submission.key,
+                  TaskIndex(static_cast<std::uint32_t>(index))};
+  this->outstanding[task.agent].erase(id);
+  if (ServiceState* service = this->Service(job)) {
+    service->TaskEnded(job.submission.team);
+  }
+  KnownAgent* agent = this->agents.Find(task.agent);
+  if (agent != nullptr && agent->running > 0) --agent->running;
+}
+
+void HomeJobs::Requeue(HomeJob& job, TaskIndex index, Reason reason,
+                       Timestamp now) {
+  TaskRecord& task = job.tasks[index.value()];
+  task.phase = TaskPhase::kQueued;
+  task.retried = true;
+  --job.started;
+  if (job.phase != JobPhase::kRunning) return;
+  ServiceState* service = this->Service(job);
+  if (service != nullptr && !service->TakeRetry()) {
+    this->Refuse(job, Reason::kRetryBudgetExhausted, now);
+    return;
+  }
+  this->outbox.Add(RetryCounted{reason});
+  this->QueueTask(job, index);
+}
+
+void HomeJobs::ObserveOutcome(KnownAgent& agent, const ServiceState& service,
+                              TaskOutcome outcome, Timestamp now) {
+  if (outcome == TaskOutcome::kSucceeded) {
+    agent.consecutive_failures = 0;
+    return;
+  }
+  ++agent.consecutive_failures;
+  if (agent.consecutive_failures < kFailuresBeforeProbation) return;
+  const std::vector<KnownAgent*> peers =
+      this->agents.OfService(service.document().service);
+  const auto ejected = static_cast<std::uint32_t>(
+      std::count_if(peers.begin(), peers.end(), [&](const KnownAgent* peer) {
+        return peer != &agent &&
+               peer->consecutive_failures >= kFailuresBeforeProbation;
+      }));
+  const bool within_cap =
+      (ejected + 1) * kPercent <=
+      peers.size() * service.document().maximum_ejected_percent;
+  if (!within_cap) {
+    agent.consecutive_failures = kFailuresBeforeProbation - 1;
+    return;
+  }
+  agent.usable_from = now + ProbationTime(agent.consecutive_failures);
+}
+
+void HomeJobs::ObserveSpeed(KnownAgent& agent, ServiceState& service,
+                            Duration declared, Duration elapsed) {
+  service.ObserveTask(declared, elapsed);
+  if (declared <= Duration() || elapsed <= Duration()) return;
+  const double ratio =
+      std::min(kMaximumSlowness, static_cast<double>(elapsed.count()) /
+                                     static_cast<double>(declared.count()));
+  // Averaged as logarithms, since declared times are off by factors.
+  const double logarithm = std::log(std::max(ratio, 1.0 / kMaximumSlowness));
+  if (!agent.slowness_known) {
+    agent.slowness_known = true;
+    agent.slowness = std::exp(logarithm);
+    return;
+  }
+  const double average = std::log(agent.slowness);
+  agent.slowness =
+      std::exp(average + kSpeedAverageWeight * (logarithm - average));
+}
+
+void HomeJobs::Finish(HomeJob& job, const JobAnswer& answer, Timestamp now) {
+  const JobKey key = job.submission.key;
+  this->LeaveQueue(job);
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+    const TaskRecord& task = job.tasks[i];
+    if (task.phase != TaskPhase::kStarted &&
+        task.phase != TaskPhase::kQuerying) {
+      continue;
+    }
+    this->outbox.ToAgent(task.agent, StopTask{{key, TaskIndex(i)}});
+  }
+  for (const Waiter& waiter : job.waiters) {
+    this->AnswerWaiter(waiter, key, answer);
+  }
+  this->kept.Keep(key, {job.submission.body_digest, answer}, now);
+  this->ownership.Close(key, now);
+  this->Erase(job);
+}
+
+void HomeJobs::Erase(HomeJob& job) {
+  const JobKey key = job.submission.key;
+  for (TaskRecord& task : job.tasks) {
+    if (task.phase == TaskPhase::kStarted ||
+        task.phase == TaskPhase::kQuerying) {
+      this->TaskNoLongerStarted(job, task);
+    }
+  }
+  this->deadlines.erase({job.deadline, key});
+  this->blocked.erase(key);
+  this->confirmer.Remove(key);
+  this->jobs.erase(key);
+}
+
+HomeJob* HomeJobs::Find(const JobKey& key) {
+  const auto found = this->jobs.find(key);
+  return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+ServiceState* HomeJobs::Service(const HomeJob& job) {
+  const auto found = this->services.find(job.submission.service);
+  return found == this->services.end() ? nullptr : &found->second;
+}
+
+void HomeJobs::AnswerWaiter(const Waiter& waiter, const JobKey& key,
+                            const JobAnswer& answer) {
+  if (const RequestId* request = std::get_if<RequestId>(&waiter)) {
+    this->outbox.Answer(*request, key, answer);
+    return;
+  }
+  const RelayOrigin& origin = std::get<RelayOrigin>(waiter);
+  const BucketId bucket = this->ownership.BucketOfKey(key);
+  this->outbox.ToPeer(origin.entry,
+                      RelayAnswer{key, origin.attempt,
+                                  this->ownership.Promised(bucket), answer});
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/libraries/entry_core/home_jobs.h
@@ -0,0 +1,130 @@
+#ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_HOME_JOBS_H_
+#define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_HOME_JOBS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "libraries/entry_core/agent_registry.h"
+#include "libraries/entry_core/entry_core_settings.h"
+#include "libraries/entry_core/entry_outbox.h"
+#include "libraries/entry_core/home_job.h"
+#include "libraries/entry_core/kept_answers.h"
+#include "libraries/entry_core/ownership.h"
+#include "libraries/entry_core/refusal_confirmer.h"
+#include "libraries/entry_core/service_state.h"
+
+namespace dandelionspur {
+
+// A submission whose home has moved, with the callers of this entry that wait
+// for it.
+struct EvictedJob {
+  JobSubmission submission;
+  Timestamp deadline;
+  std::vector<RequestId> callers;
+};
+
+// The jobs of the buckets that this entry is home of: admission, queueing,
+// placement, retries, and the answer.
+class HomeJobs {
+ public:
+  HomeJobs(const EntryCoreSettings& configured, Ownership& owner,
+           AgentRegistry& registry, RefusalConfirmer& refusals,
+           EntryOutbox& effects);
+
+  void ApplyDocument(const ServiceDocument& document);
+
+  // Takes in a submission of a key whose bucket is active here. `witness` is
+  // set where another entry of the view already knows the key.
+  void Accept(const JobSubmission& submission, const Waiter& waiter,
+              std::optional<EntryId> witness, Timestamp now);
+  void Cancel(const JobKey& key, Timestamp now);
+  // Gives up the jobs of a bucket that moved; other entries that wait are
+  // told.
+  std::vector<EvictedJob> Evict(BucketId bucket, Timestamp now);
+
+  void OnWitnessReply(const WitnessReply& reply, Timestamp now);
+  void OnTaskFinished(AgentId from, const TaskFinished& message, Timestamp now);
+  void OnTaskNotRun(AgentId from, const TaskNotRun& message, Timestamp now);
+  void OnRenounceReply(AgentId from, const RenounceReply& message,
+                       Timestamp now);
+  void OnCreditRecall(AgentId from);
+  void OnRefusalsConfirmed(const std::vector<ConfirmedRefusal>& confirmed,
+                           Timestamp now);
+  // The agent is connected (again): asks what became of tasks sent before.
+  void OnAgentConnected(AgentId agent);
+  void OnAgentLost(AgentId agent, Timestamp now);
+  // An agent has told what it started: jobs that wait for it may go on.
+  void OnHistoryGrown(Timestamp now);
+
+  void Tick(Timestamp now);
+  // Asks the witnesses again that have not answered.
+  void RepeatRequests(Timestamp now);
+  // Starts queued tasks while agents have room. Call after every event.
+  void Dispatch(Timestamp now);
+
+  [[nodiscard]] std::size_t size() const { return this->jobs.size(); }
+  [[nodiscard]] const KeptAnswer* FindAnswer(const JobKey& key) const {
+    return this->kept.Find(key);
+  }
+
+ private:
+  [[nodiscard]] HomeJob* Find(const JobKey& key);
+  [[nodiscard]] ServiceState* Service(const HomeJob& job);
+  void AnswerWaiter(const Waiter& waiter, const JobKey& key,
+                    const JobAnswer& answer);
+  void Create(const JobSubmission& submission, const Waiter& waiter,
+              std::optional<EntryId> witness, bool carried, Timestamp now);
+  // The reason to refuse a job that has just come in, if there is one.
+  std::optional<Reason> AdmissionObstacle(const HomeJob& job, Timestamp now);
+  void Refuse(HomeJob& job, Reason reason, Timestamp now);
+  // Moves a job on as far as its witness and its history allow.
+  void Advance(HomeJob& job, Timestamp now);
+  void AskWitness(const HomeJob& job, Timestamp now);
+  void StartRunning(HomeJob& job);
+  void QueueTask(HomeJob& job, TaskIndex task);
+  void LeaveQueue(HomeJob& job);
+  void DispatchService(ServiceState& service, Timestamp now);
+  [[nodiscard]] Candidates CandidatesFor(const HomeJob& job,
+                                         const TaskRecord& task, Timestamp now);
+  [[nodiscard]] bool MayTakeTask(const KnownAgent& agent, Timestamp now) const;
+  void StartTask(HomeJob& job, TaskIndex task, KnownAgent& agent,
+                 PlacementReason reason, Timestamp now);
+  void TellDemand(ServiceState& service, Timestamp now);
+  // Applies how a task ended, if the job still waits for it.
+  void OnTaskEnded(AgentId from, const TaskReport& report, Timestamp now);
+  void TaskNoLongerStarted(HomeJob& job, TaskRecord& task);
+  // The start of a task was proven "not run": queues it again, within the
+  // retry budget.
+  void Requeue(HomeJob& job, TaskIndex index, Reason reason, Timestamp now);
+  void ObserveOutcome(KnownAgent& agent, const ServiceState& service,
+                      TaskOutcome outcome, Timestamp now);
+  void ObserveSpeed(KnownAgent& agent, ServiceState& service, Duration declared,
+                    Duration elapsed);
+  // Ends a job whose callers wait too long or do not want it any more.
+  void Abandon(HomeJob& job, Reason reason, Timestamp now);
+  // Gives the final answer, stops what still runs, and forgets the job.
+  void Finish(HomeJob& job, const JobAnswer& answer, Timestamp now);
+  void Erase(HomeJob& job);
+
+  EntryCoreSettings settings;
+  Ownership& ownership;
+  AgentRegistry& agents;
+  RefusalConfirmer& confirmer;
+  EntryOutbox& outbox;
+  std::map<ServiceName, ServiceState> services;
+  std::unordered_map<JobKey, HomeJob> jobs;
+  std::set<std::pair<Timestamp, JobKey>> deadlines;
+  // Jobs that wait for a witness or for the agents' histories.
+  std::set<JobKey> blocked;
+  // Tasks sent to each agent that have not ended.
+  std::map<AgentId, std::set<TaskId>> outstanding;
+  KeptAnswers kept;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_ENTRY_CORE_HOME_JOBS_H_
--- /dev/null
+++ b/libraries/entry_core/ownership.cc
@@ -0,0 +1,494 @@
+#include "libraries/entry_core/ownership.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionspur {
+
+Ownership::Ownership(const EntryCoreSettings& configured,
+                     const AgentRegistry& registry,
+                     const PeerDirectory& directory, EntryOutbox& effects)
+    : settings(configured),
+      agents(registry),
+      peers(directory),
+      outbox(effects),
+      buckets(configured.bucket_count),
+      rankings(configured.bucket_count) {}
+
+std::vector<BucketId> Ownership::AdoptView(const View& view) {
+  this->current_view = view;
+  std::vector<BucketId> released;
+  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
+    const BucketId id(i);
+    this->rankings[i] = view.Ranking(id);
+    Bucket& bucket = this->Get(id);
+    if (bucket.phase == OwnershipPhase::kNone) continue;
+    this->Release(bucket);
+    released.push_back(id);
+  }
+  return released;
+}
+
+OwnershipPhase Ownership::Phase(BucketId bucket) const {
+  const Bucket& state = this->Get(bucket);
+  return state.mine == state.promised ? state.phase : OwnershipPhase::kNone;
+}
+
+Ballot Ownership::Promised(BucketId bucket) const {
+  return this->Get(bucket).promised;
+}
+
+std::vector<BucketBallot> Ownership::Promises() const {
+  std::vector<BucketBallot> result;
+  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
+    const Ballot& promised = this->buckets[i].promised;
+    if (!promised.IsNone()) result.push_back({BucketId(i), promised});
+  }
+  return result;
+}
+
+EntryId Ownership::ExpectedHome(BucketId bucket, Timestamp now) const {
+  const Ballot& promised = this->Get(bucket).promised;
+  const bool current =
+      promised.epoch >= this->current_view.epoch && !promised.IsNone();
+  const auto acts = [&](EntryId entry) {
+    return entry == this->settings.self || !this->peers.IsSuspected(entry, now);
+  };
+  const bool is_member = this->current_view.Find(promised.entry) != nullptr;
+  if (current && is_member && acts(promised.entry)) return promised.entry;
+  for (const EntryId entry : this->rankings[bucket.value()]) {
+    if (acts(entry)) return entry;
+  }
+  return EntryId();
+}
+
+std::vector<BucketId> Ownership::Vacant(Timestamp now) const {
+  std::vector<BucketId> vacant;
+  if (this->current_view.Find(this->settings.self) == nullptr) return vacant;
+  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
+    const BucketId id(i);
+    if (this->Phase(id) != OwnershipPhase::kNone) continue;
+    if (this->Get(id).promised.epoch > this->current_view.epoch) continue;
+    if (this->ExpectedHome(id, now) == this->settings.self) {
+      vacant.push_back(id);
+    }
+  }
+  return vacant;
+}
+
+std::optional<EntryId> Ownership::WitnessFor(BucketId bucket,
+                                             Timestamp now) const {
+  for (const EntryId entry : this->rankings[bucket.value()]) {
+    if (entry == this->settings.self) continue;
+    if (this->peers.IsSuspected(entry, now)) continue;
+    if (this->peers.IsConnected(entry)) return entry;
+  }
+  return std::nullopt;
+}
+
+bool Ownership::Observe(const BucketBallot& seen) {
+  if (seen.bucket.value() >= this->buckets.size()) return false;
+  Bucket& bucket = this->Get(seen.bucket);
+  if (seen.ballot <= bucket.promised) return false;
+  bucket.promised = seen.ballot;
+  if (bucket.phase == OwnershipPhase::kNone) return false;
+  this->Release(bucket);
+  return true;
+}
+
+void Ownership::Acquire(const std::vector<BucketId>& wanted, Timestamp now) {
+  if (wanted.empty()) return;
+  std::vector<BucketBallot> begun;
+  for (const BucketId id : wanted) {
+    Bucket& bucket = this->Get(id);
+    this->Begin(bucket, now);
+    begun.push_back({id, bucket.mine});
+  }
+  this->outbox.Add(OwnershipChanged{OwnershipPhase::kCollecting, begun});
+  this->RepeatRequests();
+}
+
+void Ownership::RepeatRequests() {
+  std::map<EntryId, PromiseRequest> to_entries;
+  std::map<AgentId, PromiseRequest> to_agents;
+  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
+    const BucketId id(i);
+    const Bucket& bucket = this->Get(id);
+    if (this->Phase(id) == OwnershipPhase::kNone) continue;
+    for (const ViewMember& member : this->current_view.members) {
+      if (member.entry == this->settings.self) continue;
+      if (bucket.entry_promises.contains(member.entry)) continue;
+      to_entries[member.entry].buckets.push_back({id, bucket.mine});
+    }
+    for (const auto& [agent, known] : this->agents.all()) {
+      if (!known.connected || bucket.agent_promises.contains(agent)) continue;
+      to_agents[agent].buckets.push_back({id, bucket.mine});
+    }
+  }
+  for (auto& [entry, request] : to_entries) {
+    if (!this->peers.IsConnected(entry)) continue;
+    this->outbox.ToPeer(entry, std::move(request));
+  }
+  for (auto& [agent, request] : to_agents) {
+    this->outbox.ToAgent(agent, std::move(request));
+  }
+}
+
+std::vector<BucketId> Ownership::OnPromiseRequest(
+    EntryId from, const PromiseRequest& request) {
+  std::vector<BucketId> lost;
+  PromiseReply reply;
+  for (const BucketBallot& asked : request.buckets) {
+    if (asked.bucket.value() >= this->buckets.size()) continue;
+    if (this->Observe(asked)) lost.push_back(asked.bucket);
+    const Bucket& bucket = this->Get(asked.bucket);
+    const bool granted =
+        bucket.promised == asked.ballot && asked.ballot.entry == from;
+    BucketPromise promise{asked.bucket, bucket.promised, granted, {}};
+    if (granted) promise.known = this->KeysOf(asked.bucket);
+    reply.buckets.push_back(std::move(promise));
+  }
+  this->outbox.ToPeer(from, std::move(reply));
+  return lost;
+}
+
+std::vector<BucketId> Ownership::OnPromiseReply(EntryId from,
+                                                const PromiseReply& reply,
+                                                Timestamp now) {
+  std::vector<BucketId> lost;
+  for (const BucketPromise& promise : reply.buckets) {
+    if (promise.bucket.value() >= this->buckets.size()) continue;
+    Bucket& bucket = this->Get(promise.bucket);
+    if (!promise.granted) {
+      if (this->Observe({promise.bucket, promise.ballot})) {
+        lost.push_back(promise.bucket);
+      }
+      continue;
+    }
+    const bool mine =
+        bucket.phase != OwnershipPhase::kNone && promise.ballot == bucket.mine;
+    if (!mine) continue;
+    bucket.entry_promises.insert(from);
+    for (const KnownKey& known : promise.known) {
+      // A key that came to this entry under its own ballot stays its own; any
+      // other may have been started by a former home.
+      const KeyRecord carried{known.first_seen, now, KeyOrigin::kCarried};
+      const auto [record, inserted] = bucket.known.emplace(known.key, carried);
+      record->second.first_seen =
+          std::min(record->second.first_seen, known.first_seen);
+      if (bucket.phase == OwnershipPhase::kCollecting) {
+        record->second.origin = KeyOrigin::kCarried;
+      }
+    }
+  }
+  return lost;
+}
+
+std::vector<BucketId> Ownership::OnAgentPromiseReply(
+    AgentId from, const AgentPromiseReply& reply, Timestamp now) {
+  std::vector<BucketId> lost;
+  std::set<BucketId> accepted;
+  for (const AgentBucketPromise& promise : reply.buckets) {
+    if (promise.bucket.value() >= this->buckets.size()) continue;
+    Bucket& bucket = this->Get(promise.bucket);
+    if (!promise.granted) {
+      if (this->Observe({promise.bucket, promise.ballot})) {
+        lost.push_back(promise.bucket);
+      }
+      continue;
+    }
+    const bool mine =
+        bucket.phase != OwnershipPhase::kNone && promise.ballot == bucket.mine;
+    // Only the first answer describes what was started before the promise.
+    if (mine && bucket.agent_promises.insert(from).second) {
+      accepted.insert(promise.bucket);
+    }
+  }
+  for (const StartedJob& job : reply.started) {
+    const BucketId id = this->BucketOfKey(job.key);
+    if (!accepted.contains(id)) continue;
+    Bucket& bucket = this->Get(id);
+    // Only the agent knows the key, so it may be as old as any that it keeps.
+    const KeyRecord record{now - this->settings.duplicate_window, now,
+                           KeyOrigin::kCarried};
+    bucket.known.emplace(job.key, record);
+    std::vector<FoundTask>& found = bucket.found[job.key];
+    for (const TaskIndex task : job.tasks) found.push_back({task, from});
+  }
+  return lost;
+}
+
+void Ownership::RequestFromAgent(AgentId agent) {
+  PromiseRequest request;
+  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
+    const BucketId id(i);
+    if (this->Phase(id) == OwnershipPhase::kNone) continue;
+    if (this->AgentPromised(id, agent)) continue;
+    request.buckets.push_back({id, this->Get(id).mine});
+  }
+  if (!request.buckets.empty()) {
+    this->outbox.ToAgent(agent, std::move(request));
+  }
+}
+
+std::vector<BucketId> Ownership::ActivateReady(Timestamp now) {
+  std::vector<BucketId> activated;
+  std::vector<BucketBallot> ballots;
+  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
+    const BucketId id(i);
+    Bucket& bucket = this->Get(id);
+    const OwnershipPhase phase = this->Phase(id);
+    if (phase == OwnershipPhase::kNone) continue;
+    if (phase == OwnershipPhase::kActive) {
+      if (bucket.fresh_after && this->IsWhole(id, bucket)) {
+        bucket.fresh_after.reset();
+      }
+      continue;
+    }
+    if (!this->TryActivate(id, bucket, now)) continue;
+    activated.push_back(id);
+    ballots.push_back({id, bucket.mine});
+  }
+  if (!ballots.empty()) {
+    this->outbox.Add(
+        OwnershipChanged{OwnershipPhase::kActive, std::move(ballots)});
+  }
+  return activated;
+}
+
+void Ownership::Remember(const KnownKey& known, Timestamp now) {
+  Bucket& bucket = this->Get(this->BucketOfKey(known.key));
+  const KeyRecord own{known.first_seen, now, KeyOrigin::kOwn};
+  const auto [record, inserted] = bucket.known.emplace(known.key, own);
+  record->second.last_heard = now;
+}
+
+void Ownership::RememberCarried(const KnownKey& known, Timestamp now) {
+  Bucket& bucket = this->Get(this->BucketOfKey(known.key));
+  bucket.known.emplace(known.key,
+                       KeyRecord{known.first_seen, now, KeyOrigin::kCarried});
+}
+
+void Ownership::Close(const JobKey& key, Timestamp now) {
+  Bucket& bucket = this->Get(this->BucketOfKey(key));
+  const auto record = bucket.known.find(key);
+  if (record == bucket.known.end()) return;
+  record->second.origin = KeyOrigin::kClosed;
+  record->second.last_heard = now;
+}
+
+KeyStanding Ownership::StandingOf(
+    const JobKey& key, const std::optional<Timestamp>& created) const {
+  const Bucket& bucket = this->Get(this->BucketOfKey(key));
+  const auto record = bucket.known.find(key);
+  if (record != bucket.known.end()) {
+    switch (record->second.origin) {
+      case KeyOrigin::kOwn:
+        return KeyStanding::kFresh;
+      case KeyOrigin::kCarried:
+        return KeyStanding::kCarried;
+      case KeyOrigin::kClosed:
+        return KeyStanding::kClosed;
+    }
+  }
+  if (!bucket.fresh_after) return KeyStanding::kFresh;
+  const bool younger =
+      created && *created > *bucket.fresh_after + kClockSkewLimit;
+  return younger ? KeyStanding::kFresh : KeyStanding::kUnknowable;
+}
+
+HistoryState Ownership::HistoryOf(const JobKey& key) const {
+  const Bucket& bucket = this->Get(this->BucketOfKey(key));
+  const auto record = bucket.known.find(key);
+  const Timestamp first_seen = record == bucket.known.end()
+                                   ? Timestamp::min()
+                                   : record->second.first_seen;
+  if (!this->synchronized) return HistoryState::kIncomplete;
+  HistoryState state = HistoryState::kComplete;
+  for (const auto& [agent, known] : this->agents.all()) {
+    if (bucket.agent_promises.contains(agent)) continue;
+    if (!known.lost_at) {
+      state = HistoryState::kIncomplete;
+      continue;
+    }
+    if (*known.lost_at + kClockSkewLimit >= first_seen) {
+      return HistoryState::kLost;
+    }
+  }
+  return state;
+}
+
+std::vector<FoundTask> Ownership::FoundTasks(const JobKey& key) const {
+  const Bucket& bucket = this->Get(this->BucketOfKey(key));
+  const auto found = bucket.found.find(key);
+  return found == bucket.found.end() ? std::vector<FoundTask>() : found->second;
+}
+
+bool Ownership::AgentPromised(BucketId bucket, AgentId agent) const {
+  return this->Get(bucket).agent_promises.contains(agent);
+}
+
+std::vector<KnownKey> Ownership::KeysOf(BucketId bucket) const {
+  std::vector<KnownKey> keys;
+  keys.reserve(this->Get(bucket).known.size());
+  for (const auto& [key, record] : this->Get(bucket).known) {
+    keys.push_back({key, record.first_seen});
+  }
+  std::sort(keys.begin(), keys.end(),
+            [](const KnownKey& left, const KnownKey& right) {
+              return left.key < right.key;
+            });
+  return keys;
+}
+
+std::vector<KnownKey> Ownership::AllKeys() const {
+  std::vector<KnownKey> keys;
+  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
+    const std::vector<KnownKey> some = this->KeysOf(BucketId(i));
+    keys.insert(keys.end(), some.begin(), some.end());
+  }
+  return keys;
+}
+
+std::size_t Ownership::KnownKeyCount() const {
+  std::size_t count = 0;
+  for (const Bucket& bucket : this->buckets) count += bucket.known.size();
+  return count;
+}
+
+std::vector<EntryId> Ownership::UnhealedLosses(BucketId bucket) const {
+  std::vector<EntryId> unhealed;
+  for (const EntryLoss& loss : this->current_view.losses) {
+    if (!this->Get(bucket).healed.contains(loss.entry)) {
+      unhealed.push_back(loss.entry);
+    }
+  }
+  return unhealed;
+}
+
+void Ownership::MarkHealed(BucketId bucket, EntryId lost) {
+  if (bucket.value() >= this->buckets.size()) return;
+  this->Get(bucket).healed.insert(lost);
+}
+
+void Ownership::Expire(Timestamp horizon) {
+  for (Bucket& bucket : this->buckets) {
+    std::erase_if(bucket.known, [&](const auto& item) {
+      return item.second.last_heard < horizon;
+    });
+    std::erase_if(bucket.found, [&](const auto& item) {
+      return !bucket.known.contains(item.first);
+    });
+  }
+}
+
+void Ownership::Begin(Bucket& bucket, Timestamp now) {
+  const Ballot previous = bucket.promised;
+  bucket.exempt.reset();
+  const bool other_home =
+      !previous.IsNone() && previous.entry != this->settings.self;
+  if (other_home) bucket.exempt = previous.entry;
+  bucket.mine.epoch = this->current_view.epoch;
+  bucket.mine.round =
+      previous.epoch == this->current_view.epoch ? previous.round + 1 : 0;
+  bucket.mine.entry = this->settings.self;
+  bucket.promised = bucket.mine;
+  bucket.phase = OwnershipPhase::kCollecting;
+  bucket.begun_at = now;
+  bucket.entry_promises.clear();
+  bucket.agent_promises.clear();
+  bucket.found.clear();
+  bucket.fresh_after.reset();
+  for (auto& [key, record] : bucket.known) {
+    record.origin = KeyOrigin::kCarried;
+  }
+}
+
+void Ownership::Release(Bucket& bucket) {
+  bucket.phase = OwnershipPhase::kNone;
+  bucket.found.clear();
+  bucket.entry_promises.clear();
+  bucket.agent_promises.clear();
+}
+
+std::set<EntryId> Ownership::RequiredEntries(BucketId id,
+                                             const Bucket& bucket) const {
+  std::set<EntryId> required;
+  for (const ViewMember& member : this->current_view.members) {
+    required.insert(member.entry);
+  }
+  for (const EntryId lost : this->UnhealedLosses(id)) required.insert(lost);
+  required.erase(this->settings.self);
+  if (bucket.exempt) required.erase(*bucket.exempt);
+  return required;
+}
+
+bool Ownership::HaveAllEntries(BucketId id, const Bucket& bucket) const {
+  const std::set<EntryId> required = this->RequiredEntries(id, bucket);
+  return std::includes(bucket.entry_promises.begin(),
+                       bucket.entry_promises.end(), required.begin(),
+                       required.end());
+}
+
+bool Ownership::HaveAllAgents(const Bucket& bucket) const {
+  if (!this->synchronized) return false;
+  return std::all_of(this->agents.all().begin(), this->agents.all().end(),
+                     [&](const auto& item) {
+                       return bucket.agent_promises.contains(item.first);
+                     });
+}
+
+std::optional<Timestamp> Ownership::EntriesDeadSince(
+    BucketId id, const Bucket& bucket) const {
+  Timestamp latest = Timestamp::min();
+  for (const EntryId entry : this->RequiredEntries(id, bucket)) {
+    if (bucket.entry_promises.contains(entry)) continue;
+    const std::optional<Timestamp> dead = this->DeadSince(entry);
+    if (!dead) return std::nullopt;
+    latest = std::max(latest, *dead);
+  }
+  return latest;
+}
+
+std::optional<Timestamp> Ownership::AgentsDeadSince(
+    const Bucket& bucket) const {
+  if (!this->synchronized) return std::nullopt;
+  Timestamp latest = Timestamp::min();
+  for (const auto& [agent, known] : this->agents.all()) {
+    if (bucket.agent_promises.contains(agent)) continue;
+    if (!known.lost_at) return std::nullopt;
+    latest = std::max(latest, *known.lost_at);
+  }
+  return latest;
+}
+
+std::optional<Timestamp> Ownership::DeadSince(EntryId entry) const {
+  for (const EntryLoss& loss : this->current_view.losses) {
+    if (loss.entry == entry && loss.proof == LossProof::kProvenDead) {
+      return loss.lost_at;
+    }
+  }
+  return this->peers.DeadSince(entry);
+}
+
+bool Ownership::IsWhole(BucketId id, const Bucket& bucket) const {
+  return this->HaveAllEntries(id, bucket) || this->HaveAllAgents(bucket);
+}
+
+bool Ownership::TryActivate(BucketId id, Bucket& bucket, Timestamp now) {
+  if (!this->IsWhole(id, bucket)) {
+    // Those that can still answer get the time for it, since acting without
+    // them means refusing older keys.
+    const Duration patience = 2 * this->settings.repeat_interval;
+    if (now < bucket.begun_at + patience) return false;
+    const std::optional<Timestamp> entries = this->EntriesDeadSince(id, bucket);
+    const std::optional<Timestamp> agents_dead = this->AgentsDeadSince(bucket);
+    if (!entries && !agents_dead) return false;
+    bucket.fresh_after = std::min(entries.value_or(Timestamp::max()),
+                                  agents_dead.value_or(Timestamp::max()));
+  }
+  bucket.phase = OwnershipPhase::kActive;
+  return true;
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/libraries/entry_core/placement.h
@@ -0,0 +1,103 @@
+#ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_PLACEMENT_H_
+#define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_PLACEMENT_H_
+
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <variant>
+#include <vector>
+
+#include "libraries/configuration/service_document.h"
+#include "libraries/entry_core/agent_registry.h"
+
+namespace dandelionspur {
+
+// The agents that a task may go to; never empty.
+using Candidates = std::vector<const KnownAgent*>;
+
+// Chooses among agents that hold a free slot for this entry.
+template <typename Policy>
+concept PlacementPolicy = requires(Policy policy, const Candidates& agents) {
+  { policy.Choose(agents) } -> std::same_as<std::size_t>;
+};
+
+// The upstream with the best measured speed.
+class FastestFree {
+ public:
+  [[nodiscard]] std::size_t Choose(const Candidates& agents) const {
+    std::size_t best = 0;
+    for (std::size_t i = 1; i < agents.size(); ++i) {
+      const KnownAgent& current = *agents[i];
+      const KnownAgent& leader = *agents[best];
+      if (current.slowness < leader.slowness) best = i;
+      if (current.slowness == leader.slowness &&
+          current.running < leader.running) {
+        best = i;
+      }
+    }
+    return best;
+  }
+};
+
+// Baseline: any upstream.
+class RandomChoice {
+ public:
+  explicit RandomChoice(std::uint64_t seed) : generator(seed) {}
+  std::size_t Choose(const Candidates& agents) {
+    return static_cast<std::size_t>(this->generator() % agents.size());
+  }
+
+ private:
+  std::mt19937_64 generator;
+};
+
+// Baseline: the upstreams in turn.
+class RoundRobin {
+ public:
+  std::size_t Choose(const Candidates& agents) {
+    ++this->turn;
+    return this->turn % agents.size();
+  }
+
+ private:
+  std::size_t turn = 0;
+};
+
+// Baseline: the less busy of two random upstreams.
+class TwoChoices {
+ public:
+  explicit TwoChoices(std::uint64_t seed) : random(seed) {}
+  std::size_t Choose(const Candidates& agents) {
+    const std::size_t first = this->random.Choose(agents);
+    const std::size_t second = this->random.Choose(agents);
+    return agents[second]->running < agents[first]->running ? second : first;
+  }
+
+ private:
+  RandomChoice random;
+};
+
+static_assert(PlacementPolicy<FastestFree> && PlacementPolicy<RandomChoice> &&
+              PlacementPolicy<RoundRobin> && PlacementPolicy<TwoChoices>);
+
+using Placement =
+    std::variant<FastestFree, RandomChoice, RoundRobin, TwoChoices>;
+
+inline Placement MakePlacement(PlacementKind kind, std::uint64_t seed) {
+  switch (kind) {
+    case PlacementKind::kRandom:
+      return RandomChoice(seed);
+    case PlacementKind::kRoundRobin:
+      return RoundRobin();
+    case PlacementKind::kTwoChoices:
+      return TwoChoices(seed);
+    case PlacementKind::kFastestFree:
+      break;
+  }
+  return FastestFree();
+}
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_ENTRY_CORE_PLACEMENT_H_
--- /dev/null
+++ b/libraries/entry_core/relay_book.cc
@@ -0,0 +1,184 @@
+#include "libraries/entry_core/relay_book.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionspur {
+namespace {
+
+// How long after its deadline a job's home may still be asked to answer.
+constexpr Duration kAnswerGrace = std::chrono::seconds(1);
+// Pause before a job follows its home, so that two entries that disagree do
+// not send it to and fro.
+constexpr Duration kFollowPause = std::chrono::milliseconds(20);
+
+}  // namespace
+
+RelayBook::RelayBook(const EntryCoreSettings& configured, Ownership& owner,
+                     PeerDirectory& directory, HomeJobs& jobs,
+                     EntryOutbox& effects)
+    : settings(configured),
+      ownership(owner),
+      peers(directory),
+      home(jobs),
+      outbox(effects) {}
+
+void RelayBook::Submit(const JobSubmission& submission, Timestamp deadline,
+                       const std::vector<RequestId>& callers, Timestamp now) {
+  const auto existing = this->relayed.find(submission.key);
+  if (existing != this->relayed.end()) {
+    Relayed& job = existing->second;
+    if (job.submission.body_digest != submission.body_digest) {
+      for (const RequestId caller : callers) {
+        this->outbox.Answer(caller, submission.key,
+                            JobAnswer::MayHaveRun(Reason::kKeyReused));
+      }
+      return;
+    }
+    job.callers.insert(job.callers.end(), callers.begin(), callers.end());
+    return;
+  }
+  Relayed& job = this->relayed[submission.key];
+  job.submission = submission;
+  job.deadline = deadline;
+  job.callers = callers;
+  this->Route(job, now);
+}
+
+void RelayBook::Park(const ParkedRelay& parked) {
+  this->parked_relays.push_back(parked);
+}
+
+void RelayBook::Route(Relayed& job, Timestamp now) {
+  const JobKey key = job.submission.key;
+  const BucketId bucket = this->ownership.BucketOfKey(key);
+  job.target.reset();
+  JobSubmission submission = job.submission;
+  submission.time_allowed = std::max(Duration(), job.deadline - now);
+  if (this->ownership.IsActive(bucket)) {
+    const std::vector<RequestId> callers = job.callers;
+    this->relayed.erase(key);
+    for (const RequestId caller : callers) {
+      this->home.Accept(submission, caller, std::nullopt, now);
+    }
+    return;
+  }
+  const EntryId target = this->ownership.ExpectedHome(bucket, now);
+  const bool reachable =
+      target != this->settings.self && this->peers.IsConnected(target);
+  if (!reachable) return;
+  // From here on this entry is the job's witness.
+  this->ownership.Remember({key, now}, now);
+  job.attempt = AttemptNumber(++this->last_attempt);
+  job.target = target;
+  this->outbox.ToPeer(target,
+                      Relay{job.attempt, this->ownership.Promised(bucket),
+                            std::move(submission)});
+}
+
+void RelayBook::OnAnswer(EntryId from, const RelayAnswer& answer) {
+  const auto found = this->relayed.find(answer.key);
+  if (found == this->relayed.end()) return;
+  const Relayed& job = found->second;
+  // An earlier attempt may have gone to a former home, which can't say what
+  // the home of now does.
+  if (answer.attempt != job.attempt || job.target != from) return;
+  this->AnswerCallers(job, answer.answer);
+  this->relayed.erase(found);
+}
+
+void RelayBook::OnMoved(const RelayMoved& moved, Timestamp now) {
+  const auto found = this->relayed.find(moved.key);
+  if (found == this->relayed.end()) return;
+  Relayed& job = found->second;
+  if (moved.attempt != job.attempt) return;
+  job.target.reset();
+  job.submit_from = now + kFollowPause;
+}
+
+bool RelayBook::Cancel(const JobKey& key) {
+  const auto found = this->relayed.find(key);
+  if (found == this->relayed.end()) return false;
+  if (found->second.target) {
+    this->outbox.ToPeer(*found->second.target, CancelJob{key});
+  }
+  return true;
+}
+
+void RelayBook::OnActivated(const std::vector<BucketId>& buckets,
+                            Timestamp now) {
+  if (buckets.empty()) return;
+  const std::set<BucketId> active(buckets.begin(), buckets.end());
+  std::vector<JobKey> keys;
+  for (const auto& [key, job] : this->relayed) {
+    if (active.contains(this->ownership.BucketOfKey(key))) {
+      keys.push_back(key);
+    }
+  }
+  std::sort(keys.begin(), keys.end());
+  for (const JobKey& key : keys) this->Route(this->relayed.at(key), now);
+  std::vector<ParkedRelay> waiting;
+  waiting.swap(this->parked_relays);
+  for (ParkedRelay& parked : waiting) {
+    const JobKey& key = parked.relay.job.key;
+    const BucketId bucket = this->ownership.BucketOfKey(key);
+    if (!active.contains(bucket)) {
+      this->parked_relays.push_back(std::move(parked));
+      continue;
+    }
+    // The sender is a witness only if it had promised nothing above the
+    // ballot that was reached.
+    std::optional<EntryId> witness;
+    if (parked.relay.promised <= this->ownership.Promised(bucket) &&
+        this->ownership.view().Find(parked.from) != nullptr) {
+      witness = parked.from;
+    }
+    parked.relay.job.time_allowed = std::max(Duration(), parked.deadline - now);
+    this->home.Accept(parked.relay.job,
+                      RelayOrigin{parked.from, parked.relay.attempt}, witness,
+                      now);
+  }
+}
+
+void RelayBook::OnBucketLost(BucketId bucket) {
+  std::erase_if(this->parked_relays, [&](const ParkedRelay& parked) {
+    const JobKey& key = parked.relay.job.key;
+    if (this->ownership.BucketOfKey(key) != bucket) return false;
+    this->outbox.ToPeer(parked.from,
+                        RelayMoved{key, parked.relay.attempt,
+                                   this->ownership.Promised(bucket)});
+    return true;
+  });
+}
+
+void RelayBook::Tick(Timestamp now) {
+  std::vector<JobKey> keys;
+  keys.reserve(this->relayed.size());
+  for (const auto& [key, job] : this->relayed) keys.push_back(key);
+  std::sort(keys.begin(), keys.end());
+  for (const JobKey& key : keys) {
+    Relayed& job = this->relayed.at(key);
+    if (now > job.deadline + kAnswerGrace) {
+      this->AnswerCallers(job, JobAnswer::MayHaveRun(Reason::kHomeUnreachable));
+      this->relayed.erase(key);
+      continue;
+    }
+    const BucketId bucket = this->ownership.BucketOfKey(key);
+    const bool waits_for_home =
+        job.target == this->ownership.ExpectedHome(bucket, now) &&
+        this->peers.IsConnected(*job.target);
+    if (waits_for_home || now < job.submit_from) continue;
+    this->Route(job, now);
+  }
+  std::erase_if(this->parked_relays, [&](const ParkedRelay& parked) {
+    return now > parked.deadline + kAnswerGrace;
+  });
+}
+
+void RelayBook::AnswerCallers(const Relayed& job, const JobAnswer& answer) {
+  for (const RequestId caller : job.callers) {
+    this->outbox.Answer(caller, job.submission.key, answer);
+  }
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/libraries/entry_core/relay_book.h
@@ -0,0 +1,78 @@
+#ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_RELAY_BOOK_H_
+#define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_RELAY_BOOK_H_
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "libraries/entry_core/entry_core_settings.h"
+#include "libraries/entry_core/entry_outbox.h"
+#include "libraries/entry_core/home_jobs.h"
+#include "libraries/entry_core/ownership.h"
+#include "libraries/entry_core/peer_directory.h"
+
+namespace dandelionspur {
+
+// A submission that another entry relayed here while this entry was acquiring
+// the bucket.
+struct ParkedRelay {
+  EntryId from;
+  Relay relay;
+  Timestamp deadline;
+};
+
+// The submissions that callers of this entry wait for and whose home is
+// another entry, or is still being decided. One rule serves every change of
+// home: the whole job is submitted to the home of now, under its key.
+class RelayBook {
+ public:
+  RelayBook(const EntryCoreSettings& configured, Ownership& owner,
+            PeerDirectory& directory, HomeJobs& jobs, EntryOutbox& effects);
+
+  void Submit(const JobSubmission& submission, Timestamp deadline,
+              const std::vector<RequestId>& callers, Timestamp now);
+  void Park(const ParkedRelay& parked);
+  void OnAnswer(EntryId from, const RelayAnswer& answer);
+  void OnMoved(const RelayMoved& moved, Timestamp now);
+  // Passes a cancellation on; false if the key is not relayed from here.
+  bool Cancel(const JobKey& key);
+  // Hands what waits for these buckets to the jobs at home.
+  void OnActivated(const std::vector<BucketId>& buckets, Timestamp now);
+  // This entry lost the bucket: the entries whose relays are parked must turn
+  // to the new home.
+  void OnBucketLost(BucketId bucket);
+  // Submits again where the home has changed, and gives up what is overdue.
+  void Tick(Timestamp now);
+
+  [[nodiscard]] std::size_t size() const { return this->relayed.size(); }
+
+ private:
+  struct Relayed {
+    JobSubmission submission;
+    Timestamp deadline;
+    std::vector<RequestId> callers;
+    AttemptNumber attempt;
+    // Where the attempt went; nothing while no home is known.
+    std::optional<EntryId> target;
+    // Not before this time, after the home has moved.
+    Timestamp submit_from;
+  };
+
+  void Route(Relayed& job, Timestamp now);
+  void AnswerCallers(const Relayed& job, const JobAnswer& answer);
+
+  EntryCoreSettings settings;
+  Ownership& ownership;
+  PeerDirectory& peers;
+  HomeJobs& home;
+  EntryOutbox& outbox;
+  std::unordered_map<JobKey, Relayed> relayed;
+  std::vector<ParkedRelay> parked_relays;
+  std::uint64_t last_attempt = 0;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_ENTRY_CORE_RELAY_BOOK_H_
--- /dev/null
+++ b/libraries/entry_core/service_state.h
@@ -0,0 +1,82 @@
+#ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_SERVICE_STATE_H_
+#define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_SERVICE_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+
+#include "libraries/configuration/service_document.h"
+#include "libraries/entry_core/home_job.h"
+#include "libraries/entry_core/placement.h"
+
+namespace dandelionspur {
+
+// One service as its home sees it: the document in force, the queues of its
+// teams, and the budget for retries.
+class ServiceState {
+ public:
+  ServiceState(const ServiceDocument& document, std::uint64_t placement_seed);
+
+  void Apply(const ServiceDocument& document);
+  [[nodiscard]] const ServiceDocument& document() const {
+    return this->in_force;
+  }
+  [[nodiscard]] Placement& placement() { return this->policy; }
+
+  // Whether the document lets `team` submit.
+  [[nodiscard]] bool Admits(const TeamName& team) const;
+  // Puts a job with queued tasks in line; `slots` are those of the service.
+  void Enqueue(HomeJob& job, std::uint32_t slots);
+  void Dequeue(HomeJob& job);
+  // The job whose task should start next, or nothing where every queued team
+  // is at its limit. Among teams, the one with the smallest part of its share
+  // goes first; within a team, the job with the least work left, and each
+  // second of waiting counts for part of a second of work.
+  [[nodiscard]] std::optional<JobKey> Next() const;
+
+  void TaskQueued(Duration declared);
+  void TaskUnqueued(Duration declared);
+  void TaskStarted(const TeamName& team);
+  void TaskEnded(const TeamName& team);
+  [[nodiscard]] std::uint32_t queued_tasks() const {
+    return this->queued_count;
+  }
+  // Declared time of all queued tasks.
+  [[nodiscard]] Duration queued_work() const { return this->queued_total; }
+
+  // Takes one retry from the budget; false where it is used up.
+  bool TakeRetry();
+
+  // Measured over declared task time, over all upstreams.
+  void ObserveTask(Duration declared, Duration elapsed);
+  [[nodiscard]] double declared_error() const { return this->error_ratio; }
+
+ private:
+  struct Position {
+    std::int64_t rank = 0;
+    JobKey key;
+    auto operator<=>(const Position&) const = default;
+  };
+  struct TeamState {
+    std::set<Position> jobs;
+    std::uint32_t running = 0;
+    std::uint32_t weight = 1;
+    std::uint32_t maximum_running = UINT32_MAX;
+  };
+
+  TeamState& Team(const TeamName& team);
+
+  ServiceDocument in_force;
+  Placement policy;
+  std::uint64_t seed;
+  std::map<TeamName, TeamState> teams;
+  std::uint32_t queued_count = 0;
+  Duration queued_total{};
+  double retry_tokens = 0;
+  double error_ratio = 1.0;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_ENTRY_CORE_SERVICE_STATE_H_
--- /dev/null
+++ b/libraries/entry_core/submission_validator.cc
@@ -0,0 +1,129 @@
+#include "libraries/entry_core/submission_validator.h"
+
+#include <xxhash.h>
+
+#include <optional>
+#include <utility>
+
+#include "libraries/configuration/object_reader.h"
+
+namespace dandelionspur {
+namespace {
+
+constexpr std::size_t kMaximumKeyLength = 255;
+constexpr std::size_t kMaximumTaskBody = 1U * 1024U * 1024U;
+constexpr IntegerRange kDeadlineRangeMilliseconds{1, 3'600'000};
+constexpr IntegerRange kDeclaredRangeMilliseconds{1, 3'600'000};
+constexpr Duration kDefaultDeclared = std::chrono::milliseconds(300);
+constexpr Duration kRejectedRetryAfter{};
+const char* const kDefaultTeam = "default";
+
+std::optional<std::string> CommonProblem(const RawSubmission& raw) {
+  if (raw.key.empty()) return "the Idempotency-Key header is missing";
+  if (raw.key.size() > kMaximumKeyLength) {
+    return "the Idempotency-Key header has more than 255 characters";
+  }
+  return std::nullopt;
+}
+
+JobSubmission NewSubmission(const RawSubmission& raw,
+                            const ServiceDocument& document) {
+  JobSubmission job;
+  job.key = JobKey::FromText(raw.service, raw.key);
+  job.created = CreationTime(raw.key);
+  job.service = raw.service;
+  job.team = TeamName(raw.team.empty() ? kDefaultTeam : std::string(raw.team));
+  job.body_digest = XXH3_64bits(raw.body.data(), raw.body.size());
+  job.time_allowed = document.default_deadline;
+  return job;
+}
+
+TaskRequest ReadTask(ObjectReader& reader, const nlohmann::json& task) {
+  TaskRequest request;
+  request.declared = reader.MillisecondsOr(
+      "declared_ms", kDeclaredRangeMilliseconds, kDefaultDeclared);
+  if (!reader.Has("body")) reader.Problem("body", "is missing");
+  reader.IgnoreField("body");
+  const auto body = task.is_object() ? task.find("body") : task.end();
+  if (!task.is_object() || body == task.end()) return request;
+  std::string bytes =
+      body->is_string() ? body->get<std::string>() : body->dump();
+  if (bytes.size() > kMaximumTaskBody) {
+    reader.Problem("body", "must not exceed 1048576 bytes");
+  }
+  request.body = Payload::FromBytes(std::move(bytes));
+  return request;
+}
+
+Result<JobSubmission> ReadJob(const RawSubmission& raw,
+                              const ServiceDocument& document) {
+  BOOST_LEAF_AUTO(json, ParseJsonWithComments(raw.body, "request"));
+  ObjectReader reader("request", "", json);
+  JobSubmission job = NewSubmission(raw, document);
+  job.team = TeamName(reader.TextOr("team", job.team.value()));
+  job.time_allowed = reader.MillisecondsOr(
+      "deadline_ms", kDeadlineRangeMilliseconds, document.default_deadline);
+  if (job.time_allowed > document.maximum_deadline) {
+    reader.Problem("deadline_ms",
+                   "must not exceed the service's maximum_deadline_ms");
+  }
+  std::vector<ObjectReader> tasks = reader.Objects("tasks");
+  if (tasks.empty() || tasks.size() > kMaximumTasksPerJob) {
+    reader.Problem("tasks", "must have from 1 to 860 items");
+  }
+  if (tasks.size() <= kMaximumTasksPerJob) {
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+      job.tasks.push_back(ReadTask(tasks[i], json.at("tasks").at(i)));
+      reader.Absorb(tasks[i]);
+    }
+  }
+  BOOST_LEAF_CHECK(reader.Finish());
+  return job;
+}
+
+}  // namespace
+
+RejectedSubmission SubmissionValidator::Reject(Reason reason,
+                                               std::string detail) {
+  return RejectedSubmission{
+      JobAnswer::NotRun(reason, NotRunProof(), kRejectedRetryAfter),
+      std::move(detail)};
+}
+
+ValidatedSubmission SubmissionValidator::Job(const RawSubmission& raw,
+                                             const ServiceDocument* document) {
+  if (document == nullptr) {
+    return Reject(Reason::kUnknownService,
+                  "no document names this service: " + raw.service.value());
+  }
+  const std::optional<std::string> problem = CommonProblem(raw);
+  if (problem) return Reject(Reason::kMalformedRequest, *problem);
+  return OrElse(
+      [&]() -> Result<ValidatedSubmission> {
+        BOOST_LEAF_AUTO(job, ReadJob(raw, *document));
+        return ValidatedSubmission(std::move(job));
+      },
+      [](const std::string& message) {
+        return ValidatedSubmission(Reject(Reason::kMalformedRequest, message));
+      });
+}
+
+ValidatedSubmission SubmissionValidator::Request(
+    const RawSubmission& raw, const ServiceDocument* document) {
+  if (document == nullptr) {
+    return Reject(Reason::kUnknownService,
+                  "no document names this service: " + raw.service.value());
+  }
+  const std::optional<std::string> problem = CommonProblem(raw);
+  if (problem) return Reject(Reason::kMalformedRequest, *problem);
+  if (raw.body.size() > kMaximumTaskBody) {
+    return Reject(Reason::kMalformedRequest,
+                  "the body must not exceed 1048576 bytes");
+  }
+  JobSubmission job = NewSubmission(raw, *document);
+  job.tasks.push_back(
+      {Payload::FromBytes(std::string(raw.body)), kDefaultDeclared});
+  return job;
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/libraries/protocol/agent_messages.h
@@ -0,0 +1,212 @@
+#ifndef DANDELIONSPUR_LIBRARIES_PROTOCOL_AGENT_MESSAGES_H_
+#define DANDELIONSPUR_LIBRARIES_PROTOCOL_AGENT_MESSAGES_H_
+
+#include <boost/describe.hpp>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "libraries/base/ballot.h"
+#include "libraries/protocol/entry_messages.h"
+#include "libraries/protocol/job.h"
+#include "libraries/protocol/view.h"
+
+namespace dandelionspur {
+
+struct TaskId {
+  JobKey key;
+  TaskIndex task;
+  auto operator<=>(const TaskId&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(TaskId, (), (key, task))
+
+// What an upstream announces, and its agent passes on.
+struct AgentDescription {
+  AgentId agent;
+  ServiceName service;
+  std::string upstream;
+  std::string rack;
+  std::uint32_t slots = 0;
+  // Probed to tell a dead agent from a silent one.
+  Endpoint admin_endpoint;
+  bool operator==(const AgentDescription&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(AgentDescription, (),
+                      (agent, service, upstream, rack, slots, admin_endpoint))
+
+// Sent to every entry of the view; the agent takes no start before all of
+// them have answered for that view.
+struct Register {
+  static constexpr const char* kName = "register";
+  AgentDescription description;
+  Epoch epoch;
+};
+BOOST_DESCRIBE_STRUCT(Register, (), (description, epoch))
+
+// Every entry of the view `epoch` has acknowledged the agent.
+struct AgentReady {
+  static constexpr const char* kName = "agent_ready";
+  Epoch epoch;
+};
+BOOST_DESCRIBE_STRUCT(AgentReady, (), (epoch))
+
+BOOST_DEFINE_ENUM_CLASS(StartedState, kNeverStarted, kRunning, kFinished)
+
+// What an agent knows of one task.
+struct TaskReport {
+  TaskId task;
+  StartedState state = StartedState::kNeverStarted;
+  TaskOutcome outcome = TaskOutcome::kUnknown;
+  // Empty also where the answer was no longer kept; `result_kept` tells.
+  Payload result;
+  bool result_kept = false;
+};
+BOOST_DESCRIBE_STRUCT(TaskReport, (),
+                      (task, state, outcome, result, result_kept))
+
+struct AgentBucketPromise {
+  BucketId bucket;
+  Ballot ballot;
+  bool granted = false;
+};
+BOOST_DESCRIBE_STRUCT(AgentBucketPromise, (), (bucket, ballot, granted))
+
+// The started tasks of one job.
+struct StartedJob {
+  JobKey key;
+  std::vector<TaskIndex> tasks;
+};
+BOOST_DESCRIBE_STRUCT(StartedJob, (), (key, tasks))
+
+struct AgentPromiseReply {
+  static constexpr const char* kName = "agent_promise_reply";
+  std::vector<AgentBucketPromise> buckets;
+  // Every task of the granted buckets in the agent's started set; how a task
+  // ended is asked for with Renounce, where it is needed.
+  std::vector<StartedJob> started;
+};
+BOOST_DESCRIBE_STRUCT(AgentPromiseReply, (), (buckets, started))
+
+struct TaskFinished {
+  static constexpr const char* kName = "task_finished";
+  TaskReport report;
+  // Time that the upstream took.
+  Duration elapsed{};
+  // Slots that the receiving entry may use from now on.
+  std::uint32_t credits = 0;
+};
+BOOST_DESCRIBE_STRUCT(TaskFinished, (), (report, elapsed, credits))
+
+// The start took no effect and never will.
+struct TaskNotRun {
+  static constexpr const char* kName = "task_not_run";
+  TaskId task;
+  Reason reason = Reason::kNoFreeSlot;
+  // The highest ballot promised for the bucket.
+  Ballot promised;
+  std::uint32_t credits = 0;
+};
+BOOST_DESCRIBE_STRUCT(TaskNotRun, (), (task, reason, promised, credits))
+
+// Answers a renounce: a task that was never started is now never going to be.
+struct RenounceReply {
+  static constexpr const char* kName = "renounce_reply";
+  TaskReport report;
+};
+BOOST_DESCRIBE_STRUCT(RenounceReply, (), (report))
+
+struct CreditGrant {
+  static constexpr const char* kName = "credit_grant";
+  std::uint32_t credits = 0;
+};
+BOOST_DESCRIBE_STRUCT(CreditGrant, (), (credits))
+
+// Another entry has demand: give back what is not needed.
+struct CreditRecall {
+  static constexpr const char* kName = "credit_recall";
+};
+BOOST_DESCRIBE_STRUCT(CreditRecall, (), ())
+
+// The agent takes no more starts; running tasks still finish.
+struct AgentLeaving {
+  static constexpr const char* kName = "agent_leaving";
+};
+BOOST_DESCRIBE_STRUCT(AgentLeaving, (), ())
+
+struct AgentHeartbeat {
+  static constexpr const char* kName = "agent_heartbeat";
+  std::uint32_t running = 0;
+};
+BOOST_DESCRIBE_STRUCT(AgentHeartbeat, (), (running))
+
+using AgentMessage =
+    std::variant<Register, AgentReady, AgentPromiseReply, TaskFinished,
+                 TaskNotRun, RenounceReply, CreditGrant, CreditRecall,
+                 AgentLeaving, AgentHeartbeat, ConfirmReply>;
+
+struct RegisterAcknowledged {
+  static constexpr const char* kName = "register_acknowledged";
+  // The view of the entry; the agent registers again where it is newer.
+  View view;
+  // Every ballot that the entry promised.
+  std::vector<BucketBallot> promises;
+};
+BOOST_DESCRIBE_STRUCT(RegisterAcknowledged, (), (view, promises))
+
+struct Start {
+  static constexpr const char* kName = "start";
+  TaskId task;
+  Ballot ballot;
+  // Grows with each start of the task under this ballot, so that a delayed
+  // duplicate of a start that was answered "not run" stays without effect.
+  std::uint32_t attempt = 0;
+  // The incarnation that is meant; another one refuses.
+  AgentId agent;
+  Duration time_left{};
+  PlacementReason placement = PlacementReason::kOnlyCandidate;
+  // Tasks that the entry still queues for this service.
+  std::uint32_t queued = 0;
+  Payload body;
+};
+BOOST_DESCRIBE_STRUCT(Start, (),
+                      (task, ballot, attempt, agent, time_left, placement,
+                       queued, body))
+
+// Asks what became of a task. If it was not started, no start of it up to this
+// ballot and attempt takes effect from now on.
+struct Renounce {
+  static constexpr const char* kName = "renounce";
+  TaskId task;
+  Ballot ballot;
+  std::uint32_t attempt = 0;
+};
+BOOST_DESCRIBE_STRUCT(Renounce, (), (task, ballot, attempt))
+
+struct StopTask {
+  static constexpr const char* kName = "stop_task";
+  TaskId task;
+};
+BOOST_DESCRIBE_STRUCT(StopTask, (), (task))
+
+// The entry has queued tasks and no credit.
+struct CreditRequest {
+  static constexpr const char* kName = "credit_request";
+  std::uint32_t queued = 0;
+};
+BOOST_DESCRIBE_STRUCT(CreditRequest, (), (queued))
+
+struct CreditReturn {
+  static constexpr const char* kName = "credit_return";
+  std::uint32_t credits = 0;
+};
+BOOST_DESCRIBE_STRUCT(CreditReturn, (), (credits))
+
+using EntryToAgentMessage =
+    std::variant<RegisterAcknowledged, PromiseRequest, Start, Renounce,
+                 StopTask, CreditRequest, CreditReturn, ConfirmRequest,
+                 DocumentPush>;
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_PROTOCOL_AGENT_MESSAGES_H_
--- /dev/null
+++ b/libraries/protocol/view.cc
@@ -0,0 +1,85 @@
+#include "libraries/protocol/view.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+
+namespace dandelionspur {
+namespace {
+
+struct Weighted {
+  std::uint64_t weight;
+  EntryId entry;
+};
+
+std::uint64_t RendezvousWeight(BucketId bucket, EntryId entry) {
+  const std::array<std::uint64_t, 2> input = {bucket.value(), entry.value()};
+  return XXH3_64bits(input.data(), sizeof(input));
+}
+
+}  // namespace
+
+const ViewMember* View::Find(EntryId entry) const {
+  for (const ViewMember& member : this->members) {
+    if (member.entry == entry) return &member;
+  }
+  return nullptr;
+}
+
+std::vector<EntryId> View::Ranking(BucketId bucket) const {
+  std::vector<Weighted> weighted;
+  weighted.reserve(this->members.size());
+  for (const ViewMember& member : this->members) {
+    weighted.push_back({RendezvousWeight(bucket, member.entry), member.entry});
+  }
+  std::sort(weighted.begin(), weighted.end(),
+            [](const Weighted& left, const Weighted& right) {
+              if (left.weight != right.weight) {
+                return left.weight > right.weight;
+              }
+              return left.entry > right.entry;
+            });
+  std::vector<EntryId> ranking;
+  ranking.reserve(weighted.size());
+  for (const Weighted& item : weighted) ranking.push_back(item.entry);
+  return ranking;
+}
+
+View WithMember(View view, const ViewMember& member, Timestamp now) {
+  const auto same_address = [&](const ViewMember& other) {
+    return other.peer_endpoint == member.peer_endpoint &&
+           other.entry != member.entry;
+  };
+  for (const ViewMember& other : view.members) {
+    if (same_address(other)) {
+      view.losses.push_back({other.entry, now, LossProof::kProvenDead});
+    }
+  }
+  std::erase_if(view.members, same_address);
+  if (view.Find(member.entry) == nullptr) view.members.push_back(member);
+  view.epoch = Epoch(view.epoch.value() + 1);
+  return view;
+}
+
+View WithLoss(View view, const EntryLoss& loss) {
+  view = WithoutMember(std::move(view), loss.entry);
+  view.losses.push_back(loss);
+  return view;
+}
+
+View WithoutMember(View view, EntryId entry) {
+  std::erase_if(view.members, [&](const ViewMember& member) {
+    return member.entry == entry;
+  });
+  view.epoch = Epoch(view.epoch.value() + 1);
+  return view;
+}
+
+View WithoutLossesBefore(View view, Timestamp horizon) {
+  std::erase_if(view.losses,
+                [&](const EntryLoss& loss) { return loss.lost_at < horizon; });
+  return view;
+}
+
+}  // namespace dandelionspur
