--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -201,10 +201,6 @@
   this->Send(from, std::move(reply));
 }
 
-void AgentCore::OnMessage(EntryId /*from*/, const DocumentPush& /*message*/) {
-  // FIXME: No decision of an agent depends on a service document yet.
-}
-
 void AgentCore::AdoptView(const View& candidate) {
   if (candidate.epoch <= this->view.epoch) return;
   this->view = candidate;
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -62,7 +62,6 @@
   void OnMessage(EntryId from, const CreditRequest& message);
   void OnMessage(EntryId from, const CreditReturn& message);
   void OnMessage(EntryId from, const ConfirmRequest& message);
-  void OnMessage(EntryId from, const DocumentPush& message);
 
   void AdoptView(const View& candidate);
   void SendRegistrations();
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -38,7 +38,7 @@
 void EntryCore::On(const CallerSubmitted& event) {
   const JobKey& key = event.job.key;
   const KeptAnswer* answer = this->home.FindAnswer(key);
-  if (answer != nullptr && answer->body_digest == event.job.body_digest) {
+  if (answer != nullptr && event.job.Matches(answer->body_digest)) {
     this->outbox.Answer(event.request, key, answer->answer);
     return;
   }
@@ -75,6 +75,7 @@
 
 void EntryCore::On(const PeerDisconnected& event) {
   this->peers.Disconnected(event.peer, this->current_time);
+  this->relays.OnPeerDisconnected(event.peer);
 }
 
 void EntryCore::On(const PeerProvenDead& event) {
@@ -382,6 +383,11 @@
     if (first_ever) this->ownership.MarkSynchronized();
   }
   for (const ViewMember& member : view.members) this->SendState(member.entry);
+  for (const auto& [agent, known] : this->registry.all()) {
+    if (!known.connected) continue;
+    this->outbox.ToAgent(
+        agent, RegisterAcknowledged{view, this->ownership.Promises()});
+  }
 }
 
 void EntryCore::AdoptDocument(const VersionedDocument& document) {
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -48,14 +48,14 @@
                       std::optional<EntryId> witness, Timestamp now) {
   const JobKey& key = submission.key;
   if (const KeptAnswer* answer = this->kept.Find(key)) {
-    const bool same = answer->body_digest == submission.body_digest;
+    const bool same = submission.Matches(answer->body_digest);
     this->AnswerWaiter(
         waiter, key,
         same ? answer->answer : JobAnswer::MayHaveRun(Reason::kKeyReused));
     return;
   }
   if (HomeJob* job = this->Find(key)) {
-    if (job->submission.body_digest != submission.body_digest) {
+    if (!submission.Matches(job->submission.body_digest)) {
       this->AnswerWaiter(waiter, key,
                          JobAnswer::MayHaveRun(Reason::kKeyReused));
       return;
@@ -65,6 +65,10 @@
     this->Advance(*job, now);
     return;
   }
+  if (submission.kind == SubmissionKind::kJoin) {
+    this->AnswerWaiter(waiter, key, JobAnswer::MayHaveRun(Reason::kNotFound));
+    return;
+  }
   switch (this->ownership.StandingOf(key, submission.created)) {
     case KeyStanding::kUnknowable:
       this->AnswerWaiter(waiter, key,
--- a/libraries/entry_core/relay_book.cc
+++ b/libraries/entry_core/relay_book.cc
@@ -28,7 +28,8 @@
   const auto existing = this->relayed.find(submission.key);
   if (existing != this->relayed.end()) {
     Relayed& job = existing->second;
-    if (job.submission.body_digest != submission.body_digest) {
+    const bool only_joined = job.submission.kind == SubmissionKind::kJoin;
+    if (!only_joined && !submission.Matches(job.submission.body_digest)) {
       for (const RequestId caller : callers) {
         this->outbox.Answer(caller, submission.key,
                             JobAnswer::MayHaveRun(Reason::kKeyReused));
@@ -36,6 +37,11 @@
       return;
     }
     job.callers.insert(job.callers.end(), callers.begin(), callers.end());
+    if (only_joined && submission.kind == SubmissionKind::kRun) {
+      job.submission = submission;
+      job.deadline = deadline;
+      this->Route(job, now);
+    }
     return;
   }
   Relayed& job = this->relayed[submission.key];
@@ -68,7 +74,9 @@
       target != this->settings.self && this->peers.IsConnected(target);
   if (!reachable) return;
   // From here on this entry is the job's witness.
-  this->ownership.Remember({key, now}, now);
+  if (job.submission.kind == SubmissionKind::kRun) {
+    this->ownership.Remember({key, now}, now);
+  }
   job.attempt = AttemptNumber(++this->last_attempt);
   job.target = target;
   this->outbox.ToPeer(target,
@@ -105,6 +113,14 @@
   return true;
 }
 
+void RelayBook::OnPeerDisconnected(EntryId peer) {
+  // The relay or its answer may be lost; the home joins a second one to the
+  // first.
+  for (auto& [key, job] : this->relayed) {
+    if (job.target == peer) job.target.reset();
+  }
+}
+
 void RelayBook::OnActivated(const std::vector<BucketId>& buckets,
                             Timestamp now) {
   if (buckets.empty()) return;
--- a/libraries/entry_core/relay_book.h
+++ b/libraries/entry_core/relay_book.h
@@ -38,6 +38,7 @@
   void OnMoved(const RelayMoved& moved, Timestamp now);
   // Passes a cancellation on; false if the key is not relayed from here.
   bool Cancel(const JobKey& key);
+  void OnPeerDisconnected(EntryId peer);
   // Hands what waits for these buckets to the jobs at home.
   void OnActivated(const std::vector<BucketId>& buckets, Timestamp now);
   // This entry lost the bucket: the entries whose relays are parked must turn
--- /dev/null
+++ b/libraries/network/frame_connection.cc
@@ -0,0 +1,131 @@
+#include "libraries/network/frame_connection.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+#include <vector>
+
+namespace dandelionspur {
+namespace {
+
+// Frames that go out in one system call.
+constexpr std::size_t kMaximumGather = 64;
+
+}  // namespace
+
+std::shared_ptr<FrameConnection> FrameConnection::Create(
+    boost::asio::ip::tcp::socket socket) {
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  return std::shared_ptr<FrameConnection>(
+      new FrameConnection(std::move(socket)));
+}
+
+FrameConnection::FrameConnection(boost::asio::ip::tcp::socket connected)
+    : socket(std::move(connected)) {}
+
+void FrameConnection::Start(Handlers callbacks) {
+  this->handlers = std::move(callbacks);
+  this->ReadHeader();
+}
+
+void FrameConnection::Send(std::string_view body_bytes) {
+  boost::asio::post(
+      this->socket.get_executor(),
+      [self = this->shared_from_this(), frame = EncodeFrame(body_bytes)] {
+        self->Enqueue(frame);
+      });
+}
+
+void FrameConnection::SendEncoded(std::function<std::string()> encode) {
+  boost::asio::post(
+      this->socket.get_executor(),
+      [self = this->shared_from_this(), encoder = std::move(encode)] {
+        if (!self->ended) self->Enqueue(EncodeFrame(encoder()));
+      });
+}
+
+void FrameConnection::Close() {
+  boost::asio::post(
+      this->socket.get_executor(),
+      [self = this->shared_from_this()] { self->End(std::nullopt); });
+}
+
+void FrameConnection::ReadHeader() {
+  boost::asio::async_read(
+      this->socket, boost::asio::buffer(this->header),
+      [self = this->shared_from_this()](boost::system::error_code error,
+                                        std::size_t received) {
+        if (error) {
+          const bool cut = received > 0;
+          self->End(cut ? std::optional(FrameError::kTruncated) : std::nullopt);
+          return;
+        }
+        const FrameHeader decoded = DecodeFrameHeader(self->header);
+        if (decoded.error) {
+          self->End(decoded.error);
+          return;
+        }
+        self->ReadBody(decoded.body_size);
+      });
+}
+
+void FrameConnection::ReadBody(std::size_t size) {
+  this->body.resize(size);
+  boost::asio::async_read(
+      this->socket, boost::asio::buffer(this->body),
+      [self = this->shared_from_this()](boost::system::error_code error,
+                                        std::size_t /*received*/) {
+        if (self->ended) return;
+        if (error) {
+          self->End(FrameError::kTruncated);
+          return;
+        }
+        if (!self->handlers.frame(self->body)) {
+          self->End(FrameError::kMalformed);
+          return;
+        }
+        if (!self->ended) self->ReadHeader();
+      });
+}
+
+void FrameConnection::Enqueue(std::string frame) {
+  if (this->ended) return;
+  this->outgoing.push_back(std::move(frame));
+  if (this->writing == 0) this->WriteNext();
+}
+
+void FrameConnection::WriteNext() {
+  std::vector<boost::asio::const_buffer> buffers;
+  this->writing = std::min(this->outgoing.size(), kMaximumGather);
+  for (std::size_t i = 0; i < this->writing; ++i) {
+    buffers.push_back(boost::asio::buffer(this->outgoing[i]));
+  }
+  boost::asio::async_write(
+      this->socket, buffers,
+      [self = this->shared_from_this()](boost::system::error_code error,
+                                        std::size_t /*sent*/) {
+        if (error) {
+          self->End(std::nullopt);
+          return;
+        }
+        self->outgoing.erase(self->outgoing.begin(),
+                             self->outgoing.begin() +
+                                 static_cast<std::ptrdiff_t>(self->writing));
+        self->writing = 0;
+        if (!self->outgoing.empty() && !self->ended) self->WriteNext();
+      });
+}
+
+void FrameConnection::End(std::optional<FrameError> error) {
+  if (this->ended) return;
+  this->ended = true;
+  boost::system::error_code ignored;
+  this->socket.close(ignored);
+  if (this->handlers.closed) this->handlers.closed(error);
+  // The handlers may own this connection.
+  this->handlers = {};
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/libraries/network/frame_connection.h
@@ -0,0 +1,63 @@
+#ifndef DANDELIONSPUR_LIBRARIES_NETWORK_FRAME_CONNECTION_H_
+#define DANDELIONSPUR_LIBRARIES_NETWORK_FRAME_CONNECTION_H_
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "libraries/protocol/frame.h"
+
+namespace dandelionspur {
+
+// One TCP connection between two of our processes, in frames. All handlers
+// run on the connection's io_context; Send and Close may be called from any
+// thread.
+class FrameConnection : public std::enable_shared_from_this<FrameConnection> {
+ public:
+  struct Handlers {
+    // Returns whether the frame could be decoded; the connection closes
+    // otherwise.
+    std::function<bool(std::string_view body)> frame;
+    // Called once; the error is set where the bytes received were at fault.
+    std::function<void(std::optional<FrameError> error)> closed;
+  };
+
+  static std::shared_ptr<FrameConnection> Create(
+      boost::asio::ip::tcp::socket socket);
+
+  FrameConnection(const FrameConnection&) = delete;
+  FrameConnection& operator=(const FrameConnection&) = delete;
+
+  void Start(Handlers callbacks);
+  void Send(std::string_view body);
+  // Like Send, but `encode` makes the body on the connection's thread.
+  void SendEncoded(std::function<std::string()> encode);
+  void Close();
+
+ private:
+  explicit FrameConnection(boost::asio::ip::tcp::socket connected);
+  void ReadHeader();
+  void ReadBody(std::size_t size);
+  void Enqueue(std::string frame);
+  void WriteNext();
+  void End(std::optional<FrameError> error);
+
+  boost::asio::ip::tcp::socket socket;
+  Handlers handlers;
+  std::array<std::uint8_t, kFrameHeaderSize> header{};
+  std::string body;
+  std::deque<std::string> outgoing;
+  std::size_t writing = 0;
+  bool ended = false;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_NETWORK_FRAME_CONNECTION_H_
--- /dev/null
+++ b/libraries/network/http_client.cc
@@ -0,0 +1,185 @@
+#include "libraries/network/http_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <utility>
+
+namespace dandelionspur {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+constexpr std::uint64_t kMaximumResponse = 64ULL * 1024 * 1024;
+constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+
+}  // namespace
+
+// One connection, busy with one request at a time.
+class HttpClient::Connection
+    : public std::enable_shared_from_this<HttpClient::Connection> {
+ public:
+  Connection(asio::io_context& context, std::shared_ptr<HttpClient> owner)
+      : stream(context), client(std::move(owner)) {}
+
+  // Whether the other side has closed a kept connection in the meantime.
+  [[nodiscard]] bool IsStale() {
+    char byte = 0;
+    boost::system::error_code error;
+    this->stream.socket().non_blocking(true, error);
+    this->stream.socket().receive(asio::buffer(&byte, 1),
+                                  Tcp::socket::message_peek, error);
+    return error != asio::error::would_block;
+  }
+
+  void Run(Waiting work) {
+    this->current = std::move(work);
+    if (this->connected) {
+      this->Write();
+      return;
+    }
+    const Endpoint& target = this->client->target;
+    this->stream.expires_after(kConnectTimeout);
+    this->stream.async_connect(
+        Tcp::endpoint(asio::ip::make_address(target.address), target.port),
+        [self = this->shared_from_this()](boost::system::error_code error) {
+          if (error) {
+            self->Fail(HttpProgress::kNotSent);
+            return;
+          }
+          boost::system::error_code ignored;
+          self->stream.socket().set_option(Tcp::no_delay(true), ignored);
+          self->connected = true;
+          self->Write();
+        });
+  }
+
+ private:
+  void Write() {
+    this->stream.expires_after(this->current.timeout);
+    http::async_write(this->stream, this->current.request,
+                      [self = this->shared_from_this()](
+                          boost::system::error_code error, std::size_t) {
+                        if (error) {
+                          self->Fail(HttpProgress::kUnknown);
+                          return;
+                        }
+                        self->Read();
+                      });
+  }
+
+  void Read() {
+    this->parser.emplace();
+    this->parser->body_limit(kMaximumResponse);
+    http::async_read(this->stream, this->buffer, *this->parser,
+                     [self = this->shared_from_this()](
+                         boost::system::error_code error, std::size_t) {
+                       if (error) {
+                         self->Fail(HttpProgress::kUnknown);
+                         return;
+                       }
+                       self->Finish();
+                     });
+  }
+
+  void Finish() {
+    HttpResult result{HttpProgress::kAnswered, this->parser->release()};
+    const bool reusable = result.response.keep_alive();
+    const HttpCallback callback = std::move(this->current.callback);
+    this->stream.expires_never();
+    if (reusable) {
+      this->client->OnIdle(this->shared_from_this());
+    } else {
+      this->Disconnect();
+    }
+    callback(std::move(result));
+  }
+
+  void Fail(HttpProgress progress) {
+    const HttpCallback callback = std::move(this->current.callback);
+    this->Disconnect();
+    callback(HttpResult{progress, {}});
+  }
+
+  void Disconnect() {
+    this->stream.close();
+    this->client->OnBroken();
+  }
+
+  beast::tcp_stream stream;
+  std::shared_ptr<HttpClient> client;
+  beast::flat_buffer buffer;
+  std::optional<http::response_parser<http::string_body>> parser;
+  Waiting current;
+  bool connected = false;
+};
+
+std::shared_ptr<HttpClient> HttpClient::Create(asio::io_context& context,
+                                               const Endpoint& endpoint,
+                                               std::size_t connections) {
+  return std::shared_ptr<HttpClient>(
+      new HttpClient(context, endpoint, connections));
+}
+
+HttpClient::HttpClient(asio::io_context& executor, const Endpoint& endpoint,
+                       std::size_t connections)
+    : context(executor), target(endpoint), maximum_connections(connections) {}
+
+void HttpClient::Send(HttpRequest request, Duration timeout,
+                      HttpCallback callback) {
+  request.set(http::field::host, this->target.address);
+  request.prepare_payload();
+  this->waiting.push_back({std::move(request), timeout, std::move(callback)});
+  this->StartNext();
+}
+
+void HttpClient::StartNext() {
+  while (!this->waiting.empty()) {
+    std::shared_ptr<Connection> connection;
+    while (!this->idle.empty() && connection == nullptr) {
+      connection = std::move(this->idle.back());
+      this->idle.pop_back();
+      if (!connection->IsStale()) continue;
+      connection.reset();
+      --this->open_connections;
+    }
+    if (connection == nullptr) {
+      if (this->open_connections >= this->maximum_connections) return;
+      ++this->open_connections;
+      connection =
+          std::make_shared<Connection>(this->context, this->shared_from_this());
+    }
+    Waiting next = std::move(this->waiting.front());
+    this->waiting.pop_front();
+    connection->Run(std::move(next));
+  }
+}
+
+void HttpClient::OnIdle(const std::shared_ptr<Connection>& connection) {
+  this->idle.push_back(connection);
+  // After the callback of the request that has just ended.
+  asio::post(this->context,
+             [self = this->shared_from_this()] { self->StartNext(); });
+}
+
+void HttpClient::OnBroken() {
+  --this->open_connections;
+  asio::post(this->context,
+             [self = this->shared_from_this()] { self->StartNext(); });
+}
+
+HttpRequest MakeHttpRequest(http::verb verb, const std::string& path,
+                            std::string body) {
+  constexpr unsigned kHttp11 = 11;
+  HttpRequest request{verb, path, kHttp11};
+  request.body() = std::move(body);
+  return request;
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/libraries/network/http_server.h
@@ -0,0 +1,60 @@
+#ifndef DANDELIONSPUR_LIBRARIES_NETWORK_HTTP_SERVER_H_
+#define DANDELIONSPUR_LIBRARIES_NETWORK_HTTP_SERVER_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "libraries/base/error.h"
+#include "libraries/network/thread_group.h"
+#include "libraries/protocol/view.h"
+
+namespace dandelionspur {
+
+using HttpRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse =
+    boost::beast::http::response<boost::beast::http::string_body>;
+
+// Sends the response to one request; may be called from any thread, once.
+using HttpResponder = std::function<void(HttpResponse)>;
+// Called on one of the server's threads.
+using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
+
+// Serves HTTP/1.1 with keep-alive. A request that is not HTTP or too long is
+// answered with 400, 413 or 431 and never reaches the handler.
+class HttpServer {
+ public:
+  // Fails where the endpoint can't be bound. `threads` must outlive the
+  // server.
+  static Result<std::unique_ptr<HttpServer>> Create(const Endpoint& endpoint,
+                                                    ThreadGroup& threads,
+                                                    HttpHandler handler);
+
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+  ~HttpServer();
+
+  [[nodiscard]] std::uint16_t port() const;
+  // Takes no more connections; those that are open go on.
+  void StopAccepting();
+
+ private:
+  class Listener;
+
+  explicit HttpServer(std::shared_ptr<Listener> bound);
+
+  std::shared_ptr<Listener> listener;
+};
+
+// A response with a body of the given type.
+HttpResponse MakeHttpResponse(unsigned status, const std::string& content_type,
+                              std::string body);
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_NETWORK_HTTP_SERVER_H_
--- /dev/null
+++ b/libraries/network/link.h
@@ -0,0 +1,99 @@
+#ifndef DANDELIONSPUR_LIBRARIES_NETWORK_LINK_H_
+#define DANDELIONSPUR_LIBRARIES_NETWORK_LINK_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+#include "libraries/base/error.h"
+#include "libraries/network/frame_connection.h"
+#include "libraries/network/thread_group.h"
+#include "libraries/protocol/hello.h"
+#include "libraries/protocol/view.h"
+
+namespace dandelionspur {
+
+using FrameConnectionPointer = std::shared_ptr<FrameConnection>;
+
+// What happens on a link after the hellos. All are called on the connection's
+// io_context, `up` first and `down` last.
+struct LinkHandlers {
+  std::function<void(const Hello& other, FrameConnectionPointer)> up;
+  // Returns whether the frame could be decoded.
+  std::function<bool(const Hello& other, std::string_view body)> frame;
+  std::function<void(const Hello& other, const FrameConnectionPointer&)> down;
+  std::function<void(FrameError)> bad_bytes;
+};
+
+// Accepts connections of our processes.
+class LinkListener {
+ public:
+  static Result<std::unique_ptr<LinkListener>> Create(const Endpoint& endpoint,
+                                                      ThreadGroup& threads,
+                                                      Hello own,
+                                                      LinkHandlers callbacks);
+  LinkListener(const LinkListener&) = delete;
+  LinkListener& operator=(const LinkListener&) = delete;
+  ~LinkListener();
+
+ private:
+  class Acceptor;
+  explicit LinkListener(std::shared_ptr<Acceptor> bound);
+  std::shared_ptr<Acceptor> acceptor;
+};
+
+// Keeps a connection to one process open until it is stopped or the process
+// is proven dead.
+class LinkDialer : public std::enable_shared_from_this<LinkDialer> {
+ public:
+  // `dead` is called once if the address refuses connections or another
+  // incarnation than `expected` answers; dialing goes on only in the first
+  // case.
+  static std::shared_ptr<LinkDialer> Create(boost::asio::io_context& context,
+                                            const Endpoint& endpoint, Hello own,
+                                            Hello expected,
+                                            LinkHandlers callbacks,
+                                            std::function<void()> dead);
+  LinkDialer(const LinkDialer&) = delete;
+  LinkDialer& operator=(const LinkDialer&) = delete;
+
+  void Start();
+  // Closes the connection and dials no more.
+  void Stop();
+  // Closes the connection; dialing goes on.
+  void Reset();
+
+ private:
+  LinkDialer(boost::asio::io_context& executor, const Endpoint& endpoint,
+             Hello own, Hello expected, LinkHandlers callbacks,
+             std::function<void()> dead);
+  void Dial();
+  void RedialLater();
+  void OnConnected(boost::asio::ip::tcp::socket socket);
+  void OnHello(const Hello& other);
+  void ReportDead();
+
+  boost::asio::io_context& context;
+  Endpoint target;
+  Hello own_hello;
+  Hello expected_hello;
+  LinkHandlers handlers;
+  std::function<void()> report_dead;
+  boost::asio::steady_timer timer;
+  FrameConnectionPointer connection;
+  bool stopped = false;
+  bool dead_reported = false;
+};
+
+// Whether anything listens at an endpoint. Calls back with false only where
+// the connection is refused.
+void ProbeEndpoint(boost::asio::io_context& context, const Endpoint& endpoint,
+                   std::function<void(bool listening)> callback);
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_NETWORK_LINK_H_
--- /dev/null
+++ b/libraries/platform/table_client.h
@@ -0,0 +1,68 @@
+#ifndef DANDELIONSPUR_LIBRARIES_PLATFORM_TABLE_CLIENT_H_
+#define DANDELIONSPUR_LIBRARIES_PLATFORM_TABLE_CLIENT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libraries/network/http_client.h"
+
+namespace dandelionspur {
+
+// Version of a row; 0 means that it does not exist.
+using RowVersion = StrongType<std::uint64_t, struct RowVersionTag>;
+// Grows with each write to any row.
+using TableRevision = StrongType<std::uint64_t, struct TableRevisionTag>;
+
+struct Row {
+  std::string key;
+  RowVersion version;
+  std::string value;
+};
+
+struct RowChanges {
+  TableRevision revision;
+  std::vector<Row> rows;
+};
+
+enum class WriteOutcome {
+  kWritten,
+  // The row has another version than expected.
+  kConflict,
+  // No answer; the write may have taken effect, and must be read back.
+  kUnknown,
+};
+
+// The platform's table service and object store. Callbacks get nothing where
+// the platform does not answer. Everything runs on one io_context.
+class TableClient {
+ public:
+  TableClient(boost::asio::io_context& context, const Endpoint& endpoint);
+
+  void ReadRow(const std::string& key,
+               std::function<void(std::optional<Row>)> callback);
+  // The rows changed since `after`; all of them for revision 0.
+  void ReadChanges(TableRevision after,
+                   std::function<void(std::optional<RowChanges>)> callback);
+  // Writes the row if it still has version `expected`.
+  void WriteRow(const Row& row, RowVersion expected,
+                std::function<void(WriteOutcome)> callback);
+  void PutObject(const std::string& key, std::string bytes,
+                 std::function<void(bool written)> callback);
+  void GetObject(const std::string& key,
+                 std::function<void(std::optional<std::string>)> callback);
+  void ListObjects(
+      const std::string& prefix,
+      std::function<void(std::optional<std::vector<std::string>>)> callback);
+
+ private:
+  std::shared_ptr<HttpClient> client;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_PLATFORM_TABLE_CLIENT_H_
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -204,8 +204,7 @@
 
 using EntryToAgentMessage =
     std::variant<RegisterAcknowledged, PromiseRequest, Start, Renounce,
-                 StopTask, CreditRequest, CreditReturn, ConfirmRequest,
-                 DocumentPush>;
+                 StopTask, CreditRequest, CreditReturn, ConfirmRequest>;
 
 }  // namespace dandelionspur
 
--- a/libraries/protocol/job.h
+++ b/libraries/protocol/job.h
@@ -25,7 +25,12 @@
 };
 BOOST_DESCRIBE_STRUCT(TaskRequest, (), (body, declared))
 
+// Whether a submission may start the job, or only waits for the answer of one
+// that was submitted before.
+BOOST_DEFINE_ENUM_CLASS(SubmissionKind, kRun, kJoin)
+
 struct JobSubmission {
+  SubmissionKind kind = SubmissionKind::kRun;
   JobKey key;
   // Set for a key that carries its age (UUIDv7).
   std::optional<Timestamp> created;
@@ -37,10 +42,16 @@
   // Digest of the whole request body: one key names one body.
   std::uint64_t body_digest = 0;
   std::vector<TaskRequest> tasks;
+
+  // Whether this and `other` may share one answer: a key names one body.
+  [[nodiscard]] bool Matches(std::uint64_t other_digest) const {
+    return this->kind == SubmissionKind::kJoin ||
+           this->body_digest == other_digest;
+  }
 };
 BOOST_DESCRIBE_STRUCT(JobSubmission, (),
-                      (key, created, service, team, time_allowed, body_digest,
-                       tasks))
+                      (kind, key, created, service, team, time_allowed,
+                       body_digest, tasks))
 
 // What a caller is told about a job. "Not run" can only be said by those who
 // hold a proof of it.
--- /dev/null
+++ b/libraries/recording/recorder.h
@@ -0,0 +1,105 @@
+#ifndef DANDELIONSPUR_LIBRARIES_RECORDING_RECORDER_H_
+#define DANDELIONSPUR_LIBRARIES_RECORDING_RECORDER_H_
+
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libraries/protocol/codec.h"
+#include "libraries/recording/segment.h"
+
+namespace dandelionspur {
+
+struct FinishedSegment {
+  std::string object_key;
+  std::string bytes;
+  std::uint64_t records = 0;
+};
+
+// Turns the steps of one core into segments. The part that the object store
+// has not taken yet is bounded in bytes; what falls out is counted. Used from
+// one thread.
+template <typename Core>
+class Recorder {
+ public:
+  Recorder(ProcessRole role, std::uint64_t process,
+           const typename Core::Settings& settings, std::size_t spool_limit)
+      : maximum_spool(spool_limit) {
+    this->header.role = role;
+    this->header.process = process;
+    this->header.settings = RecordCodec::ToMessagePack(settings);
+    this->Open();
+  }
+
+  void Record(const typename Core::Event& event, Timestamp now,
+              const std::vector<typename Core::Effect>& effects) {
+    RecordedStep step;
+    step.now = now;
+    step.event = RecordCodec::ToMessagePack(event);
+    step.effects_digest = DigestOf(RecordCodec::ToMessagePack(effects));
+    AppendStep(this->open, step);
+    ++this->open_records;
+    if (this->open.size() >= kMaximumSegment) this->Close();
+  }
+
+  // Ends the open segment, if it has records.
+  void Close() {
+    if (this->open_records == 0) return;
+    SealSegment(this->open);
+    this->spooled_bytes += this->open.size();
+    this->spool.push_back({SegmentObjectKey(this->header),
+                           std::move(this->open), this->open_records});
+    this->header.first_record += this->open_records;
+    ++this->header.number;
+    this->Open();
+    while (this->spooled_bytes > this->maximum_spool &&
+           this->spool.size() > 1) {
+      this->lost += this->spool.front().records;
+      this->DropOldest();
+    }
+  }
+
+  // The oldest segment that the object store has not taken.
+  [[nodiscard]] const FinishedSegment* Oldest() const {
+    return this->spool.empty() ? nullptr : &this->spool.front();
+  }
+  // The object store has taken the segment of this key.
+  void MarkStored(const std::string& object_key) {
+    const bool is_oldest =
+        !this->spool.empty() && this->spool.front().object_key == object_key;
+    if (is_oldest) this->DropOldest();
+  }
+  [[nodiscard]] const std::deque<FinishedSegment>& unsent() const {
+    return this->spool;
+  }
+  // Records that no store has and that are no longer in memory.
+  [[nodiscard]] std::uint64_t lost_records() const { return this->lost; }
+
+ private:
+  static constexpr std::size_t kMaximumSegment = 1024U * 1024U;
+
+  void Open() {
+    this->open = EncodeSegmentStart(this->header);
+    this->open_records = 0;
+  }
+  void DropOldest() {
+    this->spooled_bytes -= this->spool.front().bytes.size();
+    this->spool.pop_front();
+  }
+
+  std::size_t maximum_spool;
+  SegmentHeader header;
+  std::string open;
+  std::uint64_t open_records = 0;
+  std::deque<FinishedSegment> spool;
+  std::size_t spooled_bytes = 0;
+  std::uint64_t lost = 0;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_RECORDING_RECORDER_H_
--- /dev/null
+++ b/meta/cluster.py
@@ -0,0 +1,256 @@
+"""Starts and ends a small cluster on loopback: the demo, the system tests and the measurements share it."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BUILD = pathlib.Path(os.environ.get("DANDELIONSPUR_BUILD", ROOT / "build"))
+LOOPBACK = "127.0.0.1"
+READY_TIMEOUT_SECONDS = 30
+
+
+def call(method, port, path, body=None, headers=None, timeout=60):
+    """One HTTP request on loopback; returns (status, body), status 0 where no answer came."""
+    data = body.encode() if isinstance(body, str) else body
+    request = urllib.request.Request(f"http://{LOOPBACK}:{port}{path}", data=data, method=method, headers=headers or {})
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as response:
+            return response.status, response.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read()
+    except OSError:
+        return 0, b""
+
+
+def call_json(method, port, path, body=None, headers=None, timeout=60):
+    status, content = call(method, port, path, body, headers, timeout)
+    try:
+        return status, json.loads(content)
+    except ValueError:
+        return status, None
+
+
+class Process:
+    """One process of the cluster."""
+
+    def __init__(self, name, arguments, log_directory):
+        self.name = name
+        self.log_path = pathlib.Path(log_directory) / f"{name}.log"
+        self.log = open(self.log_path, "ab")
+        self.popen = subprocess.Popen(arguments, stdout=self.log, stderr=self.log)
+
+    def signal(self, number):
+        self.popen.send_signal(number)
+
+    def kill(self):
+        self.popen.kill()
+        self.popen.wait()
+
+    def wait(self, timeout):
+        return self.popen.wait(timeout)
+
+    def resident_bytes(self):
+        with open(f"/proc/{self.popen.pid}/status") as status:
+            for line in status:
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) * 1024
+        return 0
+
+    def cpu_seconds(self):
+        with open(f"/proc/{self.popen.pid}/stat") as stat:
+            fields = stat.read().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+class Cluster:
+    """A table stand-in, entries, and agents with their upstream stand-ins."""
+
+    def __init__(self, base_port, entries=2, agents=4, slots=8, slowness=None, entry_settings=None, agent_settings=None):
+        self.base_port = base_port
+        self.entry_count = entries
+        self.agent_count = agents
+        self.slots = slots
+        self.slowness = slowness or [1.0] * agents
+        self.entry_settings = entry_settings or {}
+        self.agent_settings = agent_settings or {}
+        self.directory = tempfile.TemporaryDirectory(prefix="dandelionspur-")
+        self.table = None
+        self.entries = [None] * entries
+        self.agents = [None] * agents
+        self.upstreams = [None] * agents
+        # Every process ever started, for the end.
+        self.all_processes = []
+
+    def table_port(self):
+        return self.base_port
+
+    def caller_port(self, entry):
+        return self.base_port + 10 + 3 * entry
+
+    def peer_port(self, entry):
+        return self.base_port + 11 + 3 * entry
+
+    def entry_admin_port(self, entry):
+        return self.base_port + 12 + 3 * entry
+
+    def agent_admin_port(self, agent):
+        return self.base_port + 100 + 2 * agent
+
+    def upstream_port(self, agent):
+        return self.base_port + 101 + 2 * agent
+
+    def _start(self, name, arguments):
+        process = Process(name, [str(argument) for argument in arguments], self.directory.name)
+        self.all_processes.append(process)
+        return process
+
+    def _settings(self, name, values):
+        path = pathlib.Path(self.directory.name) / f"{name}.json"
+        path.write_text(json.dumps(values))
+        return path
+
+    def start_table(self):
+        self.table = self._start("table", [BUILD / "utilities/table-stand-in", "--port", self.table_port()])
+
+    def start_entry(self, entry):
+        endpoint = lambda port: {"address": LOOPBACK, "port": port}
+        settings = {
+            "data_centre": "loopback-1",
+            "callers": endpoint(self.caller_port(entry)),
+            "peers": endpoint(self.peer_port(entry)),
+            "admin": endpoint(self.entry_admin_port(entry)),
+            "table": endpoint(self.table_port()),
+            **self.entry_settings,
+        }
+        path = self._settings(f"entry-{entry}", settings)
+        self.entries[entry] = self._start(f"entry-{entry}", [BUILD / "services/dandelionspur-entry", "--settings", path])
+
+    def start_agent(self, agent):
+        settings = {
+            "data_centre": "loopback-1",
+            "admin": {"address": LOOPBACK, "port": self.agent_admin_port(agent)},
+            "table": {"address": LOOPBACK, "port": self.table_port()},
+            **self.agent_settings,
+        }
+        path = self._settings(f"agent-{agent}", settings)
+        self.agents[agent] = self._start(f"agent-{agent}", [BUILD / "services/dandelionspur-agent", "--settings", path])
+
+    def start_upstream(self, agent):
+        self.upstreams[agent] = self._start(
+            f"upstream-{agent}",
+            [
+                BUILD / "utilities/upstream-stand-in",
+                "--port", self.upstream_port(agent),
+                "--agent-port", self.agent_admin_port(agent),
+                "--slots", self.slots,
+                "--slowness", self.slowness[agent],
+                "--rack", f"rack-{agent // 3}",
+            ],
+        )
+
+    def __enter__(self):
+        try:
+            self.start_table()
+            self.wait_for(lambda: call("GET", self.table_port(), "/statistics")[0] == 200, "table")
+            for entry in range(self.entry_count):
+                self.start_entry(entry)
+                self.wait_for(
+                    lambda: len((self.status(entry) or {}).get("members", [])) >= entry + 1, f"entry {entry} in the view"
+                )
+            for agent in range(self.agent_count):
+                self.start_agent(agent)
+                self.start_upstream(agent)
+            self.apply_document((ROOT / "examples/service.json").read_text())
+            self.wait_ready()
+        except BaseException:
+            self.__exit__(None, None, None)
+            raise
+        return self
+
+    def __exit__(self, *unused):
+        for process in self.all_processes:
+            if process.popen.poll() is None:
+                process.popen.send_signal(signal.SIGCONT)
+                process.popen.kill()
+        for process in self.all_processes:
+            process.popen.wait()
+            process.log.close()
+        self.directory.cleanup()
+
+    def wait_for(self, condition, what, timeout=READY_TIMEOUT_SECONDS):
+        deadline = time.monotonic() + timeout
+        while time.monotonic() < deadline:
+            if condition():
+                return
+            time.sleep(0.02)
+        raise TimeoutError(f"waited {timeout} s for {what}\n{self.logs()}")
+
+    def logs(self):
+        return "\n".join(
+            f"== {process.name}\n{process.log_path.read_text(errors='replace')[-1500:]}" for process in self.all_processes
+        )
+
+    def status(self, entry):
+        return call_json("GET", self.entry_admin_port(entry), "/v1/status", timeout=2)[1]
+
+    def live_entries(self):
+        return [e for e in range(self.entry_count) if self.entries[e] and self.entries[e].popen.poll() is None]
+
+    def is_ready(self):
+        """Whether every live entry is ready, knows every agent as ready, and all buckets have a home."""
+        statuses = [self.status(entry) for entry in self.live_entries()]
+        if not statuses or any(status is None or not status["ready"] for status in statuses):
+            return False
+        ready_agents = lambda status: sum(agent["ready"] and agent["connected"] for agent in status["agents"])
+        live_agents = sum(1 for agent in self.agents if agent and agent.popen.poll() is None)
+        if any(ready_agents(status) < live_agents for status in statuses):
+            return False
+        return sum(status["buckets_active"] for status in statuses) == statuses[0]["buckets"]
+
+    def wait_ready(self):
+        self.wait_for(self.is_ready, "the cluster to be ready")
+
+    def apply_document(self, text, service="demo", entry=0, base_version=0, change_id="initial"):
+        port = self.entry_admin_port(entry)
+        path = f"/v1/services/{service}/document?change_id={change_id}&base_version={base_version}"
+        return call_json("PUT", port, path, text)
+
+    def submit(self, entry, key, tasks, deadline_ms=30000, timeout=60, service="demo", team=None):
+        """Submits a job; returns (status, answer)."""
+        job = {"tasks": tasks, "deadline_ms": deadline_ms}
+        if team:
+            job["team"] = team
+        return call_json(
+            "POST", self.caller_port(entry), f"/v1/services/{service}/jobs", json.dumps(job), {"Idempotency-Key": key}, timeout
+        )
+
+    def set_faults(self, **faults):
+        assert call("PUT", self.table_port(), "/faults", json.dumps(faults))[0] == 200
+
+    def set_upstream_faults(self, agent, **faults):
+        assert call("PUT", self.upstream_port(agent), "/faults", json.dumps(faults))[0] == 200
+
+    def starts(self):
+        """How often each task was started, by the upstreams' own logs: the truth."""
+        counts = {}
+        for agent in range(self.agent_count):
+            if self.upstreams[agent] is None or self.upstreams[agent].popen.poll() is not None:
+                continue
+            _, answer = call_json("GET", self.upstream_port(agent), "/v1/starts")
+            for start in (answer or {}).get("starts", []):
+                counts[start["task"]] = counts.get(start["task"], 0) + 1
+        return counts
+
+    def double_starts(self):
+        return sum(count - 1 for count in self.starts().values())
+
+
+def task(sleep_ms=50, token="", outcome="ok", declared_ms=None):
+    return {"body": {"sleep_ms": sleep_ms, "token": token, "outcome": outcome}, "declared_ms": declared_ms or sleep_ms}
--- /dev/null
+++ b/services/agent/agent_server.cc
@@ -0,0 +1,274 @@
+#include "services/agent/agent_server.h"
+
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "libraries/configuration/object_reader.h"
+#include "libraries/platform/view_row.h"
+#include "libraries/telemetry/log.h"
+#include "services/runtime/admin_routes.h"
+#include "services/runtime/daemon.h"
+
+namespace dandelionspur {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr std::chrono::milliseconds kTickInterval{50};
+constexpr Duration kViewReadInterval = std::chrono::seconds(1);
+constexpr IntegerRange kSlotRange{1, 1024};
+constexpr unsigned kOk = 200;
+constexpr unsigned kAccepted = 202;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kUnavailable = 503;
+
+AgentCoreSettings CoreSettings(const AgentSettings& settings, AgentId self) {
+  AgentCoreSettings core;
+  core.self = self;
+  core.bucket_count = settings.bucket_count;
+  core.started_set = {settings.maximum_remembered_tasks,
+                      static_cast<std::size_t>(settings.maximum_answer_bytes),
+                      settings.duplicate_window};
+  return core;
+}
+
+struct Announcement {
+  AgentDescription description;
+  Endpoint endpoint;
+};
+
+Result<Announcement> ParseAnnouncement(const std::string& text) {
+  BOOST_LEAF_AUTO(json, ParseJsonWithComments(text, "announcement"));
+  ObjectReader reader("announcement", "", json);
+  Announcement announcement;
+  announcement.description.service = ServiceName(reader.Text("service"));
+  announcement.endpoint.address = reader.Text("address");
+  announcement.endpoint.port =
+      static_cast<std::uint16_t>(reader.Integer("port", kPortRange));
+  announcement.description.slots =
+      static_cast<std::uint32_t>(reader.Integer("slots", kSlotRange));
+  announcement.description.rack = reader.Text("rack");
+  announcement.description.upstream =
+      announcement.endpoint.address + ":" +
+      std::to_string(announcement.endpoint.port);
+  boost::system::error_code error;
+  asio::ip::make_address(announcement.endpoint.address, error);
+  if (error) reader.Problem("address", "must be an IP number");
+  BOOST_LEAF_CHECK(reader.Finish());
+  return announcement;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<AgentServer>> AgentServer::Create(
+    const AgentSettings& settings) {
+  std::unique_ptr<AgentServer> server(
+      new AgentServer(settings, AgentId(NewIncarnation())));
+  BOOST_LEAF_CHECK(server->Listen());
+  return server;
+}
+
+AgentServer::AgentServer(const AgentSettings& configured, AgentId own)
+    : settings(configured),
+      self(own),
+      refusals(this->metrics, "start_refusals_total"),
+      core(CoreSettings(configured, own)),
+      tick_timer(this->core_thread.First()),
+      view_timer(this->core_thread.First()) {}
+
+AgentServer::~AgentServer() {
+  this->input_output.Stop();
+  this->record_thread.Stop();
+  this->core_thread.Stop();
+}
+
+Result<void> AgentServer::Listen() {
+  this->records = std::make_unique<RecordKeeper<AgentCore>>(
+      this->record_thread.First(), this->settings.table, ProcessRole::kAgent,
+      this->self.value(), CoreSettings(this->settings, this->self),
+      this->settings.recording, this->metrics);
+  this->table = std::make_unique<TableClient>(this->core_thread.First(),
+                                              this->settings.table);
+  this->links = std::make_unique<AgentLinks>(
+      this->self, this->core_thread.First(), this->input_output, this->metrics,
+      [this](AgentEvent event) { this->Post(std::move(event)); });
+  BOOST_LEAF_AUTO(admin,
+                  HttpServer::Create(this->settings.admin, this->input_output,
+                                     [this](const HttpRequest& request,
+                                            const HttpResponder& responder) {
+                                       this->HandleAdmin(request, responder);
+                                     }));
+  this->admin_server = std::move(admin);
+  asio::post(this->core_thread.First(), [this] {
+    this->ScheduleTick();
+    this->ScheduleViewRead(Duration());
+  });
+  LogStateChange("started", {{"agent", std::to_string(this->self.value())}});
+  return {};
+}
+
+void AgentServer::Drain() {
+  LogStateChange("draining", {});
+  this->Post(LeaveRequested{});
+}
+
+void AgentServer::Post(AgentEvent event) {
+  asio::post(this->core_thread.First(),
+             [this, posted = std::move(event)] { this->Handle(posted); });
+}
+
+void AgentServer::Handle(const AgentEvent& event) {
+  const Timestamp now = WallClockNow();
+  std::vector<AgentEffect> effects = this->core.Handle(event, now);
+  this->records->Record(event, now, effects);
+  for (AgentEffect& effect : effects) {
+    std::visit([this](auto& alternative) { this->Apply(alternative); }, effect);
+  }
+}
+
+void AgentServer::ScheduleTick() {
+  this->tick_timer.expires_after(kTickInterval);
+  this->tick_timer.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    this->Handle(AgentTick{});
+    this->metrics.Set("tasks_running",
+                      static_cast<double>(this->core.running()));
+    this->metrics.Set("tasks_remembered",
+                      static_cast<double>(this->core.remembered()));
+    this->ScheduleTick();
+  });
+}
+
+void AgentServer::ScheduleViewRead(Duration delay) {
+  this->view_timer.expires_after(delay);
+  this->view_timer.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    // Entries tell of newer views; the table is asked only without any.
+    if (this->links->AnyConnected()) {
+      this->ScheduleViewRead(kViewReadInterval);
+      return;
+    }
+    this->table->ReadRow(kViewRow, [this](const std::optional<Row>& row) {
+      const std::optional<View> view =
+          row ? DecodeViewRow(row->value) : std::nullopt;
+      if (view) this->Handle(AgentViewRead{*view});
+      this->ScheduleViewRead(kViewReadInterval);
+    });
+  });
+}
+
+void AgentServer::AdoptUpstream(const AgentDescription& description,
+                                const Endpoint& endpoint) {
+  if (endpoint != this->upstream_endpoint) {
+    this->upstream_endpoint = endpoint;
+    this->upstream = std::make_unique<UpstreamClient>(
+        this->core_thread.First(), endpoint,
+        this->settings.upstream_connections, this->settings.lease,
+        [this](UpstreamEnded ended) { this->Handle(std::move(ended)); });
+    LogStateChange("upstream_announced",
+                   {{"upstream", description.upstream},
+                    {"service", description.service.value()}});
+    AgentDescription complete = description;
+    complete.agent = this->self;
+    complete.admin_endpoint = this->settings.admin;
+    this->Handle(UpstreamAnnounced{complete});
+  }
+}
+
+void AgentServer::Apply(SendToEntry& effect) {
+  this->links->Send(effect.to, std::move(effect.message));
+}
+
+void AgentServer::Apply(const RunOnUpstream& effect) {
+  this->upstream->Run(effect);
+}
+
+void AgentServer::Apply(const StopOnUpstream& effect) {
+  this->upstream->Stop(effect.task);
+}
+
+void AgentServer::Apply(const ConnectToMembers& effect) {
+  LogStateChange("view_in_force",
+                 {{"epoch", std::to_string(effect.view.epoch.value())}});
+  this->links->ConnectToMembers(effect.view);
+}
+
+void AgentServer::Apply(const AgentDrained& /*effect*/) {
+  LogStateChange("drained", {});
+  // The last answers still have to be written out.
+  constexpr std::chrono::milliseconds kLinger{300};
+  auto timer =
+      std::make_shared<asio::steady_timer>(this->core_thread.First(), kLinger);
+  timer->async_wait([this, timer](boost::system::error_code) {
+    this->records->Flush([] { Lifetime::Finish(ExitCode::kSuccess); });
+  });
+}
+
+void AgentServer::Apply(const StartRefusalCounted& effect) {
+  this->refusals.Count(effect.reason);
+}
+
+nlohmann::json AgentServer::Status() const {
+  return {{"agent", std::to_string(this->self.value())},
+          {"ready", this->core.is_ready()},
+          {"running", this->core.running()},
+          {"remembered", this->core.remembered()}};
+}
+
+void AgentServer::Announce(const HttpRequest& request,
+                           const HttpResponder& responder) {
+  const std::string problem = OrElse(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_AUTO(announcement, ParseAnnouncement(request.body()));
+        asio::post(this->core_thread.First(),
+                   [this, announcement = std::move(announcement)] {
+                     this->AdoptUpstream(announcement.description,
+                                         announcement.endpoint);
+                   });
+        return std::string();
+      },
+      [](const std::string& message) { return message; });
+  if (problem.empty()) {
+    responder(JsonResponse(kOk, {{"accepted", true}}));
+  } else {
+    responder(ProblemResponse(kBadRequest, problem));
+  }
+}
+
+void AgentServer::HandleAdmin(const HttpRequest& request,
+                              const HttpResponder& responder) {
+  const std::vector<std::string> parts =
+      PathParts({request.target().data(), request.target().size()});
+  const std::string path = parts.empty() ? "" : parts.back();
+  if (path == "upstream" && request.method() == http::verb::put) {
+    this->Announce(request, responder);
+  } else if (path == "upstream" && request.method() == http::verb::delete_) {
+    this->Drain();
+    responder(JsonResponse(kAccepted, {{"leaving", true}}));
+  } else if (path == "drain" && request.method() == http::verb::post) {
+    this->Drain();
+    responder(JsonResponse(kAccepted, {{"draining", true}}));
+  } else if (path == "healthz") {
+    responder(JsonResponse(kOk, {{"healthy", true}}));
+  } else if (path == "metrics") {
+    responder(MetricsResponse(this->metrics));
+  } else if (path == "status" || path == "readyz") {
+    asio::post(this->core_thread.First(), [this, responder, path] {
+      const bool ready = this->core.is_ready();
+      const unsigned status = path == "status" || ready ? kOk : kUnavailable;
+      responder(JsonResponse(status, this->Status()));
+    });
+  } else if (path == "records") {
+    this->records->ReadUnsent(
+        [responder](const std::vector<FinishedSegment>& unsent) {
+          responder(SegmentsResponse(unsent));
+        });
+  } else {
+    responder(ProblemResponse(kNotFound, "no such path"));
+  }
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/services/agent/agent_server.h
@@ -0,0 +1,73 @@
+#ifndef DANDELIONSPUR_SERVICES_AGENT_AGENT_SERVER_H_
+#define DANDELIONSPUR_SERVICES_AGENT_AGENT_SERVER_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+#include "libraries/agent_core/agent_core.h"
+#include "libraries/configuration/settings.h"
+#include "libraries/platform/table_client.h"
+#include "services/agent/agent_links.h"
+#include "services/agent/upstream_client.h"
+#include "services/runtime/record_keeper.h"
+
+namespace dandelionspur {
+
+// One agent process: the core on a thread of its own, which also talks to the
+// upstream, and threads for the links and the recorder.
+class AgentServer {
+ public:
+  static Result<std::unique_ptr<AgentServer>> Create(
+      const AgentSettings& settings);
+  AgentServer(const AgentServer&) = delete;
+  AgentServer& operator=(const AgentServer&) = delete;
+  ~AgentServer();
+
+  // Begins a planned stop: refuses starts at once, ends when nothing runs.
+  void Drain();
+
+ private:
+  AgentServer(const AgentSettings& configured, AgentId own);
+  Result<void> Listen();
+
+  // Any thread.
+  void Post(AgentEvent event);
+  void HandleAdmin(const HttpRequest& request, const HttpResponder& responder);
+  void Announce(const HttpRequest& request, const HttpResponder& responder);
+
+  // The core's thread.
+  void Handle(const AgentEvent& event);
+  void ScheduleTick();
+  void ScheduleViewRead(Duration delay);
+  void AdoptUpstream(const AgentDescription& description,
+                     const Endpoint& endpoint);
+  [[nodiscard]] nlohmann::json Status() const;
+
+  void Apply(SendToEntry& effect);
+  void Apply(const RunOnUpstream& effect);
+  void Apply(const StopOnUpstream& effect);
+  void Apply(const ConnectToMembers& effect);
+  void Apply(const AgentDrained& effect);
+  void Apply(const StartRefusalCounted& effect);
+
+  AgentSettings settings;
+  AgentId self;
+  Metrics metrics;
+  ReasonCounters refusals;
+  AgentCore core;
+  Endpoint upstream_endpoint;
+  std::unique_ptr<UpstreamClient> upstream;
+  std::unique_ptr<AgentLinks> links;
+  std::unique_ptr<RecordKeeper<AgentCore>> records;
+  std::unique_ptr<TableClient> table;
+  ThreadGroup core_thread{1};
+  ThreadGroup record_thread{1};
+  ThreadGroup input_output{1};
+  boost::asio::steady_timer tick_timer;
+  boost::asio::steady_timer view_timer;
+  std::unique_ptr<HttpServer> admin_server;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_SERVICES_AGENT_AGENT_SERVER_H_
--- /dev/null
+++ b/services/entry/caller_routes.cc
@@ -0,0 +1,207 @@
+#include "services/entry/caller_routes.h"
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <variant>
+
+#include "libraries/entry_core/submission_validator.h"
+#include "services/runtime/admin_routes.h"
+
+namespace dandelionspur {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kAccepted = 202;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kConflict = 409;
+constexpr unsigned kUnprocessable = 422;
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+
+unsigned StatusFor(Reason reason) {
+  switch (reason) {
+    case Reason::kComplete:
+      return kOk;
+    case Reason::kMalformedRequest:
+      return kBadRequest;
+    case Reason::kUnknownService:
+    case Reason::kNotFound:
+      return kNotFound;
+    case Reason::kCancelled:
+    case Reason::kKeyExpired:
+      return kConflict;
+    case Reason::kKeyReused:
+    case Reason::kImpossibleJob:
+      return kUnprocessable;
+    case Reason::kQuotaExceeded:
+      return kTooManyRequests;
+    case Reason::kTaskFailed:
+    case Reason::kUpstreamBroken:
+    case Reason::kAgentLost:
+      return kBadGateway;
+    case Reason::kDeadlineExceeded:
+    case Reason::kHomeUnreachable:
+      return kGatewayTimeout;
+    default:
+      return kUnavailable;
+  }
+}
+
+nlohmann::json ResultsJson(const JobAnswer& answer) {
+  nlohmann::json results = nlohmann::json::array();
+  for (const Payload& result : answer.results) {
+    results.push_back(result.bytes());
+  }
+  return results;
+}
+
+std::string_view HeaderValue(const HttpRequest& request,
+                             std::string_view name) {
+  const auto found = request.find(name);
+  if (found == request.end()) return {};
+  return {found->value().data(), found->value().size()};
+}
+
+}  // namespace
+
+HttpResponse AnswerResponse(const JobAnswer& answer, bool raw_answer,
+                            const std::string& detail) {
+  const unsigned status = StatusFor(answer.reason);
+  if (answer.reason == Reason::kComplete && raw_answer) {
+    HttpResponse response = MakeHttpResponse(status, "application/octet-stream",
+                                             answer.results.front().bytes());
+    response.set("Verdict", std::string(VerdictName(answer.verdict)));
+    return response;
+  }
+  nlohmann::json body = {{"verdict", VerdictName(answer.verdict)},
+                         {"reason", ReasonName(answer.reason)}};
+  if (answer.reason == Reason::kComplete) {
+    body["results"] = ResultsJson(answer);
+    return JsonResponse(status, body);
+  }
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  const double retry_after =
+      static_cast<double>(answer.retry_after.count()) / kMicrosecondsPerSecond;
+  body["type"] = "about:blank";
+  body["title"] = ReasonName(answer.reason);
+  body["status"] = status;
+  body["retry_after"] = retry_after;
+  if (!detail.empty()) body["detail"] = detail;
+  HttpResponse response = JsonResponse(status, body);
+  response.set(http::field::content_type, "application/problem+json");
+  if (answer.retry_after > Duration()) {
+    const auto seconds =
+        std::chrono::ceil<std::chrono::seconds>(answer.retry_after);
+    response.set(http::field::retry_after, std::to_string(seconds.count()));
+  }
+  return response;
+}
+
+struct CallerRoutes::Target {
+  ServiceName service;
+  // Empty for a new submission.
+  std::string key;
+  bool is_request = false;
+};
+
+CallerRoutes::CallerRoutes(const PublishedServingState& state, CallerPort port,
+                           ThreadGroup& threads, Metrics& counters)
+    : serving(state),
+      core(std::move(port)),
+      input_output(threads),
+      metrics(counters),
+      answers(counters, "answers_total") {}
+
+void CallerRoutes::Handle(HttpRequest request, HttpResponder responder) {
+  constexpr std::size_t kCollectionParts = 4;
+  constexpr std::size_t kItemParts = 5;
+  const std::vector<std::string> parts =
+      PathParts({request.target().data(), request.target().size()});
+  const bool known = parts.size() >= kCollectionParts && parts[0] == "v1" &&
+                     parts[1] == "services" &&
+                     (parts[3] == "jobs" || parts[3] == "requests");
+  if (!known) {
+    responder(ProblemResponse(kNotFound, "no such path"));
+    return;
+  }
+  Target target{ServiceName(parts[2]), "", parts[3] == "requests"};
+  if (parts.size() == kItemParts) target.key = parts[4];
+  const bool is_item = !target.key.empty();
+  if (request.method() == http::verb::post && !is_item) {
+    this->Submit(target, request, std::move(responder));
+  } else if (request.method() == http::verb::get && is_item) {
+    this->Await(target, std::move(responder));
+  } else if (request.method() == http::verb::delete_ && is_item) {
+    this->Cancel(target, responder);
+  } else {
+    constexpr unsigned kMethodNotAllowed = 405;
+    responder(ProblemResponse(kMethodNotAllowed, "not allowed here"));
+  }
+}
+
+void CallerRoutes::Submit(const Target& target, const HttpRequest& request,
+                          HttpResponder responder) {
+  RawSubmission raw;
+  raw.service = target.service;
+  raw.key = HeaderValue(request, "Idempotency-Key");
+  raw.team = HeaderValue(request, "Team");
+  raw.body = request.body();
+  ValidatedSubmission validated =
+      this->serving.Read([&](const ServingState& state) {
+        const auto found = state.documents.find(target.service);
+        const ServiceDocument* document =
+            found == state.documents.end() ? nullptr : &found->second.checked;
+        return target.is_request ? SubmissionValidator::Request(raw, document)
+                                 : SubmissionValidator::Job(raw, document);
+      });
+  if (const auto* rejected = std::get_if<RejectedSubmission>(&validated)) {
+    this->answers.Count(rejected->answer.reason);
+    responder(AnswerResponse(rejected->answer, false, rejected->detail));
+    return;
+  }
+  this->Enter(std::move(std::get<JobSubmission>(validated)), target.is_request,
+              std::move(responder));
+}
+
+void CallerRoutes::Await(const Target& target, HttpResponder responder) {
+  constexpr Duration kMaximumWait = std::chrono::seconds(30);
+  JobSubmission job;
+  job.kind = SubmissionKind::kJoin;
+  job.key = JobKey::FromText(target.service, target.key);
+  job.service = target.service;
+  job.time_allowed = kMaximumWait;
+  this->Enter(std::move(job), target.is_request, std::move(responder));
+}
+
+void CallerRoutes::Enter(JobSubmission job, bool raw_answer,
+                         HttpResponder responder) {
+  const auto began = std::chrono::steady_clock::now();
+  this->core.submit(std::move(job), [this, raw_answer, began,
+                                     respond = std::move(responder)](
+                                        const JobAnswer& answer) {
+    const std::chrono::duration<double> elapsed =
+        std::chrono::steady_clock::now() - began;
+    this->answers.Count(answer.reason);
+    this->metrics.Observe("response_seconds", elapsed.count());
+    // Off the core's thread, since large answers take time to write.
+    boost::asio::post(this->input_output.Next(), [respond, answer, raw_answer] {
+      respond(AnswerResponse(answer, raw_answer, ""));
+    });
+  });
+}
+
+void CallerRoutes::Cancel(const Target& target,
+                          const HttpResponder& responder) {
+  this->core.cancel(JobKey::FromText(target.service, target.key));
+  // The job's own answer tells what became of it.
+  responder(JsonResponse(kAccepted, {{"cancel", "requested"}}));
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/services/entry/caller_routes.h
@@ -0,0 +1,55 @@
+#ifndef DANDELIONSPUR_SERVICES_ENTRY_CALLER_ROUTES_H_
+#define DANDELIONSPUR_SERVICES_ENTRY_CALLER_ROUTES_H_
+
+#include <functional>
+#include <string>
+
+#include "libraries/network/http_server.h"
+#include "libraries/protocol/job.h"
+#include "services/entry/serving_state.h"
+#include "services/runtime/message_counters.h"
+
+namespace dandelionspur {
+
+using AnswerCallback = std::function<void(const JobAnswer&)>;
+
+// How the routes reach the core; from any thread.
+struct CallerPort {
+  // Calls back once, on the core's thread.
+  std::function<void(JobSubmission, AnswerCallback)> submit;
+  std::function<void(const JobKey&)> cancel;
+};
+
+// The HTTP interface for callers: docs/api.md.
+class CallerRoutes {
+ public:
+  CallerRoutes(const PublishedServingState& state, CallerPort port,
+               ThreadGroup& threads, Metrics& counters);
+
+  // Serves one request; on any of the server's threads.
+  void Handle(HttpRequest request, HttpResponder responder);
+
+ private:
+  struct Target;
+
+  void Submit(const Target& target, const HttpRequest& request,
+              HttpResponder responder);
+  void Await(const Target& target, HttpResponder responder);
+  void Cancel(const Target& target, const HttpResponder& responder);
+  void Enter(JobSubmission job, bool raw_answer, HttpResponder responder);
+
+  const PublishedServingState& serving;
+  CallerPort core;
+  ThreadGroup& input_output;
+  Metrics& metrics;
+  ReasonCounters answers;
+};
+
+// The answer as HTTP: the results, or application/problem+json (RFC 9457)
+// with the verdict and the reason.
+HttpResponse AnswerResponse(const JobAnswer& answer, bool raw_answer,
+                            const std::string& detail);
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_SERVICES_ENTRY_CALLER_ROUTES_H_
--- /dev/null
+++ b/services/entry/entry_links.cc
@@ -0,0 +1,188 @@
+#include "services/entry/entry_links.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "services/runtime/message_decoding.h"
+
+namespace dandelionspur {
+namespace {
+
+namespace asio = boost::asio;
+
+}  // namespace
+
+Result<std::unique_ptr<EntryLinks>> EntryLinks::Create(
+    const EntrySettings& settings, EntryId self, asio::io_context& core,
+    ThreadGroup& input_output, Metrics& counters, EntryEventSink event_sink) {
+  std::unique_ptr<EntryLinks> links(new EntryLinks(
+      self, core, input_output, counters, std::move(event_sink)));
+  const Hello own{ProcessRole::kEntry, self.value()};
+  BOOST_LEAF_AUTO(bound, LinkListener::Create(settings.peers, input_output, own,
+                                              links->ListenerHandlers()));
+  links->listener = std::move(bound);
+  return links;
+}
+
+EntryLinks::EntryLinks(EntryId own, asio::io_context& core_context,
+                       ThreadGroup& threads, Metrics& counters,
+                       EntryEventSink events)
+    : self(own),
+      core(core_context),
+      input_output(threads),
+      metrics(counters),
+      sink(std::move(events)),
+      peer_messages(counters, "messages_to_entries_total"),
+      agent_messages(counters, "messages_to_agents_total") {}
+
+LinkHandlers EntryLinks::ListenerHandlers() {
+  LinkHandlers handlers;
+  handlers.up = [this](const Hello& other,
+                       const FrameConnectionPointer& connection) {
+    if (other.role != ProcessRole::kAgent) return;
+    asio::post(this->core, [this, other, connection] {
+      this->OnAgentUp(AgentId(other.id), connection);
+    });
+  };
+  handlers.frame = [this](const Hello& other, std::string_view body) {
+    return this->OnFrame(other, body);
+  };
+  handlers.down = [this](const Hello& other,
+                         const FrameConnectionPointer& connection) {
+    asio::post(this->core, [this, other, connection] {
+      if (other.role == ProcessRole::kAgent) {
+        this->OnAgentDown(AgentId(other.id), connection);
+      } else {
+        this->OnPeerInboundDown(EntryId(other.id));
+      }
+    });
+  };
+  handlers.bad_bytes = [this](FrameError error) {
+    this->metrics.Count("bad_frames_total", "error",
+                        boost::describe::enum_to_string(error, "unknown"));
+  };
+  return handlers;
+}
+
+LinkHandlers EntryLinks::DialerHandlers() {
+  LinkHandlers handlers;
+  handlers.up = [this](const Hello& other,
+                       const FrameConnectionPointer& connection) {
+    asio::post(this->core, [this, other, connection] {
+      this->OnPeerUp(EntryId(other.id), connection);
+    });
+  };
+  // The other side sends on the connection that it dials itself.
+  handlers.frame = [](const Hello&, std::string_view) { return false; };
+  handlers.down = [this](const Hello& other,
+                         const FrameConnectionPointer& connection) {
+    asio::post(this->core, [this, other, connection] {
+      this->OnPeerDown(EntryId(other.id), connection);
+    });
+  };
+  return handlers;
+}
+
+bool EntryLinks::OnFrame(const Hello& from, std::string_view body) {
+  if (from.role == ProcessRole::kEntry) {
+    std::optional<PeerMessage> message = DecodeMessage<PeerMessage>(body);
+    if (!message) return false;
+    this->sink(PeerMessageReceived{EntryId(from.id), std::move(*message)});
+    return true;
+  }
+  std::optional<AgentMessage> message = DecodeMessage<AgentMessage>(body);
+  if (!message) return false;
+  this->sink(AgentMessageReceived{AgentId(from.id), std::move(*message)});
+  return true;
+}
+
+void EntryLinks::ConnectToMembers(const View& view) {
+  const Hello own{ProcessRole::kEntry, this->self.value()};
+  for (const ViewMember& member : view.members) {
+    const EntryId peer = member.entry;
+    if (peer == this->self || this->dialers.contains(peer)) continue;
+    const Hello expected{ProcessRole::kEntry, peer.value()};
+    const auto dialer = LinkDialer::Create(
+        this->input_output.Next(), member.peer_endpoint, own, expected,
+        this->DialerHandlers(), [this, peer] {
+          asio::post(this->core, [this, peer] { this->OnPeerDead(peer); });
+        });
+    this->dialers.emplace(peer, dialer);
+    dialer->Start();
+  }
+}
+
+void EntryLinks::Send(EntryId to, PeerMessage message) {
+  const auto found = this->peers.find(to);
+  if (found == this->peers.end()) return;
+  this->peer_messages.Count(message);
+  found->second->SendEncoded(
+      [sent = std::move(message)] { return WireCodec::ToMessagePack(sent); });
+}
+
+void EntryLinks::Send(AgentId to, EntryToAgentMessage message) {
+  const auto found = this->agents.find(to);
+  if (found == this->agents.end()) return;
+  this->agent_messages.Count(message);
+  found->second->SendEncoded(
+      [sent = std::move(message)] { return WireCodec::ToMessagePack(sent); });
+}
+
+void EntryLinks::RememberAgent(const AgentDescription& description) {
+  this->agent_endpoints[description.agent] = description.admin_endpoint;
+}
+
+void EntryLinks::OnPeerUp(EntryId peer,
+                          const FrameConnectionPointer& connection) {
+  this->peers[peer] = connection;
+  this->sink(PeerConnected{peer});
+}
+
+void EntryLinks::OnPeerDown(EntryId peer,
+                            const FrameConnectionPointer& connection) {
+  const auto found = this->peers.find(peer);
+  if (found == this->peers.end() || found->second != connection) return;
+  this->peers.erase(found);
+  this->sink(PeerDisconnected{peer});
+}
+
+void EntryLinks::OnPeerDead(EntryId peer) {
+  const auto found = this->dialers.find(peer);
+  if (found != this->dialers.end()) found->second->Stop();
+  this->sink(PeerProvenDead{peer});
+}
+
+void EntryLinks::OnPeerInboundDown(EntryId peer) {
+  // What the peer sent last may be lost. With its own connection reset too,
+  // both sides begin anew and repeat what is open.
+  const auto found = this->dialers.find(peer);
+  if (found != this->dialers.end()) found->second->Reset();
+}
+
+void EntryLinks::OnAgentUp(AgentId agent,
+                           const FrameConnectionPointer& connection) {
+  const auto found = this->agents.find(agent);
+  if (found != this->agents.end()) {
+    found->second->Close();
+    this->agents.erase(found);
+    this->sink(AgentDisconnected{agent});
+  }
+  this->agents[agent] = connection;
+  this->sink(AgentConnected{agent});
+}
+
+void EntryLinks::OnAgentDown(AgentId agent,
+                             const FrameConnectionPointer& connection) {
+  const auto found = this->agents.find(agent);
+  if (found == this->agents.end() || found->second != connection) return;
+  this->agents.erase(found);
+  this->sink(AgentDisconnected{agent});
+  const auto endpoint = this->agent_endpoints.find(agent);
+  if (endpoint == this->agent_endpoints.end()) return;
+  ProbeEndpoint(this->input_output.Next(), endpoint->second,
+                [this, agent](bool listening) {
+                  if (!listening) this->sink(AgentProvenDead{agent});
+                });
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/services/entry/entry_links.h
@@ -0,0 +1,69 @@
+#ifndef DANDELIONSPUR_SERVICES_ENTRY_ENTRY_LINKS_H_
+#define DANDELIONSPUR_SERVICES_ENTRY_ENTRY_LINKS_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "libraries/configuration/settings.h"
+#include "libraries/entry_core/entry_events.h"
+#include "libraries/network/link.h"
+#include "services/runtime/message_counters.h"
+
+namespace dandelionspur {
+
+// Hands an event to the core; from any thread, in order for each caller.
+using EntryEventSink = std::function<void(EntryEvent)>;
+
+// The connections of an entry: one that it dials to every other member, to
+// send; those that the others dial, to receive; and those that the agents
+// dial, for both. Except where noted, used on the core's thread only.
+class EntryLinks {
+ public:
+  static Result<std::unique_ptr<EntryLinks>> Create(
+      const EntrySettings& settings, EntryId self,
+      boost::asio::io_context& core, ThreadGroup& input_output,
+      Metrics& counters, EntryEventSink event_sink);
+
+  EntryLinks(const EntryLinks&) = delete;
+  EntryLinks& operator=(const EntryLinks&) = delete;
+
+  void ConnectToMembers(const View& view);
+  void Send(EntryId to, PeerMessage message);
+  void Send(AgentId to, EntryToAgentMessage message);
+  // Where a lost agent is probed.
+  void RememberAgent(const AgentDescription& description);
+
+ private:
+  EntryLinks(EntryId own, boost::asio::io_context& core_context,
+             ThreadGroup& threads, Metrics& counters, EntryEventSink events);
+
+  // These run on the connections' threads.
+  [[nodiscard]] LinkHandlers ListenerHandlers();
+  [[nodiscard]] LinkHandlers DialerHandlers();
+  bool OnFrame(const Hello& from, std::string_view body);
+
+  void OnPeerUp(EntryId peer, const FrameConnectionPointer& connection);
+  void OnPeerDown(EntryId peer, const FrameConnectionPointer& connection);
+  void OnPeerDead(EntryId peer);
+  void OnPeerInboundDown(EntryId peer);
+  void OnAgentUp(AgentId agent, const FrameConnectionPointer& connection);
+  void OnAgentDown(AgentId agent, const FrameConnectionPointer& connection);
+
+  EntryId self;
+  boost::asio::io_context& core;
+  ThreadGroup& input_output;
+  Metrics& metrics;
+  EntryEventSink sink;
+  MessageCounters<PeerMessage> peer_messages;
+  MessageCounters<EntryToAgentMessage> agent_messages;
+  std::unique_ptr<LinkListener> listener;
+  std::map<EntryId, std::shared_ptr<LinkDialer>> dialers;
+  std::map<EntryId, FrameConnectionPointer> peers;
+  std::map<AgentId, FrameConnectionPointer> agents;
+  std::map<AgentId, Endpoint> agent_endpoints;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_SERVICES_ENTRY_ENTRY_LINKS_H_
--- /dev/null
+++ b/services/entry/entry_server.cc
@@ -0,0 +1,325 @@
+#include "services/entry/entry_server.h"
+
+#include <boost/asio/post.hpp>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "libraries/telemetry/log.h"
+#include "services/runtime/admin_routes.h"
+#include "services/runtime/daemon.h"
+
+namespace dandelionspur {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr std::chrono::milliseconds kTickInterval{50};
+// Time for the balancer to see that this entry is not ready any more.
+constexpr unsigned kOk = 200;
+constexpr unsigned kAccepted = 202;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kUnavailable = 503;
+
+EntryCoreSettings CoreSettings(const EntrySettings& settings, EntryId self) {
+  EntryCoreSettings core;
+  core.self = self;
+  core.bucket_count = settings.bucket_count;
+  core.duplicate_window = settings.duplicate_window;
+  core.suspect_after = settings.suspect_after;
+  core.remove_after = settings.remove_after;
+  core.placement_seed = self.value();
+  return core;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<EntryServer>> EntryServer::Create(
+    const EntrySettings& settings) {
+  std::unique_ptr<EntryServer> server(
+      new EntryServer(settings, EntryId(NewIncarnation())));
+  BOOST_LEAF_CHECK(server->Listen());
+  return server;
+}
+
+EntryServer::EntryServer(const EntrySettings& configured, EntryId own)
+    : settings(configured),
+      self(own),
+      retries(this->metrics, "retries_total"),
+      agent_messages(this->metrics, "messages_from_agents_total"),
+      core(CoreSettings(configured, own)),
+      input_output(configured.input_output_threads),
+      tick_timer(this->core_thread.First()) {}
+
+EntryServer::~EntryServer() {
+  this->input_output.Stop();
+  this->record_thread.Stop();
+  this->core_thread.Stop();
+}
+
+Result<void> EntryServer::Listen() {
+  const EntryEventSink sink = [this](EntryEvent event) {
+    this->Post(std::move(event));
+  };
+  const ViewMember member{this->self, this->settings.peers,
+                          this->settings.admin, this->settings.data_centre};
+  this->records = std::make_unique<RecordKeeper<EntryCore>>(
+      this->record_thread.First(), this->settings.table, ProcessRole::kEntry,
+      this->self.value(), CoreSettings(this->settings, this->self),
+      this->settings.recording, this->metrics);
+  this->table = std::make_unique<TableWatcher>(
+      this->settings, member, this->input_output.Next(), this->metrics, sink);
+  this->document_routes =
+      std::make_unique<DocumentRoutes>(this->serving, *this->table);
+  CallerPort port;
+  port.submit = [this](JobSubmission job, AnswerCallback callback) {
+    asio::post(this->core_thread.First(),
+               [this, submission = std::move(job),
+                done = std::move(callback)]() mutable {
+                 this->Submit(std::move(submission), std::move(done));
+               });
+  };
+  port.cancel = [this](const JobKey& key) { this->Post(CallerCancelled{key}); };
+  this->caller_routes = std::make_unique<CallerRoutes>(
+      this->serving, std::move(port), this->input_output, this->metrics);
+  BOOST_LEAF_AUTO(
+      bound_links,
+      EntryLinks::Create(this->settings, this->self, this->core_thread.First(),
+                         this->input_output, this->metrics, sink));
+  this->links = std::move(bound_links);
+  BOOST_LEAF_AUTO(
+      callers,
+      HttpServer::Create(this->settings.callers, this->input_output,
+                         [this](HttpRequest request, HttpResponder responder) {
+                           this->caller_routes->Handle(std::move(request),
+                                                       std::move(responder));
+                         }));
+  this->caller_server = std::move(callers);
+  BOOST_LEAF_AUTO(admin,
+                  HttpServer::Create(this->settings.admin, this->input_output,
+                                     [this](const HttpRequest& request,
+                                            const HttpResponder& responder) {
+                                       this->HandleAdmin(request, responder);
+                                     }));
+  this->admin_server = std::move(admin);
+  asio::post(this->core_thread.First(), [this] { this->ScheduleTick(); });
+  this->table->Start();
+  LogStateChange("started", {{"entry", std::to_string(this->self.value())}});
+  return {};
+}
+
+void EntryServer::Drain() {
+  LogStateChange("draining", {});
+  this->table->StopJoining();
+  this->Post(DrainRequested{});
+}
+
+void EntryServer::Post(EntryEvent event) {
+  asio::post(this->core_thread.First(),
+             [this, posted = std::move(event)] { this->Handle(posted); });
+}
+
+void EntryServer::Submit(JobSubmission job, AnswerCallback callback) {
+  const RequestId request(++this->last_request);
+  this->waiting.emplace(request, std::move(callback));
+  this->Handle(CallerSubmitted{request, std::move(job)});
+}
+
+void EntryServer::Handle(const EntryEvent& event) {
+  const Timestamp now = WallClockNow();
+  if (const auto* received = std::get_if<AgentMessageReceived>(&event)) {
+    this->agent_messages.Count(received->message);
+    if (const auto* hello = std::get_if<Register>(&received->message)) {
+      this->links->RememberAgent(hello->description);
+    }
+  }
+  std::vector<EntryEffect> effects = this->core.Handle(event, now);
+  this->records->Record(event, now, effects);
+  for (EntryEffect& effect : effects) {
+    std::visit([this](auto& alternative) { this->Apply(alternative); }, effect);
+  }
+}
+
+void EntryServer::ScheduleTick() {
+  this->tick_timer.expires_after(kTickInterval);
+  this->tick_timer.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    this->Handle(EntryTick{});
+    this->UpdateGauges();
+    this->ScheduleTick();
+  });
+}
+
+void EntryServer::Apply(AnswerCaller& effect) {
+  const auto found = this->waiting.find(effect.request);
+  if (found == this->waiting.end()) return;
+  const AnswerCallback callback = std::move(found->second);
+  this->waiting.erase(found);
+  callback(effect.answer);
+}
+
+void EntryServer::Apply(SendToPeer& effect) {
+  this->links->Send(effect.to, std::move(effect.message));
+}
+
+void EntryServer::Apply(SendToAgent& effect) {
+  this->links->Send(effect.to, std::move(effect.message));
+}
+
+void EntryServer::Apply(const ProposeView& effect) {
+  this->table->Propose(effect.view);
+}
+
+void EntryServer::Apply(const ViewInForce& effect) {
+  LogStateChange("view_in_force",
+                 {{"epoch", std::to_string(effect.view.epoch.value())},
+                  {"members", std::to_string(effect.view.members.size())}});
+  this->links->ConnectToMembers(effect.view);
+  this->serving_draft.view = effect.view;
+  this->PublishServingState();
+}
+
+void EntryServer::Apply(const DocumentInForce& effect) {
+  const VersionedDocument& document = effect.document;
+  LogStateChange("document_in_force",
+                 {{"service", document.service.value()},
+                  {"version", std::to_string(document.version.value())}});
+  const auto checked = OrElse(
+      [&]() -> Result<std::optional<ServiceDocument>> {
+        BOOST_LEAF_AUTO(value, ParseServiceDocument(document.text,
+                                                    document.service.value()));
+        return value;
+      },
+      [](const std::string&) { return std::optional<ServiceDocument>(); });
+  if (!checked) return;
+  this->serving_draft.documents[document.service] = {*checked, document};
+  this->PublishServingState();
+}
+
+void EntryServer::Apply(const RetryCounted& effect) {
+  this->retries.Count(effect.reason);
+}
+
+void EntryServer::Apply(const OwnershipChanged& effect) {
+  LogStateChange(
+      "ownership_changed",
+      {{"phase", boost::describe::enum_to_string(effect.phase, "unknown")},
+       {"buckets", std::to_string(effect.buckets.size())}});
+  this->metrics.Count("ownership_changes_total", "phase",
+                      boost::describe::enum_to_string(effect.phase, "unknown"),
+                      static_cast<double>(effect.buckets.size()));
+}
+
+void EntryServer::Apply(const RemovedFromView& /*effect*/) {
+  LogStateChange("removed_from_view", {});
+  this->records->Flush([] { Lifetime::Finish(ExitCode::kRemoved); });
+}
+
+void EntryServer::Apply(const EntryDrained& /*effect*/) {
+  LogStateChange("drained", {});
+  // Answers that were just given still have to be written out.
+  constexpr std::chrono::milliseconds kLinger{300};
+  auto timer =
+      std::make_shared<asio::steady_timer>(this->core_thread.First(), kLinger);
+  timer->async_wait([this, timer](boost::system::error_code) {
+    this->records->Flush([] { Lifetime::Finish(ExitCode::kSuccess); });
+  });
+}
+
+void EntryServer::PublishServingState() {
+  this->serving.Publish(this->serving_draft);
+}
+
+void EntryServer::UpdateGauges() {
+  this->metrics.Set("jobs_at_home",
+                    static_cast<double>(this->core.jobs_at_home()));
+  this->metrics.Set("jobs_relayed",
+                    static_cast<double>(this->core.jobs_relayed()));
+  this->metrics.Set("known_keys",
+                    static_cast<double>(this->core.buckets().KnownKeyCount()));
+  this->metrics.Set("ready", this->core.IsReady() ? 1 : 0);
+}
+
+nlohmann::json EntryServer::Status() const {
+  std::uint32_t active = 0;
+  for (std::uint32_t i = 0; i < this->settings.bucket_count; ++i) {
+    if (this->core.buckets().IsActive(BucketId(i))) ++active;
+  }
+  nlohmann::json members = nlohmann::json::array();
+  for (const ViewMember& member : this->core.view().members) {
+    members.push_back(
+        {{"entry", std::to_string(member.entry.value())},
+         {"data_centre", member.data_centre.value()},
+         {"admin", member.admin_endpoint.address + ":" +
+                       std::to_string(member.admin_endpoint.port)}});
+  }
+  nlohmann::json agents = nlohmann::json::array();
+  for (const auto& [id, agent] : this->core.agents().all()) {
+    if (!agent.description) continue;
+    const Endpoint& admin = agent.description->admin_endpoint;
+    agents.push_back(
+        {{"agent", std::to_string(id.value())},
+         {"service", agent.description->service.value()},
+         {"upstream", agent.description->upstream},
+         {"admin", admin.address + ":" + std::to_string(admin.port)},
+         {"slots", agent.description->slots},
+         {"connected", agent.connected},
+         {"ready", agent.ready},
+         {"leaving", agent.leaving},
+         {"lost", agent.lost_at.has_value()},
+         {"running", agent.running},
+         {"credits", agent.credits},
+         {"slowness", agent.slowness}});
+  }
+  nlohmann::json documents = nlohmann::json::object();
+  for (const auto& [service, document] : this->core.documents()) {
+    documents[service.value()] = document.version.value();
+  }
+  return {{"entry", std::to_string(this->self.value())},
+          {"ready", this->core.IsReady()},
+          {"epoch", this->core.view().epoch.value()},
+          {"buckets_active", active},
+          {"buckets", this->settings.bucket_count},
+          {"jobs_at_home", this->core.jobs_at_home()},
+          {"jobs_relayed", this->core.jobs_relayed()},
+          {"members", members},
+          {"agents", agents},
+          {"documents", documents}};
+}
+
+void EntryServer::HandleAdmin(const HttpRequest& request,
+                              const HttpResponder& responder) {
+  const std::vector<std::string> parts =
+      PathParts({request.target().data(), request.target().size()});
+  const std::string path = parts.empty() ? "" : parts.back();
+  if (parts.size() >= 2 && parts[0] == "v1" && parts[1] == "services") {
+    this->document_routes->Handle({parts.begin() + 2, parts.end()}, request,
+                                  responder);
+  } else if (path == "healthz") {
+    responder(JsonResponse(kOk, {{"healthy", true}}));
+  } else if (path == "metrics") {
+    responder(MetricsResponse(this->metrics));
+  } else if (path == "readyz") {
+    asio::post(this->core_thread.First(), [this, responder] {
+      const bool ready = this->core.IsReady();
+      responder(JsonResponse(ready ? kOk : kUnavailable, {{"ready", ready}}));
+    });
+  } else if (path == "status") {
+    asio::post(this->core_thread.First(), [this, responder] {
+      responder(JsonResponse(kOk, this->Status()));
+    });
+  } else if (path == "records") {
+    this->records->ReadUnsent(
+        [responder](const std::vector<FinishedSegment>& unsent) {
+          responder(SegmentsResponse(unsent));
+        });
+  } else if (path == "drain" && request.method() == http::verb::post) {
+    this->Drain();
+    responder(JsonResponse(kAccepted, {{"draining", true}}));
+  } else {
+    responder(ProblemResponse(kNotFound, "no such path"));
+  }
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/services/entry/entry_server.h
@@ -0,0 +1,86 @@
+#ifndef DANDELIONSPUR_SERVICES_ENTRY_ENTRY_SERVER_H_
+#define DANDELIONSPUR_SERVICES_ENTRY_ENTRY_SERVER_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "libraries/configuration/settings.h"
+#include "libraries/entry_core/entry_core.h"
+#include "services/entry/caller_routes.h"
+#include "services/entry/document_routes.h"
+#include "services/entry/entry_links.h"
+#include "services/entry/serving_state.h"
+#include "services/entry/table_watcher.h"
+#include "services/runtime/record_keeper.h"
+
+namespace dandelionspur {
+
+// One entry process: the core on a thread of its own, and around it the
+// threads that serve HTTP and the links, the table, and the recorder.
+class EntryServer {
+ public:
+  static Result<std::unique_ptr<EntryServer>> Create(
+      const EntrySettings& settings);
+  EntryServer(const EntryServer&) = delete;
+  EntryServer& operator=(const EntryServer&) = delete;
+  ~EntryServer();
+
+  // Begins a planned stop; the process's lifetime ends when it is done.
+  void Drain();
+
+ private:
+  explicit EntryServer(const EntrySettings& configured, EntryId self);
+  Result<void> Listen();
+
+  // Any thread.
+  void Post(EntryEvent event);
+  void HandleAdmin(const HttpRequest& request, const HttpResponder& responder);
+
+  // The core's thread.
+  void Handle(const EntryEvent& event);
+  void ScheduleTick();
+  void Submit(JobSubmission job, AnswerCallback callback);
+  void PublishServingState();
+  [[nodiscard]] nlohmann::json Status() const;
+  void UpdateGauges();
+
+  void Apply(AnswerCaller& effect);
+  void Apply(SendToPeer& effect);
+  void Apply(SendToAgent& effect);
+  void Apply(const ProposeView& effect);
+  void Apply(const ViewInForce& effect);
+  void Apply(const DocumentInForce& effect);
+  void Apply(const RetryCounted& effect);
+  void Apply(const OwnershipChanged& effect);
+  void Apply(const RemovedFromView& effect);
+  void Apply(const EntryDrained& effect);
+
+  EntrySettings settings;
+  EntryId self;
+  Metrics metrics;
+  ReasonCounters retries;
+  MessageCounters<AgentMessage> agent_messages;
+  PublishedServingState serving;
+  ServingState serving_draft;
+  EntryCore core;
+  std::map<RequestId, AnswerCallback> waiting;
+  std::uint64_t last_request = 0;
+  // The threads end before anything above goes.
+  std::unique_ptr<EntryLinks> links;
+  std::unique_ptr<RecordKeeper<EntryCore>> records;
+  std::unique_ptr<TableWatcher> table;
+  std::unique_ptr<CallerRoutes> caller_routes;
+  std::unique_ptr<DocumentRoutes> document_routes;
+  ThreadGroup core_thread{1};
+  ThreadGroup record_thread{1};
+  ThreadGroup input_output;
+  boost::asio::steady_timer tick_timer;
+  std::unique_ptr<HttpServer> caller_server;
+  std::unique_ptr<HttpServer> admin_server;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_SERVICES_ENTRY_ENTRY_SERVER_H_
--- /dev/null
+++ b/services/entry/serving_state.h
@@ -0,0 +1,29 @@
+#ifndef DANDELIONSPUR_SERVICES_ENTRY_SERVING_STATE_H_
+#define DANDELIONSPUR_SERVICES_ENTRY_SERVING_STATE_H_
+
+#include <map>
+
+#include "libraries/configuration/service_document.h"
+#include "libraries/network/published.h"
+#include "libraries/protocol/entry_messages.h"
+
+namespace dandelionspur {
+
+// A document in force, checked and as written.
+struct ServedDocument {
+  ServiceDocument checked;
+  VersionedDocument written;
+};
+
+// What the threads that serve HTTP read without a lock. The core's thread
+// replaces it when a view or a document comes into force.
+struct ServingState {
+  View view;
+  std::map<ServiceName, ServedDocument> documents;
+};
+
+using PublishedServingState = Published<ServingState>;
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_SERVICES_ENTRY_SERVING_STATE_H_
--- /dev/null
+++ b/services/entry/table_watcher.cc
@@ -0,0 +1,283 @@
+#include "services/entry/table_watcher.h"
+
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "libraries/platform/view_row.h"
+#include "libraries/telemetry/log.h"
+
+namespace dandelionspur {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kPollInterval = std::chrono::seconds(1);
+const char* const kServicePrefix = "service.";
+
+std::string DocumentRow(const ServiceName& service) {
+  return kServicePrefix + service.value();
+}
+
+std::string DocumentObject(const ServiceName& service,
+                           const std::string& change_id) {
+  return "documents/" + service.value() + "/" + change_id;
+}
+
+std::string EncodeDocument(const StoredDocument& stored) {
+  return nlohmann::json{{"service", stored.document.service.value()},
+                        {"version", stored.document.version.value()},
+                        {"change_id", stored.change_id},
+                        {"previous_change_id", stored.previous_change_id},
+                        {"text", stored.document.text}}
+      .dump();
+}
+
+std::optional<StoredDocument> DecodeDocument(const std::string& text) {
+  try {
+    const nlohmann::json json = nlohmann::json::parse(text);
+    StoredDocument stored;
+    stored.document.service = ServiceName(json.at("service"));
+    stored.document.version = DocumentVersion(json.at("version"));
+    stored.document.text = json.at("text");
+    stored.change_id = json.at("change_id");
+    stored.previous_change_id = json.at("previous_change_id");
+    return stored;
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+TableWatcher::TableWatcher(const EntrySettings& configured,
+                           const ViewMember& self, asio::io_context& thread,
+                           Metrics& counters, EntryEventSink events)
+    : settings(configured),
+      own_member(self),
+      context(thread),
+      metrics(counters),
+      sink(std::move(events)),
+      table(thread, configured.table),
+      timer(thread) {}
+
+void TableWatcher::Start() {
+  asio::post(this->context, [this] { this->Poll(); });
+}
+
+void TableWatcher::StopJoining() {
+  asio::post(this->context, [this] { this->joining = false; });
+}
+
+void TableWatcher::PollLater(Duration delay) {
+  this->timer.expires_after(delay);
+  this->timer.async_wait([this](boost::system::error_code error) {
+    if (!error) this->Poll();
+  });
+}
+
+void TableWatcher::Poll() {
+  this->table.ReadChanges(
+      this->revision, [this](const std::optional<RowChanges>& changes) {
+        if (changes.has_value() != this->reachable) {
+          this->reachable = changes.has_value();
+          LogStateChange(
+              this->reachable ? "table_reachable" : "table_unreachable", {});
+        }
+        this->metrics.Set("table_reachable", this->reachable ? 1 : 0);
+        if (changes) this->OnChanges(*changes);
+        this->PollLater(kPollInterval);
+      });
+}
+
+void TableWatcher::OnChanges(const RowChanges& changes) {
+  this->revision = changes.revision;
+  for (const Row& row : changes.rows) {
+    if (row.key == kViewRow) {
+      this->OnViewRow(row);
+      continue;
+    }
+    if (!row.key.starts_with(kServicePrefix)) continue;
+    std::optional<StoredDocument> stored = DecodeDocument(row.value);
+    if (stored) this->sink(DocumentRead{std::move(stored->document)});
+  }
+  this->Join();
+}
+
+void TableWatcher::OnViewRow(const Row& row) {
+  const std::optional<View> read = DecodeViewRow(row.value);
+  if (!read || read->epoch < this->view.epoch) return;
+  this->view = *read;
+  this->view_version = row.version;
+  if (this->view.Find(this->own_member.entry) != nullptr) {
+    // Once a member, an entry that is taken out starts anew instead.
+    this->joining = false;
+  }
+  this->sink(ViewRead{this->view});
+}
+
+void TableWatcher::Join() {
+  if (!this->joining) return;
+  this->WriteView(WithMember(this->view, this->own_member, WallClockNow()));
+}
+
+void TableWatcher::Propose(const View& proposed) {
+  asio::post(this->context, [this, proposed] { this->WriteView(proposed); });
+}
+
+void TableWatcher::WriteView(const View& proposed) {
+  if (proposed.epoch.value() != this->view.epoch.value() + 1) return;
+  const Row row{kViewRow, RowVersion(), EncodeViewRow(proposed)};
+  this->table.WriteRow(row, this->view_version, [this](WriteOutcome outcome) {
+    this->metrics.Count("view_writes_total", "outcome",
+                        outcome == WriteOutcome::kWritten    ? "written"
+                        : outcome == WriteOutcome::kConflict ? "conflict"
+                                                             : "unknown");
+    // Written, lost to another writer or unknown: what counts is what the
+    // table holds now.
+    if (outcome != WriteOutcome::kUnknown) this->PollLater(Duration());
+  });
+}
+
+void TableWatcher::WriteDocument(const ServiceName& service,
+                                 DocumentVersion base,
+                                 const std::string& change_id,
+                                 const std::string& text,
+                                 DocumentWriteCallback callback) {
+  asio::post(this->context, [=, this, done = std::move(callback)] {
+    this->table.ReadRow(
+        DocumentRow(service), [=, this](const std::optional<Row>& row) {
+          if (!row) {
+            done({DocumentWriteState::kUnavailable, DocumentVersion()});
+            return;
+          }
+          this->WriteNext(*row, base, change_id, text, done);
+        });
+  });
+}
+
+void TableWatcher::WriteNext(const Row& current, DocumentVersion base,
+                             const std::string& change_id,
+                             const std::string& text,
+                             const DocumentWriteCallback& callback) {
+  const std::optional<StoredDocument> stored = DecodeDocument(current.value);
+  const DocumentVersion version =
+      stored ? stored->document.version : DocumentVersion();
+  if (stored && stored->change_id == change_id) {
+    callback({DocumentWriteState::kWritten, version});
+    return;
+  }
+  if (version != base) {
+    callback({DocumentWriteState::kConflict, version});
+    return;
+  }
+  StoredDocument next;
+  next.document.service =
+      ServiceName(current.key.substr(std::string(kServicePrefix).size()));
+  next.document.version = DocumentVersion(version.value() + 1);
+  next.document.text = text;
+  next.change_id = change_id;
+  next.previous_change_id = stored ? stored->change_id : "";
+  const std::string encoded = EncodeDocument(next);
+  // The history object comes first, so that no version in force is missing
+  // from the history; one whose row write fails is never reached from it.
+  this->table.PutObject(
+      DocumentObject(next.document.service, change_id), encoded,
+      [=, this](bool stored_object) {
+        if (!stored_object) {
+          callback({DocumentWriteState::kUnavailable, version});
+          return;
+        }
+        this->table.WriteRow(
+            {current.key, RowVersion(), encoded}, current.version,
+            [=, this](WriteOutcome outcome) {
+              if (outcome == WriteOutcome::kWritten) {
+                this->PollLater(Duration());
+                callback({DocumentWriteState::kWritten, next.document.version});
+                return;
+              }
+              this->ReadBack(current.key, change_id, callback);
+            });
+      });
+}
+
+void TableWatcher::ReadBack(const std::string& key,
+                            const std::string& change_id,
+                            const DocumentWriteCallback& callback) {
+  this->table.ReadRow(key, [=, this](const std::optional<Row>& row) {
+    if (!row) {
+      callback({DocumentWriteState::kUnavailable, DocumentVersion()});
+      return;
+    }
+    const std::optional<StoredDocument> stored = DecodeDocument(row->value);
+    const DocumentVersion version =
+        stored ? stored->document.version : DocumentVersion();
+    this->PollLater(Duration());
+    if (!stored) {
+      callback({DocumentWriteState::kConflict, DocumentVersion()});
+      return;
+    }
+    // Later changes may already stand on top of this one.
+    this->CollectHistory(
+        stored->document.service, stored->previous_change_id, {*stored},
+        [=](const std::optional<std::vector<StoredDocument>>& history) {
+          if (!history) {
+            callback({DocumentWriteState::kUnavailable, version});
+            return;
+          }
+          for (const StoredDocument& past : *history) {
+            if (past.change_id != change_id) continue;
+            callback({DocumentWriteState::kWritten, past.document.version});
+            return;
+          }
+          callback({DocumentWriteState::kConflict, version});
+        });
+  });
+}
+
+void TableWatcher::ReadHistory(const ServiceName& service,
+                               HistoryCallback callback) {
+  asio::post(this->context, [=, this, done = std::move(callback)] {
+    this->table.ReadRow(
+        DocumentRow(service), [=, this](const std::optional<Row>& row) {
+          if (!row) {
+            done(std::nullopt);
+            return;
+          }
+          const std::optional<StoredDocument> newest =
+              DecodeDocument(row->value);
+          if (!newest) {
+            done(std::vector<StoredDocument>());
+            return;
+          }
+          this->CollectHistory(service, newest->previous_change_id, {*newest},
+                               done);
+        });
+  });
+}
+
+void TableWatcher::CollectHistory(const ServiceName& service,
+                                  const std::string& change_id,
+                                  std::vector<StoredDocument> collected,
+                                  const HistoryCallback& callback) {
+  constexpr std::size_t kMaximumHistory = 100;
+  if (change_id.empty() || collected.size() >= kMaximumHistory) {
+    callback(std::move(collected));
+    return;
+  }
+  this->table.GetObject(
+      DocumentObject(service, change_id),
+      [=, this](const std::optional<std::string>& text) mutable {
+        const std::optional<StoredDocument> stored =
+            text ? DecodeDocument(*text) : std::nullopt;
+        if (!stored) {
+          callback(std::nullopt);
+          return;
+        }
+        collected.push_back(*stored);
+        this->CollectHistory(service, stored->previous_change_id,
+                             std::move(collected), callback);
+      });
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/services/entry/table_watcher.h
@@ -0,0 +1,95 @@
+#ifndef DANDELIONSPUR_SERVICES_ENTRY_TABLE_WATCHER_H_
+#define DANDELIONSPUR_SERVICES_ENTRY_TABLE_WATCHER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libraries/configuration/settings.h"
+#include "libraries/platform/table_client.h"
+#include "libraries/telemetry/metrics.h"
+#include "services/entry/entry_links.h"
+
+namespace dandelionspur {
+
+// A service document as the table holds it.
+struct StoredDocument {
+  VersionedDocument document;
+  std::string change_id;
+  std::string previous_change_id;
+};
+
+BOOST_DEFINE_ENUM_CLASS(DocumentWriteState, kWritten, kConflict, kUnavailable)
+
+struct DocumentWriteResult {
+  DocumentWriteState state = DocumentWriteState::kUnavailable;
+  // The version in force as far as known.
+  DocumentVersion version;
+};
+
+using DocumentWriteCallback = std::function<void(DocumentWriteResult)>;
+using HistoryCallback =
+    std::function<void(std::optional<std::vector<StoredDocument>>)>;
+
+// Everything an entry has to do with the table service: it reads what changed
+// once a second, joins the view, and writes views and documents by
+// conditional write. Runs on one io_context; public calls may come from any
+// thread.
+class TableWatcher {
+ public:
+  TableWatcher(const EntrySettings& configured, const ViewMember& self,
+               boost::asio::io_context& thread, Metrics& counters,
+               EntryEventSink events);
+  TableWatcher(const TableWatcher&) = delete;
+  TableWatcher& operator=(const TableWatcher&) = delete;
+
+  void Start();
+  // Writes `view` if the table still holds its predecessor.
+  void Propose(const View& view);
+  // From now on a view without this entry is as it should be.
+  void StopJoining();
+  // Writes the next version of a document if the table holds `base`. A write
+  // with a change id that took effect before counts as written.
+  void WriteDocument(const ServiceName& service, DocumentVersion base,
+                     const std::string& change_id, const std::string& text,
+                     DocumentWriteCallback callback);
+  // All versions of a document, newest first.
+  void ReadHistory(const ServiceName& service, HistoryCallback callback);
+
+ private:
+  void PollLater(Duration delay);
+  void Poll();
+  void OnChanges(const RowChanges& changes);
+  void OnViewRow(const Row& row);
+  void Join();
+  void WriteView(const View& view);
+  void WriteNext(const Row& current, DocumentVersion base,
+                 const std::string& change_id, const std::string& text,
+                 const DocumentWriteCallback& callback);
+  void ReadBack(const std::string& key, const std::string& change_id,
+                const DocumentWriteCallback& callback);
+  void CollectHistory(const ServiceName& service, const std::string& change_id,
+                      std::vector<StoredDocument> collected,
+                      const HistoryCallback& callback);
+
+  EntrySettings settings;
+  ViewMember own_member;
+  boost::asio::io_context& context;
+  Metrics& metrics;
+  EntryEventSink sink;
+  TableClient table;
+  boost::asio::steady_timer timer;
+  TableRevision revision;
+  RowVersion view_version;
+  View view;
+  bool view_read = false;
+  bool joining = true;
+  bool reachable = true;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_SERVICES_ENTRY_TABLE_WATCHER_H_
--- /dev/null
+++ b/services/runtime/daemon.cc
@@ -0,0 +1,84 @@
+#include "services/runtime/daemon.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <random>
+
+namespace dandelionspur {
+namespace {
+
+boost::asio::io_context& MainContext() {
+  static boost::asio::io_context context(1);
+  return context;
+}
+
+std::atomic<int> exit_code{0};
+
+}  // namespace
+
+DaemonCommand ParseDaemonCommand(const std::string& program,
+                                 const std::string& description,
+                                 int argument_count, char** arguments) {
+  cxxopts::Options options(program, description);
+  options.add_options()("settings", "settings file, JSON with comments",
+                        cxxopts::value<std::string>(), "FILE")(
+      "check-config", "check the settings file and exit")("help", "this text")(
+      "version", "print the version");
+  try {
+    const auto parsed = options.parse(argument_count, arguments);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help();
+      std::exit(static_cast<int>(ExitCode::kSuccess));
+    }
+    if (parsed.count("version") > 0) {
+      std::cout << program << " " << DANDELIONSPUR_VERSION << "\n";
+      std::exit(static_cast<int>(ExitCode::kSuccess));
+    }
+    if (parsed.count("settings") == 0) {
+      std::cerr << program << ": --settings FILE is missing\n";
+      std::exit(static_cast<int>(ExitCode::kBadUsage));
+    }
+    return DaemonCommand{parsed["settings"].as<std::string>(),
+                         parsed.count("check-config") > 0};
+  } catch (const cxxopts::exceptions::exception& exception) {
+    std::cerr << program << ": " << exception.what() << "\n";
+    std::exit(static_cast<int>(ExitCode::kBadUsage));
+  }
+}
+
+std::uint64_t NewIncarnation() {
+  constexpr unsigned kRandomBits = 20;
+  std::random_device random;
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  const std::uint64_t low = random() & ((1U << kRandomBits) - 1U);
+  return (static_cast<std::uint64_t>(now.count()) << kRandomBits) | low;
+}
+
+void Lifetime::Run(const std::function<void()>& stop) {
+  boost::asio::signal_set signals(MainContext(), SIGTERM, SIGINT);
+  signals.async_wait([&](boost::system::error_code error, int) {
+    if (error) return;
+    signals.clear();
+    std::signal(SIGTERM, SIG_DFL);
+    std::signal(SIGINT, SIG_DFL);
+    stop();
+  });
+  const auto guard = boost::asio::make_work_guard(MainContext());
+  MainContext().run();
+}
+
+void Lifetime::Finish(ExitCode code) {
+  exit_code = static_cast<int>(code);
+  MainContext().stop();
+}
+
+ExitCode Lifetime::Result() { return static_cast<ExitCode>(exit_code.load()); }
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/services/runtime/daemon.h
@@ -0,0 +1,45 @@
+#ifndef DANDELIONSPUR_SERVICES_RUNTIME_DAEMON_H_
+#define DANDELIONSPUR_SERVICES_RUNTIME_DAEMON_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace dandelionspur {
+
+// Exit codes of the daemons.
+enum class ExitCode : int {
+  kSuccess = 0,
+  kFailure = 1,
+  kBadUsage = 2,
+  kBadSettings = 3,
+  // The others took this process out of the view; start it anew.
+  kRemoved = 4,
+};
+
+struct DaemonCommand {
+  std::string settings_path;
+  bool check_only = false;
+};
+
+// Parses a daemon's command line. Prints help, the version or an error and
+// exits the process where there is nothing to run.
+DaemonCommand ParseDaemonCommand(const std::string& program,
+                                 const std::string& description,
+                                 int argument_count, char** arguments);
+
+// An id for one incarnation of a process: grows with time, never 0.
+std::uint64_t NewIncarnation();
+
+// Calls `stop` once at SIGTERM or SIGINT; from then on the signals end the
+// process. Returns when `finish` is called from any thread.
+class Lifetime {
+ public:
+  static void Run(const std::function<void()>& stop);
+  static void Finish(ExitCode code);
+  static ExitCode Result();
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_SERVICES_RUNTIME_DAEMON_H_
--- /dev/null
+++ b/services/runtime/record_keeper.h
@@ -0,0 +1,109 @@
+#ifndef DANDELIONSPUR_SERVICES_RUNTIME_RECORD_KEEPER_H_
+#define DANDELIONSPUR_SERVICES_RUNTIME_RECORD_KEEPER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libraries/configuration/settings.h"
+#include "libraries/platform/table_client.h"
+#include "libraries/recording/recorder.h"
+#include "libraries/telemetry/metrics.h"
+
+namespace dandelionspur {
+
+// Counts what the recorder could not keep.
+void CountRecords(Metrics& metrics, std::uint64_t lost, std::size_t unsent);
+
+// Records a core's steps on a thread of its own and ships the segments to the
+// object store, at most one write an interval.
+template <typename Core>
+class RecordKeeper {
+ public:
+  RecordKeeper(boost::asio::io_context& thread, const Endpoint& table_endpoint,
+               ProcessRole role, std::uint64_t process,
+               const typename Core::Settings& core_settings,
+               const RecordingSettings& configured, Metrics& counters)
+      : context(thread),
+        table(thread, table_endpoint),
+        recorder(role, process, core_settings, configured.spool_bytes),
+        settings(configured),
+        metrics(counters),
+        timer(thread) {
+    boost::asio::post(this->context, [this] { this->Schedule(); });
+  }
+
+  // From any thread, in the order of the steps.
+  void Record(typename Core::Event event, Timestamp now,
+              std::vector<typename Core::Effect> effects) {
+    boost::asio::post(this->context, [this, now, step_event = std::move(event),
+                                      step_effects = std::move(effects)] {
+      this->recorder.Record(step_event, now, step_effects);
+    });
+  }
+
+  // Passes all segments that the object store has not taken.
+  void ReadUnsent(std::function<void(std::vector<FinishedSegment>)> callback) {
+    boost::asio::post(this->context, [this, done = std::move(callback)] {
+      this->recorder.Close();
+      done({this->recorder.unsent().begin(), this->recorder.unsent().end()});
+    });
+  }
+
+  // Writes what is left, then calls back; gives up where the store is down.
+  void Flush(std::function<void()> callback) {
+    boost::asio::post(this->context, [this, done = std::move(callback)] {
+      this->recorder.Close();
+      this->flushed = std::move(done);
+      this->StoreOldest();
+    });
+  }
+
+ private:
+  void Schedule() {
+    this->timer.expires_after(this->settings.write_interval);
+    this->timer.async_wait([this](boost::system::error_code error) {
+      if (error) return;
+      this->recorder.Close();
+      CountRecords(this->metrics, this->recorder.lost_records(),
+                   this->recorder.unsent().size());
+      if (!this->flushed) this->StoreOldest();
+      this->Schedule();
+    });
+  }
+
+  void StoreOldest() {
+    const FinishedSegment* segment = this->recorder.Oldest();
+    if (segment == nullptr) {
+      if (this->flushed) this->flushed();
+      return;
+    }
+    this->table.PutObject(segment->object_key, segment->bytes,
+                          [this, key = segment->object_key](bool written) {
+                            if (written) this->recorder.MarkStored(key);
+                            if (!this->flushed) return;
+                            if (written) {
+                              this->StoreOldest();
+                            } else {
+                              this->flushed();
+                            }
+                          });
+  }
+
+  boost::asio::io_context& context;
+  TableClient table;
+  Recorder<Core> recorder;
+  RecordingSettings settings;
+  Metrics& metrics;
+  boost::asio::steady_timer timer;
+  std::function<void()> flushed;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_SERVICES_RUNTIME_RECORD_KEEPER_H_
--- /dev/null
+++ b/utilities/table_stand_in/main.cc
@@ -0,0 +1,64 @@
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "services/runtime/daemon.h"
+#include "utilities/table_stand_in/table_store.h"
+
+namespace dandelionspur {
+namespace {
+
+ExitCode Serve(std::uint16_t port) {
+  ThreadGroup threads(1);
+  TableStore store;
+  // One thread serves everything, so the store needs no lock.
+  const HttpHandler handler = [&](const HttpRequest& request,
+                                  const HttpResponder& responder) {
+    TableStore::Reply reply = store.Handle(request);
+    if (reply.lost) return;
+    if (reply.delay_milliseconds == 0) {
+      responder(std::move(reply.response));
+      return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        threads.First(), std::chrono::milliseconds(reply.delay_milliseconds));
+    timer->async_wait([timer, responder, response = reply.response](
+                          boost::system::error_code) { responder(response); });
+  };
+  return OrElse(
+      [&]() -> Result<ExitCode> {
+        BOOST_LEAF_AUTO(
+            server, HttpServer::Create({"127.0.0.1", port}, threads, handler));
+        Lifetime::Run([] { Lifetime::Finish(ExitCode::kSuccess); });
+        threads.Stop();
+        return ExitCode::kSuccess;
+      },
+      [](const std::string& message) {
+        std::cerr << message << "\n";
+        return ExitCode::kFailure;
+      });
+}
+
+}  // namespace
+}  // namespace dandelionspur
+
+int main(int argument_count, char** arguments) {
+  cxxopts::Options options("table-stand-in",
+                           "Stands in for the platform's table service and "
+                           "object store in tests.");
+  options.add_options()("port", "port on loopback",
+                        cxxopts::value<std::uint16_t>())("help", "this text");
+  try {
+    const auto parsed = options.parse(argument_count, arguments);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    return static_cast<int>(
+        dandelionspur::Serve(parsed["port"].as<std::uint16_t>()));
+  } catch (const cxxopts::exceptions::exception& exception) {
+    std::cerr << "table-stand-in: " << exception.what() << "\n";
+    return static_cast<int>(dandelionspur::ExitCode::kBadUsage);
+  }
+}
