--- /dev/null
+++ b/utilities/load/workload.cc
@@ -0,0 +1,205 @@
+#include "utilities/load/workload.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <random>
+#include <set>
+#include <sstream>
+
+namespace dandelionspur {
+namespace {
+
+constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr Duration kShortestTask = std::chrono::milliseconds(50);
+constexpr Duration kLongestUsualTask = std::chrono::milliseconds(1000);
+constexpr Duration kShortestLongTask = std::chrono::milliseconds(2000);
+constexpr Duration kLongestLongTask = std::chrono::milliseconds(5000);
+constexpr double kLongTaskPart = 0.005;
+constexpr double kBurstPart = 0.05;
+
+double Seconds(Duration duration) {
+  return static_cast<double>(duration.count()) / kMicrosecondsPerSecond;
+}
+
+Duration FromSeconds(double seconds) {
+  return Duration(static_cast<std::int64_t>(seconds * kMicrosecondsPerSecond));
+}
+
+double Work(const PlannedJob& job) {
+  return std::accumulate(job.tasks.begin(), job.tasks.end(), 0.0,
+                         [](double sum, const PlannedTask& task) {
+                           return sum + Seconds(task.duration);
+                         });
+}
+
+// Draws jobs.
+class JobSource {
+ public:
+  explicit JobSource(const WorkloadOptions& configured)
+      : options(configured), random(configured.seed) {}
+
+  PlannedJob Next(std::size_t number) {
+    PlannedJob job;
+    job.key = "load-" + std::to_string(this->options.seed) + "-" +
+              std::to_string(number);
+    const std::size_t count = this->TaskCount();
+    for (std::size_t i = 0; i < count; ++i) job.tasks.push_back(this->Task());
+    job.resubmitted = this->Chance(this->options.resubmitted_part);
+    return job;
+  }
+
+  double NextGap(double jobs_per_second) {
+    return std::exponential_distribution<double>(jobs_per_second)(
+        this->random);
+  }
+  bool Chance(double probability) {
+    return std::bernoulli_distribution(probability)(this->random);
+  }
+
+ private:
+  // Most jobs are small; the logarithm of the size is uniform.
+  std::size_t TaskCount() {
+    std::uniform_real_distribution<double> logarithm(
+        0, std::log(static_cast<double>(this->options.largest_job) + 1));
+    const double size = std::exp(logarithm(this->random));
+    return std::clamp<std::size_t>(static_cast<std::size_t>(size), 1,
+                                   this->options.largest_job);
+  }
+
+  Duration LogUniform(Duration low, Duration high) {
+    std::uniform_real_distribution<double> logarithm(
+        std::log(Seconds(low)), std::log(Seconds(high)));
+    return FromSeconds(std::exp(logarithm(this->random)));
+  }
+
+  PlannedTask Task() {
+    PlannedTask task;
+    task.duration = this->Chance(kLongTaskPart)
+                        ? this->LogUniform(kShortestLongTask, kLongestLongTask)
+                        : this->LogUniform(kShortestTask, kLongestUsualTask);
+    const double error = std::log(std::max(1.0, this->options.declared_error));
+    std::uniform_real_distribution<double> logarithm(-error, error);
+    const double factor = std::exp(logarithm(this->random));
+    constexpr double kShortestDeclared = 0.001;
+    task.declared = FromSeconds(
+        std::max(kShortestDeclared, Seconds(task.duration) * factor));
+    return task;
+  }
+
+  WorkloadOptions options;
+  std::mt19937_64 random;
+};
+
+}  // namespace
+
+Result<std::vector<FleetPart>> ParseFleet(const std::string& text) {
+  std::vector<FleetPart> fleet;
+  std::istringstream stream(text);
+  std::string part;
+  while (std::getline(stream, part, ',')) {
+    FleetPart parsed;
+    char separator = 0;
+    std::istringstream fields(part);
+    fields >> parsed.slots >> separator >> parsed.slowness;
+    const bool valid = !fields.fail() && separator == 'x' &&
+                       parsed.slots > 0 && parsed.slowness > 0;
+    if (!valid) {
+      return Fail("--fleet: \"" + part +
+                  "\" must be SLOTSxSLOWNESS, both above 0");
+    }
+    fleet.push_back(parsed);
+  }
+  if (fleet.empty()) return Fail("--fleet must name an upstream");
+  return fleet;
+}
+
+double FleetCapacity(const std::vector<FleetPart>& fleet) {
+  double capacity = 0;
+  for (const FleetPart& part : fleet) capacity += part.slots / part.slowness;
+  return capacity;
+}
+
+std::vector<PlannedJob> PlanWorkload(const WorkloadOptions& options,
+                                     const std::vector<FleetPart>& fleet) {
+  JobSource source(options);
+  std::vector<PlannedJob> jobs;
+  double total_work = 0;
+  for (std::size_t i = 0; i < options.jobs; ++i) {
+    jobs.push_back(source.Next(i));
+    total_work += Work(jobs.back());
+  }
+  const double mean_work = total_work / static_cast<double>(options.jobs);
+  const double jobs_per_second =
+      options.utilization * FleetCapacity(fleet) / mean_work;
+  // A burst adds arrivals, so the gaps between groups grow in proportion.
+  const double group = 1 + kBurstPart * static_cast<double>(options.burst - 1);
+  double now = 0;
+  std::size_t left_in_burst = 0;
+  for (PlannedJob& job : jobs) {
+    if (left_in_burst > 0) {
+      --left_in_burst;
+    } else {
+      now += source.NextGap(jobs_per_second / group);
+      if (source.Chance(kBurstPart)) left_in_burst = options.burst - 1;
+    }
+    job.arrival = FromSeconds(now);
+  }
+  return jobs;
+}
+
+Duration EmptyFleetIdeal(const PlannedJob& job,
+                         const std::vector<FleetPart>& fleet) {
+  double fastest = fleet.front().slowness;
+  for (const FleetPart& part : fleet) {
+    fastest = std::min(fastest, part.slowness);
+  }
+  double longest = 0;
+  for (const PlannedTask& task : job.tasks) {
+    longest = std::max(longest, Seconds(task.duration));
+  }
+  return FromSeconds(
+      std::max(longest * fastest, Work(job) / FleetCapacity(fleet)));
+}
+
+std::vector<Duration> LoadedFleetIdeals(const std::vector<PlannedJob>& jobs,
+                                        const std::vector<FleetPart>& fleet) {
+  struct Pending {
+    double work = 0;
+    std::size_t job = 0;
+    auto operator<=>(const Pending&) const = default;
+  };
+  const double capacity = FleetCapacity(fleet);
+  std::vector<Duration> ideals(jobs.size());
+  std::set<Pending> pending;
+  double now = 0;
+  // Works until `until`, always on the job with the least left.
+  const auto work_until = [&](double until) {
+    while (!pending.empty() && now < until) {
+      Pending least = *pending.begin();
+      pending.erase(pending.begin());
+      const double needed = least.work / capacity;
+      if (now + needed > until) {
+        least.work -= (until - now) * capacity;
+        pending.insert(least);
+        break;
+      }
+      now += needed;
+      ideals[least.job] =
+          FromSeconds(now - Seconds(jobs[least.job].arrival));
+    }
+    now = std::max(now, until);
+  };
+  for (std::size_t i = 0; i < jobs.size(); ++i) {
+    work_until(Seconds(jobs[i].arrival));
+    pending.insert({Work(jobs[i]), i});
+  }
+  constexpr double kForEver = 1e12;
+  work_until(kForEver);
+  for (std::size_t i = 0; i < jobs.size(); ++i) {
+    ideals[i] = std::max(ideals[i], EmptyFleetIdeal(jobs[i], fleet));
+  }
+  return ideals;
+}
+
+}  // namespace dandelionspur
