utilities: Add the operators' command with replay and explain

explain prints one job's chain across processes from the records; replay runs every record again and compares the effects. Fixes a crash at the end of a planned stop: the threads' contexts were destroyed before the objects with timers on them; they are now declared first.

--- a/libraries/network/http_server.cc
+++ b/libraries/network/http_server.cc
@@ -62,16 +62,18 @@
     HttpRequest request = this->parser->release();
     this->keep_alive = request.keep_alive();
     this->version = request.version();
-    (*this->handler)(std::move(request),
-                     [self = this->shared_from_this()](HttpResponse answer) {
-                       self->Respond(std::move(answer));
-                     });
+    (*this->handler)(
+        std::move(request),
+        HttpResponder([self = this->shared_from_this()](
+                          HttpResponseMaker make) {
+          self->Respond(std::move(make));
+        }));
   }
 
-  void Respond(HttpResponse answer) {
+  void Respond(HttpResponseMaker make) {
     asio::post(this->socket.get_executor(),
-               [self = this->shared_from_this(),
-                message = std::move(answer)]() mutable {
+               [self = this->shared_from_this(), maker = std::move(make)] {
+                 HttpResponse message = maker();
                  message.version(self->version);
                  message.keep_alive(self->keep_alive);
                  self->Write(std::move(message));
--- a/libraries/network/http_server.h
+++ b/libraries/network/http_server.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "libraries/base/error.h"
 #include "libraries/network/thread_group.h"
@@ -20,8 +21,25 @@
 using HttpResponse =
     boost::beast::http::response<boost::beast::http::string_body>;
 
-// Sends the response to one request; may be called from any thread, once.
-using HttpResponder = std::function<void(HttpResponse)>;
+// Makes a response.
+using HttpResponseMaker = std::function<HttpResponse()>;
+
+// Answers one request; used once, from any thread.
+class HttpResponder {
+ public:
+  explicit HttpResponder(std::function<void(HttpResponseMaker)> sender)
+      : send(std::move(sender)) {}
+
+  void operator()(HttpResponse response) const {
+    this->send([made = std::move(response)] { return made; });
+  }
+  // Has the response made on the connection's thread.
+  void Defer(HttpResponseMaker make) const { this->send(std::move(make)); }
+
+ private:
+  std::function<void(HttpResponseMaker)> send;
+};
+
 // Called on one of the server's threads.
 using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
 
--- a/meta/demo.py
+++ b/meta/demo.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """The demo: starts a small cluster on loopback, runs jobs through it, prints a summary, and as the last line JSON."""
 
+import http.client
 import json
 import statistics
 import subprocess
@@ -34,16 +35,21 @@
     """Median time that entry and agent add to a 50 ms task, against the upstream asked directly, interleaved."""
     through, direct = [], []
     body = json.dumps({"sleep_ms": PROBE_MILLISECONDS, "token": "probe"})
-    for probe in range(PROBES):
-        began = time.perf_counter()
-        status, _ = clusters.call(
-            "POST", cluster.caller_port(probe % ENTRIES), "/v1/services/demo/requests", body, {"Idempotency-Key": f"probe-{probe}"}
-        )
-        through.append(time.perf_counter() - began)
-        assert status == 200, status
+    entries = [http.client.HTTPConnection(clusters.LOOPBACK, cluster.caller_port(e)) for e in range(ENTRIES)]
+    upstreams = [http.client.HTTPConnection(clusters.LOOPBACK, cluster.upstream_port(a)) for a in range(AGENTS)]
+
+    def timed(connection, path, headers):
         began = time.perf_counter()
-        clusters.call("POST", cluster.upstream_port(probe % AGENTS), f"/v1/tasks/direct-{probe}", body)
-        direct.append(time.perf_counter() - began)
+        connection.request("POST", path, body, headers)
+        response = connection.getresponse()
+        response.read()
+        assert response.status == 200, response.status
+        return time.perf_counter() - began
+
+    for probe in range(PROBES):
+        key = {"Idempotency-Key": f"probe-{probe}"}
+        through.append(timed(entries[probe % ENTRIES], "/v1/services/demo/requests", key))
+        direct.append(timed(upstreams[probe % AGENTS], f"/v1/tasks/direct-{probe}", {}))
     return (statistics.median(through) - statistics.median(direct)) * 1000
 
 
--- a/services/agent/agent_server.h
+++ b/services/agent/agent_server.h
@@ -53,6 +53,11 @@
   AgentSettings settings;
   AgentId self;
   Metrics metrics;
+  // Outlive everything that has sockets or timers on them; the destructor
+  // ends the threads first of all.
+  ThreadGroup core_thread{1};
+  ThreadGroup record_thread{1};
+  ThreadGroup input_output{1};
   ReasonCounters refusals;
   AgentCore core;
   Endpoint upstream_endpoint;
@@ -60,9 +65,6 @@
   std::unique_ptr<AgentLinks> links;
   std::unique_ptr<RecordKeeper<AgentCore>> records;
   std::unique_ptr<TableClient> table;
-  ThreadGroup core_thread{1};
-  ThreadGroup record_thread{1};
-  ThreadGroup input_output{1};
   boost::asio::steady_timer tick_timer;
   boost::asio::steady_timer view_timer;
   std::unique_ptr<HttpServer> admin_server;
--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -1,6 +1,5 @@
 #include "services/entry/caller_routes.h"
 
-#include <boost/asio/post.hpp>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -112,10 +111,9 @@
 };
 
 CallerRoutes::CallerRoutes(const PublishedServingState& state, CallerPort port,
-                           ThreadGroup& threads, Metrics& counters)
+                           Metrics& counters)
     : serving(state),
       core(std::move(port)),
-      input_output(threads),
       metrics(counters),
       answers(counters, "answers_total") {}
 
@@ -191,8 +189,8 @@
     this->answers.Count(answer.reason);
     this->metrics.Observe("response_seconds", elapsed.count());
     // Off the core's thread, since large answers take time to write.
-    boost::asio::post(this->input_output.Next(), [respond, answer, raw_answer] {
-      respond(AnswerResponse(answer, raw_answer, ""));
+    respond.Defer([answer, raw_answer] {
+      return AnswerResponse(answer, raw_answer, "");
     });
   });
 }
--- a/services/entry/caller_routes.h
+++ b/services/entry/caller_routes.h
@@ -24,7 +24,7 @@
 class CallerRoutes {
  public:
   CallerRoutes(const PublishedServingState& state, CallerPort port,
-               ThreadGroup& threads, Metrics& counters);
+               Metrics& counters);
 
   // Serves one request; on any of the server's threads.
   void Handle(HttpRequest request, HttpResponder responder);
@@ -40,7 +40,6 @@
 
   const PublishedServingState& serving;
   CallerPort core;
-  ThreadGroup& input_output;
   Metrics& metrics;
   ReasonCounters answers;
 };
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -16,7 +16,6 @@
 namespace http = boost::beast::http;
 
 constexpr std::chrono::milliseconds kTickInterval{50};
-// Time for the balancer to see that this entry is not ready any more.
 constexpr unsigned kOk = 200;
 constexpr unsigned kAccepted = 202;
 constexpr unsigned kNotFound = 404;
@@ -46,10 +45,10 @@
 EntryServer::EntryServer(const EntrySettings& configured, EntryId own)
     : settings(configured),
       self(own),
+      input_output(configured.input_output_threads),
       retries(this->metrics, "retries_total"),
       agent_messages(this->metrics, "messages_from_agents_total"),
       core(CoreSettings(configured, own)),
-      input_output(configured.input_output_threads),
       tick_timer(this->core_thread.First()) {}
 
 EntryServer::~EntryServer() {
@@ -82,7 +81,7 @@
   };
   port.cancel = [this](const JobKey& key) { this->Post(CallerCancelled{key}); };
   this->caller_routes = std::make_unique<CallerRoutes>(
-      this->serving, std::move(port), this->input_output, this->metrics);
+      this->serving, std::move(port), this->metrics);
   BOOST_LEAF_AUTO(
       bound_links,
       EntryLinks::Create(this->settings, this->self, this->core_thread.First(),
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -60,6 +60,11 @@
   EntrySettings settings;
   EntryId self;
   Metrics metrics;
+  // Outlive everything that has sockets or timers on them; the destructor
+  // ends the threads first of all.
+  ThreadGroup core_thread{1};
+  ThreadGroup record_thread{1};
+  ThreadGroup input_output;
   ReasonCounters retries;
   MessageCounters<AgentMessage> agent_messages;
   PublishedServingState serving;
@@ -67,15 +72,11 @@
   EntryCore core;
   std::map<RequestId, AnswerCallback> waiting;
   std::uint64_t last_request = 0;
-  // The threads end before anything above goes.
   std::unique_ptr<EntryLinks> links;
   std::unique_ptr<RecordKeeper<EntryCore>> records;
   std::unique_ptr<TableWatcher> table;
   std::unique_ptr<CallerRoutes> caller_routes;
   std::unique_ptr<DocumentRoutes> document_routes;
-  ThreadGroup core_thread{1};
-  ThreadGroup record_thread{1};
-  ThreadGroup input_output;
   boost::asio::steady_timer tick_timer;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> admin_server;
--- a/services/runtime/record_keeper.h
+++ b/services/runtime/record_keeper.h
@@ -4,8 +4,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <utility>
 #include <vector>
@@ -34,23 +36,27 @@
         recorder(role, process, core_settings, configured.spool_bytes),
         settings(configured),
         metrics(counters),
-        timer(thread) {
-    boost::asio::post(this->context, [this] { this->Schedule(); });
+        batch_timer(thread),
+        write_timer(thread) {
+    boost::asio::post(this->context, [this] {
+      this->ScheduleBatch();
+      this->ScheduleWrite();
+    });
   }
 
-  // From any thread, in the order of the steps.
+  // From any thread, in the order of the steps. The recorder's thread takes
+  // them over in batches, since waking it for each would cost more than the
+  // step itself.
   void Record(typename Core::Event event, Timestamp now,
               std::vector<typename Core::Effect> effects) {
-    boost::asio::post(this->context, [this, now, step_event = std::move(event),
-                                      step_effects = std::move(effects)] {
-      this->recorder.Record(step_event, now, step_effects);
-    });
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->pending.push_back({std::move(event), now, std::move(effects)});
   }
 
   // Passes all segments that the object store has not taken.
   void ReadUnsent(std::function<void(std::vector<FinishedSegment>)> callback) {
     boost::asio::post(this->context, [this, done = std::move(callback)] {
-      this->recorder.Close();
+      this->CloseSegment();
       done({this->recorder.unsent().begin(), this->recorder.unsent().end()});
     });
   }
@@ -58,22 +64,55 @@
   // Writes what is left, then calls back; gives up where the store is down.
   void Flush(std::function<void()> callback) {
     boost::asio::post(this->context, [this, done = std::move(callback)] {
-      this->recorder.Close();
+      this->CloseSegment();
       this->flushed = std::move(done);
       this->StoreOldest();
     });
   }
 
  private:
-  void Schedule() {
-    this->timer.expires_after(this->settings.write_interval);
-    this->timer.async_wait([this](boost::system::error_code error) {
+  struct PendingStep {
+    typename Core::Event event;
+    Timestamp now;
+    std::vector<typename Core::Effect> effects;
+  };
+
+  static constexpr std::chrono::milliseconds kBatchInterval{50};
+
+  void TakePending() {
+    std::vector<PendingStep> batch;
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      batch.swap(this->pending);
+    }
+    for (const PendingStep& step : batch) {
+      this->recorder.Record(step.event, step.now, step.effects);
+    }
+  }
+
+  void CloseSegment() {
+    this->TakePending();
+    this->recorder.Close();
+  }
+
+  void ScheduleBatch() {
+    this->batch_timer.expires_after(kBatchInterval);
+    this->batch_timer.async_wait([this](boost::system::error_code error) {
+      if (error) return;
+      this->TakePending();
+      this->ScheduleBatch();
+    });
+  }
+
+  void ScheduleWrite() {
+    this->write_timer.expires_after(this->settings.write_interval);
+    this->write_timer.async_wait([this](boost::system::error_code error) {
       if (error) return;
-      this->recorder.Close();
+      this->CloseSegment();
       CountRecords(this->metrics, this->recorder.lost_records(),
                    this->recorder.unsent().size());
       if (!this->flushed) this->StoreOldest();
-      this->Schedule();
+      this->ScheduleWrite();
     });
   }
 
@@ -100,8 +139,12 @@
   Recorder<Core> recorder;
   RecordingSettings settings;
   Metrics& metrics;
-  boost::asio::steady_timer timer;
+  boost::asio::steady_timer batch_timer;
+  boost::asio::steady_timer write_timer;
   std::function<void()> flushed;
+  std::mutex mutex;
+  // Guarded by the mutex.
+  std::vector<PendingStep> pending;
 };
 
 }  // namespace dandelionspur
--- /dev/null
+++ b/utilities/dandelionspur/main.cc
@@ -0,0 +1,97 @@
+#include <cxxopts.hpp>
+#include <iostream>
+#include <random>
+
+#include "utilities/dandelionspur/commands.h"
+
+namespace dandelionspur {
+namespace {
+
+constexpr const char* kUsage =
+    "service apply FILE   check a document and write it (--wait: until it is "
+    "in force everywhere)\n"
+    "service get NAME     print the document in force\n"
+    "service history NAME list the versions, newest first\n"
+    "service diff NAME FROM TO\n"
+    "status               what an entry knows\n"
+    "drain IP:PORT        planned stop of the process with this admin port\n"
+    "replay               run all records again and compare every effect\n"
+    "explain SERVICE KEY  what became of a job, and why\n";
+
+cxxopts::Options CommandLine() {
+  cxxopts::Options options("dandelionspur", "The operators' command.");
+  options.positional_help("COMMAND...").add_options()(
+      "entry", "admin port of any entry",
+      cxxopts::value<std::string>()->default_value("127.0.0.1:7002"),
+      "IP:PORT")("table", "the platform's table service and object store",
+                 cxxopts::value<std::string>()->default_value("127.0.0.1:7100"),
+                 "IP:PORT")("json", "print JSON")(
+      "wait", "return only when the change has taken effect")(
+      "timeout-s", "how long --wait waits",
+      cxxopts::value<std::int64_t>()->default_value("30"), "SECONDS")(
+      "change-id",
+      "names this change; repeat a change whose answer was lost with the same "
+      "one",
+      cxxopts::value<std::string>(), "ID")("help", "this text")(
+      "version", "print the version")(
+      "words", "", cxxopts::value<std::vector<std::string>>());
+  options.parse_positional({"words"});
+  return options;
+}
+
+std::string NewChangeId() {
+  std::random_device random;
+  std::ostringstream text;
+  text << std::hex << random() << random();
+  return text.str();
+}
+
+Result<CommandExit> Run(const cxxopts::ParseResult& parsed) {
+  CommandOptions options;
+  BOOST_LEAF_ASSIGN(options.entry,
+                    ParseEndpoint(parsed["entry"].as<std::string>()));
+  BOOST_LEAF_ASSIGN(options.table,
+                    ParseEndpoint(parsed["table"].as<std::string>()));
+  if (parsed.count("json") > 0) options.output = OutputForm::kJson;
+  if (parsed.count("wait") > 0) options.wait = WaitMode::kUntilInForce;
+  options.timeout =
+      std::chrono::seconds(parsed["timeout-s"].as<std::int64_t>());
+  options.change_id = parsed.count("change-id") > 0
+                          ? parsed["change-id"].as<std::string>()
+                          : NewChangeId();
+  std::vector<std::string> words;
+  if (parsed.count("words") > 0) {
+    words = parsed["words"].as<std::vector<std::string>>();
+  }
+  return Commands(options).Run(words);
+}
+
+}  // namespace
+}  // namespace dandelionspur
+
+int main(int argument_count, char** arguments) {
+  using dandelionspur::CommandExit;
+  cxxopts::Options options = dandelionspur::CommandLine();
+  try {
+    const cxxopts::ParseResult parsed =
+        options.parse(argument_count, arguments);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help() << "\nCommands:\n" << dandelionspur::kUsage;
+      return 0;
+    }
+    if (parsed.count("version") > 0) {
+      std::cout << "dandelionspur " << DANDELIONSPUR_VERSION << "\n";
+      return 0;
+    }
+    const CommandExit code = dandelionspur::OrElse(
+        [&] { return dandelionspur::Run(parsed); },
+        [](const std::string& message) {
+          std::cerr << "dandelionspur: " << message << "\n";
+          return CommandExit::kBadUsage;
+        });
+    return static_cast<int>(code);
+  } catch (const cxxopts::exceptions::exception& exception) {
+    std::cerr << "dandelionspur: " << exception.what() << "\n";
+    return static_cast<int>(CommandExit::kBadUsage);
+  }
+}
--- /dev/null
+++ b/utilities/dandelionspur/operator_client.cc
@@ -0,0 +1,102 @@
+#include "utilities/dandelionspur/operator_client.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <utility>
+
+namespace dandelionspur {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr Duration kTimeout = std::chrono::seconds(10);
+constexpr unsigned kOk = 200;
+
+}  // namespace
+
+Result<Endpoint> ParseEndpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  Endpoint endpoint;
+  boost::system::error_code error;
+  if (colon != std::string::npos) {
+    endpoint.address = text.substr(0, colon);
+    boost::asio::ip::make_address(endpoint.address, error);
+    const char* end = text.data() + text.size();
+    const auto parsed =
+        std::from_chars(text.data() + colon + 1, end, endpoint.port);
+    const bool valid = !error && parsed.ec == std::errc() &&
+                       parsed.ptr == end && endpoint.port > 0;
+    if (valid) return endpoint;
+  }
+  return Fail("\"" + text + "\" must be IP:PORT");
+}
+
+AdminReply OperatorClient::Send(const Endpoint& endpoint, http::verb verb,
+                                const std::string& path,
+                                const std::string& body) {
+  boost::asio::io_context context(1);
+  const auto client = HttpClient::Create(context, endpoint, 1);
+  AdminReply reply;
+  client->Send(MakeHttpRequest(verb, path, body), kTimeout,
+               [&](const HttpResult& result) {
+                 if (result.progress != HttpProgress::kAnswered) return;
+                 reply.status = result.response.result_int();
+                 reply.body = result.response.body();
+               });
+  context.run();
+  reply.json = nlohmann::json::parse(reply.body, nullptr, false);
+  if (reply.json.is_discarded()) reply.json = nullptr;
+  return reply;
+}
+
+std::vector<Endpoint> OperatorClient::LiveProcesses(const Endpoint& entry) {
+  std::vector<Endpoint> endpoints;
+  const AdminReply status =
+      this->Send(entry, http::verb::get, "/v1/status", "");
+  if (!status.json.is_object()) return endpoints;
+  const auto add = [&](const nlohmann::json& process) {
+    OrElse(
+        [&]() -> Result<int> {
+          BOOST_LEAF_AUTO(endpoint, ParseEndpoint(process.value("admin", "")));
+          endpoints.push_back(endpoint);
+          return 0;
+        },
+        [](const std::string&) { return 0; });
+  };
+  for (const nlohmann::json& member : status.json["members"]) add(member);
+  for (const nlohmann::json& agent : status.json["agents"]) {
+    if (agent.value("connected", false)) add(agent);
+  }
+  return endpoints;
+}
+
+Result<RecordArchive> OperatorClient::CollectRecords(const Endpoint& entry,
+                                                     const Endpoint& table) {
+  RecordArchive archive;
+  // The live processes first: a segment that is sent in between is then read
+  // twice, and not missed.
+  for (const Endpoint& process : this->LiveProcesses(entry)) {
+    const AdminReply unsent =
+        this->Send(process, http::verb::get, "/v1/records", "");
+    if (unsent.status != kOk) continue;
+    BOOST_LEAF_CHECK(archive.AddList(
+        unsent.body, process.address + ":" + std::to_string(process.port)));
+  }
+  const AdminReply list =
+      this->Send(table, http::verb::get, "/v1/objects?prefix=records/", "");
+  if (list.status != kOk || !list.json.is_object()) {
+    return Fail("the object store does not answer");
+  }
+  for (const nlohmann::json& key : list.json["keys"]) {
+    const std::string name = key.get<std::string>();
+    const AdminReply object =
+        this->Send(table, http::verb::get, "/v1/objects/" + name, "");
+    if (object.status != kOk) {
+      return Fail("the object store does not give " + name);
+    }
+    BOOST_LEAF_CHECK(archive.Add(object.body, name));
+  }
+  return archive;
+}
+
+}  // namespace dandelionspur
--- a/utilities/upstream_stand_in/stand_in_upstream.cc
+++ b/utilities/upstream_stand_in/stand_in_upstream.cc
@@ -99,8 +99,9 @@
   const nlohmann::json body =
       nlohmann::json::parse(request.body(), nullptr, false);
   std::int64_t sleep = kDefaultSleepMilliseconds;
-  RunningTask& task = this->running[id];
-  task.responder = responder;
+  RunningTask& task =
+      this->running.insert_or_assign(id, RunningTask(responder))
+          .first->second;
   if (body.is_object()) {
     sleep = body.value("sleep_ms", sleep);
     task.token = body.value("token", "");
--- a/utilities/upstream_stand_in/stand_in_upstream.h
+++ b/utilities/upstream_stand_in/stand_in_upstream.h
@@ -49,6 +49,9 @@
  private:
   enum class Mode { kNormal, kFailEverything, kHang };
   struct RunningTask {
+    explicit RunningTask(HttpResponder respond)
+        : responder(std::move(respond)) {}
+
     HttpResponder responder;
     std::string token;
     bool fails = false;
