entry_core: Heal only buckets whose every key is known

Now only a bucket that is whole is healed. Ruled out: a wrong loss proof in the view (the losses were right). Also remembers refused attempts, so that a delayed duplicate of a refused relay starts nothing.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -434,11 +434,9 @@
   if (!this->draining) {
     this->ownership.Acquire(this->ownership.Vacant(now), now);
   }
-  const std::vector<BucketId> activated = this->ownership.ActivateReady(now);
-  if (!activated.empty()) {
-    this->relays.OnActivated(activated, now);
-    this->hand_over.Heal(activated);
-  }
+  const Ownership::Activation activation = this->ownership.ActivateReady(now);
+  this->relays.OnActivated(activation.activated, now);
+  this->hand_over.Heal(activation.made_whole);
   this->home.Dispatch(now);
 }
 
--- a/libraries/entry_core/hand_over.h
+++ b/libraries/entry_core/hand_over.h
@@ -21,8 +21,10 @@
   KeyHandOver(const EntryCoreSettings& configured, Ownership& owner,
               PeerDirectory& directory, EntryOutbox& effects);
 
-  // Heals: gives the keys of buckets that became active here to the others,
-  // if the view has losses that their keys may have been witnessed by.
+  // Heals: gives the keys of buckets to the others, if the view has losses
+  // that may have witnessed some. Only for buckets of which this entry, as
+  // home, knows every started key: otherwise the lost entry would be counted
+  // as replaced while it alone knew of a start.
   void Heal(const std::vector<BucketId>& buckets);
   // Before a planned stop: gives away all keys known here.
   void BeginDeparture();
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -32,7 +32,8 @@
       agents(registry),
       confirmer(refusals),
       outbox(effects),
-      kept(configured.maximum_answer_bytes, configured.duplicate_window) {}
+      kept(configured.maximum_answer_bytes, configured.duplicate_window),
+      refused_attempts(configured.duplicate_window) {}
 
 void HomeJobs::ApplyDocument(const ServiceDocument& document) {
   const auto found = this->services.find(document.service);
@@ -47,6 +48,8 @@
 void HomeJobs::Accept(const JobSubmission& submission, const Waiter& waiter,
                       std::optional<EntryId> witness, Timestamp now) {
   const JobKey& key = submission.key;
+  const RelayOrigin* origin = std::get_if<RelayOrigin>(&waiter);
+  if (origin != nullptr && this->refused_attempts.Contains(*origin)) return;
   if (const KeptAnswer* answer = this->kept.Find(key)) {
     const bool same = submission.Matches(answer->body_digest);
     this->AnswerWaiter(
@@ -422,7 +425,7 @@
 }
 
 void HomeJobs::OnRefusalsConfirmed(
-    const std::vector<ConfirmedRefusal>& confirmed, Timestamp /*now*/) {
+    const std::vector<ConfirmedRefusal>& confirmed, Timestamp now) {
   for (const ConfirmedRefusal& refusal : confirmed) {
     HomeJob* job = this->Find(refusal.key);
     if (job == nullptr || job->phase != JobPhase::kRefusing) continue;
@@ -430,6 +433,9 @@
         JobAnswer::NotRun(job->refusal, refusal.proof, job->retry_after);
     for (const Waiter& waiter : job->waiters) {
       this->AnswerWaiter(waiter, refusal.key, answer);
+      if (const auto* origin = std::get_if<RelayOrigin>(&waiter)) {
+        this->refused_attempts.Add(*origin, now);
+      }
     }
     // Not kept: a later submission of the key may run.
     this->Erase(*job);
@@ -472,6 +478,7 @@
   }
   this->OnHistoryGrown(now);
   this->kept.Expire(now);
+  this->refused_attempts.Expire(now);
 }
 
 void HomeJobs::OnHistoryGrown(Timestamp now) {
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -15,6 +15,7 @@
 #include "libraries/entry_core/kept_answers.h"
 #include "libraries/entry_core/ownership.h"
 #include "libraries/entry_core/refusal_confirmer.h"
+#include "libraries/entry_core/refused_attempts.h"
 #include "libraries/entry_core/service_state.h"
 
 namespace dandelionspur {
@@ -123,6 +124,7 @@
   // Tasks sent to each agent that have not ended.
   std::map<AgentId, std::set<TaskId>> outstanding;
   KeptAnswers kept;
+  RefusedAttempts refused_attempts;
 };
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -231,8 +231,8 @@
   }
 }
 
-std::vector<BucketId> Ownership::ActivateReady(Timestamp now) {
-  std::vector<BucketId> activated;
+Ownership::Activation Ownership::ActivateReady(Timestamp now) {
+  Activation result;
   std::vector<BucketBallot> ballots;
   for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
     const BucketId id(i);
@@ -242,18 +242,20 @@
     if (phase == OwnershipPhase::kActive) {
       if (bucket.fresh_after && this->IsWhole(id, bucket)) {
         bucket.fresh_after.reset();
+        result.made_whole.push_back(id);
       }
       continue;
     }
     if (!this->TryActivate(id, bucket, now)) continue;
-    activated.push_back(id);
+    result.activated.push_back(id);
+    if (!bucket.fresh_after) result.made_whole.push_back(id);
     ballots.push_back({id, bucket.mine});
   }
   if (!ballots.empty()) {
     this->outbox.Add(
         OwnershipChanged{OwnershipPhase::kActive, std::move(ballots)});
   }
-  return activated;
+  return result;
 }
 
 void Ownership::Remember(const KnownKey& known, Timestamp now) {
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -91,8 +91,13 @@
                                             Timestamp now);
   // Asks an agent that has become ready for the promises needed from it.
   void RequestFromAgent(AgentId agent);
-  // Makes buckets active whose promises suffice; returns them.
-  std::vector<BucketId> ActivateReady(Timestamp now);
+  struct Activation {
+    std::vector<BucketId> activated;
+    // Buckets of which every started key is known from now on.
+    std::vector<BucketId> made_whole;
+  };
+  // Makes buckets active whose promises suffice.
+  Activation ActivateReady(Timestamp now);
 
   // Remembers a key that this entry now answers for as home or witness.
   void Remember(const KnownKey& known, Timestamp now);
--- /dev/null
+++ b/tests/support/protocol_world.cc
@@ -0,0 +1,862 @@
+#include "tests/support/protocol_world.h"
+
+#include <algorithm>
+
+#include "libraries/protocol/codec.h"
+
+namespace dandelionspur {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(50);
+constexpr Duration kDeadline = std::chrono::seconds(4);
+// Long enough for every deadline, its grace, and takeovers in between.
+constexpr int kSettleTicks = 400;
+constexpr int kTicksPerPoll = 20;
+const char* const kService = "s";
+const ServiceName kServiceName{kService};
+
+std::string DocumentText() {
+  return R"({"service": "s", "owner": "o", "maximum_queued_tasks": 5,)"
+         R"( "maximum_deadline_ms": 60000})";
+}
+
+Payload ResultOf(const TaskId& id) {
+  return Payload::FromBytes(id.key.ToHex() + "/" +
+                            std::to_string(id.task.value()));
+}
+
+Payload BodyOf(const TaskId& id) {
+  return Payload::FromBytes("body " + id.key.ToHex() +
+                            std::to_string(id.task.value()));
+}
+
+template <typename T>
+T& Pick(std::vector<T>& items, std::uint32_t choice) {
+  return items[choice % items.size()];
+}
+
+}  // namespace
+
+ProtocolWorld::ProtocolWorld(const WorldOptions& configured)
+    : options(configured), now(std::chrono::seconds(1'000'000)) {
+  for (std::uint32_t i = 0; i < this->options.entries; ++i) {
+    this->StartEntry(i);
+  }
+  for (std::uint32_t i = 0; i < this->options.agents; ++i) {
+    this->StartAgent(i);
+  }
+  this->ApplyDocument();
+  // The cluster is up before anything fails.
+  for (int i = 0; i < 3 * kTicksPerPoll; ++i) {
+    while (!this->channels.empty()) this->DeliverOne(0);
+    if (i % kTicksPerPoll == 0) {
+      for (const NodeId entry : this->AliveEntries()) {
+        this->HandleEntry(entry, ViewRead{this->table_view});
+        this->HandleEntry(
+            entry, DocumentRead{{kServiceName, this->table_version,
+                                 DocumentText()}});
+      }
+    }
+    this->AdvanceTime(kTick);
+  }
+}
+
+void ProtocolWorld::Step(std::uint32_t choice) {
+  if (this->broken) return;
+  constexpr std::uint32_t kKinds = 128;
+  const std::uint32_t kind = choice % kKinds;
+  const std::uint32_t rest = choice / kKinds;
+  // The weights make faults rare against deliveries, as a run would otherwise
+  // only see dead processes. Runs differ in how much goes wrong.
+  if (kind < 62) {
+    for (std::uint32_t i = 0; i <= rest % 12; ++i) this->DeliverOne(rest / 12 + i);
+    return;
+  }
+  if (kind < 78) return this->Submit(rest);
+  if (kind < 90) {
+    const bool long_pause = rest % 16 == 0;
+    return this->AdvanceTime(kTick * (long_pause ? 24 : 1 + rest % 4));
+  }
+  if (kind < 104) return this->FinishTask(rest);
+  if (kind < 107) return this->PollTable(rest);
+  constexpr std::uint32_t kIntensities = 4;
+  if (rest % kIntensities >= this->options.intensity) return;
+  const std::uint32_t fault_choice = rest / kIntensities;
+  if (kind < 110) return this->DeliverOutOfOrder(fault_choice);
+  if (kind < 113) return this->FreezeOrThaw(fault_choice);
+  if (kind < 117) return this->CutOrReconnect(fault_choice);
+  if (kind < 119) return this->KillEntry(fault_choice);
+  if (kind < 120) return this->KillAgent(fault_choice);
+  if (kind < 123) return this->RestartSomething(fault_choice);
+  if (kind < 124) return this->Cancel(fault_choice);
+  if (kind < 125) return this->DrainOrLeave(fault_choice);
+  if (kind < 126) {
+    this->table_up = !this->table_up;
+    return;
+  }
+  this->ApplyDocument();
+}
+
+void ProtocolWorld::Settle() {
+  if (this->broken) return;
+  this->Note("settle");
+  this->table_up = true;
+  for (auto& [id, entry] : this->entries) {
+    if (!entry.alive) this->TellDead(id);
+  }
+  for (auto& [id, agent] : this->agents) {
+    if (!agent.alive) this->TellDead(id);
+  }
+  for (const NodeId node : this->AliveEntries()) this->Thaw(node);
+  for (const NodeId node : this->AliveAgents()) this->Thaw(node);
+  for (int i = 0; i < kSettleTicks && !this->broken; ++i) {
+    for (const NodeId entry : this->AliveEntries()) {
+      for (const NodeId other : this->AliveEntries()) {
+        if (entry < other) this->Connect(entry, other);
+      }
+      for (const NodeId agent : this->AliveAgents()) {
+        this->Connect(entry, agent);
+      }
+      if (i % kTicksPerPoll == 0) this->PollTable(static_cast<uint32_t>(entry));
+    }
+    std::size_t deliveries = 0;
+    constexpr std::size_t kMaximumDeliveries = 20'000;
+    while (!this->channels.empty() && ++deliveries < kMaximumDeliveries) {
+      this->DeliverOne(0);
+    }
+    while (!this->running.empty()) this->FinishTask(0);
+    this->AdvanceTime(kTick);
+  }
+  if (this->broken) return;
+  for (const auto& [request, submission] : this->submissions) {
+    const bool waits = !submission.answered && this->IsAlive(submission.entry);
+    if (waits) this->Fail("a request is never answered");
+  }
+}
+
+std::string ProtocolWorld::Log() const {
+  std::string text;
+  for (const std::string& line : this->log) text += line + "\n";
+  return text;
+}
+
+bool ProtocolWorld::ReplaysEqually() const {
+  for (const auto& [id, entry] : this->entries) {
+    EntryCoreSettings settings;
+    settings.self = EntryId(id);
+    settings.bucket_count = this->options.buckets;
+    EntryCore replay(settings);
+    for (const RecordedEntryStep& step : entry.steps) {
+      const std::vector<EntryEffect> effects =
+          replay.Handle(step.event, step.now);
+      if (RecordCodec::ToMessagePack(effects) != step.effects) return false;
+    }
+  }
+  return true;
+}
+
+void ProtocolWorld::DeliverOne(std::uint32_t choice) {
+  if (this->channels.empty()) return;
+  auto position = this->channels.begin();
+  std::advance(position, choice % this->channels.size());
+  const Channel channel = position->first;
+  if (this->IsAlive(channel.second) && this->IsFrozen(channel.second)) return;
+  const Message message = position->second.front();
+  position->second.pop_front();
+  if (position->second.empty()) this->channels.erase(position);
+  this->Deliver(channel.first, channel.second, message);
+}
+
+void ProtocolWorld::DeliverOutOfOrder(std::uint32_t choice) {
+  if (this->channels.empty()) return;
+  auto position = this->channels.begin();
+  std::advance(position, choice % this->channels.size());
+  const Channel channel = position->first;
+  if (this->IsFrozen(channel.second)) return;
+  // A copy is delivered; the message itself stays, so this also duplicates.
+  const Message message =
+      position->second[(choice / 7) % position->second.size()];
+  this->Deliver(channel.first, channel.second, message);
+}
+
+void ProtocolWorld::Submit(std::uint32_t choice) {
+  std::vector<NodeId> alive = this->AliveEntries();
+  if (alive.empty()) return;
+  const NodeId entry = Pick(alive, choice);
+  if (this->IsFrozen(entry)) return;
+  // A new key, or one of the latest few once more.
+  const bool is_new = (choice / 16) % 3 == 0 || this->key_count == 0;
+  if (is_new) ++this->key_count;
+  const std::uint32_t window = std::min(this->options.keys, this->key_count);
+  const std::uint32_t number =
+      is_new ? this->key_count - 1
+             : this->key_count - 1 - (choice / 64) % window;
+  JobSubmission job;
+  job.key = this->KeyOf(number);
+  job.service = kServiceName;
+  job.team = TeamName("t");
+  job.time_allowed = kDeadline;
+  job.body_digest = number;
+  // Half of the keys carry their age.
+  if (number % 2 == 0) job.created = Timestamp(std::chrono::seconds(999'999));
+  for (std::uint32_t i = 0; i < this->options.tasks_per_job; ++i) {
+    job.tasks.push_back({BodyOf({job.key, TaskIndex(i)}),
+                         std::chrono::milliseconds(100)});
+  }
+  const RequestId request(++this->last_request);
+  this->submissions[request] = {entry, job.key, false, false};
+  this->Note("submit key " + std::to_string(number) + " at entry " +
+             std::to_string(entry));
+  this->HandleEntry(entry, CallerSubmitted{request, job});
+}
+
+void ProtocolWorld::AdvanceTime(Duration step) {
+  this->now += step;
+  for (const NodeId entry : this->AliveEntries()) {
+    if (!this->IsFrozen(entry)) this->HandleEntry(entry, EntryTick{});
+  }
+  for (const NodeId agent : this->AliveAgents()) {
+    if (!this->IsFrozen(agent)) this->HandleAgent(agent, AgentTick{});
+  }
+}
+
+void ProtocolWorld::FinishTask(std::uint32_t choice) {
+  if (this->running.empty()) return;
+  const std::size_t index = choice % this->running.size();
+  const RunningTask task = this->running[index];
+  this->running.erase(this->running.begin() +
+                      static_cast<std::ptrdiff_t>(index));
+  if (!this->IsAlive(task.agent)) return;
+  constexpr std::uint32_t kFailureEvery = 16;
+  const bool fails = (choice / 32) % kFailureEvery == 1;
+  this->HandleAgent(
+      task.agent,
+      UpstreamEnded{task.task,
+                    fails ? UpstreamResult::kBroken
+                          : UpstreamResult::kSucceeded,
+                    ResultOf(task.task), std::chrono::milliseconds(100)});
+}
+
+void ProtocolWorld::PollTable(std::uint32_t choice) {
+  std::vector<NodeId> alive = this->AliveEntries();
+  if (!this->table_up || alive.empty()) return;
+  const NodeId entry = Pick(alive, choice);
+  if (this->IsFrozen(entry)) return;
+  this->HandleEntry(entry, ViewRead{this->table_view});
+  this->HandleEntry(entry, DocumentRead{{kServiceName, this->table_version,
+                                         DocumentText()}});
+  if (this->IsAlive(entry) && !this->entries.at(entry).draining &&
+      this->entries.at(entry).core->view().Find(EntryId(entry)) == nullptr) {
+    this->JoinView(entry);
+  }
+}
+
+void ProtocolWorld::KillEntry(std::uint32_t choice) {
+  std::vector<NodeId> alive = this->AliveEntries();
+  if (alive.size() < 2) return;
+  this->EndEntry(Pick(alive, choice));
+}
+
+void ProtocolWorld::KillAgent(std::uint32_t choice) {
+  std::vector<NodeId> alive = this->AliveAgents();
+  if (alive.size() < 2) return;
+  this->EndAgent(Pick(alive, choice));
+}
+
+void ProtocolWorld::RestartSomething(std::uint32_t choice) {
+  const bool reuse_agent =
+      this->options.fault == DeliberateFault::kReuseAgentIncarnation;
+  const bool reuse_entry =
+      this->options.fault == DeliberateFault::kReuseEntryIncarnation;
+  for (std::uint32_t slot = 0; slot < this->options.entries; ++slot) {
+    const std::uint32_t wanted = (slot + choice) % this->options.entries;
+    const bool taken = std::any_of(
+        this->entries.begin(), this->entries.end(), [&](const auto& item) {
+          return item.second.alive && item.second.slot == wanted;
+        });
+    if (taken) continue;
+    if (reuse_entry) {
+      for (auto& [id, entry] : this->entries) {
+        if (entry.alive || entry.slot != wanted) continue;
+        EntryCoreSettings settings;
+        settings.self = EntryId(id);
+        settings.bucket_count = this->options.buckets;
+        entry = Entry();
+        entry.core = std::make_unique<EntryCore>(settings);
+        entry.slot = wanted;
+        this->Note("entry " + std::to_string(id) + " reused");
+        this->HandleEntry(id, ViewRead{this->table_view});
+        return;
+      }
+    }
+    this->StartEntry(wanted);
+    return;
+  }
+  for (std::uint32_t slot = 0; slot < this->options.agents; ++slot) {
+    const bool taken = std::any_of(
+        this->agents.begin(), this->agents.end(), [&](const auto& item) {
+          return item.second.alive && item.second.slot == slot;
+        });
+    if (taken) continue;
+    if (reuse_agent) {
+      for (auto& [id, agent] : this->agents) {
+        if (agent.alive || agent.slot != slot) continue;
+        AgentCoreSettings settings;
+        settings.self = AgentId(id);
+        settings.bucket_count = this->options.buckets;
+        agent = Agent();
+        agent.core = std::make_unique<AgentCore>(settings);
+        agent.slot = slot;
+        AgentDescription description;
+        description.service = kServiceName;
+        description.slots = 2;
+        description.admin_endpoint.port =
+            static_cast<std::uint16_t>(1000 + slot);
+        this->Note("agent " + std::to_string(id) + " reused");
+        this->HandleAgent(id, UpstreamAnnounced{description});
+        this->HandleAgent(id, AgentViewRead{this->table_view});
+        return;
+      }
+    }
+    this->StartAgent(slot);
+    return;
+  }
+}
+
+void ProtocolWorld::FreezeOrThaw(std::uint32_t choice) {
+  std::vector<NodeId> nodes = this->AliveEntries();
+  for (const NodeId agent : this->AliveAgents()) nodes.push_back(agent);
+  if (nodes.empty()) return;
+  // Most freezes are short: the frozen thaw before others freeze.
+  for (const NodeId candidate : nodes) {
+    if (!this->IsFrozen(candidate) || choice % 3 == 0) continue;
+    this->Thaw(candidate);
+    return;
+  }
+  const NodeId node = Pick(nodes, choice);
+  this->Note("freeze " + std::to_string(node));
+  const auto entry = this->entries.find(node);
+  if (entry != this->entries.end()) {
+    entry->second.frozen = true;
+  } else {
+    this->agents.at(node).frozen = true;
+  }
+}
+
+void ProtocolWorld::CutOrReconnect(std::uint32_t choice) {
+  std::vector<NodeId> alive_entries = this->AliveEntries();
+  std::vector<NodeId> nodes = alive_entries;
+  for (const NodeId agent : this->AliveAgents()) nodes.push_back(agent);
+  if (alive_entries.empty()) return;
+  const NodeId first = Pick(alive_entries, choice);
+  const NodeId second = Pick(nodes, choice / 8);
+  if (first == second) return;
+  const Channel link = std::minmax(first, second);
+  if (!this->links.contains(link)) {
+    this->Connect(first, second);
+    return;
+  }
+  this->Disconnect(first, second);
+  // Most cuts are short.
+  if ((choice / 64) % 4 != 0) this->Connect(first, second);
+}
+
+void ProtocolWorld::Cancel(std::uint32_t choice) {
+  std::vector<NodeId> alive = this->AliveEntries();
+  if (alive.empty()) return;
+  const NodeId entry = Pick(alive, choice);
+  if (this->IsFrozen(entry)) return;
+  if (this->key_count == 0) return;
+  const JobKey key = this->KeyOf((choice / 8) % this->key_count);
+  this->HandleEntry(entry, CallerCancelled{key});
+}
+
+void ProtocolWorld::DrainOrLeave(std::uint32_t choice) {
+  if (choice % 2 == 0) {
+    std::vector<NodeId> alive = this->AliveEntries();
+    if (alive.size() < 3) return;
+    const NodeId entry = Pick(alive, choice / 2);
+    if (this->IsFrozen(entry)) return;
+    this->Note("drain entry " + std::to_string(entry));
+    this->entries.at(entry).draining = true;
+    this->HandleEntry(entry, DrainRequested{});
+    return;
+  }
+  std::vector<NodeId> alive = this->AliveAgents();
+  if (alive.size() < 2) return;
+  const NodeId agent = Pick(alive, choice / 2);
+  if (this->IsFrozen(agent)) return;
+  this->agents.at(agent).leaving = true;
+  if (this->options.fault == DeliberateFault::kIgnoreLeaving) return;
+  this->HandleAgent(agent, LeaveRequested{});
+}
+
+void ProtocolWorld::ApplyDocument() {
+  if (!this->table_up) return;
+  this->table_version = DocumentVersion(this->table_version.value() + 1);
+}
+
+ProtocolWorld::NodeId ProtocolWorld::StartEntry(std::uint32_t slot) {
+  const NodeId id = ++this->last_node;
+  EntryCoreSettings settings;
+  settings.self = EntryId(id);
+  settings.bucket_count = this->options.buckets;
+  Entry& entry = this->entries[id];
+  entry.core = std::make_unique<EntryCore>(settings);
+  entry.slot = slot;
+  this->Note("entry " + std::to_string(id) + " starts");
+  this->JoinView(id);
+  if (this->table_up) this->HandleEntry(id, ViewRead{this->table_view});
+  return id;
+}
+
+void ProtocolWorld::JoinView(NodeId entry) {
+  if (!this->table_up) return;
+  ViewMember member;
+  member.entry = EntryId(entry);
+  member.peer_endpoint.port =
+      static_cast<std::uint16_t>(1 + this->entries.at(entry).slot);
+  this->table_view = WithMember(this->table_view, member, this->now);
+  this->Note("view " + std::to_string(this->table_view.epoch.value()) +
+             " with entry " + std::to_string(entry));
+}
+
+ProtocolWorld::NodeId ProtocolWorld::StartAgent(std::uint32_t slot) {
+  const NodeId id = ++this->last_node;
+  AgentCoreSettings settings;
+  settings.self = AgentId(id);
+  settings.bucket_count = this->options.buckets;
+  Agent& agent = this->agents[id];
+  agent.core = std::make_unique<AgentCore>(settings);
+  agent.slot = slot;
+  AgentDescription description;
+  description.service = kServiceName;
+  description.slots = 2;
+  description.admin_endpoint.port = static_cast<std::uint16_t>(1000 + slot);
+  this->Note("agent " + std::to_string(id) + " starts");
+  this->HandleAgent(id, UpstreamAnnounced{description});
+  if (this->table_up) this->HandleAgent(id, AgentViewRead{this->table_view});
+  return id;
+}
+
+void ProtocolWorld::EndEntry(NodeId id) {
+  Entry& entry = this->entries.at(id);
+  this->Note("entry " + std::to_string(id) + " ends");
+  entry.alive = false;
+  entry.deferred.clear();
+  for (auto& [other, unused] : this->entries) this->Disconnect(id, other);
+  for (auto& [other, unused] : this->agents) this->Disconnect(id, other);
+}
+
+void ProtocolWorld::EndAgent(NodeId id) {
+  Agent& agent = this->agents.at(id);
+  this->Note("agent " + std::to_string(id) + " ends");
+  agent.alive = false;
+  agent.deferred.clear();
+  for (auto& [other, unused] : this->entries) this->Disconnect(id, other);
+  if (id % 2 == 0) this->TellDead(id);
+}
+
+void ProtocolWorld::TellDead(NodeId dead) {
+  if (this->options.fault == DeliberateFault::kReuseAgentIncarnation ||
+      this->options.fault == DeliberateFault::kReuseEntryIncarnation) {
+    return;
+  }
+  for (const NodeId entry : this->AliveEntries()) {
+    if (this->entries.contains(dead)) {
+      this->HandleEntry(entry, PeerProvenDead{EntryId(dead)});
+    } else {
+      this->HandleEntry(entry, AgentProvenDead{AgentId(dead)});
+    }
+  }
+}
+
+void ProtocolWorld::Thaw(NodeId node) {
+  const auto found = this->entries.find(node);
+  if (found != this->entries.end()) {
+    found->second.frozen = false;
+    std::deque<EntryEvent> events;
+    events.swap(found->second.deferred);
+    for (const EntryEvent& event : events) this->HandleEntry(node, event);
+    return;
+  }
+  Agent& agent = this->agents.at(node);
+  agent.frozen = false;
+  std::deque<AgentEvent> events;
+  events.swap(agent.deferred);
+  for (const AgentEvent& event : events) this->HandleAgent(node, event);
+}
+
+void ProtocolWorld::Connect(NodeId first, NodeId second) {
+  if (!this->IsAlive(first) || !this->IsAlive(second)) return;
+  const Channel link = std::minmax(first, second);
+  if (!this->links.insert(link).second) return;
+  this->TellConnection(first, second, true);
+  this->TellConnection(second, first, true);
+}
+
+void ProtocolWorld::Disconnect(NodeId first, NodeId second) {
+  const Channel link = std::minmax(first, second);
+  if (this->links.erase(link) == 0) return;
+  this->channels.erase({first, second});
+  this->channels.erase({second, first});
+  this->TellConnection(first, second, false);
+  this->TellConnection(second, first, false);
+}
+
+void ProtocolWorld::TellConnection(NodeId node, NodeId other, bool up) {
+  if (!this->IsAlive(node)) return;
+  const bool other_is_entry = this->entries.contains(other);
+  if (!this->entries.contains(node)) {
+    if (up) {
+      this->HandleAgent(node, EntryConnected{EntryId(other)});
+    } else {
+      this->HandleAgent(node, EntryDisconnected{EntryId(other)});
+    }
+    return;
+  }
+  EntryEvent event;
+  if (other_is_entry) {
+    if (up) {
+      event = PeerConnected{EntryId(other)};
+    } else {
+      event = PeerDisconnected{EntryId(other)};
+    }
+  } else {
+    if (up) {
+      event = AgentConnected{AgentId(other)};
+    } else {
+      event = AgentDisconnected{AgentId(other)};
+    }
+  }
+  this->HandleEntry(node, event);
+}
+
+bool ProtocolWorld::IsAlive(NodeId node) const {
+  const auto entry = this->entries.find(node);
+  if (entry != this->entries.end()) return entry->second.alive;
+  const auto agent = this->agents.find(node);
+  return agent != this->agents.end() && agent->second.alive;
+}
+
+bool ProtocolWorld::IsFrozen(NodeId node) const {
+  const auto entry = this->entries.find(node);
+  if (entry != this->entries.end()) return entry->second.frozen;
+  const auto agent = this->agents.find(node);
+  return agent != this->agents.end() && agent->second.frozen;
+}
+
+std::vector<ProtocolWorld::NodeId> ProtocolWorld::AliveEntries() const {
+  std::vector<NodeId> alive;
+  for (const auto& [id, entry] : this->entries) {
+    if (entry.alive) alive.push_back(id);
+  }
+  return alive;
+}
+
+std::vector<ProtocolWorld::NodeId> ProtocolWorld::AliveAgents() const {
+  std::vector<NodeId> alive;
+  for (const auto& [id, agent] : this->agents) {
+    if (agent.alive) alive.push_back(id);
+  }
+  return alive;
+}
+
+void ProtocolWorld::Post(NodeId from, NodeId to, Message message) {
+  if (!this->links.contains(std::minmax(from, to))) return;
+  if (!this->Tamper(from, to, message)) return;
+  this->channels[{from, to}].push_back(std::move(message));
+}
+
+void ProtocolWorld::Deliver(NodeId from, NodeId to, const Message& message) {
+  if (!this->IsAlive(to)) return;
+  if (const auto* peer = std::get_if<PeerMessage>(&message)) {
+    this->HandleEntry(to, PeerMessageReceived{EntryId(from), *peer});
+  } else if (const auto* agent = std::get_if<AgentMessage>(&message)) {
+    this->HandleEntry(to, AgentMessageReceived{AgentId(from), *agent});
+  } else {
+    this->HandleAgent(
+        to, EntryMessageReceived{EntryId(from),
+                                 std::get<EntryToAgentMessage>(message)});
+  }
+}
+
+void ProtocolWorld::HandleEntry(NodeId id, const EntryEvent& event) {
+  Entry& entry = this->entries.at(id);
+  if (!entry.alive || this->broken) return;
+  if (entry.frozen) {
+    entry.deferred.push_back(event);
+    return;
+  }
+  const std::vector<EntryEffect> effects =
+      entry.core->Handle(event, this->now);
+  entry.steps.push_back(
+      {event, this->now, RecordCodec::ToMessagePack(effects)});
+  for (const EntryEffect& effect : effects) {
+    if (entry.alive) this->Apply(id, effect);
+  }
+}
+
+void ProtocolWorld::HandleAgent(NodeId id, const AgentEvent& event) {
+  Agent& agent = this->agents.at(id);
+  if (!agent.alive || this->broken) return;
+  if (agent.frozen) {
+    agent.deferred.push_back(event);
+    return;
+  }
+  const std::vector<AgentEffect> effects =
+      agent.core->Handle(event, this->now);
+  for (const AgentEffect& effect : effects) {
+    if (agent.alive) this->Apply(id, effect);
+  }
+}
+
+void ProtocolWorld::Apply(NodeId from, const EntryEffect& effect) {
+  if (const auto* answer = std::get_if<AnswerCaller>(&effect)) {
+    this->OnAnswer(*answer);
+  } else if (const auto* peer = std::get_if<SendToPeer>(&effect)) {
+    this->NoteDecision(from, *peer);
+    this->Post(from, peer->to.value(), peer->message);
+  } else if (const auto* agent = std::get_if<SendToAgent>(&effect)) {
+    this->Post(from, agent->to.value(), agent->message);
+  } else if (const auto* proposal = std::get_if<ProposeView>(&effect)) {
+    const bool follows = proposal->view.epoch.value() ==
+                         this->table_view.epoch.value() + 1;
+    if (!this->table_up || !follows) return;
+    this->table_view = proposal->view;
+    this->Note("view " + std::to_string(this->table_view.epoch.value()) +
+               " by entry " + std::to_string(from));
+  } else if (const auto* view = std::get_if<ViewInForce>(&effect)) {
+    for (const ViewMember& member : view->view.members) {
+      if (member.entry.value() != from) {
+        this->Connect(from, member.entry.value());
+      }
+    }
+  } else if (const auto* owned = std::get_if<OwnershipChanged>(&effect)) {
+    for (const BucketBallot& bucket : owned->buckets) {
+      this->Note("entry " + std::to_string(from) +
+                 (owned->phase == OwnershipPhase::kActive ? " is home of "
+                                                          : " asks for ") +
+                 std::to_string(bucket.bucket.value()) + " in round " +
+                 std::to_string(bucket.ballot.epoch.value()) + "." +
+                 std::to_string(bucket.ballot.round));
+    }
+  } else if (const auto* document = std::get_if<DocumentInForce>(&effect)) {
+    DocumentVersion& highest = this->entries.at(from).highest_document;
+    if (document->document.version <= highest ||
+        document->document.version > this->table_version) {
+      this->Fail("a document version fell or was never written");
+    }
+    highest = document->document.version;
+  } else if (std::holds_alternative<RemovedFromView>(effect) ||
+             std::holds_alternative<EntryDrained>(effect)) {
+    for (const auto& [request, submission] : this->submissions) {
+      const bool cut = std::holds_alternative<EntryDrained>(effect) &&
+                       submission.entry == from && !submission.answered;
+      if (cut) this->Fail("a planned stop cuts a request");
+    }
+    this->EndEntry(from);
+  }
+}
+
+void ProtocolWorld::NoteDecision(NodeId from, const SendToPeer& sent) {
+  const auto* answer = std::get_if<RelayAnswer>(&sent.message);
+  if (answer == nullptr) return;
+  this->Note("entry " + std::to_string(from) + " tells entry " +
+             std::to_string(sent.to.value()) + " of " +
+             answer->key.ToHex().substr(0, 4) + ": " +
+             std::string(VerdictName(answer->answer.verdict)) + " " +
+             std::string(ReasonName(answer->answer.reason)));
+  if (answer->answer.verdict != Verdict::kNotRun) return;
+  this->CheckNeverStarted(answer->key);
+  this->decided_refusals.emplace(sent.to.value(), answer->key);
+}
+
+void ProtocolWorld::CheckNeverStarted(const JobKey& key) {
+  for (const auto& [task, count] : this->starts_of_task) {
+    if (task.key == key && count > 0) {
+      this->Fail("\"not run\" is said of a job that was started");
+    }
+  }
+}
+
+void ProtocolWorld::Apply(NodeId from, const AgentEffect& effect) {
+  if (const auto* sent = std::get_if<SendToEntry>(&effect)) {
+    this->Post(from, sent->to.value(), sent->message);
+  } else if (const auto* run = std::get_if<RunOnUpstream>(&effect)) {
+    this->OnStart(from, *run);
+  } else if (const auto* connect = std::get_if<ConnectToMembers>(&effect)) {
+    for (const ViewMember& member : connect->view.members) {
+      this->Connect(member.entry.value(), from);
+    }
+  } else if (std::holds_alternative<AgentDrained>(effect)) {
+    this->EndAgent(from);
+  }
+}
+
+void ProtocolWorld::OnStart(NodeId agent, const RunOnUpstream& run) {
+  this->Note("agent " + std::to_string(agent) + " starts task " +
+             std::to_string(run.task.task.value()) + " of " +
+             run.task.key.ToHex().substr(0, 4));
+  // Now and then the upstream can't be reached at all.
+  constexpr std::uint32_t kUnreachableEvery = 13;
+  if ((this->start_count + this->last_request) % kUnreachableEvery == 5) {
+    ++this->start_count;
+    this->HandleAgent(agent, UpstreamEnded{run.task, UpstreamResult::kNotSent,
+                                           Payload(), Duration()});
+    return;
+  }
+  ++this->start_count;
+  if (++this->starts_of_task[run.task] > 1) {
+    this->Fail("task " + std::to_string(run.task.task.value()) + " of " +
+               run.task.key.ToHex().substr(0, 4) + " started twice");
+  }
+  if (this->agents.at(agent).leaving) this->Fail("a leaving agent starts");
+  if (!(run.body == BodyOf(run.task))) this->Fail("a body was exchanged");
+  const bool wanted = std::any_of(
+      this->submissions.begin(), this->submissions.end(),
+      [&](const auto& item) {
+        return item.second.key == run.task.key && !item.second.refused;
+      });
+  if (!wanted) this->Fail("a refused submission starts");
+  this->running.push_back({agent, run.task, run.body});
+}
+
+void ProtocolWorld::OnAnswer(const AnswerCaller& answer) {
+  Submission& submission = this->submissions.at(answer.request);
+  if (submission.answered) this->Fail("a request is answered twice");
+  submission.answered = true;
+  ++this->answer_count;
+  this->Note("request " + std::to_string(answer.request.value()) + " for " +
+             answer.key.ToHex().substr(0, 4) + " at entry " +
+             std::to_string(submission.entry) + ": " +
+             std::string(VerdictName(answer.answer.verdict)) + " " +
+             std::string(ReasonName(answer.answer.reason)));
+  if (answer.answer.verdict == Verdict::kNotRun) {
+    submission.refused = true;
+    ++this->refusal_count;
+    // The refusal is decided at the home. What reaches the caller later may
+    // meet starts of another submission, which the home took in after it.
+    const bool decided_elsewhere =
+        this->decided_refusals.contains({submission.entry, submission.key});
+    if (!decided_elsewhere) this->CheckNeverStarted(submission.key);
+  }
+  if (answer.answer.reason != Reason::kComplete) return;
+  ++this->complete_count;
+  const std::vector<Payload>& results = answer.answer.results;
+  if (results.size() != this->options.tasks_per_job) {
+    this->Fail("an answer is partial");
+    return;
+  }
+  for (std::uint32_t i = 0; i < results.size(); ++i) {
+    if (!(results[i] == ResultOf({submission.key, TaskIndex(i)}))) {
+      this->Fail("an answer has another task's result");
+    }
+  }
+}
+
+bool ProtocolWorld::Tamper(NodeId from, NodeId to, Message& message) {
+  auto* agent_message = std::get_if<AgentMessage>(&message);
+  auto* peer_message = std::get_if<PeerMessage>(&message);
+  auto* to_agent = std::get_if<EntryToAgentMessage>(&message);
+  switch (this->options.fault) {
+    case DeliberateFault::kSkipBallotCheck:
+      if (to_agent != nullptr) {
+        if (auto* start = std::get_if<Start>(to_agent)) {
+          start->ballot.epoch = Epoch(UINT32_MAX);
+        }
+      }
+      return true;
+    case DeliberateFault::kSkipWitness:
+      if (peer_message != nullptr) {
+        if (auto* request = std::get_if<WitnessRequest>(peer_message)) {
+          this->channels[{to, from}].emplace_back(
+              PeerMessage(WitnessReply{request->keys, {}}));
+          return false;
+        }
+      }
+      return true;
+    case DeliberateFault::kForgetStartedSet:
+      if (agent_message != nullptr) {
+        if (auto* reply = std::get_if<AgentPromiseReply>(agent_message)) {
+          reply->started.clear();
+        }
+      }
+      return true;
+    case DeliberateFault::kForgetWitnessedKeys:
+      if (peer_message != nullptr) {
+        if (auto* reply = std::get_if<PromiseReply>(peer_message)) {
+          for (BucketPromise& bucket : reply->buckets) bucket.known.clear();
+        }
+      }
+      return true;
+    case DeliberateFault::kRerunAfterBrokenConnection:
+      if (agent_message != nullptr) {
+        if (auto* reply = std::get_if<RenounceReply>(agent_message)) {
+          reply->report.state = StartedState::kNeverStarted;
+        }
+      }
+      return true;
+    case DeliberateFault::kRefuseUnconfirmed: {
+      const ConfirmRequest* request = nullptr;
+      if (peer_message != nullptr) {
+        request = std::get_if<ConfirmRequest>(peer_message);
+      } else if (to_agent != nullptr) {
+        request = std::get_if<ConfirmRequest>(to_agent);
+      }
+      if (request == nullptr) return true;
+      ConfirmReply reply{request->sequence, {}, {}};
+      for (const BucketBallot& bucket : request->buckets) {
+        reply.confirmed.push_back(bucket.bucket);
+      }
+      if (peer_message != nullptr) {
+        this->channels[{to, from}].emplace_back(PeerMessage(reply));
+      } else {
+        this->channels[{to, from}].emplace_back(AgentMessage(reply));
+      }
+      return false;
+    }
+    case DeliberateFault::kSkipRegistration:
+      // All entries but one never hear of the agent, yet acknowledge it.
+      if (agent_message != nullptr && to % 2 == 1) {
+        if (std::holds_alternative<Register>(*agent_message) ||
+            std::holds_alternative<AgentReady>(*agent_message)) {
+          this->channels[{to, from}].emplace_back(
+              EntryToAgentMessage(RegisterAcknowledged{this->table_view, {}}));
+          return false;
+        }
+      }
+      return true;
+    case DeliberateFault::kCrossAnswers:
+      if (agent_message != nullptr) {
+        if (auto* finished = std::get_if<TaskFinished>(agent_message)) {
+          finished->report.result =
+              ResultOf({finished->report.task.key, TaskIndex(0)});
+        }
+      }
+      return true;
+    case DeliberateFault::kLowerVersion:
+      if (peer_message != nullptr) {
+        if (auto* push = std::get_if<DocumentPush>(peer_message)) {
+          for (VersionedDocument& document : push->documents) {
+            document.version = DocumentVersion(document.version.value() + 1);
+          }
+        }
+      }
+      return true;
+    default:
+      return true;
+  }
+}
+
+void ProtocolWorld::Fail(const std::string& what) {
+  if (this->broken) return;
+  this->broken = what;
+  this->Note("BROKEN: " + what);
+}
+
+JobKey ProtocolWorld::KeyOf(std::uint32_t number) const {
+  return JobKey::FromText(kServiceName, "key-" + std::to_string(number));
+}
+
+}  // namespace dandelionspur
