entry_core: Let a leaving entry offer itself as witness no more

A relay now says whether its sender is a witness; a leaving one is not, so the home asks another. Ruled out: a loss of the hand-over itself (it was complete).

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -128,6 +128,7 @@
 void EntryCore::On(const DrainRequested& /*event*/) {
   if (this->draining) return;
   this->draining = true;
+  this->relays.StopWitnessing();
   this->hand_over.BeginDeparture();
 }
 
@@ -211,10 +212,7 @@
   this->Observe({{bucket, message.promised}});
   const Ballot promised = this->ownership.Promised(bucket);
   if (this->ownership.IsActive(bucket)) {
-    std::optional<EntryId> witness;
-    if (this->view().Find(from) != nullptr) witness = from;
-    this->home.Accept(message.job, RelayOrigin{from, message.attempt}, witness,
-                      this->current_time);
+    this->relays.AcceptAtHome(from, message, this->current_time);
     return;
   }
   const bool will_be_home =
--- a/libraries/entry_core/relay_book.cc
+++ b/libraries/entry_core/relay_book.cc
@@ -80,8 +80,8 @@
   job.attempt = AttemptNumber(++this->last_attempt);
   job.target = target;
   this->outbox.ToPeer(target,
-                      Relay{job.attempt, this->ownership.Promised(bucket),
-                            std::move(submission)});
+                      Relay{job.attempt, this->ownership.Promised(bucket), this->offer,
+                    std::move(submission)});
 }
 
 void RelayBook::OnAnswer(EntryId from, const RelayAnswer& answer) {
@@ -142,20 +142,29 @@
       this->parked_relays.push_back(std::move(parked));
       continue;
     }
-    // The sender is a witness only if it had promised nothing above the
-    // ballot that was reached.
-    std::optional<EntryId> witness;
-    if (parked.relay.promised <= this->ownership.Promised(bucket) &&
-        this->ownership.view().Find(parked.from) != nullptr) {
-      witness = parked.from;
-    }
-    parked.relay.job.time_allowed = std::max(Duration(), parked.deadline - now);
-    this->home.Accept(parked.relay.job,
-                      RelayOrigin{parked.from, parked.relay.attempt}, witness,
-                      now);
+    parked.relay.job.time_allowed =
+        std::max(Duration(), parked.deadline - now);
+    this->AcceptAtHome(parked.from, parked.relay, now);
   }
 }
 
+void RelayBook::AcceptAtHome(EntryId from, const Relay& relay, Timestamp now) {
+  this->home.Accept(relay.job, RelayOrigin{from, relay.attempt},
+                    this->WitnessOf(from, relay), now);
+}
+
+std::optional<EntryId> RelayBook::WitnessOf(EntryId from,
+                                            const Relay& relay) const {
+  // A sender that had promised a higher ballot may have answered its owner
+  // before it heard of the key.
+  const BucketId bucket = this->ownership.BucketOfKey(relay.job.key);
+  const bool is_witness =
+      relay.witness == WitnessOffer::kOffered &&
+      relay.promised <= this->ownership.Promised(bucket) &&
+      this->ownership.view().Find(from) != nullptr;
+  return is_witness ? std::optional(from) : std::nullopt;
+}
+
 void RelayBook::OnBucketLost(BucketId bucket) {
   std::erase_if(this->parked_relays, [&](const ParkedRelay& parked) {
     const JobKey& key = parked.relay.job.key;
--- a/libraries/entry_core/relay_book.h
+++ b/libraries/entry_core/relay_book.h
@@ -33,6 +33,8 @@
 
   void Submit(const JobSubmission& submission, Timestamp deadline,
               const std::vector<RequestId>& callers, Timestamp now);
+  // A relay from another entry, for a bucket that is active here.
+  void AcceptAtHome(EntryId from, const Relay& relay, Timestamp now);
   void Park(const ParkedRelay& parked);
   void OnAnswer(EntryId from, const RelayAnswer& answer);
   void OnMoved(const RelayMoved& moved, Timestamp now);
@@ -47,6 +49,9 @@
   // Submits again where the home has changed, and gives up what is overdue.
   void Tick(Timestamp now);
 
+  // This entry is leaving: it offers itself as witness no more.
+  void StopWitnessing() { this->offer = WitnessOffer::kNone; }
+
   [[nodiscard]] std::size_t size() const { return this->relayed.size(); }
 
  private:
@@ -62,6 +67,9 @@
   };
 
   void Route(Relayed& job, Timestamp now);
+  // The sender of a relay, if it is a witness under this entry's ballot.
+  [[nodiscard]] std::optional<EntryId> WitnessOf(EntryId from,
+                                                 const Relay& relay) const;
   void AnswerCallers(const Relayed& job, const JobAnswer& answer);
 
   EntryCoreSettings settings;
@@ -72,6 +80,7 @@
   std::unordered_map<JobKey, Relayed> relayed;
   std::vector<ParkedRelay> parked_relays;
   std::uint64_t last_attempt = 0;
+  WitnessOffer offer = WitnessOffer::kOffered;
 };
 
 }  // namespace dandelionspur
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -88,15 +88,20 @@
 // Numbers the submissions of one relaying entry.
 using AttemptNumber = StrongType<std::uint64_t, struct AttemptNumberTag>;
 
-// Passes a whole job to its home. The sender remembers the key, so it is the
-// job's witness unless the home's ballot is lower than `promised`.
+// Whether the sender of a relay remembers the key for as long as a witness
+// must. An entry that is leaving does not.
+BOOST_DEFINE_ENUM_CLASS(WitnessOffer, kOffered, kNone)
+
+// Passes a whole job to its home. The sender is the job's witness if it offers
+// so and the home's ballot is no lower than `promised`.
 struct Relay {
   static constexpr const char* kName = "relay";
   AttemptNumber attempt;
   Ballot promised;
+  WitnessOffer witness = WitnessOffer::kOffered;
   JobSubmission job;
 };
-BOOST_DESCRIBE_STRUCT(Relay, (), (attempt, promised, job))
+BOOST_DESCRIBE_STRUCT(Relay, (), (attempt, promised, witness, job))
 
 struct RelayAnswer {
   static constexpr const char* kName = "relay_answer";
