--- a/libraries/configuration/service_document.cc
+++ b/libraries/configuration/service_document.cc
@@ -89,6 +89,11 @@
     reader.Problem("default_deadline_ms",
                    "must not exceed maximum_deadline_ms");
   }
+  if (document.duplicate_window < document.maximum_deadline) {
+    // A key must be remembered for as long as its job may run.
+    reader.Problem("duplicate_window_ms",
+                   "must not be below maximum_deadline_ms");
+  }
   BOOST_LEAF_CHECK(reader.Finish());
   return document;
 }
--- a/libraries/entry_core/relay_book.cc
+++ b/libraries/entry_core/relay_book.cc
@@ -79,8 +79,8 @@
   }
   job.attempt = AttemptNumber(++this->last_attempt);
   job.target = target;
-  this->outbox.ToPeer(target,
-                      Relay{job.attempt, this->ownership.Promised(bucket), this->offer,
+  this->outbox.ToPeer(
+      target, Relay{job.attempt, this->ownership.Promised(bucket), this->offer,
                     std::move(submission)});
 }
 
@@ -142,8 +142,7 @@
       this->parked_relays.push_back(std::move(parked));
       continue;
     }
-    parked.relay.job.time_allowed =
-        std::max(Duration(), parked.deadline - now);
+    parked.relay.job.time_allowed = std::max(Duration(), parked.deadline - now);
     this->AcceptAtHome(parked.from, parked.relay, now);
   }
 }
@@ -158,10 +157,9 @@
   // A sender that had promised a higher ballot may have answered its owner
   // before it heard of the key.
   const BucketId bucket = this->ownership.BucketOfKey(relay.job.key);
-  const bool is_witness =
-      relay.witness == WitnessOffer::kOffered &&
-      relay.promised <= this->ownership.Promised(bucket) &&
-      this->ownership.view().Find(from) != nullptr;
+  const bool is_witness = relay.witness == WitnessOffer::kOffered &&
+                          relay.promised <= this->ownership.Promised(bucket) &&
+                          this->ownership.view().Find(from) != nullptr;
   return is_witness ? std::optional(from) : std::nullopt;
 }
 
--- a/libraries/network/http_server.cc
+++ b/libraries/network/http_server.cc
@@ -62,12 +62,11 @@
     HttpRequest request = this->parser->release();
     this->keep_alive = request.keep_alive();
     this->version = request.version();
-    (*this->handler)(
-        std::move(request),
-        HttpResponder([self = this->shared_from_this()](
-                          HttpResponseMaker make) {
-          self->Respond(std::move(make));
-        }));
+    (*this->handler)(std::move(request),
+                     HttpResponder([self = this->shared_from_this()](
+                                       HttpResponseMaker make) {
+                       self->Respond(std::move(make));
+                     }));
   }
 
   void Respond(HttpResponseMaker make) {
--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -181,18 +181,18 @@
 void CallerRoutes::Enter(JobSubmission job, bool raw_answer,
                          HttpResponder responder) {
   const auto began = std::chrono::steady_clock::now();
-  this->core.submit(std::move(job), [this, raw_answer, began,
-                                     respond = std::move(responder)](
-                                        const JobAnswer& answer) {
-    const std::chrono::duration<double> elapsed =
-        std::chrono::steady_clock::now() - began;
-    this->answers.Count(answer.reason);
-    this->metrics.Observe("response_seconds", elapsed.count());
-    // Off the core's thread, since large answers take time to write.
-    respond.Defer([answer, raw_answer] {
-      return AnswerResponse(answer, raw_answer, "");
-    });
-  });
+  this->core.submit(
+      std::move(job), [this, raw_answer, began, respond = std::move(responder)](
+                          const JobAnswer& answer) {
+        const std::chrono::duration<double> elapsed =
+            std::chrono::steady_clock::now() - began;
+        this->answers.Count(answer.reason);
+        this->metrics.Observe("response_seconds", elapsed.count());
+        // Off the core's thread, since large answers take time to write.
+        respond.Defer([answer, raw_answer] {
+          return AnswerResponse(answer, raw_answer, "");
+        });
+      });
 }
 
 void CallerRoutes::Cancel(const Target& target,
--- /dev/null
+++ b/tests/configuration/settings_test.cc
@@ -0,0 +1,140 @@
+#include "libraries/configuration/settings.h"
+
+#include <gtest/gtest.h>
+
+#include "libraries/configuration/object_reader.h"
+#include "libraries/configuration/service_document.h"
+
+namespace dandelionspur {
+namespace {
+
+// The problem that a parser reports; empty where there is none.
+template <typename Parser>
+std::string ProblemOf(Parser&& parser, const std::string& text) {
+  return OrElse(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(parser(text, "file.json"));
+        return std::string();
+      },
+      [](const std::string& message) { return message; });
+}
+
+struct ExampleCase {
+  const char* name;
+  const char* path;
+  std::string (*problem)(const std::string& text);
+};
+
+class ExampleFileTest : public testing::TestWithParam<ExampleCase> {};
+
+TEST_P(ExampleFileTest, IsAccepted) {
+  const std::string path =
+      std::string(SOURCE_DIRECTORY) + "/" + this->GetParam().path;
+  const std::string text =
+      OrElse([&] { return ReadFile(path); },
+             [](const std::string&) { return std::string("unreadable"); });
+  EXPECT_EQ(this->GetParam().problem(text), "");
+}
+
+std::string EntryProblem(const std::string& text) {
+  return ProblemOf(ParseEntrySettings, text);
+}
+std::string AgentProblem(const std::string& text) {
+  return ProblemOf(ParseAgentSettings, text);
+}
+std::string DocumentProblem(const std::string& text) {
+  return ProblemOf(ParseServiceDocument, text);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Examples, ExampleFileTest,
+    testing::Values(ExampleCase{"Entry", "examples/entry.json", EntryProblem},
+                    ExampleCase{"Agent", "examples/agent.json", AgentProblem},
+                    ExampleCase{"Service", "examples/service.json",
+                                DocumentProblem}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
+struct ProblemCase {
+  const char* name;
+  const char* text;
+  const char* problem;
+  std::string (*check)(const std::string& text);
+};
+
+class ProblemTest : public testing::TestWithParam<ProblemCase> {};
+
+TEST_P(ProblemTest, NamesFileFieldAndWhatIsAllowed) {
+  EXPECT_EQ(this->GetParam().check(this->GetParam().text),
+            this->GetParam().problem);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Problems, ProblemTest,
+    testing::Values(
+        ProblemCase{"MissingField", R"({"owner": "o"})",
+                    "file.json: field \"service\" is missing", DocumentProblem},
+        ProblemCase{"UnknownField", R"({"service": "s", "owner": "o", "x": 1})",
+                    "file.json: field \"x\" is unknown", DocumentProblem},
+        ProblemCase{"WrongType", R"({"service": 1, "owner": "o"})",
+                    "file.json: field \"service\" must be a string that is not "
+                    "empty",
+                    DocumentProblem},
+        ProblemCase{"OutOfRange",
+                    R"({"service": "s", "owner": "o", "retry_percent": 101})",
+                    "file.json: field \"retry_percent\" must be an integer "
+                    "from 0 to 100",
+                    DocumentProblem},
+        ProblemCase{"UnknownChoice",
+                    R"({"service": "s", "owner": "o", "order": "best"})",
+                    "file.json: field \"order\" must be one of: "
+                    "shortest_remaining, first_in_first_out",
+                    DocumentProblem},
+        ProblemCase{"NestedField",
+                    R"({"service": "s", "owner": "o",
+                        "teams": [{"name": "a"}, {"name": "b", "weight": 0}]})",
+                    "file.json: field \"teams[1].weight\" must be an integer "
+                    "from 1 to 1000",
+                    DocumentProblem},
+        ProblemCase{"TeamTwice",
+                    R"({"service": "s", "owner": "o",
+                        "teams": [{"name": "a"}, {"name": "a"}]})",
+                    "file.json: field \"teams\" must not name a team twice",
+                    DocumentProblem},
+        ProblemCase{"DeadlineOrder",
+                    R"({"service": "s", "owner": "o",
+                        "maximum_deadline_ms": 100})",
+                    "file.json: field \"default_deadline_ms\" must not exceed "
+                    "maximum_deadline_ms",
+                    DocumentProblem},
+        ProblemCase{"WindowBelowDeadline",
+                    R"({"service": "s", "owner": "o",
+                        "duplicate_window_ms": 60000})",
+                    "file.json: field \"duplicate_window_ms\" must not be "
+                    "below maximum_deadline_ms",
+                    DocumentProblem},
+        ProblemCase{"NotAnObject", "[]",
+                    "file.json: the document must be an object",
+                    DocumentProblem},
+        ProblemCase{"NotAnAddress",
+                    R"({"data_centre": "d",
+                        "admin": {"address": "localhost", "port": 1},
+                        "table": {"address": "127.0.0.1", "port": 1}})",
+                    "file.json: field \"admin.address\" must be an IP number",
+                    AgentProblem},
+        ProblemCase{"PortOutOfRange",
+                    R"({"data_centre": "d",
+                        "admin": {"address": "127.0.0.1", "port": 70000},
+                        "table": {"address": "127.0.0.1", "port": 1}})",
+                    "file.json: field \"admin.port\" must be an integer from 1 "
+                    "to 65535",
+                    AgentProblem}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
+TEST(ParseJsonTest, BrokenTextIsOneClearLine) {
+  const std::string problem = DocumentProblem("{\"service\": ");
+  EXPECT_EQ(problem.rfind("file.json: not valid JSON: ", 0), 0U);
+  EXPECT_EQ(problem.find('\n'), std::string::npos);
+}
+
+}  // namespace
+}  // namespace dandelionspur
--- /dev/null
+++ b/tests/entry_core/submission_validator_test.cc
@@ -0,0 +1,102 @@
+#include "libraries/entry_core/submission_validator.h"
+
+#include <gtest/gtest.h>
+
+namespace dandelionspur {
+namespace {
+
+const ServiceDocument& Document() {
+  static const ServiceDocument document = OrElse(
+      [] {
+        return ParseServiceDocument(R"({"service": "s", "owner": "o"})", "d");
+      },
+      [](const std::string&) { return ServiceDocument(); });
+  return document;
+}
+
+std::string Tasks(std::size_t count) {
+  std::string list;
+  for (std::size_t i = 0; i < count; ++i) {
+    list += std::string(i == 0 ? "" : ",") + R"({"body": 1})";
+  }
+  return R"({"tasks": [)" + list + "]}";
+}
+
+struct BadCase {
+  const char* name;
+  std::string key;
+  std::string body;
+  Reason reason;
+  std::string detail;
+};
+
+class BadSubmissionTest : public testing::TestWithParam<BadCase> {};
+
+TEST_P(BadSubmissionTest, IsRefusedAsNotRun) {
+  const BadCase& bad = this->GetParam();
+  const RawSubmission raw{ServiceName("s"), bad.key, bad.body, ""};
+  const ValidatedSubmission validated = SubmissionValidator::Job(
+      raw, bad.reason == Reason::kUnknownService ? nullptr : &Document());
+  const auto* rejected = std::get_if<RejectedSubmission>(&validated);
+  ASSERT_NE(rejected, nullptr);
+  EXPECT_EQ(rejected->answer.verdict, Verdict::kNotRun);
+  EXPECT_EQ(rejected->answer.reason, bad.reason);
+  EXPECT_EQ(rejected->detail.substr(0, bad.detail.size()), bad.detail);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Submissions, BadSubmissionTest,
+    testing::Values(
+        BadCase{"NoKey", "", Tasks(1), Reason::kMalformedRequest,
+                "the Idempotency-Key header is missing"},
+        BadCase{"LongKey", std::string(256, 'k'), Tasks(1),
+                Reason::kMalformedRequest,
+                "the Idempotency-Key header has more"},
+        BadCase{"BrokenJson", "k", "{", Reason::kMalformedRequest,
+                "request: not valid JSON"},
+        BadCase{"NotUtf8", "k", "{\"\xff\": 1}", Reason::kMalformedRequest,
+                "request: not valid JSON"},
+        BadCase{"NotAnObject", "k", "[]", Reason::kMalformedRequest,
+                "request: the document must be an object"},
+        BadCase{"NoTasks", "k", "{}", Reason::kMalformedRequest,
+                "request: field \"tasks\" is missing"},
+        BadCase{"ZeroTasks", "k", Tasks(0), Reason::kMalformedRequest,
+                "request: field \"tasks\" must have from 1 to 860 items"},
+        BadCase{"TooManyTasks", "k", Tasks(861), Reason::kMalformedRequest,
+                "request: field \"tasks\" must have from 1 to 860 items"},
+        BadCase{"TaskWithoutBody", "k", R"({"tasks": [{}]})",
+                Reason::kMalformedRequest,
+                "request: field \"tasks[0].body\" is missing"},
+        BadCase{"TaskNotAnObject", "k", R"({"tasks": [1]})",
+                Reason::kMalformedRequest,
+                "request: tasks[0]. must be an object"},
+        BadCase{"ZeroDeadline", "k",
+                R"({"tasks": [{"body": 1}], "deadline_ms": 0})",
+                Reason::kMalformedRequest,
+                "request: field \"deadline_ms\" must be an integer from 1"},
+        BadCase{"NegativeDeadline", "k",
+                R"({"tasks": [{"body": 1}], "deadline_ms": -5})",
+                Reason::kMalformedRequest,
+                "request: field \"deadline_ms\" must be an integer from 1"},
+        BadCase{"DeadlineBeyondDocument", "k",
+                R"({"tasks": [{"body": 1}], "deadline_ms": 900000})",
+                Reason::kMalformedRequest,
+                "request: field \"deadline_ms\" must not exceed"},
+        BadCase{"UnknownField", "k", R"({"tasks": [{"body": 1}], "x": 1})",
+                Reason::kMalformedRequest, "request: field \"x\" is unknown"},
+        BadCase{"UnknownService", "k", Tasks(1), Reason::kUnknownService,
+                "no document names this service"}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
+TEST(SubmissionValidatorTest, SoundJobIsAccepted) {
+  const RawSubmission raw{ServiceName("s"), "k", Tasks(860), ""};
+  const ValidatedSubmission validated =
+      SubmissionValidator::Job(raw, &Document());
+  const auto* job = std::get_if<JobSubmission>(&validated);
+  ASSERT_NE(job, nullptr);
+  EXPECT_EQ(job->tasks.size(), kMaximumTasksPerJob);
+  EXPECT_EQ(job->time_allowed, Document().default_deadline);
+}
+
+}  // namespace
+}  // namespace dandelionspur
--- /dev/null
+++ b/tests/load/workload_test.cc
@@ -0,0 +1,48 @@
+#include "utilities/load/workload.h"
+
+#include <gtest/gtest.h>
+
+namespace dandelionspur {
+namespace {
+
+PlannedJob JobOf(std::int64_t arrival_ms, const std::vector<int>& tasks_ms) {
+  PlannedJob job;
+  job.arrival = std::chrono::milliseconds(arrival_ms);
+  for (const int duration : tasks_ms) {
+    job.tasks.push_back({std::chrono::milliseconds(duration), {}});
+  }
+  return job;
+}
+
+TEST(WorkloadTest, SameSeedSamePlan) {
+  WorkloadOptions options;
+  options.jobs = 50;
+  const std::vector<FleetPart> fleet = {{8, 1}};
+  const std::vector<PlannedJob> first = PlanWorkload(options, fleet);
+  const std::vector<PlannedJob> second = PlanWorkload(options, fleet);
+  for (std::size_t i = 0; i < first.size(); ++i) {
+    EXPECT_EQ(first[i].arrival, second[i].arrival);
+    EXPECT_EQ(first[i].tasks.size(), second[i].tasks.size());
+  }
+}
+
+TEST(WorkloadTest, EmptyFleetIdealIsTheLongerBound) {
+  const std::vector<FleetPart> fleet = {{2, 1}, {2, 2}};
+  // One long task, on the faster upstream.
+  EXPECT_EQ(EmptyFleetIdeal(JobOf(0, {900}), fleet),
+            std::chrono::milliseconds(900));
+  // Much work over a capacity of 2 + 1.
+  EXPECT_EQ(EmptyFleetIdeal(JobOf(0, std::vector<int>(30, 300)), fleet),
+            std::chrono::milliseconds(3000));
+}
+
+TEST(WorkloadTest, LoadedIdealServesTheLeastWorkFirst) {
+  const std::vector<FleetPart> fleet = {{1, 1}};
+  const std::vector<PlannedJob> jobs = {JobOf(0, {1000}), JobOf(100, {200})};
+  const std::vector<Duration> ideals = LoadedFleetIdeals(jobs, fleet);
+  EXPECT_EQ(ideals[1], std::chrono::milliseconds(200));
+  EXPECT_EQ(ideals[0], std::chrono::milliseconds(1200));
+}
+
+}  // namespace
+}  // namespace dandelionspur
--- /dev/null
+++ b/tests/system/failure_test.py
@@ -0,0 +1,218 @@
+"""Failures of real processes. The truth is what the upstream stand-ins logged; the callers' answers are held against it."""
+
+import concurrent.futures
+import json
+import pathlib
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent.parent / "meta"))
+import cluster as clusters
+from cluster import Cluster, call, call_json, task
+
+BASE_PORT = 23000
+PORTS_PER_TEST = 300
+DEADLINE_MS = 20000
+
+
+class FailureTest(unittest.TestCase):
+    """Every test has ports of its own, so that one that fails leaves nothing in the way of the next."""
+
+    next_port = BASE_PORT
+
+    def cluster(self, entries=3, agents=3, **options):
+        port = FailureTest.next_port
+        FailureTest.next_port += PORTS_PER_TEST
+        started = Cluster(port, entries, agents, **options)
+        started.__enter__()
+        self.addCleanup(started.__exit__, None, None, None)
+        self.pool = concurrent.futures.ThreadPoolExecutor(64)
+        self.addCleanup(self.pool.shutdown)
+        return started
+
+    def submit_many(self, cluster, count, sleep_ms=300, tasks=4, entries=None, prefix="key"):
+        entries = entries or cluster.live_entries()
+        return [
+            self.pool.submit(
+                cluster.submit, entries[i % len(entries)], f"{prefix}-{i}",
+                [task(sleep_ms, f"{prefix}-{i}/{j}") for j in range(tasks)], DEADLINE_MS,
+            )
+            for i in range(count)
+        ]
+
+    def check_answers(self, futures, prefix="key", tasks=4):
+        """Every answer that came is whole and its own; returns the answers."""
+        answers = [future.result(timeout=90) for future in futures]
+        for i, (status, answer) in enumerate(answers):
+            if status != 200:
+                continue
+            tokens = [json.loads(result)["token"] for result in answer["results"]]
+            self.assertEqual(tokens, [f"{prefix}-{i}/{j}" for j in range(tasks)])
+        return answers
+
+    def check_truth(self, cluster, answers):
+        self.assertEqual(cluster.double_starts(), 0, cluster.logs())
+        for status, answer in answers:
+            if answer and answer["verdict"] == "not_run":
+                self.fail(f"nothing was refused in this test, but: {answer}")
+
+    def test_kill_of_the_home_and_resubmission_through_another_entry(self):
+        cluster = self.cluster()
+        first = self.submit_many(cluster, 24, sleep_ms=800)
+        time.sleep(0.4)
+        cluster.entries[0].kill()
+        again = self.submit_many(cluster, 24, sleep_ms=800, entries=[1, 2])
+        answers = self.check_answers(again)
+        self.check_truth(cluster, answers)
+        self.assertEqual([status for status, _ in answers], [200] * 24, answers)
+        for future in first:
+            future.result(timeout=90)
+
+    def test_frozen_home_is_taken_over_and_thaws(self):
+        cluster = self.cluster()
+        first = self.submit_many(cluster, 24, sleep_ms=800)
+        time.sleep(0.4)
+        cluster.entries[0].signal(signal.SIGSTOP)
+        time.sleep(2.5)
+        again = self.submit_many(cluster, 24, sleep_ms=800, entries=[1, 2])
+        time.sleep(0.5)
+        cluster.entries[0].signal(signal.SIGCONT)
+        answers = self.check_answers(again)
+        self.check_truth(cluster, answers)
+        self.assertEqual([status for status, _ in answers], [200] * 24, answers)
+        self.check_answers(first)
+
+    def test_kill_of_an_agent_with_running_tasks(self):
+        cluster = self.cluster()
+        futures = self.submit_many(cluster, 12, sleep_ms=1500)
+        time.sleep(0.5)
+        cluster.agents[0].kill()
+        answers = self.check_answers(futures)
+        self.check_truth(cluster, answers)
+        # Jobs with a task at the dead agent end as "may have run"; the others complete.
+        verdicts = {answer["verdict"] for _, answer in answers}
+        self.assertEqual(verdicts, {"ran", "may_have_run"})
+        reasons = {answer["reason"] for _, answer in answers}
+        self.assertEqual(reasons, {"complete", "agent_lost"})
+
+    def test_table_outage_over_a_kill(self):
+        cluster = self.cluster()
+        cluster.set_faults(down=True)
+        time.sleep(1.2)
+        cluster.entries[0].kill()
+        futures = self.submit_many(cluster, 24, sleep_ms=200, entries=[1, 2])
+        answers = self.check_answers(futures)
+        self.check_truth(cluster, answers)
+        self.assertEqual([status for status, _ in answers], [200] * 24, answers)
+        cluster.set_faults(down=False)
+        members = lambda: len((cluster.status(1) or {}).get("members", []))
+        cluster.wait_for(lambda: members() == 2, "the view to follow once the table answers")
+
+    def test_answer_of_the_table_lost_on_apply(self):
+        cluster = self.cluster(entries=2, agents=1)
+        document = (clusters.ROOT / "examples/service.json").read_text().replace("20000", "19000")
+        cluster.set_faults(lose_answers=1)
+        status, answer = cluster.apply_document(document, base_version=1, change_id="lost")
+        self.assertEqual((status, answer), (200, {"version": 2}))
+        # The same change once more is the same change.
+        status, answer = cluster.apply_document(document, base_version=1, change_id="lost", entry=1)
+        self.assertEqual((status, answer), (200, {"version": 2}))
+
+    def test_two_operators_race(self):
+        cluster = self.cluster(entries=2, agents=1)
+        text = (clusters.ROOT / "examples/service.json").read_text()
+        changes = [
+            self.pool.submit(
+                cluster.apply_document, text.replace("20000", str(19000 + i)), entry=i % 2, base_version=1, change_id=f"race-{i}"
+            )
+            for i in range(8)
+        ]
+        statuses = sorted(change.result()[0] for change in changes)
+        self.assertEqual(statuses, [200] + [409] * 7)
+
+    def test_planned_stop_of_an_entry_under_load(self):
+        cluster = self.cluster()
+        futures = self.submit_many(cluster, 30, sleep_ms=500)
+        time.sleep(0.3)
+        cluster.entries[1].signal(signal.SIGTERM)
+        answers = self.check_answers(futures)
+        self.check_truth(cluster, answers)
+        self.assertEqual([status for status, _ in answers], [200] * 30, answers)
+        self.assertEqual(cluster.entries[1].wait(30), 0)
+
+    def test_planned_stop_of_an_agent_under_load(self):
+        cluster = self.cluster()
+        futures = self.submit_many(cluster, 30, sleep_ms=500)
+        time.sleep(0.3)
+        cluster.agents[1].signal(signal.SIGTERM)
+        stopped_at_us = time.time() * 1e6
+        answers = self.check_answers(futures)
+        self.check_truth(cluster, answers)
+        self.assertEqual([status for status, _ in answers], [200] * 30, answers)
+        self.assertEqual(cluster.agents[1].wait(30), 0)
+        _, log = call_json("GET", cluster.upstream_port(1), "/v1/starts")
+        grace_us = 3e6
+        late = [start for start in log["starts"] if start["at_us"] > stopped_at_us + grace_us]
+        self.assertEqual(late, [], "a leaving upstream got new work")
+
+    def test_restarted_agent_has_forgotten_and_nothing_runs_twice(self):
+        cluster = self.cluster()
+        first = self.submit_many(cluster, 12, sleep_ms=1200)
+        time.sleep(0.4)
+        cluster.agents[0].kill()
+        cluster.start_agent(0)
+        for future in first:
+            future.result(timeout=90)
+        cluster.wait_ready()
+        again = self.check_answers(self.submit_many(cluster, 12, sleep_ms=1200))
+        self.check_truth(cluster, again)
+
+    def test_bad_frames_close_one_connection_and_are_counted(self):
+        cluster = self.cluster(entries=2, agents=1)
+        cases = {
+            "kOversized": struct.pack(">IB", 0x7FFFFFFF, 1),
+            "kWrongVersion": struct.pack(">IB", 4, 99) + b"abcd",
+            "kMalformed": struct.pack(">IB", 4, 1) + b"\xc1\xc1\xc1\xc1",
+            "kTruncated": struct.pack(">IB", 400, 1) + b"abcd",
+        }
+        for error, frame in cases.items():
+            with socket.create_connection((clusters.LOOPBACK, cluster.peer_port(0))) as connection:
+                connection.sendall(frame)
+                connection.shutdown(socket.SHUT_WR)
+                try:
+                    while connection.recv(4096):
+                        pass
+                except ConnectionResetError:
+                    pass  # Closed with bytes unread, which is closed as well.
+            metrics = call("GET", cluster.entry_admin_port(0), "/metrics")[1].decode()
+            self.assertIn(f'dandelionspur_bad_frames_total{{error="{error}"}} 1', metrics)
+        self.assertEqual(cluster.submit(0, "after", [task(50)])[0], 200)
+
+    def test_every_decision_replays_after_failures(self):
+        cluster = self.cluster(entry_settings={"recording": {"write_interval_ms": 200}},
+                               agent_settings={"recording": {"write_interval_ms": 200}})
+        futures = self.submit_many(cluster, 20, sleep_ms=400)
+        time.sleep(0.3)
+        cluster.entries[0].signal(signal.SIGSTOP)
+        time.sleep(2)
+        cluster.entries[0].signal(signal.SIGCONT)
+        self.check_answers(futures)
+        command = [
+            clusters.BUILD / "utilities/dandelionspur",
+            "--entry", f"127.0.0.1:{cluster.entry_admin_port(1)}", "--table", f"127.0.0.1:{cluster.table_port()}",
+        ]
+        replay = subprocess.run(command + ["replay"], capture_output=True, text=True)
+        self.assertEqual(replay.returncode, 0, replay.stderr)
+        explain = subprocess.run(command + ["explain", "demo", "key-0"], capture_output=True, text=True)
+        self.assertEqual(explain.returncode, 0, explain.stderr)
+        for part in ("a caller submits the job", "is home of the job's bucket", "calls the upstream", "answers the caller"):
+            self.assertIn(part, explain.stdout)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/utilities/dandelionspur/commands.cc
+++ b/utilities/dandelionspur/commands.cc
@@ -37,12 +37,12 @@
       (total / kMicrosecondsPerSecond) % kSecondsPerDay;
   constexpr std::size_t kBufferSize = 32;
   char buffer[kBufferSize];
-  std::snprintf(buffer, sizeof(buffer), "%02lld:%02lld:%02lld.%06lld",
-                static_cast<long long>(seconds / kSecondsPerHour),
-                static_cast<long long>(seconds / kSecondsPerMinute %
-                                       kSecondsPerMinute),
-                static_cast<long long>(seconds % kSecondsPerMinute),
-                static_cast<long long>(total % kMicrosecondsPerSecond));
+  std::snprintf(
+      buffer, sizeof(buffer), "%02lld:%02lld:%02lld.%06lld",
+      static_cast<long long>(seconds / kSecondsPerHour),
+      static_cast<long long>(seconds / kSecondsPerMinute % kSecondsPerMinute),
+      static_cast<long long>(seconds % kSecondsPerMinute),
+      static_cast<long long>(total % kMicrosecondsPerSecond));
   return buffer;
 }
 
@@ -133,9 +133,8 @@
   }
   const std::string query = "document?base_version=" + std::to_string(base) +
                             "&change_id=" + this->options.change_id;
-  const AdminReply reply =
-      this->client.Send(this->options.entry, http::verb::put,
-                        ServicePath(service, query), text);
+  const AdminReply reply = this->client.Send(
+      this->options.entry, http::verb::put, ServicePath(service, query), text);
   if (reply.status == kBadRequest) {
     std::cerr << reply.json.value("detail", "refused") << "\n";
     return CommandExit::kBadDocument;
@@ -164,8 +163,8 @@
     const AdminReply status = this->client.Send(
         this->options.entry, http::verb::get, "/v1/status", "");
     if (status.json.is_object()) {
-      laggards = Laggards(this->client, status.json["members"], service,
-                          version);
+      laggards =
+          Laggards(this->client, status.json["members"], service, version);
       if (laggards.empty()) {
         const std::chrono::duration<double> elapsed =
             std::chrono::steady_clock::now() - began;
@@ -195,11 +194,10 @@
     return CommandExit::kFailure;
   }
   if (reply.status != kOk) return this->Unavailable(reply);
-  this->Print(reply.json,
-              "// version " +
-                  std::to_string(
-                      reply.json.value("version", std::uint64_t{0})) +
-                  "\n" + reply.json.value("text", ""));
+  this->Print(reply.json, "// version " +
+                              std::to_string(reply.json.value(
+                                  "version", std::uint64_t{0})) +
+                              "\n" + reply.json.value("text", ""));
   return CommandExit::kSuccess;
 }
 
@@ -242,17 +240,16 @@
 }
 
 CommandExit Commands::Status() {
-  const AdminReply reply = this->client.Send(
-      this->options.entry, http::verb::get, "/v1/status", "");
+  const AdminReply reply =
+      this->client.Send(this->options.entry, http::verb::get, "/v1/status", "");
   if (reply.status != kOk) return this->Unavailable(reply);
   std::ostringstream human;
   const nlohmann::json& status = reply.json;
   human << "entry " << status.value("entry", "") << ": "
         << (status.value("ready", false) ? "ready" : "not ready") << ", epoch "
-        << status["epoch"] << ", home of " << status["buckets_active"]
-        << " of " << status["buckets"] << " buckets, "
-        << status["jobs_at_home"] << " jobs at home, "
-        << status["jobs_relayed"] << " relayed\n";
+        << status["epoch"] << ", home of " << status["buckets_active"] << " of "
+        << status["buckets"] << " buckets, " << status["jobs_at_home"]
+        << " jobs at home, " << status["jobs_relayed"] << " relayed\n";
   for (const nlohmann::json& member : status["members"]) {
     human << "  entry " << member.value("entry", "") << " at "
           << member.value("admin", "") << ", "
@@ -262,11 +259,11 @@
     human << "  agent " << agent.value("agent", "") << " at "
           << agent.value("admin", "") << ", " << agent.value("service", "")
           << ": "
-          << (agent.value("lost", false)          ? "lost"
-              : !agent.value("connected", false)  ? "disconnected"
-              : agent.value("leaving", false)     ? "leaving"
-              : agent.value("ready", false)       ? "ready"
-                                                  : "registering")
+          << (agent.value("lost", false)         ? "lost"
+              : !agent.value("connected", false) ? "disconnected"
+              : agent.value("leaving", false)    ? "leaving"
+              : agent.value("ready", false)      ? "ready"
+                                                 : "registering")
           << ", " << agent["running"] << " running, " << agent["credits"]
           << " credits of " << agent["slots"] << " slots\n";
   }
@@ -309,9 +306,8 @@
 CommandExit Commands::Replay() {
   return OrElse(
       [&]() -> Result<CommandExit> {
-        BOOST_LEAF_AUTO(archive,
-                        this->client.CollectRecords(this->options.entry,
-                                                    this->options.table));
+        BOOST_LEAF_AUTO(archive, this->client.CollectRecords(
+                                     this->options.entry, this->options.table));
         BOOST_LEAF_AUTO(steps, archive.ReplayAll());
         this->Print({{"processes", archive.process_count()}, {"steps", steps}},
                     std::to_string(steps) + " steps of " +
@@ -329,9 +325,8 @@
                               const std::string& key) {
   return OrElse(
       [&]() -> Result<CommandExit> {
-        BOOST_LEAF_AUTO(archive,
-                        this->client.CollectRecords(this->options.entry,
-                                                    this->options.table));
+        BOOST_LEAF_AUTO(archive, this->client.CollectRecords(
+                                     this->options.entry, this->options.table));
         const ServiceName name(service);
         BOOST_LEAF_AUTO(steps,
                         archive.Explain(name, JobKey::FromText(name, key)));
--- a/utilities/dandelionspur/line_diff.cc
+++ b/utilities/dandelionspur/line_diff.cc
@@ -17,8 +17,7 @@
 
 }  // namespace
 
-std::string LineDiff(const std::string& old_text,
-                     const std::string& new_text) {
+std::string LineDiff(const std::string& old_text, const std::string& new_text) {
   const std::vector<std::string> before = Lines(old_text);
   const std::vector<std::string> after = Lines(new_text);
   // common[i][j]: longest common subsequence of the lines from i and from j.
--- a/utilities/dandelionspur/main.cc
+++ b/utilities/dandelionspur/main.cc
@@ -20,21 +20,24 @@
 
 cxxopts::Options CommandLine() {
   cxxopts::Options options("dandelionspur", "The operators' command.");
-  options.positional_help("COMMAND...").add_options()(
-      "entry", "admin port of any entry",
-      cxxopts::value<std::string>()->default_value("127.0.0.1:7002"),
-      "IP:PORT")("table", "the platform's table service and object store",
-                 cxxopts::value<std::string>()->default_value("127.0.0.1:7100"),
-                 "IP:PORT")("json", "print JSON")(
-      "wait", "return only when the change has taken effect")(
-      "timeout-s", "how long --wait waits",
-      cxxopts::value<std::int64_t>()->default_value("30"), "SECONDS")(
-      "change-id",
-      "names this change; repeat a change whose answer was lost with the same "
-      "one",
-      cxxopts::value<std::string>(), "ID")("help", "this text")(
-      "version", "print the version")(
-      "words", "", cxxopts::value<std::vector<std::string>>());
+  options.positional_help("COMMAND...")
+      .add_options()(
+          "entry", "admin port of any entry",
+          cxxopts::value<std::string>()->default_value("127.0.0.1:7002"),
+          "IP:PORT")(
+          "table", "the platform's table service and object store",
+          cxxopts::value<std::string>()->default_value("127.0.0.1:7100"),
+          "IP:PORT")("json", "print JSON")(
+          "wait", "return only when the change has taken effect")(
+          "timeout-s", "how long --wait waits",
+          cxxopts::value<std::int64_t>()->default_value("30"),
+          "SECONDS")("change-id",
+                     "names this change; repeat a change whose answer was lost "
+                     "with the same "
+                     "one",
+                     cxxopts::value<std::string>(),
+                     "ID")("help", "this text")("version", "print the version")(
+          "words", "", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({"words"});
   return options;
 }
--- a/utilities/dandelionspur/record_archive.cc
+++ b/utilities/dandelionspur/record_archive.cc
@@ -27,8 +27,7 @@
   Replayer<Core> replayer;
   std::uint64_t steps = 0;
   for (const auto& [number, named] : records.segments) {
-    BOOST_LEAF_AUTO(count,
-                    replayer.Run(named.segment, named.source, visit));
+    BOOST_LEAF_AUTO(count, replayer.Run(named.segment, named.source, visit));
     steps += count;
   }
   return steps;
@@ -42,10 +41,9 @@
 
   bool operator()(const OwnershipChanged& effect) const {
     const BucketId bucket = BucketOf(this->key, this->bucket_count);
-    return std::any_of(effect.buckets.begin(), effect.buckets.end(),
-                       [&](const BucketBallot& changed) {
-                         return changed.bucket == bucket;
-                       });
+    return std::any_of(
+        effect.buckets.begin(), effect.buckets.end(),
+        [&](const BucketBallot& changed) { return changed.bucket == bucket; });
   }
   bool operator()(const ViewInForce&) const { return true; }
   bool operator()(const DocumentInForce& effect) const {
@@ -106,13 +104,11 @@
 template <typename Core>
 Result<std::uint64_t> CollectFrom(const std::string& name,
                                   const ProcessRecords& records,
-                                  const ServiceName& service,
-                                  const JobKey& key,
+                                  const ServiceName& service, const JobKey& key,
                                   std::vector<ExplainedStep>& steps) {
   BOOST_LEAF_AUTO(
-      settings,
-      RecordCodec::FromMessagePack<typename Core::Settings>(
-          records.segments.begin()->second.segment.header.settings));
+      settings, RecordCodec::FromMessagePack<typename Core::Settings>(
+                    records.segments.begin()->second.segment.header.settings));
   const ConcernsJob concerns{service, key, settings.bucket_count};
   return ReplayProcess<Core>(records,
                              JobCollector<Core>(name, concerns, steps));
@@ -180,7 +176,8 @@
         },
         [](const std::string& message) { return message; });
     if (incomplete.empty()) continue;
-    steps.push_back({Timestamp::max(), name, "RECORD INCOMPLETE: " + incomplete});
+    steps.push_back(
+        {Timestamp::max(), name, "RECORD INCOMPLETE: " + incomplete});
   }
   std::stable_sort(steps.begin(), steps.end(),
                    [](const ExplainedStep& left, const ExplainedStep& right) {
--- a/utilities/dandelionspur/sentences.cc
+++ b/utilities/dandelionspur/sentences.cc
@@ -22,8 +22,7 @@
 
 std::string Name(const Ballot& ballot) {
   return "ballot (" + Number(ballot.epoch) + ", " +
-         std::to_string(ballot.round) + ", entry " + Number(ballot.entry) +
-         ")";
+         std::to_string(ballot.round) + ", entry " + Number(ballot.entry) + ")";
 }
 
 std::string Name(const TaskId& id) { return "task " + Number(id.task); }
@@ -64,9 +63,7 @@
     return "not the home; the highest ballot known is " +
            Name(message.promised);
   }
-  std::string operator()(const CancelJob&) const {
-    return "cancel the job";
-  }
+  std::string operator()(const CancelJob&) const { return "cancel the job"; }
   std::string operator()(const WitnessRequest& message) const {
     return "remember the key under " + Name(message.keys.front().ballot);
   }
@@ -147,8 +144,7 @@
   }
   std::string operator()(const ViewInForce& effect) const {
     return "view " + Number(effect.view.epoch) + " with " +
-           std::to_string(effect.view.members.size()) +
-           " entries is in force";
+           std::to_string(effect.view.members.size()) + " entries is in force";
   }
   std::string operator()(const DocumentInForce& effect) const {
     return "version " + Number(effect.document.version) +
--- a/utilities/load/main.cc
+++ b/utilities/load/main.cc
@@ -52,13 +52,13 @@
   const bool valid = workload.jobs > 0 && workload.utilization > 0 &&
                      workload.largest_job > 0 && workload.burst > 0;
   if (!valid) {
-    return Fail("--jobs, --utilization, --largest-job and --burst must be "
-                "above 0");
+    return Fail(
+        "--jobs, --utilization, --largest-job and --burst must be "
+        "above 0");
   }
   const std::vector<PlannedJob> jobs = PlanWorkload(workload, fleet);
   RunnerOptions options;
-  options.entry_ports =
-      arguments["entries"].as<std::vector<std::uint16_t>>();
+  options.entry_ports = arguments["entries"].as<std::vector<std::uint16_t>>();
   options.service = arguments["service"].as<std::string>();
   options.deadline =
       std::chrono::milliseconds(arguments["deadline-ms"].as<std::int64_t>());
--- a/utilities/load/runner.cc
+++ b/utilities/load/runner.cc
@@ -65,10 +65,9 @@
 }
 
 void Runner::Submit(std::size_t job, std::size_t entry, bool is_resubmission) {
-  HttpRequest request =
-      MakeHttpRequest(http::verb::post,
-                      "/v1/services/" + this->options.service + "/jobs",
-                      this->RequestBody(job));
+  HttpRequest request = MakeHttpRequest(
+      http::verb::post, "/v1/services/" + this->options.service + "/jobs",
+      this->RequestBody(job));
   request.set("Idempotency-Key", this->jobs[job].key);
   const auto sent = std::chrono::steady_clock::now();
   this->entries[entry]->Send(
--- a/utilities/load/summary.cc
+++ b/utilities/load/summary.cc
@@ -55,8 +55,8 @@
       complete_tasks += jobs[outcome.job].tasks.size();
       responses.push_back(static_cast<double>(outcome.response.count()) /
                           kMicrosecondsPerMillisecond);
-      ratios.push_back(Ratio(outcome.response,
-                             EmptyFleetIdeal(jobs[outcome.job], fleet)));
+      ratios.push_back(
+          Ratio(outcome.response, EmptyFleetIdeal(jobs[outcome.job], fleet)));
       loaded_ratios.push_back(Ratio(outcome.response, loaded[outcome.job]));
     } else if (outcome.verdict == "not_run") {
       ++refused;
@@ -92,8 +92,7 @@
     const std::string text = value.is_number_float()
                                  ? std::to_string(value.get<double>())
                                  : value.dump();
-    std::snprintf(line, sizeof(line), "%-22s %s\n", name.c_str(),
-                  text.c_str());
+    std::snprintf(line, sizeof(line), "%-22s %s\n", name.c_str(), text.c_str());
     table += line;
   }
   return table;
