entry_core: Decide a task in time that hardly grows with the upstreams

Cause: each start looked up the promise of every candidate in a set, copied the service's agents through map look-ups, and recounted all slots several times. Now only the chosen agent's promise is looked up, the agents of a service are kept as a list, and slots are recounted when an agent changes its state.

--- a/libraries/entry_core/agent_registry.cc
+++ b/libraries/entry_core/agent_registry.cc
@@ -24,7 +24,7 @@
     const AgentDescription& description) {
   KnownAgent& known = this->Add(description.agent);
   if (!known.description) {
-    this->services[description.service].push_back(description.agent);
+    this->services[description.service].agents.push_back(&known);
   }
   known.description = description;
   std::vector<AgentId> replaced;
@@ -46,11 +46,12 @@
 }
 
 void AgentRegistry::Expire(Timestamp horizon) {
-  std::erase_if(this->agents, [&](const auto& item) {
+  std::erase_if(this->agents, [&](auto& item) {
     const KnownAgent& known = item.second;
     if (!known.lost_at || *known.lost_at >= horizon) return false;
     if (known.description) {
-      std::erase(this->services[known.description->service], known.agent);
+      std::erase(this->services[known.description->service].agents,
+                 &item.second);
     }
     return true;
   });
@@ -65,28 +66,25 @@
   return summaries;
 }
 
-std::vector<KnownAgent*> AgentRegistry::OfService(const ServiceName& service) {
-  std::vector<KnownAgent*> result;
-  const auto found = this->services.find(service);
-  if (found == this->services.end()) return result;
-  result.reserve(found->second.size());
-  for (const AgentId agent : found->second) {
-    result.push_back(this->Find(agent));
-  }
-  return result;
+const std::vector<KnownAgent*>& AgentRegistry::OfService(
+    const ServiceName& service) {
+  return this->services[service].agents;
 }
 
 std::uint32_t AgentRegistry::SlotsOf(const ServiceName& service) const {
   const auto found = this->services.find(service);
-  if (found == this->services.end()) return 0;
-  std::uint32_t slots = 0;
-  for (const AgentId agent : found->second) {
-    const KnownAgent* known = this->Find(agent);
-    if (known->connected && known->ready && !known->leaving) {
-      slots += known->description->slots;
+  return found == this->services.end() ? 0 : found->second.slots;
+}
+
+void AgentRegistry::RecountSlots() {
+  for (auto& [name, service] : this->services) {
+    service.slots = 0;
+    for (const KnownAgent* known : service.agents) {
+      if (known->connected && known->ready && !known->leaving) {
+        service.slots += known->description->slots;
+      }
     }
   }
-  return slots;
 }
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/agent_registry.h
+++ b/libraries/entry_core/agent_registry.h
@@ -62,14 +62,23 @@
   [[nodiscard]] const std::map<AgentId, KnownAgent>& all() const {
     return this->agents;
   }
-  [[nodiscard]] std::vector<KnownAgent*> OfService(const ServiceName& service);
-  // Slots of the service's agents that are connected and not leaving.
+  [[nodiscard]] const std::vector<KnownAgent*>& OfService(
+      const ServiceName& service);
+  // Slots of the service's agents that are connected and not leaving, as of
+  // the last call of RecountSlots.
   [[nodiscard]] std::uint32_t SlotsOf(const ServiceName& service) const;
+  // Call whenever an agent comes, goes or changes its state.
+  void RecountSlots();
 
  private:
   // Ordered, so that every decision that walks it is repeatable.
   std::map<AgentId, KnownAgent> agents;
-  std::map<ServiceName, std::vector<AgentId>> services;
+  struct ServiceAgents {
+    // Into `agents`, whose items never move.
+    std::vector<KnownAgent*> agents;
+    std::uint32_t slots = 0;
+  };
+  std::map<ServiceName, ServiceAgents> services;
 };
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -95,6 +95,7 @@
   agent.credits = 0;
   agent.demand_told = false;
   this->silent_agents.erase(event.agent);
+  this->registry.RecountSlots();
   this->ownership.RequestFromAgent(event.agent);
   this->home.OnAgentConnected(event.agent);
 }
@@ -104,6 +105,7 @@
   if (agent == nullptr) return;
   agent->connected = false;
   agent->credits = 0;
+  this->registry.RecountSlots();
   this->silent_agents.emplace(event.agent, this->current_time);
 }
 
@@ -301,6 +303,7 @@
   }
   KnownAgent& agent = this->registry.Add(from);
   agent.connected = true;
+  this->registry.RecountSlots();
   this->outbox.ToAgent(
       from, RegisterAcknowledged{this->view(), this->ownership.Promises()});
 }
@@ -309,6 +312,7 @@
   KnownAgent* agent = this->registry.Find(from);
   if (agent == nullptr || message.epoch < this->view().epoch) return;
   agent->ready = true;
+  this->registry.RecountSlots();
   this->ownership.RequestFromAgent(from);
 }
 
@@ -345,7 +349,9 @@
 
 void EntryCore::OnAgent(AgentId from, const AgentLeaving& /*message*/) {
   KnownAgent* agent = this->registry.Find(from);
-  if (agent != nullptr) agent->leaving = true;
+  if (agent == nullptr) return;
+  agent->leaving = true;
+  this->registry.RecountSlots();
 }
 
 void EntryCore::OnAgent(AgentId /*from*/, const AgentHeartbeat& /*message*/) {}
@@ -460,6 +466,7 @@
   const KnownAgent* known = this->registry.Find(agent);
   if (known != nullptr && known->lost_at) return;
   this->registry.MarkLost(agent, this->current_time);
+  this->registry.RecountSlots();
   this->silent_agents.erase(agent);
   this->home.OnAgentLost(agent, this->current_time);
 }
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -507,42 +507,54 @@
     HomeJob& job = this->jobs.at(*key);
     const TaskIndex index = job.queued.back();
     const TaskRecord& task = job.tasks[index.value()];
-    const Candidates candidates = this->CandidatesFor(job, task, now);
-    if (candidates.empty()) break;
-    const std::size_t choice =
-        std::visit([&](auto& policy) { return policy.Choose(candidates); },
-                   service.placement());
+    this->CollectCandidates(job, task, now);
+    const bool only_one = this->candidates.size() == 1;
+    KnownAgent* agent = this->ChooseAgent(job, service);
+    if (agent == nullptr) break;
     PlacementReason reason = PlacementReason::kFastestFree;
-    if (candidates.size() == 1) reason = PlacementReason::kOnlyCandidate;
+    if (only_one) reason = PlacementReason::kOnlyCandidate;
     if (task.retried) reason = PlacementReason::kRetryElsewhere;
-    KnownAgent& agent = *this->agents.Find(candidates[choice]->agent);
-    if (agent.consecutive_failures >= kFailuresBeforeProbation) {
+    if (agent->consecutive_failures >= kFailuresBeforeProbation) {
       reason = PlacementReason::kProbation;
     }
-    this->StartTask(job, index, agent, reason, now);
+    this->StartTask(job, index, *agent, reason, now);
   }
   if (service.queued_tasks() > 0) this->TellDemand(service, now);
 }
 
-Candidates HomeJobs::CandidatesFor(const HomeJob& job, const TaskRecord& task,
-                                   Timestamp now) {
-  const BucketId bucket = this->ownership.BucketOfKey(job.submission.key);
-  Candidates candidates;
+void HomeJobs::CollectCandidates(const HomeJob& job, const TaskRecord& task,
+                                 Timestamp now) {
+  this->candidates.clear();
   const KnownAgent* last_resort = nullptr;
   for (const KnownAgent* agent :
        this->agents.OfService(job.submission.service)) {
     if (!this->MayTakeTask(*agent, now)) continue;
-    if (!this->ownership.AgentPromised(bucket, agent->agent)) continue;
     if (task.retried && agent->agent == task.agent) {
       last_resort = agent;
       continue;
     }
-    candidates.push_back(agent);
+    this->candidates.push_back(agent);
+  }
+  if (this->candidates.empty() && last_resort != nullptr) {
+    this->candidates.push_back(last_resort);
   }
-  if (candidates.empty() && last_resort != nullptr) {
-    candidates.push_back(last_resort);
+}
+
+KnownAgent* HomeJobs::ChooseAgent(const HomeJob& job, ServiceState& service) {
+  const BucketId bucket = this->ownership.BucketOfKey(job.submission.key);
+  while (!this->candidates.empty()) {
+    const std::size_t choice = std::visit(
+        [&](auto& policy) { return policy.Choose(this->candidates); },
+        service.placement());
+    const AgentId agent = this->candidates[choice]->agent;
+    // Looked up for the chosen one only: nearly every agent has promised.
+    if (this->ownership.AgentPromised(bucket, agent)) {
+      return this->agents.Find(agent);
+    }
+    this->candidates.erase(this->candidates.begin() +
+                           static_cast<std::ptrdiff_t>(choice));
   }
-  return candidates;
+  return nullptr;
 }
 
 bool HomeJobs::MayTakeTask(const KnownAgent& agent, Timestamp now) const {
@@ -624,7 +636,7 @@
   }
   ++agent.consecutive_failures;
   if (agent.consecutive_failures < kFailuresBeforeProbation) return;
-  const std::vector<KnownAgent*> peers =
+  const std::vector<KnownAgent*>& peers =
       this->agents.OfService(service.document().service);
   const auto ejected = static_cast<std::uint32_t>(
       std::count_if(peers.begin(), peers.end(), [&](const KnownAgent* peer) {
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -89,8 +89,12 @@
   void QueueTask(HomeJob& job, TaskIndex task);
   void LeaveQueue(HomeJob& job);
   void DispatchService(ServiceState& service, Timestamp now);
-  [[nodiscard]] Candidates CandidatesFor(const HomeJob& job,
-                                         const TaskRecord& task, Timestamp now);
+  // The agents that have room for a task, in `candidates`.
+  void CollectCandidates(const HomeJob& job, const TaskRecord& task,
+                         Timestamp now);
+  // Chooses among the candidates; nullptr where none may be used.
+  [[nodiscard]] KnownAgent* ChooseAgent(const HomeJob& job,
+                                        ServiceState& service);
   [[nodiscard]] bool MayTakeTask(const KnownAgent& agent, Timestamp now) const;
   void StartTask(HomeJob& job, TaskIndex task, KnownAgent& agent,
                  PlacementReason reason, Timestamp now);
@@ -123,6 +127,8 @@
   std::set<JobKey> blocked;
   // Tasks sent to each agent that have not ended.
   std::map<AgentId, std::set<TaskId>> outstanding;
+  // Kept between decisions only for its memory.
+  Candidates candidates;
   KeptAnswers kept;
   RefusedAttempts refused_attempts;
 };
--- a/tests/entry_core/submission_validator_test.cc
+++ b/tests/entry_core/submission_validator_test.cc
@@ -89,11 +89,13 @@
     [](const auto& tested) { return std::string(tested.param.name); });
 
 TEST(SubmissionValidatorTest, SoundJobIsAccepted) {
-  const RawSubmission raw{ServiceName("s"), "k", Tasks(860), ""};
+  const std::string body = Tasks(860);
+  const RawSubmission raw{ServiceName("s"), "k", body, ""};
   const ValidatedSubmission validated =
       SubmissionValidator::Job(raw, &Document());
+  const auto* rejected = std::get_if<RejectedSubmission>(&validated);
+  ASSERT_EQ(rejected, nullptr) << rejected->detail;
   const auto* job = std::get_if<JobSubmission>(&validated);
-  ASSERT_NE(job, nullptr);
   EXPECT_EQ(job->tasks.size(), kMaximumTasksPerJob);
   EXPECT_EQ(job->time_allowed, Document().default_deadline);
 }
--- /dev/null
+++ b/tests/support/core_bench.h
@@ -0,0 +1,33 @@
+#ifndef DANDELIONSPUR_TESTS_SUPPORT_CORE_BENCH_H_
+#define DANDELIONSPUR_TESTS_SUPPORT_CORE_BENCH_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "libraries/agent_core/agent_core.h"
+#include "libraries/entry_core/entry_core.h"
+
+namespace dandelionspur {
+
+// One entry core with agents that are ready, for benchmarks: everything that
+// other processes would answer is answered at once.
+class CoreBench {
+ public:
+  explicit CoreBench(std::uint32_t agents, std::uint32_t slots = 8);
+
+  // Submits a job, as relayed by the other entry, and runs it to its answer.
+  // Returns the number of tasks started.
+  std::uint32_t RunJob(std::uint64_t number, std::uint32_t tasks);
+  // Handles one event; the effects that matter are kept for the next call.
+  std::vector<EntryEffect> Handle(const EntryEvent& event);
+
+  EntryCore& core() { return this->entry; }
+
+ private:
+  EntryCore entry;
+  Timestamp now;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_TESTS_SUPPORT_CORE_BENCH_H_
