--- a/tests/benchmarks/core_benchmark.cc
+++ b/tests/benchmarks/core_benchmark.cc
@@ -73,9 +73,8 @@
     member.entry = EntryId(1);
     view = WithMember(view, member, now);
     agent.Handle(AgentViewRead{view}, now);
-    agent.Handle(EntryMessageReceived{EntryId(1),
-                                      RegisterAcknowledged{view, {}}},
-                 now);
+    agent.Handle(
+        EntryMessageReceived{EntryId(1), RegisterAcknowledged{view, {}}}, now);
     for (std::uint64_t i = a; i < total; i += kAgents) {
       Start start;
       const std::uint64_t job = i / 100;
@@ -116,15 +115,15 @@
       const auto* sent = std::get_if<SendToAgent>(&effect);
       if (sent == nullptr) continue;
       AgentCore& agent = *agents[sent->to.value() - 1000];
-      for (AgentEffect& answer : agent.Handle(
-               EntryMessageReceived{EntryId(1), sent->message}, now)) {
+      for (AgentEffect& answer :
+           agent.Handle(EntryMessageReceived{EntryId(1), sent->message}, now)) {
         const auto* back = std::get_if<SendToEntry>(&answer);
         if (back == nullptr) continue;
         const std::string bytes = WireCodec::ToMessagePack(back->message);
         AgentMessage decoded;
         WireCodec::Read(nlohmann::json::from_msgpack(bytes), decoded);
-        home.OnAgentPromiseReply(sent->to,
-                                 std::get<AgentPromiseReply>(decoded), now);
+        home.OnAgentPromiseReply(sent->to, std::get<AgentPromiseReply>(decoded),
+                                 now);
       }
     }
     home.ActivateReady(now);
