--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -558,8 +558,8 @@
 }
 
 bool HomeJobs::MayTakeTask(const KnownAgent& agent, Timestamp now) const {
-  if (agent.credits == 0 || !agent.IsUsable(now, this->settings.suspect_after))
-    return false;
+  const bool usable = agent.IsUsable(now, this->settings.suspect_after);
+  if (agent.credits == 0 || !usable) return false;
   const bool on_trial = agent.consecutive_failures >= kFailuresBeforeProbation;
   return !on_trial || agent.running == 0;
 }
--- a/libraries/network/frame_connection.cc
+++ b/libraries/network/frame_connection.cc
@@ -100,7 +100,7 @@
   std::vector<boost::asio::const_buffer> buffers;
   this->writing = std::min(this->outgoing.size(), kMaximumGather);
   for (std::size_t i = 0; i < this->writing; ++i) {
-    buffers.push_back(boost::asio::buffer(this->outgoing[i]));
+    buffers.emplace_back(boost::asio::buffer(this->outgoing[i]));
   }
   boost::asio::async_write(
       this->socket, buffers,
--- a/libraries/network/link.cc
+++ b/libraries/network/link.cc
@@ -176,8 +176,9 @@
                         [self = this->shared_from_this(),
                          socket](boost::system::error_code error) {
                           if (self->stopped) return;
-                          if (error == asio::error::connection_refused)
+                          if (error == asio::error::connection_refused) {
                             self->ReportDead();
+                          }
                           if (error) {
                             self->RedialLater();
                             return;
--- a/libraries/recording/segment.cc
+++ b/libraries/recording/segment.cc
@@ -78,8 +78,8 @@
 }
 
 void SealSegment(std::string& segment) {
-  const std::uint64_t checksum =
-      DigestOf(std::string_view(segment).substr(kPreambleSize));
+  const std::string_view bytes = segment;
+  const std::uint64_t checksum = DigestOf(bytes.substr(kPreambleSize));
   boost::endian::store_big_u64(
       reinterpret_cast<std::uint8_t*>(segment.data() + kMagic.size()),
       checksum);
--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -117,7 +117,7 @@
       metrics(counters),
       answers(counters, "answers_total") {}
 
-void CallerRoutes::Handle(HttpRequest request, HttpResponder responder) {
+void CallerRoutes::Handle(const HttpRequest& request, HttpResponder responder) {
   constexpr std::size_t kCollectionParts = 4;
   constexpr std::size_t kItemParts = 5;
   const std::vector<std::string> parts =
--- a/services/entry/caller_routes.h
+++ b/services/entry/caller_routes.h
@@ -27,7 +27,7 @@
                Metrics& counters);
 
   // Serves one request; on any of the server's threads.
-  void Handle(HttpRequest request, HttpResponder responder);
+  void Handle(const HttpRequest& request, HttpResponder responder);
 
  private:
   struct Target;
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -88,12 +88,11 @@
                          this->input_output, this->metrics, sink));
   this->links = std::move(bound_links);
   BOOST_LEAF_AUTO(
-      callers,
-      HttpServer::Create(this->settings.callers, this->input_output,
-                         [this](HttpRequest request, HttpResponder responder) {
-                           this->caller_routes->Handle(std::move(request),
-                                                       std::move(responder));
-                         }));
+      callers, HttpServer::Create(
+                   this->settings.callers, this->input_output,
+                   [this](const HttpRequest& request, HttpResponder responder) {
+                     this->caller_routes->Handle(request, std::move(responder));
+                   }));
   this->caller_server = std::move(callers);
   BOOST_LEAF_AUTO(admin,
                   HttpServer::Create(this->settings.admin, this->input_output,
--- a/services/runtime/record_keeper.h
+++ b/services/runtime/record_keeper.h
@@ -65,7 +65,7 @@
   void Flush(std::function<void()> callback) {
     boost::asio::post(this->context, [this, done = std::move(callback)] {
       this->CloseSegment();
-      this->flushed = std::move(done);
+      this->flushed = done;
       this->StoreOldest();
     });
   }
--- a/utilities/load/main.cc
+++ b/utilities/load/main.cc
@@ -24,6 +24,8 @@
       cxxopts::value<double>()->default_value("0.5"))(
       "seed", "seed of the plan",
       cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "key-prefix", "begins every key",
+      cxxopts::value<std::string>()->default_value("load"))(
       "resubmitted", "part of the jobs sent twice",
       cxxopts::value<double>()->default_value("0"))(
       "declared-error", "factor by which declared times are off",
@@ -45,6 +47,7 @@
   workload.jobs = arguments["jobs"].as<std::size_t>();
   workload.utilization = arguments["utilization"].as<double>();
   workload.seed = arguments["seed"].as<std::uint64_t>();
+  workload.key_prefix = arguments["key-prefix"].as<std::string>();
   workload.resubmitted_part = arguments["resubmitted"].as<double>();
   workload.declared_error = arguments["declared-error"].as<double>();
   workload.largest_job = arguments["largest-job"].as<std::size_t>();
--- a/utilities/load/workload.cc
+++ b/utilities/load/workload.cc
@@ -41,8 +41,8 @@
 
   PlannedJob Next(std::size_t number) {
     PlannedJob job;
-    job.key = "load-" + std::to_string(this->options.seed) + "-" +
-              std::to_string(number);
+    job.key = this->options.key_prefix + "-" +
+              std::to_string(this->options.seed) + "-" + std::to_string(number);
     const std::size_t count = this->TaskCount();
     for (std::size_t i = 0; i < count; ++i) job.tasks.push_back(this->Task());
     job.resubmitted = this->Chance(this->options.resubmitted_part);
--- a/utilities/load/workload.h
+++ b/utilities/load/workload.h
@@ -43,6 +43,8 @@
   // Part of the fleet's capacity that the arrivals use on average.
   double utilization = 0.5;
   std::uint64_t seed = 1;
+  // Begins every key, so that the same plan can run twice on one cluster.
+  std::string key_prefix = "load";
   double resubmitted_part = 0;
   // Declared times are off by up to this factor, either way.
   double declared_error = 1;
