entry_core: Judge upstreams in a class of their own; wait for a faster one

Cause of the waste: a freed slot went to whoever held least, by a message of its own, although nobody else had a use for it. It now stays with the entry that gets the finished task anyway, unless another has unmet demand or no credit. A queued task now waits for a faster slot while the expected wait is shorter than what it gains, for 2 s at most.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -258,7 +258,7 @@
 std::uint32_t AgentCore::ShareCredits(EntryId receiver) {
   if (!this->ready || this->leaving) return 0;
   std::uint32_t for_receiver = 0;
-  for (const Grant& grant : this->ledger.Distribute()) {
+  for (const Grant& grant : this->ledger.Distribute(receiver)) {
     if (grant.entry == receiver) {
       for_receiver = grant.credits;
     } else {
--- a/libraries/agent_core/credit_ledger.cc
+++ b/libraries/agent_core/credit_ledger.cc
@@ -3,6 +3,11 @@
 #include <algorithm>
 
 namespace dandelionspur {
+namespace {
+
+// Differences between two entries that are not worth a message.
+constexpr std::uint32_t kTolerance = 1;
+}  // namespace
 
 void CreditLedger::EntryJoined(EntryId entry) {
   if (this->Find(entry) != nullptr) this->EntryLeft(entry);
@@ -50,10 +55,10 @@
   holder->recalled = false;
 }
 
-std::vector<Grant> CreditLedger::Distribute() {
+std::vector<Grant> CreditLedger::Distribute(EntryId preferred) {
   std::vector<Grant> grants;
   for (std::uint32_t free = this->FreeSlots(); free > 0; --free) {
-    Holder* holder = this->Neediest();
+    Holder* holder = this->Neediest(preferred);
     if (holder == nullptr) return grants;
     ++holder->credits;
     holder->recalled = false;
@@ -90,27 +95,30 @@
   return nullptr;
 }
 
-CreditLedger::Holder* CreditLedger::Neediest() {
-  Holder* best = nullptr;
-  const auto unmet = [](const Holder& holder) {
-    return holder.queued > holder.credits;
-  };
+CreditLedger::Holder* CreditLedger::Neediest(EntryId preferred) {
+  Holder* favourite = this->Find(preferred);
+  Holder* best = favourite;
   for (Holder& holder : this->holders) {
-    if (best == nullptr) {
-      best = &holder;
-      continue;
-    }
-    if (unmet(holder) != unmet(*best)) {
-      if (unmet(holder)) best = &holder;
-      continue;
-    }
-    if (holder.credits + holder.running < best->credits + best->running) {
-      best = &holder;
-    }
+    const std::uint32_t tolerance = best == favourite ? kTolerance : 0;
+    if (best == nullptr || NeedsMore(holder, *best, tolerance)) best = &holder;
   }
   return best;
 }
 
+bool CreditLedger::NeedsMore(const Holder& candidate, const Holder& other,
+                             std::uint32_t tolerance) {
+  const bool candidate_unmet = candidate.queued > candidate.credits;
+  const bool other_unmet = other.queued > other.credits;
+  if (candidate_unmet != other_unmet) return candidate_unmet;
+  // Without demand a slot stays where it is, as long as every entry can start
+  // its next task at once; a recall moves it when it is needed.
+  if (!candidate_unmet && tolerance > 0) {
+    return candidate.credits == 0 && other.credits > 0;
+  }
+  return candidate.credits + candidate.running + tolerance <
+         other.credits + other.running;
+}
+
 std::uint32_t CreditLedger::FreeSlots() const {
   std::uint32_t used = this->orphans;
   for (const Holder& holder : this->holders) {
--- a/libraries/agent_core/credit_ledger.h
+++ b/libraries/agent_core/credit_ledger.h
@@ -31,8 +31,10 @@
   // A task that `entry` started has ended.
   void Release(EntryId entry);
   void Return(EntryId entry, std::uint32_t credits);
-  // Hands out the free slots. At most one grant for each entry.
-  std::vector<Grant> Distribute();
+  // Hands out the free slots, at most one grant for each entry. Where others
+  // need them no more, `preferred` gets them: a grant to it rides on a message
+  // that goes there anyway.
+  std::vector<Grant> Distribute(EntryId preferred);
   // An entry without demand that holds credits another one lacks; asked at
   // most once until it answers or uses them.
   std::optional<EntryId> NextRecall();
@@ -47,7 +49,9 @@
   };
 
   Holder* Find(EntryId entry);
-  Holder* Neediest();
+  Holder* Neediest(EntryId preferred);
+  static bool NeedsMore(const Holder& candidate, const Holder& other,
+                        std::uint32_t tolerance);
   [[nodiscard]] std::uint32_t FreeSlots() const;
 
   std::uint32_t slots = 0;
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -1,26 +1,14 @@
 #include "libraries/entry_core/home_jobs.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace dandelionspur {
 namespace {
 
-constexpr std::uint32_t kFailuresBeforeProbation = 3;
-constexpr Duration kFirstProbation = std::chrono::milliseconds(500);
-constexpr std::uint32_t kMaximumProbationDoublings = 6;
-constexpr double kSpeedAverageWeight = 0.2;
-constexpr double kMaximumSlowness = 50;
+// A faster upstream may hang while its agent answers, so waiting is bounded.
+constexpr Duration kLongestWaitForFaster = std::chrono::seconds(2);
 constexpr Duration kMinimumRetryAfter = std::chrono::milliseconds(100);
-constexpr std::uint32_t kPercent = 100;
-
-Duration ProbationTime(std::uint32_t failures) {
-  const std::uint32_t beyond = failures < kFailuresBeforeProbation
-                                   ? 0
-                                   : failures - kFailuresBeforeProbation;
-  return kFirstProbation * (1U << std::min(beyond, kMaximumProbationDoublings));
-}
 
 }  // namespace
 
@@ -32,6 +20,7 @@
       agents(registry),
       confirmer(refusals),
       outbox(effects),
+      health(configured.suspect_after, registry),
       kept(configured.maximum_answer_bytes, configured.duplicate_window),
       refused_attempts(configured.duplicate_window) {}
 
@@ -327,9 +316,11 @@
     if (service != nullptr) {
       const Duration declared =
           job->submission.tasks[report.task.task.value()].declared;
-      this->ObserveOutcome(*agent, *service, report.outcome, now);
       if (report.outcome == TaskOutcome::kSucceeded) {
-        this->ObserveSpeed(*agent, *service, declared, message.elapsed);
+        this->health.ObserveSuccess(*agent, *service, declared,
+                                    message.elapsed);
+      } else {
+        this->health.ObserveFailure(*agent, *service, now);
       }
     }
   }
@@ -374,8 +365,7 @@
   if (agent != nullptr) {
     agent->credits += message.credits;
     if (message.reason == Reason::kUpstreamUnreachable) {
-      ++agent->consecutive_failures;
-      agent->usable_from = now + ProbationTime(agent->consecutive_failures);
+      this->health.ObserveUnreachable(*agent, now);
     }
   }
   HomeJob* job = this->Find(message.task.key);
@@ -511,10 +501,16 @@
     const bool only_one = this->candidates.size() == 1;
     KnownAgent* agent = this->ChooseAgent(job, service);
     if (agent == nullptr) break;
+    const bool waits =
+        service.document().placement == PlacementKind::kFastestFree &&
+        now - job.accepted_at < kLongestWaitForFaster &&
+        this->health.ShouldWaitForFaster(
+            *agent, service, this->ownership.view().members.size(), now);
+    if (waits) break;
     PlacementReason reason = PlacementReason::kFastestFree;
     if (only_one) reason = PlacementReason::kOnlyCandidate;
     if (task.retried) reason = PlacementReason::kRetryElsewhere;
-    if (agent->consecutive_failures >= kFailuresBeforeProbation) {
+    if (this->health.IsOnProbation(*agent)) {
       reason = PlacementReason::kProbation;
     }
     this->StartTask(job, index, *agent, reason, now);
@@ -528,7 +524,7 @@
   const KnownAgent* last_resort = nullptr;
   for (const KnownAgent* agent :
        this->agents.OfService(job.submission.service)) {
-    if (!this->MayTakeTask(*agent, now)) continue;
+    if (!this->health.MayTakeTask(*agent, now)) continue;
     if (task.retried && agent->agent == task.agent) {
       last_resort = agent;
       continue;
@@ -557,13 +553,6 @@
   return nullptr;
 }
 
-bool HomeJobs::MayTakeTask(const KnownAgent& agent, Timestamp now) const {
-  const bool usable = agent.IsUsable(now, this->settings.suspect_after);
-  if (agent.credits == 0 || !usable) return false;
-  const bool on_trial = agent.consecutive_failures >= kFailuresBeforeProbation;
-  return !on_trial || agent.running == 0;
-}
-
 void HomeJobs::StartTask(HomeJob& job, TaskIndex task, KnownAgent& agent,
                          PlacementReason reason, Timestamp now) {
   ServiceState& service = *this->Service(job);
@@ -628,50 +617,6 @@
   this->QueueTask(job, index);
 }
 
-void HomeJobs::ObserveOutcome(KnownAgent& agent, const ServiceState& service,
-                              TaskOutcome outcome, Timestamp now) {
-  if (outcome == TaskOutcome::kSucceeded) {
-    agent.consecutive_failures = 0;
-    return;
-  }
-  ++agent.consecutive_failures;
-  if (agent.consecutive_failures < kFailuresBeforeProbation) return;
-  const std::vector<KnownAgent*>& peers =
-      this->agents.OfService(service.document().service);
-  const auto ejected = static_cast<std::uint32_t>(
-      std::count_if(peers.begin(), peers.end(), [&](const KnownAgent* peer) {
-        return peer != &agent &&
-               peer->consecutive_failures >= kFailuresBeforeProbation;
-      }));
-  const bool within_cap =
-      (ejected + 1) * kPercent <=
-      peers.size() * service.document().maximum_ejected_percent;
-  if (!within_cap) {
-    agent.consecutive_failures = kFailuresBeforeProbation - 1;
-    return;
-  }
-  agent.usable_from = now + ProbationTime(agent.consecutive_failures);
-}
-
-void HomeJobs::ObserveSpeed(KnownAgent& agent, ServiceState& service,
-                            Duration declared, Duration elapsed) {
-  service.ObserveTask(declared, elapsed);
-  if (declared <= Duration() || elapsed <= Duration()) return;
-  const double ratio =
-      std::min(kMaximumSlowness, static_cast<double>(elapsed.count()) /
-                                     static_cast<double>(declared.count()));
-  // Averaged as logarithms, since declared times are off by factors.
-  const double logarithm = std::log(std::max(ratio, 1.0 / kMaximumSlowness));
-  if (!agent.slowness_known) {
-    agent.slowness_known = true;
-    agent.slowness = std::exp(logarithm);
-    return;
-  }
-  const double average = std::log(agent.slowness);
-  agent.slowness =
-      std::exp(average + kSpeedAverageWeight * (logarithm - average));
-}
-
 void HomeJobs::Finish(HomeJob& job, const JobAnswer& answer, Timestamp now) {
   const JobKey key = job.submission.key;
   this->LeaveQueue(job);
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -17,6 +17,7 @@
 #include "libraries/entry_core/refusal_confirmer.h"
 #include "libraries/entry_core/refused_attempts.h"
 #include "libraries/entry_core/service_state.h"
+#include "libraries/entry_core/upstream_health.h"
 
 namespace dandelionspur {
 
@@ -95,7 +96,6 @@
   // Chooses among the candidates; nullptr where none may be used.
   [[nodiscard]] KnownAgent* ChooseAgent(const HomeJob& job,
                                         ServiceState& service);
-  [[nodiscard]] bool MayTakeTask(const KnownAgent& agent, Timestamp now) const;
   void StartTask(HomeJob& job, TaskIndex task, KnownAgent& agent,
                  PlacementReason reason, Timestamp now);
   void TellDemand(ServiceState& service, Timestamp now);
@@ -105,10 +105,6 @@
   // The start of a task was proven "not run": queues it again, within the
   // retry budget.
   void Requeue(HomeJob& job, TaskIndex index, Reason reason, Timestamp now);
-  void ObserveOutcome(KnownAgent& agent, const ServiceState& service,
-                      TaskOutcome outcome, Timestamp now);
-  void ObserveSpeed(KnownAgent& agent, ServiceState& service, Duration declared,
-                    Duration elapsed);
   // Ends a job whose callers wait too long or do not want it any more.
   void Abandon(HomeJob& job, Reason reason, Timestamp now);
   // Gives the final answer, stops what still runs, and forgets the job.
@@ -120,6 +116,7 @@
   AgentRegistry& agents;
   RefusalConfirmer& confirmer;
   EntryOutbox& outbox;
+  UpstreamHealth health;
   std::map<ServiceName, ServiceState> services;
   std::unordered_map<JobKey, HomeJob> jobs;
   std::set<std::pair<Timestamp, JobKey>> deadlines;
--- /dev/null
+++ b/libraries/entry_core/upstream_health.cc
@@ -0,0 +1,112 @@
+#include "libraries/entry_core/upstream_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dandelionspur {
+namespace {
+
+constexpr std::uint32_t kFailuresBeforeProbation = 3;
+constexpr Duration kFirstProbation = std::chrono::milliseconds(500);
+constexpr std::uint32_t kMaximumProbationDoublings = 6;
+constexpr double kSpeedAverageWeight = 0.2;
+constexpr double kMaximumSlowness = 50;
+// Measured speeds that differ by less are taken as the same.
+constexpr double kClearlyFaster = 1.25;
+constexpr std::uint32_t kPercent = 100;
+
+Duration ProbationTime(std::uint32_t failures) {
+  const std::uint32_t beyond = failures < kFailuresBeforeProbation
+                                   ? 0
+                                   : failures - kFailuresBeforeProbation;
+  return kFirstProbation * (1U << std::min(beyond, kMaximumProbationDoublings));
+}
+
+}  // namespace
+
+bool UpstreamHealth::MayTakeTask(const KnownAgent& agent, Timestamp now) const {
+  const bool usable = agent.IsUsable(now, this->suspect_after);
+  if (agent.credits == 0 || !usable) return false;
+  return !this->IsOnProbation(agent) || agent.running == 0;
+}
+
+bool UpstreamHealth::IsOnProbation(const KnownAgent& agent) const {
+  return agent.consecutive_failures >= kFailuresBeforeProbation;
+}
+
+void UpstreamHealth::ObserveSuccess(KnownAgent& agent, ServiceState& service,
+                                    Duration declared, Duration elapsed) const {
+  agent.consecutive_failures = 0;
+  service.ObserveTask(declared, elapsed);
+  if (declared <= Duration() || elapsed <= Duration()) return;
+  const double ratio =
+      std::min(kMaximumSlowness, static_cast<double>(elapsed.count()) /
+                                     static_cast<double>(declared.count()));
+  // Averaged as logarithms, since declared times are off by factors.
+  const double logarithm = std::log(std::max(ratio, 1.0 / kMaximumSlowness));
+  if (!agent.slowness_known) {
+    agent.slowness_known = true;
+    agent.slowness = std::exp(logarithm);
+    return;
+  }
+  const double average = std::log(agent.slowness);
+  agent.slowness =
+      std::exp(average + kSpeedAverageWeight * (logarithm - average));
+}
+
+void UpstreamHealth::ObserveFailure(KnownAgent& agent,
+                                    const ServiceState& service,
+                                    Timestamp now) const {
+  ++agent.consecutive_failures;
+  if (!this->IsOnProbation(agent)) return;
+  if (!this->MayEjectAnother(agent, service)) {
+    agent.consecutive_failures = kFailuresBeforeProbation - 1;
+    return;
+  }
+  agent.usable_from = now + ProbationTime(agent.consecutive_failures);
+}
+
+void UpstreamHealth::ObserveUnreachable(KnownAgent& agent,
+                                        Timestamp now) const {
+  ++agent.consecutive_failures;
+  agent.usable_from = now + ProbationTime(agent.consecutive_failures);
+}
+
+bool UpstreamHealth::ShouldWaitForFaster(const KnownAgent& fastest_free,
+                                         const ServiceState& service,
+                                         std::size_t sharers,
+                                         Timestamp now) const {
+  if (!fastest_free.slowness_known) return false;
+  double best = fastest_free.slowness;
+  double faster_slots = 0;
+  for (const KnownAgent* peer :
+       this->agents.OfService(service.document().service)) {
+    const bool faster = peer->slowness_known &&
+                        peer->slowness * kClearlyFaster < fastest_free.slowness;
+    if (!faster || this->IsOnProbation(*peer)) continue;
+    if (!peer->IsUsable(now, this->suspect_after)) continue;
+    faster_slots += peer->description->slots;
+    best = std::min(best, peer->slowness);
+  }
+  if (faster_slots == 0) return false;
+  // In units of the mean task time: a slot of the faster ones frees up every
+  // 1 / faster_slots, and the tasks queued here and elsewhere come before.
+  const double wait = static_cast<double>(sharers) *
+                      (service.queued_tasks() + 1) / faster_slots;
+  const double gain = fastest_free.slowness / best - 1;
+  return wait < gain;
+}
+
+bool UpstreamHealth::MayEjectAnother(const KnownAgent& agent,
+                                     const ServiceState& service) const {
+  const std::vector<KnownAgent*>& peers =
+      this->agents.OfService(service.document().service);
+  const auto ejected =
+      std::count_if(peers.begin(), peers.end(), [&](const KnownAgent* peer) {
+        return peer != &agent && this->IsOnProbation(*peer);
+      });
+  return (static_cast<std::size_t>(ejected) + 1) * kPercent <=
+         peers.size() * service.document().maximum_ejected_percent;
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/libraries/network/bind_acceptor.h
@@ -0,0 +1,19 @@
+#ifndef DANDELIONSPUR_LIBRARIES_NETWORK_BIND_ACCEPTOR_H_
+#define DANDELIONSPUR_LIBRARIES_NETWORK_BIND_ACCEPTOR_H_
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "libraries/base/error.h"
+#include "libraries/protocol/view.h"
+
+namespace dandelionspur {
+
+boost::asio::ip::tcp::endpoint ToTcpEndpoint(const Endpoint& endpoint);
+
+// Binds and listens; fails with a line that names the endpoint.
+Result<void> BindAcceptor(boost::asio::ip::tcp::acceptor& acceptor,
+                          const Endpoint& endpoint);
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_NETWORK_BIND_ACCEPTOR_H_
--- a/libraries/network/http_server.cc
+++ b/libraries/network/http_server.cc
@@ -6,6 +6,8 @@
 #include <optional>
 #include <utility>
 
+#include "libraries/network/bind_acceptor.h"
+
 namespace dandelionspur {
 namespace {
 
@@ -115,15 +117,8 @@
         acceptor(group.First()),
         handler(std::make_shared<HttpHandler>(std::move(callback))) {}
 
-  boost::system::error_code Bind(const Tcp::endpoint& endpoint) {
-    boost::system::error_code error;
-    this->acceptor.open(endpoint.protocol(), error);
-    if (error) return error;
-    this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    this->acceptor.bind(endpoint, error);
-    if (error) return error;
-    this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    return error;
+  Result<void> Bind(const Endpoint& endpoint) {
+    return BindAcceptor(this->acceptor, endpoint);
   }
 
   void Accept() {
@@ -167,12 +162,7 @@
                                                        ThreadGroup& threads,
                                                        HttpHandler handler) {
   auto listener = std::make_shared<Listener>(threads, std::move(handler));
-  const boost::system::error_code error =
-      listener->Bind({asio::ip::make_address(endpoint.address), endpoint.port});
-  if (error) {
-    return Fail("can't listen on " + endpoint.address + ":" +
-                std::to_string(endpoint.port) + ": " + error.message());
-  }
+  BOOST_LEAF_CHECK(listener->Bind(endpoint));
   listener->Accept();
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(listener)));
 }
--- a/libraries/network/link.cc
+++ b/libraries/network/link.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "libraries/network/bind_acceptor.h"
 #include "libraries/protocol/codec.h"
 
 namespace dandelionspur {
@@ -23,10 +24,6 @@
       [](const std::string&) { return std::optional<Hello>(); });
 }
 
-Tcp::endpoint ToTcp(const Endpoint& endpoint) {
-  return {asio::ip::make_address(endpoint.address), endpoint.port};
-}
-
 // Runs one accepted or dialed connection: hello first, then frames.
 void StartLink(const FrameConnectionPointer& connection, const Hello& own,
                const LinkHandlers& handlers,
@@ -66,15 +63,8 @@
         own_hello(own),
         handlers(std::move(callbacks)) {}
 
-  boost::system::error_code Bind(const Tcp::endpoint& endpoint) {
-    boost::system::error_code error;
-    this->acceptor.open(endpoint.protocol(), error);
-    if (error) return error;
-    this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    this->acceptor.bind(endpoint, error);
-    if (error) return error;
-    this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    return error;
+  Result<void> Bind(const Endpoint& endpoint) {
+    return BindAcceptor(this->acceptor, endpoint);
   }
 
   void Accept() {
@@ -116,11 +106,7 @@
     const Endpoint& endpoint, ThreadGroup& threads, Hello own,
     LinkHandlers callbacks) {
   auto bound = std::make_shared<Acceptor>(threads, own, std::move(callbacks));
-  const boost::system::error_code error = bound->Bind(ToTcp(endpoint));
-  if (error) {
-    return Fail("can't listen on " + endpoint.address + ":" +
-                std::to_string(endpoint.port) + ": " + error.message());
-  }
+  BOOST_LEAF_CHECK(bound->Bind(endpoint));
   bound->Accept();
   return std::unique_ptr<LinkListener>(new LinkListener(std::move(bound)));
 }
@@ -172,7 +158,7 @@
 void LinkDialer::Dial() {
   if (this->stopped) return;
   auto socket = std::make_shared<Tcp::socket>(this->context);
-  socket->async_connect(ToTcp(this->target),
+  socket->async_connect(ToTcpEndpoint(this->target),
                         [self = this->shared_from_this(),
                          socket](boost::system::error_code error) {
                           if (self->stopped) return;
@@ -221,10 +207,11 @@
 void ProbeEndpoint(asio::io_context& context, const Endpoint& endpoint,
                    std::function<void(bool listening)> callback) {
   auto socket = std::make_shared<Tcp::socket>(context);
-  socket->async_connect(ToTcp(endpoint), [socket, report = std::move(callback)](
-                                             boost::system::error_code error) {
-    report(error != asio::error::connection_refused);
-  });
+  socket->async_connect(
+      ToTcpEndpoint(endpoint),
+      [socket, report = std::move(callback)](boost::system::error_code error) {
+        report(error != asio::error::connection_refused);
+      });
 }
 
 }  // namespace dandelionspur
--- a/services/agent/main.cc
+++ b/services/agent/main.cc
@@ -1,42 +1,11 @@
-#include <iostream>
-
-#include "libraries/configuration/object_reader.h"
-#include "libraries/telemetry/log.h"
 #include "services/agent/agent_server.h"
-#include "services/runtime/daemon.h"
-
-namespace dandelionspur {
-namespace {
-
-Result<AgentSettings> LoadSettings(const std::string& path) {
-  BOOST_LEAF_AUTO(text, ReadFile(path));
-  return ParseAgentSettings(text, path);
-}
-
-Result<ExitCode> Run(const DaemonCommand& command) {
-  BOOST_LEAF_AUTO(settings, LoadSettings(command.settings_path));
-  if (command.check_only) return ExitCode::kSuccess;
-  BOOST_LEAF_AUTO(server, AgentServer::Create(settings));
-  Lifetime::Run([&] { server->Drain(); });
-  return Lifetime::Result();
-}
-
-}  // namespace
-}  // namespace dandelionspur
+#include "services/runtime/run_daemon.h"
 
 int main(int argument_count, char** arguments) {
-  using dandelionspur::ExitCode;
-  const dandelionspur::DaemonCommand command =
-      dandelionspur::ParseDaemonCommand(
-          "dandelionspur-agent",
-          "Runs tasks on the upstream beside it and guards every start.",
-          argument_count, arguments);
-  dandelionspur::InitializeLogging("agent");
-  const ExitCode code =
-      dandelionspur::OrElse([&] { return dandelionspur::Run(command); },
-                            [](const std::string& message) {
-                              std::cerr << message << "\n";
-                              return ExitCode::kBadSettings;
-                            });
-  return static_cast<int>(code);
+  using dandelionspur::AgentServer;
+  using dandelionspur::AgentSettings;
+  return dandelionspur::RunDaemon<AgentServer, AgentSettings>(
+      {"dandelionspur-agent", "agent",
+       "Runs tasks on the upstream beside it and guards every start."},
+      dandelionspur::ParseAgentSettings, argument_count, arguments);
 }
--- /dev/null
+++ b/services/runtime/run_daemon.h
@@ -0,0 +1,58 @@
+#ifndef DANDELIONSPUR_SERVICES_RUNTIME_RUN_DAEMON_H_
+#define DANDELIONSPUR_SERVICES_RUNTIME_RUN_DAEMON_H_
+
+#include <iostream>
+#include <string>
+
+#include "libraries/configuration/object_reader.h"
+#include "libraries/telemetry/log.h"
+#include "services/runtime/daemon.h"
+
+namespace dandelionspur {
+
+// A server that a daemon runs: created from checked settings, drained at the
+// first signal.
+template <typename Server, typename Settings>
+concept DaemonServer = requires(Server& server, const Settings& settings) {
+  Server::Create(settings);
+  server.Drain();
+};
+
+struct DaemonIdentity {
+  // Name of the program.
+  std::string program;
+  // Name in the log.
+  std::string log_name;
+  // What it does, for --help.
+  std::string description;
+};
+
+// The whole of a daemon's main(): command line, settings, run, exit code.
+template <typename Server, typename Settings>
+requires DaemonServer<Server, Settings>
+int RunDaemon(const DaemonIdentity& identity,
+              Result<Settings> (*parse)(const std::string& text,
+                                        const std::string& source),
+              int argument_count, char** arguments) {
+  const DaemonCommand command = ParseDaemonCommand(
+      identity.program, identity.description, argument_count, arguments);
+  InitializeLogging(identity.log_name);
+  const ExitCode code = OrElse(
+      [&]() -> Result<ExitCode> {
+        BOOST_LEAF_AUTO(text, ReadFile(command.settings_path));
+        BOOST_LEAF_AUTO(settings, parse(text, command.settings_path));
+        if (command.check_only) return ExitCode::kSuccess;
+        BOOST_LEAF_AUTO(server, Server::Create(settings));
+        Lifetime::Run([&] { server->Drain(); });
+        return Lifetime::Result();
+      },
+      [](const std::string& message) {
+        std::cerr << message << "\n";
+        return ExitCode::kBadSettings;
+      });
+  return static_cast<int>(code);
+}
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_SERVICES_RUNTIME_RUN_DAEMON_H_
--- a/tests/agent_core/agent_core_parts_test.cc
+++ b/tests/agent_core/agent_core_parts_test.cc
@@ -64,12 +64,12 @@
   for (std::uint64_t entry = 1; entry <= 3; ++entry) {
     ledger.EntryJoined(EntryId(entry));
   }
-  EXPECT_EQ(Total(ledger.Distribute()), 8U);
-  EXPECT_EQ(Total(ledger.Distribute()), 0U);
+  EXPECT_EQ(Total(ledger.Distribute(EntryId())), 8U);
+  EXPECT_EQ(Total(ledger.Distribute(EntryId())), 0U);
   EXPECT_TRUE(ledger.Consume(EntryId(1)));
-  EXPECT_EQ(Total(ledger.Distribute()), 0U);
+  EXPECT_EQ(Total(ledger.Distribute(EntryId())), 0U);
   ledger.Release(EntryId(1));
-  EXPECT_EQ(Total(ledger.Distribute()), 1U);
+  EXPECT_EQ(Total(ledger.Distribute(EntryId())), 1U);
 }
 
 TEST(CreditLedgerTest, FreedSlotsGoToTheEntryWithDemand) {
@@ -77,14 +77,14 @@
   ledger.SetSlots(2);
   ledger.EntryJoined(EntryId(1));
   ledger.EntryJoined(EntryId(2));
-  ledger.Distribute();
+  ledger.Distribute(EntryId());
   ledger.SetDemand(EntryId(2), 5);
   EXPECT_EQ(ledger.NextRecall(), std::nullopt);
   ASSERT_TRUE(ledger.Consume(EntryId(2)));
   EXPECT_EQ(ledger.NextRecall(), std::optional(EntryId(1)));
   EXPECT_EQ(ledger.NextRecall(), std::nullopt);
   ledger.Return(EntryId(1), 1);
-  const std::vector<Grant> grants = ledger.Distribute();
+  const std::vector<Grant> grants = ledger.Distribute(EntryId());
   ASSERT_EQ(grants.size(), 1U);
   EXPECT_EQ(grants[0].entry, EntryId(2));
 }
@@ -93,13 +93,13 @@
   CreditLedger ledger;
   ledger.SetSlots(2);
   ledger.EntryJoined(EntryId(1));
-  ledger.Distribute();
+  ledger.Distribute(EntryId());
   ASSERT_TRUE(ledger.Consume(EntryId(1)));
   ledger.EntryLeft(EntryId(1));
   ledger.EntryJoined(EntryId(2));
-  EXPECT_EQ(Total(ledger.Distribute()), 1U);
+  EXPECT_EQ(Total(ledger.Distribute(EntryId())), 1U);
   ledger.Release(EntryId(1));
-  EXPECT_EQ(Total(ledger.Distribute()), 1U);
+  EXPECT_EQ(Total(ledger.Distribute(EntryId())), 1U);
 }
 
 }  // namespace
--- a/tests/support/protocol_world.cc
+++ b/tests/support/protocol_world.cc
@@ -20,11 +20,6 @@
          R"( "maximum_deadline_ms": 60000})";
 }
 
-Payload ResultOf(const TaskId& id) {
-  return Payload::FromBytes(id.key.ToHex() + "/" +
-                            std::to_string(id.task.value()));
-}
-
 Payload BodyOf(const TaskId& id) {
   return Payload::FromBytes("body " + id.key.ToHex() +
                             std::to_string(id.task.value()));
@@ -37,6 +32,11 @@
 
 }  // namespace
 
+Payload ResultOf(const TaskId& id) {
+  return Payload::FromBytes(id.key.ToHex() + "/" +
+                            std::to_string(id.task.value()));
+}
+
 ProtocolWorld::ProtocolWorld(const WorldOptions& configured)
     : options(configured), now(std::chrono::seconds(1'000'000)) {
   for (std::uint32_t i = 0; i < this->options.entries; ++i) {
@@ -754,89 +754,6 @@
   }
 }
 
-bool ProtocolWorld::Tamper(NodeId from, NodeId to, Message& message) {
-  auto* agent_message = std::get_if<AgentMessage>(&message);
-  auto* peer_message = std::get_if<PeerMessage>(&message);
-  auto* to_agent = std::get_if<EntryToAgentMessage>(&message);
-  switch (this->options.fault) {
-    case DeliberateFault::kSkipBallotCheck:
-      if (to_agent != nullptr) {
-        if (auto* start = std::get_if<Start>(to_agent)) {
-          start->ballot.epoch = Epoch(UINT32_MAX);
-        }
-      }
-      return true;
-    case DeliberateFault::kSkipWitness:
-      if (peer_message != nullptr) {
-        if (auto* request = std::get_if<WitnessRequest>(peer_message)) {
-          this->channels[{to, from}].emplace_back(
-              PeerMessage(WitnessReply{request->keys, {}}));
-          return false;
-        }
-      }
-      return true;
-    case DeliberateFault::kForgetStartedSet:
-      if (agent_message != nullptr) {
-        if (auto* reply = std::get_if<AgentPromiseReply>(agent_message)) {
-          reply->started.clear();
-        }
-      }
-      return true;
-    case DeliberateFault::kForgetWitnessedKeys:
-      if (peer_message != nullptr) {
-        if (auto* reply = std::get_if<PromiseReply>(peer_message)) {
-          for (BucketPromise& bucket : reply->buckets) bucket.known.clear();
-        }
-      }
-      return true;
-    case DeliberateFault::kRerunAfterBrokenConnection:
-      if (agent_message != nullptr) {
-        if (auto* reply = std::get_if<RenounceReply>(agent_message)) {
-          reply->report.state = StartedState::kNeverStarted;
-        }
-      }
-      return true;
-    case DeliberateFault::kRefuseUnconfirmed: {
-      const ConfirmRequest* request = nullptr;
-      if (peer_message != nullptr) {
-        request = std::get_if<ConfirmRequest>(peer_message);
-      } else if (to_agent != nullptr) {
-        request = std::get_if<ConfirmRequest>(to_agent);
-      }
-      if (request == nullptr) return true;
-      ConfirmReply reply{request->sequence, {}, {}};
-      for (const BucketBallot& bucket : request->buckets) {
-        reply.confirmed.push_back(bucket.bucket);
-      }
-      if (peer_message != nullptr) {
-        this->channels[{to, from}].emplace_back(PeerMessage(reply));
-      } else {
-        this->channels[{to, from}].emplace_back(AgentMessage(reply));
-      }
-      return false;
-    }
-    case DeliberateFault::kCrossAnswers:
-      if (agent_message != nullptr) {
-        if (auto* finished = std::get_if<TaskFinished>(agent_message)) {
-          finished->report.result =
-              ResultOf({finished->report.task.key, TaskIndex(0)});
-        }
-      }
-      return true;
-    case DeliberateFault::kLowerVersion:
-      if (peer_message != nullptr) {
-        if (auto* push = std::get_if<DocumentPush>(peer_message)) {
-          for (VersionedDocument& document : push->documents) {
-            document.version = DocumentVersion(document.version.value() + 1);
-          }
-        }
-      }
-      return true;
-    default:
-      return true;
-  }
-}
-
 void ProtocolWorld::Fail(const std::string& what) {
   if (this->broken) return;
   this->broken = what;
--- a/tests/support/protocol_world.h
+++ b/tests/support/protocol_world.h
@@ -57,6 +57,9 @@
   DeliberateFault fault = DeliberateFault::kNone;
 };
 
+// What the upstream answers to a task.
+Payload ResultOf(const TaskId& id);
+
 // The real cores in a bag of messages, with a clock, a table and upstreams
 // that exist only as numbers, and the oracle: a few counts of what happened.
 class ProtocolWorld {
