entry_core: Take back waiting for a faster upstream

The try: a queued task waited for a slot at a faster upstream while the expected wait, (queued + 1) x entries / faster slots in mean task times, was shorter than the gain in speed, for 2 s at most.

--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -6,8 +6,6 @@
 namespace dandelionspur {
 namespace {
 
-// A faster upstream may hang while its agent answers, so waiting is bounded.
-constexpr Duration kLongestWaitForFaster = std::chrono::seconds(2);
 constexpr Duration kMinimumRetryAfter = std::chrono::milliseconds(100);
 
 }  // namespace
@@ -501,12 +499,6 @@
     const bool only_one = this->candidates.size() == 1;
     KnownAgent* agent = this->ChooseAgent(job, service);
     if (agent == nullptr) break;
-    const bool waits =
-        service.document().placement == PlacementKind::kFastestFree &&
-        now - job.accepted_at < kLongestWaitForFaster &&
-        this->health.ShouldWaitForFaster(
-            *agent, service, this->ownership.view().members.size(), now);
-    if (waits) break;
     PlacementReason reason = PlacementReason::kFastestFree;
     if (only_one) reason = PlacementReason::kOnlyCandidate;
     if (task.retried) reason = PlacementReason::kRetryElsewhere;
--- a/libraries/entry_core/upstream_health.cc
+++ b/libraries/entry_core/upstream_health.cc
@@ -11,8 +11,6 @@
 constexpr std::uint32_t kMaximumProbationDoublings = 6;
 constexpr double kSpeedAverageWeight = 0.2;
 constexpr double kMaximumSlowness = 50;
-// Measured speeds that differ by less are taken as the same.
-constexpr double kClearlyFaster = 1.25;
 constexpr std::uint32_t kPercent = 100;
 
 Duration ProbationTime(std::uint32_t failures) {
@@ -72,31 +70,6 @@
   agent.usable_from = now + ProbationTime(agent.consecutive_failures);
 }
 
-bool UpstreamHealth::ShouldWaitForFaster(const KnownAgent& fastest_free,
-                                         const ServiceState& service,
-                                         std::size_t sharers,
-                                         Timestamp now) const {
-  if (!fastest_free.slowness_known) return false;
-  double best = fastest_free.slowness;
-  double faster_slots = 0;
-  for (const KnownAgent* peer :
-       this->agents.OfService(service.document().service)) {
-    const bool faster = peer->slowness_known &&
-                        peer->slowness * kClearlyFaster < fastest_free.slowness;
-    if (!faster || this->IsOnProbation(*peer)) continue;
-    if (!peer->IsUsable(now, this->suspect_after)) continue;
-    faster_slots += peer->description->slots;
-    best = std::min(best, peer->slowness);
-  }
-  if (faster_slots == 0) return false;
-  // In units of the mean task time: a slot of the faster ones frees up every
-  // 1 / faster_slots, and the tasks queued here and elsewhere come before.
-  const double wait = static_cast<double>(sharers) *
-                      (service.queued_tasks() + 1) / faster_slots;
-  const double gain = fastest_free.slowness / best - 1;
-  return wait < gain;
-}
-
 bool UpstreamHealth::MayEjectAnother(const KnownAgent& agent,
                                      const ServiceState& service) const {
   const std::vector<KnownAgent*>& peers =
--- a/libraries/entry_core/upstream_health.h
+++ b/libraries/entry_core/upstream_health.h
@@ -22,13 +22,6 @@
                       Duration declared, Duration elapsed) const;
   void ObserveFailure(KnownAgent& agent, const ServiceState& service,
                       Timestamp now) const;
-  // Whether a queued task is likely to end earlier if it waits for a slot at a
-  // faster upstream than the fastest one with a free slot. `sharers`: entries
-  // that the slots are shared with.
-  [[nodiscard]] bool ShouldWaitForFaster(const KnownAgent& fastest_free,
-                                         const ServiceState& service,
-                                         std::size_t sharers,
-                                         Timestamp now) const;
   // The upstream can't be reached at all.
   void ObserveUnreachable(KnownAgent& agent, Timestamp now) const;
 
