--- a/utilities/dandelionspur/record_archive.cc
+++ b/utilities/dandelionspur/record_archive.cc
@@ -162,7 +162,9 @@
 Result<std::vector<ExplainedStep>> RecordArchive::Explain(
     const ServiceName& service, const JobKey& key) const {
   std::vector<ExplainedStep> steps;
-  for (const auto& [name, records] : this->processes) {
+  for (const auto& process : this->processes) {
+    const std::string& name = process.first;
+    const ProcessRecords& records = process.second;
     const std::string incomplete = OrElse(
         [&]() -> Result<std::string> {
           if (records.role == ProcessRole::kEntry) {
