--- a/libraries/network/http_client.cc
+++ b/libraries/network/http_client.cc
@@ -25,8 +25,8 @@
 class HttpClient::Connection
     : public std::enable_shared_from_this<HttpClient::Connection> {
  public:
-  Connection(asio::io_context& executor, std::shared_ptr<HttpClient> owner)
-      : stream(executor), client(std::move(owner)) {}
+  Connection(asio::io_context& thread, std::shared_ptr<HttpClient> owner)
+      : stream(thread), client(std::move(owner)) {}
 
   // Whether the other side has closed a kept connection in the meantime.
   [[nodiscard]] bool IsStale() {
--- a/tests/support/protocol_world.cc
+++ b/tests/support/protocol_world.cc
@@ -69,8 +69,9 @@
   // The weights make faults rare against deliveries, as a run would otherwise
   // only see dead processes. Runs differ in how much goes wrong.
   if (kind < 62) {
-    for (std::uint32_t i = 0; i <= rest % 12; ++i)
+    for (std::uint32_t i = 0; i <= rest % 12; ++i) {
       this->DeliverOne(rest / 12 + i);
+    }
     return;
   }
   if (kind < 78) return this->Submit(rest);
