--- a/libraries/network/http_client.cc
+++ b/libraries/network/http_client.cc
@@ -44,10 +44,10 @@
       this->Write();
       return;
     }
-    const Endpoint& target = this->client->target;
+    const Endpoint& remote = this->client->target;
     this->stream.expires_after(kConnectTimeout);
     this->stream.async_connect(
-        Tcp::endpoint(asio::ip::make_address(target.address), target.port),
+        Tcp::endpoint(asio::ip::make_address(remote.address), remote.port),
         [self = this->shared_from_this()](boost::system::error_code error) {
           if (error) {
             self->Fail(HttpProgress::kNotSent);
