--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -22,22 +22,37 @@
 void AgentCore::On(const UpstreamAnnounced& event) {
   this->description = event.description;
   this->description->agent = this->settings.self;
-  this->ledger.SetSlots(event.description.slots);
+  this->room.SetCapacity(event.description.capacity);
+  this->upstream_leaving = false;
+  this->contact = UpstreamContact::kAnswering;
+  // Entries must hear of an upstream that came back changed.
+  this->acknowledged.clear();
   this->SendRegistrations();
+  this->TellAll();
+}
+
+void AgentCore::On(const UpstreamLeaving& /*event*/) {
+  this->upstream_leaving = true;
+  this->StartWaiting();
+  this->TellAll();
+}
+
+void AgentCore::On(const UpstreamContactChanged& event) {
+  if (event.contact == this->contact) return;
+  this->contact = event.contact;
+  this->StartWaiting();
+  this->TellAll();
 }
 
 void AgentCore::On(const EntryConnected& event) {
-  this->connected.insert(event.entry);
+  this->connected[event.entry] = ConnectedEntry();
   this->acknowledged.erase(event.entry);
-  this->ledger.EntryJoined(event.entry);
   this->SendRegistrations();
 }
 
 void AgentCore::On(const EntryDisconnected& event) {
   this->connected.erase(event.entry);
   this->acknowledged.erase(event.entry);
-  this->ledger.EntryLeft(event.entry);
-  this->ShareCredits(EntryId());
 }
 
 void AgentCore::On(const EntryMessageReceived& event) {
@@ -46,19 +61,23 @@
 }
 
 void AgentCore::On(const UpstreamEnded& event) {
-  const auto runner = this->runners.find(event.task);
-  if (runner == this->runners.end()) return;
-  this->ledger.Release(runner->second);
-  this->runners.erase(runner);
+  if (!this->room.IsRunning(event.task)) return;
+  this->room.Release(event.task);
+  this->stopping.erase(event.task);
+  this->StartWaiting();
   const EntryId home =
       this->promises[this->BucketOfKey(event.task.key).value()].entry;
-  const std::uint32_t credits = this->ShareCredits(home);
-  if (event.result == UpstreamResult::kNotSent) {
+  const bool not_run = event.result == UpstreamResult::kNotSent ||
+                       event.result == UpstreamResult::kNoRoom;
+  if (not_run) {
+    const Reason reason = event.result == UpstreamResult::kNoRoom
+                              ? Reason::kNoFreeSlot
+                              : Reason::kUpstreamUnreachable;
     this->started.MarkNotRun(event.task);
-    this->effects.emplace_back(
-        StartRefusalCounted{Reason::kUpstreamUnreachable});
-    this->Send(home, TaskNotRun{event.task, Reason::kUpstreamUnreachable,
-                                Ballot(), credits});
+    this->effects.emplace_back(StartRefusalCounted{reason});
+    this->Send(home,
+               TaskNotRun{event.task, reason, Ballot(), this->LoadFor(home)});
+    this->TellDemanding(home);
     return;
   }
   TaskOutcome outcome = TaskOutcome::kUnknown;
@@ -70,7 +89,8 @@
   // Built from the event, since the answer may already have been dropped.
   const TaskReport report{event.task, StartedState::kFinished, outcome,
                           event.body, true};
-  this->Send(home, TaskFinished{report, event.elapsed, credits});
+  this->Send(home, TaskFinished{report, event.elapsed, this->LoadFor(home)});
+  this->TellDemanding(home);
 }
 
 void AgentCore::On(const AgentViewRead& event) { this->AdoptView(event.view); }
@@ -78,24 +98,23 @@
 void AgentCore::On(const LeaveRequested& /*event*/) {
   if (this->leaving) return;
   this->leaving = true;
-  for (const EntryId entry : this->connected) {
+  for (const auto& [entry, state] : this->connected) {
     this->Send(entry, AgentLeaving{});
   }
 }
 
 void AgentCore::On(const AgentTick& /*event*/) {
   this->started.Expire(this->current_time);
-  if (this->leaving && this->runners.empty() && !this->drained_reported) {
+  this->StopOverdue();
+  this->CheckContact();
+  const bool idle =
+      this->room.running_count() == 0 && this->room.waiting_count() == 0;
+  if (this->leaving && idle && !this->drained_reported) {
     this->drained_reported = true;
     this->effects.emplace_back(AgentDrained{});
   }
-  if (this->current_time >= this->next_heartbeat) {
-    this->next_heartbeat =
-        this->current_time + this->settings.heartbeat_interval;
-    const auto busy = static_cast<std::uint32_t>(this->runners.size());
-    for (const EntryId entry : this->connected) {
-      this->Send(entry, AgentHeartbeat{busy});
-    }
+  if (this->load_changed || this->current_time >= this->next_heartbeat) {
+    this->TellAll();
   }
   if (this->current_time < this->next_registration) return;
   this->SendRegistrations();
@@ -132,11 +151,16 @@
 }
 
 void AgentCore::OnMessage(EntryId from, const Start& message) {
-  this->ledger.SetDemand(from, message.queued);
-  if (this->started.Contains(message.task)) {
+  const auto sender = this->connected.find(from);
+  if (sender != this->connected.end()) {
+    ++sender->second.starts_seen;
+    sender->second.demand = message.queued;
+  }
+  if (this->started.Contains(message.task) &&
+      !this->started.MayRunAgain(message)) {
     const TaskReport report = this->started.Report(message.task);
     if (report.state == StartedState::kFinished) {
-      this->Send(from, TaskFinished{report, Duration(), 0});
+      this->Send(from, TaskFinished{report, Duration(), this->LoadFor(from)});
     }
     return;
   }
@@ -145,7 +169,7 @@
     this->RefuseStart(from, message, *obstacle);
     return;
   }
-  if (!this->ledger.Consume(from)) {
+  if (!this->room.Admits(message.request.need)) {
     this->RefuseStart(from, message, Reason::kNoFreeSlot);
     return;
   }
@@ -153,9 +177,9 @@
   Ballot& promised =
       this->promises[this->BucketOfKey(message.task.key).value()];
   promised = std::max(promised, message.ballot);
-  this->runners.emplace(message.task, from);
-  this->effects.emplace_back(
-      RunOnUpstream{message.task, message.body, message.time_left});
+  this->load_changed = true;
+  this->room.Enqueue({message, from, this->current_time + message.time_left});
+  this->StartWaiting();
 }
 
 void AgentCore::OnMessage(EntryId from, const Renounce& message) {
@@ -166,24 +190,31 @@
 }
 
 void AgentCore::OnMessage(EntryId /*from*/, const StopTask& message) {
-  if (!this->runners.contains(message.task)) return;
+  const std::optional<AcceptedStart> waiting =
+      this->room.Withdraw(message.task);
+  if (waiting) {
+    this->DropWaiting(*waiting, Reason::kCancelled);
+    return;
+  }
+  if (!this->room.IsRunning(message.task)) return;
+  if (!this->stopping.insert(message.task).second) return;
   this->effects.emplace_back(StopOnUpstream{message.task});
 }
 
-void AgentCore::OnMessage(EntryId from, const CreditRequest& message) {
-  this->ledger.SetDemand(from, message.queued);
-  const std::uint32_t credits = this->ShareCredits(from);
-  if (credits > 0) {
-    this->Send(from, CreditGrant{credits});
-    return;
-  }
-  const std::optional<EntryId> holder = this->ledger.NextRecall();
-  if (holder) this->Send(*holder, CreditRecall{});
+void AgentCore::OnMessage(EntryId from, const DemandNotice& message) {
+  const auto sender = this->connected.find(from);
+  if (sender == this->connected.end()) return;
+  sender->second.demand = message.queued;
+  // Told again only where there is something new, or the two would answer
+  // each other for ever.
+  if (!this->load_changed) return;
+  sender->second.demand = 0;
+  this->Send(from, AgentHeartbeat{this->LoadFor(from), this->current_time});
 }
 
-void AgentCore::OnMessage(EntryId from, const CreditReturn& message) {
-  this->ledger.Return(from, message.credits);
-  this->ShareCredits(EntryId());
+void AgentCore::OnMessage(EntryId /*from*/, const EntryHeartbeat& message) {
+  this->last_confirmed = std::max(this->last_confirmed, message.heard);
+  this->CheckContact();
 }
 
 void AgentCore::OnMessage(EntryId from, const ConfirmRequest& message) {
@@ -213,7 +244,7 @@
   this->next_registration =
       this->current_time + this->settings.registration_interval;
   if (!this->description || this->view.epoch == Epoch()) return;
-  for (const EntryId entry : this->connected) {
+  for (const auto& [entry, state] : this->connected) {
     if (this->acknowledged.contains(entry)) continue;
     this->Send(entry, Register{*this->description, this->view.epoch});
   }
@@ -227,8 +258,8 @@
   for (const EntryId entry : this->acknowledged) {
     this->Send(entry, AgentReady{this->view.epoch});
     if (this->leaving) this->Send(entry, AgentLeaving{});
+    this->Send(entry, AgentHeartbeat{this->LoadFor(entry), this->current_time});
   }
-  this->ShareCredits(EntryId());
 }
 
 std::optional<Reason> AgentCore::StartObstacle(const Start& start) const {
@@ -238,7 +269,10 @@
     return Reason::kStaleBallot;
   }
   if (!this->ready) return Reason::kAgentNotReady;
-  if (this->leaving) return Reason::kAgentLeaving;
+  if (this->leaving || this->upstream_leaving) return Reason::kAgentLeaving;
+  if (this->contact == UpstreamContact::kSilent) {
+    return Reason::kUpstreamUnreachable;
+  }
   if (this->started.IsFull()) return Reason::kStartedSetFull;
   if (this->started.IsForbidden(start)) return Reason::kAttemptRefused;
   return std::nullopt;
@@ -247,25 +281,96 @@
 void AgentCore::RefuseStart(EntryId to, const Start& start, Reason reason) {
   this->started.Forbid(start.task, start.ballot, start.attempt);
   this->effects.emplace_back(StartRefusalCounted{reason});
-  // The entry spent a credit on this start, which is free again.
-  this->ledger.Return(to, 1);
-  const std::uint32_t credits = this->ShareCredits(to);
   const Ballot promised =
       this->promises[this->BucketOfKey(start.task.key).value()];
-  this->Send(to, TaskNotRun{start.task, reason, promised, credits});
+  this->Send(to, TaskNotRun{start.task, reason, promised, this->LoadFor(to)});
 }
 
-std::uint32_t AgentCore::ShareCredits(EntryId receiver) {
-  if (!this->ready || this->leaving) return 0;
-  std::uint32_t for_receiver = 0;
-  for (const Grant& grant : this->ledger.Distribute(receiver)) {
-    if (grant.entry == receiver) {
-      for_receiver = grant.credits;
-    } else {
-      this->Send(grant.entry, CreditGrant{grant.credits});
+void AgentCore::DropWaiting(const AcceptedStart& accepted, Reason reason) {
+  const TaskId& task = accepted.start.task;
+  this->started.MarkNotRun(task);
+  this->load_changed = true;
+  this->effects.emplace_back(StartRefusalCounted{reason});
+  const Ballot promised = this->promises[this->BucketOfKey(task.key).value()];
+  this->Send(promised.entry,
+             TaskNotRun{task, reason, promised, this->LoadFor(promised.entry)});
+}
+
+void AgentCore::StartWaiting() {
+  // What waits when the upstream begins to leave goes elsewhere.
+  if (!this->TakesTasks()) {
+    for (const AcceptedStart& accepted :
+         this->room.WithdrawOverdue(Timestamp::max())) {
+      this->DropWaiting(accepted, Reason::kAgentLeaving);
     }
+    return;
+  }
+  while (const std::optional<AcceptedStart> next = this->room.TakeNext()) {
+    const Duration time_left = next->deadline - this->current_time;
+    this->load_changed = true;
+    this->effects.emplace_back(
+        RunOnUpstream{next->start.task, next->start.job_name,
+                      next->start.request.body, time_left});
+  }
+}
+
+void AgentCore::StopOverdue() {
+  for (const AcceptedStart& accepted :
+       this->room.WithdrawOverdue(this->current_time)) {
+    this->DropWaiting(accepted, Reason::kDeadlineExceeded);
+  }
+  for (const TaskId& task : this->room.Overdue(this->current_time)) {
+    if (!this->stopping.insert(task).second) continue;
+    this->effects.emplace_back(StopOnUpstream{task});
+  }
+}
+
+void AgentCore::CheckContact() {
+  const Duration age = this->current_time - this->last_confirmed;
+  // A confirmation from the future comes from a clock that was set back.
+  const bool fresh = age <= this->settings.contact_limit && age >= Duration();
+  const LeaseRenewal wanted =
+      fresh ? LeaseRenewal::kAllowed : LeaseRenewal::kSuspended;
+  if (wanted == this->renewal) return;
+  this->renewal = wanted;
+  this->effects.emplace_back(RenewalChanged{wanted});
+}
+
+bool AgentCore::TakesTasks() const {
+  return this->ready && !this->leaving && !this->upstream_leaving &&
+         this->contact == UpstreamContact::kAnswering;
+}
+
+AgentLoad AgentCore::LoadFor(EntryId entry) const {
+  AgentLoad load;
+  load.capacity = this->room.total();
+  load.running = this->room.running_need();
+  load.waiting = this->room.waiting_need();
+  const auto receiver = this->connected.find(entry);
+  if (receiver != this->connected.end()) {
+    load.starts_seen = receiver->second.starts_seen;
+  }
+  load.accepting = this->TakesTasks();
+  return load;
+}
+
+void AgentCore::TellDemanding(EntryId except) {
+  this->load_changed = true;
+  if (this->room.waiting_count() > 0) return;
+  for (auto& [entry, state] : this->connected) {
+    if (state.demand == 0 || entry == except) continue;
+    state.demand = 0;
+    this->Send(entry, AgentHeartbeat{this->LoadFor(entry), this->current_time});
+  }
+}
+
+void AgentCore::TellAll() {
+  this->load_changed = false;
+  this->next_heartbeat = this->current_time + this->settings.heartbeat_interval;
+  for (auto& [entry, state] : this->connected) {
+    state.demand = 0;
+    this->Send(entry, AgentHeartbeat{this->LoadFor(entry), this->current_time});
   }
-  return for_receiver;
 }
 
 void AgentCore::Send(EntryId to, AgentMessage message) {
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -2,14 +2,14 @@
 #define DANDELIONSPUR_LIBRARIES_AGENT_CORE_AGENT_CORE_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
-#include <unordered_map>
 #include <vector>
 
 #include "libraries/agent_core/agent_events.h"
-#include "libraries/agent_core/credit_ledger.h"
 #include "libraries/agent_core/started_set.h"
+#include "libraries/agent_core/upstream_room.h"
 
 namespace dandelionspur {
 
@@ -19,13 +19,16 @@
   StartedSetLimits started_set;
   // How long an unanswered registration waits before it is sent again.
   Duration registration_interval = std::chrono::milliseconds(200);
-  Duration heartbeat_interval = std::chrono::milliseconds(300);
+  Duration heartbeat_interval = std::chrono::milliseconds(150);
+  // Without a word from an entry that has heard this agent for this long, the
+  // upstream's lease is renewed no more.
+  Duration contact_limit = std::chrono::milliseconds(600);
 };
 BOOST_DESCRIBE_STRUCT(StartedSetLimits, (),
                       (maximum_tasks, maximum_answer_bytes, duplicate_window))
 BOOST_DESCRIBE_STRUCT(AgentCoreSettings, (),
                       (self, bucket_count, started_set, registration_interval,
-                       heartbeat_interval))
+                       heartbeat_interval, contact_limit))
 
 // Every decision of an agent, as a deterministic state machine: the last
 // guard before a task reaches its upstream. It owns no socket, thread, clock
@@ -40,7 +43,9 @@
 
   std::vector<AgentEffect> Handle(const AgentEvent& event, Timestamp now);
 
-  [[nodiscard]] std::size_t running() const { return this->runners.size(); }
+  [[nodiscard]] std::size_t running() const {
+    return this->room.running_count();
+  }
   [[nodiscard]] std::size_t remembered() const { return this->started.size(); }
   [[nodiscard]] bool is_ready() const { return this->ready; }
 
@@ -53,14 +58,16 @@
   void On(const AgentViewRead& event);
   void On(const LeaveRequested& event);
   void On(const AgentTick& event);
+  void On(const UpstreamLeaving& event);
+  void On(const UpstreamContactChanged& event);
 
   void OnMessage(EntryId from, const RegisterAcknowledged& message);
   void OnMessage(EntryId from, const PromiseRequest& message);
   void OnMessage(EntryId from, const Start& message);
   void OnMessage(EntryId from, const Renounce& message);
   void OnMessage(EntryId from, const StopTask& message);
-  void OnMessage(EntryId from, const CreditRequest& message);
-  void OnMessage(EntryId from, const CreditReturn& message);
+  void OnMessage(EntryId from, const DemandNotice& message);
+  void OnMessage(EntryId from, const EntryHeartbeat& message);
   void OnMessage(EntryId from, const ConfirmRequest& message);
 
   void AdoptView(const View& candidate);
@@ -68,26 +75,50 @@
   void CheckReady();
   [[nodiscard]] std::optional<Reason> StartObstacle(const Start& start) const;
   void RefuseStart(EntryId to, const Start& start, Reason reason);
-  // Hands out free slots; what `receiver` gets is returned instead of sent,
-  // to ride on a message that goes there anyway.
-  std::uint32_t ShareCredits(EntryId receiver);
+  // An accepted start that waits in line and will not run.
+  void DropWaiting(const AcceptedStart& accepted, Reason reason);
+  // Starts what waits while there is room.
+  void StartWaiting();
+  void StopOverdue();
+  // Tells the upstream's side whether leases may be renewed.
+  void CheckContact();
+  [[nodiscard]] bool TakesTasks() const;
+  [[nodiscard]] AgentLoad LoadFor(EntryId entry) const;
+  // Tells the entries that wait for room, or all of them, how full the
+  // upstream is.
+  void TellDemanding(EntryId except);
+  void TellAll();
   void Send(EntryId to, AgentMessage message);
   [[nodiscard]] BucketId BucketOfKey(const JobKey& key) const;
 
+  // What is known of an entry while it is connected.
+  struct ConnectedEntry {
+    std::uint64_t starts_seen = 0;
+    // Tasks that it queues for want of room; 0 once it was told of room.
+    std::uint32_t demand = 0;
+  };
+
   AgentCoreSettings settings;
   StartedSet started;
-  CreditLedger ledger;
+  UpstreamRoom room;
   View view;
   std::optional<AgentDescription> description;
   std::vector<Ballot> promises;
-  std::set<EntryId> connected;
+  std::map<EntryId, ConnectedEntry> connected;
   std::set<EntryId> acknowledged;
-  std::unordered_map<TaskId, EntryId, TaskIdHash> runners;
+  // Running tasks that the upstream was told to stop.
+  std::set<TaskId> stopping;
   Timestamp current_time;
   Timestamp next_registration;
   Timestamp next_heartbeat;
+  // When this agent sent the last heartbeat that an entry has confirmed.
+  Timestamp last_confirmed;
+  LeaseRenewal renewal = LeaseRenewal::kSuspended;
+  UpstreamContact contact = UpstreamContact::kAnswering;
   bool ready = false;
   bool leaving = false;
+  bool upstream_leaving = false;
+  bool load_changed = false;
   bool drained_reported = false;
   std::vector<AgentEffect> effects;
 };
--- a/libraries/agent_core/agent_events.h
+++ b/libraries/agent_core/agent_events.h
@@ -34,9 +34,12 @@
 };
 BOOST_DESCRIBE_STRUCT(EntryMessageReceived, (), (from, message))
 
-// How a call of the upstream ended: kNotSent means that the upstream has
-// certainly not received the task.
-BOOST_DEFINE_ENUM_CLASS(UpstreamResult, kSucceeded, kFailed, kBroken, kNotSent)
+// How a task ended at the upstream.
+// kBroken: it may have run, and runs no more.
+// kNotSent: the upstream has not started it and never will.
+// kNoRoom: like kNotSent, since the upstream has no room for it.
+BOOST_DEFINE_ENUM_CLASS(UpstreamResult, kSucceeded, kFailed, kBroken, kNotSent,
+                        kNoRoom)
 
 struct UpstreamEnded {
   static constexpr const char* kName = "upstream_ended";
@@ -47,6 +50,21 @@
 };
 BOOST_DESCRIBE_STRUCT(UpstreamEnded, (), (task, result, body, elapsed))
 
+// The upstream leaves: it finishes what runs and takes nothing new.
+struct UpstreamLeaving {
+  static constexpr const char* kName = "upstream_leaving";
+};
+BOOST_DESCRIBE_STRUCT(UpstreamLeaving, (), ())
+
+// Whether the upstream answers calls.
+BOOST_DEFINE_ENUM_CLASS(UpstreamContact, kAnswering, kSilent)
+
+struct UpstreamContactChanged {
+  static constexpr const char* kName = "upstream_contact_changed";
+  UpstreamContact contact = UpstreamContact::kAnswering;
+};
+BOOST_DESCRIBE_STRUCT(UpstreamContactChanged, (), (contact))
+
 struct AgentViewRead {
   static constexpr const char* kName = "view_read";
   View view;
@@ -66,7 +84,8 @@
 using AgentEvent =
     std::variant<UpstreamAnnounced, EntryConnected, EntryDisconnected,
                  EntryMessageReceived, UpstreamEnded, AgentViewRead,
-                 LeaveRequested, AgentTick>;
+                 LeaveRequested, AgentTick, UpstreamLeaving,
+                 UpstreamContactChanged>;
 
 struct SendToEntry {
   static constexpr const char* kName = "send_to_entry";
@@ -78,10 +97,12 @@
 struct RunOnUpstream {
   static constexpr const char* kName = "run_on_upstream";
   TaskId task;
+  // Names the task at the upstream, together with its index.
+  std::string job_name;
   Payload body;
   Duration time_left{};
 };
-BOOST_DESCRIBE_STRUCT(RunOnUpstream, (), (task, body, time_left))
+BOOST_DESCRIBE_STRUCT(RunOnUpstream, (), (task, job_name, body, time_left))
 
 struct StopOnUpstream {
   static constexpr const char* kName = "stop_on_upstream";
@@ -108,9 +129,18 @@
 };
 BOOST_DESCRIBE_STRUCT(StartRefusalCounted, (), (reason))
 
+// Whether the lease of what runs at the upstream may be renewed.
+BOOST_DEFINE_ENUM_CLASS(LeaseRenewal, kAllowed, kSuspended)
+
+struct RenewalChanged {
+  static constexpr const char* kName = "renewal_changed";
+  LeaseRenewal renewal = LeaseRenewal::kSuspended;
+};
+BOOST_DESCRIBE_STRUCT(RenewalChanged, (), (renewal))
+
 using AgentEffect =
     std::variant<SendToEntry, RunOnUpstream, StopOnUpstream, ConnectToMembers,
-                 AgentDrained, StartRefusalCounted>;
+                 AgentDrained, StartRefusalCounted, RenewalChanged>;
 
 }  // namespace dandelionspur
 
--- a/libraries/agent_core/started_set.cc
+++ b/libraries/agent_core/started_set.cc
@@ -11,28 +11,42 @@
          Attempt{start.ballot, start.attempt} <= found->second;
 }
 
+bool StartedSet::MayRunAgain(const Start& start) const {
+  const auto found = this->tasks.find(start.task);
+  if (found == this->tasks.end()) return false;
+  const Entry& entry = found->second;
+  return start.rerun == RerunPolicy::kAfterLease &&
+         entry.state == StartedState::kFinished &&
+         entry.outcome != TaskOutcome::kSucceeded &&
+         Attempt{start.ballot, start.attempt} > entry.attempt;
+}
+
 void StartedSet::Insert(const Start& start, Timestamp now) {
   this->last_seen_time = now;
-  this->tasks.emplace(start.task, Entry{});
-  this->running_attempts.emplace(start.task,
-                                 Attempt{start.ballot, start.attempt});
+  Entry entry;
+  entry.attempt = {start.ballot, start.attempt};
+  entry.rerun = start.rerun;
+  entry.since = now;
+  this->DropAnswer(start.task);
+  this->tasks.insert_or_assign(start.task, entry);
   this->expiry_order.push_back({now, start.task});
 }
 
 void StartedSet::MarkNotRun(const TaskId& id) {
-  const auto attempt = this->running_attempts.find(id);
-  if (attempt == this->running_attempts.end()) return;
-  this->Forbid(id, attempt->second.ballot, attempt->second.number);
-  this->running_attempts.erase(attempt);
-  this->tasks.erase(id);
+  const auto found = this->tasks.find(id);
+  if (found == this->tasks.end()) return;
+  if (found->second.state != StartedState::kRunning) return;
+  this->Forbid(id, found->second.attempt.ballot, found->second.attempt.number);
+  this->tasks.erase(found);
 }
 
 void StartedSet::MarkFinished(const TaskId& id, TaskOutcome outcome,
                               Payload result) {
   const auto found = this->tasks.find(id);
   if (found == this->tasks.end()) return;
-  found->second = Entry{StartedState::kFinished, outcome};
-  this->running_attempts.erase(id);
+  found->second.state = StartedState::kFinished;
+  found->second.outcome = outcome;
+  this->DropAnswer(id);
   this->answer_bytes += result.size();
   this->answers.insert_or_assign(id, std::move(result));
   this->answer_order.push_back(id);
@@ -69,6 +83,10 @@
   std::vector<StartedJob> jobs;
   for (const auto& [id, entry] : this->tasks) {
     if (!buckets.contains(BucketOf(id.key, bucket_count))) continue;
+    const bool of_no_account = entry.rerun == RerunPolicy::kAfterLease &&
+                               entry.state == StartedState::kFinished &&
+                               entry.outcome != TaskOutcome::kSucceeded;
+    if (of_no_account) continue;
     const auto [position, inserted] = positions.emplace(id.key, jobs.size());
     if (inserted) jobs.push_back({id.key, {}});
     jobs[position->second].tasks.push_back(id.task);
@@ -88,7 +106,10 @@
     // A running task keeps its place until it ends.
     if (running) break;
     this->expiry_order.pop_front();
-    if (found != this->tasks.end()) this->tasks.erase(found);
+    // A later start of the task has a later place in line.
+    const bool last_start =
+        found != this->tasks.end() && found->second.since == oldest.since;
+    if (last_start) this->tasks.erase(found);
   }
   while (!this->forbidden_order.empty() &&
          this->forbidden_order.front().since < horizon) {
@@ -100,7 +121,11 @@
 void StartedSet::DropOldestAnswer() {
   const TaskId oldest = this->answer_order.front();
   this->answer_order.pop_front();
-  const auto found = this->answers.find(oldest);
+  this->DropAnswer(oldest);
+}
+
+void StartedSet::DropAnswer(const TaskId& id) {
+  const auto found = this->answers.find(id);
   if (found == this->answers.end()) return;
   this->answer_bytes -= found->second.size();
   this->answers.erase(found);
--- a/libraries/agent_core/started_set.h
+++ b/libraries/agent_core/started_set.h
@@ -44,7 +44,10 @@
   }
   // Whether this start was answered "not run" or renounced before.
   [[nodiscard]] bool IsForbidden(const Start& start) const;
-  // Enters a task that is not in the set yet.
+  // Whether a task of the set may be started once more: its job allows that,
+  // it ended without success, and this is a newer start.
+  [[nodiscard]] bool MayRunAgain(const Start& start) const;
+  // Enters a task, or a new start of one that may run again.
   void Insert(const Start& start, Timestamp now);
   [[nodiscard]] bool Contains(const TaskId& id) const {
     return this->tasks.contains(id);
@@ -56,7 +59,9 @@
   [[nodiscard]] TaskReport Report(const TaskId& id) const;
   // No start of `id` up to this ballot and attempt takes effect any more.
   void Forbid(const TaskId& id, const Ballot& ballot, std::uint32_t attempt);
-  // The started tasks whose bucket is in `buckets`, grouped by job.
+  // The started tasks whose bucket is in `buckets`, grouped by job; without
+  // those that ended without success and may run again, since another agent
+  // may have started them after that.
   [[nodiscard]] std::vector<StartedJob> TasksOf(
       const std::unordered_set<BucketId>& buckets,
       std::uint32_t bucket_count) const;
@@ -65,25 +70,28 @@
   [[nodiscard]] std::size_t size() const { return this->tasks.size(); }
 
  private:
-  struct Entry {
-    StartedState state = StartedState::kRunning;
-    TaskOutcome outcome = TaskOutcome::kUnknown;
-  };
   struct Attempt {
     Ballot ballot;
     std::uint32_t number = 0;
     auto operator<=>(const Attempt&) const = default;
   };
+  struct Entry {
+    StartedState state = StartedState::kRunning;
+    TaskOutcome outcome = TaskOutcome::kUnknown;
+    RerunPolicy rerun = RerunPolicy::kNever;
+    Attempt attempt;
+    Timestamp since;
+  };
   struct Remembered {
     Timestamp since;
     TaskId id;
   };
 
   void DropOldestAnswer();
+  void DropAnswer(const TaskId& id);
 
   StartedSetLimits limits;
   std::unordered_map<TaskId, Entry, TaskIdHash> tasks;
-  std::unordered_map<TaskId, Attempt, TaskIdHash> running_attempts;
   std::unordered_map<TaskId, Attempt, TaskIdHash> forbidden;
   std::unordered_map<TaskId, Payload, TaskIdHash> answers;
   std::deque<TaskId> answer_order;
--- a/libraries/base/verdict.h
+++ b/libraries/base/verdict.h
@@ -20,7 +20,7 @@
                         kAnswerNotKept, kStaleBallot, kNoFreeSlot,
                         kAgentLeaving, kAgentNotReady, kWrongIncarnation,
                         kStartedSetFull, kAttemptRefused, kRenounced,
-                        kDeadlineTooShort, kNotFound)
+                        kDeadlineTooShort, kNotFound, kUnsupportedJob)
 
 // The reason as users see it: kQueueFull is "queue_full".
 std::string_view ReasonName(Reason reason);
--- a/libraries/configuration/object_reader.cc
+++ b/libraries/configuration/object_reader.cc
@@ -137,6 +137,11 @@
   return this->fields->contains(name);
 }
 
+bool ObjectReader::IsText(const std::string& name) const {
+  if (!this->Has(name)) return false;
+  return this->fields->at(name).is_string();
+}
+
 void ObjectReader::Absorb(ObjectReader& nested) {
   nested.CheckUnknownFields();
   if (!this->problem) this->problem = nested.problem;
--- a/libraries/configuration/object_reader.h
+++ b/libraries/configuration/object_reader.h
@@ -54,6 +54,7 @@
   // A list of objects.
   std::vector<ObjectReader> Objects(const std::string& name);
   [[nodiscard]] bool Has(const std::string& name) const;
+  [[nodiscard]] bool IsText(const std::string& name) const;
   // Marks a field as known that the caller reads by itself.
   void IgnoreField(const std::string& name) { this->asked.push_back(name); }
   // Takes over the first problem of a nested reader, after finishing it.
--- a/libraries/configuration/service_document.cc
+++ b/libraries/configuration/service_document.cc
@@ -17,12 +17,15 @@
 constexpr IntegerRange kPercentRange{0, 100};
 constexpr IntegerRange kWeightRange{1, 1'000};
 constexpr IntegerRange kRunningRange{1, 1'000'000};
+constexpr IntegerRange kPriorityRange{0, 1'000'000};
+constexpr IntegerRange kAttemptsRange{1, 1'000};
 
 constexpr std::int64_t kDefaultQueuedTasks = 20'000;
 constexpr std::int64_t kDefaultRetryPercent = 10;
 constexpr std::int64_t kDefaultEjectedPercent = 30;
 constexpr Duration kDefaultDeadline = std::chrono::seconds(30);
 constexpr Duration kDefaultMaximumDeadline = std::chrono::minutes(5);
+constexpr Duration kDefaultRouteTimeout = std::chrono::seconds(30);
 constexpr Duration kDefaultWindow = std::chrono::minutes(10);
 
 TeamPolicy ReadTeam(ObjectReader& reader) {
@@ -35,6 +38,23 @@
   return team;
 }
 
+void ReadRoutes(ObjectReader& reader, ServiceDocument& document) {
+  if (!reader.Has("routes")) return;
+  for (ObjectReader& nested : reader.Objects("routes")) {
+    Route route;
+    route.host = nested.Text("host");
+    route.path_prefix = nested.Text("path_prefix");
+    route.timeout = nested.MillisecondsOr(
+        "timeout_ms", kDeadlineRangeMilliseconds, kDefaultRouteTimeout);
+    route.priority = static_cast<std::uint32_t>(
+        nested.IntegerOr("priority", kPriorityRange, 0));
+    route.maximum_attempts = static_cast<std::uint32_t>(
+        nested.IntegerOr("maximum_attempts", kAttemptsRange, 1));
+    document.routes.push_back(std::move(route));
+    reader.Absorb(nested);
+  }
+}
+
 void ReadTeams(ObjectReader& reader, ServiceDocument& document) {
   if (!reader.Has("teams")) return;
   for (ObjectReader& nested : reader.Objects("teams")) {
@@ -85,6 +105,7 @@
       static_cast<std::uint32_t>(reader.IntegerOr(
           "maximum_ejected_percent", kPercentRange, kDefaultEjectedPercent));
   ReadTeams(reader, document);
+  ReadRoutes(reader, document);
   if (document.default_deadline > document.maximum_deadline) {
     reader.Problem("default_deadline_ms",
                    "must not exceed maximum_deadline_ms");
--- a/libraries/configuration/service_document.h
+++ b/libraries/configuration/service_document.h
@@ -28,6 +28,20 @@
 };
 BOOST_DESCRIBE_STRUCT(TeamPolicy, (), (team, weight, maximum_running))
 
+// A queue of the service: where callers submit its jobs.
+struct Route {
+  std::string host;
+  std::string path_prefix;
+  // How long a caller waits where its request does not say.
+  Duration timeout{};
+  // 0 goes first.
+  std::uint32_t priority = 0;
+  // Runs of one task that may end as failed before its job fails.
+  std::uint32_t maximum_attempts = 1;
+};
+BOOST_DESCRIBE_STRUCT(Route, (),
+                      (host, path_prefix, timeout, priority, maximum_attempts))
+
 // The document that governs one service, checked.
 struct ServiceDocument {
   ServiceName service;
@@ -48,12 +62,13 @@
   std::uint32_t maximum_ejected_percent = 0;
   // Empty: any team may submit, all with weight 1.
   std::vector<TeamPolicy> teams;
+  std::vector<Route> routes;
 };
 BOOST_DESCRIBE_STRUCT(ServiceDocument, (),
                       (service, version, change_id, owner, placement, order,
                        maximum_queued_tasks, maximum_tasks_per_job,
                        default_deadline, maximum_deadline, duplicate_window,
-                       retry_percent, maximum_ejected_percent, teams))
+                       retry_percent, maximum_ejected_percent, teams, routes))
 
 // Checks the text of a service document. `source` names it in errors.
 Result<ServiceDocument> ParseServiceDocument(const std::string& text,
--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -1,13 +1,15 @@
 #include "libraries/configuration/settings.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
+#include <charconv>
 
 #include "libraries/configuration/object_reader.h"
 
 namespace dandelionspur {
 namespace {
 
-constexpr IntegerRange kThreadRange{1, 64};
+constexpr IntegerRange kThreadRange{0, 64};
 constexpr IntegerRange kBucketRange{1, 4096};
 constexpr IntegerRange kConnectionRange{1, 1024};
 constexpr IntegerRange kRememberedRange{1'000, 10'000'000};
@@ -30,19 +32,50 @@
 constexpr Duration kDefaultLease = std::chrono::seconds(10);
 constexpr Duration kDefaultWriteInterval = std::chrono::seconds(10);
 
+void CheckAddress(ObjectReader& reader, const std::string& name,
+                  const Endpoint& endpoint) {
+  boost::system::error_code error;
+  boost::asio::ip::make_address(endpoint.address, error);
+  if (error) reader.Problem(name, "must be an IP number");
+}
+
+// Reads "ADDRESS:PORT".
+Endpoint ParseEndpoint(ObjectReader& reader, const std::string& name) {
+  const std::string text = reader.Text(name);
+  Endpoint endpoint;
+  const std::size_t colon = text.rfind(':');
+  const char* port = text.data() + std::min(colon + 1, text.size());
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(port, end, endpoint.port);
+  const bool valid = colon != std::string::npos && parsed.ec == std::errc() &&
+                     parsed.ptr == end && endpoint.port != 0;
+  if (!valid) {
+    reader.Problem(name, "must be \"ADDRESS:PORT\" or an object of both");
+    return endpoint;
+  }
+  endpoint.address = text.substr(0, colon);
+  CheckAddress(reader, name, endpoint);
+  return endpoint;
+}
+
 Endpoint ReadEndpoint(ObjectReader& reader, const std::string& name) {
+  if (reader.IsText(name)) return ParseEndpoint(reader, name);
   ObjectReader nested = reader.Object(name);
   Endpoint endpoint;
   endpoint.address = nested.Text("address");
   endpoint.port =
       static_cast<std::uint16_t>(nested.Integer("port", kPortRange));
-  boost::system::error_code error;
-  boost::asio::ip::make_address(endpoint.address, error);
-  if (error) nested.Problem("address", "must be an IP number");
+  CheckAddress(nested, "address", endpoint);
   reader.Absorb(nested);
   return endpoint;
 }
 
+std::optional<Endpoint> ReadOptionalEndpoint(ObjectReader& reader,
+                                             const std::string& name) {
+  if (!reader.Has(name)) return std::nullopt;
+  return ReadEndpoint(reader, name);
+}
+
 RecordingSettings ReadRecording(ObjectReader& reader) {
   RecordingSettings settings{kDefaultSpoolBytes, kDefaultWriteInterval};
   if (!reader.Has("recording")) return settings;
@@ -65,6 +98,7 @@
   EntrySettings settings;
   settings.data_centre = DataCentreName(reader.Text("data_centre"));
   settings.callers = ReadEndpoint(reader, "callers");
+  settings.readiness = ReadOptionalEndpoint(reader, "readiness");
   settings.peers = ReadEndpoint(reader, "peers");
   settings.admin = ReadEndpoint(reader, "admin");
   settings.table = ReadEndpoint(reader, "table");
@@ -93,6 +127,16 @@
   AgentSettings settings;
   settings.data_centre = DataCentreName(reader.Text("data_centre"));
   settings.admin = ReadEndpoint(reader, "admin");
+  settings.upstream_protocol = static_cast<UpstreamProtocol>(
+      reader.ChoiceOr("upstream_protocol", {"own", "platform"}, 0));
+  settings.announcements = ReadOptionalEndpoint(reader, "announcements");
+  const bool announces =
+      settings.upstream_protocol == UpstreamProtocol::kPlatform;
+  if (announces && !settings.announcements) {
+    reader.Problem("announcements", "is required by this upstream_protocol");
+  }
+  settings.input_output_threads = static_cast<std::uint32_t>(
+      reader.IntegerOr("input_output_threads", kThreadRange, 1));
   settings.table = ReadEndpoint(reader, "table");
   settings.upstream_connections = static_cast<std::uint32_t>(reader.IntegerOr(
       "upstream_connections", kConnectionRange, kDefaultConnections));
--- a/libraries/configuration/settings.h
+++ b/libraries/configuration/settings.h
@@ -1,7 +1,9 @@
 #ifndef DANDELIONSPUR_LIBRARIES_CONFIGURATION_SETTINGS_H_
 #define DANDELIONSPUR_LIBRARIES_CONFIGURATION_SETTINGS_H_
 
+#include <boost/describe.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "libraries/base/error.h"
@@ -19,12 +21,22 @@
   Duration write_interval{};
 };
 
+// How an agent and its upstream talk.
+// kOwn: the upstream announces itself at the admin address, and one call runs
+// one task: docs/api.md.
+// kPlatform: as on the users' platform: docs/design/platform.md.
+BOOST_DEFINE_ENUM_CLASS(UpstreamProtocol, kOwn, kPlatform)
+
 struct EntrySettings {
   DataCentreName data_centre;
   Endpoint callers;
+  // Where the platform asks whether callers should be sent here; besides
+  // /readyz at the admin address.
+  std::optional<Endpoint> readiness;
   Endpoint peers;
   Endpoint admin;
   Endpoint table;
+  // 0: one thread does everything, for an instance with one core.
   std::uint32_t input_output_threads = 0;
   std::uint32_t bucket_count = 0;
   Duration duplicate_window{};
@@ -38,8 +50,13 @@
 
 struct AgentSettings {
   DataCentreName data_centre;
-  // Where the upstream announces itself, and where operators look.
+  // Where operators look, and the upstream announces itself in our protocol.
   Endpoint admin;
+  UpstreamProtocol upstream_protocol = UpstreamProtocol::kOwn;
+  // Where the upstream announces itself in the platform's protocol.
+  std::optional<Endpoint> announcements;
+  // 0: one thread does everything, for an instance with one core.
+  std::uint32_t input_output_threads = 0;
   Endpoint table;
   std::uint32_t upstream_connections = 0;
   std::uint32_t bucket_count = 0;
--- a/libraries/entry_core/agent_registry.cc
+++ b/libraries/entry_core/agent_registry.cc
@@ -4,6 +4,38 @@
 
 namespace dandelionspur {
 
+void KnownAgent::NoteSent(const Resources& need) {
+  ++this->starts_sent;
+  this->unseen.push_back(need);
+  this->unseen_total += need;
+}
+
+void KnownAgent::NoteLoad(const AgentLoad& told) {
+  this->load = told;
+  this->last_load = told;
+  const std::uint64_t seen = std::min(told.starts_seen, this->starts_sent);
+  while (this->unseen.size() > this->starts_sent - seen) {
+    this->unseen_total = Without(this->unseen_total, this->unseen.front());
+    this->unseen.pop_front();
+  }
+}
+
+bool KnownAgent::WasIdleAndClosed(Timestamp now) const {
+  // Longer ago, it may have taken tasks again since.
+  constexpr Duration kRecent = std::chrono::milliseconds(500);
+  return this->last_load && !this->last_load->accepting &&
+         this->last_load->running == Resources() &&
+         this->last_load->waiting == Resources() &&
+         now - this->last_heard <= kRecent;
+}
+
+void KnownAgent::ForgetSent() {
+  this->load = AgentLoad();
+  this->starts_sent = 0;
+  this->unseen.clear();
+  this->unseen_total = Resources();
+}
+
 KnownAgent& AgentRegistry::Add(AgentId agent) {
   KnownAgent& known = this->agents[agent];
   known.agent = agent;
@@ -23,7 +55,12 @@
 std::vector<AgentId> AgentRegistry::Register(
     const AgentDescription& description) {
   KnownAgent& known = this->Add(description.agent);
-  if (!known.description) {
+  const bool moved =
+      known.description && known.description->service != description.service;
+  if (moved) {
+    std::erase(this->services[known.description->service].agents, &known);
+  }
+  if (!known.description || moved) {
     this->services[description.service].agents.push_back(&known);
   }
   known.description = description;
@@ -37,12 +74,13 @@
   return replaced;
 }
 
-void AgentRegistry::MarkLost(AgentId agent, Timestamp now) {
+void AgentRegistry::MarkLost(AgentId agent, bool idle, Timestamp now) {
   KnownAgent& known = this->Add(agent);
+  known.ended_idle = known.ended_idle || idle;
   if (!known.lost_at) known.lost_at = now;
   known.connected = false;
   known.ready = false;
-  known.credits = 0;
+  known.ForgetSent();
 }
 
 void AgentRegistry::Expire(Timestamp horizon) {
@@ -61,7 +99,7 @@
   std::vector<AgentSummary> summaries;
   summaries.reserve(this->agents.size());
   for (const auto& [id, known] : this->agents) {
-    summaries.push_back({id, known.lost_at});
+    summaries.push_back({id, known.lost_at, known.ended_idle});
   }
   return summaries;
 }
@@ -71,17 +109,23 @@
   return this->services[service].agents;
 }
 
-std::uint32_t AgentRegistry::SlotsOf(const ServiceName& service) const {
+Resources AgentRegistry::CapacityOf(const ServiceName& service) const {
   const auto found = this->services.find(service);
-  return found == this->services.end() ? 0 : found->second.slots;
+  return found == this->services.end() ? Resources() : found->second.capacity;
+}
+
+std::int64_t AgentRegistry::CoresOf(const ServiceName& service) const {
+  const std::uint64_t millicores = this->CapacityOf(service).millicores;
+  return std::max<std::int64_t>(
+      1, static_cast<std::int64_t>(millicores / kMillicoresPerCore));
 }
 
-void AgentRegistry::RecountSlots() {
+void AgentRegistry::RecountCapacity() {
   for (auto& [name, service] : this->services) {
-    service.slots = 0;
+    service.capacity = Resources();
     for (const KnownAgent* known : service.agents) {
       if (known->connected && known->ready && !known->leaving) {
-        service.slots += known->description->slots;
+        service.capacity += known->description->capacity;
       }
     }
   }
--- a/libraries/entry_core/agent_registry.h
+++ b/libraries/entry_core/agent_registry.h
@@ -1,7 +1,9 @@
 #ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_AGENT_REGISTRY_H_
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_AGENT_REGISTRY_H_
 
+#include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -21,9 +23,22 @@
   bool leaving = false;
   // Set once the agent is proven dead.
   std::optional<Timestamp> lost_at;
+  // Nothing ran there when it ended.
+  bool ended_idle = false;
   Timestamp last_heard;
-  // Starts that the agent will take from this entry.
-  std::uint32_t credits = 0;
+  // When another entry last heard from it, as far as that is known.
+  Timestamp last_heard_elsewhere;
+  // The agent's clock in its last heartbeat; missing once it is returned.
+  std::optional<Timestamp> unanswered_heartbeat;
+  // As the agent last told.
+  AgentLoad load;
+  // The same, kept when the connection ends.
+  std::optional<AgentLoad> last_load;
+  // Starts sent on this connection.
+  std::uint64_t starts_sent = 0;
+  // What the starts need that `load` does not count yet, oldest first.
+  std::deque<Resources> unseen;
+  Resources unseen_total;
   // The agent has been told of tasks queued here.
   bool demand_told = false;
   // Starts of this entry that have not ended.
@@ -37,8 +52,25 @@
 
   [[nodiscard]] bool IsUsable(Timestamp now, Duration suspect_after) const {
     return this->connected && this->ready && !this->leaving && !this->lost_at &&
-           now >= this->usable_from && now - this->last_heard <= suspect_after;
+           this->load.accepting && now >= this->usable_from &&
+           now - this->last_heard <= suspect_after;
   }
+  [[nodiscard]] Timestamp LastSeen() const {
+    return std::max(this->last_heard, this->last_heard_elsewhere);
+  }
+  // Whether a task can be expected to start there at once.
+  [[nodiscard]] bool HasRoomFor(const Resources& need) const {
+    const Resources taken =
+        this->load.running + this->load.waiting + this->unseen_total;
+    return (taken + need).FitsIn(this->load.capacity);
+  }
+  // Whether, a moment ago, nothing ran there and it took no tasks.
+  [[nodiscard]] bool WasIdleAndClosed(Timestamp now) const;
+  // A start was sent to the agent.
+  void NoteSent(const Resources& need);
+  void NoteLoad(const AgentLoad& told);
+  // The connection is new: nothing was sent on it.
+  void ForgetSent();
 };
 
 // All agents that any entry of the view may use, and those lost within the
@@ -51,7 +83,8 @@
   // Takes in a registration; returns the older incarnations at the same
   // address, which are thereby proven dead.
   std::vector<AgentId> Register(const AgentDescription& description);
-  void MarkLost(AgentId agent, Timestamp now);
+  // `idle`: it is known that nothing ran there.
+  void MarkLost(AgentId agent, bool idle, Timestamp now);
   // Silence during a pause of this process says nothing about the agents.
   void ForgiveSilence(Timestamp now) {
     for (auto& [id, known] : this->agents) known.last_heard = now;
@@ -64,11 +97,13 @@
   }
   [[nodiscard]] const std::vector<KnownAgent*>& OfService(
       const ServiceName& service);
-  // Slots of the service's agents that are connected and not leaving, as of
-  // the last call of RecountSlots.
-  [[nodiscard]] std::uint32_t SlotsOf(const ServiceName& service) const;
+  // Room of the service's agents that are connected and not leaving, as of
+  // the last call of RecountCapacity.
+  [[nodiscard]] Resources CapacityOf(const ServiceName& service) const;
+  // Their processor cores, at least one, for dividing work by.
+  [[nodiscard]] std::int64_t CoresOf(const ServiceName& service) const;
   // Call whenever an agent comes, goes or changes its state.
-  void RecountSlots();
+  void RecountCapacity();
 
  private:
   // Ordered, so that every decision that walks it is repeatable.
@@ -76,7 +111,7 @@
   struct ServiceAgents {
     // Into `agents`, whose items never move.
     std::vector<KnownAgent*> agents;
-    std::uint32_t slots = 0;
+    Resources capacity;
   };
   std::map<ServiceName, ServiceAgents> services;
 };
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -30,8 +30,9 @@
                   [](const auto& item) {
                     return item.second.connected && item.second.ready;
                   });
-  return !this->draining && this->IsMember() &&
-         this->ownership.IsSynchronized() && has_agent &&
+  const bool knows_all = this->ownership.IsSynchronized() ||
+                         this->ownership.HasOutlivedLeases(this->current_time);
+  return !this->draining && this->IsMember() && knows_all && has_agent &&
          !this->documents_in_force.empty();
 }
 
@@ -92,10 +93,10 @@
   KnownAgent& agent = this->registry.Add(event.agent);
   agent.connected = true;
   agent.last_heard = this->current_time;
-  agent.credits = 0;
+  agent.ForgetSent();
   agent.demand_told = false;
   this->silent_agents.erase(event.agent);
-  this->registry.RecountSlots();
+  this->registry.RecountCapacity();
   this->ownership.RequestFromAgent(event.agent);
   this->home.OnAgentConnected(event.agent);
 }
@@ -104,13 +105,13 @@
   KnownAgent* agent = this->registry.Find(event.agent);
   if (agent == nullptr) return;
   agent->connected = false;
-  agent->credits = 0;
-  this->registry.RecountSlots();
+  agent->ForgetSent();
+  this->registry.RecountCapacity();
   this->silent_agents.emplace(event.agent, this->current_time);
 }
 
 void EntryCore::On(const AgentProvenDead& event) {
-  this->LoseAgent(event.agent);
+  this->LoseAgent(event.agent, AgentRuns::kMayGoOn);
 }
 
 void EntryCore::On(const AgentMessageReceived& event) {
@@ -130,6 +131,7 @@
 void EntryCore::On(const DrainRequested& /*event*/) {
   if (this->draining) return;
   this->draining = true;
+  this->drain_began = this->current_time;
   this->relays.StopWitnessing();
   this->hand_over.BeginDeparture();
 }
@@ -166,7 +168,9 @@
 void EntryCore::OnPeer(EntryId from, const PeerState& message) {
   for (const AgentSummary& summary : message.agents) {
     this->registry.Add(summary.agent);
-    if (summary.lost_at) this->LoseAgent(summary.agent);
+    if (!summary.lost_at) continue;
+    this->LoseAgent(summary.agent, summary.ended_idle ? AgentRuns::kOver
+                                                      : AgentRuns::kMayGoOn);
   }
   this->AdoptView(message.view);
   this->Observe(message.promises);
@@ -295,15 +299,21 @@
 void EntryCore::OnPeer(EntryId from, const PeerHeartbeat& message) {
   // Whoever is behind gets told; the table may be out of reach for it.
   if (message.epoch < this->view().epoch) this->SendState(from);
+  for (const AgentSighting& sighting : message.sightings) {
+    KnownAgent& agent = this->registry.Add(sighting.agent);
+    agent.last_heard_elsewhere =
+        std::max(agent.last_heard_elsewhere, this->current_time - sighting.age);
+  }
 }
 
 void EntryCore::OnAgent(AgentId from, const Register& message) {
   for (const AgentId replaced : this->registry.Register(message.description)) {
-    this->LoseAgent(replaced);
+    // An agent registers only once nothing of its predecessor runs.
+    this->LoseAgent(replaced, AgentRuns::kOver);
   }
   KnownAgent& agent = this->registry.Add(from);
   agent.connected = true;
-  this->registry.RecountSlots();
+  this->registry.RecountCapacity();
   this->outbox.ToAgent(
       from, RegisterAcknowledged{this->view(), this->ownership.Promises()});
 }
@@ -312,7 +322,7 @@
   KnownAgent* agent = this->registry.Find(from);
   if (agent == nullptr || message.epoch < this->view().epoch) return;
   agent->ready = true;
-  this->registry.RecountSlots();
+  this->registry.RecountCapacity();
   this->ownership.RequestFromAgent(from);
 }
 
@@ -336,25 +346,19 @@
   this->home.OnRenounceReply(from, message, this->current_time);
 }
 
-void EntryCore::OnAgent(AgentId from, const CreditGrant& message) {
-  KnownAgent* agent = this->registry.Find(from);
-  if (agent == nullptr) return;
-  agent->credits += message.credits;
-  agent->demand_told = false;
-}
-
-void EntryCore::OnAgent(AgentId from, const CreditRecall& /*message*/) {
-  this->home.OnCreditRecall(from);
-}
-
 void EntryCore::OnAgent(AgentId from, const AgentLeaving& /*message*/) {
   KnownAgent* agent = this->registry.Find(from);
   if (agent == nullptr) return;
   agent->leaving = true;
-  this->registry.RecountSlots();
+  this->registry.RecountCapacity();
 }
 
-void EntryCore::OnAgent(AgentId /*from*/, const AgentHeartbeat& /*message*/) {}
+void EntryCore::OnAgent(AgentId from, const AgentHeartbeat& message) {
+  this->home.OnAgentLoad(from, message.load);
+  if (KnownAgent* agent = this->registry.Find(from)) {
+    agent->unanswered_heartbeat = message.sent_at;
+  }
+}
 
 void EntryCore::OnAgent(AgentId /*from*/, const ConfirmReply& message) {
   this->Observe(message.higher);
@@ -382,6 +386,7 @@
   }
   if (!this->member_since) {
     this->member_since = this->current_time;
+    this->ownership.NoteJoined(this->current_time);
     this->joined_in = view.epoch;
     const bool first_ever = view.members.size() == 1 && view.losses.empty();
     if (first_ever) this->ownership.MarkSynchronized();
@@ -462,13 +467,16 @@
   this->MoveJobs(lost);
 }
 
-void EntryCore::LoseAgent(AgentId agent) {
+void EntryCore::LoseAgent(AgentId agent, AgentRuns runs) {
   const KnownAgent* known = this->registry.Find(agent);
   if (known != nullptr && known->lost_at) return;
-  this->registry.MarkLost(agent, this->current_time);
-  this->registry.RecountSlots();
+  const bool idle =
+      runs == AgentRuns::kOver ||
+      (known != nullptr && known->WasIdleAndClosed(this->current_time));
+  this->registry.MarkLost(agent, idle, this->current_time);
+  this->registry.RecountCapacity();
   this->silent_agents.erase(agent);
-  this->home.OnAgentLost(agent, this->current_time);
+  this->home.OnAgentLost(agent, runs, this->current_time);
 }
 
 void EntryCore::RemoveDeadMembers() {
@@ -478,7 +486,7 @@
   const std::map<AgentId, Timestamp> silent = this->silent_agents;
   for (const auto& [agent, since] : silent) {
     if (now - since > this->settings.duplicate_window) {
-      this->LoseAgent(agent);
+      this->LoseAgent(agent, AgentRuns::kMayGoOn);
     }
   }
   if (!this->IsMember() || this->draining) return;
@@ -503,28 +511,63 @@
 }
 
 void EntryCore::SendHeartbeats() {
+  PeerHeartbeat heartbeat{this->view().epoch, {}};
+  for (const auto& [id, known] : this->registry.all()) {
+    const Duration age = this->current_time - known.LastSeen();
+    if (known.lost_at || age > this->settings.lease_over_after) continue;
+    heartbeat.sightings.push_back({id, age});
+  }
   for (const ViewMember& member : this->view().members) {
     if (!this->peers.IsConnected(member.entry)) continue;
-    this->outbox.ToPeer(member.entry, PeerHeartbeat{this->view().epoch});
+    this->outbox.ToPeer(member.entry, heartbeat);
+  }
+  // An entry that is cut off from most others must not keep tasks running that
+  // they take for lapsed.
+  if (!this->ActsForAgents()) return;
+  for (const auto& [id, known] : this->registry.all()) {
+    if (!known.connected || !known.unanswered_heartbeat) continue;
+    this->outbox.ToAgent(id, EntryHeartbeat{*known.unanswered_heartbeat});
+    this->registry.Find(id)->unanswered_heartbeat.reset();
   }
 }
 
-void EntryCore::ContinueDrain() {
-  if (!this->draining) return;
-  if (this->IsMember()) {
-    const bool alone = this->view().members.size() == 1;
-    if (!alone && this->hand_over.DepartureComplete()) {
-      this->departed = true;
-      this->outbox.Add(
-          ProposeView{WithoutMember(this->view(), this->settings.self)});
-    }
-    // Alone there is nobody to hand over to; the jobs end here.
-    if (!alone) return;
+bool EntryCore::ActsForAgents() const {
+  if (!this->IsMember()) return this->draining;
+  std::size_t in_touch = 1;
+  std::size_t living = 1;
+  for (const ViewMember& member : this->view().members) {
+    if (member.entry == this->settings.self) continue;
+    if (this->peers.DeadSince(member.entry)) continue;
+    ++living;
+    if (!this->peers.IsSuspected(member.entry, this->current_time)) ++in_touch;
   }
+  return 2 * in_touch > living;
+}
+
+void EntryCore::ContinueDrain() {
+  if (!this->draining || this->drained_reported) return;
+  const Duration elapsed = this->current_time - this->drain_began;
+  if (this->IsMember()) this->LeaveView();
+  // Without the table the view can't change. The others find this process
+  // dead, and know its keys if they have answered.
+  const bool overdue = elapsed >= this->settings.drain_limit;
+  const bool alone = this->view().members.size() == 1;
+  if (this->IsMember() && !alone && !overdue) return;
+  if (elapsed < this->settings.drain_accepts) return;
   const bool idle = this->home.size() == 0 && this->relays.size() == 0;
-  if (!idle || this->drained_reported) return;
+  if (!idle) return;
   this->drained_reported = true;
   this->outbox.Add(EntryDrained{});
 }
 
+void EntryCore::LeaveView() {
+  // Alone there is nobody to hand over to; the jobs end here.
+  const bool alone = this->view().members.size() == 1;
+  if (alone || !this->hand_over.DepartureComplete()) return;
+  if (this->current_time < this->next_departure) return;
+  this->next_departure = this->current_time + this->settings.repeat_interval;
+  this->outbox.Add(
+      ProposeView{WithoutMember(this->view(), this->settings.self)});
+}
+
 }  // namespace dandelionspur
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -84,8 +84,6 @@
   void OnAgent(AgentId from, const TaskFinished& message);
   void OnAgent(AgentId from, const TaskNotRun& message);
   void OnAgent(AgentId from, const RenounceReply& message);
-  void OnAgent(AgentId from, const CreditGrant& message);
-  void OnAgent(AgentId from, const CreditRecall& message);
   void OnAgent(AgentId from, const AgentLeaving& message);
   void OnAgent(AgentId from, const AgentHeartbeat& message);
   void OnAgent(AgentId from, const ConfirmReply& message);
@@ -98,10 +96,14 @@
   void Settle();
   void MoveJobs(const std::vector<BucketId>& lost);
   void Observe(const std::vector<BucketBallot>& seen);
-  void LoseAgent(AgentId agent);
+  void LoseAgent(AgentId agent, AgentRuns runs);
   void RemoveDeadMembers();
   void SendHeartbeats();
+  // Whether this entry may tell agents to keep tasks running.
+  [[nodiscard]] bool ActsForAgents() const;
   void ContinueDrain();
+  // Proposes a view without this entry once the others know its keys.
+  void LeaveView();
   [[nodiscard]] bool IsMember() const {
     return this->view().Find(this->settings.self) != nullptr;
   }
@@ -126,7 +128,8 @@
   std::optional<Timestamp> member_since;
   Epoch joined_in;
   bool draining = false;
-  bool departed = false;
+  Timestamp drain_began;
+  Timestamp next_departure;
   bool drained_reported = false;
   bool removal_reported = false;
 };
--- a/libraries/entry_core/entry_core_settings.h
+++ b/libraries/entry_core/entry_core_settings.h
@@ -19,7 +19,15 @@
   Duration remove_after = std::chrono::milliseconds(5000);
   // Unanswered requests between processes are repeated at this interval.
   Duration repeat_interval = std::chrono::milliseconds(250);
-  Duration heartbeat_interval = std::chrono::milliseconds(250);
+  Duration heartbeat_interval = std::chrono::milliseconds(150);
+  // After this long without contact to any entry, nothing that an agent has
+  // started can still be running: the agent's contact limit, the upstream's
+  // lease, and some slack.
+  Duration lease_over_after = std::chrono::milliseconds(1900);
+  // After a request to drain, callers still come for this long.
+  Duration drain_accepts = std::chrono::milliseconds(2100);
+  // After a request to drain, the entry ends by then, also as a member.
+  Duration drain_limit = std::chrono::milliseconds(4500);
   std::uint64_t maximum_answer_bytes = 16U * 1024U * 1024U;
   // Seeds the choices of the random placement baselines.
   std::uint64_t placement_seed = 1;
@@ -27,6 +35,7 @@
 BOOST_DESCRIBE_STRUCT(EntryCoreSettings, (),
                       (self, bucket_count, duplicate_window, suspect_after,
                        remove_after, repeat_interval, heartbeat_interval,
+                       lease_over_after, drain_accepts, drain_limit,
                        maximum_answer_bytes, placement_seed))
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/home_job.h
+++ b/libraries/entry_core/home_job.h
@@ -32,6 +32,8 @@
   TaskPhase phase = TaskPhase::kQueued;
   AgentId agent;
   std::uint32_t attempt = 0;
+  // Runs that ended as failed.
+  std::uint32_t failures = 0;
   // A start of this task was refused before.
   bool retried = false;
   Payload result;
@@ -65,7 +67,7 @@
   std::uint32_t succeeded = 0;
   // Starts that have not been proven "not run".
   std::uint32_t started = 0;
-  // Declared time of the queued tasks.
+  // Declared core time of the queued tasks.
   Duration queued_work{};
   // Position in the service's queue; meaningful while `is_queued`.
   std::int64_t rank = 0;
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -8,6 +8,19 @@
 
 constexpr Duration kMinimumRetryAfter = std::chrono::milliseconds(100);
 
+// The tasks whose runs have not ended, as far as is known.
+std::vector<FoundTask> StartedTasks(const HomeJob& job) {
+  std::vector<FoundTask> started;
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+    const TaskRecord& task = job.tasks[i];
+    if (task.phase == TaskPhase::kStarted ||
+        task.phase == TaskPhase::kQuerying) {
+      started.push_back({TaskIndex(i), task.agent});
+    }
+  }
+  return started;
+}
+
 }  // namespace
 
 HomeJobs::HomeJobs(const EntryCoreSettings& configured, Ownership& owner,
@@ -59,7 +72,7 @@
     this->AnswerWaiter(waiter, key, JobAnswer::MayHaveRun(Reason::kNotFound));
     return;
   }
-  switch (this->ownership.StandingOf(key, submission.created)) {
+  switch (this->ownership.StandingOf(submission, now)) {
     case KeyStanding::kUnknowable:
       this->AnswerWaiter(waiter, key,
                          JobAnswer::MayHaveRun(Reason::kHistoryLost));
@@ -68,6 +81,12 @@
       this->AnswerWaiter(waiter, key,
                          JobAnswer::MayHaveRun(Reason::kAnswerNotKept));
       return;
+    case KeyStanding::kUnsettled:
+      // As old as any key that might have been started unnoticed.
+      this->ownership.RememberCarried(
+          {key, now - this->settings.duplicate_window}, now);
+      this->Create(submission, waiter, witness, true, now);
+      return;
     case KeyStanding::kCarried:
       this->Create(submission, waiter, witness, true, now);
       return;
@@ -85,7 +104,10 @@
   job.submission = submission;
   job.accepted_at = now;
   job.deadline = now + submission.time_allowed;
-  job.witnessed = witness.has_value();
+  // Without a witness, a successor asks the agents before it starts a job that
+  // may run again.
+  job.witnessed =
+      witness.has_value() || submission.rerun == RerunPolicy::kAfterLease;
   job.carried = carried;
   job.waiters.push_back(waiter);
   job.tasks.resize(submission.tasks.size());
@@ -117,10 +139,11 @@
       document.maximum_queued_tasks) {
     return Reason::kQueueFull;
   }
-  const std::uint32_t slots = this->agents.SlotsOf(job.submission.service);
-  if (slots == 0) return std::nullopt;
+  const Resources capacity = this->agents.CapacityOf(job.submission.service);
+  if (capacity.millicores == 0) return std::nullopt;
+  const std::int64_t cores = this->agents.CoresOf(job.submission.service);
   const double wait = static_cast<double>(service.queued_work().count()) *
-                      service.declared_error() / slots;
+                      service.declared_error() / static_cast<double>(cores);
   if (wait > static_cast<double>(job.submission.time_allowed.count())) {
     return Reason::kDeadlineTooShort;
   }
@@ -140,11 +163,10 @@
   const ServiceState* service = this->Service(job);
   job.retry_after = kMinimumRetryAfter;
   if (service != nullptr) {
-    const std::uint32_t slots =
-        std::max(1U, this->agents.SlotsOf(job.submission.service));
-    job.retry_after += service->queued_work() / slots;
+    job.retry_after +=
+        service->queued_work() / this->agents.CoresOf(job.submission.service);
   }
-  this->confirmer.Add(job.submission.key);
+  this->confirmer.Add(job.submission.key, job.submission.rerun);
   this->confirmer.Advance(now);
 }
 
@@ -161,7 +183,7 @@
   if (job.carried) {
     job.phase = JobPhase::kAwaitingHistory;
     this->blocked.insert(job.submission.key);
-    const HistoryState history = this->ownership.HistoryOf(job.submission.key);
+    const HistoryState history = this->ownership.HistoryOf(job.submission, now);
     if (history == HistoryState::kIncomplete) return;
     const std::vector<FoundTask> found =
         this->ownership.FoundTasks(job.submission.key);
@@ -192,6 +214,11 @@
     for (const FoundTask& found :
          this->ownership.FoundTasks(job.submission.key)) {
       if (found.task.value() >= job.tasks.size()) continue;
+      const KnownAgent* holder = this->agents.Find(found.agent);
+      const bool is_over = job.submission.rerun == RerunPolicy::kAfterLease &&
+                           (holder == nullptr || holder->lost_at);
+      // Its lease has run out since; the task is queued below.
+      if (is_over) continue;
       TaskRecord& task = job.tasks[found.task.value()];
       const TaskId id{job.submission.key, found.task};
       task.phase = TaskPhase::kQuerying;
@@ -222,12 +249,12 @@
 void HomeJobs::QueueTask(HomeJob& job, TaskIndex task) {
   ServiceState* service = this->Service(job);
   if (service == nullptr) return;
-  const Duration declared = job.submission.tasks[task.value()].declared;
+  const Duration core_time = job.submission.tasks[task.value()].CoreTime();
   service->Dequeue(job);
   job.queued.push_back(task);
-  job.queued_work += declared;
-  service->TaskQueued(declared);
-  service->Enqueue(job, this->agents.SlotsOf(job.submission.service));
+  job.queued_work += core_time;
+  service->TaskQueued(core_time);
+  service->Enqueue(job, this->agents.CoresOf(job.submission.service));
 }
 
 void HomeJobs::LeaveQueue(HomeJob& job) {
@@ -235,7 +262,7 @@
   if (service == nullptr) return;
   service->Dequeue(job);
   for (const TaskIndex task : job.queued) {
-    service->TaskUnqueued(job.submission.tasks[task.value()].declared);
+    service->TaskUnqueued(job.submission.tasks[task.value()].CoreTime());
   }
   job.queued.clear();
   job.queued_work = Duration();
@@ -304,7 +331,7 @@
 void HomeJobs::OnTaskFinished(AgentId from, const TaskFinished& message,
                               Timestamp now) {
   KnownAgent* agent = this->agents.Find(from);
-  if (agent != nullptr) agent->credits += message.credits;
+  if (agent != nullptr) agent->NoteLoad(message.load);
   const TaskReport& report = message.report;
   HomeJob* job = this->Find(report.task.key);
   const bool known_task =
@@ -335,6 +362,15 @@
                        task.agent == from;
   if (!awaited) return;
   this->TaskNoLongerStarted(*job, task);
+  if (report.outcome == TaskOutcome::kFailed) ++task.failures;
+  if (this->MayRunAgain(*job, task, report.outcome)) {
+    this->Requeue(*job, report.task.task,
+                  report.outcome == TaskOutcome::kFailed
+                      ? Reason::kTaskFailed
+                      : Reason::kUpstreamBroken,
+                  now);
+    return;
+  }
   task.phase = TaskPhase::kSucceeded;
   if (report.outcome == TaskOutcome::kFailed) {
     this->Finish(*job, JobAnswer::Ran(Reason::kTaskFailed), now);
@@ -357,11 +393,18 @@
   this->Finish(*job, JobAnswer::Complete(std::move(results)), now);
 }
 
+bool HomeJobs::MayRunAgain(const HomeJob& job, const TaskRecord& task,
+                           TaskOutcome outcome) {
+  if (job.submission.rerun != RerunPolicy::kAfterLease) return false;
+  if (outcome == TaskOutcome::kSucceeded) return false;
+  return task.failures < job.submission.maximum_attempts;
+}
+
 void HomeJobs::OnTaskNotRun(AgentId from, const TaskNotRun& message,
                             Timestamp now) {
   KnownAgent* agent = this->agents.Find(from);
   if (agent != nullptr) {
-    agent->credits += message.credits;
+    agent->NoteLoad(message.load);
     if (message.reason == Reason::kUpstreamUnreachable) {
       this->health.ObserveUnreachable(*agent, now);
     }
@@ -371,6 +414,7 @@
   TaskRecord& task = job->tasks[message.task.task.value()];
   if (task.phase != TaskPhase::kStarted || task.agent != from) return;
   this->TaskNoLongerStarted(*job, task);
+  --job->started;
   this->Requeue(*job, message.task.task, message.reason, now);
 }
 
@@ -392,24 +436,22 @@
     task.phase = TaskPhase::kStarted;
     return;
   }
-  if (task.phase == TaskPhase::kQuerying) {
+  const bool may_run_again = job->submission.rerun == RerunPolicy::kAfterLease;
+  if (task.phase == TaskPhase::kQuerying && !may_run_again) {
     // The agent had started the task and has forgotten it since.
     this->Finish(*job, JobAnswer::MayHaveRun(Reason::kAnswerNotKept), now);
     return;
   }
   this->TaskNoLongerStarted(*job, task);
+  --job->started;
   this->Requeue(*job, report.task.task, Reason::kRenounced, now);
 }
 
-void HomeJobs::OnCreditRecall(AgentId from) {
+void HomeJobs::OnAgentLoad(AgentId from, const AgentLoad& load) {
   KnownAgent* agent = this->agents.Find(from);
-  if (agent == nullptr || !agent->description) return;
-  const auto found = this->services.find(agent->description->service);
-  const bool idle =
-      found == this->services.end() || found->second.queued_tasks() == 0;
-  const std::uint32_t returned = idle ? (agent->credits + 1) / 2 : 0;
-  agent->credits -= returned;
-  this->outbox.ToAgent(from, CreditReturn{returned});
+  if (agent == nullptr) return;
+  agent->NoteLoad(load);
+  agent->demand_told = false;
 }
 
 void HomeJobs::OnRefusalsConfirmed(
@@ -442,13 +484,21 @@
   }
 }
 
-void HomeJobs::OnAgentLost(AgentId agent, Timestamp now) {
+void HomeJobs::OnAgentLost(AgentId agent, AgentRuns runs, Timestamp now) {
   const auto found = this->outstanding.find(agent);
   if (found == this->outstanding.end()) return;
   const std::set<TaskId> tasks = found->second;
   for (const TaskId& id : tasks) {
     HomeJob* job = this->Find(id.key);
     if (job == nullptr) continue;
+    TaskRecord& task = job->tasks[id.task.value()];
+    const bool again = runs == AgentRuns::kOver &&
+                       this->MayRunAgain(*job, task, TaskOutcome::kUnknown);
+    if (again) {
+      this->TaskNoLongerStarted(*job, task);
+      this->Requeue(*job, id.task, Reason::kAgentLost, now);
+      continue;
+    }
     this->Finish(*job, JobAnswer::MayHaveRun(Reason::kAgentLost), now);
   }
   this->outstanding.erase(agent);
@@ -513,10 +563,12 @@
 void HomeJobs::CollectCandidates(const HomeJob& job, const TaskRecord& task,
                                  Timestamp now) {
   this->candidates.clear();
+  const TaskIndex index = job.queued.back();
+  const Resources& need = job.submission.tasks[index.value()].need;
   const KnownAgent* last_resort = nullptr;
   for (const KnownAgent* agent :
        this->agents.OfService(job.submission.service)) {
-    if (!this->health.MayTakeTask(*agent, now)) continue;
+    if (!this->health.MayTakeTask(*agent, need, now)) continue;
     if (task.retried && agent->agent == task.agent) {
       last_resort = agent;
       continue;
@@ -551,9 +603,9 @@
   const TaskRequest& request = job.submission.tasks[task.value()];
   service.Dequeue(job);
   job.queued.pop_back();
-  job.queued_work -= request.declared;
-  service.TaskUnqueued(request.declared);
-  service.Enqueue(job, this->agents.SlotsOf(job.submission.service));
+  job.queued_work -= request.CoreTime();
+  service.TaskUnqueued(request.CoreTime());
+  service.Enqueue(job, this->agents.CoresOf(job.submission.service));
   service.TaskStarted(job.submission.team);
   TaskRecord& record = job.tasks[task.value()];
   record.phase = TaskPhase::kStarted;
@@ -561,7 +613,7 @@
   ++record.attempt;
   ++job.started;
   ++agent.running;
-  --agent.credits;
+  agent.NoteSent(request.need);
   agent.demand_told = service.queued_tasks() > 0;
   const TaskId id{job.submission.key, task};
   this->outstanding[agent.agent].insert(id);
@@ -569,15 +621,16 @@
   this->outbox.ToAgent(
       agent.agent,
       Start{id, this->ownership.Promised(bucket), record.attempt, agent.agent,
-            job.TimeLeft(now), reason, service.queued_tasks(), request.body});
+            job.TimeLeft(now), reason, service.queued_tasks(),
+            job.submission.name, job.submission.rerun, request});
 }
 
 void HomeJobs::TellDemand(ServiceState& service, Timestamp now) {
   for (KnownAgent* agent : this->agents.OfService(service.document().service)) {
-    if (agent->demand_told || agent->credits > 0) continue;
+    if (agent->demand_told) continue;
     if (!agent->IsUsable(now, this->settings.suspect_after)) continue;
     agent->demand_told = true;
-    this->outbox.ToAgent(agent->agent, CreditRequest{service.queued_tasks()});
+    this->outbox.ToAgent(agent->agent, DemandNotice{service.queued_tasks()});
   }
 }
 
@@ -598,7 +651,6 @@
   TaskRecord& task = job.tasks[index.value()];
   task.phase = TaskPhase::kQueued;
   task.retried = true;
-  --job.started;
   if (job.phase != JobPhase::kRunning) return;
   ServiceState* service = this->Service(job);
   if (service != nullptr && !service->TakeRetry()) {
@@ -612,19 +664,21 @@
 void HomeJobs::Finish(HomeJob& job, const JobAnswer& answer, Timestamp now) {
   const JobKey key = job.submission.key;
   this->LeaveQueue(job);
-  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
-    const TaskRecord& task = job.tasks[i];
-    if (task.phase != TaskPhase::kStarted &&
-        task.phase != TaskPhase::kQuerying) {
-      continue;
-    }
-    this->outbox.ToAgent(task.agent, StopTask{{key, TaskIndex(i)}});
+  for (const FoundTask& started : StartedTasks(job)) {
+    this->outbox.ToAgent(started.agent, StopTask{{key, started.task}});
   }
   for (const Waiter& waiter : job.waiters) {
     this->AnswerWaiter(waiter, key, answer);
   }
-  this->kept.Keep(key, {job.submission.body_digest, answer}, now);
-  this->ownership.Close(key, now);
+  const bool may_run_again = job.submission.rerun == RerunPolicy::kAfterLease &&
+                             answer.verdict == Verdict::kMayHaveRun;
+  if (may_run_again) {
+    // A later submission of the key first asks what became of these.
+    this->ownership.Reopen(key, StartedTasks(job));
+  } else {
+    this->kept.Keep(key, {job.submission.body_digest, answer}, now);
+    this->ownership.Close(key, now);
+  }
   this->Erase(job);
 }
 
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -29,6 +29,9 @@
   std::vector<RequestId> callers;
 };
 
+// Whether what a lost agent has started may still be running at its upstream.
+enum class AgentRuns { kMayGoOn, kOver };
+
 // The jobs of the buckets that this entry is home of: admission, queueing,
 // placement, retries, and the answer.
 class HomeJobs {
@@ -53,12 +56,12 @@
   void OnTaskNotRun(AgentId from, const TaskNotRun& message, Timestamp now);
   void OnRenounceReply(AgentId from, const RenounceReply& message,
                        Timestamp now);
-  void OnCreditRecall(AgentId from);
+  void OnAgentLoad(AgentId from, const AgentLoad& load);
   void OnRefusalsConfirmed(const std::vector<ConfirmedRefusal>& confirmed,
                            Timestamp now);
   // The agent is connected (again): asks what became of tasks sent before.
   void OnAgentConnected(AgentId agent);
-  void OnAgentLost(AgentId agent, Timestamp now);
+  void OnAgentLost(AgentId agent, AgentRuns runs, Timestamp now);
   // An agent has told what it started: jobs that wait for it may go on.
   void OnHistoryGrown(Timestamp now);
 
@@ -101,9 +104,12 @@
   void TellDemand(ServiceState& service, Timestamp now);
   // Applies how a task ended, if the job still waits for it.
   void OnTaskEnded(AgentId from, const TaskReport& report, Timestamp now);
+  // Whether a task whose run has ended so may be started once more.
+  static bool MayRunAgain(const HomeJob& job, const TaskRecord& task,
+                          TaskOutcome outcome);
   void TaskNoLongerStarted(HomeJob& job, TaskRecord& task);
-  // The start of a task was proven "not run": queues it again, within the
-  // retry budget.
+  // Queues a task again, within the retry budget: its start was proven "not
+  // run", or its run is over and it may run again.
   void Requeue(HomeJob& job, TaskIndex index, Reason reason, Timestamp now);
   // Ends a job whose callers wait too long or do not want it any more.
   void Abandon(HomeJob& job, Reason reason, Timestamp now);
--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -120,6 +120,13 @@
       if (bucket.entry_promises.contains(member.entry)) continue;
       to_entries[member.entry].buckets.push_back({id, bucket.mine});
     }
+    // A former home that has left the view still knows its keys.
+    const bool former_left =
+        bucket.exempt && this->current_view.Find(*bucket.exempt) == nullptr &&
+        !bucket.entry_promises.contains(*bucket.exempt);
+    if (former_left) {
+      to_entries[*bucket.exempt].buckets.push_back({id, bucket.mine});
+    }
     for (const auto& [agent, known] : this->agents.all()) {
       if (!known.connected || bucket.agent_promises.contains(agent)) continue;
       to_agents[agent].buckets.push_back({id, bucket.mine});
@@ -140,11 +147,14 @@
   PromiseReply reply;
   for (const BucketBallot& asked : request.buckets) {
     if (asked.bucket.value() >= this->buckets.size()) continue;
+    const Ballot previous = this->Get(asked.bucket).promised;
     if (this->Observe(asked)) lost.push_back(asked.bucket);
     const Bucket& bucket = this->Get(asked.bucket);
     const bool granted =
         bucket.promised == asked.ballot && asked.ballot.entry == from;
-    BucketPromise promise{asked.bucket, bucket.promised, granted, {}};
+    BucketPromise promise{
+        asked.bucket, bucket.promised,        granted, {}, previous,
+        bucket.held,  bucket.knows_all_starts};
     if (granted) promise.known = this->KeysOf(asked.bucket);
     reply.buckets.push_back(std::move(promise));
   }
@@ -168,7 +178,11 @@
     const bool mine =
         bucket.phase != OwnershipPhase::kNone && promise.ballot == bucket.mine;
     if (!mine) continue;
-    bucket.entry_promises.insert(from);
+    // A repeated answer comes after the promise and tells nothing of before.
+    if (bucket.entry_promises.insert(from).second) {
+      bucket.predecessors[from] = {promise.previous, promise.held,
+                                   promise.knew_all_starts};
+    }
     for (const KnownKey& known : promise.known) {
       // A key that came to this entry under its own ballot stays its own; any
       // other may have been started by a former home.
@@ -279,10 +293,17 @@
   record->second.last_heard = now;
 }
 
-KeyStanding Ownership::StandingOf(
-    const JobKey& key, const std::optional<Timestamp>& created) const {
-  const Bucket& bucket = this->Get(this->BucketOfKey(key));
+void Ownership::Reopen(const JobKey& key, std::vector<FoundTask> started) {
+  Bucket& bucket = this->Get(this->BucketOfKey(key));
   const auto record = bucket.known.find(key);
+  if (record == bucket.known.end()) return;
+  record->second.origin = KeyOrigin::kCarried;
+  bucket.found[key] = std::move(started);
+}
+
+KeyStanding Ownership::StandingOf(const JobSubmission& job, Timestamp now) {
+  Bucket& bucket = this->Get(this->BucketOfKey(job.key));
+  const auto record = bucket.known.find(job.key);
   if (record != bucket.known.end()) {
     switch (record->second.origin) {
       case KeyOrigin::kOwn:
@@ -293,15 +314,73 @@
         return KeyStanding::kClosed;
     }
   }
+  // Jobs that may run again have no witness, so a former home's starts are
+  // known from itself or from agents.
+  if (job.rerun == RerunPolicy::kAfterLease) {
+    return this->KnowsAllStarts(bucket, now) ? KeyStanding::kFresh
+                                             : KeyStanding::kUnsettled;
+  }
   if (!bucket.fresh_after) return KeyStanding::kFresh;
-  const bool younger =
-      created && *created > *bucket.fresh_after + kClockSkewLimit;
+  const bool younger = job.created && *bucket.fresh_after < Timestamp::max() &&
+                       *job.created > *bucket.fresh_after + kClockSkewLimit;
   return younger ? KeyStanding::kFresh : KeyStanding::kUnknowable;
 }
 
-HistoryState Ownership::HistoryOf(const JobKey& key) const {
-  const Bucket& bucket = this->Get(this->BucketOfKey(key));
-  const auto record = bucket.known.find(key);
+bool Ownership::KnowsAllStarts(Bucket& bucket, Timestamp now) const {
+  // From then on this entry starts whatever is started.
+  bucket.knows_all_starts = bucket.knows_all_starts ||
+                            this->LearnedFromFormerHome(bucket) ||
+                            this->RunsAreSettled(bucket, now);
+  return bucket.knows_all_starts;
+}
+
+bool Ownership::LearnedFromFormerHome(const Bucket& bucket) const {
+  Ballot latest;
+  for (const ViewMember& member : this->current_view.members) {
+    if (!bucket.predecessors.contains(member.entry)) return false;
+  }
+  for (const auto& [entry, before] : bucket.predecessors) {
+    latest = std::max(latest, before.promised);
+  }
+  const auto former = bucket.predecessors.find(latest.entry);
+  return !latest.IsNone() && former != bucket.predecessors.end() &&
+         former->second.held == latest && former->second.knew_all_starts;
+}
+
+bool Ownership::RunsAreSettled(const Bucket& bucket, Timestamp now) const {
+  // Agents that nobody has told of may only be there in the beginning.
+  if (!this->synchronized && !this->HasOutlivedLeases(now)) return false;
+  return std::all_of(this->agents.all().begin(), this->agents.all().end(),
+                     [&](const auto& item) {
+                       return bucket.agent_promises.contains(item.first) ||
+                              this->RunsAreOver(item.second, now);
+                     });
+}
+
+bool Ownership::RunsAreOver(const KnownAgent& agent, Timestamp now) const {
+  if (agent.lost_at) {
+    return agent.ended_idle ||
+           now >= *agent.lost_at + this->settings.lease_over_after;
+  }
+  Timestamp last_contact = agent.LastSeen();
+  for (const ViewMember& member : this->current_view.members) {
+    if (member.entry == this->settings.self) continue;
+    // A member that is cut off from here may have been in contact with it.
+    if (!this->peers.IsSuspected(member.entry, now)) continue;
+    last_contact =
+        std::max(last_contact, this->peers.MayActUntil(member.entry));
+  }
+  return now >= last_contact + this->settings.lease_over_after;
+}
+
+HistoryState Ownership::HistoryOf(const JobSubmission& job,
+                                  Timestamp now) const {
+  const Bucket& bucket = this->Get(this->BucketOfKey(job.key));
+  if (job.rerun == RerunPolicy::kAfterLease) {
+    return this->RunsAreSettled(bucket, now) ? HistoryState::kComplete
+                                             : HistoryState::kIncomplete;
+  }
+  const auto record = bucket.known.find(job.key);
   const Timestamp first_seen = record == bucket.known.end()
                                    ? Timestamp::min()
                                    : record->second.first_seen;
@@ -386,6 +465,10 @@
 
 void Ownership::Begin(Bucket& bucket, Timestamp now) {
   const Ballot previous = bucket.promised;
+  bucket.predecessors.clear();
+  bucket.predecessors[this->settings.self] = {previous, bucket.held,
+                                              bucket.knows_all_starts};
+  bucket.knows_all_starts = false;
   bucket.exempt.reset();
   const bool other_home =
       !previous.IsNone() && previous.entry != this->settings.self;
@@ -485,11 +568,16 @@
     if (now < bucket.begun_at + patience) return false;
     const std::optional<Timestamp> entries = this->EntriesDeadSince(id, bucket);
     const std::optional<Timestamp> agents_dead = this->AgentsDeadSince(bucket);
-    if (!entries && !agents_dead) return false;
+    const bool leases_over =
+        now >= bucket.begun_at + this->settings.lease_over_after;
+    if (!entries && !agents_dead && !leases_over) return false;
+    // Where something is only silent, no key is young enough; jobs that may run
+    // again need no more than the end of all leases.
     bucket.fresh_after = std::min(entries.value_or(Timestamp::max()),
                                   agents_dead.value_or(Timestamp::max()));
   }
   bucket.phase = OwnershipPhase::kActive;
+  bucket.held = bucket.mine;
   return true;
 }
 
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -25,6 +25,8 @@
   kClosed,
   // Too much was lost to say whether it was started.
   kUnknowable,
+  // Runs of it that a lost process started may still be going on.
+  kUnsettled,
 };
 
 // What the promises of the agents tell about a carried key.
@@ -57,6 +59,13 @@
   std::vector<BucketId> AdoptView(const View& view);
   void MarkSynchronized() { this->synchronized = true; }
   [[nodiscard]] bool IsSynchronized() const { return this->synchronized; }
+  // This entry is a member since `now`.
+  void NoteJoined(Timestamp now) { this->joined_at = now; }
+  // Whether an agent that no entry has told of would have stopped by now.
+  [[nodiscard]] bool HasOutlivedLeases(Timestamp now) const {
+    return this->joined_at &&
+           now >= *this->joined_at + this->settings.lease_over_after;
+  }
 
   [[nodiscard]] BucketId BucketOfKey(const JobKey& key) const {
     return BucketOf(key, this->settings.bucket_count);
@@ -105,9 +114,12 @@
   void RememberCarried(const KnownKey& known, Timestamp now);
   // Marks a key as answered for good under the ballot of now.
   void Close(const JobKey& key, Timestamp now);
-  [[nodiscard]] KeyStanding StandingOf(
-      const JobKey& key, const std::optional<Timestamp>& created) const;
-  [[nodiscard]] HistoryState HistoryOf(const JobKey& key) const;
+  // Takes a key that may run again as known from before; `started` are its
+  // tasks whose runs have not ended.
+  void Reopen(const JobKey& key, std::vector<FoundTask> started);
+  [[nodiscard]] KeyStanding StandingOf(const JobSubmission& job, Timestamp now);
+  [[nodiscard]] HistoryState HistoryOf(const JobSubmission& job,
+                                       Timestamp now) const;
   [[nodiscard]] std::vector<FoundTask> FoundTasks(const JobKey& key) const;
   [[nodiscard]] bool AgentPromised(BucketId bucket, AgentId agent) const;
   [[nodiscard]] std::vector<KnownKey> KeysOf(BucketId bucket) const;
@@ -129,9 +141,20 @@
     Timestamp last_heard;
     KeyOrigin origin = KeyOrigin::kOwn;
   };
+  // What an entry tells of the time before a promise.
+  struct Predecessor {
+    Ballot promised;
+    Ballot held;
+    bool knew_all_starts = false;
+  };
   struct Bucket {
     Ballot promised;
     Ballot mine;
+    // The last ballot under which this entry acted as home.
+    Ballot held;
+    // Whether every key that any home has started is known here.
+    bool knows_all_starts = false;
+    std::map<EntryId, Predecessor> predecessors;
     OwnershipPhase phase = OwnershipPhase::kNone;
     // The previous home: whatever it started has another witness.
     std::optional<EntryId> exempt;
@@ -162,6 +185,16 @@
   [[nodiscard]] std::optional<Timestamp> AgentsDeadSince(
       const Bucket& bucket) const;
   [[nodiscard]] std::optional<Timestamp> DeadSince(EntryId entry) const;
+  // Whether every key that a former home may have started is known: from that
+  // home itself, or since its runs are settled.
+  bool KnowsAllStarts(Bucket& bucket, Timestamp now) const;
+  [[nodiscard]] bool LearnedFromFormerHome(const Bucket& bucket) const;
+  // Whether every run that another home has started in this bucket is over, or
+  // known from an agent's promise.
+  [[nodiscard]] bool RunsAreSettled(const Bucket& bucket, Timestamp now) const;
+  // Whether nothing that the agent has started can still be running, since no
+  // entry has heard from it for the time of a lease.
+  [[nodiscard]] bool RunsAreOver(const KnownAgent& agent, Timestamp now) const;
   [[nodiscard]] bool IsWhole(BucketId id, const Bucket& bucket) const;
   bool TryActivate(BucketId id, Bucket& bucket, Timestamp now);
 
@@ -171,6 +204,7 @@
   EntryOutbox& outbox;
   View current_view;
   bool synchronized = false;
+  std::optional<Timestamp> joined_at;
   std::vector<Bucket> buckets;
   // Per bucket, the members of the current view in rendezvous order.
   std::vector<std::vector<EntryId>> rankings;
--- a/libraries/entry_core/peer_directory.h
+++ b/libraries/entry_core/peer_directory.h
@@ -52,6 +52,13 @@
     const auto found = this->peers.find(peer);
     return found == this->peers.end() ? std::nullopt : found->second.dead_since;
   }
+  // How long a peer that is cut off from here may still act for agents.
+  [[nodiscard]] Timestamp MayActUntil(EntryId peer) const {
+    const auto found = this->peers.find(peer);
+    if (found == this->peers.end()) return Timestamp();
+    const Peer& known = found->second;
+    return known.dead_since.value_or(known.last_heard + this->suspect_after);
+  }
   [[nodiscard]] Duration SilenceOf(EntryId peer, Timestamp now) const {
     const auto found = this->peers.find(peer);
     return found == this->peers.end() ? Duration()
--- a/libraries/entry_core/refusal_confirmer.cc
+++ b/libraries/entry_core/refusal_confirmer.cc
@@ -1,6 +1,7 @@
 #include "libraries/entry_core/refusal_confirmer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dandelionspur {
 
@@ -23,13 +24,16 @@
   if (this->waiting.empty()) return;
   const std::optional<EntryId> entry = this->EntryToAsk(now);
   const std::optional<AgentId> agent = this->AgentToAsk();
-  if (!entry || !agent) return;
+  if (!agent) return;
   std::set<BucketBallot> ballots;
-  for (const JobKey& key : this->waiting) {
+  for (const auto& [key, rerun] : this->waiting) {
+    if (!entry && rerun == RerunPolicy::kNever) continue;
     const BucketId bucket = this->ownership.BucketOfKey(key);
     ballots.insert({bucket, this->ownership.Promised(bucket)});
+    this->asked.emplace(key, rerun);
   }
-  this->asked.swap(this->waiting);
+  if (this->asked.empty()) return;
+  for (const auto& [key, rerun] : this->asked) this->waiting.erase(key);
   this->asked_ballots.assign(ballots.begin(), ballots.end());
   this->entry_confirmed.reset();
   this->agent_confirmed.reset();
@@ -37,7 +41,7 @@
   this->begun_at = now;
   ++this->sequence;
   const ConfirmRequest request{this->sequence, this->asked_ballots};
-  this->outbox.ToPeer(*entry, request);
+  if (entry) this->outbox.ToPeer(*entry, request);
   this->outbox.ToAgent(*agent, request);
 }
 
@@ -57,25 +61,32 @@
 
 std::vector<ConfirmedRefusal> RefusalConfirmer::Conclude() {
   std::vector<ConfirmedRefusal> confirmed;
-  if (!this->entry_confirmed || !this->agent_confirmed) return confirmed;
-  std::set<BucketId> proven;
-  for (const BucketBallot& question : this->asked_ballots) {
-    const bool holds =
-        this->entry_confirmed->contains(question.bucket) &&
-        this->agent_confirmed->contains(question.bucket) &&
-        this->ownership.IsActive(question.bucket) &&
-        this->ownership.Promised(question.bucket) == question.ballot;
-    if (holds) proven.insert(question.bucket);
-  }
-  for (const JobKey& key : this->asked) {
-    if (proven.contains(this->ownership.BucketOfKey(key))) {
+  if (!this->agent_confirmed) return confirmed;
+  const auto holds = [&](const JobKey& key, RerunPolicy rerun) {
+    const BucketId bucket = this->ownership.BucketOfKey(key);
+    const bool entry_agrees =
+        rerun == RerunPolicy::kAfterLease ||
+        (this->entry_confirmed && this->entry_confirmed->contains(bucket));
+    const BucketBallot now{bucket, this->ownership.Promised(bucket)};
+    const bool still_asked =
+        std::find(this->asked_ballots.begin(), this->asked_ballots.end(),
+                  now) != this->asked_ballots.end();
+    return entry_agrees && still_asked &&
+           this->agent_confirmed->contains(bucket) &&
+           this->ownership.IsActive(bucket);
+  };
+  const bool complete = this->entry_confirmed.has_value();
+  for (const auto& [key, rerun] : std::exchange(this->asked, {})) {
+    if (holds(key, rerun)) {
       confirmed.push_back({key, NotRunProof()});
+    } else if (!complete && rerun == RerunPolicy::kNever) {
+      // The other entry's answer is still to come.
+      this->asked.emplace(key, rerun);
     } else {
-      this->waiting.insert(key);
+      this->waiting.emplace(key, rerun);
     }
   }
-  this->asked.clear();
-  this->under_way = false;
+  this->under_way = !this->asked.empty();
   return confirmed;
 }
 
--- a/libraries/entry_core/refusal_confirmer.h
+++ b/libraries/entry_core/refusal_confirmer.h
@@ -2,6 +2,7 @@
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_REFUSAL_CONFIRMER_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -22,12 +23,16 @@
 // all agents, so one entry and one agent that have promised nothing higher,
 // asked after the submission came, rule it out. One round of questions is
 // under way at a time and serves all jobs that waited when it began.
+// A job that may run again is started by a successor only once the agents have
+// promised, so for it the agent's answer is enough.
 class RefusalConfirmer {
  public:
   RefusalConfirmer(const EntryCoreSettings& configured, Ownership& owner,
                    const AgentRegistry& registry, EntryOutbox& effects);
 
-  void Add(const JobKey& key) { this->waiting.insert(key); }
+  void Add(const JobKey& key, RerunPolicy rerun) {
+    this->waiting.emplace(key, rerun);
+  }
   void Remove(const JobKey& key) {
     this->waiting.erase(key);
     this->asked.erase(key);
@@ -48,8 +53,8 @@
   Ownership& ownership;
   const AgentRegistry& agents;
   EntryOutbox& outbox;
-  std::set<JobKey> waiting;
-  std::set<JobKey> asked;
+  std::map<JobKey, RerunPolicy> waiting;
+  std::map<JobKey, RerunPolicy> asked;
   std::vector<BucketBallot> asked_ballots;
   std::uint64_t sequence = 0;
   bool under_way = false;
--- a/libraries/entry_core/service_state.cc
+++ b/libraries/entry_core/service_state.cc
@@ -46,12 +46,11 @@
       [&](const TeamPolicy& declared) { return declared.team == team; });
 }
 
-void ServiceState::Enqueue(HomeJob& job, std::uint32_t slots) {
+void ServiceState::Enqueue(HomeJob& job, std::int64_t cores) {
   if (job.is_queued || job.queued.empty()) return;
   job.rank = job.accepted_at.time_since_epoch().count() / kAgeingDivisor;
   if (this->in_force.order == OrderKind::kShortestRemaining) {
-    const std::int64_t width = std::max<std::int64_t>(1, slots);
-    job.rank += job.queued_work.count() / width;
+    job.rank += job.queued_work.count() / cores;
   }
   job.is_queued = true;
   this->Team(job.submission.team).jobs.insert({job.rank, job.submission.key});
@@ -81,14 +80,14 @@
   return best->jobs.begin()->key;
 }
 
-void ServiceState::TaskQueued(Duration declared) {
+void ServiceState::TaskQueued(Duration core_time) {
   ++this->queued_count;
-  this->queued_total += declared;
+  this->queued_total += core_time;
 }
 
-void ServiceState::TaskUnqueued(Duration declared) {
+void ServiceState::TaskUnqueued(Duration core_time) {
   --this->queued_count;
-  this->queued_total -= declared;
+  this->queued_total -= core_time;
 }
 
 void ServiceState::TaskStarted(const TeamName& team) {
--- a/libraries/entry_core/service_state.h
+++ b/libraries/entry_core/service_state.h
@@ -26,8 +26,8 @@
 
   // Whether the document lets `team` submit.
   [[nodiscard]] bool Admits(const TeamName& team) const;
-  // Puts a job with queued tasks in line; `slots` are those of the service.
-  void Enqueue(HomeJob& job, std::uint32_t slots);
+  // Puts a job with queued tasks in line; `cores` are those of the service.
+  void Enqueue(HomeJob& job, std::int64_t cores);
   void Dequeue(HomeJob& job);
   // The job whose task should start next, or nothing where every queued team
   // is at its limit. Among teams, the one with the smallest part of its share
@@ -35,14 +35,14 @@
   // second of waiting counts for part of a second of work.
   [[nodiscard]] std::optional<JobKey> Next() const;
 
-  void TaskQueued(Duration declared);
-  void TaskUnqueued(Duration declared);
+  void TaskQueued(Duration core_time);
+  void TaskUnqueued(Duration core_time);
   void TaskStarted(const TeamName& team);
   void TaskEnded(const TeamName& team);
   [[nodiscard]] std::uint32_t queued_tasks() const {
     return this->queued_count;
   }
-  // Declared time of all queued tasks.
+  // Declared core time of all queued tasks.
   [[nodiscard]] Duration queued_work() const { return this->queued_total; }
 
   // Takes one retry from the budget; false where it is used up.
--- a/libraries/entry_core/submission_validator.cc
+++ b/libraries/entry_core/submission_validator.cc
@@ -34,6 +34,7 @@
   job.service = raw.service;
   job.team = TeamName(raw.team.empty() ? kDefaultTeam : std::string(raw.team));
   job.body_digest = XXH3_64bits(raw.body.data(), raw.body.size());
+  job.name = std::string(raw.key);
   job.time_allowed = document.default_deadline;
   return job;
 }
@@ -90,6 +91,21 @@
       std::move(detail)};
 }
 
+JobSubmission SubmissionValidator::QueuedJob(const ServiceName& service,
+                                             const Route& route,
+                                             std::string_view key,
+                                             std::string_view body) {
+  JobSubmission job;
+  job.key = JobKey::FromText(service, key);
+  job.service = service;
+  job.team = TeamName(kDefaultTeam);
+  job.time_allowed = route.timeout;
+  job.body_digest = XXH3_64bits(body.data(), body.size());
+  job.name = std::string(key);
+  job.maximum_attempts = route.maximum_attempts;
+  return job;
+}
+
 ValidatedSubmission SubmissionValidator::Job(const RawSubmission& raw,
                                              const ServiceDocument* document) {
   if (document == nullptr) {
@@ -122,7 +138,7 @@
   }
   JobSubmission job = NewSubmission(raw, *document);
   job.tasks.push_back(
-      {Payload::FromBytes(std::string(raw.body)), kDefaultDeclared});
+      {Payload::FromBytes(std::string(raw.body)), kDefaultDeclared, kOneSlot});
   return job;
 }
 
--- a/libraries/entry_core/submission_validator.h
+++ b/libraries/entry_core/submission_validator.h
@@ -41,6 +41,9 @@
   // One task whose body is the request's body.
   static ValidatedSubmission Request(const RawSubmission& raw,
                                      const ServiceDocument* document);
+  // A job whose caller named a queue and a key; the tasks are still missing.
+  static JobSubmission QueuedJob(const ServiceName& service, const Route& route,
+                                 std::string_view key, std::string_view body);
   // Refuses a request that the entry does not take in.
   static RejectedSubmission Reject(Reason reason, std::string detail);
 };
--- a/libraries/entry_core/upstream_health.cc
+++ b/libraries/entry_core/upstream_health.cc
@@ -22,9 +22,10 @@
 
 }  // namespace
 
-bool UpstreamHealth::MayTakeTask(const KnownAgent& agent, Timestamp now) const {
+bool UpstreamHealth::MayTakeTask(const KnownAgent& agent, const Resources& need,
+                                 Timestamp now) const {
   const bool usable = agent.IsUsable(now, this->suspect_after);
-  if (agent.credits == 0 || !usable) return false;
+  if (!usable || !agent.HasRoomFor(need)) return false;
   return !this->IsOnProbation(agent) || agent.running == 0;
 }
 
--- a/libraries/entry_core/upstream_health.h
+++ b/libraries/entry_core/upstream_health.h
@@ -15,8 +15,9 @@
   UpstreamHealth(Duration suspicion, AgentRegistry& registry)
       : suspect_after(suspicion), agents(registry) {}
 
-  // Whether a task may go to the agent now.
-  [[nodiscard]] bool MayTakeTask(const KnownAgent& agent, Timestamp now) const;
+  // Whether a task with this need may go to the agent now.
+  [[nodiscard]] bool MayTakeTask(const KnownAgent& agent, const Resources& need,
+                                 Timestamp now) const;
   [[nodiscard]] bool IsOnProbation(const KnownAgent& agent) const;
   void ObserveSuccess(KnownAgent& agent, ServiceState& service,
                       Duration declared, Duration elapsed) const;
--- a/libraries/network/http_client.cc
+++ b/libraries/network/http_client.cc
@@ -182,4 +182,11 @@
   return request;
 }
 
+HttpRequest MakeJsonRequest(const std::string& path,
+                            const nlohmann::json& body) {
+  HttpRequest request = MakeHttpRequest(http::verb::post, path, body.dump());
+  request.set(http::field::content_type, "application/json");
+  return request;
+}
+
 }  // namespace dandelionspur
--- a/libraries/network/http_client.h
+++ b/libraries/network/http_client.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <vector>
 
 #include "libraries/base/time.h"
@@ -70,6 +71,9 @@
 
 HttpRequest MakeHttpRequest(boost::beast::http::verb verb,
                             const std::string& path, std::string body);
+// A POST whose body is JSON.
+HttpRequest MakeJsonRequest(const std::string& path,
+                            const nlohmann::json& body);
 
 }  // namespace dandelionspur
 
--- a/libraries/network/http_server.cc
+++ b/libraries/network/http_server.cc
@@ -1,10 +1,12 @@
 #include "libraries/network/http_server.h"
 
+#include <atomic>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "libraries/network/bind_acceptor.h"
 
@@ -28,13 +30,30 @@
   return kBadRequest;
 }
 
+// What all connections of a server share.
+struct Shared {
+  HttpHandler handler;
+  std::atomic<bool> closing = false;
+};
+
 // One connection of a caller. Everything runs on the socket's io_context.
 class Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(Tcp::socket connected, std::shared_ptr<HttpHandler> callback)
-      : socket(std::move(connected)), handler(std::move(callback)) {}
+  Session(Tcp::socket connected, std::shared_ptr<Shared> common)
+      : socket(std::move(connected)), shared(std::move(common)) {}
+
+  void CloseIfIdle() {
+    asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+      if (self->busy || self->buffer.size() > 0) return;
+      // Bytes that are under way would be lost with the connection.
+      boost::system::error_code ignored;
+      if (self->socket.available(ignored) > 0) return;
+      self->socket.close(ignored);
+    });
+  }
 
   void Read() {
+    this->busy = false;
     this->parser.emplace();
     this->parser->body_limit(kMaximumBody);
     this->parser->header_limit(kMaximumHeader);
@@ -47,6 +66,7 @@
 
  private:
   void OnRead(boost::system::error_code error) {
+    this->busy = true;
     const bool gone = error == http::error::end_of_stream ||
                       error == asio::error::operation_aborted ||
                       error == asio::error::connection_reset ||
@@ -64,11 +84,11 @@
     HttpRequest request = this->parser->release();
     this->keep_alive = request.keep_alive();
     this->version = request.version();
-    (*this->handler)(std::move(request),
-                     HttpResponder([self = this->shared_from_this()](
-                                       HttpResponseMaker make) {
-                       self->Respond(std::move(make));
-                     }));
+    this->shared->handler(std::move(request),
+                          HttpResponder([self = this->shared_from_this()](
+                                            HttpResponseMaker make) {
+                            self->Respond(std::move(make));
+                          }));
   }
 
   void Respond(HttpResponseMaker make) {
@@ -76,7 +96,7 @@
                [self = this->shared_from_this(), maker = std::move(make)] {
                  HttpResponse message = maker();
                  message.version(self->version);
-                 message.keep_alive(self->keep_alive);
+                 message.keep_alive(self->keep_alive && !self->shared->closing);
                  self->Write(std::move(message));
                });
   }
@@ -99,11 +119,13 @@
   }
 
   Tcp::socket socket;
-  std::shared_ptr<HttpHandler> handler;
+  std::shared_ptr<Shared> shared;
   beast::flat_buffer buffer;
   std::optional<http::request_parser<http::string_body>> parser;
   HttpResponse response;
   bool keep_alive = true;
+  // A request is being handled or answered.
+  bool busy = false;
   unsigned version = 11;
 };
 
@@ -115,7 +137,9 @@
   Listener(ThreadGroup& group, HttpHandler callback)
       : threads(group),
         acceptor(group.First()),
-        handler(std::make_shared<HttpHandler>(std::move(callback))) {}
+        shared(std::make_shared<Shared>()) {
+    this->shared->handler = std::move(callback);
+  }
 
   Result<void> Bind(const Endpoint& endpoint) {
     return BindAcceptor(this->acceptor, endpoint);
@@ -131,10 +155,10 @@
             boost::system::error_code ignored;
             socket.set_option(Tcp::no_delay(true), ignored);
             const auto executor = socket.get_executor();
-            asio::post(executor, [session = std::make_shared<Session>(
-                                      std::move(socket), self->handler)] {
-              session->Read();
-            });
+            const auto session =
+                std::make_shared<Session>(std::move(socket), self->shared);
+            self->Remember(session);
+            asio::post(executor, [session] { session->Read(); });
           }
           self->Accept();
         });
@@ -148,14 +172,41 @@
                });
   }
 
+  void CloseAfterAnswers() { this->shared->closing = true; }
+
+  void CloseIdle() {
+    asio::post(this->acceptor.get_executor(),
+               [self = this->shared_from_this()] {
+                 for (const auto& known : self->sessions) {
+                   if (const auto session = known.lock()) {
+                     session->CloseIfIdle();
+                   }
+                 }
+               });
+  }
+
   [[nodiscard]] std::uint16_t port() const {
     return this->acceptor.local_endpoint().port();
   }
 
  private:
+  // On the acceptor's thread.
+  void Remember(const std::shared_ptr<Session>& session) {
+    constexpr std::size_t kSweepAbove = 64;
+    if (this->sessions.size() >= 2 * this->live_sessions + kSweepAbove) {
+      std::erase_if(this->sessions,
+                    [](const auto& known) { return known.expired(); });
+      this->live_sessions = this->sessions.size();
+    }
+    this->sessions.push_back(session);
+  }
+
   ThreadGroup& threads;
   Tcp::acceptor acceptor;
-  std::shared_ptr<HttpHandler> handler;
+  std::shared_ptr<Shared> shared;
+  std::vector<std::weak_ptr<Session>> sessions;
+  // At the last sweep.
+  std::size_t live_sessions = 0;
 };
 
 Result<std::unique_ptr<HttpServer>> HttpServer::Create(const Endpoint& endpoint,
@@ -176,6 +227,10 @@
 
 void HttpServer::StopAccepting() { this->listener->Close(); }
 
+void HttpServer::CloseAfterAnswers() { this->listener->CloseAfterAnswers(); }
+
+void HttpServer::CloseIdle() { this->listener->CloseIdle(); }
+
 HttpResponse MakeHttpResponse(unsigned status, const std::string& content_type,
                               std::string body) {
   HttpResponse response;
--- a/libraries/network/http_server.h
+++ b/libraries/network/http_server.h
@@ -60,6 +60,11 @@
   [[nodiscard]] std::uint16_t port() const;
   // Takes no more connections; those that are open go on.
   void StopAccepting();
+  // From now on every connection closes after its next answer, so that callers
+  // turn to another server.
+  void CloseAfterAnswers();
+  // Closes the connections on which no request is under way.
+  void CloseIdle();
 
  private:
   class Listener;
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "libraries/base/ballot.h"
+#include "libraries/base/resources.h"
 #include "libraries/protocol/entry_messages.h"
 #include "libraries/protocol/job.h"
 #include "libraries/protocol/view.h"
@@ -27,13 +28,14 @@
   ServiceName service;
   std::string upstream;
   std::string rack;
-  std::uint32_t slots = 0;
+  Resources capacity;
   // Probed to tell a dead agent from a silent one.
   Endpoint admin_endpoint;
   bool operator==(const AgentDescription&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(AgentDescription, (),
-                      (agent, service, upstream, rack, slots, admin_endpoint))
+                      (agent, service, upstream, rack, capacity,
+                       admin_endpoint))
 
 // Sent to every entry of the view; the agent takes no start before all of
 // them have answered for that view.
@@ -65,6 +67,24 @@
 BOOST_DESCRIBE_STRUCT(TaskReport, (),
                       (task, state, outcome, result, result_kept))
 
+// How full an agent's upstream is, as told to one entry.
+struct AgentLoad {
+  // Room of the upstream; none while it takes no tasks.
+  Resources capacity;
+  // What runs on it, what is being stopped included.
+  Resources running;
+  // What waits at the agent for room.
+  Resources waiting;
+  // Starts that the receiving entry has sent on this connection and that are
+  // counted above, or have ended.
+  std::uint64_t starts_seen = 0;
+  // Whether the upstream takes new tasks.
+  bool accepting = false;
+  bool operator==(const AgentLoad&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(AgentLoad, (),
+                      (capacity, running, waiting, starts_seen, accepting))
+
 struct AgentBucketPromise {
   BucketId bucket;
   Ballot ballot;
@@ -93,10 +113,9 @@
   TaskReport report;
   // Time that the upstream took.
   Duration elapsed{};
-  // Slots that the receiving entry may use from now on.
-  std::uint32_t credits = 0;
+  AgentLoad load;
 };
-BOOST_DESCRIBE_STRUCT(TaskFinished, (), (report, elapsed, credits))
+BOOST_DESCRIBE_STRUCT(TaskFinished, (), (report, elapsed, load))
 
 // The start took no effect and never will.
 struct TaskNotRun {
@@ -105,9 +124,9 @@
   Reason reason = Reason::kNoFreeSlot;
   // The highest ballot promised for the bucket.
   Ballot promised;
-  std::uint32_t credits = 0;
+  AgentLoad load;
 };
-BOOST_DESCRIBE_STRUCT(TaskNotRun, (), (task, reason, promised, credits))
+BOOST_DESCRIBE_STRUCT(TaskNotRun, (), (task, reason, promised, load))
 
 // Answers a renounce: a task that was never started is now never going to be.
 struct RenounceReply {
@@ -116,34 +135,25 @@
 };
 BOOST_DESCRIBE_STRUCT(RenounceReply, (), (report))
 
-struct CreditGrant {
-  static constexpr const char* kName = "credit_grant";
-  std::uint32_t credits = 0;
-};
-BOOST_DESCRIBE_STRUCT(CreditGrant, (), (credits))
-
-// Another entry has demand: give back what is not needed.
-struct CreditRecall {
-  static constexpr const char* kName = "credit_recall";
-};
-BOOST_DESCRIBE_STRUCT(CreditRecall, (), ())
-
 // The agent takes no more starts; running tasks still finish.
 struct AgentLeaving {
   static constexpr const char* kName = "agent_leaving";
 };
 BOOST_DESCRIBE_STRUCT(AgentLeaving, (), ())
 
+// Sent at intervals, and earlier to an entry with queued tasks once there is
+// room.
 struct AgentHeartbeat {
   static constexpr const char* kName = "agent_heartbeat";
-  std::uint32_t running = 0;
+  AgentLoad load;
+  // The agent's clock; returned by the entry.
+  Timestamp sent_at;
 };
-BOOST_DESCRIBE_STRUCT(AgentHeartbeat, (), (running))
+BOOST_DESCRIBE_STRUCT(AgentHeartbeat, (), (load, sent_at))
 
-using AgentMessage =
-    std::variant<Register, AgentReady, AgentPromiseReply, TaskFinished,
-                 TaskNotRun, RenounceReply, CreditGrant, CreditRecall,
-                 AgentLeaving, AgentHeartbeat, ConfirmReply>;
+using AgentMessage = std::variant<Register, AgentReady, AgentPromiseReply,
+                                  TaskFinished, TaskNotRun, RenounceReply,
+                                  AgentLeaving, AgentHeartbeat, ConfirmReply>;
 
 struct RegisterAcknowledged {
   static constexpr const char* kName = "register_acknowledged";
@@ -167,11 +177,14 @@
   PlacementReason placement = PlacementReason::kOnlyCandidate;
   // Tasks that the entry still queues for this service.
   std::uint32_t queued = 0;
-  Payload body;
+  // The job's key as its caller wrote it; names the task at the upstream.
+  std::string job_name;
+  RerunPolicy rerun = RerunPolicy::kNever;
+  TaskRequest request;
 };
 BOOST_DESCRIBE_STRUCT(Start, (),
                       (task, ballot, attempt, agent, time_left, placement,
-                       queued, body))
+                       queued, job_name, rerun, request))
 
 // Asks what became of a task. If it was not started, no start of it up to this
 // ballot and attempt takes effect from now on.
@@ -189,22 +202,25 @@
 };
 BOOST_DESCRIBE_STRUCT(StopTask, (), (task))
 
-// The entry has queued tasks and no credit.
-struct CreditRequest {
-  static constexpr const char* kName = "credit_request";
+// The entry has queued tasks and knows of no room: the agent tells it of room
+// at once.
+struct DemandNotice {
+  static constexpr const char* kName = "demand_notice";
   std::uint32_t queued = 0;
 };
-BOOST_DESCRIBE_STRUCT(CreditRequest, (), (queued))
+BOOST_DESCRIBE_STRUCT(DemandNotice, (), (queued))
 
-struct CreditReturn {
-  static constexpr const char* kName = "credit_return";
-  std::uint32_t credits = 0;
+// Answers heartbeats: the agent may renew leases for a while after `heard`.
+struct EntryHeartbeat {
+  static constexpr const char* kName = "entry_heartbeat";
+  // When, by the agent's clock, it sent the last heartbeat that has arrived.
+  Timestamp heard;
 };
-BOOST_DESCRIBE_STRUCT(CreditReturn, (), (credits))
+BOOST_DESCRIBE_STRUCT(EntryHeartbeat, (), (heard))
 
 using EntryToAgentMessage =
     std::variant<RegisterAcknowledged, PromiseRequest, Start, Renounce,
-                 StopTask, CreditRequest, CreditReturn, ConfirmRequest>;
+                 StopTask, DemandNotice, ConfirmRequest, EntryHeartbeat>;
 
 }  // namespace dandelionspur
 
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -18,8 +18,10 @@
   AgentId agent;
   // Set once the agent is proven dead.
   std::optional<Timestamp> lost_at;
+  // Nothing ran there when it ended.
+  bool ended_idle = false;
 };
-BOOST_DESCRIBE_STRUCT(AgentSummary, (), (agent, lost_at))
+BOOST_DESCRIBE_STRUCT(AgentSummary, (), (agent, lost_at, ended_idle))
 
 // A key that an entry has heard of, and when first.
 struct KnownKey {
@@ -53,8 +55,16 @@
   Ballot ballot;
   bool granted = false;
   std::vector<KnownKey> known;
+  // The highest ballot that the sender had promised before.
+  Ballot previous;
+  // The last ballot under which the sender acted as home, and whether it then
+  // knew every key of the bucket that had been started.
+  Ballot held;
+  bool knew_all_starts = false;
 };
-BOOST_DESCRIBE_STRUCT(BucketPromise, (), (bucket, ballot, granted, known))
+BOOST_DESCRIBE_STRUCT(BucketPromise, (),
+                      (bucket, ballot, granted, known, previous, held,
+                       knew_all_starts))
 
 struct PromiseReply {
   static constexpr const char* kName = "promise_reply";
@@ -188,11 +198,20 @@
 };
 BOOST_DESCRIBE_STRUCT(DocumentPush, (), (documents))
 
+// How long ago an entry, or one that told it, last heard from an agent.
+struct AgentSighting {
+  AgentId agent;
+  Duration age{};
+};
+BOOST_DESCRIBE_STRUCT(AgentSighting, (), (agent, age))
+
 struct PeerHeartbeat {
   static constexpr const char* kName = "peer_heartbeat";
   Epoch epoch;
+  // Agents that may still run tasks.
+  std::vector<AgentSighting> sightings;
 };
-BOOST_DESCRIBE_STRUCT(PeerHeartbeat, (), (epoch))
+BOOST_DESCRIBE_STRUCT(PeerHeartbeat, (), (epoch, sightings))
 
 using PeerMessage =
     std::variant<PeerState, PromiseRequest, PromiseReply, WitnessRequest,
--- a/libraries/protocol/job.h
+++ b/libraries/protocol/job.h
@@ -4,12 +4,14 @@
 #include <boost/describe.hpp>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "libraries/base/ballot.h"
 #include "libraries/base/identifiers.h"
 #include "libraries/base/job_key.h"
 #include "libraries/base/payload.h"
+#include "libraries/base/resources.h"
 #include "libraries/base/time.h"
 #include "libraries/base/verdict.h"
 #include "libraries/protocol/not_run_proof.h"
@@ -22,8 +24,19 @@
   Payload body;
   // What the caller believes the task takes; often far off.
   Duration declared{};
+  Resources need = kOneSlot;
+
+  // Declared time multiplied by the cores that the task takes.
+  [[nodiscard]] Duration CoreTime() const {
+    return this->declared * static_cast<std::int64_t>(this->need.millicores) /
+           static_cast<std::int64_t>(kMillicoresPerCore);
+  }
 };
-BOOST_DESCRIBE_STRUCT(TaskRequest, (), (body, declared))
+BOOST_DESCRIBE_STRUCT(TaskRequest, (), (body, declared, need))
+
+// Whether a task that may have run may be started again.
+// kAfterLease: once no earlier run of it can still be going on.
+BOOST_DEFINE_ENUM_CLASS(RerunPolicy, kNever, kAfterLease)
 
 // Whether a submission may start the job, or only waits for the answer of one
 // that was submitted before.
@@ -41,6 +54,11 @@
   Duration time_allowed{};
   // Digest of the whole request body: one key names one body.
   std::uint64_t body_digest = 0;
+  // The key as the caller wrote it.
+  std::string name;
+  RerunPolicy rerun = RerunPolicy::kNever;
+  // Runs of one task that may end as failed before the job fails.
+  std::uint32_t maximum_attempts = 1;
   std::vector<TaskRequest> tasks;
 
   // Whether this and `other` may share one answer: a key names one body.
@@ -51,7 +69,7 @@
 };
 BOOST_DESCRIBE_STRUCT(JobSubmission, (),
                       (kind, key, created, service, team, time_allowed,
-                       body_digest, tasks))
+                       body_digest, name, rerun, maximum_attempts, tasks))
 
 // What a caller is told about a job. "Not run" can only be said by those who
 // hold a proof of it.
--- a/libraries/platform/view_row.cc
+++ b/libraries/protocol/view_row.cc
@@ -1,4 +1,4 @@
-#include "libraries/platform/view_row.h"
+#include "libraries/protocol/view_row.h"
 
 #include <nlohmann/json.hpp>
 #include <stdexcept>
--- a/libraries/platform/view_row.h
+++ b/libraries/protocol/view_row.h
@@ -1,5 +1,5 @@
-#ifndef DANDELIONSPUR_LIBRARIES_PLATFORM_VIEW_ROW_H_
-#define DANDELIONSPUR_LIBRARIES_PLATFORM_VIEW_ROW_H_
+#ifndef DANDELIONSPUR_LIBRARIES_PROTOCOL_VIEW_ROW_H_
+#define DANDELIONSPUR_LIBRARIES_PROTOCOL_VIEW_ROW_H_
 
 #include <optional>
 #include <string>
@@ -17,4 +17,4 @@
 
 }  // namespace dandelionspur
 
-#endif  // DANDELIONSPUR_LIBRARIES_PLATFORM_VIEW_ROW_H_
+#endif  // DANDELIONSPUR_LIBRARIES_PROTOCOL_VIEW_ROW_H_
--- a/libraries/recording/segment.cc
+++ b/libraries/recording/segment.cc
@@ -113,7 +113,7 @@
   number.insert(0, kNumberWidth - std::min(kNumberWidth, number.size()), '0');
   const std::string role =
       header.role == ProcessRole::kEntry ? "entry" : "agent";
-  return "records/" + role + "-" + std::to_string(header.process) + "/" +
+  return kRecordsPrefix + role + "-" + std::to_string(header.process) + "." +
          number;
 }
 
--- a/libraries/recording/segment.h
+++ b/libraries/recording/segment.h
@@ -53,7 +53,9 @@
 Result<Segment> DecodeSegment(std::string_view bytes,
                               const std::string& source);
 
-// "records/entry-ID/00000012".
+// What the names of all segments in the object store begin with.
+inline constexpr const char* kRecordsPrefix = "records.";
+// "records.entry-ID.00000012".
 std::string SegmentObjectKey(const SegmentHeader& header);
 
 std::uint64_t DigestOf(std::string_view bytes);
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "libraries/configuration/object_reader.h"
-#include "libraries/platform/view_row.h"
+#include "libraries/protocol/view_row.h"
 #include "libraries/telemetry/log.h"
 #include "services/runtime/admin_routes.h"
 #include "services/runtime/daemon.h"
@@ -48,8 +48,9 @@
   announcement.endpoint.address = reader.Text("address");
   announcement.endpoint.port =
       static_cast<std::uint16_t>(reader.Integer("port", kPortRange));
-  announcement.description.slots =
-      static_cast<std::uint32_t>(reader.Integer("slots", kSlotRange));
+  const auto slots =
+      static_cast<std::uint64_t>(reader.Integer("slots", kSlotRange));
+  announcement.description.capacity.millicores = slots * kOneSlot.millicores;
   announcement.description.rack = reader.Text("rack");
   announcement.description.upstream =
       announcement.endpoint.address + ":" +
@@ -74,20 +75,22 @@
 AgentServer::AgentServer(const AgentSettings& configured, AgentId own)
     : settings(configured),
       self(own),
+      more_threads(std::in_place, configured.input_output_threads),
+      input_output(configured.input_output_threads == 0 ? this->core_thread
+                                                        : *this->more_threads),
       refusals(this->metrics, "start_refusals_total"),
       core(CoreSettings(configured, own)),
       tick_timer(this->core_thread.First()),
       view_timer(this->core_thread.First()) {}
 
 AgentServer::~AgentServer() {
-  this->input_output.Stop();
-  this->record_thread.Stop();
+  if (this->more_threads) this->more_threads->Stop();
   this->core_thread.Stop();
 }
 
 Result<void> AgentServer::Listen() {
   this->records = std::make_unique<RecordKeeper<AgentCore>>(
-      this->record_thread.First(), this->settings.table, ProcessRole::kAgent,
+      this->input_output.First(), this->settings.table, ProcessRole::kAgent,
       this->self.value(), CoreSettings(this->settings, this->self),
       this->settings.recording, this->metrics);
   this->table = std::make_unique<TableClient>(this->core_thread.First(),
@@ -102,6 +105,14 @@
                                        this->HandleAdmin(request, responder);
                                      }));
   this->admin_server = std::move(admin);
+  if (this->settings.upstream_protocol == UpstreamProtocol::kPlatform) {
+    BOOST_LEAF_AUTO(bound, PlatformUpstream::Create(
+                               this->settings, this->core_thread, this->metrics,
+                               [this](AgentEvent event) {
+                                 this->OnUpstreamEvent(std::move(event));
+                               }));
+    this->platform_upstream = std::move(bound);
+  }
   asio::post(this->core_thread.First(), [this] {
     this->ScheduleTick();
     this->ScheduleViewRead(Duration());
@@ -178,16 +189,42 @@
   }
 }
 
+void AgentServer::OnUpstreamEvent(AgentEvent event) {
+  if (auto* announced = std::get_if<UpstreamAnnounced>(&event)) {
+    announced->description.agent = this->self;
+    announced->description.admin_endpoint = this->settings.admin;
+    LogStateChange("upstream_announced",
+                   {{"upstream", announced->description.upstream},
+                    {"service", announced->description.service.value()}});
+  } else if (std::holds_alternative<UpstreamLeaving>(event)) {
+    LogStateChange("upstream_leaving", {});
+  } else if (const auto* contact =
+                 std::get_if<UpstreamContactChanged>(&event)) {
+    LogStateChange("upstream_contact",
+                   {{"contact", boost::describe::enum_to_string(
+                                    contact->contact, "unknown")}});
+  }
+  this->Handle(event);
+}
+
 void AgentServer::Apply(SendToEntry& effect) {
   this->links->Send(effect.to, std::move(effect.message));
 }
 
 void AgentServer::Apply(const RunOnUpstream& effect) {
-  this->upstream->Run(effect);
+  if (this->platform_upstream) {
+    this->platform_upstream->Run(effect);
+  } else {
+    this->upstream->Run(effect);
+  }
 }
 
 void AgentServer::Apply(const StopOnUpstream& effect) {
-  this->upstream->Stop(effect.task);
+  if (this->platform_upstream) {
+    this->platform_upstream->Stop(effect.task);
+  } else {
+    this->upstream->Stop(effect.task);
+  }
 }
 
 void AgentServer::Apply(const ConnectToMembers& effect) {
@@ -211,6 +248,15 @@
   this->refusals.Count(effect.reason);
 }
 
+void AgentServer::Apply(const RenewalChanged& effect) {
+  LogStateChange("lease_renewal",
+                 {{"renewal", boost::describe::enum_to_string(effect.renewal,
+                                                              "unknown")}});
+  if (this->platform_upstream) {
+    this->platform_upstream->AllowRenewal(effect.renewal);
+  }
+}
+
 nlohmann::json AgentServer::Status() const {
   return {{"agent", std::to_string(this->self.value())},
           {"ready", this->core.is_ready()},
--- a/services/agent/agent_server.h
+++ b/services/agent/agent_server.h
@@ -3,11 +3,13 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 
 #include "libraries/agent_core/agent_core.h"
 #include "libraries/configuration/settings.h"
-#include "libraries/platform/table_client.h"
+#include "platform/table_client.h"
 #include "services/agent/agent_links.h"
+#include "services/agent/platform_upstream.h"
 #include "services/agent/upstream_client.h"
 #include "services/runtime/record_keeper.h"
 
@@ -39,6 +41,8 @@
   void Handle(const AgentEvent& event);
   void ScheduleTick();
   void ScheduleViewRead(Duration delay);
+  // Completes what the upstream tells of itself.
+  void OnUpstreamEvent(AgentEvent event);
   void AdoptUpstream(const AgentDescription& description,
                      const Endpoint& endpoint);
   [[nodiscard]] nlohmann::json Status() const;
@@ -49,6 +53,7 @@
   void Apply(const ConnectToMembers& effect);
   void Apply(const AgentDrained& effect);
   void Apply(const StartRefusalCounted& effect);
+  void Apply(const RenewalChanged& effect);
 
   AgentSettings settings;
   AgentId self;
@@ -56,12 +61,15 @@
   // Outlive everything that has sockets or timers on them; the destructor
   // ends the threads first of all.
   ThreadGroup core_thread{1};
-  ThreadGroup record_thread{1};
-  ThreadGroup input_output{1};
+  // Missing where one thread does everything.
+  std::optional<ThreadGroup> more_threads;
+  ThreadGroup& input_output;
   ReasonCounters refusals;
   AgentCore core;
   Endpoint upstream_endpoint;
+  // One of the two, by the protocol of the upstream.
   std::unique_ptr<UpstreamClient> upstream;
+  std::unique_ptr<PlatformUpstream> platform_upstream;
   std::unique_ptr<AgentLinks> links;
   std::unique_ptr<RecordKeeper<AgentCore>> records;
   std::unique_ptr<TableClient> table;
--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "libraries/entry_core/submission_validator.h"
+#include "platform/job_calls.h"
 #include "services/runtime/admin_routes.h"
 
 namespace dandelionspur {
@@ -13,6 +14,8 @@
 
 namespace http = boost::beast::http;
 
+// Where our own interface begins; all other paths are queues.
+constexpr std::string_view kOwnPaths = "/v1/";
 constexpr unsigned kOk = 200;
 constexpr unsigned kAccepted = 202;
 constexpr unsigned kBadRequest = 400;
@@ -118,6 +121,7 @@
       answers(counters, "answers_total") {}
 
 void CallerRoutes::Handle(const HttpRequest& request, HttpResponder responder) {
+  if (this->HandleQueueCall(request, responder)) return;
   constexpr std::size_t kCollectionParts = 4;
   constexpr std::size_t kItemParts = 5;
   const std::vector<std::string> parts =
@@ -164,8 +168,11 @@
     responder(AnswerResponse(rejected->answer, false, rejected->detail));
     return;
   }
-  this->Enter(std::move(std::get<JobSubmission>(validated)), target.is_request,
-              std::move(responder));
+  this->Enter(std::move(std::get<JobSubmission>(validated)),
+              std::move(responder),
+              [raw_answer = target.is_request](const JobAnswer& answer) {
+                return AnswerResponse(answer, raw_answer, "");
+              });
 }
 
 void CallerRoutes::Await(const Target& target, HttpResponder responder) {
@@ -175,24 +182,82 @@
   job.key = JobKey::FromText(target.service, target.key);
   job.service = target.service;
   job.time_allowed = kMaximumWait;
-  this->Enter(std::move(job), target.is_request, std::move(responder));
+  this->Enter(std::move(job), std::move(responder),
+              [raw_answer = target.is_request](const JobAnswer& answer) {
+                return AnswerResponse(answer, raw_answer, "");
+              });
 }
 
-void CallerRoutes::Enter(JobSubmission job, bool raw_answer,
-                         HttpResponder responder) {
+bool CallerRoutes::HandleQueueCall(const HttpRequest& request,
+                                   const HttpResponder& responder) {
+  const std::string_view target(request.target().data(),
+                                request.target().size());
+  return this->serving.Read([&](const ServingState& state) {
+    const std::string_view path = target.substr(0, target.find('?'));
+    const RouteTable::Match match =
+        state.routes.Find(HeaderValue(request, "Host"), path);
+    if (match.route == nullptr) {
+      if (path.starts_with(kOwnPaths)) return false;
+      responder(state.documents.empty() ? EncodeNotConfigured()
+                                        : EncodeNoSuchQueue());
+      return true;
+    }
+    switch (KindOfJobCall(request, match.rest)) {
+      case JobCallKind::kSubmit:
+        this->SubmitToQueue(match, request, responder);
+        break;
+      case JobCallKind::kCancel:
+        this->core.cancel(JobKey::FromText(match.service, match.rest));
+        responder(EncodeCancelled());
+        break;
+      case JobCallKind::kGetQueue:
+        // Jobs that their callers wait for begin or are refused at once.
+        responder(EncodeQueueLength(0));
+        break;
+      case JobCallKind::kGetState:
+        responder(EncodeNoSuchJob());
+        break;
+      case JobCallKind::kUnknown:
+        responder(EncodeNoSuchQueue());
+        break;
+    }
+    return true;
+  });
+}
+
+void CallerRoutes::SubmitToQueue(const RouteTable::Match& match,
+                                 const HttpRequest& request,
+                                 HttpResponder responder) {
+  auto decoded = DecodeJob(request.body());
+  if (const auto* problem = std::get_if<UndecodedJob>(&decoded)) {
+    this->answers.Count(problem->reason);
+    responder(EncodeJobAnswer(
+        SubmissionValidator::Reject(problem->reason, problem->detail).answer));
+    return;
+  }
+  DecodedJob& content = std::get<DecodedJob>(decoded);
+  JobSubmission job = SubmissionValidator::QueuedJob(
+      match.service, *match.route, match.rest, request.body());
+  const std::optional<Duration> patience = CallerPatience(request);
+  if (patience) job.time_allowed = std::min(*patience, job.time_allowed);
+  job.rerun = content.rerun;
+  job.tasks = std::move(content.tasks);
+  this->Enter(std::move(job), std::move(responder), EncodeJobAnswer);
+}
+
+void CallerRoutes::Enter(JobSubmission job, HttpResponder responder,
+                         AnswerEncoder encode) {
   const auto began = std::chrono::steady_clock::now();
-  this->core.submit(
-      std::move(job), [this, raw_answer, began, respond = std::move(responder)](
-                          const JobAnswer& answer) {
-        const std::chrono::duration<double> elapsed =
-            std::chrono::steady_clock::now() - began;
-        this->answers.Count(answer.reason);
-        this->metrics.Observe("response_seconds", elapsed.count());
-        // Off the core's thread, since large answers take time to write.
-        respond.Defer([answer, raw_answer] {
-          return AnswerResponse(answer, raw_answer, "");
-        });
-      });
+  this->core.submit(std::move(job), [this, began, encoder = std::move(encode),
+                                     respond = std::move(responder)](
+                                        const JobAnswer& answer) {
+    const std::chrono::duration<double> elapsed =
+        std::chrono::steady_clock::now() - began;
+    this->answers.Count(answer.reason);
+    this->metrics.Observe("response_seconds", elapsed.count());
+    // Off the core's thread, since large answers take time to write.
+    respond.Defer([answer, encoder] { return encoder(answer); });
+  });
 }
 
 void CallerRoutes::Cancel(const Target& target,
--- a/services/entry/caller_routes.h
+++ b/services/entry/caller_routes.h
@@ -32,11 +32,17 @@
  private:
   struct Target;
 
+  // Serves a call to a queue of the platform; false where it is none.
+  bool HandleQueueCall(const HttpRequest& request,
+                       const HttpResponder& responder);
+  void SubmitToQueue(const RouteTable::Match& match, const HttpRequest& request,
+                     HttpResponder responder);
   void Submit(const Target& target, const HttpRequest& request,
               HttpResponder responder);
   void Await(const Target& target, HttpResponder responder);
   void Cancel(const Target& target, const HttpResponder& responder);
-  void Enter(JobSubmission job, bool raw_answer, HttpResponder responder);
+  using AnswerEncoder = std::function<HttpResponse(const JobAnswer&)>;
+  void Enter(JobSubmission job, HttpResponder responder, AnswerEncoder encode);
 
   const PublishedServingState& serving;
   CallerPort core;
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "libraries/telemetry/log.h"
+#include "platform/job_calls.h"
 #include "services/runtime/admin_routes.h"
 #include "services/runtime/daemon.h"
 
@@ -16,6 +17,8 @@
 namespace http = boost::beast::http;
 
 constexpr std::chrono::milliseconds kTickInterval{50};
+// After the last caller was taken in: the platform ends the process soon.
+constexpr std::chrono::milliseconds kLongestDrain{3200};
 constexpr unsigned kOk = 200;
 constexpr unsigned kAccepted = 202;
 constexpr unsigned kNotFound = 404;
@@ -45,15 +48,17 @@
 EntryServer::EntryServer(const EntrySettings& configured, EntryId own)
     : settings(configured),
       self(own),
-      input_output(configured.input_output_threads),
+      more_threads(std::in_place, configured.input_output_threads),
+      input_output(configured.input_output_threads == 0 ? this->core_thread
+                                                        : *this->more_threads),
       retries(this->metrics, "retries_total"),
       agent_messages(this->metrics, "messages_from_agents_total"),
       core(CoreSettings(configured, own)),
-      tick_timer(this->core_thread.First()) {}
+      tick_timer(this->core_thread.First()),
+      drain_timer(this->core_thread.First()) {}
 
 EntryServer::~EntryServer() {
-  this->input_output.Stop();
-  this->record_thread.Stop();
+  if (this->more_threads) this->more_threads->Stop();
   this->core_thread.Stop();
 }
 
@@ -64,7 +69,7 @@
   const ViewMember member{this->self, this->settings.peers,
                           this->settings.admin, this->settings.data_centre};
   this->records = std::make_unique<RecordKeeper<EntryCore>>(
-      this->record_thread.First(), this->settings.table, ProcessRole::kEntry,
+      this->input_output.First(), this->settings.table, ProcessRole::kEntry,
       this->self.value(), CoreSettings(this->settings, this->self),
       this->settings.recording, this->metrics);
   this->table = std::make_unique<TableWatcher>(
@@ -101,6 +106,16 @@
                                        this->HandleAdmin(request, responder);
                                      }));
   this->admin_server = std::move(admin);
+  if (this->settings.readiness) {
+    BOOST_LEAF_AUTO(
+        readiness,
+        HttpServer::Create(
+            *this->settings.readiness, this->input_output,
+            [this](const HttpRequest&, const HttpResponder& responder) {
+              this->HandleReadiness(responder);
+            }));
+    this->readiness_server = std::move(readiness);
+  }
   asio::post(this->core_thread.First(), [this] { this->ScheduleTick(); });
   this->table->Start();
   LogStateChange("started", {{"entry", std::to_string(this->self.value())}});
@@ -111,6 +126,25 @@
   LogStateChange("draining", {});
   this->table->StopJoining();
   this->Post(DrainRequested{});
+  this->caller_server->CloseAfterAnswers();
+  asio::post(this->core_thread.First(), [this] {
+    this->drain_timer.expires_after(EntryCoreSettings().drain_accepts);
+    this->drain_timer.async_wait([this](boost::system::error_code error) {
+      if (!error) this->StopServingCallers();
+    });
+  });
+}
+
+void EntryServer::StopServingCallers() {
+  LogStateChange("callers_closed", {});
+  this->caller_server->StopAccepting();
+  this->caller_server->CloseIdle();
+  this->drain_timer.expires_after(kLongestDrain);
+  this->drain_timer.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    LogStateChange("drain_overdue", {});
+    this->FinishDrain();
+  });
 }
 
 void EntryServer::Post(EntryEvent event) {
@@ -192,6 +226,10 @@
       [](const std::string&) { return std::optional<ServiceDocument>(); });
   if (!checked) return;
   this->serving_draft.documents[document.service] = {*checked, document};
+  this->serving_draft.routes = RouteTable();
+  for (const auto& [service, served] : this->serving_draft.documents) {
+    this->serving_draft.routes.Add(service, served.checked.routes);
+  }
   this->PublishServingState();
 }
 
@@ -216,8 +254,12 @@
 
 void EntryServer::Apply(const EntryDrained& /*effect*/) {
   LogStateChange("drained", {});
+  this->FinishDrain();
+}
+
+void EntryServer::FinishDrain() {
   // Answers that were just given still have to be written out.
-  constexpr std::chrono::milliseconds kLinger{300};
+  constexpr std::chrono::milliseconds kLinger{100};
   auto timer =
       std::make_shared<asio::steady_timer>(this->core_thread.First(), kLinger);
   timer->async_wait([this, timer](boost::system::error_code) {
@@ -261,13 +303,13 @@
          {"service", agent.description->service.value()},
          {"upstream", agent.description->upstream},
          {"admin", admin.address + ":" + std::to_string(admin.port)},
-         {"slots", agent.description->slots},
+         {"cores", agent.description->capacity.millicores / kMillicoresPerCore},
          {"connected", agent.connected},
          {"ready", agent.ready},
          {"leaving", agent.leaving},
          {"lost", agent.lost_at.has_value()},
          {"running", agent.running},
-         {"credits", agent.credits},
+         {"millicores_in_use", agent.load.running.millicores},
          {"slowness", agent.slowness}});
   }
   nlohmann::json documents = nlohmann::json::object();
@@ -286,6 +328,12 @@
           {"documents", documents}};
 }
 
+void EntryServer::HandleReadiness(const HttpResponder& responder) {
+  asio::post(this->core_thread.First(), [this, responder] {
+    responder(EncodeReadiness(this->core.IsReady()));
+  });
+}
+
 void EntryServer::HandleAdmin(const HttpRequest& request,
                               const HttpResponder& responder) {
   const std::vector<std::string> parts =
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include "libraries/configuration/settings.h"
 #include "libraries/entry_core/entry_core.h"
@@ -34,8 +35,14 @@
   explicit EntryServer(const EntrySettings& configured, EntryId self);
   Result<void> Listen();
 
+  // Some time after a request to drain: no caller comes any more.
+  void StopServingCallers();
+  // The server ends now, whatever is still open.
+  void FinishDrain();
+
   // Any thread.
   void Post(EntryEvent event);
+  void HandleReadiness(const HttpResponder& responder);
   void HandleAdmin(const HttpRequest& request, const HttpResponder& responder);
 
   // The core's thread.
@@ -63,8 +70,9 @@
   // Outlive everything that has sockets or timers on them; the destructor
   // ends the threads first of all.
   ThreadGroup core_thread{1};
-  ThreadGroup record_thread{1};
-  ThreadGroup input_output;
+  // Missing where one thread does everything.
+  std::optional<ThreadGroup> more_threads;
+  ThreadGroup& input_output;
   ReasonCounters retries;
   MessageCounters<AgentMessage> agent_messages;
   PublishedServingState serving;
@@ -78,8 +86,10 @@
   std::unique_ptr<CallerRoutes> caller_routes;
   std::unique_ptr<DocumentRoutes> document_routes;
   boost::asio::steady_timer tick_timer;
+  boost::asio::steady_timer drain_timer;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> admin_server;
+  std::unique_ptr<HttpServer> readiness_server;
 };
 
 }  // namespace dandelionspur
--- a/services/entry/serving_state.h
+++ b/services/entry/serving_state.h
@@ -3,6 +3,7 @@
 
 #include <map>
 
+#include "libraries/configuration/route_table.h"
 #include "libraries/configuration/service_document.h"
 #include "libraries/network/published.h"
 #include "libraries/protocol/entry_messages.h"
@@ -20,6 +21,7 @@
 struct ServingState {
   View view;
   std::map<ServiceName, ServedDocument> documents;
+  RouteTable routes;
 };
 
 using PublishedServingState = Published<ServingState>;
--- a/services/entry/table_watcher.cc
+++ b/services/entry/table_watcher.cc
@@ -4,15 +4,19 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "libraries/platform/view_row.h"
+#include "libraries/protocol/view_row.h"
 #include "libraries/telemetry/log.h"
+#include "platform/desired_state.h"
 
 namespace dandelionspur {
 namespace {
 
 namespace asio = boost::asio;
 
-constexpr Duration kPollInterval = std::chrono::seconds(1);
+// How long the service may hold back a feed without changes.
+constexpr Duration kFeedPatience = std::chrono::seconds(1);
+// Pause after a call that failed, or before there is anything to follow.
+constexpr Duration kRetryInterval = std::chrono::milliseconds(250);
 const char* const kServicePrefix = "service.";
 
 std::string DocumentRow(const ServiceName& service) {
@@ -21,7 +25,7 @@
 
 std::string DocumentObject(const ServiceName& service,
                            const std::string& change_id) {
-  return "documents/" + service.value() + "/" + change_id;
+  return "documents." + service.value() + "." + change_id;
 }
 
 std::string EncodeDocument(const StoredDocument& stored) {
@@ -59,40 +63,59 @@
       metrics(counters),
       sink(std::move(events)),
       table(thread, configured.table),
-      timer(thread) {}
+      own_feed(TableName::kOwn, thread),
+      operator_feed(TableName::kOperators, thread) {}
 
 void TableWatcher::Start() {
-  asio::post(this->context, [this] { this->Poll(); });
+  asio::post(this->context, [this] {
+    this->Follow(this->own_feed);
+    this->Follow(this->operator_feed);
+  });
 }
 
 void TableWatcher::StopJoining() {
   asio::post(this->context, [this] { this->joining = false; });
 }
 
-void TableWatcher::PollLater(Duration delay) {
-  this->timer.expires_after(delay);
-  this->timer.async_wait([this](boost::system::error_code error) {
-    if (!error) this->Poll();
+void TableWatcher::FollowLater(Feed& feed) {
+  feed.retry.expires_after(kRetryInterval);
+  feed.retry.async_wait([this, &feed](boost::system::error_code error) {
+    if (!error) this->Follow(feed);
   });
 }
 
-void TableWatcher::Poll() {
+void TableWatcher::Follow(Feed& feed) {
   this->table.ReadChanges(
-      this->revision, [this](const std::optional<RowChanges>& changes) {
-        if (changes.has_value() != this->reachable) {
-          this->reachable = changes.has_value();
-          LogStateChange(
-              this->reachable ? "table_reachable" : "table_unreachable", {});
+      feed.table, feed.revision, kFeedPatience,
+      [this, &feed](const std::optional<RowChanges>& changes) {
+        this->NoteReachable(changes.has_value());
+        if (!changes) {
+          this->FollowLater(feed);
+          return;
+        }
+        feed.revision = changes->revision;
+        if (feed.table == TableName::kOwn) {
+          this->OnOwnRows(changes->rows);
+        } else {
+          this->OnOperatorRows(changes->rows);
+        }
+        if (feed.revision == TableRevision()) {
+          this->FollowLater(feed);
+        } else {
+          this->Follow(feed);
         }
-        this->metrics.Set("table_reachable", this->reachable ? 1 : 0);
-        if (changes) this->OnChanges(*changes);
-        this->PollLater(kPollInterval);
       });
 }
 
-void TableWatcher::OnChanges(const RowChanges& changes) {
-  this->revision = changes.revision;
-  for (const Row& row : changes.rows) {
+void TableWatcher::NoteReachable(bool answered) {
+  this->metrics.Set("table_reachable", answered ? 1 : 0);
+  if (answered == this->reachable) return;
+  this->reachable = answered;
+  LogStateChange(answered ? "table_reachable" : "table_unreachable", {});
+}
+
+void TableWatcher::OnOwnRows(const std::vector<Row>& rows) {
+  for (const Row& row : rows) {
     if (row.key == kViewRow) {
       this->OnViewRow(row);
       continue;
@@ -104,6 +127,38 @@
   this->Join();
 }
 
+void TableWatcher::OnOperatorRows(const std::vector<Row>& rows) {
+  for (const Row& row : rows) {
+    if (row.key != kConfigurationRow) continue;
+    const std::vector<VersionedDocument> documents = OrElse(
+        [&] { return DecodeConfiguration(row.value); },
+        [](const std::string& problem) {
+          LogStateChange("configuration_unreadable", {{"problem", problem}});
+          return std::vector<VersionedDocument>();
+        });
+    if (documents.empty()) continue;
+    std::set<ServiceName> dropped = std::move(this->configured_services);
+    this->configured_services.clear();
+    for (const VersionedDocument& document : documents) {
+      dropped.erase(document.service);
+      this->configured_services.insert(document.service);
+      this->sink(DocumentRead{document});
+    }
+    for (const ServiceName& service : dropped) {
+      this->sink(DocumentRead{
+          DocumentWithoutRoutes(service, documents.front().version)});
+    }
+  }
+}
+
+void TableWatcher::ReadViewAgain() {
+  this->table.ReadRow(kViewRow, [this](const std::optional<Row>& row) {
+    if (!row) return;
+    if (row->version != RowVersion()) this->OnViewRow(*row);
+    this->Join();
+  });
+}
+
 void TableWatcher::OnViewRow(const Row& row) {
   const std::optional<View> read = DecodeViewRow(row.value);
   if (!read || read->epoch < this->view.epoch) return;
@@ -135,7 +190,7 @@
                                                              : "unknown");
     // Written, lost to another writer or unknown: what counts is what the
     // table holds now.
-    if (outcome != WriteOutcome::kUnknown) this->PollLater(Duration());
+    if (outcome != WriteOutcome::kUnknown) this->ReadViewAgain();
   });
 }
 
@@ -192,7 +247,6 @@
             {current.key, RowVersion(), encoded}, current.version,
             [=, this](WriteOutcome outcome) {
               if (outcome == WriteOutcome::kWritten) {
-                this->PollLater(Duration());
                 callback({DocumentWriteState::kWritten, next.document.version});
                 return;
               }
@@ -212,7 +266,6 @@
     const std::optional<StoredDocument> stored = DecodeDocument(row->value);
     const DocumentVersion version =
         stored ? stored->document.version : DocumentVersion();
-    this->PollLater(Duration());
     if (!stored) {
       callback({DocumentWriteState::kConflict, DocumentVersion()});
       return;
--- a/services/entry/table_watcher.h
+++ b/services/entry/table_watcher.h
@@ -5,12 +5,13 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "libraries/configuration/settings.h"
-#include "libraries/platform/table_client.h"
 #include "libraries/telemetry/metrics.h"
+#include "platform/table_client.h"
 #include "services/entry/entry_links.h"
 
 namespace dandelionspur {
@@ -34,8 +35,8 @@
 using HistoryCallback =
     std::function<void(std::optional<std::vector<StoredDocument>>)>;
 
-// Everything an entry has to do with the table service: it reads what changed
-// once a second, joins the view, and writes views and documents by
+// Everything an entry has to do with the table service: it follows what
+// changes, joins the view, and writes views and documents by
 // conditional write. Runs on one io_context; public calls may come from any
 // thread.
 class TableWatcher {
@@ -60,9 +61,24 @@
   void ReadHistory(const ServiceName& service, HistoryCallback callback);
 
  private:
-  void PollLater(Duration delay);
-  void Poll();
-  void OnChanges(const RowChanges& changes);
+  // Follows one table: reads what changes, waits for it, and so on.
+  struct Feed {
+    Feed(TableName name, boost::asio::io_context& thread)
+        : table(name), retry(thread) {}
+
+    TableName table;
+    boost::asio::steady_timer retry;
+    TableRevision revision;
+  };
+
+  void Follow(Feed& feed);
+  void FollowLater(Feed& feed);
+  void NoteReachable(bool answered);
+  void OnOwnRows(const std::vector<Row>& rows);
+  void OnOperatorRows(const std::vector<Row>& rows);
+  // Once the platform answers, reads the view again after a write of it whose
+  // outcome is open.
+  void ReadViewAgain();
   void OnViewRow(const Row& row);
   void Join();
   void WriteView(const View& view);
@@ -81,8 +97,10 @@
   Metrics& metrics;
   EntryEventSink sink;
   TableClient table;
-  boost::asio::steady_timer timer;
-  TableRevision revision;
+  Feed own_feed;
+  Feed operator_feed;
+  // Services that the operators' configuration has named so far.
+  std::set<ServiceName> configured_services;
   RowVersion view_version;
   View view;
   bool view_read = false;
--- a/services/runtime/daemon.cc
+++ b/services/runtime/daemon.cc
@@ -19,6 +19,8 @@
 }
 
 std::atomic<int> exit_code{0};
+// Names the settings file where the command line does not.
+constexpr const char* kSettingsVariable = "DANDELIONSPUR_CONFIG";
 
 }  // namespace
 
@@ -26,10 +28,12 @@
                                  const std::string& description,
                                  int argument_count, char** arguments) {
   cxxopts::Options options(program, description);
-  options.add_options()("settings", "settings file, JSON with comments",
-                        cxxopts::value<std::string>(), "FILE")(
-      "check-config", "check the settings file and exit")("help", "this text")(
-      "version", "print the version");
+  options.add_options()(
+      "settings",
+      "settings file, JSON with comments; default: $DANDELIONSPUR_CONFIG",
+      cxxopts::value<std::string>(),
+      "FILE")("check-config", "check the settings file and exit")(
+      "help", "this text")("version", "print the version");
   try {
     const auto parsed = options.parse(argument_count, arguments);
     if (parsed.count("help") > 0) {
@@ -40,12 +44,16 @@
       std::cout << program << " " << DANDELIONSPUR_VERSION << "\n";
       std::exit(static_cast<int>(ExitCode::kSuccess));
     }
-    if (parsed.count("settings") == 0) {
+    const char* from_environment = std::getenv(kSettingsVariable);
+    std::string path = from_environment == nullptr ? "" : from_environment;
+    if (parsed.count("settings") > 0) {
+      path = parsed["settings"].as<std::string>();
+    }
+    if (path.empty()) {
       std::cerr << program << ": --settings FILE is missing\n";
       std::exit(static_cast<int>(ExitCode::kBadUsage));
     }
-    return DaemonCommand{parsed["settings"].as<std::string>(),
-                         parsed.count("check-config") > 0};
+    return DaemonCommand{path, parsed.count("check-config") > 0};
   } catch (const cxxopts::exceptions::exception& exception) {
     std::cerr << program << ": " << exception.what() << "\n";
     std::exit(static_cast<int>(ExitCode::kBadUsage));
@@ -61,7 +69,18 @@
   return (static_cast<std::uint64_t>(now.count()) << kRandomBits) | low;
 }
 
-void Lifetime::Run(const std::function<void()>& stop) {
+void Lifetime::Run(const std::function<void()>& stop,
+                   const std::function<void()>& reload) {
+  MainContext().restart();
+  boost::asio::signal_set hangup(MainContext(), SIGHUP);
+  std::function<void()> await_hangup = [&] {
+    hangup.async_wait([&](boost::system::error_code error, int) {
+      if (error) return;
+      reload();
+      await_hangup();
+    });
+  };
+  await_hangup();
   boost::asio::signal_set signals(MainContext(), SIGTERM, SIGINT);
   signals.async_wait([&](boost::system::error_code error, int) {
     if (error) return;
--- a/services/runtime/daemon.h
+++ b/services/runtime/daemon.h
@@ -31,11 +31,13 @@
 // An id for one incarnation of a process: grows with time, never 0.
 std::uint64_t NewIncarnation();
 
-// Calls `stop` once at SIGTERM or SIGINT; from then on the signals end the
-// process. Returns when `finish` is called from any thread.
+// Calls `stop` once at SIGTERM or SIGINT; from then on these signals end the
+// process. Calls `reload` at each SIGHUP. Returns when `Finish` is called from
+// any thread; may be run again after that.
 class Lifetime {
  public:
-  static void Run(const std::function<void()>& stop);
+  static void Run(const std::function<void()>& stop,
+                  const std::function<void()>& reload);
   static void Finish(ExitCode code);
   static ExitCode Result();
 };
--- a/services/runtime/record_keeper.h
+++ b/services/runtime/record_keeper.h
@@ -13,9 +13,9 @@
 #include <vector>
 
 #include "libraries/configuration/settings.h"
-#include "libraries/platform/table_client.h"
 #include "libraries/recording/recorder.h"
 #include "libraries/telemetry/metrics.h"
+#include "platform/table_client.h"
 
 namespace dandelionspur {
 
--- a/services/runtime/run_daemon.h
+++ b/services/runtime/run_daemon.h
@@ -27,6 +27,22 @@
   std::string description;
 };
 
+// Logs whether the settings file could be loaded now. Every setting that a
+// process reads takes effect at its next start.
+template <typename Settings>
+void CheckReload(const std::string& path,
+                 Result<Settings> (*parse)(const std::string& text,
+                                           const std::string& source)) {
+  const std::string outcome = OrElse(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_AUTO(text, ReadFile(path));
+        BOOST_LEAF_CHECK(parse(text, path));
+        return std::string("valid");
+      },
+      [](const std::string& problem) { return problem; });
+  LogStateChange("reload", {{"settings", outcome}});
+}
+
 // The whole of a daemon's main(): command line, settings, run, exit code.
 template <typename Server, typename Settings>
 requires DaemonServer<Server, Settings>
@@ -42,9 +58,17 @@
         BOOST_LEAF_AUTO(text, ReadFile(command.settings_path));
         BOOST_LEAF_AUTO(settings, parse(text, command.settings_path));
         if (command.check_only) return ExitCode::kSuccess;
-        BOOST_LEAF_AUTO(server, Server::Create(settings));
-        Lifetime::Run([&] { server->Drain(); });
-        return Lifetime::Result();
+        const auto reload = [&] { CheckReload(command.settings_path, parse); };
+        for (;;) {
+          BOOST_LEAF_AUTO(server, Server::Create(settings));
+          Lifetime::Run([&] { server->Drain(); }, reload);
+          // Out of the view, a process can only begin anew; its memory of
+          // before is worth nothing.
+          if (Lifetime::Result() != ExitCode::kRemoved) {
+            return Lifetime::Result();
+          }
+          LogStateChange("beginning_anew", {});
+        }
       },
       [](const std::string& message) {
         std::cerr << message << "\n";
--- a/tests/support/core_bench.h
+++ b/tests/support/core_bench.h
@@ -2,6 +2,7 @@
 #define DANDELIONSPUR_TESTS_SUPPORT_CORE_BENCH_H_
 
 #include <cstdint>
+#include <map>
 #include <vector>
 
 #include "libraries/agent_core/agent_core.h"
@@ -25,6 +26,9 @@
 
  private:
   EntryCore entry;
+  std::uint32_t slots_each;
+  // Starts that each agent has seen.
+  std::map<AgentId, std::uint64_t> seen;
   Timestamp now;
 };
 
--- a/utilities/dandelionspur/commands.cc
+++ b/utilities/dandelionspur/commands.cc
@@ -264,8 +264,9 @@
               : agent.value("leaving", false)    ? "leaving"
               : agent.value("ready", false)      ? "ready"
                                                  : "registering")
-          << ", " << agent["running"] << " running, " << agent["credits"]
-          << " credits of " << agent["slots"] << " slots\n";
+          << ", " << agent["running"] << " running from here, "
+          << agent["millicores_in_use"] << " millicores in use of "
+          << agent["cores"] << " cores\n";
   }
   for (const auto& [service, version] : status["documents"].items()) {
     human << "  service " << service << ": version " << version << "\n";
--- a/utilities/upstream_stand_in/main.cc
+++ b/utilities/upstream_stand_in/main.cc
@@ -20,7 +20,7 @@
         BOOST_LEAF_AUTO(server, HttpServer::Create({"127.0.0.1", options.port},
                                                    threads, handler));
         boost::asio::post(threads.First(), [&] { upstream.Announce(); });
-        Lifetime::Run([] { Lifetime::Finish(ExitCode::kSuccess); });
+        Lifetime::Run([] { Lifetime::Finish(ExitCode::kSuccess); }, [] {});
         threads.Stop();
         return ExitCode::kSuccess;
       },
