--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -239,7 +239,8 @@
   JobSubmission job = SubmissionValidator::QueuedJob(
       match.service, *match.route, match.rest, request.body());
   const std::optional<Duration> patience = CallerPatience(request);
-  if (patience) job.time_allowed = std::min(*patience, job.time_allowed);
+  // The caller knows best how long it waits.
+  if (patience) job.time_allowed = *patience;
   job.rerun = content.rerun;
   job.tasks = std::move(content.tasks);
   this->Enter(std::move(job), std::move(responder), EncodeJobAnswer);
