--- a/libraries/configuration/service_document.cc
+++ b/libraries/configuration/service_document.cc
@@ -19,6 +19,8 @@
 constexpr IntegerRange kRunningRange{1, 1'000'000};
 constexpr IntegerRange kPriorityRange{0, 1'000'000};
 constexpr IntegerRange kAttemptsRange{1, 1'000};
+constexpr IntegerRange kObjectivePercentRange{0, 100'000};
+constexpr IntegerRange kObjectiveLatencyRangeMilliseconds{0, 3'600'000};
 
 constexpr std::int64_t kDefaultQueuedTasks = 20'000;
 constexpr std::int64_t kDefaultRetryPercent = 10;
@@ -50,6 +52,10 @@
         nested.IntegerOr("priority", kPriorityRange, 0));
     route.maximum_attempts = static_cast<std::uint32_t>(
         nested.IntegerOr("maximum_attempts", kAttemptsRange, 1));
+    route.objective_percent = static_cast<std::uint32_t>(
+        nested.IntegerOr("objective_percent", kObjectivePercentRange, 0));
+    route.objective_latency = nested.MillisecondsOr(
+        "objective_latency_ms", kObjectiveLatencyRangeMilliseconds, Duration());
     document.routes.push_back(std::move(route));
     reader.Absorb(nested);
   }
@@ -86,7 +92,7 @@
       "placement", {"fastest_free", "random", "round_robin", "two_choices"},
       0));
   document.order = static_cast<OrderKind>(reader.ChoiceOr(
-      "order", {"shortest_remaining", "first_in_first_out"}, 0));
+      "order", {"shortest_remaining", "first_in_first_out", "least_slack"}, 0));
   document.maximum_queued_tasks = static_cast<std::uint32_t>(reader.IntegerOr(
       "maximum_queued_tasks", kQueueRange, kDefaultQueuedTasks));
   document.maximum_tasks_per_job = static_cast<std::uint32_t>(
--- a/libraries/configuration/service_document.h
+++ b/libraries/configuration/service_document.h
@@ -17,7 +17,10 @@
 BOOST_DEFINE_ENUM_CLASS(PlacementKind, kFastestFree, kRandom, kRoundRobin,
                         kTwoChoices)
 // In which order queued jobs are served.
-BOOST_DEFINE_ENUM_CLASS(OrderKind, kShortestRemaining, kFirstInFirstOut)
+// kLeastSlack: the job that must start first to meet its objective; then those
+// that can't meet it any more.
+BOOST_DEFINE_ENUM_CLASS(OrderKind, kShortestRemaining, kFirstInFirstOut,
+                        kLeastSlack)
 
 struct TeamPolicy {
   TeamName team;
@@ -38,9 +41,20 @@
   std::uint32_t priority = 0;
   // Runs of one task that may end as failed before its job fails.
   std::uint32_t maximum_attempts = 1;
+  // A job's latency objective: so many hundredths of its longest task, and
+  // this besides.
+  std::uint32_t objective_percent = 0;
+  Duration objective_latency{};
+
+  [[nodiscard]] Duration Objective(Duration longest_task) const {
+    constexpr std::int64_t kPercent = 100;
+    return longest_task * this->objective_percent / kPercent +
+           this->objective_latency;
+  }
 };
 BOOST_DESCRIBE_STRUCT(Route, (),
-                      (host, path_prefix, timeout, priority, maximum_attempts))
+                      (host, path_prefix, timeout, priority, maximum_attempts,
+                       objective_percent, objective_latency))
 
 // The document that governs one service, checked.
 struct ServiceDocument {
--- a/libraries/entry_core/home_job.h
+++ b/libraries/entry_core/home_job.h
@@ -72,7 +72,25 @@
   // Position in the service's queue; meaningful while `is_queued`.
   std::int64_t rank = 0;
   bool is_queued = false;
+  // Queued among those that can't meet their objective any more.
+  bool is_late = false;
 
+  // When the answer should be there.
+  [[nodiscard]] Timestamp DueAt() const {
+    return this->submission.objective > Duration()
+               ? std::min(this->deadline,
+                          this->accepted_at + this->submission.objective)
+               : this->deadline;
+  }
+  // After this, the queued tasks can't end before the answer is due, even if
+  // they all start at once.
+  [[nodiscard]] Timestamp LatestStart() const {
+    Duration longest{};
+    for (const TaskIndex task : this->queued) {
+      longest = std::max(longest, this->submission.tasks[task.value()].declared);
+    }
+    return this->DueAt() - longest;
+  }
   [[nodiscard]] Duration TimeLeft(Timestamp now) const {
     return std::max(Duration(), this->deadline - now);
   }
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -540,7 +540,17 @@
   }
 }
 
+void HomeJobs::SetBackOverdue(ServiceState& service, Timestamp now) {
+  for (const JobKey& key : service.Overdue(now)) {
+    HomeJob& job = this->jobs.at(key);
+    service.Dequeue(job);
+    job.is_late = true;
+    service.Enqueue(job, this->agents.CoresOf(job.submission.service));
+  }
+}
+
 void HomeJobs::DispatchService(ServiceState& service, Timestamp now) {
+  this->SetBackOverdue(service, now);
   while (const std::optional<JobKey> key = service.Next()) {
     HomeJob& job = this->jobs.at(*key);
     const TaskIndex index = job.queued.back();
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -92,6 +92,8 @@
   void StartRunning(HomeJob& job);
   void QueueTask(HomeJob& job, TaskIndex task);
   void LeaveQueue(HomeJob& job);
+  // Queued jobs that can't meet their objective any more go to the end.
+  void SetBackOverdue(ServiceState& service, Timestamp now);
   void DispatchService(ServiceState& service, Timestamp now);
   // The agents that have room for a task, in `candidates`.
   void CollectCandidates(const HomeJob& job, const TaskRecord& task,
--- a/libraries/entry_core/service_state.cc
+++ b/libraries/entry_core/service_state.cc
@@ -52,20 +52,27 @@
   if (this->in_force.order == OrderKind::kShortestRemaining) {
     job.rank += job.queued_work.count() / cores;
   }
+  if (this->in_force.order == OrderKind::kLeastSlack) {
+    const Timestamp rank = job.is_late ? job.DueAt() : job.LatestStart();
+    job.rank = rank.time_since_epoch().count();
+  }
   job.is_queued = true;
-  this->Team(job.submission.team).jobs.insert({job.rank, job.submission.key});
+  TeamState& team = this->Team(job.submission.team);
+  (job.is_late ? team.late : team.jobs)
+      .insert({job.rank, job.submission.key});
 }
 
 void ServiceState::Dequeue(HomeJob& job) {
   if (!job.is_queued) return;
   job.is_queued = false;
-  this->Team(job.submission.team).jobs.erase({job.rank, job.submission.key});
+  TeamState& team = this->Team(job.submission.team);
+  (job.is_late ? team.late : team.jobs).erase({job.rank, job.submission.key});
 }
 
 std::optional<JobKey> ServiceState::Next() const {
   const TeamState* best = nullptr;
   for (const auto& [name, team] : this->teams) {
-    if (team.jobs.empty() || team.running >= team.maximum_running) continue;
+    if (team.IsIdle() || team.running >= team.maximum_running) continue;
     if (best == nullptr) {
       best = &team;
       continue;
@@ -77,7 +84,21 @@
     if (share < best_share) best = &team;
   }
   if (best == nullptr) return std::nullopt;
-  return best->jobs.begin()->key;
+  const std::set<Position>& line = best->jobs.empty() ? best->late : best->jobs;
+  return line.begin()->key;
+}
+
+std::vector<JobKey> ServiceState::Overdue(Timestamp now) const {
+  std::vector<JobKey> overdue;
+  if (this->in_force.order != OrderKind::kLeastSlack) return overdue;
+  const std::int64_t latest = now.time_since_epoch().count();
+  for (const auto& [name, team] : this->teams) {
+    for (const Position& position : team.jobs) {
+      if (position.rank >= latest) break;
+      overdue.push_back(position.key);
+    }
+  }
+  return overdue;
 }
 
 void ServiceState::TaskQueued(Duration core_time) {
--- a/libraries/entry_core/service_state.h
+++ b/libraries/entry_core/service_state.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 #include "libraries/configuration/service_document.h"
 #include "libraries/entry_core/home_job.h"
@@ -34,6 +35,9 @@
   // goes first; within a team, the job with the least work left, and each
   // second of waiting counts for part of a second of work.
   [[nodiscard]] std::optional<JobKey> Next() const;
+  // Jobs whose latest start has passed give way to those that can still be in
+  // time. Returns them; the caller marks each as late and queues it again.
+  [[nodiscard]] std::vector<JobKey> Overdue(Timestamp now) const;
 
   void TaskQueued(Duration core_time);
   void TaskUnqueued(Duration core_time);
@@ -60,6 +64,12 @@
   };
   struct TeamState {
     std::set<Position> jobs;
+    // Served only where no other job waits.
+    std::set<Position> late;
+
+    [[nodiscard]] bool IsIdle() const {
+      return this->jobs.empty() && this->late.empty();
+    }
     std::uint32_t running = 0;
     std::uint32_t weight = 1;
     std::uint32_t maximum_running = UINT32_MAX;
--- a/libraries/protocol/job.h
+++ b/libraries/protocol/job.h
@@ -52,6 +52,8 @@
   // Time left until the deadline, as of the sending of the message that
   // carries this; a duration, so that clocks need not agree.
   Duration time_allowed{};
+  // The answer is worth most within this time; 0 where nothing is known.
+  Duration objective{};
   // Digest of the whole request body: one key names one body.
   std::uint64_t body_digest = 0;
   // The key as the caller wrote it.
@@ -69,7 +71,7 @@
 };
 BOOST_DESCRIBE_STRUCT(JobSubmission, (),
                       (kind, key, created, service, team, time_allowed,
-                       body_digest, name, rerun, maximum_attempts, tasks))
+                       objective, body_digest, name, rerun, maximum_attempts, tasks))
 
 // What a caller is told about a job. "Not run" can only be said by those who
 // hold a proof of it.
--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -242,6 +242,11 @@
   // The caller knows best how long it waits.
   if (patience) job.time_allowed = *patience;
   job.rerun = content.rerun;
+  Duration longest_task{};
+  for (const TaskRequest& task : content.tasks) {
+    longest_task = std::max(longest_task, task.declared);
+  }
+  job.objective = match.route->Objective(longest_task);
   job.tasks = std::move(content.tasks);
   this->Enter(std::move(job), std::move(responder), EncodeJobAnswer);
 }
