--- a/libraries/entry_core/home_job.h
+++ b/libraries/entry_core/home_job.h
@@ -82,14 +82,26 @@
                           this->accepted_at + this->submission.objective)
                : this->deadline;
   }
-  // After this, the queued tasks can't end before the answer is due, even if
-  // they all start at once.
-  [[nodiscard]] Timestamp LatestStart() const {
+  // After this, the answer is worth nothing to the caller.
+  [[nodiscard]] Timestamp UsefulUntil() const {
+    constexpr std::int64_t kUsefulObjectives = 3;
+    return this->submission.objective > Duration()
+               ? std::min(this->deadline,
+                          this->accepted_at +
+                              kUsefulObjectives * this->submission.objective)
+               : this->deadline;
+  }
+  // After this, the queued tasks can't be expected to end before the answer is
+  // due, even if they all start at once. `stretch`: time that tasks take, over
+  // what is declared.
+  [[nodiscard]] Timestamp LatestStart(double stretch) const {
     Duration longest{};
     for (const TaskIndex task : this->queued) {
       longest = std::max(longest, this->submission.tasks[task.value()].declared);
     }
-    return this->DueAt() - longest;
+    return this->DueAt() -
+           Duration(static_cast<std::int64_t>(
+               static_cast<double>(longest.count()) * stretch));
   }
   [[nodiscard]] Duration TimeLeft(Timestamp now) const {
     return std::max(Duration(), this->deadline - now);
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -141,10 +141,7 @@
   }
   const Resources capacity = this->agents.CapacityOf(job.submission.service);
   if (capacity.millicores == 0) return std::nullopt;
-  const std::int64_t cores = this->agents.CoresOf(job.submission.service);
-  const double wait = static_cast<double>(service.queued_work().count()) *
-                      service.declared_error() / static_cast<double>(cores);
-  if (wait > static_cast<double>(job.submission.time_allowed.count())) {
+  if (this->ExpectedWait(service) > job.submission.time_allowed) {
     return Reason::kDeadlineTooShort;
   }
   return std::nullopt;
@@ -163,8 +160,7 @@
   const ServiceState* service = this->Service(job);
   job.retry_after = kMinimumRetryAfter;
   if (service != nullptr) {
-    job.retry_after +=
-        service->queued_work() / this->agents.CoresOf(job.submission.service);
+    job.retry_after += this->ExpectedWait(*service);
   }
   this->confirmer.Add(job.submission.key, job.submission.rerun);
   this->confirmer.Advance(now);
@@ -546,9 +542,22 @@
     service.Dequeue(job);
     job.is_late = true;
     service.Enqueue(job, this->agents.CoresOf(job.submission.service));
+    // Known to wait in vain: its caller can do better elsewhere or later.
+    const bool untouched = job.started == 0 && !job.carried;
+    if (untouched && now + this->ExpectedWait(service) > job.UsefulUntil()) {
+      this->Refuse(job, Reason::kDeadlineTooShort, now);
+    }
   }
 }
 
+Duration HomeJobs::ExpectedWait(const ServiceState& service) const {
+  const std::int64_t cores =
+      this->agents.CoresOf(service.document().service);
+  const double wait = static_cast<double>(service.queued_work().count()) *
+                      service.declared_error() / static_cast<double>(cores);
+  return Duration(static_cast<std::int64_t>(wait));
+}
+
 void HomeJobs::DispatchService(ServiceState& service, Timestamp now) {
   this->SetBackOverdue(service, now);
   while (const std::optional<JobKey> key = service.Next()) {
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -93,6 +93,8 @@
   void QueueTask(HomeJob& job, TaskIndex task);
   void LeaveQueue(HomeJob& job);
   // Queued jobs that can't meet their objective any more go to the end.
+  // Time until what is queued now has been started.
+  [[nodiscard]] Duration ExpectedWait(const ServiceState& service) const;
   void SetBackOverdue(ServiceState& service, Timestamp now);
   void DispatchService(ServiceState& service, Timestamp now);
   // The agents that have room for a task, in `candidates`.
--- a/libraries/entry_core/service_state.cc
+++ b/libraries/entry_core/service_state.cc
@@ -11,6 +11,9 @@
 constexpr double kPercent = 100;
 constexpr double kAverageWeight = 0.05;
 constexpr double kMaximumRatio = 20;
+// A job is started so early that it is in time also where its tasks take this
+// much longer than tasks do on average.
+constexpr double kMargin = 1.25;
 
 }  // namespace
 
@@ -53,7 +56,9 @@
     job.rank += job.queued_work.count() / cores;
   }
   if (this->in_force.order == OrderKind::kLeastSlack) {
-    const Timestamp rank = job.is_late ? job.DueAt() : job.LatestStart();
+    const Timestamp rank = job.is_late
+                               ? job.DueAt()
+                               : job.LatestStart(this->error_ratio * kMargin);
     job.rank = rank.time_since_epoch().count();
   }
   job.is_queued = true;
