--- a/libraries/base/identifiers.h
+++ b/libraries/base/identifiers.h
@@ -22,7 +22,7 @@
 using RequestId = StrongType<std::uint64_t, struct RequestIdTag>;
 using DocumentVersion = StrongType<std::uint64_t, struct DocumentVersionTag>;
 using ServiceName = StrongType<std::string, struct ServiceNameTag>;
-using TeamName = StrongType<std::string, struct TeamNameTag>;
+using ClientAccount = StrongType<std::string, struct ClientAccountTag>;
 using DataCentreName = StrongType<std::string, struct DataCentreNameTag>;
 // Identifies one edit of a document, so that a write whose answer was lost can
 // be recognised when it is read back.
--- a/libraries/base/time.cc
+++ b/libraries/base/time.cc
@@ -17,8 +17,7 @@
 
 Timestamp WallClockNow() {
   static const Timestamp boot =
-      std::chrono::time_point_cast<Duration>(
-          std::chrono::system_clock::now()) -
+      std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now()) -
       SinceBoot();
   return boot + SinceBoot();
 }
--- a/libraries/configuration/service_document.cc
+++ b/libraries/configuration/service_document.cc
@@ -30,14 +30,14 @@
 constexpr Duration kDefaultRouteTimeout = std::chrono::seconds(30);
 constexpr Duration kDefaultWindow = std::chrono::minutes(10);
 
-TeamPolicy ReadTeam(ObjectReader& reader) {
-  TeamPolicy team;
-  team.team = TeamName(reader.Text("name"));
-  team.weight =
+ClientAccountPolicy ReadClientAccount(ObjectReader& reader) {
+  ClientAccountPolicy client_account;
+  client_account.client_account = ClientAccount(reader.Text("name"));
+  client_account.weight =
       static_cast<std::uint32_t>(reader.IntegerOr("weight", kWeightRange, 1));
-  team.maximum_running = static_cast<std::uint32_t>(reader.IntegerOr(
+  client_account.maximum_running = static_cast<std::uint32_t>(reader.IntegerOr(
       "maximum_running", kRunningRange, kRunningRange.maximum));
-  return team;
+  return client_account;
 }
 
 void ReadRoutes(ObjectReader& reader, ServiceDocument& document) {
@@ -61,16 +61,18 @@
   }
 }
 
-void ReadTeams(ObjectReader& reader, ServiceDocument& document) {
-  if (!reader.Has("teams")) return;
-  for (ObjectReader& nested : reader.Objects("teams")) {
-    document.teams.push_back(ReadTeam(nested));
+void ReadClientAccounts(ObjectReader& reader, ServiceDocument& document) {
+  if (!reader.Has("client_accounts")) return;
+  for (ObjectReader& nested : reader.Objects("client_accounts")) {
+    document.client_accounts.push_back(ReadClientAccount(nested));
     reader.Absorb(nested);
   }
-  for (std::size_t i = 0; i < document.teams.size(); ++i) {
+  for (std::size_t i = 0; i < document.client_accounts.size(); ++i) {
     for (std::size_t j = 0; j < i; ++j) {
-      if (document.teams[i].team == document.teams[j].team) {
-        reader.Problem("teams", "must not name a team twice");
+      if (document.client_accounts[i].client_account ==
+          document.client_accounts[j].client_account) {
+        reader.Problem("client_accounts",
+                       "must not name a client account twice");
       }
     }
   }
@@ -87,7 +89,7 @@
   document.version = DocumentVersion(static_cast<std::uint64_t>(
       reader.IntegerOr("version", kVersionRange, 0)));
   document.change_id = ChangeId(reader.TextOr("change_id", ""));
-  document.owner = TeamName(reader.Text("owner"));
+  document.owner = ClientAccount(reader.Text("owner"));
   document.placement = static_cast<PlacementKind>(reader.ChoiceOr(
       "placement", {"fastest_free", "random", "round_robin", "two_choices"},
       0));
@@ -110,7 +112,7 @@
   document.maximum_ejected_percent =
       static_cast<std::uint32_t>(reader.IntegerOr(
           "maximum_ejected_percent", kPercentRange, kDefaultEjectedPercent));
-  ReadTeams(reader, document);
+  ReadClientAccounts(reader, document);
   ReadRoutes(reader, document);
   if (document.default_deadline > document.maximum_deadline) {
     reader.Problem("default_deadline_ms",
--- a/libraries/configuration/service_document.h
+++ b/libraries/configuration/service_document.h
@@ -22,14 +22,15 @@
 BOOST_DEFINE_ENUM_CLASS(OrderKind, kShortestRemaining, kFirstInFirstOut,
                         kLeastSlack)
 
-struct TeamPolicy {
-  TeamName team;
-  // Share of the slots under contention, relative to the other teams.
+struct ClientAccountPolicy {
+  ClientAccount client_account;
+  // Share of the slots under contention, relative to the other client accounts.
   std::uint32_t weight = 1;
   // Most tasks that may run at once through one entry.
   std::uint32_t maximum_running = 0;
 };
-BOOST_DESCRIBE_STRUCT(TeamPolicy, (), (team, weight, maximum_running))
+BOOST_DESCRIBE_STRUCT(ClientAccountPolicy, (),
+                      (client_account, weight, maximum_running))
 
 // A queue of the service: where callers submit its jobs.
 struct Route {
@@ -62,7 +63,7 @@
   // 0 in a document that was not stored yet.
   DocumentVersion version;
   ChangeId change_id;
-  TeamName owner;
+  ClientAccount owner;
   PlacementKind placement = PlacementKind::kFastestFree;
   OrderKind order = OrderKind::kShortestRemaining;
   std::uint32_t maximum_queued_tasks = 0;
@@ -74,15 +75,16 @@
   std::uint32_t retry_percent = 0;
   // Largest part of the upstreams that may be on probation at once.
   std::uint32_t maximum_ejected_percent = 0;
-  // Empty: any team may submit, all with weight 1.
-  std::vector<TeamPolicy> teams;
+  // Empty: any client account may submit, all with weight 1.
+  std::vector<ClientAccountPolicy> client_accounts;
   std::vector<Route> routes;
 };
 BOOST_DESCRIBE_STRUCT(ServiceDocument, (),
                       (service, version, change_id, owner, placement, order,
                        maximum_queued_tasks, maximum_tasks_per_job,
                        default_deadline, maximum_deadline, duplicate_window,
-                       retry_percent, maximum_ejected_percent, teams, routes))
+                       retry_percent, maximum_ejected_percent, client_accounts,
+                       routes))
 
 // Checks the text of a service document. `source` names it in errors.
 Result<ServiceDocument> ParseServiceDocument(const std::string& text,
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -127,7 +127,9 @@
   if (found == this->services.end()) return Reason::kUnknownService;
   const ServiceState& service = found->second;
   const ServiceDocument& document = service.document();
-  if (!service.Admits(job.submission.team)) return Reason::kQuotaExceeded;
+  if (!service.Admits(job.submission.client_account)) {
+    return Reason::kQuotaExceeded;
+  }
   if (job.tasks.size() > document.maximum_tasks_per_job) {
     return Reason::kImpossibleJob;
   }
@@ -220,7 +222,9 @@
       task.phase = TaskPhase::kQuerying;
       task.agent = found.agent;
       ++job.started;
-      if (service != nullptr) service->TaskStarted(job.submission.team);
+      if (service != nullptr) {
+        service->TaskStarted(job.submission.client_account);
+      }
       if (KnownAgent* agent = this->agents.Find(found.agent)) {
         ++agent->running;
       }
@@ -624,7 +628,7 @@
   job.queued_work -= request.CoreTime();
   service.TaskUnqueued(request.CoreTime());
   service.Enqueue(job, this->agents.CoresOf(job.submission.service));
-  service.TaskStarted(job.submission.team);
+  service.TaskStarted(job.submission.client_account);
   TaskRecord& record = job.tasks[task.value()];
   record.phase = TaskPhase::kStarted;
   record.agent = agent.agent;
@@ -658,7 +662,7 @@
                   TaskIndex(static_cast<std::uint32_t>(index))};
   this->outstanding[task.agent].erase(id);
   if (ServiceState* service = this->Service(job)) {
-    service->TaskEnded(job.submission.team);
+    service->TaskEnded(job.submission.client_account);
   }
   KnownAgent* agent = this->agents.Find(task.agent);
   if (agent != nullptr && agent->running > 0) --agent->running;
--- a/libraries/entry_core/service_state.cc
+++ b/libraries/entry_core/service_state.cc
@@ -31,22 +31,24 @@
     this->policy = MakePlacement(document.placement, this->seed);
   }
   this->in_force = document;
-  for (auto& [name, team] : this->teams) {
-    team.weight = 1;
-    team.maximum_running = UINT32_MAX;
+  for (auto& [name, client_account] : this->client_accounts) {
+    client_account.weight = 1;
+    client_account.maximum_running = UINT32_MAX;
   }
-  for (const TeamPolicy& declared : document.teams) {
-    TeamState& team = this->Team(declared.team);
-    team.weight = declared.weight;
-    team.maximum_running = declared.maximum_running;
+  for (const ClientAccountPolicy& declared : document.client_accounts) {
+    AccountState& client_account = this->Account(declared.client_account);
+    client_account.weight = declared.weight;
+    client_account.maximum_running = declared.maximum_running;
   }
 }
 
-bool ServiceState::Admits(const TeamName& team) const {
-  if (this->in_force.teams.empty()) return true;
-  return std::any_of(
-      this->in_force.teams.begin(), this->in_force.teams.end(),
-      [&](const TeamPolicy& declared) { return declared.team == team; });
+bool ServiceState::Admits(const ClientAccount& client_account) const {
+  if (this->in_force.client_accounts.empty()) return true;
+  return std::any_of(this->in_force.client_accounts.begin(),
+                     this->in_force.client_accounts.end(),
+                     [&](const ClientAccountPolicy& declared) {
+                       return declared.client_account == client_account;
+                     });
 }
 
 void ServiceState::Enqueue(HomeJob& job, std::int64_t cores) {
@@ -62,30 +64,35 @@
     job.rank = rank.time_since_epoch().count();
   }
   job.is_queued = true;
-  TeamState& team = this->Team(job.submission.team);
-  (job.is_late ? team.late : team.jobs).insert({job.rank, job.submission.key});
+  AccountState& client_account = this->Account(job.submission.client_account);
+  (job.is_late ? client_account.late : client_account.jobs)
+      .insert({job.rank, job.submission.key});
 }
 
 void ServiceState::Dequeue(HomeJob& job) {
   if (!job.is_queued) return;
   job.is_queued = false;
-  TeamState& team = this->Team(job.submission.team);
-  (job.is_late ? team.late : team.jobs).erase({job.rank, job.submission.key});
+  AccountState& client_account = this->Account(job.submission.client_account);
+  (job.is_late ? client_account.late : client_account.jobs)
+      .erase({job.rank, job.submission.key});
 }
 
 std::optional<JobKey> ServiceState::Next() const {
-  const TeamState* best = nullptr;
-  for (const auto& [name, team] : this->teams) {
-    if (team.IsIdle() || team.running >= team.maximum_running) continue;
+  const AccountState* best = nullptr;
+  for (const auto& [name, client_account] : this->client_accounts) {
+    if (client_account.IsIdle() ||
+        client_account.running >= client_account.maximum_running) {
+      continue;
+    }
     if (best == nullptr) {
-      best = &team;
+      best = &client_account;
       continue;
     }
     const std::uint64_t share =
-        static_cast<std::uint64_t>(team.running) * best->weight;
+        static_cast<std::uint64_t>(client_account.running) * best->weight;
     const std::uint64_t best_share =
-        static_cast<std::uint64_t>(best->running) * team.weight;
-    if (share < best_share) best = &team;
+        static_cast<std::uint64_t>(best->running) * client_account.weight;
+    if (share < best_share) best = &client_account;
   }
   if (best == nullptr) return std::nullopt;
   const std::set<Position>& line = best->jobs.empty() ? best->late : best->jobs;
@@ -96,8 +103,8 @@
   std::vector<JobKey> overdue;
   if (this->in_force.order != OrderKind::kLeastSlack) return overdue;
   const std::int64_t latest = now.time_since_epoch().count();
-  for (const auto& [name, team] : this->teams) {
-    for (const Position& position : team.jobs) {
+  for (const auto& [name, client_account] : this->client_accounts) {
+    for (const Position& position : client_account.jobs) {
       if (position.rank >= latest) break;
       overdue.push_back(position.key);
     }
@@ -115,15 +122,15 @@
   this->queued_total -= core_time;
 }
 
-void ServiceState::TaskStarted(const TeamName& team) {
-  ++this->Team(team).running;
+void ServiceState::TaskStarted(const ClientAccount& client_account) {
+  ++this->Account(client_account).running;
   this->retry_tokens =
       std::min(kRetryReserve,
                this->retry_tokens + this->in_force.retry_percent / kPercent);
 }
 
-void ServiceState::TaskEnded(const TeamName& team) {
-  TeamState& state = this->Team(team);
+void ServiceState::TaskEnded(const ClientAccount& client_account) {
+  AccountState& state = this->Account(client_account);
   if (state.running > 0) --state.running;
 }
 
@@ -141,8 +148,9 @@
   this->error_ratio += kAverageWeight * (ratio - this->error_ratio);
 }
 
-ServiceState::TeamState& ServiceState::Team(const TeamName& team) {
-  return this->teams[team];
+ServiceState::AccountState& ServiceState::Account(
+    const ClientAccount& client_account) {
+  return this->client_accounts[client_account];
 }
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/service_state.h
+++ b/libraries/entry_core/service_state.h
@@ -14,7 +14,7 @@
 namespace dandelionspur {
 
 // One service as its home sees it: the document in force, the queues of its
-// teams, and the budget for retries.
+// client accounts, and the budget for retries.
 class ServiceState {
  public:
   ServiceState(const ServiceDocument& document, std::uint64_t placement_seed);
@@ -25,14 +25,15 @@
   }
   [[nodiscard]] Placement& placement() { return this->policy; }
 
-  // Whether the document lets `team` submit.
-  [[nodiscard]] bool Admits(const TeamName& team) const;
+  // Whether the document lets the client account submit.
+  [[nodiscard]] bool Admits(const ClientAccount& client_account) const;
   // Puts a job with queued tasks in line; `cores` are those of the service.
   void Enqueue(HomeJob& job, std::int64_t cores);
   void Dequeue(HomeJob& job);
-  // The job whose task should start next, or nothing where every queued team
-  // is at its limit. Among teams, the one with the smallest part of its share
-  // goes first; within a team, the job with the least work left, and each
+  // The job whose task should start next, or nothing where every client
+  // account with queued jobs is at its limit. Among client accounts, the one
+  // with the smallest part of its share goes first; within one, the document's
+  // order decides. With the shortest remaining work first, each
   // second of waiting counts for part of a second of work.
   [[nodiscard]] std::optional<JobKey> Next() const;
   // Jobs whose latest start has passed give way to those that can still be in
@@ -41,8 +42,8 @@
 
   void TaskQueued(Duration core_time);
   void TaskUnqueued(Duration core_time);
-  void TaskStarted(const TeamName& team);
-  void TaskEnded(const TeamName& team);
+  void TaskStarted(const ClientAccount& client_account);
+  void TaskEnded(const ClientAccount& client_account);
   [[nodiscard]] std::uint32_t queued_tasks() const {
     return this->queued_count;
   }
@@ -62,7 +63,7 @@
     JobKey key;
     auto operator<=>(const Position&) const = default;
   };
-  struct TeamState {
+  struct AccountState {
     std::set<Position> jobs;
     // Served only where no other job waits.
     std::set<Position> late;
@@ -75,12 +76,12 @@
     std::uint32_t maximum_running = UINT32_MAX;
   };
 
-  TeamState& Team(const TeamName& team);
+  AccountState& Account(const ClientAccount& client_account);
 
   ServiceDocument in_force;
   Placement policy;
   std::uint64_t seed;
-  std::map<TeamName, TeamState> teams;
+  std::map<ClientAccount, AccountState> client_accounts;
   std::uint32_t queued_count = 0;
   Duration queued_total{};
   double retry_tokens = 0;
--- a/libraries/entry_core/submission_validator.cc
+++ b/libraries/entry_core/submission_validator.cc
@@ -16,7 +16,7 @@
 constexpr IntegerRange kDeclaredRangeMilliseconds{1, 3'600'000};
 constexpr Duration kDefaultDeclared = std::chrono::milliseconds(300);
 constexpr Duration kRejectedRetryAfter{};
-const char* const kDefaultTeam = "default";
+const char* const kDefaultClientAccount = "default";
 
 std::optional<std::string> CommonProblem(const RawSubmission& raw) {
   if (raw.key.empty()) return "the Idempotency-Key header is missing";
@@ -32,7 +32,9 @@
   job.key = JobKey::FromText(raw.service, raw.key);
   job.created = CreationTime(raw.key);
   job.service = raw.service;
-  job.team = TeamName(raw.team.empty() ? kDefaultTeam : std::string(raw.team));
+  job.client_account = ClientAccount(raw.client_account.empty()
+                                         ? kDefaultClientAccount
+                                         : std::string(raw.client_account));
   job.body_digest = XXH3_64bits(raw.body.data(), raw.body.size());
   job.name = std::string(raw.key);
   job.time_allowed = document.default_deadline;
@@ -61,7 +63,8 @@
   BOOST_LEAF_AUTO(json, ParseJsonWithComments(raw.body, "request"));
   ObjectReader reader("request", "", json);
   JobSubmission job = NewSubmission(raw, document);
-  job.team = TeamName(reader.TextOr("team", job.team.value()));
+  job.client_account = ClientAccount(
+      reader.TextOr("client_account", job.client_account.value()));
   job.time_allowed = reader.MillisecondsOr(
       "deadline_ms", kDeadlineRangeMilliseconds, document.default_deadline);
   if (job.time_allowed > document.maximum_deadline) {
@@ -98,7 +101,7 @@
   JobSubmission job;
   job.key = JobKey::FromText(service, key);
   job.service = service;
-  job.team = TeamName(kDefaultTeam);
+  job.client_account = ClientAccount(kDefaultClientAccount);
   job.time_allowed = route.timeout;
   job.body_digest = XXH3_64bits(body.data(), body.size());
   job.name = std::string(key);
--- a/libraries/entry_core/submission_validator.h
+++ b/libraries/entry_core/submission_validator.h
@@ -16,8 +16,8 @@
   // The Idempotency-Key header.
   std::string_view key;
   std::string_view body;
-  // The Team header; only for single requests.
-  std::string_view team;
+  // The Client-Account header; only for single requests.
+  std::string_view client_account;
 };
 
 // Why a request was refused before any other process heard of it.
@@ -35,7 +35,7 @@
  public:
   // `document`: the one in force, or nullptr for an unknown service.
   // A job: {"tasks": [{"body": any, "declared_ms": n}], "deadline_ms": n,
-  // "team": name}.
+  // "client_account": name}.
   static ValidatedSubmission Job(const RawSubmission& raw,
                                  const ServiceDocument* document);
   // One task whose body is the request's body.
--- a/libraries/protocol/job.h
+++ b/libraries/protocol/job.h
@@ -48,7 +48,7 @@
   // Set for a key that carries its age (UUIDv7).
   std::optional<Timestamp> created;
   ServiceName service;
-  TeamName team;
+  ClientAccount client_account;
   // Time left until the deadline, as of the sending of the message that
   // carries this; a duration, so that clocks need not agree.
   Duration time_allowed{};
@@ -70,9 +70,9 @@
   }
 };
 BOOST_DESCRIBE_STRUCT(JobSubmission, (),
-                      (kind, key, created, service, team, time_allowed,
-                       objective, body_digest, name, rerun, maximum_attempts,
-                       tasks))
+                      (kind, key, created, service, client_account,
+                       time_allowed, objective, body_digest, name, rerun,
+                       maximum_attempts, tasks))
 
 // What a caller is told about a job. "Not run" can only be said by those who
 // hold a proof of it.
--- a/meta/cluster.py
+++ b/meta/cluster.py
@@ -274,11 +274,11 @@
             pairs += [(a, b) for a, b in zip(runs, runs[1:]) if b["from_us"] < a["to_us"]]
         return pairs
 
-    def submit(self, entry, key, tasks, deadline_ms=30000, timeout=60, service="demo", team=None):
+    def submit(self, entry, key, tasks, deadline_ms=30000, timeout=60, service="demo", client_account=None):
         """Submits a job; returns (status, answer)."""
         job = {"tasks": tasks, "deadline_ms": deadline_ms}
-        if team:
-            job["team"] = team
+        if client_account:
+            job["client_account"] = client_account
         return call_json(
             "POST", self.caller_port(entry), f"/v1/services/{service}/jobs", json.dumps(job), {"Idempotency-Key": key}, timeout
         )
--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -153,7 +153,7 @@
   RawSubmission raw;
   raw.service = target.service;
   raw.key = HeaderValue(request, "Idempotency-Key");
-  raw.team = HeaderValue(request, "Team");
+  raw.client_account = HeaderValue(request, "Client-Account");
   raw.body = request.body();
   ValidatedSubmission validated =
       this->serving.Read([&](const ServingState& state) {
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -128,7 +128,8 @@
   this->Post(DrainRequested{});
   this->caller_server->CloseAfterAnswers();
   asio::post(this->core_thread.First(), [this] {
-    this->drain_timer.expires_after(EntryCoreSettings().drain_accepts);
+    this->drain_timer.expires_after(
+        CoreSettings(this->settings, this->self).drain_accepts);
     this->drain_timer.async_wait([this](boost::system::error_code error) {
       if (!error) this->StopServingCallers();
     });
--- a/services/entry/table_watcher.h
+++ b/services/entry/table_watcher.h
@@ -103,7 +103,6 @@
   std::set<ServiceName> configured_services;
   RowVersion view_version;
   View view;
-  bool view_read = false;
   bool joining = true;
   bool reachable = true;
 };
--- a/tests/configuration/settings_test.cc
+++ b/tests/configuration/settings_test.cc
@@ -90,16 +90,18 @@
                     "shortest_remaining, first_in_first_out, "
                     "least_slack",
                     DocumentProblem},
-        ProblemCase{"NestedField",
+        ProblemCase{
+            "NestedField",
+            R"({"service": "s", "owner": "o",
+                        "client_accounts": [{"name": "a"}, {"name": "b", "weight": 0}]})",
+            "file.json: field \"client_accounts[1].weight\" must be an integer "
+            "from 1 to 1000",
+            DocumentProblem},
+        ProblemCase{"ClientAccountTwice",
                     R"({"service": "s", "owner": "o",
-                        "teams": [{"name": "a"}, {"name": "b", "weight": 0}]})",
-                    "file.json: field \"teams[1].weight\" must be an integer "
-                    "from 1 to 1000",
-                    DocumentProblem},
-        ProblemCase{"TeamTwice",
-                    R"({"service": "s", "owner": "o",
-                        "teams": [{"name": "a"}, {"name": "a"}]})",
-                    "file.json: field \"teams\" must not name a team twice",
+                        "client_accounts": [{"name": "a"}, {"name": "a"}]})",
+                    "file.json: field \"client_accounts\" must not name a "
+                    "client account twice",
                     DocumentProblem},
         ProblemCase{"DeadlineOrder",
                     R"({"service": "s", "owner": "o",
--- a/tests/entry_core/service_state_test.cc
+++ b/tests/entry_core/service_state_test.cc
@@ -28,7 +28,7 @@
 HomeJob JobOf(const WaitingJob& waiting) {
   HomeJob job;
   job.submission.key = {waiting.key, waiting.key};
-  job.submission.team = TeamName("t");
+  job.submission.client_account = ClientAccount("t");
   job.submission.objective = milliseconds(waiting.objective_ms);
   job.submission.tasks.push_back(
       {Payload(), milliseconds(waiting.task_ms), kOneSlot});
--- a/tests/support/core_bench.cc
+++ b/tests/support/core_bench.cc
@@ -112,7 +112,7 @@
   relay.attempt = AttemptNumber(number);
   relay.job.key = {number * 0x9E3779B97F4A7C15ULL, number};
   relay.job.service = ServiceName("s");
-  relay.job.team = TeamName("t");
+  relay.job.client_account = ClientAccount("t");
   relay.job.time_allowed = std::chrono::seconds(30);
   relay.job.tasks.resize(
       tasks, TaskRequest{Payload(), std::chrono::milliseconds(100), kOneSlot});
--- a/tests/support/protocol_world.cc
+++ b/tests/support/protocol_world.cc
@@ -196,7 +196,7 @@
   JobSubmission job;
   job.key = this->KeyOf(number);
   job.service = kServiceName;
-  job.team = TeamName("t");
+  job.client_account = ClientAccount("t");
   job.time_allowed = kDeadline;
   job.body_digest = number;
   // Half of the keys carry their age.
--- a/tests/upstream_session/leased_upstream_test.cc
+++ b/tests/upstream_session/leased_upstream_test.cc
@@ -197,7 +197,8 @@
   EXPECT_GT(this->All<SendList>().back().order.token, order.token);
   this->AnswerList({});
   ASSERT_EQ(this->Events<UpstreamEnded>().size(), 1U);
-  EXPECT_EQ(this->Events<UpstreamEnded>()[0].result, UpstreamResult::kUnanswered);
+  EXPECT_EQ(this->Events<UpstreamEnded>()[0].result,
+            UpstreamResult::kUnanswered);
 }
 
 TEST_F(Session, AnUnansweredOrderThatWasCarriedOutGoesOn) {
--- a/utilities/dandelionspur/sentences.cc
+++ b/utilities/dandelionspur/sentences.cc
@@ -33,8 +33,9 @@
 }
 
 std::string Name(const JobSubmission& job) {
-  return std::to_string(job.tasks.size()) + " tasks of team " +
-         job.team.value() + ", " + Milliseconds(job.time_allowed) + " left";
+  return std::to_string(job.tasks.size()) + " tasks of client_account " +
+         job.client_account.value() + ", " + Milliseconds(job.time_allowed) +
+         " left";
 }
 
 template <typename Enum>
--- a/utilities/upstream_stand_in/platform_worker.cc
+++ b/utilities/upstream_stand_in/platform_worker.cc
@@ -239,12 +239,13 @@
   this->lease_timer.async_wait([this](boost::system::error_code error) {
     if (error) return;
     while (!this->running.empty()) {
-      this->EndRun(this->running.begin()->first, "lapsed");
+      const std::string task = this->running.begin()->first;
+      this->EndRun(task, "lapsed");
     }
   });
 }
 
-void PlatformWorker::EndRun(std::string task, const std::string& how) {
+void PlatformWorker::EndRun(const std::string& task, const std::string& how) {
   const auto found = this->running.find(task);
   if (found == this->running.end()) return;
   const Run run = std::move(found->second);
--- a/utilities/upstream_stand_in/platform_worker.h
+++ b/utilities/upstream_stand_in/platform_worker.h
@@ -85,8 +85,8 @@
   void AnswerLists();
   void ExtendLease(const nlohmann::json& order);
   void ArmLease();
-  // By value: the name may be that of the run which this erases.
-  void EndRun(std::string task, const std::string& how);
+  // `task` must not be the name that stands in the run itself.
+  void EndRun(const std::string& task, const std::string& how);
   [[nodiscard]] std::int64_t ClockMilliseconds() const;
   [[nodiscard]] HttpResponse Refuse(const char* reason) const;
   [[nodiscard]] HttpResponse Runs() const;
