upstream_session: Compute a lease's end and the leap above a refused token in one place

The end of a lease stood twice and the leap three times; the room kept the sender of a running task, which nobody asks for. Behaviour is unchanged: session, agent and room tests, deliberate faults and the 13 platform system tests pass, clang-tidy is clean on both files.

--- a/libraries/agent_core/upstream_room.cc
+++ b/libraries/agent_core/upstream_room.cc
@@ -33,8 +33,7 @@
   this->line.pop_front();
   this->waiting = Without(this->waiting, need);
   this->in_use += need;
-  this->running.emplace(next.start.task,
-                        Running{next.from, need, next.deadline});
+  this->running.emplace(next.start.task, Running{need, next.deadline});
   return next;
 }
 
@@ -79,9 +78,4 @@
   return overdue;
 }
 
-EntryId UpstreamRoom::SenderOf(const TaskId& task) const {
-  const auto found = this->running.find(task);
-  return found == this->running.end() ? EntryId() : found->second.from;
-}
-
 }  // namespace dandelionspur
--- a/libraries/agent_core/upstream_room.h
+++ b/libraries/agent_core/upstream_room.h
@@ -46,8 +46,6 @@
   }
   // Running tasks that are past their deadline.
   [[nodiscard]] std::vector<TaskId> Overdue(Timestamp now) const;
-  // The entry that sent a running task's start.
-  [[nodiscard]] EntryId SenderOf(const TaskId& task) const;
   [[nodiscard]] std::size_t running_count() const {
     return this->running.size();
   }
@@ -58,7 +56,6 @@
 
  private:
   struct Running {
-    EntryId from;
     Resources need;
     Timestamp deadline;
   };
--- a/libraries/upstream_session/leased_upstream.cc
+++ b/libraries/upstream_session/leased_upstream.cc
@@ -141,13 +141,8 @@
   ++task.orders;
   task.phase = Phase::kOrdered;
   task.token = this->token;
-  const StartOrder order{
-      task.run, task.body.bytes(),
-      this->UpstreamClock(now) + this->settings.maximum_lease, this->token};
-  this->lease_over = now +
-                     this->settings.maximum_lease *
-                         (kPercent + kClockErrorPercent) / kPercent +
-                     kLapseSlack;
+  const StartOrder order{task.run, task.body.bytes(), this->ExtendLease(now),
+                         this->token};
   this->effects.emplace_back(SendStart{*this->upstream, order});
 }
 
@@ -173,9 +168,7 @@
       task->listed_from = ListNumber(this->last_list + 1);
       return;
     case OrderOutcome::kFenced:
-      if (order.token == this->token) {
-        this->token = FencingToken(this->token.value() + kTokenLeap);
-      }
+      this->LeapAbove(order.token);
       break;
     case OrderOutcome::kOldRun:
       task->run.run = this->NextRun(name);
@@ -209,10 +202,7 @@
 void LeasedUpstream::OnStopAnswer(const StopOrder& order,
                                   const OrderAnswer& answer, SteadyTime now) {
   this->NoteClock(answer, now);
-  const bool fenced = answer.outcome == OrderOutcome::kFenced;
-  if (fenced && order.token == this->token) {
-    this->token = FencingToken(this->token.value() + kTokenLeap);
-  }
+  if (answer.outcome == OrderOutcome::kFenced) this->LeapAbove(order.token);
   // The end comes with a list; until then the stop is repeated.
 }
 
@@ -224,9 +214,7 @@
   this->lists.erase(found);
   this->NoteClock(list.answer, now);
   if (list.answer.outcome == OrderOutcome::kFenced) {
-    if (asked.token == this->token) {
-      this->token = FencingToken(this->token.value() + kTokenLeap);
-    }
+    this->LeapAbove(asked.token);
     this->AskForList(Duration(), now);
     return;
   }
@@ -350,11 +338,7 @@
                       this->renewal == LeaseRenewal::kAllowed &&
                       now - this->last_answer <= kGiveUpAfter;
   if (renews) {
-    order.lease_until = this->UpstreamClock(now) + this->settings.maximum_lease;
-    this->lease_over = now +
-                       this->settings.maximum_lease *
-                           (kPercent + kClockErrorPercent) / kPercent +
-                       kLapseSlack;
+    order.lease_until = this->ExtendLease(now);
   }
   this->effects.emplace_back(SendList{*this->upstream, number, order});
 }
@@ -377,6 +361,20 @@
   for (const std::string& name : all) this->End(name, result, now);
 }
 
+Duration LeasedUpstream::ExtendLease(SteadyTime now) {
+  this->lease_over = now +
+                     this->settings.maximum_lease *
+                         (kPercent + kClockErrorPercent) / kPercent +
+                     kLapseSlack;
+  return this->UpstreamClock(now) + this->settings.maximum_lease;
+}
+
+void LeasedUpstream::LeapAbove(FencingToken refused) {
+  // Other orders under the same token may have been refused before.
+  if (refused != this->token) return;
+  this->token = FencingToken(this->token.value() + kTokenLeap);
+}
+
 void LeasedUpstream::RaiseToken() {
   this->token = FencingToken(this->token.value() + 1);
 }
--- a/libraries/upstream_session/leased_upstream.h
+++ b/libraries/upstream_session/leased_upstream.h
@@ -123,7 +123,12 @@
   bool StopStrangers(const ListAnswer& list);
   void End(const std::string& name, UpstreamResult result, SteadyTime now);
   void EndAll(UpstreamResult result, SteadyTime now);
+  // The end of a lease that begins now, on the upstream's clock; notes when it
+  // must be over on ours.
+  Duration ExtendLease(SteadyTime now);
   void RaiseToken();
+  // The upstream has seen a higher token than `refused`.
+  void LeapAbove(FencingToken refused);
   void NoteClock(const OrderAnswer& answer, SteadyTime now);
   void NoteAnswered(SteadyTime now);
   void NoteFailed(SteadyTime now);
