services: Put changed settings into force without a restart; take the platform's bounds from its settings

Cause: SIGHUP only checked the file, and a change without a signal went unnoticed. The lease, the time in which callers still come after a planned stop, and the time until a stopping process is killed were constants that fit the two sites seen; a deployment with longer leases would have broken the lease argument (tasks run again while their first run may go on). Change: the file is read again each second and at SIGHUP. "IP:PORT" is read in one place (libraries/protocol/endpoint) instead of three. Tests: platform_test settings (fails before: no entry followed its file), settings_test tables.

--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -22,7 +22,7 @@
   Duration heartbeat_interval = std::chrono::milliseconds(150);
   // Without a word from an entry that has heard this agent for this long, the
   // upstream's lease is renewed no more.
-  Duration contact_limit = std::chrono::milliseconds(450);
+  Duration contact_limit = kContactLimit;
 };
 BOOST_DESCRIBE_STRUCT(StartedSetLimits, (),
                       (maximum_tasks, maximum_answer_bytes, duplicate_window))
--- a/libraries/configuration/object_reader.cc
+++ b/libraries/configuration/object_reader.cc
@@ -79,6 +79,21 @@
                                       : this->Milliseconds(name, range);
 }
 
+Duration ObjectReader::SecondsOr(const std::string& name, IntegerRange range,
+                                 Duration fallback) {
+  const nlohmann::json* field = this->Field(name);
+  if (field == nullptr) return fallback;
+  const double wanted = field->is_number() ? field->get<double>() : -1;
+  const auto milliseconds = static_cast<std::int64_t>(wanted * 1000);
+  if (milliseconds < range.minimum || milliseconds > range.maximum) {
+    this->Problem(name, "must be a number of seconds from " +
+                            std::to_string(range.minimum / 1000) + " to " +
+                            std::to_string(range.maximum / 1000));
+    return fallback;
+  }
+  return std::chrono::milliseconds(milliseconds);
+}
+
 std::string ObjectReader::Text(const std::string& name) {
   const nlohmann::json* field = this->RequiredField(name);
   if (field == nullptr) return {};
--- a/libraries/configuration/object_reader.h
+++ b/libraries/configuration/object_reader.h
@@ -42,6 +42,10 @@
   Duration Milliseconds(const std::string& name, IntegerRange range);
   Duration MillisecondsOr(const std::string& name, IntegerRange range,
                           Duration fallback);
+  // A field in seconds, whole or with a fraction; the range is in
+  // milliseconds.
+  Duration SecondsOr(const std::string& name, IntegerRange range,
+                     Duration fallback);
   // A string that is not empty.
   std::string Text(const std::string& name);
   std::string TextOr(const std::string& name, std::string fallback);
--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -1,8 +1,6 @@
 #include "libraries/configuration/settings.h"
 
-#include <algorithm>
 #include <boost/asio/ip/address.hpp>
-#include <charconv>
 
 #include "libraries/configuration/object_reader.h"
 
@@ -18,6 +16,8 @@
 constexpr IntegerRange kSuspectRangeMilliseconds{100, 60'000};
 constexpr IntegerRange kRemoveRangeMilliseconds{200, 600'000};
 constexpr IntegerRange kLeaseRangeMilliseconds{200, 600'000};
+constexpr IntegerRange kDrainRangeMilliseconds{0, 600'000};
+constexpr IntegerRange kStopRangeMilliseconds{1'000, 3'600'000};
 constexpr IntegerRange kWriteIntervalRangeMilliseconds{100, 3'600'000};
 
 constexpr std::int64_t kDefaultThreads = 2;
@@ -30,6 +30,11 @@
 constexpr Duration kDefaultSuspectAfter = std::chrono::milliseconds(1'000);
 constexpr Duration kDefaultRemoveAfter = std::chrono::milliseconds(5'000);
 constexpr Duration kDefaultLease = std::chrono::seconds(10);
+constexpr Duration kDefaultDrainAccepts = std::chrono::milliseconds(2'000);
+constexpr Duration kDefaultStopWithin = std::chrono::seconds(6);
+// What a planned stop needs after callers were closed, to answer them and to
+// hand over.
+constexpr Duration kShortestHandOver = std::chrono::milliseconds(1'000);
 constexpr Duration kDefaultWriteInterval = std::chrono::seconds(10);
 
 void CheckAddress(ObjectReader& reader, const std::string& name,
@@ -39,27 +44,16 @@
   if (error) reader.Problem(name, "must be an IP number");
 }
 
-// Reads "ADDRESS:PORT".
-Endpoint ParseEndpoint(ObjectReader& reader, const std::string& name) {
-  const std::string text = reader.Text(name);
-  Endpoint endpoint;
-  const std::size_t colon = text.rfind(':');
-  const char* port = text.data() + std::min(colon + 1, text.size());
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(port, end, endpoint.port);
-  const bool valid = colon != std::string::npos && parsed.ec == std::errc() &&
-                     parsed.ptr == end && endpoint.port != 0;
-  if (!valid) {
-    reader.Problem(name, "must be \"ADDRESS:PORT\" or an object of both");
-    return endpoint;
-  }
-  endpoint.address = text.substr(0, colon);
-  CheckAddress(reader, name, endpoint);
-  return endpoint;
+Endpoint ReadEndpointText(ObjectReader& reader, const std::string& name) {
+  return OrElse([&] { return ParseEndpoint(reader.Text(name)); },
+                [&](const std::string& problem) {
+                  reader.Problem(name, problem + " or an object of both");
+                  return Endpoint();
+                });
 }
 
 Endpoint ReadEndpoint(ObjectReader& reader, const std::string& name) {
-  if (reader.IsText(name)) return ParseEndpoint(reader, name);
+  if (reader.IsText(name)) return ReadEndpointText(reader, name);
   ObjectReader nested = reader.Object(name);
   Endpoint endpoint;
   endpoint.address = nested.Text("address");
@@ -112,7 +106,17 @@
       "suspect_after_ms", kSuspectRangeMilliseconds, kDefaultSuspectAfter);
   settings.remove_after = reader.MillisecondsOr(
       "remove_after_ms", kRemoveRangeMilliseconds, kDefaultRemoveAfter);
+  settings.lease =
+      reader.MillisecondsOr("lease_ms", kLeaseRangeMilliseconds, kDefaultLease);
+  settings.drain_accepts = reader.MillisecondsOr(
+      "drain_accepts_ms", kDrainRangeMilliseconds, kDefaultDrainAccepts);
+  settings.stop_within = reader.SecondsOr(
+      "stop_within_s", kStopRangeMilliseconds, kDefaultStopWithin);
   settings.recording = ReadRecording(reader);
+  if (settings.stop_within < settings.drain_accepts + kShortestHandOver) {
+    reader.Problem("stop_within_s",
+                   "must be at least 1 s above drain_accepts_ms");
+  }
   if (settings.remove_after < settings.suspect_after) {
     reader.Problem("remove_after_ms", "must not be below suspect_after_ms");
   }
--- a/libraries/configuration/settings.h
+++ b/libraries/configuration/settings.h
@@ -2,9 +2,11 @@
 #define DANDELIONSPUR_LIBRARIES_CONFIGURATION_SETTINGS_H_
 
 #include <boost/describe.hpp>
+#include <boost/mp11.hpp>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "libraries/base/error.h"
 #include "libraries/base/identifiers.h"
@@ -19,6 +21,7 @@
   std::uint64_t spool_bytes = 0;
   // Least time between two writes to the object store.
   Duration write_interval{};
+  auto operator<=>(const RecordingSettings&) const = default;
 };
 
 // How an agent and its upstream talk.
@@ -45,8 +48,19 @@
   Duration suspect_after{};
   // Silence after which an entry is taken out of the view.
   Duration remove_after{};
+  // Longest lease under which any agent lets an upstream run tasks.
+  Duration lease{};
+  // After a request to stop, callers may still come for this long.
+  Duration drain_accepts{};
+  // After a request to stop, the process is killed by then.
+  Duration stop_within{};
   RecordingSettings recording;
 };
+BOOST_DESCRIBE_STRUCT(EntrySettings, (),
+                      (data_centre, callers, readiness, peers, admin, table,
+                       input_output_threads, bucket_count, duplicate_window,
+                       suspect_after, remove_after, lease, drain_accepts,
+                       stop_within, recording))
 
 struct AgentSettings {
   DataCentreName data_centre;
@@ -68,12 +82,33 @@
   Duration lease{};
   RecordingSettings recording;
 };
+BOOST_DESCRIBE_STRUCT(AgentSettings, (),
+                      (data_centre, admin, upstream_protocol, announcements,
+                       input_output_threads, table, upstream_connections,
+                       bucket_count, maximum_remembered_tasks,
+                       maximum_answer_bytes, duplicate_window, lease,
+                       recording))
 
 Result<EntrySettings> ParseEntrySettings(const std::string& text,
                                          const std::string& source);
 Result<AgentSettings> ParseAgentSettings(const std::string& text,
                                          const std::string& source);
 
+// The names of the settings that differ.
+template <typename Settings>
+std::vector<std::string> ChangedSettings(const Settings& before,
+                                         const Settings& after) {
+  std::vector<std::string> changed;
+  boost::mp11::mp_for_each<
+      boost::describe::describe_members<Settings, boost::describe::mod_public>>(
+      [&](auto member) {
+        if (!(before.*member.pointer == after.*member.pointer)) {
+          changed.emplace_back(member.name);
+        }
+      });
+  return changed;
+}
+
 }  // namespace dandelionspur
 
 #endif  // DANDELIONSPUR_LIBRARIES_CONFIGURATION_SETTINGS_H_
--- a/libraries/entry_core/entry_core_settings.h
+++ b/libraries/entry_core/entry_core_settings.h
@@ -6,9 +6,22 @@
 
 #include "libraries/base/identifiers.h"
 #include "libraries/base/time.h"
+#include "libraries/protocol/agent_messages.h"
 
 namespace dandelionspur {
 
+// How long after the last contact between an agent and any entry nothing that
+// the agent has started can still be running: it renews no lease without
+// contact, and the upstream, whose clock may be slow, ends what has lapsed a
+// little later. docs/design/platform.md has the argument.
+[[nodiscard]] constexpr Duration LeaseOverAfter(Duration lease) {
+  constexpr std::int64_t kSlowClockPercent = 102;
+  constexpr Duration kLapseSlack = std::chrono::milliseconds(150);
+  constexpr Duration kMargin = std::chrono::milliseconds(80);
+  return kContactLimit + lease * kSlowClockPercent / 100 + kLapseSlack +
+         kMargin;
+}
+
 struct EntryCoreSettings {
   EntryId self;
   // Same for all entries and agents, for ever.
@@ -22,10 +35,7 @@
   Duration heartbeat_interval = std::chrono::milliseconds(150);
   // Least time between two answers to one agent's heartbeats.
   Duration agent_reply_interval = std::chrono::milliseconds(100);
-  // After this long without contact to any entry, nothing that an agent has
-  // started can still be running: the agent's contact limit, the upstream's
-  // lease, and some slack.
-  Duration lease_over_after = std::chrono::milliseconds(1700);
+  Duration lease_over_after = LeaseOverAfter(std::chrono::seconds(1));
   // After a request to drain, callers still come for this long.
   Duration drain_accepts = std::chrono::milliseconds(2100);
   // After a request to drain, the entry ends by then, also as a member.
--- a/libraries/network/bind_acceptor.cc
+++ b/libraries/network/bind_acceptor.cc
@@ -29,8 +29,8 @@
   const boost::system::error_code error =
       TryBind(acceptor, ToTcpEndpoint(endpoint));
   if (!error) return {};
-  return Fail("can't listen on " + endpoint.address + ":" +
-              std::to_string(endpoint.port) + ": " + error.message());
+  return Fail("can't listen on " + EndpointText(endpoint) + ": " +
+              error.message());
 }
 
 }  // namespace dandelionspur
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -15,6 +15,10 @@
 
 namespace dandelionspur {
 
+// Without a word from an entry that has heard an agent for this long, the
+// agent renews the lease of its upstream no more. Three heartbeats.
+inline constexpr Duration kContactLimit = std::chrono::milliseconds(450);
+
 struct TaskId {
   JobKey key;
   TaskIndex task;
--- a/libraries/protocol/view.h
+++ b/libraries/protocol/view.h
@@ -8,17 +8,10 @@
 
 #include "libraries/base/identifiers.h"
 #include "libraries/base/time.h"
+#include "libraries/protocol/endpoint.h"
 
 namespace dandelionspur {
 
-// Where a process listens: an IP number and a TCP port.
-struct Endpoint {
-  std::string address;
-  std::uint16_t port = 0;
-  auto operator<=>(const Endpoint&) const = default;
-};
-BOOST_DESCRIBE_STRUCT(Endpoint, (), (address, port))
-
 struct ViewMember {
   EntryId entry;
   // For other entries and for agents.
--- a/libraries/recording/recorder.h
+++ b/libraries/recording/recorder.h
@@ -63,6 +63,9 @@
     }
   }
 
+  // Changes the bound on the part that the object store has not taken.
+  void LimitSpool(std::size_t bytes) { this->maximum_spool = bytes; }
+
   // The oldest segment that the object store has not taken.
   [[nodiscard]] const FinishedSegment* Oldest() const {
     return this->spool.empty() ? nullptr : &this->spool.front();
--- a/meta/cluster.py
+++ b/meta/cluster.py
@@ -111,16 +111,26 @@
     def announcement_port(self, agent):
         return self.base_port + 200 + agent
 
+    def unused_port(self):
+        return self.base_port + 299
+
     def _start(self, name, arguments):
         process = Process(name, [str(argument) for argument in arguments], self.directory.name)
         self.all_processes.append(process)
         return process
 
-    def _settings(self, name, values):
+    def write_settings(self, name, values):
         path = pathlib.Path(self.directory.name) / f"{name}.json"
         path.write_text(json.dumps(values))
         return path
 
+    def read_settings(self, name):
+        return json.loads((pathlib.Path(self.directory.name) / f"{name}.json").read_text())
+
+    def log(self, name):
+        """What the process of this name has written so far."""
+        return (pathlib.Path(self.directory.name) / f"{name}.log").read_text(errors="replace")
+
     def start_table(self):
         self.table = self._start("table", [BUILD / "utilities/table-stand-in", "--port", self.table_port()])
 
@@ -134,7 +144,9 @@
             "table": endpoint(self.table_port()),
             **self.entry_settings,
         }
-        path = self._settings(f"entry-{entry}", settings)
+        if self.platform:
+            settings["lease_ms"] = 1000
+        path = self.write_settings(f"entry-{entry}", settings)
         self.entries[entry] = self._start(f"entry-{entry}", [BUILD / "services/dandelionspur-entry", "--settings", path])
 
     def start_agent(self, agent):
@@ -149,7 +161,7 @@
             settings["announcements"] = f"{LOOPBACK}:{self.announcement_port(agent)}"
             settings["lease_ms"] = 1000
             settings["input_output_threads"] = 0
-        path = self._settings(f"agent-{agent}", settings)
+        path = self.write_settings(f"agent-{agent}", settings)
         self.agents[agent] = self._start(f"agent-{agent}", [BUILD / "services/dandelionspur-agent", "--settings", path])
 
     def start_upstream(self, agent):
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -9,6 +9,7 @@
 #include "libraries/telemetry/log.h"
 #include "services/runtime/admin_routes.h"
 #include "services/runtime/daemon.h"
+#include "services/runtime/settings_reloader.h"
 
 namespace dandelionspur {
 namespace {
@@ -52,9 +53,7 @@
       static_cast<std::uint64_t>(reader.Integer("slots", kSlotRange));
   announcement.description.capacity.millicores = slots * kOneSlot.millicores;
   announcement.description.rack = reader.Text("rack");
-  announcement.description.upstream =
-      announcement.endpoint.address + ":" +
-      std::to_string(announcement.endpoint.port);
+  announcement.description.upstream = EndpointText(announcement.endpoint);
   boost::system::error_code error;
   asio::ip::make_address(announcement.endpoint.address, error);
   if (error) reader.Problem("address", "must be an IP number");
@@ -126,6 +125,14 @@
   this->Post(LeaveRequested{});
 }
 
+void AgentServer::Reconfigure(const AgentSettings& changed) {
+  LogReload(this->settings, changed, {"table", "recording"});
+  asio::post(this->core_thread.First(), [this, endpoint = changed.table] {
+    this->table->MoveTo(endpoint);
+  });
+  this->records->Reconfigure(changed.table, changed.recording);
+}
+
 void AgentServer::Post(AgentEvent event) {
   asio::post(this->core_thread.First(),
              [this, posted = std::move(event)] { this->Handle(posted); });
--- a/services/agent/agent_server.h
+++ b/services/agent/agent_server.h
@@ -28,6 +28,10 @@
   // Begins a planned stop: refuses starts at once, ends when nothing runs.
   void Drain();
 
+  // Puts changed settings into force where that needs no new start. Called
+  // from the thread that calls Drain().
+  void Reconfigure(const AgentSettings& changed);
+
  private:
   AgentServer(const AgentSettings& configured, AgentId own);
   Result<void> Listen();
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -9,6 +9,7 @@
 #include "platform/job_calls.h"
 #include "services/runtime/admin_routes.h"
 #include "services/runtime/daemon.h"
+#include "services/runtime/settings_reloader.h"
 
 namespace dandelionspur {
 namespace {
@@ -17,8 +18,13 @@
 namespace http = boost::beast::http;
 
 constexpr std::chrono::milliseconds kTickInterval{50};
-// After the last caller was taken in: the platform ends the process soon.
-constexpr std::chrono::milliseconds kLongestDrain{3200};
+// Callers hear of a planned stop with some delay.
+constexpr std::chrono::milliseconds kDrainSlack{100};
+// After the last caller was taken in, the buckets are handed over by then or
+// left to be taken over.
+constexpr std::chrono::milliseconds kLongestHandOver{2400};
+// The process ends this long before it would be killed.
+constexpr std::chrono::milliseconds kStopSlack{700};
 constexpr unsigned kOk = 200;
 constexpr unsigned kAccepted = 202;
 constexpr unsigned kNotFound = 404;
@@ -31,6 +37,10 @@
   core.duplicate_window = settings.duplicate_window;
   core.suspect_after = settings.suspect_after;
   core.remove_after = settings.remove_after;
+  core.lease_over_after = LeaseOverAfter(settings.lease);
+  core.drain_accepts = settings.drain_accepts + kDrainSlack;
+  core.drain_limit = std::min(core.drain_accepts + kLongestHandOver,
+                              settings.stop_within - kStopSlack);
   core.placement_seed = self.value();
   return core;
 }
@@ -136,11 +146,19 @@
   });
 }
 
+void EntryServer::Reconfigure(const EntrySettings& changed) {
+  LogReload(this->settings, changed, {"table", "recording"});
+  this->table->MoveTo(changed.table);
+  this->records->Reconfigure(changed.table, changed.recording);
+}
+
 void EntryServer::StopServingCallers() {
   LogStateChange("callers_closed", {});
   this->caller_server->StopAccepting();
   this->caller_server->CloseIdle();
-  this->drain_timer.expires_after(kLongestDrain);
+  const EntryCoreSettings bounds = CoreSettings(this->settings, this->self);
+  this->drain_timer.expires_after(this->settings.stop_within - kStopSlack -
+                                  bounds.drain_accepts);
   this->drain_timer.async_wait([this](boost::system::error_code error) {
     if (error) return;
     LogStateChange("drain_overdue", {});
@@ -289,11 +307,9 @@
   }
   nlohmann::json members = nlohmann::json::array();
   for (const ViewMember& member : this->core.view().members) {
-    members.push_back(
-        {{"entry", std::to_string(member.entry.value())},
-         {"data_centre", member.data_centre.value()},
-         {"admin", member.admin_endpoint.address + ":" +
-                       std::to_string(member.admin_endpoint.port)}});
+    members.push_back({{"entry", std::to_string(member.entry.value())},
+                       {"data_centre", member.data_centre.value()},
+                       {"admin", EndpointText(member.admin_endpoint)}});
   }
   nlohmann::json agents = nlohmann::json::array();
   for (const auto& [id, agent] : this->core.agents().all()) {
@@ -303,7 +319,7 @@
         {{"agent", std::to_string(id.value())},
          {"service", agent.description->service.value()},
          {"upstream", agent.description->upstream},
-         {"admin", admin.address + ":" + std::to_string(admin.port)},
+         {"admin", EndpointText(admin)},
          {"cores", agent.description->capacity.millicores / kMillicoresPerCore},
          {"connected", agent.connected},
          {"ready", agent.ready},
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -31,6 +31,10 @@
   // Begins a planned stop; the process's lifetime ends when it is done.
   void Drain();
 
+  // Puts changed settings into force where that needs no new start. Called
+  // from the thread that calls Drain().
+  void Reconfigure(const EntrySettings& changed);
+
  private:
   explicit EntryServer(const EntrySettings& configured, EntryId self);
   Result<void> Listen();
--- a/services/entry/table_watcher.cc
+++ b/services/entry/table_watcher.cc
@@ -73,6 +73,10 @@
   });
 }
 
+void TableWatcher::MoveTo(const Endpoint& endpoint) {
+  asio::post(this->context, [this, endpoint] { this->table.MoveTo(endpoint); });
+}
+
 void TableWatcher::StopJoining() {
   asio::post(this->context, [this] { this->joining = false; });
 }
--- a/services/entry/table_watcher.h
+++ b/services/entry/table_watcher.h
@@ -48,6 +48,8 @@
   TableWatcher& operator=(const TableWatcher&) = delete;
 
   void Start();
+  // The table service has another address from now on.
+  void MoveTo(const Endpoint& endpoint);
   // Writes `view` if the table still holds its predecessor.
   void Propose(const View& view);
   // From now on a view without this entry is as it should be.
--- a/services/runtime/daemon.cc
+++ b/services/runtime/daemon.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -22,6 +23,9 @@
 // Names the settings file where the command line does not.
 constexpr const char* kSettingsVariable = "DANDELIONSPUR_CONFIG";
 
+// How soon changed settings are noticed without a signal.
+constexpr std::chrono::seconds kReloadInterval{1};
+
 }  // namespace
 
 DaemonCommand ParseDaemonCommand(const std::string& program,
@@ -81,6 +85,16 @@
     });
   };
   await_hangup();
+  boost::asio::steady_timer reload_timer(MainContext());
+  std::function<void()> await_change = [&] {
+    reload_timer.expires_after(kReloadInterval);
+    reload_timer.async_wait([&](boost::system::error_code error) {
+      if (error) return;
+      reload();
+      await_change();
+    });
+  };
+  await_change();
   boost::asio::signal_set signals(MainContext(), SIGTERM, SIGINT);
   signals.async_wait([&](boost::system::error_code error, int) {
     if (error) return;
--- a/services/runtime/daemon.h
+++ b/services/runtime/daemon.h
@@ -32,7 +32,8 @@
 std::uint64_t NewIncarnation();
 
 // Calls `stop` once at SIGTERM or SIGINT; from then on these signals end the
-// process. Calls `reload` at each SIGHUP. Returns when `Finish` is called from
+// process. Calls `reload` at each SIGHUP, and often enough to notice changed
+// settings without one. Returns when `Finish` is called from
 // any thread; may be run again after that.
 class Lifetime {
  public:
--- a/services/runtime/record_keeper.h
+++ b/services/runtime/record_keeper.h
@@ -44,6 +44,16 @@
     });
   }
 
+  // Puts changed settings into force, from any thread.
+  void Reconfigure(const Endpoint& table_endpoint,
+                   const RecordingSettings& changed) {
+    boost::asio::post(this->context, [this, table_endpoint, changed] {
+      this->table.MoveTo(table_endpoint);
+      this->settings = changed;
+      this->recorder.LimitSpool(changed.spool_bytes);
+    });
+  }
+
   // From any thread, in the order of the steps. The recorder's thread takes
   // them over in batches, since waking it for each would cost more than the
   // step itself.
--- a/services/runtime/run_daemon.h
+++ b/services/runtime/run_daemon.h
@@ -2,20 +2,23 @@
 #define DANDELIONSPUR_SERVICES_RUNTIME_RUN_DAEMON_H_
 
 #include <iostream>
+#include <optional>
 #include <string>
 
 #include "libraries/configuration/object_reader.h"
 #include "libraries/telemetry/log.h"
 #include "services/runtime/daemon.h"
+#include "services/runtime/settings_reloader.h"
 
 namespace dandelionspur {
 
-// A server that a daemon runs: created from checked settings, drained at the
-// first signal.
+// A server that a daemon runs: created from checked settings, told of changed
+// ones, drained at the first signal.
 template <typename Server, typename Settings>
 concept DaemonServer = requires(Server& server, const Settings& settings) {
   Server::Create(settings);
   server.Drain();
+  server.Reconfigure(settings);
 };
 
 struct DaemonIdentity {
@@ -27,22 +30,6 @@
   std::string description;
 };
 
-// Logs whether the settings file could be loaded now. Every setting that a
-// process reads takes effect at its next start.
-template <typename Settings>
-void CheckReload(const std::string& path,
-                 Result<Settings> (*parse)(const std::string& text,
-                                           const std::string& source)) {
-  const std::string outcome = OrElse(
-      [&]() -> Result<std::string> {
-        BOOST_LEAF_AUTO(text, ReadFile(path));
-        BOOST_LEAF_CHECK(parse(text, path));
-        return std::string("valid");
-      },
-      [](const std::string& problem) { return problem; });
-  LogStateChange("reload", {{"settings", outcome}});
-}
-
 // The whole of a daemon's main(): command line, settings, run, exit code.
 template <typename Server, typename Settings>
 requires DaemonServer<Server, Settings>
@@ -58,9 +45,15 @@
         BOOST_LEAF_AUTO(text, ReadFile(command.settings_path));
         BOOST_LEAF_AUTO(settings, parse(text, command.settings_path));
         if (command.check_only) return ExitCode::kSuccess;
-        const auto reload = [&] { CheckReload(command.settings_path, parse); };
+        SettingsReloader<Settings> reloader(command.settings_path, parse, text);
         for (;;) {
           BOOST_LEAF_AUTO(server, Server::Create(settings));
+          const auto reload = [&] {
+            const std::optional<Settings> changed = reloader.ReadChange();
+            if (!changed) return;
+            settings = *changed;
+            server->Reconfigure(settings);
+          };
           Lifetime::Run([&] { server->Drain(); }, reload);
           // Out of the view, a process can only begin anew; its memory of
           // before is worth nothing.
--- a/tests/configuration/settings_test.cc
+++ b/tests/configuration/settings_test.cc
@@ -130,7 +130,28 @@
                         "table": {"address": "127.0.0.1", "port": 1}})",
                     "file.json: field \"admin.port\" must be an integer from 1 "
                     "to 65535",
-                    AgentProblem}),
+                    AgentProblem},
+        ProblemCase{"TextIsNotAnEndpoint",
+                    R"({"data_centre": "d", "admin": "127.0.0.1",
+                        "table": "127.0.0.1:1"})",
+                    "file.json: field \"admin\" must be \"IP:PORT\" or an "
+                    "object of both",
+                    AgentProblem},
+        ProblemCase{"StopsBeforeItHasHandedOver",
+                    R"({"data_centre": "d", "callers": "127.0.0.1:1",
+                        "peers": "127.0.0.1:2", "admin": "127.0.0.1:3",
+                        "table": "127.0.0.1:4",
+                        "drain_accepts_ms": 2000, "stop_within_s": 2.5})",
+                    "file.json: field \"stop_within_s\" must be at least 1 s "
+                    "above drain_accepts_ms",
+                    EntryProblem},
+        ProblemCase{"SecondsAsText",
+                    R"({"data_centre": "d", "callers": "127.0.0.1:1",
+                        "peers": "127.0.0.1:2", "admin": "127.0.0.1:3",
+                        "table": "127.0.0.1:4", "stop_within_s": "6"})",
+                    "file.json: field \"stop_within_s\" must be a number of "
+                    "seconds from 1 to 3600",
+                    EntryProblem}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
 TEST(ParseJsonTest, BrokenTextIsOneClearLine) {
@@ -139,5 +160,15 @@
   EXPECT_EQ(problem.find('\n'), std::string::npos);
 }
 
+TEST(ChangedSettingsTest, NamesWhatDiffers) {
+  EntrySettings before;
+  EntrySettings after = before;
+  EXPECT_EQ(ChangedSettings(before, after), std::vector<std::string>());
+  after.table = {"127.0.0.1", 1};
+  after.recording.spool_bytes = 7;
+  EXPECT_EQ(ChangedSettings(before, after),
+            (std::vector<std::string>{"table", "recording"}));
+}
+
 }  // namespace
 }  // namespace dandelionspur
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -53,6 +53,23 @@
         done = [run for run in cluster.runs() if run["how"] == "done"]
         self.assertEqual(len(done), 600)
 
+    def test_settings_change_without_a_restart(self):
+        cluster = self.cluster(entries=2, agents=1)
+        settings = cluster.read_settings("entry-0")
+        nobody_there = {"address": "127.0.0.1", "port": cluster.unused_port()}
+        reaches = lambda wanted: f"dandelionspur_table_reachable {wanted}".encode() in call(
+            "GET", cluster.entry_admin_port(0), "/metrics")[1]
+        cluster.wait_for(lambda: reaches(1), "the table", 10)
+        cluster.write_settings("entry-0", {**settings, "table": nobody_there})
+        cluster.wait_for(lambda: reaches(0), "the change without a signal", 10)
+        cluster.write_settings("entry-0", settings)
+        cluster.entries[0].signal(signal.SIGHUP)
+        cluster.wait_for(lambda: reaches(1), "the change with a signal", 10)
+        # A file with a problem changes nothing, and is told of.
+        cluster.write_settings("entry-0", {**settings, "bucket_count": 0})
+        cluster.wait_for(lambda: "event=settings_rejected" in cluster.log("entry-0"), "the rejection", 5)
+        self.check_completed(self.answers(self.submit_many(cluster, 10, "20")))
+
     def test_a_task_that_fails_runs_again_up_to_its_limit(self):
         cluster = self.cluster(agents=2)
         status, answer = cluster.submit_to_queue(0, "00000000000000aa", "20 fail", 1)
--- a/utilities/dandelionspur/operator_client.cc
+++ b/utilities/dandelionspur/operator_client.cc
@@ -1,7 +1,5 @@
 #include "utilities/dandelionspur/operator_client.h"
 
-#include <boost/asio/ip/address.hpp>
-#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -17,23 +15,6 @@
 
 }  // namespace
 
-Result<Endpoint> ParseEndpoint(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  Endpoint endpoint;
-  boost::system::error_code error;
-  if (colon != std::string::npos) {
-    endpoint.address = text.substr(0, colon);
-    boost::asio::ip::make_address(endpoint.address, error);
-    const char* end = text.data() + text.size();
-    const auto parsed =
-        std::from_chars(text.data() + colon + 1, end, endpoint.port);
-    const bool valid = !error && parsed.ec == std::errc() &&
-                       parsed.ptr == end && endpoint.port > 0;
-    if (valid) return endpoint;
-  }
-  return Fail("\"" + text + "\" must be IP:PORT");
-}
-
 AdminReply OperatorClient::Send(const Endpoint& endpoint, http::verb verb,
                                 const std::string& path,
                                 const std::string& body) {
@@ -82,8 +63,7 @@
     const AdminReply unsent =
         this->Send(process, http::verb::get, "/v1/records", "");
     if (unsent.status != kOk) continue;
-    BOOST_LEAF_CHECK(archive.AddList(
-        unsent.body, process.address + ":" + std::to_string(process.port)));
+    BOOST_LEAF_CHECK(archive.AddList(unsent.body, EndpointText(process)));
   }
   boost::asio::io_context context(1);
   TableClient client(context, table);
--- a/utilities/dandelionspur/operator_client.h
+++ b/utilities/dandelionspur/operator_client.h
@@ -11,9 +11,6 @@
 
 namespace dandelionspur {
 
-// "IP:PORT".
-Result<Endpoint> ParseEndpoint(const std::string& text);
-
 struct AdminReply {
   // 0 where no answer came.
   unsigned status = 0;
