decision_log: Write a structured line for each decision, with all steps of what went wrong

Cause: the log named changes of state only; from a failed request's id nothing led to its cause but the records. Change: libraries/decision_log turns each core step into typed events (log_events.h, one struct a kind). Steps of a job are kept in memory and written only if the job fails, is refused, is late or has a task retried; of the others a share by the hash of the key, the same in every process. Lines pass a budget with a share for beliefs, failures and details; what is left out is counted by kind. spdlog's asynchronous logger with overrun takes the place of easylogging++, which can block the thread that logs; the sink writes past stdio, so that an output that nobody reads can't hold up the end of the process either. The cores tell two decisions more (JobRefused with its inputs, AgentLost), and which task is retried. Metrics: refusals_decided_total, stage_seconds, oldest_agent_report_seconds, log_*. docs/OPERATIONS.md takes over docs/operating.md, with three walks from a request's id to its cause; operations_test runs the page's commands against three real failures and checks that every metric is on the page. Tests: telemetry_test, decision_log_test, operations_test, platform_test (unread output: fails if the writer blocks).

--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -18,6 +18,8 @@
 constexpr IntegerRange kLeaseRangeMilliseconds{200, 600'000};
 constexpr IntegerRange kDrainRangeMilliseconds{0, 600'000};
 constexpr IntegerRange kStopRangeMilliseconds{1'000, 3'600'000};
+constexpr IntegerRange kLogLineRange{0, 100'000};
+constexpr IntegerRange kFollowedRange{0, 1'000};
 constexpr IntegerRange kWriteIntervalRangeMilliseconds{100, 3'600'000};
 
 constexpr std::int64_t kDefaultThreads = 2;
@@ -35,6 +37,9 @@
 // What a planned stop needs after callers were closed, to answer them and to
 // hand over.
 constexpr Duration kShortestHandOver = std::chrono::milliseconds(1'000);
+// About 45 KB/s of log at most.
+constexpr std::uint32_t kDefaultLogLines = 300;
+constexpr std::uint32_t kDefaultJobsFollowed = 10;
 constexpr Duration kDefaultWriteInterval = std::chrono::seconds(10);
 
 void CheckAddress(ObjectReader& reader, const std::string& name,
@@ -83,6 +88,19 @@
   return settings;
 }
 
+LogSettings ReadLog(ObjectReader& reader) {
+  LogSettings settings{kDefaultLogLines, kDefaultJobsFollowed};
+  if (!reader.Has("log")) return settings;
+  ObjectReader nested = reader.Object("log");
+  settings.lines_per_second = static_cast<std::uint32_t>(
+      nested.IntegerOr("lines_per_second", kLogLineRange, kDefaultLogLines));
+  settings.jobs_followed_per_thousand =
+      static_cast<std::uint32_t>(nested.IntegerOr(
+          "jobs_followed_per_thousand", kFollowedRange, kDefaultJobsFollowed));
+  reader.Absorb(nested);
+  return settings;
+}
+
 }  // namespace
 
 Result<EntrySettings> ParseEntrySettings(const std::string& text,
@@ -113,6 +131,7 @@
   settings.stop_within = reader.SecondsOr(
       "stop_within_s", kStopRangeMilliseconds, kDefaultStopWithin);
   settings.recording = ReadRecording(reader);
+  settings.log = ReadLog(reader);
   if (settings.stop_within < settings.drain_accepts + kShortestHandOver) {
     reader.Problem("stop_within_s",
                    "must be at least 1 s above drain_accepts_ms");
@@ -156,6 +175,7 @@
   settings.lease =
       reader.MillisecondsOr("lease_ms", kLeaseRangeMilliseconds, kDefaultLease);
   settings.recording = ReadRecording(reader);
+  settings.log = ReadLog(reader);
   BOOST_LEAF_CHECK(reader.Finish());
   return settings;
 }
--- a/libraries/configuration/settings.h
+++ b/libraries/configuration/settings.h
@@ -12,6 +12,7 @@
 #include "libraries/base/identifiers.h"
 #include "libraries/base/time.h"
 #include "libraries/protocol/view.h"
+#include "libraries/telemetry/log.h"
 
 namespace dandelionspur {
 
@@ -55,12 +56,13 @@
   // After a request to stop, the process is killed by then.
   Duration stop_within{};
   RecordingSettings recording;
+  LogSettings log;
 };
 BOOST_DESCRIBE_STRUCT(EntrySettings, (),
                       (data_centre, callers, readiness, peers, admin, table,
                        input_output_threads, bucket_count, duplicate_window,
                        suspect_after, remove_after, lease, drain_accepts,
-                       stop_within, recording))
+                       stop_within, recording, log))
 
 struct AgentSettings {
   DataCentreName data_centre;
@@ -81,13 +83,14 @@
   // of it.
   Duration lease{};
   RecordingSettings recording;
+  LogSettings log;
 };
 BOOST_DESCRIBE_STRUCT(AgentSettings, (),
                       (data_centre, admin, upstream_protocol, announcements,
                        input_output_threads, table, upstream_connections,
                        bucket_count, maximum_remembered_tasks,
-                       maximum_answer_bytes, duplicate_window, lease,
-                       recording))
+                       maximum_answer_bytes, duplicate_window, lease, recording,
+                       log))
 
 Result<EntrySettings> ParseEntrySettings(const std::string& text,
                                          const std::string& source);
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -480,6 +480,8 @@
   this->registry.MarkLost(agent, idle, this->current_time);
   this->registry.RecountCapacity();
   this->silent_agents.erase(agent);
+  this->outbox.Add(
+      AgentLost{agent, runs == AgentRuns::kOver, this->home.StartedAt(agent)});
   this->home.OnAgentLost(agent, runs, this->current_time);
 }
 
--- a/libraries/entry_core/entry_events.h
+++ b/libraries/entry_core/entry_events.h
@@ -2,6 +2,7 @@
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_ENTRY_EVENTS_H_
 
 #include <boost/describe.hpp>
+#include <cstdint>
 #include <variant>
 #include <vector>
 
@@ -146,12 +147,38 @@
 };
 BOOST_DESCRIBE_STRUCT(DocumentInForce, (), (document))
 
-// A start was refused and the task goes elsewhere.
+// A start was refused, or a run is over without success; the task is queued
+// again.
 struct RetryCounted {
   static constexpr const char* kName = "retry_counted";
+  TaskId task;
   Reason reason = Reason::kNoFreeSlot;
 };
-BOOST_DESCRIBE_STRUCT(RetryCounted, (), (reason))
+BOOST_DESCRIBE_STRUCT(RetryCounted, (), (task, reason))
+
+// The home has decided to refuse a job, and from what.
+struct JobRefused {
+  static constexpr const char* kName = "job_refused";
+  JobKey key;
+  Reason reason = Reason::kComplete;
+  std::uint32_t queued_tasks = 0;
+  // Until what is queued now has been started.
+  Duration expected_wait{};
+  // Processor cores of the service's upstreams.
+  std::uint64_t cores = 0;
+};
+BOOST_DESCRIBE_STRUCT(JobRefused, (),
+                      (key, reason, queued_tasks, expected_wait, cores))
+
+// An agent is taken for lost, and the tasks that were started there for ended.
+struct AgentLost {
+  static constexpr const char* kName = "agent_lost";
+  AgentId agent;
+  // Whether nothing that it started can still be running.
+  bool runs_are_over = false;
+  std::uint64_t tasks_started = 0;
+};
+BOOST_DESCRIBE_STRUCT(AgentLost, (), (agent, runs_are_over, tasks_started))
 
 BOOST_DEFINE_ENUM_CLASS(OwnershipPhase, kNone, kCollecting, kActive)
 
@@ -177,8 +204,8 @@
 
 using EntryEffect =
     std::variant<AnswerCaller, SendToPeer, SendToAgent, ProposeView,
-                 ViewInForce, DocumentInForce, RetryCounted, OwnershipChanged,
-                 RemovedFromView, EntryDrained>;
+                 ViewInForce, DocumentInForce, RetryCounted, JobRefused,
+                 AgentLost, OwnershipChanged, RemovedFromView, EntryDrained>;
 
 }  // namespace dandelionspur
 
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -159,11 +159,15 @@
   this->blocked.erase(job.submission.key);
   job.phase = JobPhase::kRefusing;
   job.refusal = reason;
-  const ServiceState* service = this->Service(job);
-  job.retry_after = kMinimumRetryAfter;
-  if (service != nullptr) {
-    job.retry_after += this->ExpectedWait(*service);
-  }
+  JobRefused refused{job.submission.key, reason};
+  if (const ServiceState* service = this->Service(job)) {
+    refused.queued_tasks = service->queued_tasks();
+    refused.expected_wait = this->ExpectedWait(*service);
+    refused.cores = static_cast<std::uint64_t>(
+        this->agents.CoresOf(job.submission.service));
+  }
+  job.retry_after = kMinimumRetryAfter + refused.expected_wait;
+  this->outbox.Add(refused);
   this->confirmer.Add(job.submission.key, job.submission.rerun);
   this->confirmer.Advance(now);
 }
@@ -679,7 +683,7 @@
     this->Refuse(job, Reason::kRetryBudgetExhausted, now);
     return;
   }
-  this->outbox.Add(RetryCounted{reason});
+  this->outbox.Add(RetryCounted{{job.submission.key, index}, reason});
   this->QueueTask(job, index);
 }
 
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -72,6 +72,11 @@
   void Dispatch(Timestamp now);
 
   [[nodiscard]] std::size_t size() const { return this->jobs.size(); }
+  // Tasks sent to the agent that have not ended.
+  [[nodiscard]] std::size_t StartedAt(AgentId agent) const {
+    const auto found = this->outstanding.find(agent);
+    return found == this->outstanding.end() ? 0 : found->second.size();
+  }
   [[nodiscard]] const KeptAnswer* FindAnswer(const JobKey& key) const {
     return this->kept.Find(key);
   }
--- a/libraries/telemetry/log.cc
+++ b/libraries/telemetry/log.cc
@@ -1,47 +1,189 @@
 #include "libraries/telemetry/log.h"
 
-#include <easylogging++.h>
+#include <spdlog/async.h>
+#include <spdlog/async_logger.h>
+#include <spdlog/sinks/base_sink.h>
+#include <unistd.h>
 
-#include <iostream>
-
-INITIALIZE_EASYLOGGINGPP
+#include <atomic>
+#include <cerrno>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
 
 namespace dandelionspur {
 namespace {
 
-// Quotes a value that would otherwise break the line into wrong pairs.
-std::string Quoted(const std::string& value) {
-  if (value.find_first_of(" \"\n=") == std::string::npos) return value;
-  std::string quoted = "\"";
-  for (const char character : value) {
-    if (character == '"') quoted.push_back('\\');
-    quoted.push_back(character == '\n' ? ' ' : character);
+constexpr LogSettings kDefaultSettings{300, 10};
+// Batches of lines that wait for the writer, 50 ms each at most; the oldest
+// gives way.
+constexpr std::size_t kQueuedBatches = 32;
+// How often what was left out is told of.
+constexpr Duration kSummaryInterval = std::chrono::seconds(1);
+// How long the last lines may take to be written.
+constexpr std::chrono::milliseconds kLongestFinish{200};
+
+// Lines that were not written, of one kind, since this was last told.
+struct LinesLeftOut {
+  static constexpr const char* kName = "lines_left_out";
+  std::string kind;
+  std::uint64_t count = 0;
+};
+BOOST_DESCRIBE_STRUCT(LinesLeftOut, (), (kind, count))
+
+// Writes past stdio, whose lock a blocked writer would hold at exit.
+class StandardOutputSink : public spdlog::sinks::base_sink<std::mutex> {
+ public:
+  [[nodiscard]] std::uint64_t batches() const { return this->written; }
+
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    const char* next = message.payload.data();
+    std::size_t left = message.payload.size();
+    while (left > 0) {
+      const ssize_t count = ::write(STDOUT_FILENO, next, left);
+      if (count < 0 && errno == EINTR) continue;
+      // Nobody can be told of a log that can't be written.
+      if (count <= 0) break;
+      next += count;
+      left -= static_cast<std::size_t>(count);
+    }
+    ++this->written;
+  }
+  void flush_() override {}
+
+ private:
+  std::atomic<std::uint64_t> written{0};
+};
+
+// The log of this process.
+class Log {
+ public:
+  explicit Log(const std::string& name)
+      : program(name),
+        budget(kDefaultSettings.lines_per_second),
+        sink(std::make_shared<StandardOutputSink>()),
+        pool(std::make_shared<spdlog::details::thread_pool>(kQueuedBatches, 1)),
+        logger(std::make_shared<spdlog::async_logger>(
+            name, this->sink, this->pool,
+            spdlog::async_overflow_policy::overrun_oldest)) {}
+
+  [[nodiscard]] std::string_view name() const { return this->program; }
+
+  void Configure(const LogSettings& settings) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->budget.SetRate(settings.lines_per_second);
+  }
+
+  bool Admit(LineClass line_class, std::string_view kind, std::size_t count,
+             Timestamp now) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->budget.Admit(line_class, count, now)) return true;
+    this->left_out[std::string(kind)] += count;
+    this->counts.left_out += count;
+    return false;
+  }
+
+  void Append(const std::string& lines, std::size_t count) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->collected.append(lines);
+    this->counts.written += count;
+  }
+
+  void Flush(Timestamp now) {
+    std::string batch;
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      this->Summarize(now);
+      batch.swap(this->collected);
+    }
+    if (!batch.empty()) this->logger->log(spdlog::level::info, batch);
+  }
+
+  void Finish() {
+    this->Flush(WallClockNow() + kSummaryInterval);
+    const auto end = std::chrono::steady_clock::now() + kLongestFinish;
+    while (std::chrono::steady_clock::now() < end) {
+      if (this->pool->queue_size() == 0) break;
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    // The queue may be empty while its last batch is being written.
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+
+  [[nodiscard]] LogCounts Count() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    LogCounts now = this->counts;
+    now.lost_batches = this->pool->overrun_counter();
+    return now;
   }
-  return quoted + "\"";
+
+ private:
+  void Summarize(Timestamp now) {
+    if (this->left_out.empty() || now < this->next_summary) return;
+    this->next_summary = now + kSummaryInterval;
+    for (const auto& [kind, count] : this->left_out) {
+      this->collected.append(
+          LogLine(this->program, LinesLeftOut{kind, count}, now));
+    }
+    this->left_out.clear();
+  }
+
+  std::string program;
+  std::mutex mutex;
+  // Guarded by the mutex.
+  LineBudget budget;
+  std::string collected;
+  std::map<std::string, std::uint64_t> left_out;
+  LogCounts counts;
+  Timestamp next_summary;
+  std::shared_ptr<StandardOutputSink> sink;
+  std::shared_ptr<spdlog::details::thread_pool> pool;
+  std::shared_ptr<spdlog::async_logger> logger;
+};
+
+// Never destroyed: its writer may be blocked when the process ends.
+Log*& Instance() {
+  static Log* log = nullptr;
+  return log;
 }
 
 }  // namespace
 
 void InitializeLogging(const std::string& program) {
-  el::Configurations configuration;
-  configuration.setToDefault();
-  configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
-  configuration.setGlobally(
-      el::ConfigurationType::Format,
-      "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level program=" + program +
-          " %msg");
-  el::Loggers::reconfigureAllLoggers(configuration);
-}
-
-void LogStateChange(std::string_view event,
-                    std::initializer_list<LogField> fields) {
-  std::string line = "event=";
-  line.append(event);
-  for (const LogField& field : fields) {
-    line.append(" ").append(field.key).append("=").append(Quoted(field.value));
-  }
-  LOG(INFO) << line;
+  Instance() = new Log(program);
+}
+
+void ConfigureLogging(const LogSettings& settings) {
+  if (Instance() != nullptr) Instance()->Configure(settings);
+}
+
+void FlushLog() {
+  if (Instance() != nullptr) Instance()->Flush(WallClockNow());
+}
+
+void FinishLog() {
+  if (Instance() != nullptr) Instance()->Finish();
+}
+
+LogCounts CountLog() {
+  return Instance() == nullptr ? LogCounts() : Instance()->Count();
+}
+
+std::string_view LogProgram() {
+  return Instance() == nullptr ? "" : Instance()->name();
+}
+
+bool AdmitLines(LineClass line_class, std::string_view kind, std::size_t count,
+                Timestamp now) {
+  return Instance() != nullptr &&
+         Instance()->Admit(line_class, kind, count, now);
+}
+
+void AppendLines(const std::string& lines, std::size_t count) {
+  if (Instance() != nullptr) Instance()->Append(lines, count);
 }
 
 }  // namespace dandelionspur
--- a/libraries/telemetry/metrics.cc
+++ b/libraries/telemetry/metrics.cc
@@ -37,12 +37,13 @@
       .Set(value);
 }
 
-void Metrics::Observe(const std::string& name, double seconds) {
-  prometheus::BuildHistogram()
+prometheus::Histogram& Metrics::TimesFor(const std::string& name,
+                                         const std::string& label,
+                                         const std::string& value) {
+  return prometheus::BuildHistogram()
       .Name("dandelionspur_" + name)
       .Register(*this->registry)
-      .Add({}, TimeBoundaries())
-      .Observe(seconds);
+      .Add({{label, value}}, TimeBoundaries());
 }
 
 std::string Metrics::Expose() const {
--- a/libraries/telemetry/metrics.h
+++ b/libraries/telemetry/metrics.h
@@ -25,13 +25,15 @@
   void Count(const std::string& name, const std::string& label,
              std::string_view value, double amount = 1);
   void Set(const std::string& name, double value);
-  // Records a time in seconds.
-  void Observe(const std::string& name, double seconds);
   [[nodiscard]] std::string Expose() const;
   // The counter of one label value; lives as long as this.
   prometheus::Counter& CounterFor(const std::string& name,
                                   const std::string& label,
                                   const std::string& value);
+  // The histogram, in seconds, of one label value; lives as long as this.
+  prometheus::Histogram& TimesFor(const std::string& name,
+                                  const std::string& label,
+                                  const std::string& value);
 
  private:
   std::shared_ptr<prometheus::Registry> registry;
--- a/meta/cluster.py
+++ b/meta/cluster.py
@@ -40,11 +40,13 @@
 class Process:
     """One process of the cluster."""
 
-    def __init__(self, name, arguments, log_directory):
+    def __init__(self, name, arguments, log_directory, unread_output=False):
         self.name = name
         self.log_path = pathlib.Path(log_directory) / f"{name}.log"
         self.log = open(self.log_path, "ab")
-        self.popen = subprocess.Popen(arguments, stdout=self.log, stderr=self.log)
+        # A pipe that nobody reads is full after 64 KiB.
+        output = subprocess.PIPE if unread_output else self.log
+        self.popen = subprocess.Popen(arguments, stdout=output, stderr=self.log)
 
     def signal(self, number):
         self.popen.send_signal(number)
@@ -72,7 +74,8 @@
 class Cluster:
     """A table stand-in, entries, and agents with their upstream stand-ins."""
 
-    def __init__(self, base_port, entries=2, agents=4, slots=8, slowness=None, entry_settings=None, agent_settings=None, platform=False):
+    def __init__(self, base_port, entries=2, agents=4, slots=8, slowness=None, entry_settings=None, agent_settings=None, platform=False,
+                 unread_output=False):
         self.base_port = base_port
         self.entry_count = entries
         self.agent_count = agents
@@ -82,6 +85,7 @@
         self.slowness = slowness or [1.0] * agents
         self.entry_settings = entry_settings or {}
         self.agent_settings = agent_settings or {}
+        self.unread_output = unread_output
         self.directory = tempfile.TemporaryDirectory(prefix="dandelionspur-")
         self.table = None
         self.entries = [None] * entries
@@ -115,7 +119,7 @@
         return self.base_port + 299
 
     def _start(self, name, arguments):
-        process = Process(name, [str(argument) for argument in arguments], self.directory.name)
+        process = Process(name, [str(argument) for argument in arguments], self.directory.name, self.unread_output)
         self.all_processes.append(process)
         return process
 
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -79,8 +79,11 @@
                                                         : *this->more_threads),
       refusals(this->metrics, "start_refusals_total"),
       core(CoreSettings(configured, own)),
+      log(this->core),
       tick_timer(this->core_thread.First()),
-      view_timer(this->core_thread.First()) {}
+      view_timer(this->core_thread.First()) {
+  this->log.Follow(configured.log.jobs_followed_per_thousand);
+}
 
 AgentServer::~AgentServer() {
   if (this->more_threads) this->more_threads->Stop();
@@ -116,19 +119,20 @@
     this->ScheduleTick();
     this->ScheduleViewRead(Duration());
   });
-  LogStateChange("started", {{"agent", std::to_string(this->self.value())}});
+  LogChange(ProcessStarted{this->self.value(), DANDELIONSPUR_VERSION});
   return {};
 }
 
 void AgentServer::Drain() {
-  LogStateChange("draining", {});
+  LogChange(ProcessDraining{});
   this->Post(LeaveRequested{});
 }
 
 void AgentServer::Reconfigure(const AgentSettings& changed) {
-  LogReload(this->settings, changed, {"table", "recording"});
-  asio::post(this->core_thread.First(), [this, endpoint = changed.table] {
-    this->table->MoveTo(endpoint);
+  LogReload(this->settings, changed, {"table", "recording", "log"});
+  asio::post(this->core_thread.First(), [this, changed] {
+    this->table->MoveTo(changed.table);
+    this->log.Follow(changed.log.jobs_followed_per_thousand);
   });
   this->records->Reconfigure(changed.table, changed.recording);
 }
@@ -141,6 +145,7 @@
 void AgentServer::Handle(const AgentEvent& event) {
   const Timestamp now = WallClockNow();
   std::vector<AgentEffect> effects = this->core.Handle(event, now);
+  this->log.Observe(event, effects, now);
   this->records->Record(event, now, effects);
   for (AgentEffect& effect : effects) {
     std::visit([this](auto& alternative) { this->Apply(alternative); }, effect);
@@ -156,6 +161,8 @@
                       static_cast<double>(this->core.running()));
     this->metrics.Set("tasks_remembered",
                       static_cast<double>(this->core.remembered()));
+    SetLogGauges(this->metrics);
+    FlushLog();
     this->ScheduleTick();
   });
 }
@@ -186,9 +193,6 @@
         this->core_thread.First(), endpoint,
         this->settings.upstream_connections, this->settings.lease,
         [this](UpstreamEnded ended) { this->Handle(std::move(ended)); });
-    LogStateChange("upstream_announced",
-                   {{"upstream", description.upstream},
-                    {"service", description.service.value()}});
     AgentDescription complete = description;
     complete.agent = this->self;
     complete.admin_endpoint = this->settings.admin;
@@ -200,16 +204,6 @@
   if (auto* announced = std::get_if<UpstreamAnnounced>(&event)) {
     announced->description.agent = this->self;
     announced->description.admin_endpoint = this->settings.admin;
-    LogStateChange("upstream_announced",
-                   {{"upstream", announced->description.upstream},
-                    {"service", announced->description.service.value()}});
-  } else if (std::holds_alternative<UpstreamLeaving>(event)) {
-    LogStateChange("upstream_leaving", {});
-  } else if (const auto* contact =
-                 std::get_if<UpstreamContactChanged>(&event)) {
-    LogStateChange("upstream_contact",
-                   {{"contact", boost::describe::enum_to_string(
-                                    contact->contact, "unknown")}});
   }
   this->Handle(event);
 }
@@ -235,13 +229,11 @@
 }
 
 void AgentServer::Apply(const ConnectToMembers& effect) {
-  LogStateChange("view_in_force",
-                 {{"epoch", std::to_string(effect.view.epoch.value())}});
   this->links->ConnectToMembers(effect.view);
 }
 
 void AgentServer::Apply(const AgentDrained& /*effect*/) {
-  LogStateChange("drained", {});
+  LogChange(ProcessDrained{});
   // The last answers still have to be written out.
   constexpr std::chrono::milliseconds kLinger{300};
   auto timer =
@@ -256,9 +248,6 @@
 }
 
 void AgentServer::Apply(const RenewalChanged& effect) {
-  LogStateChange("lease_renewal",
-                 {{"renewal", boost::describe::enum_to_string(effect.renewal,
-                                                              "unknown")}});
   if (this->platform_upstream) {
     this->platform_upstream->AllowRenewal(effect.renewal);
   }
--- a/services/agent/agent_server.h
+++ b/services/agent/agent_server.h
@@ -7,6 +7,7 @@
 
 #include "libraries/agent_core/agent_core.h"
 #include "libraries/configuration/settings.h"
+#include "libraries/decision_log/agent_decision_log.h"
 #include "platform/table_client.h"
 #include "services/agent/agent_links.h"
 #include "services/agent/platform_upstream.h"
@@ -70,6 +71,7 @@
   ThreadGroup& input_output;
   ReasonCounters refusals;
   AgentCore core;
+  AgentDecisionLog log;
   Endpoint upstream_endpoint;
   // One of the two, by the protocol of the upstream.
   std::unique_ptr<UpstreamClient> upstream;
--- a/services/agent/platform_upstream.cc
+++ b/services/agent/platform_upstream.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "libraries/decision_log/log_events.h"
 #include "libraries/telemetry/log.h"
 
 namespace dandelionspur {
@@ -68,7 +69,7 @@
       [&](const std::string& problem) {
         this->metrics.Count("unreadable_upstream_calls_total", "kind",
                             "heartbeat");
-        LogStateChange("upstream_call_unreadable", {{"problem", problem}});
+        LogEvent(LineClass::kFailure, UpstreamCallUnreadable{problem});
         return std::optional<UpstreamCall>();
       });
   if (!call) {
--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -5,7 +5,9 @@
 #include <utility>
 #include <variant>
 
+#include "libraries/decision_log/log_events.h"
 #include "libraries/entry_core/submission_validator.h"
+#include "libraries/telemetry/log.h"
 #include "platform/job_calls.h"
 #include "services/runtime/admin_routes.h"
 
@@ -117,7 +119,7 @@
                            Metrics& counters)
     : serving(state),
       core(std::move(port)),
-      metrics(counters),
+      response_times(counters.TimesFor("stage_seconds", "stage", "response")),
       answers(counters, "answers_total") {}
 
 void CallerRoutes::Handle(const HttpRequest& request, HttpResponder responder) {
@@ -165,6 +167,9 @@
       });
   if (const auto* rejected = std::get_if<RejectedSubmission>(&validated)) {
     this->answers.Count(rejected->answer.reason);
+    LogEvent(LineClass::kFailure,
+             RequestRejected{std::string(raw.key), raw.service.value(),
+                             rejected->answer.reason, rejected->detail});
     responder(AnswerResponse(rejected->answer, false, rejected->detail));
     return;
   }
@@ -231,6 +236,9 @@
   auto decoded = DecodeJob(request.body());
   if (const auto* problem = std::get_if<UndecodedJob>(&decoded)) {
     this->answers.Count(problem->reason);
+    LogEvent(LineClass::kFailure,
+             RequestRejected{std::string(match.rest), match.service.value(), problem->reason,
+                             problem->detail});
     responder(EncodeJobAnswer(
         SubmissionValidator::Reject(problem->reason, problem->detail).answer));
     return;
@@ -260,7 +268,7 @@
     const std::chrono::duration<double> elapsed =
         std::chrono::steady_clock::now() - began;
     this->answers.Count(answer.reason);
-    this->metrics.Observe("response_seconds", elapsed.count());
+    this->response_times.Observe(elapsed.count());
     // Off the core's thread, since large answers take time to write.
     respond.Defer([answer, encoder] { return encoder(answer); });
   });
--- a/services/entry/caller_routes.h
+++ b/services/entry/caller_routes.h
@@ -46,7 +46,7 @@
 
   const PublishedServingState& serving;
   CallerPort core;
-  Metrics& metrics;
+  prometheus::Histogram& response_times;
   ReasonCounters answers;
 };
 
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "libraries/base/enum_name.h"
 #include "libraries/telemetry/log.h"
 #include "platform/job_calls.h"
 #include "services/runtime/admin_routes.h"
@@ -62,10 +63,14 @@
       input_output(configured.input_output_threads == 0 ? this->core_thread
                                                         : *this->more_threads),
       retries(this->metrics, "retries_total"),
+      refusals(this->metrics, "refusals_decided_total"),
       agent_messages(this->metrics, "messages_from_agents_total"),
       core(CoreSettings(configured, own)),
+      log(this->core, this->metrics),
       tick_timer(this->core_thread.First()),
-      drain_timer(this->core_thread.First()) {}
+      drain_timer(this->core_thread.First()) {
+  this->log.Follow(configured.log.jobs_followed_per_thousand);
+}
 
 EntryServer::~EntryServer() {
   if (this->more_threads) this->more_threads->Stop();
@@ -128,12 +133,12 @@
   }
   asio::post(this->core_thread.First(), [this] { this->ScheduleTick(); });
   this->table->Start();
-  LogStateChange("started", {{"entry", std::to_string(this->self.value())}});
+  LogChange(ProcessStarted{this->self.value(), DANDELIONSPUR_VERSION});
   return {};
 }
 
 void EntryServer::Drain() {
-  LogStateChange("draining", {});
+  LogChange(ProcessDraining{});
   this->table->StopJoining();
   this->Post(DrainRequested{});
   this->caller_server->CloseAfterAnswers();
@@ -147,13 +152,17 @@
 }
 
 void EntryServer::Reconfigure(const EntrySettings& changed) {
-  LogReload(this->settings, changed, {"table", "recording"});
+  LogReload(this->settings, changed, {"table", "recording", "log"});
+  asio::post(this->core_thread.First(),
+             [this, share = changed.log.jobs_followed_per_thousand] {
+               this->log.Follow(share);
+             });
   this->table->MoveTo(changed.table);
   this->records->Reconfigure(changed.table, changed.recording);
 }
 
 void EntryServer::StopServingCallers() {
-  LogStateChange("callers_closed", {});
+  LogChange(CallersClosed{});
   this->caller_server->StopAccepting();
   this->caller_server->CloseIdle();
   const EntryCoreSettings bounds = CoreSettings(this->settings, this->self);
@@ -161,7 +170,7 @@
                                   bounds.drain_accepts);
   this->drain_timer.async_wait([this](boost::system::error_code error) {
     if (error) return;
-    LogStateChange("drain_overdue", {});
+    LogChange(DrainOverdue{});
     this->FinishDrain();
   });
 }
@@ -186,6 +195,7 @@
     }
   }
   std::vector<EntryEffect> effects = this->core.Handle(event, now);
+  this->log.Observe(event, effects, now);
   this->records->Record(event, now, effects);
   for (EntryEffect& effect : effects) {
     std::visit([this](auto& alternative) { this->Apply(alternative); }, effect);
@@ -198,6 +208,7 @@
     if (error) return;
     this->Handle(EntryTick{});
     this->UpdateGauges();
+    FlushLog();
     this->ScheduleTick();
   });
 }
@@ -223,9 +234,7 @@
 }
 
 void EntryServer::Apply(const ViewInForce& effect) {
-  LogStateChange("view_in_force",
-                 {{"epoch", std::to_string(effect.view.epoch.value())},
-                  {"members", std::to_string(effect.view.members.size())}});
+  LogChange(ViewAdopted{effect.view.epoch.value(), effect.view.members.size()});
   this->links->ConnectToMembers(effect.view);
   this->serving_draft.view = effect.view;
   this->PublishServingState();
@@ -233,9 +242,8 @@
 
 void EntryServer::Apply(const DocumentInForce& effect) {
   const VersionedDocument& document = effect.document;
-  LogStateChange("document_in_force",
-                 {{"service", document.service.value()},
-                  {"version", std::to_string(document.version.value())}});
+  LogChange(
+      DocumentAdopted{document.service.value(), document.version.value()});
   const auto checked = OrElse(
       [&]() -> Result<std::optional<ServiceDocument>> {
         BOOST_LEAF_AUTO(value, ParseServiceDocument(document.text,
@@ -257,22 +265,23 @@
 }
 
 void EntryServer::Apply(const OwnershipChanged& effect) {
-  LogStateChange(
-      "ownership_changed",
-      {{"phase", boost::describe::enum_to_string(effect.phase, "unknown")},
-       {"buckets", std::to_string(effect.buckets.size())}});
+  LogChange(HomeOfBuckets{effect.phase, effect.buckets.size()});
   this->metrics.Count("ownership_changes_total", "phase",
-                      boost::describe::enum_to_string(effect.phase, "unknown"),
+                      EnumName(effect.phase),
                       static_cast<double>(effect.buckets.size()));
 }
 
+void EntryServer::Apply(const JobRefused& effect) {
+  this->refusals.Count(effect.reason);
+}
+
 void EntryServer::Apply(const RemovedFromView& /*effect*/) {
-  LogStateChange("removed_from_view", {});
+  LogChange(OutOfView{});
   this->records->Flush([] { Lifetime::Finish(ExitCode::kRemoved); });
 }
 
 void EntryServer::Apply(const EntryDrained& /*effect*/) {
-  LogStateChange("drained", {});
+  LogChange(ProcessDrained{});
   this->FinishDrain();
 }
 
@@ -298,6 +307,14 @@
   this->metrics.Set("known_keys",
                     static_cast<double>(this->core.buckets().KnownKeyCount()));
   this->metrics.Set("ready", this->core.IsReady() ? 1 : 0);
+  Duration oldest_report{};
+  for (const auto& [id, agent] : this->core.agents().all()) {
+    if (!agent.connected || agent.lost_at) continue;
+    oldest_report = std::max(oldest_report, WallClockNow() - agent.last_heard);
+  }
+  this->metrics.Set("oldest_agent_report_seconds",
+                    std::chrono::duration<double>(oldest_report).count());
+  SetLogGauges(this->metrics);
 }
 
 nlohmann::json EntryServer::Status() const {
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "libraries/configuration/settings.h"
+#include "libraries/decision_log/entry_decision_log.h"
 #include "libraries/entry_core/entry_core.h"
 #include "services/entry/caller_routes.h"
 #include "services/entry/document_routes.h"
@@ -66,6 +67,9 @@
   void Apply(const RetryCounted& effect);
   void Apply(const OwnershipChanged& effect);
   void Apply(const RemovedFromView& effect);
+  void Apply(const JobRefused& effect);
+  // Logged only.
+  void Apply(const AgentLost& /*effect*/) {}
   void Apply(const EntryDrained& effect);
 
   EntrySettings settings;
@@ -78,10 +82,12 @@
   std::optional<ThreadGroup> more_threads;
   ThreadGroup& input_output;
   ReasonCounters retries;
+  ReasonCounters refusals;
   MessageCounters<AgentMessage> agent_messages;
   PublishedServingState serving;
   ServingState serving_draft;
   EntryCore core;
+  EntryDecisionLog log;
   std::map<RequestId, AnswerCallback> waiting;
   std::uint64_t last_request = 0;
   std::unique_ptr<EntryLinks> links;
--- a/services/entry/table_watcher.cc
+++ b/services/entry/table_watcher.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "libraries/decision_log/log_events.h"
 #include "libraries/protocol/view_row.h"
 #include "libraries/telemetry/log.h"
 #include "platform/desired_state.h"
@@ -115,7 +116,11 @@
   this->metrics.Set("table_reachable", answered ? 1 : 0);
   if (answered == this->reachable) return;
   this->reachable = answered;
-  LogStateChange(answered ? "table_reachable" : "table_unreachable", {});
+  if (answered) {
+    LogChange(TableReachable{});
+  } else {
+    LogChange(TableUnreachable{});
+  }
 }
 
 void TableWatcher::OnOwnRows(const std::vector<Row>& rows) {
@@ -134,12 +139,14 @@
 void TableWatcher::OnOperatorRows(const std::vector<Row>& rows) {
   for (const Row& row : rows) {
     if (row.key != kConfigurationRow) continue;
-    const std::vector<VersionedDocument> documents = OrElse(
-        [&] { return DecodeConfiguration(row.value); },
-        [](const std::string& problem) {
-          LogStateChange("configuration_unreadable", {{"problem", problem}});
-          return std::vector<VersionedDocument>();
-        });
+    const std::vector<VersionedDocument> documents =
+        OrElse([&] { return DecodeConfiguration(row.value); },
+               [this](const std::string& problem) {
+                 this->metrics.Count("unreadable_configurations_total", "kind",
+                                     "operators");
+                 LogChange(ConfigurationUnreadable{problem});
+                 return std::vector<VersionedDocument>();
+               });
     if (documents.empty()) continue;
     std::set<ServiceName> dropped = std::move(this->configured_services);
     this->configured_services.clear();
--- a/services/runtime/record_keeper.cc
+++ b/services/runtime/record_keeper.cc
@@ -1,5 +1,7 @@
 #include "services/runtime/record_keeper.h"
 
+#include "libraries/telemetry/log.h"
+
 namespace dandelionspur {
 
 void CountRecords(Metrics& metrics, std::uint64_t lost, std::size_t unsent) {
@@ -7,4 +9,11 @@
   metrics.Set("record_segments_unsent", static_cast<double>(unsent));
 }
 
+void SetLogGauges(Metrics& metrics) {
+  const LogCounts counts = CountLog();
+  metrics.Set("log_lines_written", static_cast<double>(counts.written));
+  metrics.Set("log_lines_left_out", static_cast<double>(counts.left_out));
+  metrics.Set("log_batches_lost", static_cast<double>(counts.lost_batches));
+}
+
 }  // namespace dandelionspur
--- a/services/runtime/record_keeper.h
+++ b/services/runtime/record_keeper.h
@@ -22,6 +22,9 @@
 // Counts what the recorder could not keep.
 void CountRecords(Metrics& metrics, std::uint64_t lost, std::size_t unsent);
 
+// What has become of the log's lines.
+void SetLogGauges(Metrics& metrics);
+
 // Records a core's steps on a thread of its own and ships the segments to the
 // object store, at most one write an interval.
 template <typename Core>
--- a/services/runtime/run_daemon.h
+++ b/services/runtime/run_daemon.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "libraries/configuration/object_reader.h"
+#include "libraries/decision_log/log_events.h"
 #include "libraries/telemetry/log.h"
 #include "services/runtime/daemon.h"
 #include "services/runtime/settings_reloader.h"
@@ -45,6 +46,7 @@
         BOOST_LEAF_AUTO(text, ReadFile(command.settings_path));
         BOOST_LEAF_AUTO(settings, parse(text, command.settings_path));
         if (command.check_only) return ExitCode::kSuccess;
+        ConfigureLogging(settings.log);
         SettingsReloader<Settings> reloader(command.settings_path, parse, text);
         for (;;) {
           BOOST_LEAF_AUTO(server, Server::Create(settings));
@@ -52,6 +54,7 @@
             const std::optional<Settings> changed = reloader.ReadChange();
             if (!changed) return;
             settings = *changed;
+            ConfigureLogging(settings.log);
             server->Reconfigure(settings);
           };
           Lifetime::Run([&] { server->Drain(); }, reload);
@@ -60,13 +63,14 @@
           if (Lifetime::Result() != ExitCode::kRemoved) {
             return Lifetime::Result();
           }
-          LogStateChange("beginning_anew", {});
+          LogChange(BeginningAnew{});
         }
       },
       [](const std::string& message) {
         std::cerr << message << "\n";
         return ExitCode::kBadSettings;
       });
+  FinishLog();
   return static_cast<int>(code);
 }
 
--- a/services/runtime/settings_reloader.h
+++ b/services/runtime/settings_reloader.h
@@ -9,6 +9,7 @@
 
 #include "libraries/configuration/object_reader.h"
 #include "libraries/configuration/settings.h"
+#include "libraries/decision_log/log_events.h"
 #include "libraries/telemetry/log.h"
 
 namespace dandelionspur {
@@ -42,7 +43,7 @@
         },
         [this](const std::string& problem) {
           if (problem != this->last_problem) {
-            LogStateChange("settings_rejected", {{"problem", problem}});
+            LogChange(SettingsRejected{problem});
           }
           this->last_problem = problem;
           return std::optional<Settings>();
@@ -68,8 +69,7 @@
         std::find(at_once.begin(), at_once.end(), name) != at_once.end();
     (now ? applied : waiting).append(name).append(" ");
   }
-  LogStateChange("settings_reloaded",
-                 {{"in_force", applied}, {"at_next_start", waiting}});
+  LogChange(SettingsReloaded{applied, waiting});
 }
 
 }  // namespace dandelionspur
--- /dev/null
+++ b/tests/system/operations_test.py
@@ -0,0 +1,113 @@
+"""Follows docs/OPERATIONS.md from the id of a failed request to its cause, with the page's own commands.
+
+In the page, a line "    $ COMMAND" is run, and each line "    = WORDS" after it must stand in what the command prints.
+JOB is the request's id, LOGS the processes' logs, ENTRY the admin address of the entry that was asked; AGENT, HOME and
+KEY are what the last lines with `agent=`, `home=` and `key=` name.
+"""
+
+import pathlib
+import re
+import subprocess
+import sys
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+import platform_test
+from cluster import ROOT, call
+
+PAGE = ROOT / "docs/OPERATIONS.md"
+# What a line names that a later command asks for.
+NAMED = {"AGENT": "agent", "HOME": "home", "KEY": "key"}
+LOG_DELAY_SECONDS = 0.5
+
+
+def steps_of(heading):
+    """The (command, expected words) of one section of the page."""
+    section = PAGE.read_text().split(f"## {heading}\n", 1)[1].split("\n## ", 1)[0]
+    steps = []
+    for line in section.splitlines():
+        if line.startswith("    $ "):
+            steps.append((line[6:], []))
+        elif line.startswith("    = "):
+            steps[-1][1].append(line[6:])
+    return steps
+
+
+class OperationsTest(unittest.TestCase):
+    cluster = platform_test.PlatformTest.cluster
+    submit_many = platform_test.PlatformTest.submit_many
+    answers = platform_test.PlatformTest.answers
+
+    def follow(self, heading, cluster, job, entry=0):
+        time.sleep(LOG_DELAY_SECONDS)
+        steps = steps_of(heading)
+        self.assertGreaterEqual(len(steps), 3)
+        values = {
+            "JOB": job,
+            "LOGS": f"{cluster.directory.name}/*.log",
+            "ENTRY": f"127.0.0.1:{cluster.entry_admin_port(entry)}",
+        }
+        for command, expected in steps:
+            for name, value in values.items():
+                command = re.sub(rf"\b{name}\b", value, command)
+            if "--print" in sys.argv:
+                print("$", command)
+            printed = subprocess.run(command, shell=True, capture_output=True, text=True, timeout=30).stdout
+            if "--print" in sys.argv:
+                print(printed)
+            for words in expected:
+                self.assertIn(words, printed, f"{heading}: {command}\n{cluster.logs()}")
+            for name, field in NAMED.items():
+                found = re.findall(rf" {field}=(\w+)", printed)
+                if found:
+                    values[name] = found[-1]
+
+    def test_every_metric_is_on_the_page(self):
+        cluster = self.cluster(agents=1)
+        self.answers(self.submit_many(cluster, 3, "20"))
+        page = PAGE.read_text()
+        for port in (cluster.entry_admin_port(0), cluster.agent_admin_port(0)):
+            exposed = lambda: call("GET", port, "/metrics")[1].decode()
+            # Set with the first tick.
+            cluster.wait_for(lambda: "log_batches_lost" in exposed(), "the gauges", 5)
+            families = re.findall(r"# TYPE dandelionspur_(\w+)", exposed())
+            self.assertEqual([name for name in families if f"`{name}" not in page], [])
+
+    def test_refused_under_a_burst(self):
+        cluster = self.cluster(agents=1, slots=2)
+        answers = self.answers(self.submit_many(cluster, 64, "400", patience_ms=1500))
+        self.assertIn(503, {status for status, _ in answers})
+        time.sleep(LOG_DELAY_SECONDS)
+        # Others are refused when their deadline comes.
+        refusal = r"refusal_decided job=(\w+) reason=deadline_too_short"
+        entry, jobs = next(
+            (entry, jobs) for entry in range(3) if (jobs := re.findall(refusal, cluster.log(f"entry-{entry}")))
+        )
+        self.follow("A request was refused under a burst", cluster, jobs[-1], entry)
+
+    def test_failed_after_its_upstream_and_agent_were_lost(self):
+        cluster = self.cluster(agents=1)
+        job = "00000000000000aa"
+        answer = self.pool.submit(cluster.submit_to_queue, 0, job, "2500", 1, 4000)
+        cluster.wait_for(lambda: cluster.runs(), "the run", 5)
+        cluster.agents[0].kill()
+        cluster.upstreams[0].kill()
+        self.assertNotEqual(answer.result(timeout=60)[0], 200)
+        self.follow("A request failed after its upstream and agent were lost", cluster, job)
+
+    def test_answered_late_after_a_take_over(self):
+        cluster = self.cluster()
+        jobs = self.submit_many(cluster, 12, "800", 1, entries=[0])
+        cluster.wait_for(lambda: len(cluster.runs()) >= 12, "the runs", 5)
+        cluster.entries[1].kill()
+        self.assertEqual({status for status, _ in self.answers(jobs)}, {200})
+        time.sleep(LOG_DELAY_SECONDS)
+        killed = re.search(r"event=started incarnation=(\d+)", cluster.log("entry-1")).group(1)
+        moved = re.findall(rf"event=relay_sent job=(\w+) home={killed}", cluster.log("entry-0"))
+        self.assertTrue(moved, cluster.logs())
+        self.follow("A request was answered late after a take-over", cluster, moved[0])
+
+
+if __name__ == "__main__":
+    unittest.main(argv=[word for word in sys.argv if word != "--print"])
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -29,10 +29,12 @@
         self.addCleanup(self.pool.shutdown)
         return started
 
-    def submit_many(self, cluster, count, spec="200", tasks=2, entries=None, first=0):
+    def submit_many(self, cluster, count, spec="200", tasks=2, entries=None, first=0, patience_ms=20000):
         entries = entries or cluster.live_entries()
         return [
-            self.pool.submit(cluster.submit_to_queue, entries[i % len(entries)], f"{first + i:016x}", spec, tasks)
+            self.pool.submit(
+                cluster.submit_to_queue, entries[i % len(entries)], f"{first + i:016x}", spec, tasks, patience_ms
+            )
             for i in range(count)
         ]
 
@@ -70,6 +72,19 @@
         cluster.wait_for(lambda: "event=settings_rejected" in cluster.log("entry-0"), "the rejection", 5)
         self.check_completed(self.answers(self.submit_many(cluster, 10, "20")))
 
+    def test_an_output_that_nobody_reads_holds_nothing_up(self):
+        log = {"lines_per_second": 20000, "jobs_followed_per_thousand": 1000}
+        cluster = self.cluster(agents=2, entry_settings={"log": log}, agent_settings={"log": log}, unread_output=True)
+        # Long enough that the pipe is full and the writer's queue as well.
+        self.check_completed(self.answers(self.submit_many(cluster, 800, "100", 1)))
+        lost = [int(line.split()[1]) for line in call("GET", cluster.entry_admin_port(0), "/metrics")[1].decode().splitlines()
+                if line.startswith("dandelionspur_log_batches_lost ")]
+        self.assertGreater(lost[0], 0)
+        for process in cluster.entries:
+            process.signal(signal.SIGTERM)
+        for process in cluster.entries:
+            self.assertEqual(process.popen.wait(timeout=10), 0)
+
     def test_a_task_that_fails_runs_again_up_to_its_limit(self):
         cluster = self.cluster(agents=2)
         status, answer = cluster.submit_to_queue(0, "00000000000000aa", "20 fail", 1)
--- a/utilities/dandelionspur/commands.h
+++ b/utilities/dandelionspur/commands.h
@@ -8,7 +8,7 @@
 
 namespace dandelionspur {
 
-// Exit codes of the operators' command; documented in docs/operating.md.
+// Exit codes of the operators' command; documented in docs/OPERATIONS.md.
 enum class CommandExit : int {
   kSuccess = 0,
   kFailure = 1,
--- a/utilities/dandelionspur/sentences.cc
+++ b/utilities/dandelionspur/sentences.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <variant>
 
+#include "libraries/base/enum_name.h"
 #include "libraries/protocol/codec.h"
 
 namespace dandelionspur {
@@ -38,14 +39,9 @@
          " left";
 }
 
-template <typename Enum>
-std::string EnumName(Enum value) {
-  return std::string(boost::describe::enum_to_string(value, "?")).substr(1);
-}
-
 std::string Name(const TaskReport& report) {
-  return Name(report.task) + ": " + EnumName(report.state) + ", " +
-         EnumName(report.outcome);
+  return Name(report.task) + ": " + std::string(EnumName(report.state)) + ", " +
+         std::string(EnumName(report.outcome));
 }
 
 // The messages between processes, from either side.
@@ -75,7 +71,7 @@
   std::string operator()(const Start& message) const {
     return "start " + Name(message.task) + " under " + Name(message.ballot) +
            ", attempt " + std::to_string(message.attempt) + ", because " +
-           EnumName(message.placement);
+           std::string(EnumName(message.placement));
   }
   std::string operator()(const Renounce& message) const {
     return "what became of " + Name(message.task) +
@@ -151,6 +147,13 @@
     return "version " + Number(effect.document.version) +
            " of the service's document is in force";
   }
+  std::string operator()(const JobRefused& effect) const {
+    return "decides to refuse the job: " +
+           std::string(ReasonName(effect.reason)) + ", " +
+           std::to_string(effect.queued_tasks) + " tasks queued, " +
+           Milliseconds(effect.expected_wait) + " to wait, " +
+           std::to_string(effect.cores) + " cores";
+  }
   std::string operator()(const OwnershipChanged& effect) const {
     for (const BucketBallot& bucket : effect.buckets) {
       if (effect.phase == OwnershipPhase::kActive) {
@@ -176,7 +179,8 @@
   }
   std::string operator()(const UpstreamEnded& event) const {
     return "the upstream ended " + Name(event.task) + " after " +
-           Milliseconds(event.elapsed) + ": " + EnumName(event.result);
+           Milliseconds(event.elapsed) + ": " +
+           std::string(EnumName(event.result));
   }
   std::string operator()(const SendToEntry& effect) const {
     return "to entry " + Number(effect.to) + ": " +
