--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -17,6 +17,8 @@
       return Reason::kNoFreeSlot;
     case UpstreamResult::kUnanswered:
       return Reason::kOrderUnanswered;
+    case UpstreamResult::kNoContact:
+      return Reason::kContactLost;
     case UpstreamResult::kSucceeded:
     case UpstreamResult::kFailed:
     case UpstreamResult::kBroken:
@@ -36,6 +38,9 @@
                                            Timestamp now) {
   this->current_time = now;
   this->effects.clear();
+  // First of all, as the process may just have woken from a freeze with old
+  // messages before it.
+  this->CheckContact();
   std::visit([this](const auto& alternative) { this->On(alternative); }, event);
   return std::move(this->effects);
 }
@@ -91,10 +96,11 @@
   const std::optional<Reason> not_run = ReasonNotRun(event.result);
   if (not_run) {
     const Reason reason = *not_run;
+    const StartNumber start = this->started.Report(event.task).start;
     this->started.MarkNotRun(event.task);
     this->effects.emplace_back(StartRefusalCounted{reason});
-    this->Send(home,
-               TaskNotRun{event.task, reason, Ballot(), this->LoadFor(home)});
+    this->Send(home, TaskNotRun{event.task, reason, Ballot(),
+                                this->LoadFor(home), start});
     this->TellDemanding(home);
     return;
   }
@@ -105,8 +111,9 @@
   if (event.result == UpstreamResult::kFailed) outcome = TaskOutcome::kFailed;
   this->started.MarkFinished(event.task, outcome, event.body);
   // Built from the event, since the answer may already have been dropped.
-  const TaskReport report{event.task, StartedState::kFinished, outcome,
-                          event.body, true};
+  const TaskReport report{event.task, StartedState::kFinished,
+                          outcome,    event.body,
+                          true,       this->started.Report(event.task).start};
   this->Send(home, TaskFinished{report, event.elapsed, this->LoadFor(home)});
   this->TellDemanding(home);
 }
@@ -124,7 +131,6 @@
 void AgentCore::On(const AgentTick& /*event*/) {
   this->started.Expire(this->current_time);
   this->StopOverdue();
-  this->CheckContact();
   const bool idle =
       this->room.running_count() == 0 && this->room.waiting_count() == 0;
   if (this->leaving && idle && !this->drained_reported) {
@@ -176,6 +182,7 @@
   }
   if (this->started.Contains(message.task) &&
       !this->started.MayRunAgain(message)) {
+    this->started.Join(message);
     const TaskReport report = this->started.Report(message.task);
     if (report.state == StartedState::kFinished) {
       this->Send(from, TaskFinished{report, Duration(), this->LoadFor(from)});
@@ -202,9 +209,13 @@
 
 void AgentCore::OnMessage(EntryId from, const Renounce& message) {
   if (!this->started.Contains(message.task)) {
-    this->started.Forbid(message.task, message.ballot, message.attempt);
+    this->started.Forbid(message.task, {message.ballot, message.attempt});
+  }
+  RenounceReply reply{this->started.Report(message.task)};
+  if (reply.report.state == StartedState::kNeverStarted) {
+    reply.report.start = {message.ballot, message.attempt};
   }
-  this->Send(from, RenounceReply{this->started.Report(message.task)});
+  this->Send(from, std::move(reply));
 }
 
 void AgentCore::OnMessage(EntryId /*from*/, const StopTask& message) {
@@ -286,22 +297,24 @@
       this->promises[this->BucketOfKey(start.task.key).value()]) {
     return Reason::kStaleBallot;
   }
-  if (!this->ready) return Reason::kAgentNotReady;
-  if (this->leaving || this->upstream_leaving) return Reason::kAgentLeaving;
-  if (this->contact == UpstreamContact::kSilent) {
-    return Reason::kUpstreamUnreachable;
-  }
+  const std::optional<Reason> closed = this->ReasonToTakeNone();
+  if (closed) return closed;
+  const bool held_up =
+      start.rerun == RerunPolicy::kAfterLease &&
+      this->current_time - start.contact > this->settings.contact_limit;
+  if (held_up) return Reason::kContactLost;
   if (this->started.IsFull()) return Reason::kStartedSetFull;
   if (this->started.IsForbidden(start)) return Reason::kAttemptRefused;
   return std::nullopt;
 }
 
 void AgentCore::RefuseStart(EntryId to, const Start& start, Reason reason) {
-  this->started.Forbid(start.task, start.ballot, start.attempt);
+  this->started.Forbid(start.task, start.Number());
   this->effects.emplace_back(StartRefusalCounted{reason});
   const Ballot promised =
       this->promises[this->BucketOfKey(start.task.key).value()];
-  this->Send(to, TaskNotRun{start.task, reason, promised, this->LoadFor(to)});
+  this->Send(to, TaskNotRun{start.task, reason, promised, this->LoadFor(to),
+                            start.Number()});
 }
 
 void AgentCore::DropWaiting(const AcceptedStart& accepted, Reason reason) {
@@ -311,15 +324,16 @@
   this->effects.emplace_back(StartRefusalCounted{reason});
   const Ballot promised = this->promises[this->BucketOfKey(task.key).value()];
   this->Send(promised.entry,
-             TaskNotRun{task, reason, promised, this->LoadFor(promised.entry)});
+             TaskNotRun{task, reason, promised, this->LoadFor(promised.entry),
+                        accepted.start.Number()});
 }
 
 void AgentCore::StartWaiting() {
-  // What waits when the upstream begins to leave goes elsewhere.
-  if (!this->TakesTasks()) {
+  // What waits when no task is taken any more goes elsewhere.
+  if (const std::optional<Reason> closed = this->ReasonToTakeNone()) {
     for (const AcceptedStart& accepted :
          this->room.WithdrawOverdue(Timestamp::max())) {
-      this->DropWaiting(accepted, Reason::kAgentLeaving);
+      this->DropWaiting(accepted, *closed);
     }
     return;
   }
@@ -343,20 +357,31 @@
   }
 }
 
-void AgentCore::CheckContact() {
-  const Duration age = this->current_time - this->last_confirmed;
+LeaseRenewal AgentCore::RenewalAt(Timestamp now) const {
+  const Duration age = now - this->last_confirmed;
   // A confirmation from the future comes from a clock that was set back.
   const bool fresh = age <= this->settings.contact_limit && age >= Duration();
-  const LeaseRenewal wanted =
-      fresh ? LeaseRenewal::kAllowed : LeaseRenewal::kSuspended;
+  return fresh ? LeaseRenewal::kAllowed : LeaseRenewal::kSuspended;
+}
+
+void AgentCore::CheckContact() {
+  const LeaseRenewal wanted = this->RenewalAt(this->current_time);
   if (wanted == this->renewal) return;
   this->renewal = wanted;
+  this->load_changed = true;
   this->effects.emplace_back(RenewalChanged{wanted});
+  this->StartWaiting();
 }
 
-bool AgentCore::TakesTasks() const {
-  return this->ready && !this->leaving && !this->upstream_leaving &&
-         this->contact == UpstreamContact::kAnswering;
+std::optional<Reason> AgentCore::ReasonToTakeNone() const {
+  if (!this->ready) return Reason::kAgentNotReady;
+  if (this->leaving || this->upstream_leaving) return Reason::kAgentLeaving;
+  if (this->contact == UpstreamContact::kSilent) {
+    return Reason::kUpstreamUnreachable;
+  }
+  // A start is a lease too: the entries may already take it for over.
+  if (this->renewal == LeaseRenewal::kSuspended) return Reason::kContactLost;
+  return std::nullopt;
 }
 
 AgentLoad AgentCore::LoadFor(EntryId entry) const {
@@ -368,7 +393,8 @@
   if (receiver != this->connected.end()) {
     load.starts_seen = receiver->second.starts_seen;
   }
-  load.accepting = this->TakesTasks();
+  load.accepting = !this->ReasonToTakeNone();
+  load.leaving = this->leaving || this->upstream_leaving;
   return load;
 }
 
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -47,6 +47,9 @@
     return this->room.running_count();
   }
   [[nodiscard]] std::size_t remembered() const { return this->started.size(); }
+  // Whether a lease may be given or extended at this moment. Asked for each
+  // one, since the process may have been frozen after its last event.
+  [[nodiscard]] LeaseRenewal RenewalAt(Timestamp now) const;
   [[nodiscard]] bool is_ready() const { return this->ready; }
 
  private:
@@ -80,9 +83,10 @@
   // Starts what waits while there is room.
   void StartWaiting();
   void StopOverdue();
-  // Tells the upstream's side whether leases may be renewed.
+  // Notes whether leases may be given; what waits is given back where not.
   void CheckContact();
-  [[nodiscard]] bool TakesTasks() const;
+  // Why no task is taken at the moment, if so.
+  [[nodiscard]] std::optional<Reason> ReasonToTakeNone() const;
   [[nodiscard]] AgentLoad LoadFor(EntryId entry) const;
   // Tells the entries that wait for room, or all of them, how full the
   // upstream is.
--- a/libraries/agent_core/agent_events.h
+++ b/libraries/agent_core/agent_events.h
@@ -39,8 +39,9 @@
 // kNotSent: the upstream has not started it and never will.
 // kNoRoom: like kNotSent, since the upstream has no room for it.
 // kUnanswered: like kNotSent, after an order that got no answer.
+// kNoContact: like kNotSent, since no lease may be given now.
 BOOST_DEFINE_ENUM_CLASS(UpstreamResult, kSucceeded, kFailed, kBroken, kNotSent,
-                        kNoRoom, kUnanswered)
+                        kNoRoom, kUnanswered, kNoContact)
 
 struct UpstreamEnded {
   static constexpr const char* kName = "upstream_ended";
--- a/libraries/agent_core/started_set.cc
+++ b/libraries/agent_core/started_set.cc
@@ -7,8 +7,7 @@
 
 bool StartedSet::IsForbidden(const Start& start) const {
   const auto found = this->forbidden.find(start.task);
-  return found != this->forbidden.end() &&
-         Attempt{start.ballot, start.attempt} <= found->second;
+  return found != this->forbidden.end() && start.Number() <= found->second;
 }
 
 bool StartedSet::MayRunAgain(const Start& start) const {
@@ -18,13 +17,13 @@
   return start.rerun == RerunPolicy::kAfterLease &&
          entry.state == StartedState::kFinished &&
          entry.outcome != TaskOutcome::kSucceeded &&
-         Attempt{start.ballot, start.attempt} > entry.attempt;
+         start.Number() > entry.start;
 }
 
 void StartedSet::Insert(const Start& start, Timestamp now) {
   this->last_seen_time = now;
   Entry entry;
-  entry.attempt = {start.ballot, start.attempt};
+  entry.start = start.Number();
   entry.rerun = start.rerun;
   entry.since = now;
   this->DropAnswer(start.task);
@@ -36,7 +35,7 @@
   const auto found = this->tasks.find(id);
   if (found == this->tasks.end()) return;
   if (found->second.state != StartedState::kRunning) return;
-  this->Forbid(id, found->second.attempt.ballot, found->second.attempt.number);
+  this->Forbid(id, found->second.start);
   this->tasks.erase(found);
 }
 
@@ -60,6 +59,7 @@
   report.task = id;
   const auto found = this->tasks.find(id);
   if (found == this->tasks.end()) return report;
+  report.start = found->second.start;
   report.state = found->second.state;
   report.outcome = found->second.outcome;
   const auto answer = this->answers.find(id);
@@ -69,10 +69,17 @@
   return report;
 }
 
-void StartedSet::Forbid(const TaskId& id, const Ballot& ballot,
-                        std::uint32_t attempt) {
-  Attempt& highest = this->forbidden[id];
-  highest = std::max(highest, Attempt{ballot, attempt});
+void StartedSet::Join(const Start& start) {
+  const auto found = this->tasks.find(start.task);
+  if (found == this->tasks.end()) return;
+  Entry& entry = found->second;
+  if (entry.state != StartedState::kRunning) return;
+  entry.start = std::max(entry.start, start.Number());
+}
+
+void StartedSet::Forbid(const TaskId& id, const StartNumber& start) {
+  StartNumber& highest = this->forbidden[id];
+  highest = std::max(highest, start);
   this->forbidden_order.push_back({this->last_seen_time, id});
 }
 
--- a/libraries/agent_core/started_set.h
+++ b/libraries/agent_core/started_set.h
@@ -57,8 +57,10 @@
   void MarkNotRun(const TaskId& id);
   void MarkFinished(const TaskId& id, TaskOutcome outcome, Payload result);
   [[nodiscard]] TaskReport Report(const TaskId& id) const;
-  // No start of `id` up to this ballot and attempt takes effect any more.
-  void Forbid(const TaskId& id, const Ballot& ballot, std::uint32_t attempt);
+  // No start of `id` up to this one takes effect any more.
+  void Forbid(const TaskId& id, const StartNumber& start);
+  // A newer start of a task that still runs: how that ends answers it as well.
+  void Join(const Start& start);
   // The started tasks whose bucket is in `buckets`, grouped by job; without
   // those that ended without success and may run again, since another agent
   // may have started them after that.
@@ -70,16 +72,12 @@
   [[nodiscard]] std::size_t size() const { return this->tasks.size(); }
 
  private:
-  struct Attempt {
-    Ballot ballot;
-    std::uint32_t number = 0;
-    auto operator<=>(const Attempt&) const = default;
-  };
   struct Entry {
     StartedState state = StartedState::kRunning;
     TaskOutcome outcome = TaskOutcome::kUnknown;
     RerunPolicy rerun = RerunPolicy::kNever;
-    Attempt attempt;
+    // Of the latest start.
+    StartNumber start;
     Timestamp since;
   };
   struct Remembered {
@@ -92,7 +90,7 @@
 
   StartedSetLimits limits;
   std::unordered_map<TaskId, Entry, TaskIdHash> tasks;
-  std::unordered_map<TaskId, Attempt, TaskIdHash> forbidden;
+  std::unordered_map<TaskId, StartNumber, TaskIdHash> forbidden;
   std::unordered_map<TaskId, Payload, TaskIdHash> answers;
   std::deque<TaskId> answer_order;
   std::deque<Remembered> expiry_order;
--- a/libraries/base/verdict.h
+++ b/libraries/base/verdict.h
@@ -21,7 +21,7 @@
                         kAgentLeaving, kAgentNotReady, kWrongIncarnation,
                         kStartedSetFull, kAttemptRefused, kRenounced,
                         kDeadlineTooShort, kNotFound, kUnsupportedJob,
-                        kOrderUnanswered)
+                        kOrderUnanswered, kContactLost)
 
 // The reason as users see it: kQueueFull is "queue_full".
 std::string_view ReasonName(Reason reason);
--- a/libraries/decision_log/entry_decision_log.cc
+++ b/libraries/decision_log/entry_decision_log.cc
@@ -188,10 +188,13 @@
                   answer.retry_after, took, late, trail->steps_left_out},
       this->now);
   this->MeasureStages(*trail, answer);
-  const bool good = answer.reason == Reason::kComplete && !late;
-  if (!good || trail->troubled) {
+  const bool good = answer.reason == Reason::kComplete;
+  const bool told = late || trail->troubled ||
+                    IsFollowed(key.low, this->followed_per_thousand);
+  if (!good) {
     JobTrails::Tell(*trail, LineClass::kFailure, this->now);
-  } else if (IsFollowed(key.low, this->followed_per_thousand)) {
+  } else if (told) {
+    // Under overload most are late; they must not crowd out what failed.
     JobTrails::Tell(*trail, LineClass::kDetail, this->now);
   }
   this->trails.Forget(key);
--- a/libraries/entry_core/agent_registry.cc
+++ b/libraries/entry_core/agent_registry.cc
@@ -23,7 +23,7 @@
 bool KnownAgent::WasIdleAndClosed(Timestamp now) const {
   // Longer ago, it may have taken tasks again since.
   constexpr Duration kRecent = std::chrono::milliseconds(500);
-  return this->last_load && !this->last_load->accepting &&
+  return this->last_load && this->last_load->leaving &&
          this->last_load->running == Resources() &&
          this->last_load->waiting == Resources() &&
          now - this->last_heard <= kRecent;
--- a/libraries/entry_core/agent_registry.h
+++ b/libraries/entry_core/agent_registry.h
@@ -26,8 +26,10 @@
   // Nothing ran there when it ended.
   bool ended_idle = false;
   Timestamp last_heard;
-  // When another entry last heard from it, as far as that is known.
-  Timestamp last_heard_elsewhere;
+  // The newest of its heartbeats that any entry has had, as far as is known:
+  // by its clock, and the latest time at which that entry had it.
+  Timestamp newest_heartbeat;
+  Timestamp contact_at;
   // No heartbeat is answered before this time, as one came just before.
   Timestamp next_reply;
   // As the agent last told.
@@ -55,8 +57,12 @@
            this->load.accepting && now >= this->usable_from &&
            now - this->last_heard <= suspect_after;
   }
-  [[nodiscard]] Timestamp LastSeen() const {
-    return std::max(this->last_heard, this->last_heard_elsewhere);
+  // A heartbeat of it came to some entry at `at` or before.
+  void NoteHeartbeat(Timestamp heartbeat, Timestamp at) {
+    // One that is known already may come round again by way of others.
+    if (heartbeat <= this->newest_heartbeat) return;
+    this->newest_heartbeat = heartbeat;
+    this->contact_at = std::max(this->contact_at, at);
   }
   // Whether a task can be expected to start there at once.
   [[nodiscard]] bool HasRoomFor(const Resources& need) const {
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -93,6 +93,7 @@
   KnownAgent& agent = this->registry.Add(event.agent);
   agent.connected = true;
   agent.last_heard = this->current_time;
+  agent.contact_at = this->current_time;
   agent.ForgetSent();
   agent.demand_told = false;
   this->silent_agents.erase(event.agent);
@@ -167,7 +168,9 @@
 
 void EntryCore::OnPeer(EntryId from, const PeerState& message) {
   for (const AgentSummary& summary : message.agents) {
-    this->registry.Add(summary.agent);
+    KnownAgent& agent = this->registry.Add(summary.agent);
+    // Until its sightings come, it may have been heard just now.
+    if (agent.contact_at == Timestamp()) agent.contact_at = this->current_time;
     if (!summary.lost_at) continue;
     this->LoseAgent(summary.agent, summary.ended_idle ? AgentRuns::kOver
                                                       : AgentRuns::kMayGoOn);
@@ -299,10 +302,21 @@
 void EntryCore::OnPeer(EntryId from, const PeerHeartbeat& message) {
   // Whoever is behind gets told; the table may be out of reach for it.
   if (message.epoch < this->view().epoch) this->SendState(from);
+  const Timestamp now = this->current_time;
+  this->peers.NoteHeartbeat(from, message.sent_at, now);
   for (const AgentSighting& sighting : message.sightings) {
-    KnownAgent& agent = this->registry.Add(sighting.agent);
-    agent.last_heard_elsewhere =
-        std::max(agent.last_heard_elsewhere, this->current_time - sighting.age);
+    this->registry.Add(sighting.agent)
+        .NoteHeartbeat(sighting.heartbeat, now - sighting.age);
+  }
+  const auto own = std::find_if(
+      message.peers.begin(), message.peers.end(),
+      [&](const auto& known) { return known.entry == this->settings.self; });
+  if (own == message.peers.end() || own->heard == Timestamp()) return;
+  this->peers.NoteConfirmed(from, own->heard, now);
+  for (const PeerKnowledge& known : message.peers) {
+    if (known.entry == this->settings.self) continue;
+    // The message was sent after this entry's own of then.
+    this->peers.NoteInformed(known.entry, own->heard - known.informed_age, now);
   }
 }
 
@@ -356,6 +370,9 @@
 void EntryCore::OnAgent(AgentId from, const AgentHeartbeat& message) {
   this->home.OnAgentLoad(from, message.load);
   KnownAgent* agent = this->registry.Find(from);
+  if (agent != nullptr) {
+    agent->NoteHeartbeat(message.sent_at, this->current_time);
+  }
   if (agent == nullptr || this->current_time < agent->next_reply) return;
   // An entry that is cut off from most others must not keep tasks running that
   // they take for lapsed.
@@ -473,7 +490,9 @@
 
 void EntryCore::LoseAgent(AgentId agent, AgentRuns runs) {
   const KnownAgent* known = this->registry.Find(agent);
-  if (known != nullptr && known->lost_at) return;
+  const bool news = known == nullptr || !known->lost_at ||
+                    (runs == AgentRuns::kOver && !known->ended_idle);
+  if (!news) return;
   const bool idle =
       runs == AgentRuns::kOver ||
       (known != nullptr && known->WasIdleAndClosed(this->current_time));
@@ -517,11 +536,18 @@
 }
 
 void EntryCore::SendHeartbeats() {
-  PeerHeartbeat heartbeat{this->view().epoch, {}};
+  const Timestamp now = this->current_time;
+  PeerHeartbeat heartbeat{this->view().epoch, now, {}, {}};
+  for (const ViewMember& member : this->view().members) {
+    if (member.entry == this->settings.self) continue;
+    heartbeat.peers.push_back({member.entry,
+                               this->peers.NewestHeartbeat(member.entry),
+                               now - this->peers.InformedAsOf(member.entry)});
+  }
   for (const auto& [id, known] : this->registry.all()) {
-    const Duration age = this->current_time - known.LastSeen();
+    const Duration age = now - known.contact_at;
     if (known.lost_at || age > this->settings.lease_over_after) continue;
-    heartbeat.sightings.push_back({id, age});
+    heartbeat.sightings.push_back({id, known.newest_heartbeat, age});
   }
   for (const ViewMember& member : this->view().members) {
     if (!this->peers.IsConnected(member.entry)) continue;
@@ -537,7 +563,7 @@
     if (member.entry == this->settings.self) continue;
     if (this->peers.DeadSince(member.entry)) continue;
     ++living;
-    if (!this->peers.IsSuspected(member.entry, this->current_time)) ++in_touch;
+    if (this->peers.IsInTouch(member.entry, this->current_time)) ++in_touch;
   }
   return 2 * in_touch > living;
 }
--- a/libraries/entry_core/home_job.h
+++ b/libraries/entry_core/home_job.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "libraries/protocol/agent_messages.h"
 #include "libraries/protocol/entry_messages.h"
 #include "libraries/protocol/job.h"
 
@@ -31,12 +32,24 @@
 struct TaskRecord {
   TaskPhase phase = TaskPhase::kQueued;
   AgentId agent;
-  std::uint32_t attempt = 0;
+  // The latest start by this home; attempt 0 for one that was found.
+  StartNumber start;
   // Runs that ended as failed.
   std::uint32_t failures = 0;
   // A start of this task was refused before.
   bool retried = false;
   Payload result;
+
+  // Whether the task is expected to end at `from`.
+  [[nodiscard]] bool IsAwaitedFrom(AgentId from) const {
+    return (this->phase == TaskPhase::kStarted ||
+            this->phase == TaskPhase::kQuerying) &&
+           this->agent == from;
+  }
+  // Whether what an agent says is about an earlier start than the latest.
+  [[nodiscard]] bool IsStale(const StartNumber& told) const {
+    return this->start.attempt != 0 && told != this->start;
+  }
 };
 
 enum class JobPhase {
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -21,6 +21,11 @@
   return started;
 }
 
+// Whether the job's tasks may be started again although one has run.
+bool MayStartAgain(const HomeJob& job) {
+  return job.submission.rerun == RerunPolicy::kAfterLease;
+}
+
 }  // namespace
 
 HomeJobs::HomeJobs(const EntryCoreSettings& configured, Ownership& owner,
@@ -217,8 +222,8 @@
          this->ownership.FoundTasks(job.submission.key)) {
       if (found.task.value() >= job.tasks.size()) continue;
       const KnownAgent* holder = this->agents.Find(found.agent);
-      const bool is_over = job.submission.rerun == RerunPolicy::kAfterLease &&
-                           (holder == nullptr || holder->lost_at);
+      const bool is_over =
+          MayStartAgain(job) && (holder == nullptr || holder->lost_at);
       // Its lease has run out since; the task is queued below.
       if (is_over) continue;
       TaskRecord& task = job.tasks[found.task.value()];
@@ -361,10 +366,12 @@
   HomeJob* job = this->Find(report.task.key);
   if (job == nullptr || report.task.task.value() >= job->tasks.size()) return;
   TaskRecord& task = job->tasks[report.task.task.value()];
-  const bool awaited = (task.phase == TaskPhase::kStarted ||
-                        task.phase == TaskPhase::kQuerying) &&
-                       task.agent == from;
-  if (!awaited) return;
+  if (!task.IsAwaitedFrom(from)) return;
+  // A task that may run again may have been started there once more since. A
+  // success is one, whichever start it is of.
+  const bool stale = MayStartAgain(*job) && task.IsStale(report.start) &&
+                     report.outcome != TaskOutcome::kSucceeded;
+  if (stale) return;
   this->TaskNoLongerStarted(*job, task);
   if (report.outcome == TaskOutcome::kFailed) ++task.failures;
   if (this->MayRunAgain(*job, task, report.outcome)) {
@@ -399,7 +406,7 @@
 
 bool HomeJobs::MayRunAgain(const HomeJob& job, const TaskRecord& task,
                            TaskOutcome outcome) {
-  if (job.submission.rerun != RerunPolicy::kAfterLease) return false;
+  if (!MayStartAgain(job)) return false;
   if (outcome == TaskOutcome::kSucceeded) return false;
   return task.failures < job.submission.maximum_attempts;
 }
@@ -417,6 +424,7 @@
   if (job == nullptr || message.task.task.value() >= job->tasks.size()) return;
   TaskRecord& task = job->tasks[message.task.task.value()];
   if (task.phase != TaskPhase::kStarted || task.agent != from) return;
+  if (MayStartAgain(*job) && task.IsStale(message.start)) return;
   this->TaskNoLongerStarted(*job, task);
   --job->started;
   this->Requeue(*job, message.task.task, message.reason, now);
@@ -432,15 +440,13 @@
   HomeJob* job = this->Find(report.task.key);
   if (job == nullptr || report.task.task.value() >= job->tasks.size()) return;
   TaskRecord& task = job->tasks[report.task.task.value()];
-  const bool awaited = (task.phase == TaskPhase::kStarted ||
-                        task.phase == TaskPhase::kQuerying) &&
-                       task.agent == from;
-  if (!awaited) return;
+  if (!task.IsAwaitedFrom(from)) return;
+  if (MayStartAgain(*job) && task.IsStale(report.start)) return;
   if (report.state == StartedState::kRunning) {
     task.phase = TaskPhase::kStarted;
     return;
   }
-  const bool may_run_again = job->submission.rerun == RerunPolicy::kAfterLease;
+  const bool may_run_again = MayStartAgain(*job);
   if (task.phase == TaskPhase::kQuerying && !may_run_again) {
     // The agent had started the task and has forgotten it since.
     this->Finish(*job, JobAnswer::MayHaveRun(Reason::kAnswerNotKept), now);
@@ -483,8 +489,9 @@
     const HomeJob* job = this->Find(id.key);
     if (job == nullptr) continue;
     const BucketId bucket = this->ownership.BucketOfKey(id.key);
-    this->outbox.ToAgent(agent, Renounce{id, this->ownership.Promised(bucket),
-                                         job->tasks[id.task.value()].attempt});
+    this->outbox.ToAgent(agent,
+                         Renounce{id, this->ownership.Promised(bucket),
+                                  job->tasks[id.task.value()].start.attempt});
   }
 }
 
@@ -496,16 +503,35 @@
     HomeJob* job = this->Find(id.key);
     if (job == nullptr) continue;
     TaskRecord& task = job->tasks[id.task.value()];
-    const bool again = runs == AgentRuns::kOver &&
-                       this->MayRunAgain(*job, task, TaskOutcome::kUnknown);
-    if (again) {
+    if (!this->MayRunAgain(*job, task, TaskOutcome::kUnknown)) {
+      this->Finish(*job, JobAnswer::MayHaveRun(Reason::kAgentLost), now);
+    } else if (runs == AgentRuns::kOver) {
       this->TaskNoLongerStarted(*job, task);
       this->Requeue(*job, id.task, Reason::kAgentLost, now);
-      continue;
+    } else if (now + this->settings.lease_over_after > job->UsefulUntil()) {
+      // It would wait in vain for the end of the lease.
+      this->Finish(*job, JobAnswer::MayHaveRun(Reason::kAgentLost), now);
     }
-    this->Finish(*job, JobAnswer::MayHaveRun(Reason::kAgentLost), now);
   }
-  this->outstanding.erase(agent);
+}
+
+void HomeJobs::RunAgainAfterLeases(Timestamp now) {
+  std::erase_if(this->outstanding,
+                [](const auto& item) { return item.second.empty(); });
+  std::vector<TaskId> over;
+  for (const auto& [agent, tasks] : this->outstanding) {
+    if (!this->ownership.RunsAreOver(agent, now)) continue;
+    over.insert(over.end(), tasks.begin(), tasks.end());
+  }
+  for (const TaskId& id : over) {
+    HomeJob* job = this->Find(id.key);
+    if (job == nullptr) continue;
+    TaskRecord& task = job->tasks[id.task.value()];
+    // The others wait for what the agent says when it comes back.
+    if (!this->MayRunAgain(*job, task, TaskOutcome::kUnknown)) continue;
+    this->TaskNoLongerStarted(*job, task);
+    this->Requeue(*job, id.task, Reason::kAgentLost, now);
+  }
 }
 
 void HomeJobs::Tick(Timestamp now) {
@@ -518,6 +544,7 @@
     HomeJob* job = this->Find(key);
     if (job != nullptr) this->Abandon(*job, Reason::kDeadlineExceeded, now);
   }
+  this->RunAgainAfterLeases(now);
   this->OnHistoryGrown(now);
   this->kept.Expire(now);
   this->refused_attempts.Expire(now);
@@ -636,7 +663,6 @@
   TaskRecord& record = job.tasks[task.value()];
   record.phase = TaskPhase::kStarted;
   record.agent = agent.agent;
-  ++record.attempt;
   ++job.started;
   ++agent.running;
   agent.NoteSent(request.need);
@@ -644,11 +670,13 @@
   const TaskId id{job.submission.key, task};
   this->outstanding[agent.agent].insert(id);
   const BucketId bucket = this->ownership.BucketOfKey(job.submission.key);
+  record.start = {this->ownership.Promised(bucket), ++this->last_start};
   this->outbox.ToAgent(
       agent.agent,
-      Start{id, this->ownership.Promised(bucket), record.attempt, agent.agent,
+      Start{id, record.start.ballot, record.start.attempt, agent.agent,
             job.TimeLeft(now), reason, service.queued_tasks(),
-            job.submission.name, job.submission.rerun, request});
+            job.submission.name, job.submission.rerun, agent.newest_heartbeat,
+            request});
 }
 
 void HomeJobs::TellDemand(ServiceState& service, Timestamp now) {
@@ -696,8 +724,8 @@
   for (const Waiter& waiter : job.waiters) {
     this->AnswerWaiter(waiter, key, answer);
   }
-  const bool may_run_again = job.submission.rerun == RerunPolicy::kAfterLease &&
-                             answer.verdict == Verdict::kMayHaveRun;
+  const bool may_run_again =
+      MayStartAgain(job) && answer.verdict == Verdict::kMayHaveRun;
   if (may_run_again) {
     // A later submission of the key first asks what became of these.
     this->ownership.Reopen(key, StartedTasks(job));
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -62,6 +62,9 @@
   // The agent is connected (again): asks what became of tasks sent before.
   void OnAgentConnected(AgentId agent);
   void OnAgentLost(AgentId agent, AgentRuns runs, Timestamp now);
+  // Queues again what may run again and was started at agents whose leases
+  // must be over: lost, frozen or cut off.
+  void RunAgainAfterLeases(Timestamp now);
   // An agent has told what it started: jobs that wait for it may go on.
   void OnHistoryGrown(Timestamp now);
 
@@ -139,6 +142,9 @@
   std::set<JobKey> blocked;
   // Tasks sent to each agent that have not ended.
   std::map<AgentId, std::set<TaskId>> outstanding;
+  // Numbers all starts of this home, so that a job that is submitted again
+  // begins with higher numbers.
+  std::uint32_t last_start = 0;
   // Kept between decisions only for its memory.
   Candidates candidates;
   KeptAnswers kept;
--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -357,28 +357,49 @@
                      });
 }
 
+bool Ownership::RunsAreOver(AgentId agent, Timestamp now) const {
+  const KnownAgent* known = this->agents.Find(agent);
+  return known == nullptr || this->RunsAreOver(*known, now);
+}
+
 bool Ownership::RunsAreOver(const KnownAgent& agent, Timestamp now) const {
+  const Duration lease_over = this->settings.lease_over_after;
   if (agent.lost_at) {
+    // A dead process extends no lease, whatever it has heard.
     return agent.ended_idle ||
-           now >= *agent.lost_at + this->settings.lease_over_after;
-  }
-  Timestamp last_contact = agent.LastSeen();
-  for (const ViewMember& member : this->current_view.members) {
-    if (member.entry == this->settings.self) continue;
-    // A member that is cut off from here may have been in contact with it.
-    if (!this->peers.IsSuspected(member.entry, now)) continue;
-    last_contact =
-        std::max(last_contact, this->peers.MayActUntil(member.entry));
-  }
-  return now >= last_contact + this->settings.lease_over_after;
+           now >= *agent.lost_at + lease_over - kContactLimit;
+  }
+  const Timestamp over_at = agent.contact_at + lease_over;
+  if (now < over_at) return false;
+  return std::all_of(
+      this->current_view.members.begin(), this->current_view.members.end(),
+      [&](const ViewMember& member) {
+        if (member.entry == this->settings.self) return true;
+        // It would have told of a contact that kept the runs alive.
+        if (this->peers.InformedAsOf(member.entry) >= over_at) return true;
+        return now >= this->peers.MayActUntil(member.entry) + lease_over;
+      });
+}
+
+bool Ownership::HasRunsOfLostAgents(const Bucket& bucket, const JobKey& key,
+                                    Timestamp now) const {
+  const auto found = bucket.found.find(key);
+  if (found == bucket.found.end()) return false;
+  return std::any_of(found->second.begin(), found->second.end(),
+                     [&](const FoundTask& task) {
+                       const KnownAgent* holder = this->agents.Find(task.agent);
+                       return holder != nullptr && holder->lost_at &&
+                              !this->RunsAreOver(*holder, now);
+                     });
 }
 
 HistoryState Ownership::HistoryOf(const JobSubmission& job,
                                   Timestamp now) const {
   const Bucket& bucket = this->Get(this->BucketOfKey(job.key));
   if (job.rerun == RerunPolicy::kAfterLease) {
-    return this->RunsAreSettled(bucket, now) ? HistoryState::kComplete
-                                             : HistoryState::kIncomplete;
+    const bool settled = this->RunsAreSettled(bucket, now) &&
+                         !this->HasRunsOfLostAgents(bucket, job.key, now);
+    return settled ? HistoryState::kComplete : HistoryState::kIncomplete;
   }
   const auto record = bucket.known.find(job.key);
   const Timestamp first_seen = record == bucket.known.end()
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -108,6 +108,9 @@
   // Makes buckets active whose promises suffice.
   Activation ActivateReady(Timestamp now);
 
+  // Whether nothing that the agent has started can still be running.
+  [[nodiscard]] bool RunsAreOver(AgentId agent, Timestamp now) const;
+
   // Remembers a key that this entry now answers for as home or witness.
   void Remember(const KnownKey& known, Timestamp now);
   // Remembers a key that some home may have started.
@@ -195,6 +198,10 @@
   // Whether nothing that the agent has started can still be running, since no
   // entry has heard from it for the time of a lease.
   [[nodiscard]] bool RunsAreOver(const KnownAgent& agent, Timestamp now) const;
+  // Whether a known task of the job may still run where nobody can be asked.
+  [[nodiscard]] bool HasRunsOfLostAgents(const Bucket& bucket,
+                                         const JobKey& key,
+                                         Timestamp now) const;
   [[nodiscard]] bool IsWhole(BucketId id, const Bucket& bucket) const;
   bool TryActivate(BucketId id, Bucket& bucket, Timestamp now);
 
--- a/libraries/entry_core/peer_directory.h
+++ b/libraries/entry_core/peer_directory.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_PEER_DIRECTORY_H_
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_PEER_DIRECTORY_H_
 
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -52,12 +53,47 @@
     const auto found = this->peers.find(peer);
     return found == this->peers.end() ? std::nullopt : found->second.dead_since;
   }
-  // How long a peer that is cut off from here may still act for agents.
+  // A heartbeat came that the peer sent at `sent_at`, by its clock.
+  void NoteHeartbeat(EntryId peer, Timestamp sent_at, Timestamp now) {
+    Peer& known = this->Get(peer, now);
+    known.newest_heartbeat = std::max(known.newest_heartbeat, sent_at);
+  }
+  // The peer had this entry's heartbeat of `own` when it sent its own.
+  void NoteConfirmed(EntryId peer, Timestamp own, Timestamp now) {
+    Peer& known = this->Get(peer, now);
+    known.confirmed = std::max(known.confirmed, own);
+    known.informed = std::max(known.informed, own);
+  }
+  // What the peer knew of agents at this time is known here, from others.
+  void NoteInformed(EntryId peer, Timestamp at, Timestamp now) {
+    Peer& known = this->Get(peer, now);
+    known.informed = std::max(known.informed, at);
+  }
+  [[nodiscard]] Timestamp NewestHeartbeat(EntryId peer) const {
+    const auto found = this->peers.find(peer);
+    return found == this->peers.end() ? Timestamp()
+                                      : found->second.newest_heartbeat;
+  }
+  // What the peer knew of agents is known here as of this time.
+  [[nodiscard]] Timestamp InformedAsOf(EntryId peer) const {
+    const auto found = this->peers.find(peer);
+    return found == this->peers.end() ? Timestamp() : found->second.informed;
+  }
+  // Whether the peer has told lately that it hears this entry. To hear it is
+  // not enough: the other way may be cut.
+  [[nodiscard]] bool IsInTouch(EntryId peer, Timestamp now) const {
+    const auto found = this->peers.find(peer);
+    return found != this->peers.end() && !found->second.dead_since &&
+           now - found->second.confirmed <= this->suspect_after;
+  }
+  // The latest time at which a peer can have confirmed heartbeats of agents
+  // without that being known here: it stops once most others have not
+  // confirmed its own for as long as it takes to be suspected.
   [[nodiscard]] Timestamp MayActUntil(EntryId peer) const {
     const auto found = this->peers.find(peer);
     if (found == this->peers.end()) return Timestamp();
     const Peer& known = found->second;
-    return known.dead_since.value_or(known.last_heard + this->suspect_after);
+    return known.dead_since.value_or(known.informed + this->suspect_after);
   }
   [[nodiscard]] Duration SilenceOf(EntryId peer, Timestamp now) const {
     const auto found = this->peers.find(peer);
@@ -70,10 +106,19 @@
     bool connected = false;
     Timestamp last_heard;
     std::optional<Timestamp> dead_since;
+    // By the peer's clock.
+    Timestamp newest_heartbeat;
+    // When this entry sent the latest heartbeat that the peer has confirmed.
+    Timestamp confirmed;
+    Timestamp informed;
   };
 
   Peer& Get(EntryId peer, Timestamp now) {
-    return this->peers.try_emplace(peer, Peer{false, now, {}}).first->second;
+    Peer fresh;
+    fresh.last_heard = now;
+    // Whatever it did before is over by the time that this allows for.
+    fresh.informed = now;
+    return this->peers.try_emplace(peer, fresh).first->second;
   }
 
   Duration suspect_after;
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -57,6 +57,14 @@
 };
 BOOST_DESCRIBE_STRUCT(AgentReady, (), (epoch))
 
+// Tells the starts of one task apart: each home counts them under its ballot.
+struct StartNumber {
+  Ballot ballot;
+  std::uint32_t attempt = 0;
+  auto operator<=>(const StartNumber&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(StartNumber, (), (ballot, attempt))
+
 BOOST_DEFINE_ENUM_CLASS(StartedState, kNeverStarted, kRunning, kFinished)
 
 // What an agent knows of one task.
@@ -67,9 +75,11 @@
   // Empty also where the answer was no longer kept; `result_kept` tells.
   Payload result;
   bool result_kept = false;
+  // The latest start that this is about.
+  StartNumber start;
 };
 BOOST_DESCRIBE_STRUCT(TaskReport, (),
-                      (task, state, outcome, result, result_kept))
+                      (task, state, outcome, result, result_kept, start))
 
 // How full an agent's upstream is, as told to one entry.
 struct AgentLoad {
@@ -84,10 +94,13 @@
   std::uint64_t starts_seen = 0;
   // Whether the upstream takes new tasks.
   bool accepting = false;
+  // It takes none since it, or the agent, is about to end.
+  bool leaving = false;
   bool operator==(const AgentLoad&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(AgentLoad, (),
-                      (capacity, running, waiting, starts_seen, accepting))
+                      (capacity, running, waiting, starts_seen, accepting,
+                       leaving))
 
 struct AgentBucketPromise {
   BucketId bucket;
@@ -129,8 +142,9 @@
   // The highest ballot promised for the bucket.
   Ballot promised;
   AgentLoad load;
+  StartNumber start;
 };
-BOOST_DESCRIBE_STRUCT(TaskNotRun, (), (task, reason, promised, load))
+BOOST_DESCRIBE_STRUCT(TaskNotRun, (), (task, reason, promised, load, start))
 
 // Answers a renounce: a task that was never started is now never going to be.
 struct RenounceReply {
@@ -184,11 +198,19 @@
   // The job's key as its caller wrote it; names the task at the upstream.
   std::string job_name;
   RerunPolicy rerun = RerunPolicy::kNever;
+  // The agent's newest heartbeat that the sender knows, by the agent's clock.
+  // A task that may run again is not started long after it: the sender may
+  // have taken what it started for over since.
+  Timestamp contact;
   TaskRequest request;
+
+  [[nodiscard]] StartNumber Number() const {
+    return {this->ballot, this->attempt};
+  }
 };
 BOOST_DESCRIBE_STRUCT(Start, (),
                       (task, ballot, attempt, agent, time_left, placement,
-                       queued, job_name, rerun, request))
+                       queued, job_name, rerun, contact, request))
 
 // Asks what became of a task. If it was not started, no start of it up to this
 // ballot and attempt takes effect from now on.
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -198,20 +198,36 @@
 };
 BOOST_DESCRIBE_STRUCT(DocumentPush, (), (documents))
 
-// How long ago an entry, or one that told it, last heard from an agent.
+// The newest heartbeat of an agent that an entry, or one that told it, knows.
 struct AgentSighting {
   AgentId agent;
+  // By the agent's clock; tells new sightings from old ones that go round.
+  Timestamp heartbeat;
+  // Since it came.
   Duration age{};
 };
-BOOST_DESCRIBE_STRUCT(AgentSighting, (), (agent, age))
+BOOST_DESCRIBE_STRUCT(AgentSighting, (), (agent, heartbeat, age))
+
+// What the sender of a heartbeat has from another entry.
+struct PeerKnowledge {
+  EntryId entry;
+  // When, by that entry's clock, it sent the latest heartbeat that has come.
+  Timestamp heard;
+  // Age of the latest agents' heartbeats that are known of that entry.
+  Duration informed_age{};
+};
+BOOST_DESCRIBE_STRUCT(PeerKnowledge, (), (entry, heard, informed_age))
 
 struct PeerHeartbeat {
   static constexpr const char* kName = "peer_heartbeat";
   Epoch epoch;
+  // The sender's clock.
+  Timestamp sent_at;
+  std::vector<PeerKnowledge> peers;
   // Agents that may still run tasks.
   std::vector<AgentSighting> sightings;
 };
-BOOST_DESCRIBE_STRUCT(PeerHeartbeat, (), (epoch, sightings))
+BOOST_DESCRIBE_STRUCT(PeerHeartbeat, (), (epoch, sent_at, peers, sightings))
 
 using PeerMessage =
     std::variant<PeerState, PromiseRequest, PromiseReply, WitnessRequest,
--- a/libraries/telemetry/line_budget.h
+++ b/libraries/telemetry/line_budget.h
@@ -11,8 +11,9 @@
 
 // What a log line tells of; each has a share of the budget of its own.
 // kBelief: what this process believes has changed.
-// kFailure: a request was refused, failed, late, or had to be tried again.
-// kDetail: a request that is followed although nothing is wrong with it.
+// kFailure: a request was refused or failed.
+// kDetail: a request was late, had a task tried again, or is followed although
+// nothing is wrong with it.
 BOOST_DEFINE_ENUM_CLASS(LineClass, kBelief, kFailure, kDetail)
 
 inline constexpr std::size_t kLineClasses = 3;
--- a/libraries/upstream_session/leased_upstream.cc
+++ b/libraries/upstream_session/leased_upstream.cc
@@ -116,6 +116,11 @@
         wanted.task, UpstreamResult::kNotSent, Payload(), Duration()});
     return;
   }
+  if (this->renewal == LeaseRenewal::kSuspended) {
+    this->effects.emplace_back(UpstreamEnded{
+        wanted.task, UpstreamResult::kNoContact, Payload(), Duration()});
+    return;
+  }
   // While nothing ran, nothing was asked.
   if (this->tasks.empty()) this->last_answer = now;
   Task task;
@@ -192,7 +197,9 @@
       this->End(name, UpstreamResult::kNotSent, now);
       return;
   }
-  if (may_repeat && !task->stop_wanted) {
+  if (this->renewal == LeaseRenewal::kSuspended) {
+    this->End(name, UpstreamResult::kNoContact, now);
+  } else if (may_repeat && !task->stop_wanted) {
     this->SendOrder(*task, now);
   } else {
     this->End(name, UpstreamResult::kNotSent, now);
--- a/libraries/upstream_session/leased_upstream.h
+++ b/libraries/upstream_session/leased_upstream.h
@@ -75,8 +75,8 @@
   void OnListAnswer(ListNumber number, const ListAnswer& list, SteadyTime now);
   // Call about every 50 ms.
   void Tick(SteadyTime now);
-  // Whether the lease of what runs may be extended. Without, all stops when
-  // it ends.
+  // Whether leases may be given and extended. Without, nothing is started, and
+  // what runs stops when its lease ends. Call before each of the others.
   void AllowRenewal(LeaseRenewal wanted) { this->renewal = wanted; }
 
   std::vector<SessionEffect> TakeEffects();
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -108,11 +108,13 @@
                                      }));
   this->admin_server = std::move(admin);
   if (this->settings.upstream_protocol == UpstreamProtocol::kPlatform) {
-    BOOST_LEAF_AUTO(bound, PlatformUpstream::Create(
-                               this->settings, this->core_thread, this->metrics,
-                               [this](AgentEvent event) {
-                                 this->OnUpstreamEvent(std::move(event));
-                               }));
+    BOOST_LEAF_AUTO(
+        bound, PlatformUpstream::Create(
+                   this->settings, this->core_thread, this->metrics,
+                   [this](AgentEvent event) {
+                     this->OnUpstreamEvent(std::move(event));
+                   },
+                   [this] { return this->core.RenewalAt(WallClockNow()); }));
     this->platform_upstream = std::move(bound);
   }
   asio::post(this->core_thread.First(), [this] {
@@ -247,12 +249,6 @@
   this->refusals.Count(effect.reason);
 }
 
-void AgentServer::Apply(const RenewalChanged& effect) {
-  if (this->platform_upstream) {
-    this->platform_upstream->AllowRenewal(effect.renewal);
-  }
-}
-
 nlohmann::json AgentServer::Status() const {
   return {{"agent", std::to_string(this->self.value())},
           {"ready", this->core.is_ready()},
--- a/services/agent/agent_server.h
+++ b/services/agent/agent_server.h
@@ -58,7 +58,8 @@
   void Apply(const ConnectToMembers& effect);
   void Apply(const AgentDrained& effect);
   void Apply(const StartRefusalCounted& effect);
-  void Apply(const RenewalChanged& effect);
+  // Logged only: the upstream's side asks at each lease.
+  void Apply(const RenewalChanged& /*effect*/) {}
 
   AgentSettings settings;
   AgentId self;
--- a/services/agent/platform_upstream.cc
+++ b/services/agent/platform_upstream.cc
@@ -35,9 +35,9 @@
 
 Result<std::unique_ptr<PlatformUpstream>> PlatformUpstream::Create(
     const AgentSettings& settings, ThreadGroup& thread, Metrics& counters,
-    EventSink events) {
-  std::unique_ptr<PlatformUpstream> upstream(
-      new PlatformUpstream(settings, thread, counters, std::move(events)));
+    EventSink events, RenewalSource renewal) {
+  std::unique_ptr<PlatformUpstream> upstream(new PlatformUpstream(
+      settings, thread, counters, std::move(events), std::move(renewal)));
   BOOST_LEAF_AUTO(bound,
                   HttpServer::Create(
                       *settings.announcements, thread,
@@ -52,13 +52,19 @@
 
 PlatformUpstream::PlatformUpstream(const AgentSettings& settings,
                                    ThreadGroup& thread, Metrics& counters,
-                                   EventSink events)
+                                   EventSink events, RenewalSource renewal)
     : context(thread.First()),
       metrics(counters),
       sink(std::move(events)),
+      renewal_now(std::move(renewal)),
       session(SessionSettings(settings)),
       tick_timer(thread.First()) {}
 
+LeasedUpstream::SteadyTime PlatformUpstream::Prepare() {
+  this->session.AllowRenewal(this->renewal_now());
+  return std::chrono::steady_clock::now();
+}
+
 void PlatformUpstream::OnCall(const HttpRequest& request,
                               const HttpResponder& responder) {
   const auto call = OrElse(
@@ -77,7 +83,7 @@
     return;
   }
   responder(EncodeUpstreamAcknowledgement());
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = this->Prepare();
   if (const auto* heartbeat = std::get_if<UpstreamHeartbeat>(&*call)) {
     this->session.OnHeartbeat(*heartbeat, now);
   } else {
@@ -87,24 +93,20 @@
 }
 
 void PlatformUpstream::Run(const RunOnUpstream& task) {
-  this->session.Run(task, std::chrono::steady_clock::now());
+  this->session.Run(task, this->Prepare());
   this->Flush();
 }
 
 void PlatformUpstream::Stop(const TaskId& task) {
-  this->session.Stop(task, std::chrono::steady_clock::now());
+  this->session.Stop(task, this->Prepare());
   this->Flush();
 }
 
-void PlatformUpstream::AllowRenewal(LeaseRenewal renewal) {
-  this->session.AllowRenewal(renewal);
-}
-
 void PlatformUpstream::ScheduleTick() {
   this->tick_timer.expires_after(kTickInterval);
   this->tick_timer.async_wait([this](boost::system::error_code error) {
     if (error) return;
-    this->session.Tick(std::chrono::steady_clock::now());
+    this->session.Tick(this->Prepare());
     this->Flush();
     this->ScheduleTick();
   });
@@ -126,24 +128,24 @@
 
 void PlatformUpstream::Carry(const SendStart& wanted) {
   this->ConnectTo(wanted.receiver.endpoint);
-  this->orders->Send(
-      EncodeOrder(wanted.order, wanted.receiver.incarnation), kOrderTimeout,
-      [this, order = wanted.order](const HttpResult& result) {
-        this->session.OnStartAnswer(order, DecodeOrderAnswer(result),
-                                    std::chrono::steady_clock::now());
-        this->Flush();
-      });
+  this->orders->Send(EncodeOrder(wanted.order, wanted.receiver.incarnation),
+                     kOrderTimeout,
+                     [this, order = wanted.order](const HttpResult& result) {
+                       this->session.OnStartAnswer(
+                           order, DecodeOrderAnswer(result), this->Prepare());
+                       this->Flush();
+                     });
 }
 
 void PlatformUpstream::Carry(const SendStop& wanted) {
   this->ConnectTo(wanted.receiver.endpoint);
-  this->orders->Send(
-      EncodeOrder(wanted.order, wanted.receiver.incarnation), kOrderTimeout,
-      [this, order = wanted.order](const HttpResult& result) {
-        this->session.OnStopAnswer(order, DecodeOrderAnswer(result),
-                                   std::chrono::steady_clock::now());
-        this->Flush();
-      });
+  this->orders->Send(EncodeOrder(wanted.order, wanted.receiver.incarnation),
+                     kOrderTimeout,
+                     [this, order = wanted.order](const HttpResult& result) {
+                       this->session.OnStopAnswer(
+                           order, DecodeOrderAnswer(result), this->Prepare());
+                       this->Flush();
+                     });
 }
 
 void PlatformUpstream::Carry(const SendList& wanted) {
@@ -152,8 +154,7 @@
                     wanted.order.patience + kListSlack,
                     [this, number = wanted.number](const HttpResult& result) {
                       this->session.OnListAnswer(
-                          number, DecodeListAnswer(result),
-                          std::chrono::steady_clock::now());
+                          number, DecodeListAnswer(result), this->Prepare());
                       this->Flush();
                     });
 }
--- a/services/agent/platform_upstream.h
+++ b/services/agent/platform_upstream.h
@@ -18,21 +18,24 @@
 class PlatformUpstream {
  public:
   using EventSink = std::function<void(AgentEvent)>;
+  // Whether a lease may be given or extended right now.
+  using RenewalSource = std::function<LeaseRenewal()>;
 
   // Fails where the address for announcements can't be bound.
   static Result<std::unique_ptr<PlatformUpstream>> Create(
       const AgentSettings& settings, ThreadGroup& thread, Metrics& counters,
-      EventSink events);
+      EventSink events, RenewalSource renewal);
   PlatformUpstream(const PlatformUpstream&) = delete;
   PlatformUpstream& operator=(const PlatformUpstream&) = delete;
 
   void Run(const RunOnUpstream& task);
   void Stop(const TaskId& task);
-  void AllowRenewal(LeaseRenewal renewal);
 
  private:
   PlatformUpstream(const AgentSettings& settings, ThreadGroup& thread,
-                   Metrics& counters, EventSink events);
+                   Metrics& counters, EventSink events, RenewalSource renewal);
+  // Tells the session whether it may give leases, and the time.
+  LeasedUpstream::SteadyTime Prepare();
   void OnCall(const HttpRequest& request, const HttpResponder& responder);
   void ScheduleTick();
   // Carries out what the session has decided since the last call.
@@ -46,6 +49,7 @@
   boost::asio::io_context& context;
   Metrics& metrics;
   EventSink sink;
+  RenewalSource renewal_now;
   LeasedUpstream session;
   Endpoint connected_to;
   std::shared_ptr<HttpClient> orders;
--- a/tests/agent_core/agent_core_test.cc
+++ b/tests/agent_core/agent_core_test.cc
@@ -22,6 +22,12 @@
     this->Handle(AgentViewRead{view});
     this->Handle(EntryConnected{EntryId(kEntry)});
     this->Tell(RegisterAcknowledged{view, {}});
+    this->Confirm();
+  }
+
+  // The entry confirms that it has heard this agent just now.
+  std::vector<AgentEffect> Confirm() {
+    return this->Tell(EntryHeartbeat{this->now});
   }
 
   static AgentCoreSettings Settings() {
@@ -115,7 +121,9 @@
   this->Tell(StartOf(1));
   this->Tell(StartOf(2));
   this->Tell(StartOf(3));
-  this->now += milliseconds(600);
+  this->now += milliseconds(300);
+  this->Confirm();
+  this->now += milliseconds(300);
   const auto effects = this->Handle(AgentTick{});
   ASSERT_EQ(Sent<TaskNotRun>(effects).size(), 1U);
   EXPECT_EQ(Sent<TaskNotRun>(effects)[0].reason, Reason::kDeadlineExceeded);
@@ -138,9 +146,7 @@
 // The lease argument: without a word from an entry that has heard this agent,
 // what runs must end.
 TEST_F(AgentCoreTest, LeasesAreRenewedOnlyWhileAnEntryConfirms) {
-  const auto allowed = Only<RenewalChanged>(this->Tell(EntryHeartbeat{now}));
-  ASSERT_EQ(allowed.size(), 1U);
-  EXPECT_EQ(allowed[0].renewal, LeaseRenewal::kAllowed);
+  EXPECT_EQ(this->agent.RenewalAt(this->now), LeaseRenewal::kAllowed);
   this->now += Settings().contact_limit + milliseconds(1);
   const auto suspended = Only<RenewalChanged>(this->Handle(AgentTick{}));
   ASSERT_EQ(suspended.size(), 1U);
@@ -148,6 +154,48 @@
   // A word that confirms nothing new changes nothing.
   const Timestamp old = this->now - Settings().contact_limit - milliseconds(1);
   EXPECT_TRUE(Only<RenewalChanged>(this->Tell(EntryHeartbeat{old})).empty());
+  const auto allowed = Only<RenewalChanged>(this->Confirm());
+  ASSERT_EQ(allowed.size(), 1U);
+  EXPECT_EQ(allowed[0].renewal, LeaseRenewal::kAllowed);
+}
+
+// A process that wakes from a freeze finds starts in its buffers. The entries
+// have taken its tasks for over since, and may run them elsewhere.
+TEST_F(AgentCoreTest, AStartThatWasHeldUpByAFreezeIsRefused) {
+  this->now += std::chrono::seconds(3);
+  EXPECT_EQ(this->agent.RenewalAt(this->now), LeaseRenewal::kSuspended);
+  const auto effects = this->Tell(StartOf(1));
+  EXPECT_TRUE(Only<RunOnUpstream>(effects).empty());
+  ASSERT_EQ(Sent<TaskNotRun>(effects).size(), 1U);
+  EXPECT_EQ(Sent<TaskNotRun>(effects)[0].reason, Reason::kContactLost);
+}
+
+// Another entry may have confirmed a heartbeat before the old start is read.
+TEST_F(AgentCoreTest, AStartFromBeforeALossOfContactIsRefused) {
+  Start start = StartOf(1);
+  start.rerun = RerunPolicy::kAfterLease;
+  start.contact = this->now;
+  this->now += std::chrono::seconds(2);
+  this->Confirm();
+  const auto refused = Sent<TaskNotRun>(this->Tell(start));
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_EQ(refused[0].reason, Reason::kContactLost);
+  start.contact = this->now;
+  ++start.attempt;
+  EXPECT_EQ(Only<RunOnUpstream>(this->Tell(start)).size(), 1U);
+}
+
+TEST_F(AgentCoreTest, WhatWaitsGoesElsewhereOnceContactIsLost) {
+  this->Tell(StartOf(1));
+  this->Tell(StartOf(2));
+  this->Tell(StartOf(3));
+  this->now += Settings().contact_limit + milliseconds(1);
+  const auto effects = this->Handle(UpstreamEnded{
+      StartOf(1).task, UpstreamResult::kSucceeded, Payload(), Duration()});
+  EXPECT_TRUE(Only<RunOnUpstream>(effects).empty());
+  ASSERT_EQ(Sent<TaskNotRun>(effects).size(), 1U);
+  EXPECT_EQ(Sent<TaskNotRun>(effects)[0].task, StartOf(3).task);
+  EXPECT_EQ(Sent<TaskNotRun>(effects)[0].reason, Reason::kContactLost);
 }
 
 }  // namespace
--- a/tests/benchmarks/core_benchmark.cc
+++ b/tests/benchmarks/core_benchmark.cc
@@ -145,11 +145,14 @@
     Start start;
     start.task = {{~0ULL, ~0ULL - 5}, TaskIndex(3)};
     start.ballot = {Epoch(40), 1, EntryId(1883618780616342967ULL)};
-    const TaskFinished finished{
-        {start.task, StartedState::kFinished, TaskOutcome::kSucceeded,
-         Payload::FromBytes("result"), true},
-        std::chrono::milliseconds(300),
-        {}};
+    const TaskFinished finished{{start.task,
+                                 StartedState::kFinished,
+                                 TaskOutcome::kSucceeded,
+                                 Payload::FromBytes("result"),
+                                 true,
+                                 {}},
+                                std::chrono::milliseconds(300),
+                                {}};
     RecordedStep step;
     step.now = WallClockNow();
     step.event = RecordCodec::ToMessagePack(EntryEvent(
--- a/tests/decision_log/decision_log_test.cc
+++ b/tests/decision_log/decision_log_test.cc
@@ -117,7 +117,8 @@
                      StartedState::kFinished,
                      outcome,
                      Payload(),
-                     true};
+                     true,
+                     {}};
   return finished;
 }
 
--- a/tests/entry_core/deliberate_fault_test.cc
+++ b/tests/entry_core/deliberate_fault_test.cc
@@ -14,18 +14,22 @@
   const char* name;
   DeliberateFault fault;
   std::uint64_t first_seed = 1;
+  RerunPolicy rerun = RerunPolicy::kNever;
 };
 
 constexpr std::uint64_t kSeeds = 1500;
 
 class DeliberateFaultTest : public testing::TestWithParam<FaultCase> {};
 
-std::optional<std::string> ViolationOf(DeliberateFault fault,
+std::optional<std::string> ViolationOf(DeliberateFault fault, RerunPolicy rerun,
                                        std::uint64_t seed) {
   constexpr std::size_t kSteps = 260;
   constexpr std::uint32_t kIntensities = 4;
   WorldOptions options;
   options.fault = fault;
+  options.rerun = rerun;
+  // Two agents are seldom enough to run a task twice at once.
+  if (rerun == RerunPolicy::kAfterLease) options.agents = 3;
   options.intensity = 1 + seed % kIntensities;
   ProtocolWorld world(options);
   std::mt19937_64 random(seed);
@@ -40,8 +44,9 @@
   const FaultCase& tested = this->GetParam();
   for (std::uint64_t seed = tested.first_seed;
        seed < tested.first_seed + kSeeds; ++seed) {
-    if (!ViolationOf(tested.fault, seed)) continue;
-    EXPECT_FALSE(ViolationOf(DeliberateFault::kNone, seed)) << seed;
+    if (!ViolationOf(tested.fault, tested.rerun, seed)) continue;
+    EXPECT_FALSE(ViolationOf(DeliberateFault::kNone, tested.rerun, seed))
+        << seed;
     return;
   }
   FAIL() << "no seed catches it";
@@ -63,7 +68,15 @@
                   DeliberateFault::kReuseEntryIncarnation},
         FaultCase{"CrossAnswers", DeliberateFault::kCrossAnswers},
         FaultCase{"LowerVersion", DeliberateFault::kLowerVersion},
-        FaultCase{"IgnoreLeaving", DeliberateFault::kIgnoreLeaving}),
+        FaultCase{"IgnoreLeaving", DeliberateFault::kIgnoreLeaving},
+        FaultCase{"ConfirmUnheard", DeliberateFault::kConfirmUnheard, 1,
+                  RerunPolicy::kAfterLease},
+        FaultCase{"LeaseOverTooSoon", DeliberateFault::kLeaseOverTooSoon, 1,
+                  RerunPolicy::kAfterLease},
+        FaultCase{"HideSightings", DeliberateFault::kHideSightings, 6000,
+                  RerunPolicy::kAfterLease},
+        FaultCase{"KeepStrangers", DeliberateFault::kKeepStrangers, 1,
+                  RerunPolicy::kAfterLease}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
 }  // namespace
--- a/tests/entry_core/protocol_fuzz_main.cc
+++ b/tests/entry_core/protocol_fuzz_main.cc
@@ -72,6 +72,7 @@
       cxxopts::value<std::size_t>()->default_value("260"))(
       "entries", "", cxxopts::value<std::uint32_t>()->default_value("3"))(
       "agents", "", cxxopts::value<std::uint32_t>()->default_value("2"))(
+      "leases", "jobs may run again once their lease is over")(
       "log", "print what happened in every run")(
       "fault", "number of a deliberate fault",
       cxxopts::value<int>()->default_value("0"));
@@ -86,6 +87,9 @@
   options.print_log = parsed.count("log") > 0;
   options.world.entries = parsed["entries"].as<std::uint32_t>();
   options.world.agents = parsed["agents"].as<std::uint32_t>();
+  if (parsed.count("leases") > 0) {
+    options.world.rerun = dandelionspur::RerunPolicy::kAfterLease;
+  }
   options.world.fault =
       static_cast<dandelionspur::DeliberateFault>(parsed["fault"].as<int>());
   return dandelionspur::Fuzz(options);
--- a/tests/entry_core/protocol_fuzz_test.cc
+++ b/tests/entry_core/protocol_fuzz_test.cc
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 
 #include <cstdint>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,7 @@
   std::string name;
   std::uint32_t entries;
   std::uint32_t agents;
+  RerunPolicy rerun = RerunPolicy::kNever;
 };
 
 class ProtocolFuzz : public testing::TestWithParam<WorldCase> {};
@@ -39,6 +41,7 @@
   WorldOptions options;
   options.entries = this->GetParam().entries;
   options.agents = this->GetParam().agents;
+  options.rerun = this->GetParam().rerun;
   std::uint64_t starts = 0;
   std::uint64_t answers = 0;
   std::uint64_t refusals = 0;
@@ -65,8 +68,40 @@
 INSTANTIATE_TEST_SUITE_P(Worlds, ProtocolFuzz,
                          testing::Values(WorldCase{"ThreeEntries", 3, 2},
                                          WorldCase{"FourEntries", 4, 3},
-                                         WorldCase{"TwoEntries", 2, 2}),
+                                         WorldCase{"TwoEntries", 2, 2},
+                                         WorldCase{"Leases", 3, 3,
+                                                   RerunPolicy::kAfterLease}),
                          [](const auto& tested) { return tested.param.name; });
 
+// Seeds of protocol_fuzz that have broken a promise, with leases.
+class PastFailureTest : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(PastFailureTest, IsMended) {
+  const std::uint64_t seed = this->GetParam();
+  constexpr std::uint32_t kIntensities = 4;
+  WorldOptions options;
+  options.agents = 3;
+  options.rerun = RerunPolicy::kAfterLease;
+  options.intensity = 1 + seed % kIntensities;
+  ProtocolWorld world(options);
+  std::mt19937_64 random(seed);
+  std::vector<std::uint32_t> script(kStepsPerRun);
+  for (std::uint32_t& choice : script) {
+    choice = static_cast<std::uint32_t>(random());
+  }
+  EXPECT_EQ(RunScript(world, script), "") << world.Log();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Leases, PastFailureTest,
+    testing::Values(
+        // Submitted again after its agent was lost, before the lease was over.
+        60,
+        // The end of an earlier start came once more, after the next start.
+        100577,
+        // A start from before a freeze, read after contact was regained.
+        500085, 101168),
+    [](const auto& tested) { return "Seed" + std::to_string(tested.param); });
+
 }  // namespace
 }  // namespace dandelionspur
--- a/tests/support/core_bench.cc
+++ b/tests/support/core_bench.cc
@@ -133,8 +133,12 @@
     if (start == nullptr) continue;
     ++started;
     TaskFinished finished;
-    finished.report = {start->task, StartedState::kFinished,
-                       TaskOutcome::kSucceeded, Payload(), true};
+    finished.report = {start->task,
+                       StartedState::kFinished,
+                       TaskOutcome::kSucceeded,
+                       Payload(),
+                       true,
+                       {}};
     finished.elapsed = std::chrono::milliseconds(100);
     finished.load = RoomOf(this->slots_each);
     finished.load.starts_seen = ++this->seen[sent->to];
--- a/tests/support/deliberate_faults.cc
+++ b/tests/support/deliberate_faults.cc
@@ -80,6 +80,13 @@
         }
       }
       return true;
+    case DeliberateFault::kHideSightings:
+      if (peer_message != nullptr) {
+        if (auto* heartbeat = std::get_if<PeerHeartbeat>(peer_message)) {
+          heartbeat->sightings.clear();
+        }
+      }
+      return true;
     default:
       return true;
   }
--- a/tests/support/protocol_world.cc
+++ b/tests/support/protocol_world.cc
@@ -7,11 +7,15 @@
 namespace dandelionspur {
 namespace {
 
+constexpr Duration kStart = std::chrono::seconds(1'000'000);
 constexpr Duration kTick = std::chrono::milliseconds(50);
 constexpr Duration kDeadline = std::chrono::seconds(4);
 // Long enough for every deadline, its grace, and takeovers in between.
 constexpr int kSettleTicks = 400;
 constexpr int kTicksPerPoll = 20;
+// A lease of 1 s by a clock that is 2% slow, and what the upstream takes to
+// notice.
+constexpr Duration kLongestLease = std::chrono::milliseconds(1'170);
 const char* const kService = "s";
 const ServiceName kServiceName{kService};
 
@@ -38,7 +42,7 @@
 }
 
 ProtocolWorld::ProtocolWorld(const WorldOptions& configured)
-    : options(configured), now(std::chrono::seconds(1'000'000)) {
+    : options(configured), now(kStart) {
   for (std::uint32_t i = 0; i < this->options.entries; ++i) {
     this->StartEntry(i);
   }
@@ -111,6 +115,7 @@
   }
   for (const NodeId node : this->AliveEntries()) this->Thaw(node);
   for (const NodeId node : this->AliveAgents()) this->Thaw(node);
+  if (this->HasLeases()) this->RestartAll();
   for (int i = 0; i < kSettleTicks && !this->broken; ++i) {
     for (const NodeId entry : this->AliveEntries()) {
       for (const NodeId other : this->AliveEntries()) {
@@ -144,10 +149,7 @@
 
 bool ProtocolWorld::ReplaysEqually() const {
   for (const auto& [id, entry] : this->entries) {
-    EntryCoreSettings settings;
-    settings.self = EntryId(id);
-    settings.bucket_count = this->options.buckets;
-    EntryCore replay(settings);
+    EntryCore replay(this->SettingsOf(id));
     for (const RecordedEntryStep& step : entry.steps) {
       const std::vector<EntryEffect> effects =
           replay.Handle(step.event, step.now);
@@ -199,6 +201,8 @@
   job.client_account = ClientAccount("t");
   job.time_allowed = kDeadline;
   job.body_digest = number;
+  job.rerun = this->options.rerun;
+  job.maximum_attempts = this->HasLeases() ? 3 : 1;
   // Half of the keys carry their age.
   if (number % 2 == 0) job.created = Timestamp(std::chrono::seconds(999'999));
   for (std::uint32_t i = 0; i < this->options.tasks_per_job; ++i) {
@@ -214,11 +218,42 @@
 
 void ProtocolWorld::AdvanceTime(Duration step) {
   this->now += step;
+  this->LapseLeases();
   for (const NodeId entry : this->AliveEntries()) {
     if (!this->IsFrozen(entry)) this->HandleEntry(entry, EntryTick{});
   }
   for (const NodeId agent : this->AliveAgents()) {
-    if (!this->IsFrozen(agent)) this->HandleAgent(agent, AgentTick{});
+    if (this->IsFrozen(agent)) continue;
+    this->HandleAgent(agent, AgentTick{});
+    this->ExtendLeases(agent);
+  }
+}
+
+void ProtocolWorld::LapseLeases() {
+  if (!this->HasLeases()) return;
+  std::vector<RunningTask> lapsed;
+  std::erase_if(this->running, [&](const RunningTask& task) {
+    if (task.lease_until > this->now) return false;
+    lapsed.push_back(task);
+    return true;
+  });
+  for (const RunningTask& task : lapsed) {
+    this->Note("the lease of task " + std::to_string(task.task.task.value()) +
+               " of " + task.task.key.ToHex().substr(0, 4) + " is over");
+    if (!this->IsAlive(task.agent)) continue;
+    this->HandleAgent(
+        task.agent, UpstreamEnded{task.task, UpstreamResult::kBroken, Payload(),
+                                  Duration()});
+  }
+}
+
+void ProtocolWorld::ExtendLeases(NodeId agent) {
+  if (!this->IsAlive(agent)) return;
+  const LeaseRenewal renewal =
+      this->agents.at(agent).core->RenewalAt(this->now);
+  if (renewal == LeaseRenewal::kSuspended) return;
+  for (RunningTask& task : this->running) {
+    if (task.agent == agent) task.lease_until = this->now + kLongestLease;
   }
 }
 
@@ -231,12 +266,12 @@
   if (!this->IsAlive(task.agent)) return;
   constexpr std::uint32_t kFailureEvery = 16;
   const bool fails = (choice / 32) % kFailureEvery == 1;
+  const UpstreamResult failure =
+      this->HasLeases() ? UpstreamResult::kFailed : UpstreamResult::kBroken;
   this->HandleAgent(
       task.agent,
-      UpstreamEnded{
-          task.task,
-          fails ? UpstreamResult::kBroken : UpstreamResult::kSucceeded,
-          ResultOf(task.task), std::chrono::milliseconds(100)});
+      UpstreamEnded{task.task, fails ? failure : UpstreamResult::kSucceeded,
+                    ResultOf(task.task), std::chrono::milliseconds(100)});
 }
 
 void ProtocolWorld::PollTable(std::uint32_t choice) {
@@ -255,13 +290,20 @@
 
 void ProtocolWorld::KillEntry(std::uint32_t choice) {
   std::vector<NodeId> alive = this->AliveEntries();
-  if (alive.size() < 2) return;
+  const std::size_t least = this->HasLeases() ? 1 : 2;
+  if (alive.size() < least) return;
   this->EndEntry(Pick(alive, choice));
+  // Now and then everybody is lost at once.
+  constexpr std::uint32_t kAllEvery = 8;
+  if (!this->HasLeases() || (choice / 8) % kAllEvery != 0) return;
+  for (const NodeId entry : this->AliveEntries()) this->EndEntry(entry);
+  for (const NodeId agent : this->AliveAgents()) this->EndAgent(agent);
 }
 
 void ProtocolWorld::KillAgent(std::uint32_t choice) {
   std::vector<NodeId> alive = this->AliveAgents();
-  if (alive.size() < 2) return;
+  const std::size_t least = this->HasLeases() ? 1 : 2;
+  if (alive.size() < least) return;
   this->EndAgent(Pick(alive, choice));
 }
 
@@ -280,11 +322,8 @@
     if (reuse_entry) {
       for (auto& [id, entry] : this->entries) {
         if (entry.alive || entry.slot != wanted) continue;
-        EntryCoreSettings settings;
-        settings.self = EntryId(id);
-        settings.bucket_count = this->options.buckets;
         entry = Entry();
-        entry.core = std::make_unique<EntryCore>(settings);
+        entry.core = std::make_unique<EntryCore>(this->SettingsOf(id));
         entry.slot = wanted;
         this->Note("entry " + std::to_string(id) + " reused");
         this->HandleEntry(id, ViewRead{this->table_view});
@@ -325,6 +364,11 @@
   }
 }
 
+void ProtocolWorld::RestartAll() {
+  const std::uint32_t processes = this->options.entries + this->options.agents;
+  for (std::uint32_t i = 0; i < processes; ++i) this->RestartSomething(0);
+}
+
 void ProtocolWorld::FreezeOrThaw(std::uint32_t choice) {
   std::vector<NodeId> nodes = this->AliveEntries();
   for (const NodeId agent : this->AliveAgents()) nodes.push_back(agent);
@@ -398,13 +442,20 @@
   this->table_version = DocumentVersion(this->table_version.value() + 1);
 }
 
-ProtocolWorld::NodeId ProtocolWorld::StartEntry(std::uint32_t slot) {
-  const NodeId id = ++this->last_node;
+EntryCoreSettings ProtocolWorld::SettingsOf(NodeId entry) const {
   EntryCoreSettings settings;
-  settings.self = EntryId(id);
+  settings.self = EntryId(entry);
   settings.bucket_count = this->options.buckets;
+  if (this->options.fault == DeliberateFault::kLeaseOverTooSoon) {
+    settings.lease_over_after = kLongestLease / 4;
+  }
+  return settings;
+}
+
+ProtocolWorld::NodeId ProtocolWorld::StartEntry(std::uint32_t slot) {
+  const NodeId id = ++this->last_node;
   Entry& entry = this->entries[id];
-  entry.core = std::make_unique<EntryCore>(settings);
+  entry.core = std::make_unique<EntryCore>(this->SettingsOf(id));
   entry.slot = slot;
   this->Note("entry " + std::to_string(id) + " starts");
   this->JoinView(id);
@@ -425,6 +476,14 @@
 
 ProtocolWorld::NodeId ProtocolWorld::StartAgent(std::uint32_t slot) {
   const NodeId id = ++this->last_node;
+  // It stops what its predecessors left before it says that it is there.
+  const bool stops = this->HasLeases() &&
+                     this->options.fault != DeliberateFault::kKeepStrangers;
+  if (stops) {
+    std::erase_if(this->running, [&](const RunningTask& task) {
+      return this->agents.at(task.agent).slot == slot;
+    });
+  }
   AgentCoreSettings settings;
   settings.self = AgentId(id);
   settings.bucket_count = this->options.buckets;
@@ -483,6 +542,7 @@
     return;
   }
   Agent& agent = this->agents.at(node);
+  this->Note("agent " + std::to_string(node) + " thaws");
   agent.frozen = false;
   std::deque<AgentEvent> events;
   events.swap(agent.deferred);
@@ -605,12 +665,27 @@
     agent.deferred.push_back(event);
     return;
   }
-  const std::vector<AgentEffect> effects = agent.core->Handle(event, this->now);
+  if (this->options.fault == DeliberateFault::kConfirmUnheard) {
+    const EntryHeartbeat heard{this->now};
+    agent.core->Handle(EntryMessageReceived{EntryId(), heard}, this->now);
+  }
+  const std::vector<AgentEffect> effects =
+      agent.core->Handle(this->TamperWithContact(event), this->now);
   for (const AgentEffect& effect : effects) {
     if (agent.alive) this->Apply(id, effect);
   }
 }
 
+AgentEvent ProtocolWorld::TamperWithContact(AgentEvent event) const {
+  if (this->options.fault != DeliberateFault::kConfirmUnheard) return event;
+  auto* received = std::get_if<EntryMessageReceived>(&event);
+  if (received == nullptr) return event;
+  if (auto* start = std::get_if<Start>(&received->message)) {
+    start->contact = this->now;
+  }
+  return event;
+}
+
 void ProtocolWorld::Apply(NodeId from, const EntryEffect& effect) {
   if (const auto* answer = std::get_if<AnswerCaller>(&effect)) {
     this->OnAnswer(*answer);
@@ -635,6 +710,11 @@
         this->Connect(from, member.entry.value());
       }
     }
+  } else if (const auto* retried = std::get_if<RetryCounted>(&effect)) {
+    this->Note("entry " + std::to_string(from) + " queues task " +
+               std::to_string(retried->task.task.value()) + " of " +
+               retried->task.key.ToHex().substr(0, 4) +
+               " again: " + std::string(ReasonName(retried->reason)));
   } else if (const auto* owned = std::get_if<OwnershipChanged>(&effect)) {
     for (const BucketBallot& bucket : owned->buckets) {
       this->Note("entry " + std::to_string(from) +
@@ -686,6 +766,9 @@
 }
 
 void ProtocolWorld::CheckNeverStarted(NodeId home, const JobKey& key) {
+  // An earlier submission of the key may have run: it is the runs of this one
+  // that are denied, and a start after the answer is looked for in OnStart.
+  if (this->HasLeases()) return;
   const auto given = this->evidence.find(home);
   const bool started_since =
       given != this->evidence.end() && !given->second.started.contains(key);
@@ -727,7 +810,11 @@
     return;
   }
   ++this->start_count;
-  if (++this->starts_of_task[run.task] > 1) {
+  const bool still_runs = std::any_of(
+      this->running.begin(), this->running.end(),
+      [&](const RunningTask& other) { return other.task == run.task; });
+  if (still_runs) this->Fail("a task runs twice at once");
+  if (++this->starts_of_task[run.task] > 1 && !this->HasLeases()) {
     this->Fail("task " + std::to_string(run.task.task.value()) + " of " +
                run.task.key.ToHex().substr(0, 4) + " started twice");
   }
@@ -739,7 +826,8 @@
         return item.second.key == run.task.key && !item.second.refused;
       });
   if (!wanted) this->Fail("a refused submission starts");
-  this->running.push_back({agent, run.task, run.body});
+  this->running.push_back(
+      {agent, run.task, run.body, this->now + kLongestLease});
 }
 
 void ProtocolWorld::OnAnswer(const AnswerCaller& answer) {
@@ -777,6 +865,13 @@
   }
 }
 
+void ProtocolWorld::Note(const std::string& line) {
+  const auto since_start =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          this->now.time_since_epoch() - kStart);
+  this->log.push_back(std::to_string(since_start.count()) + " ms: " + line);
+}
+
 void ProtocolWorld::Fail(const std::string& what) {
   if (this->broken) return;
   this->broken = what;
--- a/tests/support/protocol_world.h
+++ b/tests/support/protocol_world.h
@@ -43,6 +43,14 @@
   kLowerVersion,
   // An agent that leaves says so to nobody and goes on.
   kIgnoreLeaving,
+  // Agents give leases without having been heard by an entry.
+  kConfirmUnheard,
+  // Entries take the runs of a silent agent for over before its lease is.
+  kLeaseOverTooSoon,
+  // A restarted agent leaves running what its predecessor has started.
+  kKeepStrangers,
+  // Entries don't tell each other which agents they hear.
+  kHideSightings,
 };
 
 struct WorldOptions {
@@ -54,6 +62,9 @@
   std::uint32_t tasks_per_job = 2;
   // How many of the faults in a script take place, in quarters.
   std::uint32_t intensity = 2;
+  // kAfterLease: tasks fail now and then and may run again, but never twice at
+  // once; upstreams end what has lost its lease; everybody may be lost.
+  RerunPolicy rerun = RerunPolicy::kNever;
   DeliberateFault fault = DeliberateFault::kNone;
 };
 
@@ -116,6 +127,8 @@
     NodeId agent = 0;
     TaskId task;
     Payload body;
+    // The upstream ends it then.
+    Timestamp lease_until;
   };
   struct Submission {
     NodeId entry = 0;
@@ -129,6 +142,10 @@
   void DeliverOutOfOrder(std::uint32_t choice);
   void Submit(std::uint32_t choice);
   void AdvanceTime(Duration step);
+  // Ends the runs whose leases are over.
+  void LapseLeases();
+  // What an agent does at each tick while it may.
+  void ExtendLeases(NodeId agent);
   void FinishTask(std::uint32_t choice);
   void PollTable(std::uint32_t choice);
   void KillEntry(std::uint32_t choice);
@@ -140,6 +157,12 @@
   void DrainOrLeave(std::uint32_t choice);
   void ApplyDocument();
 
+  // The processes that are missing come back.
+  void RestartAll();
+  [[nodiscard]] bool HasLeases() const {
+    return this->options.rerun == RerunPolicy::kAfterLease;
+  }
+  [[nodiscard]] EntryCoreSettings SettingsOf(NodeId entry) const;
   NodeId StartEntry(std::uint32_t slot);
   NodeId StartAgent(std::uint32_t slot);
   void JoinView(NodeId entry);
@@ -160,6 +183,9 @@
   // Applies the deliberate fault to a message; false if it is swallowed.
   bool Tamper(NodeId from, NodeId to, Message& message);
 
+  // For kConfirmUnheard, a start looks as if its sender had just heard the
+  // agent.
+  [[nodiscard]] AgentEvent TamperWithContact(AgentEvent event) const;
   void HandleEntry(NodeId id, const EntryEvent& event);
   void HandleAgent(NodeId id, const AgentEvent& event);
   void Apply(NodeId from, const EntryEffect& effect);
@@ -174,7 +200,8 @@
   void CheckNeverStarted(NodeId home, const JobKey& key);
   // What had been started when a process confirmed a home's ballots.
   void NoteEvidence(NodeId home, const ConfirmReply& reply);
-  void Note(const std::string& line) { this->log.push_back(line); }
+  // Adds a line to the log, with the time since the start.
+  void Note(const std::string& line);
   void Fail(const std::string& what);
   [[nodiscard]] JobKey KeyOf(std::uint32_t number) const;
 
--- a/tests/upstream_session/leased_upstream_test.cc
+++ b/tests/upstream_session/leased_upstream_test.cc
@@ -226,6 +226,28 @@
   EXPECT_FALSE(this->All<SendList>().back().order.lease_until.has_value());
 }
 
+// A start gives a lease, as a renewal does.
+TEST_F(Session, WithoutPermissionNothingIsStarted) {
+  this->Announce();
+  this->upstream.AllowRenewal(LeaseRenewal::kSuspended);
+  this->upstream.Run(Wanted(1), this->now);
+  EXPECT_TRUE(this->All<SendStart>().empty());
+  ASSERT_EQ(this->Events<UpstreamEnded>().size(), 1U);
+  EXPECT_EQ(this->Events<UpstreamEnded>()[0].result,
+            UpstreamResult::kNoContact);
+}
+
+TEST_F(Session, WithoutPermissionAnOrderIsNotRepeated) {
+  this->Announce();
+  const StartOrder order = this->Start(1);
+  this->upstream.AllowRenewal(LeaseRenewal::kSuspended);
+  this->AnswerStart(order, OrderOutcome::kLate);
+  EXPECT_EQ(this->All<SendStart>().size(), 1U);
+  ASSERT_EQ(this->Events<UpstreamEnded>().size(), 1U);
+  EXPECT_EQ(this->Events<UpstreamEnded>()[0].result,
+            UpstreamResult::kNoContact);
+}
+
 TEST_F(Session, ASilentUpstreamsTasksAreOverOnceTheLeaseMustHaveRunOut) {
   this->Announce();
   this->AnswerStart(this->Start(1), OrderOutcome::kDone);
