--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -21,8 +21,8 @@
   return started;
 }
 
-// Whether the job's tasks may be started again although one has run.
-bool MayStartAgain(const HomeJob& job) {
+// Whether a task of the job may be run again although it may have run.
+bool IsRerunnable(const HomeJob& job) {
   return job.submission.rerun == RerunPolicy::kAfterLease;
 }
 
@@ -223,7 +223,7 @@
       if (found.task.value() >= job.tasks.size()) continue;
       const KnownAgent* holder = this->agents.Find(found.agent);
       const bool is_over =
-          MayStartAgain(job) && (holder == nullptr || holder->lost_at);
+          IsRerunnable(job) && (holder == nullptr || holder->lost_at);
       // Its lease has run out since; the task is queued below.
       if (is_over) continue;
       TaskRecord& task = job.tasks[found.task.value()];
@@ -369,7 +369,7 @@
   if (!task.IsAwaitedFrom(from)) return;
   // A task that may run again may have been started there once more since. A
   // success is one, whichever start it is of.
-  const bool stale = MayStartAgain(*job) && task.IsStale(report.start) &&
+  const bool stale = IsRerunnable(*job) && task.IsStale(report.start) &&
                      report.outcome != TaskOutcome::kSucceeded;
   if (stale) return;
   this->TaskNoLongerStarted(*job, task);
@@ -406,7 +406,7 @@
 
 bool HomeJobs::MayRunAgain(const HomeJob& job, const TaskRecord& task,
                            TaskOutcome outcome) {
-  if (!MayStartAgain(job)) return false;
+  if (!IsRerunnable(job)) return false;
   if (outcome == TaskOutcome::kSucceeded) return false;
   return task.failures < job.submission.maximum_attempts;
 }
@@ -424,7 +424,7 @@
   if (job == nullptr || message.task.task.value() >= job->tasks.size()) return;
   TaskRecord& task = job->tasks[message.task.task.value()];
   if (task.phase != TaskPhase::kStarted || task.agent != from) return;
-  if (MayStartAgain(*job) && task.IsStale(message.start)) return;
+  if (IsRerunnable(*job) && task.IsStale(message.start)) return;
   this->TaskNoLongerStarted(*job, task);
   --job->started;
   this->Requeue(*job, message.task.task, message.reason, now);
@@ -441,12 +441,12 @@
   if (job == nullptr || report.task.task.value() >= job->tasks.size()) return;
   TaskRecord& task = job->tasks[report.task.task.value()];
   if (!task.IsAwaitedFrom(from)) return;
-  if (MayStartAgain(*job) && task.IsStale(report.start)) return;
+  if (IsRerunnable(*job) && task.IsStale(report.start)) return;
   if (report.state == StartedState::kRunning) {
     task.phase = TaskPhase::kStarted;
     return;
   }
-  const bool may_run_again = MayStartAgain(*job);
+  const bool may_run_again = IsRerunnable(*job);
   if (task.phase == TaskPhase::kQuerying && !may_run_again) {
     // The agent had started the task and has forgotten it since.
     this->Finish(*job, JobAnswer::MayHaveRun(Reason::kAnswerNotKept), now);
@@ -503,15 +503,17 @@
     HomeJob* job = this->Find(id.key);
     if (job == nullptr) continue;
     TaskRecord& task = job->tasks[id.task.value()];
-    if (!this->MayRunAgain(*job, task, TaskOutcome::kUnknown)) {
-      this->Finish(*job, JobAnswer::MayHaveRun(Reason::kAgentLost), now);
-    } else if (runs == AgentRuns::kOver) {
+    const bool again = this->MayRunAgain(*job, task, TaskOutcome::kUnknown);
+    if (again && runs == AgentRuns::kOver) {
       this->TaskNoLongerStarted(*job, task);
       this->Requeue(*job, id.task, Reason::kAgentLost, now);
-    } else if (now + this->settings.lease_over_after > job->UsefulUntil()) {
-      // It would wait in vain for the end of the lease.
-      this->Finish(*job, JobAnswer::MayHaveRun(Reason::kAgentLost), now);
+      continue;
     }
+    // Else it would wait in vain for the end of the lease.
+    const bool may_wait =
+        again && now + this->settings.lease_over_after <= job->UsefulUntil();
+    if (may_wait) continue;
+    this->Finish(*job, JobAnswer::MayHaveRun(Reason::kAgentLost), now);
   }
 }
 
@@ -725,7 +727,7 @@
     this->AnswerWaiter(waiter, key, answer);
   }
   const bool may_run_again =
-      MayStartAgain(job) && answer.verdict == Verdict::kMayHaveRun;
+      IsRerunnable(job) && answer.verdict == Verdict::kMayHaveRun;
   if (may_run_again) {
     // A later submission of the key first asks what became of these.
     this->ownership.Reopen(key, StartedTasks(job));
--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -237,8 +237,8 @@
   if (const auto* problem = std::get_if<UndecodedJob>(&decoded)) {
     this->answers.Count(problem->reason);
     LogEvent(LineClass::kFailure,
-             RequestRejected{std::string(match.rest), match.service.value(), problem->reason,
-                             problem->detail});
+             RequestRejected{std::string(match.rest), match.service.value(),
+                             problem->reason, problem->detail});
     responder(EncodeJobAnswer(
         SubmissionValidator::Reject(problem->reason, problem->detail).answer));
     return;
