upstream_session: Make up for a lost list answer at once

Ends come with lists alone. A list whose answer is lost was given up 300 ms after its patience of 400 ms; until then no other was asked for, so ends stayed unseen, and after 600 ms the upstream looked silent: its agent gave back all that waited and the entries turned away from it. Change: 60 ms after the patience the next list goes out and is answered at once. Ruled out: a longer time until an upstream looks silent (ends would stay unseen as long), shorter patience (a call more for each).

--- a/libraries/upstream_session/leased_upstream.cc
+++ b/libraries/upstream_session/leased_upstream.cc
@@ -6,6 +6,9 @@
 namespace dandelionspur {
 namespace {
 
+// The upstream answers within milliseconds of the end of its patience; after
+// this the answer is taken for lost, and a new list is asked for.
+constexpr Duration kListOverdue = std::chrono::milliseconds(60);
 // Without an answer for this long, the upstream counts as silent and gets no
 // new tasks.
 constexpr Duration kSilentAfter = std::chrono::milliseconds(600);
@@ -329,14 +332,24 @@
   const bool silent = this->contact == UpstreamContact::kSilent;
   const bool waits = !this->tasks.empty() || !this->cleared || silent;
   if (!this->upstream || !waits) return;
-  if (!this->lists.empty() || now < this->next_list) return;
-  const bool patient = this->cleared && !silent;
+  if (now < this->next_list || this->AwaitsTimelyList(now)) return;
+  // After one whose answer is overdue, the next is answered at once: ends may
+  // have been missed.
+  const bool patient = this->cleared && !silent && this->lists.empty();
   this->AskForList(patient ? this->settings.list_patience : Duration(), now);
 }
 
+bool LeasedUpstream::AwaitsTimelyList(SteadyTime now) const {
+  return std::any_of(
+      this->lists.begin(), this->lists.end(), [&](const auto& item) {
+        const PendingList& list = item.second;
+        return now <= list.sent_at + list.patience + kListOverdue;
+      });
+}
+
 void LeasedUpstream::AskForList(Duration patience, SteadyTime now) {
   const ListNumber number(++this->last_list);
-  this->lists.emplace(number, PendingList{this->token, now});
+  this->lists.emplace(number, PendingList{this->token, now, patience});
   ListOrder order;
   order.token = this->token;
   order.acknowledged = this->acknowledged;
--- a/libraries/upstream_session/leased_upstream.h
+++ b/libraries/upstream_session/leased_upstream.h
@@ -106,6 +106,8 @@
   struct PendingList {
     FencingToken token;
     SteadyTime sent_at;
+    // How long the upstream may hold back the answer.
+    Duration patience{};
   };
 
   void Adopt(const UpstreamHeartbeat& heartbeat, SteadyTime now);
@@ -113,6 +115,8 @@
   void SendOrder(Task& task, SteadyTime now);
   void SendStopOf(Task& task, SteadyTime now);
   void AskForList(Duration patience, SteadyTime now);
+  // Whether a list is under way of which the answer can still be expected.
+  [[nodiscard]] bool AwaitsTimelyList(SteadyTime now) const;
   // Keeps one list under way while there is anything to learn.
   void KeepListing(SteadyTime now);
   void TakeEnds(const ListAnswer& list, SteadyTime now);
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -10,7 +10,8 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent.parent / "meta"))
 from cluster import Cluster, call, call_json
 
-BASE_PORT = 29000
+# Below the ports that the system gives to outgoing connections.
+BASE_PORT = 27000
 PORTS_PER_TEST = 300
 
 
--- a/tests/upstream_session/leased_upstream_test.cc
+++ b/tests/upstream_session/leased_upstream_test.cc
@@ -248,6 +248,28 @@
             UpstreamResult::kNoContact);
 }
 
+// An answer that got lost hides ends, and must not make the upstream look
+// silent: a busy one starts nothing meanwhile.
+TEST_F(Session, ALostListAnswerIsMadeUpForAtOnce) {
+  this->Announce();
+  const StartOrder order = this->Start(1);
+  this->AnswerStart(order, OrderOutcome::kDone);
+  this->upstream.Tick(this->now);
+  const std::size_t asked = this->All<SendList>().size();
+  this->now += Settings().list_patience + milliseconds(50);
+  this->upstream.Tick(this->now);
+  EXPECT_EQ(this->All<SendList>().size(), asked);
+  this->now += milliseconds(50);
+  this->upstream.Tick(this->now);
+  ASSERT_EQ(this->All<SendList>().size(), asked + 1);
+  EXPECT_EQ(this->All<SendList>().back().order.patience, Duration());
+  this->AnswerList(Ended(order.run, 1, RunEnd::kDone));
+  EXPECT_EQ(this->Events<UpstreamEnded>().size(), 1U);
+  this->now += milliseconds(200);
+  this->upstream.Tick(this->now);
+  EXPECT_TRUE(this->Events<UpstreamContactChanged>().empty());
+}
+
 TEST_F(Session, ASilentUpstreamsTasksAreOverOnceTheLeaseMustHaveRunOut) {
   this->Announce();
   this->AnswerStart(this->Start(1), OrderOutcome::kDone);
