entry: Ask again whether a lost agent still listens, until it does not

Cause of the failure of test_kill_of_an_agent_with_running_tasks, found with its log lines: agent_disconnected, but never agent_given_up. The agent's address was asked once, at the end of its connection; a process that is being killed closes its sockets one after the other, and could still listen then. Nobody asked again, so its tasks waited for their deadline.

--- a/libraries/network/link.cc
+++ b/libraries/network/link.cc
@@ -204,14 +204,4 @@
   this->report_dead();
 }
 
-void ProbeEndpoint(asio::io_context& context, const Endpoint& endpoint,
-                   std::function<void(bool listening)> callback) {
-  auto socket = std::make_shared<Tcp::socket>(context);
-  socket->async_connect(
-      ToTcpEndpoint(endpoint),
-      [socket, report = std::move(callback)](boost::system::error_code error) {
-        report(error != asio::error::connection_refused);
-      });
-}
-
 }  // namespace dandelionspur
--- a/libraries/network/link.h
+++ b/libraries/network/link.h
@@ -89,11 +89,6 @@
   bool dead_reported = false;
 };
 
-// Whether anything listens at an endpoint. Calls back with false only where
-// the connection is refused.
-void ProbeEndpoint(boost::asio::io_context& context, const Endpoint& endpoint,
-                   std::function<void(bool listening)> callback);
-
 }  // namespace dandelionspur
 
 #endif  // DANDELIONSPUR_LIBRARIES_NETWORK_LINK_H_
--- a/services/entry/entry_links.cc
+++ b/services/entry/entry_links.cc
@@ -129,6 +129,10 @@
 }
 
 void EntryLinks::RememberAgent(const AgentDescription& description) {
+  // A successor at the same address; the earlier ones are known to be dead.
+  for (const auto& [agent, endpoint] : this->agent_endpoints) {
+    if (endpoint == description.admin_endpoint) this->StopWatching(agent);
+  }
   this->agent_endpoints[description.agent] = description.admin_endpoint;
 }
 
@@ -167,6 +171,7 @@
     this->agents.erase(found);
     this->sink(AgentDisconnected{agent});
   }
+  this->StopWatching(agent);
   this->agents[agent] = connection;
   this->sink(AgentConnected{agent});
 }
@@ -179,10 +184,18 @@
   this->sink(AgentDisconnected{agent});
   const auto endpoint = this->agent_endpoints.find(agent);
   if (endpoint == this->agent_endpoints.end()) return;
-  ProbeEndpoint(this->input_output.Next(), endpoint->second,
-                [this, agent](bool listening) {
-                  if (!listening) this->sink(AgentProvenDead{agent});
-                });
+  this->watches[agent] = EndpointWatch::Start(
+      this->input_output.Next(), endpoint->second, [this, agent] {
+        asio::post(this->core, [this, agent] { this->StopWatching(agent); });
+        this->sink(AgentProvenDead{agent});
+      });
+}
+
+void EntryLinks::StopWatching(AgentId agent) {
+  const auto watch = this->watches.find(agent);
+  if (watch == this->watches.end()) return;
+  watch->second->Stop();
+  this->watches.erase(watch);
 }
 
 }  // namespace dandelionspur
--- a/services/entry/entry_links.h
+++ b/services/entry/entry_links.h
@@ -7,6 +7,7 @@
 
 #include "libraries/configuration/settings.h"
 #include "libraries/entry_core/entry_events.h"
+#include "libraries/network/endpoint_watch.h"
 #include "libraries/network/link.h"
 #include "services/runtime/message_counters.h"
 
@@ -49,6 +50,7 @@
   void OnPeerInboundDown(EntryId peer);
   void OnAgentUp(AgentId agent, const FrameConnectionPointer& connection);
   void OnAgentDown(AgentId agent, const FrameConnectionPointer& connection);
+  void StopWatching(AgentId agent);
 
   EntryId self;
   boost::asio::io_context& core;
@@ -62,6 +64,8 @@
   std::map<EntryId, FrameConnectionPointer> peers;
   std::map<AgentId, FrameConnectionPointer> agents;
   std::map<AgentId, Endpoint> agent_endpoints;
+  // Agents without a connection that aren't proven dead.
+  std::map<AgentId, std::shared_ptr<EndpointWatch>> watches;
 };
 
 }  // namespace dandelionspur
