services: Set gauges when they are read; say the longest lease and the tests' clusters once

From the last read of the change; behaviour stays as it is. - Gauges were looked up and set 20 times a second on the core's thread, the oldest report by a walk over all agents with a look at the clock for each. Only a reader of /metrics needs them. - How long a lease can last on our clock stood twice, with its constants, in the entry's settings and in the upstream session: LongestLease. - An end at the agent built a whole report, twice over, for the number of its start: LatestStart. - The set-up of clusters stood twice in the system tests and was borrowed by a third: cluster_case.py. EndpointWatch's tests share a fixture. - The bound on followed jobs says what it does.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -93,10 +93,10 @@
   this->StartWaiting();
   const EntryId home =
       this->promises[this->BucketOfKey(event.task.key).value()].entry;
+  const StartNumber start = this->started.LatestStart(event.task);
   const std::optional<Reason> not_run = ReasonNotRun(event.result);
   if (not_run) {
     const Reason reason = *not_run;
-    const StartNumber start = this->started.Report(event.task).start;
     this->started.MarkNotRun(event.task);
     this->effects.emplace_back(StartRefusalCounted{reason});
     this->Send(home, TaskNotRun{event.task, reason, Ballot(),
@@ -111,9 +111,8 @@
   if (event.result == UpstreamResult::kFailed) outcome = TaskOutcome::kFailed;
   this->started.MarkFinished(event.task, outcome, event.body);
   // Built from the event, since the answer may already have been dropped.
-  const TaskReport report{event.task, StartedState::kFinished,
-                          outcome,    event.body,
-                          true,       this->started.Report(event.task).start};
+  const TaskReport report{
+      event.task, StartedState::kFinished, outcome, event.body, true, start};
   this->Send(home, TaskFinished{report, event.elapsed, this->LoadFor(home)});
   this->TellDemanding(home);
 }
--- a/libraries/agent_core/started_set.h
+++ b/libraries/agent_core/started_set.h
@@ -57,6 +57,11 @@
   void MarkNotRun(const TaskId& id);
   void MarkFinished(const TaskId& id, TaskOutcome outcome, Payload result);
   [[nodiscard]] TaskReport Report(const TaskId& id) const;
+  // The number of the task's latest start.
+  [[nodiscard]] StartNumber LatestStart(const TaskId& id) const {
+    const auto found = this->tasks.find(id);
+    return found == this->tasks.end() ? StartNumber() : found->second.start;
+  }
   // No start of `id` up to this one takes effect any more.
   void Forbid(const TaskId& id, const StartNumber& start);
   // A newer start of a task that still runs: how that ends answers it as well.
--- a/libraries/decision_log/trails.h
+++ b/libraries/decision_log/trails.h
@@ -15,7 +15,7 @@
 
 namespace dandelionspur {
 
-// Most things followed at once; the oldest is forgotten for one more.
+// What began before this many others is forgotten, also if it is still open.
 inline constexpr std::size_t kMaximumTrails = 4096;
 // Most steps kept of one.
 inline constexpr std::size_t kMaximumTrailSteps = 64;
--- a/libraries/entry_core/entry_core_settings.h
+++ b/libraries/entry_core/entry_core_settings.h
@@ -12,14 +12,10 @@
 
 // How long after the last contact between an agent and any entry nothing that
 // the agent has started can still be running: it renews no lease without
-// contact, and the upstream, whose clock may be slow, ends what has lapsed a
-// little later. docs/design/platform.md has the argument.
+// contact. docs/design/platform.md has the argument.
 [[nodiscard]] constexpr Duration LeaseOverAfter(Duration lease) {
-  constexpr std::int64_t kSlowClockPercent = 102;
-  constexpr Duration kLapseSlack = std::chrono::milliseconds(150);
   constexpr Duration kMargin = std::chrono::milliseconds(80);
-  return kContactLimit + lease * kSlowClockPercent / 100 + kLapseSlack +
-         kMargin;
+  return kContactLimit + LongestLease(lease) + kMargin;
 }
 
 struct EntryCoreSettings {
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -19,6 +19,15 @@
 // agent renews the lease of its upstream no more. Three heartbeats.
 inline constexpr Duration kContactLimit = std::chrono::milliseconds(450);
 
+// How long, on our clock, what runs under a lease can go on after it was given:
+// the upstream's clock may be 2% slow, and it takes a moment to end what has
+// lapsed.
+[[nodiscard]] constexpr Duration LongestLease(Duration lease) {
+  constexpr std::int64_t kSlowClockPercent = 102;
+  constexpr Duration kLapseSlack = std::chrono::milliseconds(150);
+  return lease * kSlowClockPercent / 100 + kLapseSlack;
+}
+
 struct TaskId {
   JobKey key;
   TaskIndex task;
--- a/libraries/upstream_session/leased_upstream.cc
+++ b/libraries/upstream_session/leased_upstream.cc
@@ -18,11 +18,6 @@
 // Pause after a list that failed.
 constexpr Duration kListRetry = std::chrono::milliseconds(50);
 constexpr Duration kStopRetry = std::chrono::milliseconds(150);
-// The upstream's clock may be this much slower than ours, in percent.
-constexpr std::int64_t kClockErrorPercent = 2;
-constexpr std::int64_t kPercent = 100;
-// Time for the upstream to end what has lapsed.
-constexpr Duration kLapseSlack = std::chrono::milliseconds(150);
 // Orders of one run before it counts as refused.
 constexpr std::uint32_t kMaximumOrders = 20;
 // A token that is too low is raised by this much, as the one that the upstream
@@ -382,10 +377,7 @@
 }
 
 Duration LeasedUpstream::ExtendLease(SteadyTime now) {
-  this->lease_over = now +
-                     this->settings.maximum_lease *
-                         (kPercent + kClockErrorPercent) / kPercent +
-                     kLapseSlack;
+  this->lease_over = now + LongestLease(this->settings.maximum_lease);
   return this->UpstreamClock(now) + this->settings.maximum_lease;
 }
 
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -159,11 +159,6 @@
   this->tick_timer.async_wait([this](boost::system::error_code error) {
     if (error) return;
     this->Handle(AgentTick{});
-    this->metrics.Set("tasks_running",
-                      static_cast<double>(this->core.running()));
-    this->metrics.Set("tasks_remembered",
-                      static_cast<double>(this->core.remembered()));
-    SetLogGauges(this->metrics);
     FlushLog();
     this->ScheduleTick();
   });
@@ -249,6 +244,13 @@
   this->refusals.Count(effect.reason);
 }
 
+void AgentServer::UpdateGauges() {
+  this->metrics.Set("tasks_running", static_cast<double>(this->core.running()));
+  this->metrics.Set("tasks_remembered",
+                    static_cast<double>(this->core.remembered()));
+  SetLogGauges(this->metrics);
+}
+
 nlohmann::json AgentServer::Status() const {
   return {{"agent", std::to_string(this->self.value())},
           {"ready", this->core.is_ready()},
@@ -292,7 +294,10 @@
   } else if (path == "healthz") {
     responder(JsonResponse(kOk, {{"healthy", true}}));
   } else if (path == "metrics") {
-    responder(MetricsResponse(this->metrics));
+    asio::post(this->core_thread.First(), [this, responder] {
+      this->UpdateGauges();
+      responder(MetricsResponse(this->metrics));
+    });
   } else if (path == "status" || path == "readyz") {
     asio::post(this->core_thread.First(), [this, responder, path] {
       const bool ready = this->core.is_ready();
--- a/services/agent/agent_server.h
+++ b/services/agent/agent_server.h
@@ -51,6 +51,8 @@
   void AdoptUpstream(const AgentDescription& description,
                      const Endpoint& endpoint);
   [[nodiscard]] nlohmann::json Status() const;
+  // Before metrics are read.
+  void UpdateGauges();
 
   void Apply(SendToEntry& effect);
   void Apply(const RunOnUpstream& effect);
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -207,7 +207,6 @@
   this->tick_timer.async_wait([this](boost::system::error_code error) {
     if (error) return;
     this->Handle(EntryTick{});
-    this->UpdateGauges();
     FlushLog();
     this->ScheduleTick();
   });
@@ -307,10 +306,11 @@
   this->metrics.Set("known_keys",
                     static_cast<double>(this->core.buckets().KnownKeyCount()));
   this->metrics.Set("ready", this->core.IsReady() ? 1 : 0);
+  const Timestamp now = WallClockNow();
   Duration oldest_report{};
   for (const auto& [id, agent] : this->core.agents().all()) {
     if (!agent.connected || agent.lost_at) continue;
-    oldest_report = std::max(oldest_report, WallClockNow() - agent.last_heard);
+    oldest_report = std::max(oldest_report, now - agent.last_heard);
   }
   this->metrics.Set("oldest_agent_report_seconds",
                     std::chrono::duration<double>(oldest_report).count());
@@ -379,7 +379,10 @@
   } else if (path == "healthz") {
     responder(JsonResponse(kOk, {{"healthy", true}}));
   } else if (path == "metrics") {
-    responder(MetricsResponse(this->metrics));
+    asio::post(this->core_thread.First(), [this, responder] {
+      this->UpdateGauges();
+      responder(MetricsResponse(this->metrics));
+    });
   } else if (path == "readyz") {
     asio::post(this->core_thread.First(), [this, responder] {
       const bool ready = this->core.IsReady();
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -56,6 +56,7 @@
   void Submit(JobSubmission job, AnswerCallback callback);
   void PublishServingState();
   [[nodiscard]] nlohmann::json Status() const;
+  // Before metrics are read.
   void UpdateGauges();
 
   void Apply(AnswerCaller& effect);
--- a/tests/network/endpoint_watch_test.cc
+++ b/tests/network/endpoint_watch_test.cc
@@ -9,36 +9,44 @@
 
 using Tcp = boost::asio::ip::tcp;
 
-// A killed process may still listen when it is asked for the first time.
-TEST(EndpointWatchTest, TellsOnceTheListenerHasGone) {
-  boost::asio::io_context context(1);
-  Tcp::acceptor listener(
-      context, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-  const Endpoint endpoint{"127.0.0.1", listener.local_endpoint().port()};
-  int told = 0;
-  const auto watch = EndpointWatch::Start(context, endpoint, [&] { ++told; });
-  context.run_for(std::chrono::milliseconds(50));
-  EXPECT_EQ(told, 0);
-  listener.close();
+// A watch of an endpoint where something listens at first.
+class EndpointWatchTest : public testing::Test {
+ protected:
+  EndpointWatchTest()
+      : listener(this->context,
+                 Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+        watch(EndpointWatch::Start(
+            this->context,
+            {"127.0.0.1", this->listener.local_endpoint().port()},
+            [this] { ++this->told; })) {
+    this->context.run_for(std::chrono::milliseconds(50));
+  }
+
   // Ends by itself when the watch has nothing more to do.
-  context.restart();
-  context.run();
-  EXPECT_EQ(told, 1);
-}
+  void RunToTheEnd() {
+    this->context.restart();
+    this->context.run();
+  }
 
-TEST(EndpointWatchTest, TellsNothingOnceStopped) {
-  boost::asio::io_context context(1);
-  Tcp::acceptor listener(
-      context, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-  const Endpoint endpoint{"127.0.0.1", listener.local_endpoint().port()};
   int told = 0;
-  const auto watch = EndpointWatch::Start(context, endpoint, [&] { ++told; });
-  context.run_for(std::chrono::milliseconds(50));
-  watch->Stop();
-  listener.close();
-  context.restart();
-  context.run();
-  EXPECT_EQ(told, 0);
+  boost::asio::io_context context{1};
+  Tcp::acceptor listener;
+  std::shared_ptr<EndpointWatch> watch;
+};
+
+// A killed process may still listen when it is asked for the first time.
+TEST_F(EndpointWatchTest, TellsOnceTheListenerHasGone) {
+  EXPECT_EQ(this->told, 0);
+  this->listener.close();
+  this->RunToTheEnd();
+  EXPECT_EQ(this->told, 1);
+}
+
+TEST_F(EndpointWatchTest, TellsNothingOnceStopped) {
+  this->watch->Stop();
+  this->listener.close();
+  this->RunToTheEnd();
+  EXPECT_EQ(this->told, 0);
 }
 
 }  // namespace
--- a/tests/system/failure_test.py
+++ b/tests/system/failure_test.py
@@ -1,39 +1,22 @@
 """Failures of real processes. The truth is what the upstream stand-ins logged; the callers' answers are held against it."""
 
-import concurrent.futures
 import json
-import pathlib
 import signal
 import socket
 import struct
 import subprocess
-import sys
 import time
 import unittest
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent.parent / "meta"))
+from cluster_case import ClusterCase
 import cluster as clusters
-from cluster import Cluster, call, call_json, task
+from cluster import call, call_json, task
 
-BASE_PORT = 23000
-PORTS_PER_TEST = 300
 DEADLINE_MS = 20000
 
 
-class FailureTest(unittest.TestCase):
-    """Every test has ports of its own, so that one that fails leaves nothing in the way of the next."""
-
-    next_port = BASE_PORT
-
-    def cluster(self, entries=3, agents=3, **options):
-        port = FailureTest.next_port
-        FailureTest.next_port += PORTS_PER_TEST
-        started = Cluster(port, entries, agents, **options)
-        started.__enter__()
-        self.addCleanup(started.__exit__, None, None, None)
-        self.pool = concurrent.futures.ThreadPoolExecutor(64)
-        self.addCleanup(self.pool.shutdown)
-        return started
+class FailureTest(ClusterCase):
+    next_port = 23000
 
     def submit_many(self, cluster, count, sleep_ms=300, tasks=4, entries=None, prefix="key"):
         entries = entries or cluster.live_entries()
--- a/tests/system/operations_test.py
+++ b/tests/system/operations_test.py
@@ -5,15 +5,13 @@
 KEY are what the last lines with `agent=`, `home=` and `key=` name.
 """
 
-import pathlib
 import re
 import subprocess
 import sys
 import time
 import unittest
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
-import platform_test
+from cluster_case import PlatformCase
 from cluster import ROOT, call
 
 PAGE = ROOT / "docs/OPERATIONS.md"
@@ -34,11 +32,7 @@
     return steps
 
 
-class OperationsTest(unittest.TestCase):
-    cluster = platform_test.PlatformTest.cluster
-    submit_many = platform_test.PlatformTest.submit_many
-    answers = platform_test.PlatformTest.answers
-
+class OperationsTest(PlatformCase):
     def follow(self, heading, cluster, job, entry=0):
         time.sleep(LOG_DELAY_SECONDS)
         steps = steps_of(heading)
@@ -68,10 +62,9 @@
         self.answers(self.submit_many(cluster, 3, "20"))
         page = PAGE.read_text()
         for port in (cluster.entry_admin_port(0), cluster.agent_admin_port(0)):
-            exposed = lambda: call("GET", port, "/metrics")[1].decode()
-            # Set with the first tick.
-            cluster.wait_for(lambda: "log_batches_lost" in exposed(), "the gauges", 5)
-            families = re.findall(r"# TYPE dandelionspur_(\w+)", exposed())
+            exposed = call("GET", port, "/metrics")[1].decode()
+            self.assertIn("log_batches_lost", exposed)
+            families = re.findall(r"# TYPE dandelionspur_(\w+)", exposed)
             self.assertEqual([name for name in families if f"`{name}" not in page], [])
 
     def test_refused_under_a_burst(self):
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -1,47 +1,14 @@
 """The real programs in the protocol of the users' platform. The truth is what the workers logged."""
 
-import concurrent.futures
-import pathlib
 import signal
-import sys
 import time
 import unittest
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent.parent / "meta"))
-from cluster import Cluster, call, call_json
+from cluster_case import PlatformCase
+from cluster import call, call_json
 
-# Below the ports that the system gives to outgoing connections.
-BASE_PORT = 27000
-PORTS_PER_TEST = 300
-
-
-class PlatformTest(unittest.TestCase):
-    """Every test has ports of its own, so that one that fails leaves nothing in the way of the next."""
-
-    next_port = BASE_PORT
-
-    def cluster(self, entries=3, agents=3, **options):
-        port = PlatformTest.next_port
-        PlatformTest.next_port += PORTS_PER_TEST
-        started = Cluster(port, entries, agents, platform=True, **options)
-        started.__enter__()
-        self.addCleanup(started.__exit__, None, None, None)
-        self.pool = concurrent.futures.ThreadPoolExecutor(64)
-        self.addCleanup(self.pool.shutdown)
-        return started
-
-    def submit_many(self, cluster, count, spec="200", tasks=2, entries=None, first=0, patience_ms=20000):
-        entries = entries or cluster.live_entries()
-        return [
-            self.pool.submit(
-                cluster.submit_to_queue, entries[i % len(entries)], f"{first + i:016x}", spec, tasks, patience_ms
-            )
-            for i in range(count)
-        ]
-
-    def answers(self, futures):
-        return [future.result(timeout=90) for future in futures]
 
+class PlatformTest(PlatformCase):
     def check_never_at_once(self, cluster):
         self.assertEqual(cluster.overlapping_runs(), [], cluster.logs())
 
