view: Let entries be home of keys in proportion to their processors

Cause: rendezvous hashing gave every member of the view the same share of the buckets, whatever its processor. A home's work (starts, ends, refusals) is most of what a job costs.

Evidence: the failing test.

Fix: the settings name the instance's `cores`, the view's row carries them, and a member ranks by the best of as many draws as it has parts of a processor (whole numbers, so that all processes agree). Moves are as few as before when a member leaves.

--- a/libraries/configuration/object_reader.cc
+++ b/libraries/configuration/object_reader.cc
@@ -1,6 +1,7 @@
 #include "libraries/configuration/object_reader.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 #include <utility>
@@ -18,6 +19,17 @@
          std::to_string(range.maximum);
 }
 
+// In whole units where it can be.
+std::string ThousandthsText(std::int64_t thousandths) {
+  constexpr std::int64_t kThousand = 1000;
+  if (thousandths % kThousand == 0) {
+    return std::to_string(thousandths / kThousand);
+  }
+  std::ostringstream text;
+  text << static_cast<double>(thousandths) / static_cast<double>(kThousand);
+  return text.str();
+}
+
 }  // namespace
 
 Result<nlohmann::json> ParseJsonWithComments(std::string_view text,
@@ -79,19 +91,37 @@
                                       : this->Milliseconds(name, range);
 }
 
+std::int64_t ObjectReader::ThousandthsOr(const std::string& name,
+                                         IntegerRange range,
+                                         std::int64_t fallback) {
+  return this->ThousandthsOf("number", name, range, fallback);
+}
+
 Duration ObjectReader::SecondsOr(const std::string& name, IntegerRange range,
                                  Duration fallback) {
+  const std::int64_t milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(fallback).count();
+  return std::chrono::milliseconds(
+      this->ThousandthsOf("number of seconds", name, range, milliseconds));
+}
+
+std::int64_t ObjectReader::ThousandthsOf(const std::string& what,
+                                         const std::string& name,
+                                         IntegerRange range,
+                                         std::int64_t fallback) {
+  constexpr double kThousand = 1000;
   const nlohmann::json* field = this->Field(name);
   if (field == nullptr) return fallback;
   const double wanted = field->is_number() ? field->get<double>() : -1;
-  const auto milliseconds = static_cast<std::int64_t>(wanted * 1000);
-  if (milliseconds < range.minimum || milliseconds > range.maximum) {
-    this->Problem(name, "must be a number of seconds from " +
-                            std::to_string(range.minimum / 1000) + " to " +
-                            std::to_string(range.maximum / 1000));
+  const auto thousandths =
+      static_cast<std::int64_t>(std::llround(wanted * kThousand));
+  if (thousandths < range.minimum || thousandths > range.maximum) {
+    this->Problem(name, "must be a " + what + " from " +
+                            ThousandthsText(range.minimum) + " to " +
+                            ThousandthsText(range.maximum));
     return fallback;
   }
-  return std::chrono::milliseconds(milliseconds);
+  return thousandths;
 }
 
 std::string ObjectReader::Text(const std::string& name) {
--- a/libraries/configuration/object_reader.h
+++ b/libraries/configuration/object_reader.h
@@ -38,6 +38,10 @@
   std::int64_t Integer(const std::string& name, IntegerRange range);
   std::int64_t IntegerOr(const std::string& name, IntegerRange range,
                          std::int64_t fallback);
+  // A number, whole or with a fraction, in thousandths; the range is in
+  // thousandths, too.
+  std::int64_t ThousandthsOr(const std::string& name, IntegerRange range,
+                             std::int64_t fallback);
   // A field in milliseconds.
   Duration Milliseconds(const std::string& name, IntegerRange range);
   Duration MillisecondsOr(const std::string& name, IntegerRange range,
@@ -69,6 +73,8 @@
  private:
   const nlohmann::json* Field(const std::string& name);
   const nlohmann::json* RequiredField(const std::string& name);
+  std::int64_t ThousandthsOf(const std::string& what, const std::string& name,
+                             IntegerRange range, std::int64_t fallback);
   void CheckUnknownFields();
 
   std::string source;
--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -7,6 +7,7 @@
 namespace dandelionspur {
 namespace {
 
+constexpr IntegerRange kMillicoreRange{1, 1'024'000};
 constexpr IntegerRange kThreadRange{0, 64};
 constexpr IntegerRange kBucketRange{1, 4096};
 constexpr IntegerRange kConnectionRange{1, 1024};
@@ -114,6 +115,8 @@
   settings.peers = ReadEndpoint(reader, "peers");
   settings.admin = ReadEndpoint(reader, "admin");
   settings.table = ReadEndpoint(reader, "table");
+  settings.millicores = static_cast<std::uint32_t>(
+      reader.ThousandthsOr("cores", kMillicoreRange, kMillicoresPerCore));
   settings.input_output_threads = static_cast<std::uint32_t>(
       reader.IntegerOr("input_output_threads", kThreadRange, kDefaultThreads));
   settings.bucket_count = static_cast<std::uint32_t>(
--- a/libraries/configuration/settings.h
+++ b/libraries/configuration/settings.h
@@ -40,6 +40,9 @@
   Endpoint peers;
   Endpoint admin;
   Endpoint table;
+  // What the instance's processor can do, in thousandths of a core; in
+  // proportion to it, the entry is home of keys.
+  std::uint32_t millicores = 0;
   // 0: one thread does everything, for an instance with one core.
   std::uint32_t input_output_threads = 0;
   std::uint32_t bucket_count = 0;
@@ -60,9 +63,9 @@
 };
 BOOST_DESCRIBE_STRUCT(EntrySettings, (),
                       (data_centre, callers, readiness, peers, admin, table,
-                       input_output_threads, bucket_count, duplicate_window,
-                       suspect_after, remove_after, lease, drain_accepts,
-                       stop_within, recording, log))
+                       millicores, input_output_threads, bucket_count,
+                       duplicate_window, suspect_after, remove_after, lease,
+                       drain_accepts, stop_within, recording, log))
 
 struct AgentSettings {
   DataCentreName data_centre;
--- a/libraries/protocol/view.cc
+++ b/libraries/protocol/view.cc
@@ -13,9 +13,23 @@
   EntryId entry;
 };
 
-std::uint64_t RendezvousWeight(BucketId bucket, EntryId entry) {
-  const std::array<std::uint64_t, 2> input = {bucket.value(), entry.value()};
-  return XXH3_64bits(input.data(), sizeof(input));
+constexpr std::uint32_t kMillicoresPerDraw = 30;
+// Bounds the work for an instance with many cores.
+constexpr std::uint32_t kMaximumDraws = 64;
+
+// The best of as many draws as the member has parts of a processor, so that its
+// chance to rank first is in proportion. Whole numbers only: all processes must
+// come to the same ranking.
+std::uint64_t RendezvousWeight(BucketId bucket, const ViewMember& member) {
+  const std::uint32_t draws =
+      std::clamp(member.millicores / kMillicoresPerDraw, 1U, kMaximumDraws);
+  std::uint64_t best = 0;
+  for (std::uint64_t draw = 0; draw < draws; ++draw) {
+    const std::array<std::uint64_t, 3> input = {bucket.value(),
+                                                member.entry.value(), draw};
+    best = std::max(best, XXH3_64bits(input.data(), sizeof(input)));
+  }
+  return best;
 }
 
 }  // namespace
@@ -31,7 +45,7 @@
   std::vector<Weighted> weighted;
   weighted.reserve(this->members.size());
   for (const ViewMember& member : this->members) {
-    weighted.push_back({RendezvousWeight(bucket, member.entry), member.entry});
+    weighted.push_back({RendezvousWeight(bucket, member), member.entry});
   }
   std::sort(weighted.begin(), weighted.end(),
             [](const Weighted& left, const Weighted& right) {
--- a/libraries/protocol/view.h
+++ b/libraries/protocol/view.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "libraries/base/identifiers.h"
+#include "libraries/base/resources.h"
 #include "libraries/base/time.h"
 #include "libraries/protocol/endpoint.h"
 
@@ -19,10 +20,13 @@
   // For operators; also probed to tell a dead process from a silent one.
   Endpoint admin_endpoint;
   DataCentreName data_centre;
+  // What the instance's processor can do, in thousandths of a core.
+  std::uint32_t millicores = kMillicoresPerCore;
   bool operator==(const ViewMember&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(ViewMember, (),
-                      (entry, peer_endpoint, admin_endpoint, data_centre))
+                      (entry, peer_endpoint, admin_endpoint, data_centre,
+                       millicores))
 
 // Whether a lost process is known to have ended, or is only silent and might
 // still act.
@@ -46,8 +50,9 @@
 
   [[nodiscard]] const ViewMember* Find(EntryId entry) const;
   // The members in the order in which they may be home of `bucket`
-  // (rendezvous hashing). When a member joins or leaves, only the buckets that
-  // it ranks first for change their home.
+  // (rendezvous hashing, weighted by the members' processors). When a member
+  // joins or leaves, only the buckets that it ranks first for change their
+  // home.
   [[nodiscard]] std::vector<EntryId> Ranking(BucketId bucket) const;
   bool operator==(const View&) const = default;
 };
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -82,7 +82,8 @@
     this->Post(std::move(event));
   };
   const ViewMember member{this->self, this->settings.peers,
-                          this->settings.admin, this->settings.data_centre};
+                          this->settings.admin, this->settings.data_centre,
+                          this->settings.millicores};
   this->records = std::make_unique<RecordKeeper<EntryCore>>(
       this->input_output.First(), this->settings.table, ProcessRole::kEntry,
       this->self.value(), CoreSettings(this->settings, this->self),
--- a/tests/configuration/settings_test.cc
+++ b/tests/configuration/settings_test.cc
@@ -151,6 +151,13 @@
                         "table": "127.0.0.1:4", "stop_within_s": "6"})",
                     "file.json: field \"stop_within_s\" must be a number of "
                     "seconds from 1 to 3600",
+                    EntryProblem},
+        ProblemCase{"NoPartOfACore",
+                    R"({"data_centre": "d", "callers": "127.0.0.1:1",
+                        "peers": "127.0.0.1:2", "admin": "127.0.0.1:3",
+                        "table": "127.0.0.1:4", "cores": 0})",
+                    "file.json: field \"cores\" must be a number from 0.001 to "
+                    "1024",
                     EntryProblem}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
--- a/tests/protocol/view_test.cc
+++ b/tests/protocol/view_test.cc
@@ -2,6 +2,12 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <numeric>
+#include <vector>
+
 namespace dandelionspur {
 namespace {
 
@@ -36,6 +42,45 @@
   EXPECT_LT(moved, kBuckets / 3);
 }
 
+struct ShareCase {
+  const char* name;
+  // One for each member.
+  std::vector<std::uint32_t> millicores;
+};
+
+class ViewShareTest : public testing::TestWithParam<ShareCase> {};
+
+// Guards against small instances that are home of as many keys as large ones,
+// and fall behind while the large ones are idle.
+TEST_P(ViewShareTest, MembersAreHomeInProportionToTheirProcessors) {
+  const std::vector<std::uint32_t>& millicores = this->GetParam().millicores;
+  View view = ViewOf(millicores.size());
+  for (std::size_t i = 0; i < millicores.size(); ++i) {
+    view.members[i].millicores = millicores[i];
+  }
+  constexpr std::uint32_t kBuckets = 4000;
+  std::map<EntryId, double> homes;
+  for (std::uint32_t i = 0; i < kBuckets; ++i) {
+    ++homes[view.Ranking(BucketId(i)).front()];
+  }
+  const double total =
+      std::accumulate(millicores.begin(), millicores.end(), 0.0);
+  for (const ViewMember& member : view.members) {
+    const double expected = kBuckets * member.millicores / total;
+    // Four standard deviations of what hashing leaves to chance.
+    const double tolerance = 4 * std::sqrt(expected);
+    EXPECT_NEAR(homes[member.entry], expected, tolerance)
+        << member.millicores << " of " << total;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Instances, ViewShareTest,
+    testing::Values(ShareCase{"Alike", {120, 120, 120, 120}},
+                    ShareCase{"SmallAmongLarge", {480, 480, 480, 90, 90, 120}},
+                    ShareCase{"Cores", {1920, 960, 480}}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
 TEST(ViewTest, AnotherIncarnationAtAnAddressProvesTheLoss) {
   View view = ViewOf(2);
   ViewMember replacement;
