entry: Break no connection because a peer's has broken

Cause: two entries are joined by two connections, one dialed from each side. When an entry noticed that the peer's had ended, it closed its own, "so that both sides begin anew". The peer noticed that and closed the one that it had just dialed again, and so on. Where noticing takes longer than the 100 ms until the next dialing, as on entries short of processor time, this never ends. Each turn submits all relays to the peer again, tells it the whole state and repeats all promise requests, which keeps the entries short of time. Class of fault: a recovery step that makes the other side take the same step.

Ruled out: more traffic (it is less), lost peers (peer_proven_dead ends at 39 s), changes of the view (none after 40 s).

Fix: an entry leaves its own connection alone. Once the peer has dialed anew, so that answers can't be lost for want of a connection, the event PeerLinkRenewed makes the core submit its open relays to that peer again; everything else is repeated every 250 ms anyway. LinkDialer::Reset is gone.

--- a/libraries/decision_log/entry_decision_log.cc
+++ b/libraries/decision_log/entry_decision_log.cc
@@ -38,6 +38,10 @@
   LogChange(PeerOutOfReach{event.peer});
 }
 
+void EntryDecisionLog::See(const PeerLinkRenewed& event) {
+  LogChange(PeerReachesThis{event.peer});
+}
+
 void EntryDecisionLog::See(const PeerProvenDead& event) {
   LogChange(PeerDead{event.peer});
 }
--- a/libraries/decision_log/entry_decision_log.h
+++ b/libraries/decision_log/entry_decision_log.h
@@ -44,6 +44,7 @@
   void See(const CallerCancelled& event);
   void See(const PeerConnected& event);
   void See(const PeerDisconnected& event);
+  void See(const PeerLinkRenewed& event);
   void See(const PeerProvenDead& event);
   void See(const PeerMessageReceived& event);
   void See(const AgentConnected& event);
--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -127,6 +127,13 @@
 };
 BOOST_DESCRIBE_STRUCT(PeerOutOfReach, (), (peer))
 
+// Another entry has a new connection to this one.
+struct PeerReachesThis {
+  static constexpr const char* kName = "peer_link_renewed";
+  EntryId peer;
+};
+BOOST_DESCRIBE_STRUCT(PeerReachesThis, (), (peer))
+
 // Another process answers at the entry's address, or none.
 struct PeerDead {
   static constexpr const char* kName = "peer_proven_dead";
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -76,7 +76,12 @@
 
 void EntryCore::On(const PeerDisconnected& event) {
   this->peers.Disconnected(event.peer, this->current_time);
-  this->relays.OnPeerDisconnected(event.peer);
+  this->relays.AskAgain(event.peer);
+}
+
+void EntryCore::On(const PeerLinkRenewed& event) {
+  // Its answers may be lost. All other requests are repeated anyway.
+  this->relays.AskAgain(event.peer);
 }
 
 void EntryCore::On(const PeerProvenDead& event) {
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -50,6 +50,7 @@
   void On(const CallerCancelled& event);
   void On(const PeerConnected& event);
   void On(const PeerDisconnected& event);
+  void On(const PeerLinkRenewed& event);
   void On(const PeerProvenDead& event);
   void On(const PeerMessageReceived& event);
   void On(const AgentConnected& event);
--- a/libraries/entry_core/entry_events.h
+++ b/libraries/entry_core/entry_events.h
@@ -36,6 +36,14 @@
 };
 BOOST_DESCRIBE_STRUCT(PeerDisconnected, (), (peer))
 
+// The peer has a new connection to this entry. What it sent on an earlier one
+// may be lost; the connection in the other direction is not concerned.
+struct PeerLinkRenewed {
+  static constexpr const char* kName = "peer_link_renewed";
+  EntryId peer;
+};
+BOOST_DESCRIBE_STRUCT(PeerLinkRenewed, (), (peer))
+
 // The peer's address refuses connections, or another incarnation answers
 // there.
 struct PeerProvenDead {
@@ -103,7 +111,7 @@
                  PeerDisconnected, PeerProvenDead, PeerMessageReceived,
                  AgentConnected, AgentDisconnected, AgentProvenDead,
                  AgentMessageReceived, ViewRead, DocumentRead, DrainRequested,
-                 EntryTick>;
+                 EntryTick, PeerLinkRenewed>;
 
 struct AnswerCaller {
   static constexpr const char* kName = "answer_caller";
--- a/libraries/entry_core/relay_book.cc
+++ b/libraries/entry_core/relay_book.cc
@@ -113,9 +113,8 @@
   return true;
 }
 
-void RelayBook::OnPeerDisconnected(EntryId peer) {
-  // The relay or its answer may be lost; the home joins a second one to the
-  // first.
+void RelayBook::AskAgain(EntryId peer) {
+  // The home joins a second relay to the first.
   for (auto& [key, job] : this->relayed) {
     if (job.target == peer) job.target.reset();
   }
--- a/libraries/entry_core/relay_book.h
+++ b/libraries/entry_core/relay_book.h
@@ -40,7 +40,8 @@
   void OnMoved(const RelayMoved& moved, Timestamp now);
   // Passes a cancellation on; false if the key is not relayed from here.
   bool Cancel(const JobKey& key);
-  void OnPeerDisconnected(EntryId peer);
+  // Relays to the peer, or their answers, may be lost: submits them again.
+  void AskAgain(EntryId peer);
   // Hands what waits for these buckets to the jobs at home.
   void OnActivated(const std::vector<BucketId>& buckets, Timestamp now);
   // This entry lost the bucket: the entries whose relays are parked must turn
--- a/libraries/network/link.cc
+++ b/libraries/network/link.cc
@@ -149,12 +149,6 @@
   });
 }
 
-void LinkDialer::Reset() {
-  asio::post(this->context, [self = this->shared_from_this()] {
-    if (self->connection) self->connection->Close();
-  });
-}
-
 void LinkDialer::Dial() {
   if (this->stopped) return;
   auto socket = std::make_shared<Tcp::socket>(this->context);
--- a/libraries/network/link.h
+++ b/libraries/network/link.h
@@ -64,8 +64,6 @@
   void Start();
   // Closes the connection and dials no more.
   void Stop();
-  // Closes the connection; dialing goes on.
-  void Reset();
 
  private:
   LinkDialer(boost::asio::io_context& executor, const Endpoint& endpoint,
--- a/services/entry/entry_links.cc
+++ b/services/entry/entry_links.cc
@@ -39,9 +39,12 @@
   LinkHandlers handlers;
   handlers.up = [this](const Hello& other,
                        const FrameConnectionPointer& connection) {
-    if (other.role != ProcessRole::kAgent) return;
     asio::post(this->core, [this, other, connection] {
-      this->OnAgentUp(AgentId(other.id), connection);
+      if (other.role == ProcessRole::kAgent) {
+        this->OnAgentUp(AgentId(other.id), connection);
+      } else {
+        this->sink(PeerLinkRenewed{EntryId(other.id)});
+      }
     });
   };
   handlers.frame = [this](const Hello& other, std::string_view body) {
@@ -49,12 +52,10 @@
   };
   handlers.down = [this](const Hello& other,
                          const FrameConnectionPointer& connection) {
+    // Nothing is asked of a peer again before it can answer.
+    if (other.role != ProcessRole::kAgent) return;
     asio::post(this->core, [this, other, connection] {
-      if (other.role == ProcessRole::kAgent) {
-        this->OnAgentDown(AgentId(other.id), connection);
-      } else {
-        this->OnPeerInboundDown(EntryId(other.id));
-      }
+      this->OnAgentDown(AgentId(other.id), connection);
     });
   };
   handlers.bad_bytes = [this](FrameError error) {
@@ -156,13 +157,6 @@
   this->sink(PeerProvenDead{peer});
 }
 
-void EntryLinks::OnPeerInboundDown(EntryId peer) {
-  // What the peer sent last may be lost. With its own connection reset too,
-  // both sides begin anew and repeat what is open.
-  const auto found = this->dialers.find(peer);
-  if (found != this->dialers.end()) found->second->Reset();
-}
-
 void EntryLinks::OnAgentUp(AgentId agent,
                            const FrameConnectionPointer& connection) {
   const auto found = this->agents.find(agent);
--- a/services/entry/entry_links.h
+++ b/services/entry/entry_links.h
@@ -47,7 +47,6 @@
   void OnPeerUp(EntryId peer, const FrameConnectionPointer& connection);
   void OnPeerDown(EntryId peer, const FrameConnectionPointer& connection);
   void OnPeerDead(EntryId peer);
-  void OnPeerInboundDown(EntryId peer);
   void OnAgentUp(AgentId agent, const FrameConnectionPointer& connection);
   void OnAgentDown(AgentId agent, const FrameConnectionPointer& connection);
   void StopWatching(AgentId agent);
