entry: Look only at the buckets that an event can move

Each event ended with a walk over all buckets, twice: for vacant ones (ranking, suspicion of each member) and for acquisitions that may be complete.

Now an event costs what it changes. A vacancy depends on the view, on who is suspected and on the bucket's promise: Ownership remembers the first two from its last search, and the buckets released or promised since. Only acquisitions that are not whole are looked at again, and only after a promise, a healed loss, a new view, the end of the patience, or when lost agents are forgotten. Suspicion depends on time; the list of suspects is compared at every event, so nothing waits for a tick.

Run: entry_core_test, agent_core_test, protocol_fuzz_test, protocol_fuzz_leases_test, deliberate_fault_test, decision_log_test, recording_test pass.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -461,9 +461,7 @@
 
 void EntryCore::Settle() {
   const Timestamp now = this->current_time;
-  if (!this->draining) {
-    this->ownership.Acquire(this->ownership.Vacant(now), now);
-  }
+  if (!this->draining) this->ownership.AcquireVacant(now);
   const Ownership::Activation activation = this->ownership.ActivateReady(now);
   this->relays.OnActivated(activation.activated, now);
   this->hand_over.Heal(activation.made_whole);
--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -21,9 +21,8 @@
   for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
     const BucketId id(i);
     this->rankings[i] = view.Ranking(id);
-    Bucket& bucket = this->Get(id);
-    if (bucket.phase == OwnershipPhase::kNone) continue;
-    this->Release(bucket);
+    if (this->Get(id).phase == OwnershipPhase::kNone) continue;
+    this->Release(id);
     released.push_back(id);
   }
   return released;
@@ -62,18 +61,37 @@
   return EntryId();
 }
 
-std::vector<BucketId> Ownership::Vacant(Timestamp now) const {
-  std::vector<BucketId> vacant;
-  if (this->current_view.Find(this->settings.self) == nullptr) return vacant;
-  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
-    const BucketId id(i);
-    if (this->Phase(id) != OwnershipPhase::kNone) continue;
-    if (this->Get(id).promised.epoch > this->current_view.epoch) continue;
-    if (this->ExpectedHome(id, now) == this->settings.self) {
-      vacant.push_back(id);
+std::vector<BucketId> Ownership::TakeUnsettledHomes(Timestamp now) {
+  std::vector<EntryId> suspects = this->peers.Suspected(now);
+  const bool all = this->searched_epoch != this->current_view.epoch ||
+                   this->suspected != suspects;
+  this->searched_epoch = this->current_view.epoch;
+  this->suspected = std::move(suspects);
+  std::vector<BucketId> unsettled;
+  if (all) {
+    for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
+      unsettled.emplace_back(i);
     }
+  } else {
+    unsettled.assign(this->moved.begin(), this->moved.end());
   }
-  return vacant;
+  this->moved.clear();
+  return unsettled;
+}
+
+bool Ownership::IsVacant(BucketId bucket, Timestamp now) const {
+  if (this->Phase(bucket) != OwnershipPhase::kNone) return false;
+  if (this->Get(bucket).promised.epoch > this->current_view.epoch) return false;
+  return this->ExpectedHome(bucket, now) == this->settings.self;
+}
+
+void Ownership::AcquireVacant(Timestamp now) {
+  std::vector<BucketId> candidates = this->TakeUnsettledHomes(now);
+  if (this->current_view.Find(this->settings.self) == nullptr) return;
+  this->examined += candidates.size();
+  std::erase_if(candidates,
+                [&](BucketId id) { return !this->IsVacant(id, now); });
+  this->Acquire(candidates, now);
 }
 
 std::optional<EntryId> Ownership::WitnessFor(BucketId bucket,
@@ -91,8 +109,9 @@
   Bucket& bucket = this->Get(seen.bucket);
   if (seen.ballot <= bucket.promised) return false;
   bucket.promised = seen.ballot;
+  this->moved.insert(seen.bucket);
   if (bucket.phase == OwnershipPhase::kNone) return false;
-  this->Release(bucket);
+  this->Release(seen.bucket);
   return true;
 }
 
@@ -100,9 +119,8 @@
   if (wanted.empty()) return;
   std::vector<BucketBallot> begun;
   for (const BucketId id : wanted) {
-    Bucket& bucket = this->Get(id);
-    this->Begin(bucket, now);
-    begun.push_back({id, bucket.mine});
+    this->Begin(id, now);
+    begun.push_back({id, this->Get(id).mine});
   }
   this->outbox.Add(OwnershipChanged{OwnershipPhase::kCollecting, begun});
   this->RepeatRequests();
@@ -180,6 +198,7 @@
     if (!mine) continue;
     // A repeated answer comes after the promise and tells nothing of before.
     if (bucket.entry_promises.insert(from).second) {
+      this->promises_changed = true;
       bucket.predecessors[from] = {promise.previous, promise.held,
                                    promise.knew_all_starts};
     }
@@ -216,6 +235,7 @@
     // Only the first answer describes what was started before the promise.
     if (mine && bucket.agent_promises.insert(from).second) {
       accepted.insert(promise.bucket);
+      this->promises_changed = true;
     }
   }
   for (const StartedJob& job : reply.started) {
@@ -248,22 +268,27 @@
 Ownership::Activation Ownership::ActivateReady(Timestamp now) {
   Activation result;
   std::vector<BucketBallot> ballots;
-  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
-    const BucketId id(i);
+  const std::set<BucketId> waiting = this->unfinished;
+  const bool changed = std::exchange(this->promises_changed, false);
+  for (const BucketId id : waiting) {
     Bucket& bucket = this->Get(id);
-    const OwnershipPhase phase = this->Phase(id);
-    if (phase == OwnershipPhase::kNone) continue;
-    if (phase == OwnershipPhase::kActive) {
-      if (bucket.fresh_after && this->IsWhole(id, bucket)) {
-        bucket.fresh_after.reset();
-        result.made_whole.push_back(id);
-      }
+    const bool is_active = bucket.phase == OwnershipPhase::kActive;
+    const bool time_matters = !is_active && now >= this->PatientUntil(bucket);
+    if (!changed && !time_matters) continue;
+    ++this->examined;
+    if (is_active) {
+      if (!this->IsWhole(id, bucket)) continue;
+      bucket.fresh_after.reset();
+      this->unfinished.erase(id);
+      result.made_whole.push_back(id);
       continue;
     }
     if (!this->TryActivate(id, bucket, now)) continue;
     result.activated.push_back(id);
-    if (!bucket.fresh_after) result.made_whole.push_back(id);
     ballots.push_back({id, bucket.mine});
+    if (bucket.fresh_after) continue;
+    this->unfinished.erase(id);
+    result.made_whole.push_back(id);
   }
   if (!ballots.empty()) {
     this->outbox.Add(
@@ -471,9 +496,12 @@
 void Ownership::MarkHealed(BucketId bucket, EntryId lost) {
   if (bucket.value() >= this->buckets.size()) return;
   this->Get(bucket).healed.insert(lost);
+  this->promises_changed = true;
 }
 
 void Ownership::Expire(Timestamp horizon) {
+  // Lost agents are forgotten at the same time.
+  this->promises_changed = true;
   for (Bucket& bucket : this->buckets) {
     std::erase_if(bucket.known, [&](const auto& item) {
       return item.second.last_heard < horizon;
@@ -484,7 +512,10 @@
   }
 }
 
-void Ownership::Begin(Bucket& bucket, Timestamp now) {
+void Ownership::Begin(BucketId id, Timestamp now) {
+  Bucket& bucket = this->Get(id);
+  this->unfinished.insert(id);
+  this->promises_changed = true;
   const Ballot previous = bucket.promised;
   bucket.predecessors.clear();
   bucket.predecessors[this->settings.self] = {previous, bucket.held,
@@ -510,7 +541,10 @@
   }
 }
 
-void Ownership::Release(Bucket& bucket) {
+void Ownership::Release(BucketId id) {
+  Bucket& bucket = this->Get(id);
+  this->unfinished.erase(id);
+  this->moved.insert(id);
   bucket.phase = OwnershipPhase::kNone;
   bucket.found.clear();
   bucket.entry_promises.clear();
@@ -583,10 +617,7 @@
 
 bool Ownership::TryActivate(BucketId id, Bucket& bucket, Timestamp now) {
   if (!this->IsWhole(id, bucket)) {
-    // Those that can still answer get the time for it, since acting without
-    // them means refusing older keys.
-    const Duration patience = 2 * this->settings.repeat_interval;
-    if (now < bucket.begun_at + patience) return false;
+    if (now < this->PatientUntil(bucket)) return false;
     const std::optional<Timestamp> entries = this->EntriesDeadSince(id, bucket);
     const std::optional<Timestamp> agents_dead = this->AgentsDeadSince(bucket);
     const bool leases_over =
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -57,7 +57,10 @@
   // anew, so that a ballot's epoch names the view that its witnesses are from.
   // Returns the buckets that were held or being acquired.
   std::vector<BucketId> AdoptView(const View& view);
-  void MarkSynchronized() { this->synchronized = true; }
+  void MarkSynchronized() {
+    this->synchronized = true;
+    this->promises_changed = true;
+  }
   [[nodiscard]] bool IsSynchronized() const { return this->synchronized; }
   // This entry is a member since `now`.
   void NoteJoined(Timestamp now) { this->joined_at = now; }
@@ -78,15 +81,15 @@
   [[nodiscard]] std::vector<BucketBallot> Promises() const;
   // The entry that should act as home, and this entry's own candidacy.
   [[nodiscard]] EntryId ExpectedHome(BucketId bucket, Timestamp now) const;
-  // The buckets that this entry should acquire now.
-  [[nodiscard]] std::vector<BucketId> Vacant(Timestamp now) const;
   // Another member that answers and could witness a key of `bucket`.
   [[nodiscard]] std::optional<EntryId> WitnessFor(BucketId bucket,
                                                   Timestamp now) const;
 
   // Learns of a ballot; true if that ends this entry's hold of the bucket.
   bool Observe(const BucketBallot& seen);
-  void Acquire(const std::vector<BucketId>& wanted, Timestamp now);
+  // Begins to acquire the buckets that this entry should be home of. Looks only
+  // at those for which that may have changed since the last call.
+  void AcquireVacant(Timestamp now);
   // Asks those again that have not answered.
   void RepeatRequests();
   // Answers another entry's request; returns the buckets lost by it.
@@ -107,6 +110,10 @@
   };
   // Makes buckets active whose promises suffice.
   Activation ActivateReady(Timestamp now);
+  // How often a bucket was looked at by the two above: what events cost.
+  [[nodiscard]] std::uint64_t buckets_examined() const {
+    return this->examined;
+  }
 
   // Whether nothing that the agent has started can still be running.
   [[nodiscard]] bool RunsAreOver(AgentId agent, Timestamp now) const;
@@ -175,8 +182,12 @@
   [[nodiscard]] const Bucket& Get(BucketId bucket) const {
     return this->buckets[bucket.value()];
   }
-  void Begin(Bucket& bucket, Timestamp now);
-  void Release(Bucket& bucket);
+  // The buckets whose expected home may have changed since the last call.
+  std::vector<BucketId> TakeUnsettledHomes(Timestamp now);
+  [[nodiscard]] bool IsVacant(BucketId bucket, Timestamp now) const;
+  void Acquire(const std::vector<BucketId>& wanted, Timestamp now);
+  void Begin(BucketId id, Timestamp now);
+  void Release(BucketId id);
   [[nodiscard]] std::set<EntryId> RequiredEntries(BucketId id,
                                                   const Bucket& bucket) const;
   [[nodiscard]] bool HaveAllEntries(BucketId id, const Bucket& bucket) const;
@@ -204,6 +215,11 @@
                                          Timestamp now) const;
   [[nodiscard]] bool IsWhole(BucketId id, const Bucket& bucket) const;
   bool TryActivate(BucketId id, Bucket& bucket, Timestamp now);
+  // Until then an acquisition waits for those that can still answer, since
+  // acting without them means refusing older keys.
+  [[nodiscard]] Timestamp PatientUntil(const Bucket& bucket) const {
+    return bucket.begun_at + 2 * this->settings.repeat_interval;
+  }
 
   EntryCoreSettings settings;
   const AgentRegistry& agents;
@@ -215,6 +231,16 @@
   std::vector<Bucket> buckets;
   // Per bucket, the members of the current view in rendezvous order.
   std::vector<std::vector<EntryId>> rankings;
+  // What the latest search for vacant buckets was based on.
+  Epoch searched_epoch;
+  std::vector<EntryId> suspected;
+  // Buckets released, or promised to others, since that search.
+  std::set<BucketId> moved;
+  // Buckets that are being acquired, or are active without being whole.
+  std::set<BucketId> unfinished;
+  // Something that makes a bucket whole has changed since ActivateReady.
+  bool promises_changed = false;
+  std::uint64_t examined = 0;
 };
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/peer_directory.h
+++ b/libraries/entry_core/peer_directory.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "libraries/base/identifiers.h"
 #include "libraries/base/time.h"
@@ -45,9 +46,15 @@
   }
   [[nodiscard]] bool IsSuspected(EntryId peer, Timestamp now) const {
     const auto found = this->peers.find(peer);
-    if (found == this->peers.end()) return false;
-    return found->second.dead_since ||
-           now - found->second.last_heard > this->suspect_after;
+    return found != this->peers.end() && this->IsSuspected(found->second, now);
+  }
+  // All peers that are suspected, in order.
+  [[nodiscard]] std::vector<EntryId> Suspected(Timestamp now) const {
+    std::vector<EntryId> suspected;
+    for (const auto& [id, peer] : this->peers) {
+      if (this->IsSuspected(peer, now)) suspected.push_back(id);
+    }
+    return suspected;
   }
   [[nodiscard]] std::optional<Timestamp> DeadSince(EntryId peer) const {
     const auto found = this->peers.find(peer);
@@ -113,6 +120,10 @@
     Timestamp informed;
   };
 
+  [[nodiscard]] bool IsSuspected(const Peer& peer, Timestamp now) const {
+    return peer.dead_since || now - peer.last_heard > this->suspect_after;
+  }
+
   Peer& Get(EntryId peer, Timestamp now) {
     Peer fresh;
     fresh.last_heard = now;
--- a/tests/benchmarks/core_benchmark.cc
+++ b/tests/benchmarks/core_benchmark.cc
@@ -12,7 +12,9 @@
 
 // Time of the entry's core for one task, over the number of upstreams.
 void DecideTask(benchmark::State& state) {
-  CoreBench bench(static_cast<std::uint32_t>(state.range(0)));
+  CoreBenchShape shape;
+  shape.agents = static_cast<std::uint32_t>(state.range(0));
+  CoreBench bench(shape);
   std::uint64_t job = 1;
   std::uint64_t tasks = 0;
   constexpr std::uint32_t kTasksPerJob = 10;
@@ -24,6 +26,30 @@
 }
 BENCHMARK(DecideTask)->Arg(10)->Arg(64)->Arg(256)->Arg(1024);
 
+// The entry's surroundings on a grown deployment.
+CoreBenchShape GrownShape(std::uint32_t buckets) {
+  CoreBenchShape shape;
+  shape.agents = 64;
+  shape.living_peers = 10;
+  shape.buckets = buckets;
+  return shape;
+}
+
+// Time of the entry's core for a heartbeat of an agent, over the number of
+// buckets.
+void HearAgent(benchmark::State& state) {
+  CoreBench bench(GrownShape(static_cast<std::uint32_t>(state.range(0))));
+  for (auto unused : state) benchmark::DoNotOptimize(bench.HearAgent(0));
+}
+BENCHMARK(HearAgent)->Arg(64)->Arg(256)->Arg(1024);
+
+// The same for a heartbeat of another entry.
+void HearPeer(benchmark::State& state) {
+  CoreBench bench(GrownShape(static_cast<std::uint32_t>(state.range(0))));
+  for (auto unused : state) benchmark::DoNotOptimize(bench.HearPeer(0));
+}
+BENCHMARK(HearPeer)->Arg(64)->Arg(256)->Arg(1024);
+
 std::size_t HeapBytes() {
   return static_cast<std::size_t>(mallinfo2().uordblks);
 }
@@ -110,7 +136,7 @@
     }
     const Timestamp now(std::chrono::seconds(2));
     state.ResumeTiming();
-    home.Acquire(home.Vacant(now), now);
+    home.AcquireVacant(now);
     for (EntryEffect& effect : outbox.Take()) {
       const auto* sent = std::get_if<SendToAgent>(&effect);
       if (sent == nullptr) continue;
--- a/tests/support/core_bench.cc
+++ b/tests/support/core_bench.cc
@@ -1,25 +1,28 @@
 #include "tests/support/core_bench.h"
 
+#include <algorithm>
 #include <deque>
 
 namespace dandelionspur {
 namespace {
 
-constexpr std::uint32_t kBuckets = 128;
 constexpr EntryId::ValueType kSelf = 1;
+// The peer that is dead.
 constexpr EntryId::ValueType kOther = 2;
+constexpr EntryId::ValueType kFirstLivingPeer = 3;
 constexpr AgentId::ValueType kFirstAgent = 1000;
 
-EntryCoreSettings BenchSettings() {
+EntryCoreSettings BenchSettings(const CoreBenchShape& shape) {
   EntryCoreSettings settings;
   settings.self = EntryId(kSelf);
-  settings.bucket_count = kBuckets;
+  settings.bucket_count = shape.buckets;
   return settings;
 }
 
-View BenchView() {
+View BenchView(const CoreBenchShape& shape) {
   View view;
-  for (const EntryId::ValueType id : {kSelf, kOther}) {
+  for (EntryId::ValueType id = kSelf;
+       id < kFirstLivingPeer + shape.living_peers; ++id) {
     ViewMember member;
     member.entry = EntryId(id);
     member.peer_endpoint.port = static_cast<std::uint16_t>(id);
@@ -51,61 +54,101 @@
 
 }  // namespace
 
-CoreBench::CoreBench(std::uint32_t agents, std::uint32_t slots)
-    : entry(BenchSettings()), slots_each(slots), now(std::chrono::seconds(1)) {
+CoreBench::CoreBench(const CoreBenchShape& surroundings)
+    : shape(surroundings),
+      entry(BenchSettings(surroundings)),
+      now(std::chrono::seconds(1)) {
   const ServiceName service("s");
   this->Handle(DocumentRead{
       {service, DocumentVersion(1),
        R"({"service": "s", "owner": "o", "maximum_queued_tasks": 1000000})"}});
-  this->Handle(ViewRead{BenchView()});
   PeerState state;
-  state.view = BenchView();
+  state.view = BenchView(this->shape);
   state.synchronized = true;
+  this->Handle(ViewRead{state.view});
   this->Handle(PeerConnected{EntryId(kOther)});
   this->Handle(PeerMessageReceived{EntryId(kOther), state});
-  // Every bucket's home is this entry, since the other one asks for none.
-  this->now += std::chrono::seconds(2);
+  for (std::uint32_t i = 0; i < this->shape.living_peers; ++i) {
+    this->Handle(PeerConnected{EntryId(kFirstLivingPeer + i)});
+  }
+  for (int step = 0; step < 4; ++step) {
+    this->now += std::chrono::milliseconds(500);
+    this->HearPeers();
+  }
+  // Its buckets go to those that live.
   this->Handle(PeerProvenDead{EntryId(kOther)});
-  for (std::uint32_t i = 0; i < agents; ++i) {
+  for (std::uint32_t i = 0; i < this->shape.agents; ++i) {
     const AgentId agent(kFirstAgent + i);
     AgentDescription description;
     description.agent = agent;
     description.service = service;
-    description.capacity.millicores = slots * kOneSlot.millicores;
+    description.capacity.millicores = this->shape.slots * kOneSlot.millicores;
     description.admin_endpoint.port = static_cast<std::uint16_t>(i + 1);
     this->Handle(AgentConnected{agent});
     this->Handle(
-        AgentMessageReceived{agent, Register{description, BenchView().epoch}});
-    this->Handle(AgentMessageReceived{agent, AgentReady{BenchView().epoch}});
-    this->Handle(
-        AgentMessageReceived{agent, AgentHeartbeat{RoomOf(slots), this->now}});
+        AgentMessageReceived{agent, Register{description, state.view.epoch}});
+    this->Handle(AgentMessageReceived{agent, AgentReady{state.view.epoch}});
+    this->HearAgent(i);
   }
   // Promises, as asked for so far and by the next repetition.
   for (int round = 0; round < 3; ++round) {
     this->now += std::chrono::milliseconds(300);
-    const std::vector<EntryEffect> effects = this->Handle(EntryTick{});
-    for (const EntryEffect& effect : effects) {
-      if (const auto* sent = std::get_if<SendToAgent>(&effect)) {
-        const auto* request = std::get_if<PromiseRequest>(&sent->message);
-        if (request == nullptr) continue;
-        AgentPromiseReply reply;
-        for (const BucketBallot& asked : request->buckets) {
-          reply.buckets.push_back({asked.bucket, asked.ballot, true});
-        }
-        this->Handle(AgentMessageReceived{sent->to, reply});
-      } else if (const auto* peer = std::get_if<SendToPeer>(&effect)) {
-        const auto* request = std::get_if<PromiseRequest>(&peer->message);
-        if (request == nullptr) continue;
-        this->Handle(PeerMessageReceived{peer->to, GrantAll(*request)});
+    this->HearPeers();
+    this->GrantPromises(this->Handle(EntryTick{}));
+  }
+}
+
+void CoreBench::GrantPromises(const std::vector<EntryEffect>& effects) {
+  for (const EntryEffect& effect : effects) {
+    if (const auto* sent = std::get_if<SendToAgent>(&effect)) {
+      const auto* request = std::get_if<PromiseRequest>(&sent->message);
+      if (request == nullptr) continue;
+      AgentPromiseReply reply;
+      for (const BucketBallot& asked : request->buckets) {
+        reply.buckets.push_back({asked.bucket, asked.ballot, true});
       }
+      this->Handle(AgentMessageReceived{sent->to, reply});
+    } else if (const auto* peer = std::get_if<SendToPeer>(&effect)) {
+      const auto* request = std::get_if<PromiseRequest>(&peer->message);
+      if (request == nullptr) continue;
+      this->Handle(PeerMessageReceived{peer->to, GrantAll(*request)});
     }
   }
 }
 
+void CoreBench::Pass(Duration time) {
+  constexpr Duration kTick = std::chrono::milliseconds(50);
+  const Timestamp end = this->now + time;
+  while (this->now < end) {
+    this->now = std::min(this->now + kTick, end);
+    this->Handle(EntryTick{});
+  }
+}
+
+std::vector<EntryEffect> CoreBench::HearAgent(std::uint32_t number) {
+  return this->Handle(AgentMessageReceived{
+      AgentId(kFirstAgent + number),
+      AgentHeartbeat{RoomOf(this->shape.slots), this->now}});
+}
+
+std::vector<EntryEffect> CoreBench::HearPeer(std::uint32_t number) {
+  PeerHeartbeat heartbeat;
+  heartbeat.epoch = this->entry.view().epoch;
+  heartbeat.sent_at = this->now;
+  return this->Handle(
+      PeerMessageReceived{EntryId(kFirstLivingPeer + number), heartbeat});
+}
+
 std::vector<EntryEffect> CoreBench::Handle(const EntryEvent& event) {
   return this->entry.Handle(event, this->now);
 }
 
+void CoreBench::HearPeers() {
+  for (std::uint32_t i = 0; i < this->shape.living_peers; ++i) {
+    this->HearPeer(i);
+  }
+}
+
 std::uint32_t CoreBench::RunJob(std::uint64_t number, std::uint32_t tasks) {
   this->now += Duration(1);
   Relay relay;
@@ -140,7 +183,7 @@
                        true,
                        {}};
     finished.elapsed = std::chrono::milliseconds(100);
-    finished.load = RoomOf(this->slots_each);
+    finished.load = RoomOf(this->shape.slots);
     finished.load.starts_seen = ++this->seen[sent->to];
     handle(AgentMessageReceived{sent->to, finished});
   }
--- a/tests/support/core_bench.h
+++ b/tests/support/core_bench.h
@@ -10,11 +10,22 @@
 
 namespace dandelionspur {
 
-// One entry core with agents that are ready, for benchmarks: everything that
-// other processes would answer is answered at once.
+// What surrounds the entry of a CoreBench.
+struct CoreBenchShape {
+  std::uint32_t agents = 1;
+  // Room of each agent's upstream, in tasks.
+  std::uint32_t slots = 8;
+  // Other entries that live; one more is dead.
+  std::uint32_t living_peers = 0;
+  std::uint32_t buckets = 128;
+};
+
+// One entry core with agents that are ready, for benchmarks and tests of what
+// a decision costs: everything that other processes would answer is answered
+// at once.
 class CoreBench {
  public:
-  explicit CoreBench(std::uint32_t agents, std::uint32_t slots = 8);
+  explicit CoreBench(const CoreBenchShape& surroundings);
 
   // Submits a job, as relayed by the other entry, and runs it to its answer.
   // Returns the number of tasks started.
@@ -22,11 +33,24 @@
   // Handles one event; the effects that matter are kept for the next call.
   std::vector<EntryEffect> Handle(const EntryEvent& event);
 
+  // Lets time pass in ticks.
+  void Pass(Duration time);
+  // A heartbeat of an agent, the same each time but for the clock.
+  std::vector<EntryEffect> HearAgent(std::uint32_t number);
+  // A heartbeat of a living peer.
+  std::vector<EntryEffect> HearPeer(std::uint32_t number);
+
+  // One of each living peer.
+  void HearPeers();
+
   EntryCore& core() { return this->entry; }
 
  private:
+  // Hands the answers to all requests for promises to the core.
+  void GrantPromises(const std::vector<EntryEffect>& effects);
+
+  CoreBenchShape shape;
   EntryCore entry;
-  std::uint32_t slots_each;
   // Starts that each agent has seen.
   std::map<AgentId, std::uint64_t> seen;
   Timestamp now;
