entry: Keep collisions over a full upstream out of the retry budget

What callers saw: whole jobs refused as "retry_budget_exhausted" (503, or 502 where a part had run) with queued_tasks=0 and thousands of free cores.

Cause: a start that its agent refused as "no_free_slot" took a token of the retry budget, which is meant to bound what failing upstreams cost. Where several homes race for the same room, every freed slot costs all but one of them a token, so the reserve of 100 is gone though nothing has failed.

Fix: such a start ran nothing and is no failure. It takes no token and does not turn the task away from the agent. The agent's answer carries its load, so the home knows that it is full and asks again when a load tells of room. Where the load counts room all the same (the upstream itself had none), the agent gets no start for 50 ms; the test shows the loop that would follow otherwise.

The new tests on the code before: StartCollisionTest.CollisionsOverAFullUpstreamSpendNoRetryBudget AnswersIn(seen).empty(): Actual: false StartsIn(seen).size(): 111, expected 251 StartCollisionTest.AnUpstreamThatHasNoRoomAfterAllIsNotAskedHotly Expected: (starts) <= (kMostStartsASecond), actual: 26 vs 25 FailuresOfAnUpstreamSpendTheRetryBudget passes before and after.

--- a/libraries/entry_core/home_job.h
+++ b/libraries/entry_core/home_job.h
@@ -36,7 +36,7 @@
   StartNumber start;
   // Runs that ended as failed.
   std::uint32_t failures = 0;
-  // A start of this task was refused before.
+  // A start of this task was refused before, but not for want of room.
   bool retried = false;
   Payload result;
 
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -427,6 +427,11 @@
   if (IsRerunnable(*job) && task.IsStale(message.start)) return;
   this->TaskNoLongerStarted(*job, task);
   --job->started;
+  if (message.reason == Reason::kNoFreeSlot && agent != nullptr) {
+    const TaskRequest& request =
+        job->submission.tasks[message.task.task.value()];
+    this->health.ObserveFull(*agent, request.need, now);
+  }
   this->Requeue(*job, message.task.task, message.reason, now);
 }
 
@@ -706,10 +711,15 @@
                        Timestamp now) {
   TaskRecord& task = job.tasks[index.value()];
   task.phase = TaskPhase::kQueued;
-  task.retried = true;
+  // Another home was quicker: nothing has failed, and the agent's load tells
+  // when to try again.
+  const bool has_failed = reason != Reason::kNoFreeSlot;
+  if (has_failed) task.retried = true;
   if (job.phase != JobPhase::kRunning) return;
   ServiceState* service = this->Service(job);
-  if (service != nullptr && !service->TakeRetry()) {
+  const bool may_retry =
+      !has_failed || service == nullptr || service->TakeRetry();
+  if (!may_retry) {
     this->Refuse(job, Reason::kRetryBudgetExhausted, now);
     return;
   }
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -120,8 +120,9 @@
   static bool MayRunAgain(const HomeJob& job, const TaskRecord& task,
                           TaskOutcome outcome);
   void TaskNoLongerStarted(HomeJob& job, TaskRecord& task);
-  // Queues a task again, within the retry budget: its start was proven "not
-  // run", or its run is over and it may run again.
+  // Queues a task again: its start was proven "not run", or its run is over
+  // and it may run again. Failures count against the retry budget; a start
+  // that found no room is none.
   void Requeue(HomeJob& job, TaskIndex index, Reason reason, Timestamp now);
   // Ends a job whose callers wait too long or do not want it any more.
   void Abandon(HomeJob& job, Reason reason, Timestamp now);
--- a/libraries/entry_core/upstream_health.cc
+++ b/libraries/entry_core/upstream_health.cc
@@ -9,6 +9,7 @@
 constexpr std::uint32_t kFailuresBeforeProbation = 3;
 constexpr Duration kFirstProbation = std::chrono::milliseconds(500);
 constexpr std::uint32_t kMaximumProbationDoublings = 6;
+constexpr Duration kFullPause = std::chrono::milliseconds(50);
 constexpr double kSpeedAverageWeight = 0.2;
 constexpr double kMaximumSlowness = 50;
 constexpr std::uint32_t kPercent = 100;
@@ -71,6 +72,12 @@
   agent.usable_from = now + ProbationTime(agent.consecutive_failures);
 }
 
+void UpstreamHealth::ObserveFull(KnownAgent& agent, const Resources& need,
+                                 Timestamp now) const {
+  if (!agent.HasRoomFor(need)) return;
+  agent.usable_from = std::max(agent.usable_from, now + kFullPause);
+}
+
 bool UpstreamHealth::MayEjectAnother(const KnownAgent& agent,
                                      const ServiceState& service) const {
   const std::vector<KnownAgent*>& peers =
--- a/libraries/entry_core/upstream_health.h
+++ b/libraries/entry_core/upstream_health.h
@@ -25,6 +25,10 @@
                       Timestamp now) const;
   // The upstream can't be reached at all.
   void ObserveUnreachable(KnownAgent& agent, Timestamp now) const;
+  // The agent had no room for a task of `need`. That is no failure, but an
+  // agent that counts room all the same is not asked again at once.
+  void ObserveFull(KnownAgent& agent, const Resources& need,
+                   Timestamp now) const;
 
  private:
   [[nodiscard]] bool MayEjectAnother(const KnownAgent& agent,
--- /dev/null
+++ b/tests/support/entry_stage.cc
@@ -0,0 +1,178 @@
+#include "tests/support/entry_stage.h"
+
+#include <deque>
+#include <utility>
+
+namespace dandelionspur {
+namespace {
+
+constexpr EntryId::ValueType kSelf = 1;
+constexpr AgentId::ValueType kFirstAgent = 1000;
+constexpr std::uint32_t kBuckets = 8;
+constexpr Duration kTickInterval = std::chrono::milliseconds(50);
+
+EntryCoreSettings StageSettings() {
+  EntryCoreSettings settings;
+  settings.self = EntryId(kSelf);
+  settings.bucket_count = kBuckets;
+  return settings;
+}
+
+View StageView() {
+  ViewMember member;
+  member.entry = EntryId(kSelf);
+  member.peer_endpoint.port = 1;
+  return WithMember(View(), member, Timestamp());
+}
+
+}  // namespace
+
+EntryStage::EntryStage(std::uint32_t agent_count, std::uint32_t slots)
+    : entry(StageSettings()), slots_each(slots), time(std::chrono::seconds(1)) {
+  const ServiceName service("s");
+  this->Handle(DocumentRead{
+      {service, DocumentVersion(1),
+       R"({"service": "s", "owner": "o", "maximum_queued_tasks": 1000000})"}});
+  this->Handle(ViewRead{StageView()});
+  for (std::uint32_t i = 0; i < agent_count; ++i) {
+    AgentDescription description;
+    description.agent = this->Agent(i);
+    description.service = service;
+    description.capacity.millicores = slots * kOneSlot.millicores;
+    description.admin_endpoint.port = static_cast<std::uint16_t>(i + 1);
+    const AgentId agent = description.agent;
+    this->Handle(AgentConnected{agent});
+    this->Handle(
+        AgentMessageReceived{agent, Register{description, StageView().epoch}});
+    this->Handle(AgentMessageReceived{agent, AgentReady{StageView().epoch}});
+    this->TellLoad(agent, this->Load(0, 0));
+  }
+  this->Advance(std::chrono::milliseconds(500));
+  for (std::uint32_t i = 0; i < agent_count; ++i) {
+    this->TellLoad(this->Agent(i), this->Load(0, 0));
+  }
+}
+
+std::vector<EntryEffect> EntryStage::Handle(const EntryEvent& event) {
+  return this->Settle(this->entry.Handle(event, this->time));
+}
+
+std::vector<EntryEffect> EntryStage::Advance(Duration step) {
+  std::vector<EntryEffect> all;
+  const Timestamp until = this->time + step;
+  while (this->time < until) {
+    this->time = std::min(until, this->time + kTickInterval);
+    for (EntryEffect& effect : this->Handle(EntryTick{})) {
+      all.push_back(std::move(effect));
+    }
+  }
+  return all;
+}
+
+std::vector<EntryEffect> EntryStage::Submit(std::uint64_t number,
+                                            std::uint32_t tasks,
+                                            Duration time_allowed) {
+  constexpr std::uint64_t kSpread = 0x9E3779B97F4A7C15ULL;
+  CallerSubmitted submitted;
+  submitted.request = RequestId(number);
+  submitted.job.key = {number * kSpread, number};
+  submitted.job.service = ServiceName("s");
+  submitted.job.client_account = ClientAccount("t");
+  submitted.job.time_allowed = time_allowed;
+  submitted.job.rerun = RerunPolicy::kAfterLease;
+  submitted.job.tasks.resize(
+      tasks, TaskRequest{Payload(), std::chrono::milliseconds(100), kOneSlot});
+  return this->Handle(submitted);
+}
+
+std::vector<EntryEffect> EntryStage::RefuseStart(const SendToAgent& sent,
+                                                 Reason reason,
+                                                 const AgentLoad& load) {
+  const Start& start = std::get<Start>(sent.message);
+  TaskNotRun refused;
+  refused.task = start.task;
+  refused.start = {start.ballot, start.attempt};
+  refused.reason = reason;
+  refused.load = load;
+  return this->Handle(AgentMessageReceived{sent.to, refused});
+}
+
+std::vector<EntryEffect> EntryStage::TellLoad(AgentId agent,
+                                              const AgentLoad& load) {
+  return this->Handle(
+      AgentMessageReceived{agent, AgentHeartbeat{load, this->time}});
+}
+
+AgentId EntryStage::Agent(std::uint32_t index) const {
+  return AgentId(kFirstAgent + index);
+}
+
+AgentLoad EntryStage::Load(std::uint32_t running,
+                           std::uint64_t starts_seen) const {
+  AgentLoad load;
+  load.capacity.millicores = this->slots_each * kOneSlot.millicores;
+  load.running.millicores = running * kOneSlot.millicores;
+  load.starts_seen = starts_seen;
+  load.accepting = true;
+  return load;
+}
+
+std::vector<EntryEffect> EntryStage::Settle(std::vector<EntryEffect> effects) {
+  std::vector<EntryEffect> all;
+  std::deque<EntryEffect> open(effects.begin(), effects.end());
+  while (!open.empty()) {
+    all.push_back(std::move(open.front()));
+    open.pop_front();
+    const std::optional<EntryEvent> answer = this->AnswerTo(all.back());
+    if (!answer) continue;
+    for (EntryEffect& effect : this->entry.Handle(*answer, this->time)) {
+      open.push_back(std::move(effect));
+    }
+  }
+  return all;
+}
+
+std::optional<EntryEvent> EntryStage::AnswerTo(
+    const EntryEffect& effect) const {
+  const auto* sent = std::get_if<SendToAgent>(&effect);
+  if (sent == nullptr) return std::nullopt;
+  if (const auto* asked = std::get_if<PromiseRequest>(&sent->message)) {
+    AgentPromiseReply reply;
+    for (const BucketBallot& bucket : asked->buckets) {
+      reply.buckets.push_back({bucket.bucket, bucket.ballot, true});
+    }
+    return AgentMessageReceived{sent->to, reply};
+  }
+  const auto* confirm = std::get_if<ConfirmRequest>(&sent->message);
+  if (confirm == nullptr || !this->confirms) return std::nullopt;
+  ConfirmReply reply;
+  reply.sequence = confirm->sequence;
+  for (const BucketBallot& bucket : confirm->buckets) {
+    reply.confirmed.push_back(bucket.bucket);
+  }
+  return AgentMessageReceived{sent->to, reply};
+}
+
+std::vector<SendToAgent> StartsIn(const std::vector<EntryEffect>& effects) {
+  std::vector<SendToAgent> starts;
+  for (const EntryEffect& effect : effects) {
+    const auto* sent = std::get_if<SendToAgent>(&effect);
+    if (sent == nullptr || !std::holds_alternative<Start>(sent->message)) {
+      continue;
+    }
+    starts.push_back(*sent);
+  }
+  return starts;
+}
+
+std::vector<AnswerCaller> AnswersIn(const std::vector<EntryEffect>& effects) {
+  std::vector<AnswerCaller> answers;
+  for (const EntryEffect& effect : effects) {
+    if (const auto* answer = std::get_if<AnswerCaller>(&effect)) {
+      answers.push_back(*answer);
+    }
+  }
+  return answers;
+}
+
+}  // namespace dandelionspur
