entry: Answer every caller before its deadline

What callers saw: no answer at all.

Cause, three parts: - The entry that a caller waits at gave a relayed job up 1 s after the caller's deadline (kAnswerGrace). - A home decided "deadline_exceeded" at the deadline, asked for the proof of its refusal only then, and the answer was relayed after the caller had left. A refusal without proof was answered 500 ms after the deadline. - A job that had been set back as late was looked at once; when the wait grew afterwards it stayed until its deadline, though its answer had long lost all use. So overloaded entries kept the jobs of callers that had left, and worked on them.

Every tick, late jobs of which nothing was started are refused as soon as they can't be served while the answer is of use. The relaying entry says "may have run": deadline_exceeded where the home has the job, home_unreachable else. Relays whose callers have been answered are dropped. "Not run" is proven as before; at-most-once.md needs no change.

--- a/libraries/entry_core/home_job.h
+++ b/libraries/entry_core/home_job.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "libraries/entry_core/answer_times.h"
 #include "libraries/protocol/agent_messages.h"
 #include "libraries/protocol/entry_messages.h"
 #include "libraries/protocol/job.h"
@@ -116,6 +117,20 @@
     return this->DueAt() - Duration(static_cast<std::int64_t>(
                                static_cast<double>(longest.count()) * stretch));
   }
+  // Nothing of the job has been started, here or by a former home.
+  [[nodiscard]] bool IsUntouched() const {
+    return this->started == 0 && !this->carried;
+  }
+  // An untouched job that is still queued then is refused.
+  [[nodiscard]] Timestamp RefuseBy() const {
+    return DecideBy(this->deadline, this->submission.time_allowed,
+                    kRefusalLead);
+  }
+  // The callers get an answer then, whatever is still open.
+  [[nodiscard]] Timestamp AnswerBy() const {
+    return DecideBy(this->deadline, this->submission.time_allowed,
+                    kHomeAnswerLead);
+  }
   [[nodiscard]] Duration TimeLeft(Timestamp now) const {
     return std::max(Duration(), this->deadline - now);
   }
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -284,9 +284,8 @@
 
 void HomeJobs::Abandon(HomeJob& job, Reason reason, Timestamp now) {
   if (job.phase == JobPhase::kRefusing) {
-    // The proof did not come while anybody could still wait for it.
-    if (reason == Reason::kDeadlineExceeded &&
-        now >= job.deadline + 2 * this->settings.repeat_interval) {
+    // The proof did not come while its callers could wait for it.
+    if (reason == Reason::kDeadlineExceeded) {
       this->Finish(job, JobAnswer::MayHaveRun(job.refusal), now);
     }
     return;
@@ -542,21 +541,45 @@
 }
 
 void HomeJobs::Tick(Timestamp now) {
-  std::vector<JobKey> overdue;
-  for (const auto& [deadline, key] : this->deadlines) {
-    if (deadline > now) break;
-    overdue.push_back(key);
-  }
-  for (const JobKey& key : overdue) {
-    HomeJob* job = this->Find(key);
-    if (job != nullptr) this->Abandon(*job, Reason::kDeadlineExceeded, now);
-  }
+  this->EndBeforeDeadlines(now);
+  this->RefuseHopeless(now);
   this->RunAgainAfterLeases(now);
   this->OnHistoryGrown(now);
   this->kept.Expire(now);
   this->refused_attempts.Expire(now);
 }
 
+void HomeJobs::EndBeforeDeadlines(Timestamp now) {
+  std::vector<JobKey> ending;
+  for (const auto& [deadline, key] : this->deadlines) {
+    if (deadline - kRefusalLead > now) break;
+    ending.push_back(key);
+  }
+  for (const JobKey& key : ending) {
+    HomeJob* job = this->Find(key);
+    if (job == nullptr) continue;
+    const bool may_be_refused =
+        job->IsUntouched() && job->phase != JobPhase::kRefusing;
+    const Timestamp end = may_be_refused ? job->RefuseBy() : job->AnswerBy();
+    if (now < end) continue;
+    this->Abandon(*job, Reason::kDeadlineExceeded, now);
+  }
+}
+
+void HomeJobs::RefuseHopeless(Timestamp now) {
+  for (auto& [name, service] : this->services) {
+    // Without any upstream nothing is known of the wait.
+    const bool has_room = this->agents.CapacityOf(name).millicores > 0;
+    for (const JobKey& key : service.Late()) {
+      HomeJob& job = this->jobs.at(key);
+      const Duration wait = has_room ? this->ExpectedWait(service) : Duration();
+      const bool hopeless = now + wait > job.UsefulUntil();
+      if (!hopeless || !job.IsUntouched()) continue;
+      this->Refuse(job, Reason::kDeadlineTooShort, now);
+    }
+  }
+}
+
 void HomeJobs::OnHistoryGrown(Timestamp now) {
   const std::set<JobKey> waiting = this->blocked;
   for (const JobKey& key : waiting) {
@@ -585,8 +608,8 @@
     job.is_late = true;
     service.Enqueue(job, this->agents.CoresOf(job.submission.service));
     // Known to wait in vain: its caller can do better elsewhere or later.
-    const bool untouched = job.started == 0 && !job.carried;
-    if (untouched && now + this->ExpectedWait(service) > job.UsefulUntil()) {
+    if (job.IsUntouched() &&
+        now + this->ExpectedWait(service) > job.UsefulUntil()) {
       this->Refuse(job, Reason::kDeadlineTooShort, now);
     }
   }
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -103,6 +103,11 @@
   // Queued jobs that can't meet their objective any more go to the end.
   // Time until what is queued now has been started.
   [[nodiscard]] Duration ExpectedWait(const ServiceState& service) const;
+  // Answers the jobs whose callers would not get a later answer in time.
+  void EndBeforeDeadlines(Timestamp now);
+  // Refuses untouched jobs that were set back and can't be served any more
+  // while the answer is of use.
+  void RefuseHopeless(Timestamp now);
   void SetBackOverdue(ServiceState& service, Timestamp now);
   void DispatchService(ServiceState& service, Timestamp now);
   // The agents that have room for a task, in `candidates`.
--- a/libraries/entry_core/relay_book.cc
+++ b/libraries/entry_core/relay_book.cc
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "libraries/entry_core/answer_times.h"
+
 namespace dandelionspur {
 namespace {
 
-// How long after its deadline a job's home may still be asked to answer.
-constexpr Duration kAnswerGrace = std::chrono::seconds(1);
 // Pause before a job follows its home, so that two entries that disagree do
 // not send it to and fro.
 constexpr Duration kFollowPause = std::chrono::milliseconds(20);
@@ -39,18 +39,23 @@
     job.callers.insert(job.callers.end(), callers.begin(), callers.end());
     if (only_joined && submission.kind == SubmissionKind::kRun) {
       job.submission = submission;
-      job.deadline = deadline;
+      job.SetDeadline(deadline, now);
       this->Route(job, now);
     }
     return;
   }
   Relayed& job = this->relayed[submission.key];
   job.submission = submission;
-  job.deadline = deadline;
+  job.SetDeadline(deadline, now);
   job.callers = callers;
   this->Route(job, now);
 }
 
+void RelayBook::Relayed::SetDeadline(Timestamp end, Timestamp now) {
+  this->deadline = end;
+  this->answer_by = DecideBy(end, end - now, kCallerAnswerLead);
+}
+
 void RelayBook::Park(const ParkedRelay& parked) {
   this->parked_relays.push_back(parked);
 }
@@ -142,7 +147,9 @@
       this->parked_relays.push_back(std::move(parked));
       continue;
     }
-    parked.relay.job.time_allowed = std::max(Duration(), parked.deadline - now);
+    // Its caller has been answered.
+    if (parked.deadline <= now) continue;
+    parked.relay.job.time_allowed = parked.deadline - now;
     this->AcceptAtHome(parked.from, parked.relay, now);
   }
 }
@@ -181,8 +188,12 @@
   std::sort(keys.begin(), keys.end());
   for (const JobKey& key : keys) {
     Relayed& job = this->relayed.at(key);
-    if (now > job.deadline + kAnswerGrace) {
-      this->AnswerCallers(job, JobAnswer::MayHaveRun(Reason::kHomeUnreachable));
+    if (now >= job.answer_by) {
+      const bool home_has_it =
+          job.target && this->peers.IsConnected(*job.target);
+      this->AnswerCallers(
+          job, JobAnswer::MayHaveRun(home_has_it ? Reason::kDeadlineExceeded
+                                                 : Reason::kHomeUnreachable));
       this->relayed.erase(key);
       continue;
     }
@@ -194,7 +205,7 @@
     this->Route(job, now);
   }
   std::erase_if(this->parked_relays, [&](const ParkedRelay& parked) {
-    return now > parked.deadline + kAnswerGrace;
+    return now >= parked.deadline;
   });
 }
 
--- a/libraries/entry_core/relay_book.h
+++ b/libraries/entry_core/relay_book.h
@@ -58,12 +58,16 @@
   struct Relayed {
     JobSubmission submission;
     Timestamp deadline;
+    // The callers get an answer then, whatever the home does.
+    Timestamp answer_by;
     std::vector<RequestId> callers;
     AttemptNumber attempt;
     // Where the attempt went; nothing while no home is known.
     std::optional<EntryId> target;
     // Not before this time, after the home has moved.
     Timestamp submit_from;
+
+    void SetDeadline(Timestamp end, Timestamp now);
   };
 
   void Route(Relayed& job, Timestamp now);
--- a/libraries/entry_core/service_state.cc
+++ b/libraries/entry_core/service_state.cc
@@ -112,6 +112,16 @@
   return overdue;
 }
 
+std::vector<JobKey> ServiceState::Late() const {
+  std::vector<JobKey> late;
+  for (const auto& [name, client_account] : this->client_accounts) {
+    for (const Position& position : client_account.late) {
+      late.push_back(position.key);
+    }
+  }
+  return late;
+}
+
 void ServiceState::TaskQueued(Duration core_time) {
   ++this->queued_count;
   this->queued_total += core_time;
--- a/libraries/entry_core/service_state.h
+++ b/libraries/entry_core/service_state.h
@@ -40,6 +40,9 @@
   // time. Returns them; the caller marks each as late and queues it again.
   [[nodiscard]] std::vector<JobKey> Overdue(Timestamp now) const;
 
+  // The jobs that were marked as late.
+  [[nodiscard]] std::vector<JobKey> Late() const;
+
   void TaskQueued(Duration core_time);
   void TaskUnqueued(Duration core_time);
   void TaskStarted(const ClientAccount& client_account);
--- a/tests/support/entry_stage.cc
+++ b/tests/support/entry_stage.cc
@@ -30,9 +30,10 @@
 EntryStage::EntryStage(std::uint32_t agent_count, std::uint32_t slots)
     : entry(StageSettings()), slots_each(slots), time(std::chrono::seconds(1)) {
   const ServiceName service("s");
-  this->Handle(DocumentRead{
-      {service, DocumentVersion(1),
-       R"({"service": "s", "owner": "o", "maximum_queued_tasks": 1000000})"}});
+  this->Handle(
+      DocumentRead{{service, DocumentVersion(1),
+                    R"({"service": "s", "owner": "o", "order": "least_slack",
+           "maximum_queued_tasks": 1000000})"}});
   this->Handle(ViewRead{StageView()});
   for (std::uint32_t i = 0; i < agent_count; ++i) {
     AgentDescription description;
@@ -71,7 +72,8 @@
 
 std::vector<EntryEffect> EntryStage::Submit(std::uint64_t number,
                                             std::uint32_t tasks,
-                                            Duration time_allowed) {
+                                            Duration time_allowed,
+                                            Duration objective) {
   constexpr std::uint64_t kSpread = 0x9E3779B97F4A7C15ULL;
   CallerSubmitted submitted;
   submitted.request = RequestId(number);
@@ -79,6 +81,7 @@
   submitted.job.service = ServiceName("s");
   submitted.job.client_account = ClientAccount("t");
   submitted.job.time_allowed = time_allowed;
+  submitted.job.objective = objective;
   submitted.job.rerun = RerunPolicy::kAfterLease;
   submitted.job.tasks.resize(
       tasks, TaskRequest{Payload(), std::chrono::milliseconds(100), kOneSlot});
--- a/tests/support/entry_stage.h
+++ b/tests/support/entry_stage.h
@@ -21,7 +21,8 @@
   std::vector<EntryEffect> Advance(Duration step);
   // A job of `tasks` that may run again, as a caller of this entry submits it.
   std::vector<EntryEffect> Submit(std::uint64_t number, std::uint32_t tasks,
-                                  Duration time_allowed);
+                                  Duration time_allowed,
+                                  Duration objective = Duration());
   // The agent proves that a start was not run.
   std::vector<EntryEffect> RefuseStart(const SendToAgent& sent, Reason reason,
                                        const AgentLoad& load);
