--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -103,6 +103,11 @@
   // Queued jobs that can't meet their objective any more go to the end.
   // Time until what is queued now has been started.
   [[nodiscard]] Duration ExpectedWait(const ServiceState& service) const;
+  // Answers the jobs whose callers would not get a later answer in time.
+  void EndBeforeDeadlines(Timestamp now);
+  // Refuses untouched jobs that were set back and can't be served any more
+  // while the answer is of use.
+  void RefuseHopeless(Timestamp now);
   void SetBackOverdue(ServiceState& service, Timestamp now);
   void DispatchService(ServiceState& service, Timestamp now);
   // The agents that have room for a task, in `candidates`.
@@ -120,8 +125,9 @@
   static bool MayRunAgain(const HomeJob& job, const TaskRecord& task,
                           TaskOutcome outcome);
   void TaskNoLongerStarted(HomeJob& job, TaskRecord& task);
-  // Queues a task again, within the retry budget: its start was proven "not
-  // run", or its run is over and it may run again.
+  // Queues a task again: its start was proven "not run", or its run is over
+  // and it may run again. Failures count against the retry budget; a start
+  // that found no room is none.
   void Requeue(HomeJob& job, TaskIndex index, Reason reason, Timestamp now);
   // Ends a job whose callers wait too long or do not want it any more.
   void Abandon(HomeJob& job, Reason reason, Timestamp now);
