--- a/libraries/protocol/view.cc
+++ b/libraries/protocol/view.cc
@@ -24,10 +24,11 @@
   const std::uint32_t draws =
       std::clamp(member.millicores / kMillicoresPerDraw, 1U, kMaximumDraws);
   std::uint64_t best = 0;
+  const std::array<std::uint64_t, 2> input = {bucket.value(),
+                                              member.entry.value()};
   for (std::uint64_t draw = 0; draw < draws; ++draw) {
-    const std::array<std::uint64_t, 3> input = {bucket.value(),
-                                                member.entry.value(), draw};
-    best = std::max(best, XXH3_64bits(input.data(), sizeof(input)));
+    best = std::max(best,
+                    XXH3_64bits_withSeed(input.data(), sizeof(input), draw));
   }
   return best;
 }
--- a/libraries/protocol/view.h
+++ b/libraries/protocol/view.h
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "libraries/base/identifiers.h"
-#include "libraries/base/resources.h"
 #include "libraries/base/time.h"
 #include "libraries/protocol/endpoint.h"
 
@@ -20,8 +19,9 @@
   // For operators; also probed to tell a dead process from a silent one.
   Endpoint admin_endpoint;
   DataCentreName data_centre;
-  // What the instance's processor can do, in thousandths of a core.
-  std::uint32_t millicores = kMillicoresPerCore;
+  // What the instance's processor can do, in thousandths of a core; 0 where
+  // that is not known.
+  std::uint32_t millicores = 0;
   bool operator==(const ViewMember&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(ViewMember, (),
