entry: Ignore relays that were sent before a refused or returned one

Cause: when the connection to a job's home breaks, the relaying entry sends the job again under its next attempt number. What the old connection carried still lies in the home's socket, and at a busy home it is read after what the new connection carries. The home refused the later attempt, the caller was told so, and then the home took the earlier one for a new job. Only the refused attempt itself was remembered, not those before it.

Ruled out for this job: a former home (the home was the same throughout), a parked relay, a start that came late to an agent.

Fix: the home remembers for each sender and job the highest attempt that it answered "not run" or returned, for the duplicate window, and ignores all attempts up to it (rule 11 in docs/design/at-most-once.md). The sender's numbers rise, so whatever it still waits for has a higher one. A returned attempt counts too: its sender has turned to another entry, whose refusal must not be made untrue here.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -219,7 +219,6 @@
 void EntryCore::OnPeer(EntryId from, const Relay& message) {
   const BucketId bucket = this->ownership.BucketOfKey(message.job.key);
   this->Observe({{bucket, message.promised}});
-  const Ballot promised = this->ownership.Promised(bucket);
   if (this->ownership.IsActive(bucket)) {
     this->relays.AcceptAtHome(from, message, this->current_time);
     return;
@@ -234,8 +233,8 @@
         {from, message, this->current_time + message.job.time_allowed});
     return;
   }
-  this->outbox.ToPeer(from,
-                      RelayMoved{message.job.key, message.attempt, promised});
+  this->home.ReturnRelay(message.job.key, {from, message.attempt},
+                         this->current_time);
 }
 
 void EntryCore::OnPeer(EntryId from, const RelayAnswer& message) {
@@ -476,7 +475,7 @@
       this->relays.Submit(job.submission, job.deadline, job.callers,
                           this->current_time);
     }
-    this->relays.OnBucketLost(bucket);
+    this->relays.OnBucketLost(bucket, this->current_time);
   }
 }
 
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -38,7 +38,7 @@
       outbox(effects),
       health(configured.suspect_after, registry),
       kept(configured.maximum_answer_bytes, configured.duplicate_window),
-      refused_attempts(configured.duplicate_window) {}
+      settled_attempts(configured.duplicate_window) {}
 
 void HomeJobs::ApplyDocument(const ServiceDocument& document) {
   const auto found = this->services.find(document.service);
@@ -54,7 +54,9 @@
                       std::optional<EntryId> witness, Timestamp now) {
   const JobKey& key = submission.key;
   const RelayOrigin* origin = std::get_if<RelayOrigin>(&waiter);
-  if (origin != nullptr && this->refused_attempts.Contains(*origin)) return;
+  if (origin != nullptr && this->settled_attempts.Contains(key, *origin)) {
+    return;
+  }
   if (const KeptAnswer* answer = this->kept.Find(key)) {
     const bool same = submission.Matches(answer->body_digest);
     this->AnswerWaiter(
@@ -294,6 +296,15 @@
   this->Refuse(job, reason, now);
 }
 
+void HomeJobs::ReturnRelay(const JobKey& key, const RelayOrigin& origin,
+                           Timestamp now) {
+  this->settled_attempts.Add(key, origin, now);
+  const BucketId bucket = this->ownership.BucketOfKey(key);
+  this->outbox.ToPeer(
+      origin.entry,
+      RelayMoved{key, origin.attempt, this->ownership.Promised(bucket)});
+}
+
 std::vector<EvictedJob> HomeJobs::Evict(BucketId bucket, Timestamp now) {
   std::vector<JobKey> moved;
   for (const auto& [key, job] : this->jobs) {
@@ -309,10 +320,7 @@
         gone.callers.push_back(*request);
         continue;
       }
-      const RelayOrigin& origin = std::get<RelayOrigin>(waiter);
-      this->outbox.ToPeer(
-          origin.entry,
-          RelayMoved{key, origin.attempt, this->ownership.Promised(bucket)});
+      this->ReturnRelay(key, std::get<RelayOrigin>(waiter), now);
     }
     if (!gone.callers.empty()) {
       gone.deadline = job.deadline;
@@ -474,7 +482,7 @@
     for (const Waiter& waiter : job->waiters) {
       this->AnswerWaiter(waiter, refusal.key, answer);
       if (const auto* origin = std::get_if<RelayOrigin>(&waiter)) {
-        this->refused_attempts.Add(*origin, now);
+        this->settled_attempts.Add(refusal.key, *origin, now);
       }
     }
     // Not kept: a later submission of the key may run.
@@ -549,7 +557,7 @@
   this->RunAgainAfterLeases(now);
   this->OnHistoryGrown(now);
   this->kept.Expire(now);
-  this->refused_attempts.Expire(now);
+  this->settled_attempts.Expire(now);
 }
 
 void HomeJobs::OnHistoryGrown(Timestamp now) {
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -15,8 +15,8 @@
 #include "libraries/entry_core/kept_answers.h"
 #include "libraries/entry_core/ownership.h"
 #include "libraries/entry_core/refusal_confirmer.h"
-#include "libraries/entry_core/refused_attempts.h"
 #include "libraries/entry_core/service_state.h"
+#include "libraries/entry_core/settled_attempts.h"
 #include "libraries/entry_core/upstream_health.h"
 
 namespace dandelionspur {
@@ -47,6 +47,8 @@
   void Accept(const JobSubmission& submission, const Waiter& waiter,
               std::optional<EntryId> witness, Timestamp now);
   void Cancel(const JobKey& key, Timestamp now);
+  // Tells the sender of a relay that this entry won't act on it.
+  void ReturnRelay(const JobKey& key, const RelayOrigin& origin, Timestamp now);
   // Gives up the jobs of a bucket that moved; other entries that wait are
   // told.
   std::vector<EvictedJob> Evict(BucketId bucket, Timestamp now);
@@ -148,7 +150,7 @@
   // Kept between decisions only for its memory.
   Candidates candidates;
   KeptAnswers kept;
-  RefusedAttempts refused_attempts;
+  SettledAttempts settled_attempts;
 };
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/relay_book.cc
+++ b/libraries/entry_core/relay_book.cc
@@ -163,13 +163,11 @@
   return is_witness ? std::optional(from) : std::nullopt;
 }
 
-void RelayBook::OnBucketLost(BucketId bucket) {
+void RelayBook::OnBucketLost(BucketId bucket, Timestamp now) {
   std::erase_if(this->parked_relays, [&](const ParkedRelay& parked) {
     const JobKey& key = parked.relay.job.key;
     if (this->ownership.BucketOfKey(key) != bucket) return false;
-    this->outbox.ToPeer(parked.from,
-                        RelayMoved{key, parked.relay.attempt,
-                                   this->ownership.Promised(bucket)});
+    this->home.ReturnRelay(key, {parked.from, parked.relay.attempt}, now);
     return true;
   });
 }
--- a/libraries/entry_core/relay_book.h
+++ b/libraries/entry_core/relay_book.h
@@ -45,7 +45,7 @@
   void OnActivated(const std::vector<BucketId>& buckets, Timestamp now);
   // This entry lost the bucket: the entries whose relays are parked must turn
   // to the new home.
-  void OnBucketLost(BucketId bucket);
+  void OnBucketLost(BucketId bucket, Timestamp now);
   // Submits again where the home has changed, and gives up what is overdue.
   void Tick(Timestamp now);
 
--- a/tests/entry_core/protocol_fuzz_main.cc
+++ b/tests/entry_core/protocol_fuzz_main.cc
@@ -72,6 +72,9 @@
       cxxopts::value<std::size_t>()->default_value("260"))(
       "entries", "", cxxopts::value<std::uint32_t>()->default_value("3"))(
       "agents", "", cxxopts::value<std::uint32_t>()->default_value("2"))(
+      "keys", "resubmissions are of this many latest keys; 0: none",
+      cxxopts::value<std::uint32_t>()->default_value("4"))(
+      "late-reads", "what broken connections carried may be read later")(
       "leases", "jobs may run again once their lease is over")(
       "log", "print what happened in every run")(
       "fault", "number of a deliberate fault",
@@ -87,6 +90,10 @@
   options.print_log = parsed.count("log") > 0;
   options.world.entries = parsed["entries"].as<std::uint32_t>();
   options.world.agents = parsed["agents"].as<std::uint32_t>();
+  options.world.keys = parsed["keys"].as<std::uint32_t>();
+  if (parsed.count("late-reads") > 0) {
+    options.world.in_flight = dandelionspur::InFlight::kRead;
+  }
   if (parsed.count("leases") > 0) {
     options.world.rerun = dandelionspur::RerunPolicy::kAfterLease;
   }
--- a/tests/support/core_bench.cc
+++ b/tests/support/core_bench.cc
@@ -106,8 +106,9 @@
   return this->entry.Handle(event, this->now);
 }
 
-std::uint32_t CoreBench::RunJob(std::uint64_t number, std::uint32_t tasks) {
-  this->now += Duration(1);
+EntryId CoreBench::Other() { return EntryId(kOther); }
+
+Relay CoreBench::RelayOf(std::uint64_t number, std::uint32_t tasks) {
   Relay relay;
   relay.attempt = AttemptNumber(number);
   relay.job.key = {number * 0x9E3779B97F4A7C15ULL, number};
@@ -116,6 +117,11 @@
   relay.job.time_allowed = std::chrono::seconds(30);
   relay.job.tasks.resize(
       tasks, TaskRequest{Payload(), std::chrono::milliseconds(100), kOneSlot});
+  return relay;
+}
+
+std::uint32_t CoreBench::RunJob(std::uint64_t number, std::uint32_t tasks) {
+  this->now += Duration(1);
   std::uint32_t started = 0;
   std::deque<EntryEffect> work;
   const auto handle = [&](const EntryEvent& event) {
@@ -123,7 +129,7 @@
       work.push_back(std::move(effect));
     }
   };
-  handle(PeerMessageReceived{EntryId(kOther), relay});
+  handle(PeerMessageReceived{EntryId(kOther), RelayOf(number, tasks)});
   while (!work.empty()) {
     const EntryEffect effect = std::move(work.front());
     work.pop_front();
--- a/tests/support/core_bench.h
+++ b/tests/support/core_bench.h
@@ -10,12 +10,17 @@
 
 namespace dandelionspur {
 
-// One entry core with agents that are ready, for benchmarks: everything that
-// other processes would answer is answered at once.
+// One entry core with agents that are ready, for benchmarks and tests:
+// everything that other processes would answer is answered at once.
 class CoreBench {
  public:
   explicit CoreBench(std::uint32_t agents, std::uint32_t slots = 8);
 
+  // The other entry of the view.
+  static EntryId Other();
+  // A job of the service, as the other entry relays it.
+  static Relay RelayOf(std::uint64_t number, std::uint32_t tasks);
+
   // Submits a job, as relayed by the other entry, and runs it to its answer.
   // Returns the number of tasks started.
   std::uint32_t RunJob(std::uint64_t number, std::uint32_t tasks);
--- a/tests/support/deliberate_faults.cc
+++ b/tests/support/deliberate_faults.cc
@@ -17,8 +17,7 @@
     case DeliberateFault::kSkipWitness:
       if (peer_message != nullptr) {
         if (auto* request = std::get_if<WitnessRequest>(peer_message)) {
-          this->channels[{to, from}].emplace_back(
-              PeerMessage(WitnessReply{request->keys, {}}));
+          this->Carry(to, from, PeerMessage(WitnessReply{request->keys, {}}));
           return false;
         }
       }
@@ -57,9 +56,9 @@
         reply.confirmed.push_back(bucket.bucket);
       }
       if (peer_message != nullptr) {
-        this->channels[{to, from}].emplace_back(PeerMessage(reply));
+        this->Carry(to, from, PeerMessage(reply));
       } else {
-        this->channels[{to, from}].emplace_back(AgentMessage(reply));
+        this->Carry(to, from, AgentMessage(reply));
       }
       return false;
     }
--- a/tests/support/protocol_world.cc
+++ b/tests/support/protocol_world.cc
@@ -164,11 +164,11 @@
   auto position = this->channels.begin();
   std::advance(position, choice % this->channels.size());
   const Channel channel = position->first;
-  if (this->IsAlive(channel.second) && this->IsFrozen(channel.second)) return;
+  if (this->IsAlive(channel.to) && this->IsFrozen(channel.to)) return;
   const Message message = position->second.front();
   position->second.pop_front();
   if (position->second.empty()) this->channels.erase(position);
-  this->Deliver(channel.first, channel.second, message);
+  this->Deliver(channel.from, channel.to, message);
 }
 
 void ProtocolWorld::DeliverOutOfOrder(std::uint32_t choice) {
@@ -176,11 +176,11 @@
   auto position = this->channels.begin();
   std::advance(position, choice % this->channels.size());
   const Channel channel = position->first;
-  if (this->IsFrozen(channel.second)) return;
+  if (this->IsFrozen(channel.to)) return;
   // A copy is delivered; the message itself stays, so this also duplicates.
   const Message message =
       position->second[(choice / 7) % position->second.size()];
-  this->Deliver(channel.first, channel.second, message);
+  this->Deliver(channel.from, channel.to, message);
 }
 
 void ProtocolWorld::Submit(std::uint32_t choice) {
@@ -189,7 +189,8 @@
   const NodeId entry = Pick(alive, choice);
   if (this->IsFrozen(entry)) return;
   // A new key, or one of the latest few once more.
-  const bool is_new = (choice / 16) % 3 == 0 || this->key_count == 0;
+  const bool is_new =
+      (choice / 16) % 3 == 0 || this->key_count == 0 || this->options.keys == 0;
   if (is_new) ++this->key_count;
   const std::uint32_t window = std::min(this->options.keys, this->key_count);
   const std::uint32_t number =
@@ -397,12 +398,15 @@
   const NodeId first = Pick(alive_entries, choice);
   const NodeId second = Pick(nodes, choice / 8);
   if (first == second) return;
-  const Channel link = std::minmax(first, second);
-  if (!this->links.contains(link)) {
+  if (!this->links.contains(std::minmax(first, second))) {
     this->Connect(first, second);
     return;
   }
-  this->Disconnect(first, second);
+  // An agent begins a new connection once it has read all of the old one.
+  const bool both_entries = this->entries.contains(second);
+  const bool may_be_read = both_entries && (choice / 256) % 2 == 0;
+  this->Disconnect(first, second,
+                   may_be_read ? this->options.in_flight : InFlight::kLost);
   // Most cuts are short.
   if ((choice / 64) % 4 != 0) this->Connect(first, second);
 }
@@ -551,17 +555,22 @@
 
 void ProtocolWorld::Connect(NodeId first, NodeId second) {
   if (!this->IsAlive(first) || !this->IsAlive(second)) return;
-  const Channel link = std::minmax(first, second);
-  if (!this->links.insert(link).second) return;
+  const Link link = std::minmax(first, second);
+  if (this->links.contains(link)) return;
+  this->links[link] = ++this->last_connection;
   this->TellConnection(first, second, true);
   this->TellConnection(second, first, true);
 }
 
-void ProtocolWorld::Disconnect(NodeId first, NodeId second) {
-  const Channel link = std::minmax(first, second);
-  if (this->links.erase(link) == 0) return;
-  this->channels.erase({first, second});
-  this->channels.erase({second, first});
+void ProtocolWorld::Disconnect(NodeId first, NodeId second,
+                               InFlight in_flight) {
+  const auto link = this->links.find(std::minmax(first, second));
+  if (link == this->links.end()) return;
+  if (in_flight == InFlight::kLost) {
+    this->channels.erase({first, second, link->second});
+    this->channels.erase({second, first, link->second});
+  }
+  this->links.erase(link);
   this->TellConnection(first, second, false);
   this->TellConnection(second, first, false);
 }
@@ -627,7 +636,12 @@
 void ProtocolWorld::Post(NodeId from, NodeId to, Message message) {
   if (!this->links.contains(std::minmax(from, to))) return;
   if (!this->Tamper(from, to, message)) return;
-  this->channels[{from, to}].push_back(std::move(message));
+  this->Carry(from, to, std::move(message));
+}
+
+void ProtocolWorld::Carry(NodeId from, NodeId to, Message message) {
+  const std::uint64_t connection = this->links.at(std::minmax(from, to));
+  this->channels[{from, to, connection}].push_back(std::move(message));
 }
 
 void ProtocolWorld::Deliver(NodeId from, NodeId to, const Message& message) {
--- a/tests/support/protocol_world.h
+++ b/tests/support/protocol_world.h
@@ -53,11 +53,17 @@
   kHideSightings,
 };
 
+// What becomes of messages between entries that are under way on a connection
+// that breaks. kRead: half of the breaks leave them in the receiver's socket,
+// where they are read sooner or later.
+enum class InFlight { kLost, kRead };
+
 struct WorldOptions {
   std::uint32_t entries = 3;
   std::uint32_t agents = 2;
   std::uint32_t buckets = 2;
-  // Resubmissions are of one of the latest keys.
+  // Resubmissions are of one of the latest keys; 0: every submission has a key
+  // of its own, so that what its one caller was told stands alone.
   std::uint32_t keys = 4;
   std::uint32_t tasks_per_job = 2;
   // How many of the faults in a script take place, in quarters.
@@ -65,6 +71,7 @@
   // kAfterLease: tasks fail now and then and may run again, but never twice at
   // once; upstreams end what has lost its lease; everybody may be lost.
   RerunPolicy rerun = RerunPolicy::kNever;
+  InFlight in_flight = InFlight::kLost;
   DeliberateFault fault = DeliberateFault::kNone;
 };
 
@@ -98,7 +105,15 @@
   using Message = std::variant<PeerMessage, EntryToAgentMessage, AgentMessage>;
   // Entries and agents share one number space.
   using NodeId = std::uint64_t;
-  using Channel = std::pair<NodeId, NodeId>;
+  using Link = std::pair<NodeId, NodeId>;
+  // What one connection carries in one direction. What was sent before the
+  // connection broke may still be read, also after what a later one carries.
+  struct Channel {
+    NodeId from = 0;
+    NodeId to = 0;
+    std::uint64_t connection = 0;
+    auto operator<=>(const Channel&) const = default;
+  };
 
   struct RecordedEntryStep {
     EntryEvent event;
@@ -170,7 +185,8 @@
   void EndAgent(NodeId agent);
   void Thaw(NodeId node);
   void Connect(NodeId first, NodeId second);
-  void Disconnect(NodeId first, NodeId second);
+  void Disconnect(NodeId first, NodeId second,
+                  InFlight in_flight = InFlight::kLost);
   [[nodiscard]] bool IsAlive(NodeId node) const;
   [[nodiscard]] bool IsFrozen(NodeId node) const;
   [[nodiscard]] std::vector<NodeId> AliveEntries() const;
@@ -179,6 +195,8 @@
   void TellDead(NodeId dead);
 
   void Post(NodeId from, NodeId to, Message message);
+  // Puts a message on the connection that the two have now.
+  void Carry(NodeId from, NodeId to, Message message);
   void Deliver(NodeId from, NodeId to, const Message& message);
   // Applies the deliberate fault to a message; false if it is swallowed.
   bool Tamper(NodeId from, NodeId to, Message& message);
@@ -210,7 +228,9 @@
   std::map<NodeId, Entry> entries;
   std::map<NodeId, Agent> agents;
   std::map<Channel, std::deque<Message>> channels;
-  std::set<Channel> links;
+  // The number of the connection that each link has now.
+  std::map<Link, std::uint64_t> links;
+  std::uint64_t last_connection = 0;
   View table_view;
   bool table_up = true;
   DocumentVersion table_version;
