--- a/libraries/protocol/view.cc
+++ b/libraries/protocol/view.cc
@@ -27,8 +27,8 @@
   const std::array<std::uint64_t, 2> input = {bucket.value(),
                                               member.entry.value()};
   for (std::uint64_t draw = 0; draw < draws; ++draw) {
-    best = std::max(best,
-                    XXH3_64bits_withSeed(input.data(), sizeof(input), draw));
+    best =
+        std::max(best, XXH3_64bits_withSeed(input.data(), sizeof(input), draw));
   }
   return best;
 }
