network: Read all frames that have come with one system call

Each frame took two reads, header and body, each with its own system call, completion handler and look at the event loop, however many frames had come; in the profile, receiving without decoding was 8.7 % of an entry's processor time and waiting for events 7.6 %.

A connection now reads what is there into one buffer, and FrameCutter cuts it into frames. The buffer is 8 KiB, grows as the bytes of a large frame come (before, a header alone made room for the up to 32 MiB that it announced), and is given back after that frame. Frames behind a Close() or a malformed frame are not passed on, also when they came in the same read.

FrameConnectionTest.ReadsManyFramesAtOnce guards the cost by counting handlers for 50 frames. On the code before: Expected: (handlers) < (kFrames / 5), actual: 100 vs 10

--- a/libraries/network/frame_connection.cc
+++ b/libraries/network/frame_connection.cc
@@ -1,8 +1,8 @@
 #include "libraries/network/frame_connection.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -27,7 +27,7 @@
 
 void FrameConnection::Start(Handlers callbacks) {
   this->handlers = std::move(callbacks);
-  this->ReadHeader();
+  this->Receive();
 }
 
 void FrameConnection::Send(std::string_view body_bytes) {
@@ -47,47 +47,40 @@
 }
 
 void FrameConnection::Close() {
+  this->closing = true;
   boost::asio::post(
       this->socket.get_executor(),
       [self = this->shared_from_this()] { self->End(std::nullopt); });
 }
 
-void FrameConnection::ReadHeader() {
-  boost::asio::async_read(
-      this->socket, boost::asio::buffer(this->header),
+void FrameConnection::Receive() {
+  const std::span<char> room = this->incoming.Room();
+  this->socket.async_read_some(
+      boost::asio::buffer(room.data(), room.size()),
       [self = this->shared_from_this()](boost::system::error_code error,
                                         std::size_t received) {
+        if (self->ended) return;
         if (error) {
-          const bool cut = received > 0;
+          const bool cut = self->incoming.IsInsideFrame();
           self->End(cut ? std::optional(FrameError::kTruncated) : std::nullopt);
           return;
         }
-        const FrameHeader decoded = DecodeFrameHeader(self->header);
-        if (decoded.error) {
-          self->End(decoded.error);
-          return;
-        }
-        self->ReadBody(decoded.body_size);
+        self->incoming.Add(received);
+        if (self->DeliverFrames()) self->Receive();
       });
 }
 
-void FrameConnection::ReadBody(std::size_t size) {
-  this->body.resize(size);
-  boost::asio::async_read(
-      this->socket, boost::asio::buffer(this->body),
-      [self = this->shared_from_this()](boost::system::error_code error,
-                                        std::size_t /*received*/) {
-        if (self->ended) return;
-        if (error) {
-          self->End(FrameError::kTruncated);
-          return;
-        }
-        if (!self->handlers.frame(self->body)) {
-          self->End(FrameError::kMalformed);
-          return;
-        }
-        if (!self->ended) self->ReadHeader();
-      });
+bool FrameConnection::DeliverFrames() {
+  while (const auto body = this->incoming.Next()) {
+    if (this->closing) return false;
+    if (!this->handlers.frame(*body)) {
+      this->End(FrameError::kMalformed);
+      return false;
+    }
+  }
+  if (!this->incoming.error()) return true;
+  this->End(this->incoming.error());
+  return false;
 }
 
 void FrameConnection::Enqueue(std::string frame) {
--- a/libraries/network/frame_connection.h
+++ b/libraries/network/frame_connection.h
@@ -1,7 +1,7 @@
 #ifndef DANDELIONSPUR_LIBRARIES_NETWORK_FRAME_CONNECTION_H_
 #define DANDELIONSPUR_LIBRARIES_NETWORK_FRAME_CONNECTION_H_
 
-#include <array>
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include "libraries/protocol/frame.h"
+#include "libraries/protocol/frame_cutter.h"
 
 namespace dandelionspur {
 
@@ -39,22 +40,25 @@
   void Send(std::string_view body);
   // Like Send, but `encode` makes the body on the connection's thread.
   void SendEncoded(std::function<std::string()> encode);
+  // No frame is passed on after this.
   void Close();
 
  private:
   explicit FrameConnection(boost::asio::ip::tcp::socket connected);
-  void ReadHeader();
-  void ReadBody(std::size_t size);
+  void Receive();
+  // Passes on every whole frame that has come; returns whether the connection
+  // goes on.
+  bool DeliverFrames();
   void Enqueue(std::string frame);
   void WriteNext();
   void End(std::optional<FrameError> error);
 
   boost::asio::ip::tcp::socket socket;
   Handlers handlers;
-  std::array<std::uint8_t, kFrameHeaderSize> header{};
-  std::string body;
+  FrameCutter incoming;
   std::deque<std::string> outgoing;
   std::size_t writing = 0;
+  std::atomic<bool> closing{false};
   bool ended = false;
 };
 
--- /dev/null
+++ b/libraries/protocol/frame_cutter.cc
@@ -0,0 +1,51 @@
+#include "libraries/protocol/frame_cutter.h"
+
+#include <algorithm>
+#include <array>
+
+namespace dandelionspur {
+namespace {
+
+// Holds dozens of the usual frames.
+constexpr std::size_t kUsualBufferBytes = 8192;
+constexpr std::size_t kSmallestRoomBytes = kUsualBufferBytes / 2;
+
+}  // namespace
+
+std::span<char> FrameCutter::Room() {
+  std::copy(this->buffer.begin() + static_cast<std::ptrdiff_t>(this->begin),
+            this->buffer.begin() + static_cast<std::ptrdiff_t>(this->end),
+            this->buffer.begin());
+  this->end -= this->begin;
+  this->begin = 0;
+  if (this->end == 0 && this->buffer.size() > kUsualBufferBytes) {
+    // A large frame has gone through.
+    this->buffer = {};
+  }
+  const std::size_t wanted = this->end + kSmallestRoomBytes;
+  if (this->buffer.size() < wanted) {
+    this->buffer.resize(std::max(kUsualBufferBytes, 2 * this->end));
+  }
+  return std::span(this->buffer).subspan(this->end);
+}
+
+void FrameCutter::Add(std::size_t received) { this->end += received; }
+
+std::optional<std::string_view> FrameCutter::Next() {
+  const std::string_view uncut(this->buffer.data() + this->begin,
+                               this->end - this->begin);
+  if (this->problem || uncut.size() < kFrameHeaderSize) return std::nullopt;
+  std::array<std::uint8_t, kFrameHeaderSize> header{};
+  std::copy_n(uncut.begin(), kFrameHeaderSize, header.begin());
+  const FrameHeader decoded = DecodeFrameHeader(header);
+  if (decoded.error) {
+    this->problem = decoded.error;
+    return std::nullopt;
+  }
+  const std::size_t size = kFrameHeaderSize + decoded.body_size;
+  if (uncut.size() < size) return std::nullopt;
+  this->begin += size;
+  return uncut.substr(kFrameHeaderSize, decoded.body_size);
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/tests/network/frame_connection_test.cc
@@ -0,0 +1,132 @@
+#include "libraries/network/frame_connection.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace dandelionspur {
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+// Usual frames between our processes, as many as one event may cause.
+constexpr std::size_t kFrames = 50;
+constexpr std::size_t kBodyBytes = 100;
+constexpr std::chrono::milliseconds kArrival{50};
+
+// A connection and the plain socket of its other side.
+class FrameConnectionTest : public testing::Test {
+ protected:
+  FrameConnectionTest() {
+    Tcp::acceptor acceptor(this->context,
+                           Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    this->other.connect(acceptor.local_endpoint());
+    this->connection = FrameConnection::Create(acceptor.accept());
+    FrameConnection::Handlers handlers;
+    handlers.frame = [this](std::string_view body) {
+      this->bodies.emplace_back(body);
+      if (body == "close") this->connection->Close();
+      return body != "bad";
+    };
+    handlers.closed = [this](std::optional<FrameError> error) {
+      ++this->closed;
+      this->close_error = error;
+    };
+    this->connection->Start(std::move(handlers));
+  }
+
+  void WriteFromOther(const std::string& bytes) {
+    asio::write(this->other, asio::buffer(bytes));
+  }
+
+  // Runs what is ready or comes soon; returns how many handlers ran. Each
+  // system call on a socket ends in one.
+  std::size_t Run() {
+    this->context.restart();
+    return this->context.run_for(kArrival);
+  }
+
+  asio::io_context context{1};
+  Tcp::socket other{this->context};
+  std::shared_ptr<FrameConnection> connection;
+  std::vector<std::string> bodies;
+  int closed = 0;
+  std::optional<FrameError> close_error;
+};
+
+// Guards the cost of receiving: two system calls for each frame, however many
+// had come, were a tenth of an entry's processor time.
+TEST_F(FrameConnectionTest, ReadsManyFramesAtOnce) {
+  std::string bytes;
+  for (std::size_t i = 0; i < kFrames; ++i) {
+    bytes += EncodeFrame(std::string(kBodyBytes, 'x'));
+  }
+  this->WriteFromOther(bytes);
+  const std::size_t handlers = this->Run();
+  EXPECT_EQ(this->bodies,
+            std::vector<std::string>(kFrames, std::string(kBodyBytes, 'x')));
+  EXPECT_LT(handlers, kFrames / 5);
+}
+
+TEST_F(FrameConnectionTest, FrameInTwoPiecesIsWhole) {
+  const std::string frame = EncodeFrame("in two pieces");
+  this->WriteFromOther(frame.substr(0, 3));
+  this->Run();
+  EXPECT_TRUE(this->bodies.empty());
+  this->WriteFromOther(frame.substr(3));
+  this->Run();
+  EXPECT_EQ(this->bodies, std::vector<std::string>{"in two pieces"});
+}
+
+struct EndCase {
+  const char* name;
+  std::string bytes;
+  std::size_t frames;
+  std::optional<FrameError> error;
+};
+
+class FrameConnectionEndTest : public FrameConnectionTest,
+                               public testing::WithParamInterface<EndCase> {};
+
+// Guards against frames passed on after the end, and against an end that is
+// told twice or with the wrong reason.
+TEST_P(FrameConnectionEndTest, IsToldOnceWithItsReason) {
+  this->WriteFromOther(this->GetParam().bytes);
+  this->other.close();
+  this->Run();
+  EXPECT_EQ(this->bodies.size(), this->GetParam().frames);
+  EXPECT_EQ(this->closed, 1);
+  EXPECT_EQ(this->close_error, this->GetParam().error);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ends, FrameConnectionEndTest,
+    testing::Values(
+        EndCase{"BetweenFrames", EncodeFrame("a") + EncodeFrame("b"), 2, {}},
+        EndCase{"InAHeader", EncodeFrame("a") + std::string(2, '\0'), 1,
+                FrameError::kTruncated},
+        EndCase{"InABody", EncodeFrame("a") + EncodeFrame("b").substr(0, 5), 1,
+                FrameError::kTruncated},
+        EndCase{"Malformed", EncodeFrame("bad") + EncodeFrame("unread"), 1,
+                FrameError::kMalformed},
+        EndCase{"OtherVersion", EncodeFrame("a") + std::string(5, '\x7f'), 1,
+                FrameError::kWrongVersion}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
+// Guards against frames passed on to a user that has closed the connection,
+// such as those behind a hello that was turned away.
+TEST_F(FrameConnectionTest, NothingIsPassedOnAfterClose) {
+  this->WriteFromOther(EncodeFrame("close") + EncodeFrame("bad"));
+  this->Run();
+  EXPECT_EQ(this->bodies, std::vector<std::string>{"close"});
+  EXPECT_EQ(this->closed, 1);
+  EXPECT_EQ(this->close_error, std::nullopt);
+}
+
+}  // namespace
+}  // namespace dandelionspur
--- /dev/null
+++ b/tests/protocol/frame_cutter_test.cc
@@ -0,0 +1,105 @@
+#include "libraries/protocol/frame_cutter.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace dandelionspur {
+namespace {
+
+constexpr std::size_t kUsualBytes = 8192;
+constexpr std::size_t kMostBufferedForUsualFrames = 2 * kUsualBytes;
+
+// Feeds `bytes` in pieces of at most `piece` and collects the frames' bodies.
+std::vector<std::string> CutInPieces(FrameCutter& cutter,
+                                     const std::string& bytes,
+                                     std::size_t piece) {
+  std::vector<std::string> bodies;
+  for (std::size_t at = 0; at < bytes.size();) {
+    const std::span<char> room = cutter.Room();
+    const std::size_t size = std::min({piece, room.size(), bytes.size() - at});
+    std::copy_n(bytes.begin() + static_cast<std::ptrdiff_t>(at), size,
+                room.begin());
+    cutter.Add(size);
+    at += size;
+    while (const auto body = cutter.Next()) bodies.emplace_back(*body);
+  }
+  return bodies;
+}
+
+class FrameCutterTest : public testing::TestWithParam<std::size_t> {};
+
+// Guards against frames that are lost, merged or torn where reads end inside
+// headers or bodies, or contain several frames.
+TEST_P(FrameCutterTest, CutsAnyDivisionIntoTheSameFrames) {
+  const std::vector<std::string> sent = {"",
+                                         "a",
+                                         std::string(4091, 'b'),
+                                         "",
+                                         std::string(100'000, 'c'),
+                                         std::string(8187, 'd'),
+                                         "end"};
+  std::string bytes;
+  for (const std::string& body : sent) bytes += EncodeFrame(body);
+  FrameCutter cutter;
+  EXPECT_EQ(CutInPieces(cutter, bytes, this->GetParam()), sent);
+  EXPECT_FALSE(cutter.IsInsideFrame());
+  EXPECT_FALSE(cutter.error());
+}
+
+INSTANTIATE_TEST_SUITE_P(Pieces, FrameCutterTest,
+                         testing::Values(1, 2, 4, 5, 6, 7, 1000, 4096, 8191,
+                                         8192, 1'000'000));
+
+struct BadHeaderCase {
+  const char* name;
+  std::string bytes;
+  FrameError error;
+};
+
+class BadFrameTest : public testing::TestWithParam<BadHeaderCase> {};
+
+// Guards against reading on after a header that can't be right; the frames
+// before it still count.
+TEST_P(BadFrameTest, EndsTheStream) {
+  FrameCutter cutter;
+  const std::string bytes =
+      EncodeFrame("sound") + this->GetParam().bytes + EncodeFrame("unread");
+  EXPECT_EQ(CutInPieces(cutter, bytes, bytes.size()),
+            std::vector<std::string>{"sound"});
+  EXPECT_EQ(cutter.error(), this->GetParam().error);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Headers, BadFrameTest,
+    testing::Values(BadHeaderCase{"Oversized",
+                                  std::string("\x02\0\0\x01\x01", 5),
+                                  FrameError::kOversized},
+                    BadHeaderCase{"OtherVersion",
+                                  std::string("\0\0\0\x01\x02", 5),
+                                  FrameError::kWrongVersion}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
+// Guards the process's memory: a header alone must not make it provide for the
+// body that it announces.
+TEST(FrameCutterMemoryTest, AnnouncedBodyTakesNoMemoryBeforeItComes) {
+  FrameCutter cutter;
+  const std::string header("\x01\xff\xff\xff\x01", 5);
+  EXPECT_TRUE(CutInPieces(cutter, header, header.size()).empty());
+  EXPECT_TRUE(cutter.IsInsideFrame());
+  EXPECT_LE(cutter.Room().size(), kMostBufferedForUsualFrames);
+}
+
+// Guards the process's memory: one large frame must not keep its room for the
+// connection's lifetime.
+TEST(FrameCutterMemoryTest, RoomOfALargeFrameIsGivenBack) {
+  FrameCutter cutter;
+  const std::string frame = EncodeFrame(std::string(1'000'000, 'x'));
+  EXPECT_EQ(CutInPieces(cutter, frame, frame.size()).size(), 1U);
+  EXPECT_LE(cutter.Room().size(), kMostBufferedForUsualFrames);
+}
+
+}  // namespace
+}  // namespace dandelionspur
