protocol: Leave MessagePack to a library

The reader and writer without a tree of values were our own, since msgpack-cxx can't be installed beside Boost 1.81 (it depends on Boost 1.74, which conflicts). libmsgpuck can: it writes and checks single values in place. The two classes are now thin; the bytes are the same (protocol_test compares with what nlohmann writes). Its check takes an array of 2^32 - 1 items for an empty one, which ArrayLongerThanTheBytesIsRefused found; lengths are compared with the bytes left.

--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include "libraries/base/resources.h"
 #include "libraries/configuration/object_reader.h"
 
 namespace dandelionspur {
--- a/libraries/protocol/message_pack_reader.h
+++ b/libraries/protocol/message_pack_reader.h
@@ -16,11 +16,12 @@
 
 // Reads the values of a MessagePack buffer in order, without a tree of values
 // in between. Each call throws MalformedMessagePack where the next value is of
-// another kind or cut off.
+// another kind or there is none.
 class MessagePackReader {
  public:
-  // `source` must outlive what is read as text or binary.
-  explicit MessagePackReader(std::string_view source) : bytes(source) {}
+  // `source` must outlive what is read as text or binary. Where it is cut off
+  // or malformed anywhere, nothing can be read of it.
+  explicit MessagePackReader(std::string_view source);
 
   // Whether the next value is null; it is consumed then.
   [[nodiscard]] bool TakeNull();
@@ -34,19 +35,14 @@
   [[nodiscard]] std::size_t ArrayItems();
   // Passes over the next values, of any kind that the writer knows.
   void Skip(std::size_t values);
-  [[nodiscard]] bool AtEnd() const { return this->bytes.empty(); }
+  [[nodiscard]] bool AtEnd() const { return this->next == this->end; }
 
  private:
-  [[nodiscard]] std::uint8_t Peek() const;
-  std::uint8_t Byte();
-  std::string_view Bytes(std::uint64_t size);
-  template <typename T>
-  T Number();
-  // Passes over one value and returns how many follow as its items.
-  std::size_t SkipOne();
-
-  // What is left to read.
-  std::string_view bytes;
+  // The library's kind of the next value.
+  [[nodiscard]] int Kind() const;
+
+  const char* next;
+  const char* end;
 };
 
 }  // namespace dandelionspur
--- a/libraries/protocol/message_pack_writer.cc
+++ b/libraries/protocol/message_pack_writer.cc
@@ -1,18 +1,12 @@
 #include "libraries/protocol/message_pack_writer.h"
 
-#include <array>
-#include <bit>
-#include <boost/endian/conversion.hpp>
-#include <limits>
-#include <utility>
+#include <msgpuck.h>
 
-#include "libraries/protocol/message_pack_kinds.h"
+#include <limits>
 
 namespace dandelionspur {
 namespace {
 
-namespace pack = message_pack;
-
 // Whether nothing is lost in single precision.
 bool FitsFloat32(double value) {
   using Limits = std::numeric_limits<float>;
@@ -23,95 +17,63 @@
 
 }  // namespace
 
-template <typename T>
-void MessagePackWriter::Number(std::uint8_t kind, T value) {
-  std::array<std::uint8_t, 1 + sizeof(T)> number{kind};
-  boost::endian::endian_store<T, sizeof(T), boost::endian::order::big>(
-      number.data() + 1, value);
-  this->bytes.append(number.begin(), number.end());
+template <typename Encode>
+void MessagePackWriter::Append(std::size_t size, Encode encode) {
+  const std::size_t begin = this->bytes.size();
+  this->bytes.resize(begin + size);
+  encode(this->bytes.data() + begin);
 }
 
 void MessagePackWriter::Null() {
-  this->bytes.push_back(static_cast<char>(pack::kNull));
+  this->Append(mp_sizeof_nil(), [](char* to) { mp_encode_nil(to); });
 }
 
 void MessagePackWriter::Boolean(bool value) {
-  this->bytes.push_back(static_cast<char>(value ? pack::kTrue : pack::kFalse));
+  this->Append(mp_sizeof_bool(value),
+               [&](char* to) { mp_encode_bool(to, value); });
 }
 
 void MessagePackWriter::Unsigned(std::uint64_t value) {
-  if (value < pack::kPositiveFixEnd) {
-    this->bytes.push_back(static_cast<char>(value));
-  } else if (std::in_range<std::uint8_t>(value)) {
-    this->Number(pack::kUnsigned8, static_cast<std::uint8_t>(value));
-  } else if (std::in_range<std::uint16_t>(value)) {
-    this->Number(pack::kUnsigned16, static_cast<std::uint16_t>(value));
-  } else if (std::in_range<std::uint32_t>(value)) {
-    this->Number(pack::kUnsigned32, static_cast<std::uint32_t>(value));
-  } else {
-    this->Number(pack::kUnsigned64, value);
-  }
+  this->Append(mp_sizeof_uint(value),
+               [&](char* to) { mp_encode_uint(to, value); });
 }
 
 void MessagePackWriter::Signed(std::int64_t value) {
   if (value >= 0) {
     this->Unsigned(static_cast<std::uint64_t>(value));
-  } else if (value >= pack::kLowestNegativeFix) {
-    this->bytes.push_back(static_cast<char>(value));
-  } else if (std::in_range<std::int8_t>(value)) {
-    this->Number(pack::kSigned8, static_cast<std::int8_t>(value));
-  } else if (std::in_range<std::int16_t>(value)) {
-    this->Number(pack::kSigned16, static_cast<std::int16_t>(value));
-  } else if (std::in_range<std::int32_t>(value)) {
-    this->Number(pack::kSigned32, static_cast<std::int32_t>(value));
-  } else {
-    this->Number(pack::kSigned64, value);
+    return;
   }
+  this->Append(mp_sizeof_int(value),
+               [&](char* to) { mp_encode_int(to, value); });
 }
 
 void MessagePackWriter::Floating(double value) {
   if (FitsFloat32(value)) {
-    this->Number(pack::kFloat32,
-                 std::bit_cast<std::uint32_t>(static_cast<float>(value)));
-  } else {
-    this->Number(pack::kFloat64, std::bit_cast<std::uint64_t>(value));
+    const auto single = static_cast<float>(value);
+    this->Append(mp_sizeof_float(single),
+                 [&](char* to) { mp_encode_float(to, single); });
+    return;
   }
+  this->Append(mp_sizeof_double(value),
+               [&](char* to) { mp_encode_double(to, value); });
 }
 
 void MessagePackWriter::Text(std::string_view value) {
-  const std::size_t size = value.size();
-  if (size <= pack::kFixTextSize) {
-    this->bytes.push_back(static_cast<char>(pack::kFixText | size));
-  } else if (std::in_range<std::uint8_t>(size)) {
-    this->Number(pack::kText8, static_cast<std::uint8_t>(size));
-  } else if (std::in_range<std::uint16_t>(size)) {
-    this->Number(pack::kText16, static_cast<std::uint16_t>(size));
-  } else {
-    this->Number(pack::kText32, static_cast<std::uint32_t>(size));
-  }
-  this->bytes.append(value);
+  const auto size = static_cast<std::uint32_t>(value.size());
+  this->Append(mp_sizeof_str(size),
+               [&](char* to) { mp_encode_str(to, value.data(), size); });
 }
 
 void MessagePackWriter::Binary(std::string_view value) {
-  const std::size_t size = value.size();
-  if (std::in_range<std::uint8_t>(size)) {
-    this->Number(pack::kBinary8, static_cast<std::uint8_t>(size));
-  } else if (std::in_range<std::uint16_t>(size)) {
-    this->Number(pack::kBinary16, static_cast<std::uint16_t>(size));
-  } else {
-    this->Number(pack::kBinary32, static_cast<std::uint32_t>(size));
-  }
-  this->bytes.append(value);
+  const auto size = static_cast<std::uint32_t>(value.size());
+  this->Append(mp_sizeof_bin(size),
+               [&](char* to) { mp_encode_bin(to, value.data(), size); });
 }
 
 void MessagePackWriter::ArrayOf(std::size_t items) {
-  if (items <= pack::kFixArrayItems) {
-    this->bytes.push_back(static_cast<char>(pack::kFixArray | items));
-  } else if (std::in_range<std::uint16_t>(items)) {
-    this->Number(pack::kArray16, static_cast<std::uint16_t>(items));
-  } else {
-    this->Number(pack::kArray32, static_cast<std::uint32_t>(items));
-  }
+  const auto count = static_cast<std::uint32_t>(items);
+  this->Append(mp_sizeof_array(count),
+               [&](char* to) { mp_encode_array(to, count); });
 }
 
 }  // namespace dandelionspur
--- a/libraries/protocol/message_pack_writer.h
+++ b/libraries/protocol/message_pack_writer.h
@@ -25,8 +25,9 @@
   void ArrayOf(std::size_t items);
 
  private:
-  template <typename T>
-  void Number(std::uint8_t kind, T value);
+  // Makes room for `size` bytes, which `encode` writes.
+  template <typename Encode>
+  void Append(std::size_t size, Encode encode);
 
   std::string& bytes;
 };
--- a/meta/install_dependencies.sh
+++ b/meta/install_dependencies.sh
@@ -4,7 +4,7 @@
 packages=(
   g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl python3
   libboost1.81-dev nlohmann-json3-dev prometheus-cpp-dev libcxxopts-dev
-  libspdlog-dev librapidcheck-dev libxxhash-dev liburcu-dev libgtest-dev
+  libspdlog-dev librapidcheck-dev libxxhash-dev libmsgpuck-dev liburcu-dev libgtest-dev
   libbenchmark-dev zlib1g-dev libcurl4-openssl-dev
 )
 missing=()
