entry: Serve late jobs until their deadlines again

What callers saw: 503 for jobs that had been answered 200, though late: system_platform_test failed in test_hundreds_of_jobs_complete and test_orders_that_are_carried_out_late_start_nothing with 503 among the 200s.

Cause: "Answer every caller before its deadline" refused late jobs of which nothing was started every tick once they could not be served within three objectives. That bound is for taking jobs in; a late answer that comes before the deadline is still of use to its caller.

Fix: jobs that were set back are refused once their turn can't come before the deadline, less the time for the answer.

--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -573,7 +573,7 @@
     for (const JobKey& key : service.Late()) {
       HomeJob& job = this->jobs.at(key);
       const Duration wait = has_room ? this->ExpectedWait(service) : Duration();
-      const bool hopeless = now + wait > job.UsefulUntil();
+      const bool hopeless = now + wait > job.RefuseBy();
       if (!hopeless || !job.IsUntouched()) continue;
       this->Refuse(job, Reason::kDeadlineTooShort, now);
     }
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -106,7 +106,7 @@
   // Answers the jobs whose callers would not get a later answer in time.
   void EndBeforeDeadlines(Timestamp now);
   // Refuses untouched jobs that were set back and can't be served any more
-  // while the answer is of use.
+  // before their deadlines.
   void RefuseHopeless(Timestamp now);
   void SetBackOverdue(ServiceState& service, Timestamp now);
   void DispatchService(ServiceState& service, Timestamp now);
