agent: Answer an entry's request for room once for each change

Part of an entry's processor time went into messages that move no job.

Cause: "the load has changed" was one flag for all entries. It stayed set from a task's start or end to the next tick. An entry with a queue that was told of a full upstream asked for room again, the agent answered since the flag was still set, the entry asked again, and so on until the tick: as many rounds as the network could carry, for each pair of an entry with a queue and an agent with a line. Also, each heartbeat, of a full upstream too, made both sides forget the request, so that it was sent again after each heartbeat.

Now an agent counts the changes of its load and keeps for each entry the one that it was told of; an entry that knows the load is not told it again. A request for room holds until a report shows room (AgentLoad::ShowsRoom, one rule for both sides), or until a start says otherwise. Reports and requests travel in order on one connection, and a new connection begins anew on both sides, so that an entry that takes its request for known is right: whatever made the agent forget it reaches the entry as a report of room. Ends that leave no room are not told to those who wait for room. The lease argument is not touched: heartbeats go out as before.

On the code before, the new tests fail: AnEntryThatAsksForRoomIsAnsweredOnceForEachChange: each of 10 repeated requests is answered, in place of none AFullAgentRemembersWhoWaitsForRoom: nobody is told of the room that a task's end makes, in place of the entry that asked AFullAgentIsToldOfAQueueOnce: a request for each heartbeat of a full agent, in place of none

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -89,6 +89,7 @@
 void AgentCore::On(const UpstreamEnded& event) {
   if (!this->room.IsRunning(event.task)) return;
   this->room.Release(event.task);
+  ++this->load_number;
   this->stopping.erase(event.task);
   this->StartWaiting();
   const EntryId home =
@@ -100,7 +101,7 @@
     this->started.MarkNotRun(event.task);
     this->effects.emplace_back(StartRefusalCounted{reason});
     this->Send(home, TaskNotRun{event.task, reason, Ballot(),
-                                this->LoadFor(home), start});
+                                this->TellLoad(home), start});
     this->TellDemanding(home);
     return;
   }
@@ -113,7 +114,7 @@
   // Built from the event, since the answer may already have been dropped.
   const TaskReport report{
       event.task, StartedState::kFinished, outcome, event.body, true, start};
-  this->Send(home, TaskFinished{report, event.elapsed, this->LoadFor(home)});
+  this->Send(home, TaskFinished{report, event.elapsed, this->TellLoad(home)});
   this->TellDemanding(home);
 }
 
@@ -136,9 +137,8 @@
     this->drained_reported = true;
     this->effects.emplace_back(AgentDrained{});
   }
-  if (this->load_changed || this->current_time >= this->next_heartbeat) {
-    this->TellAll();
-  }
+  const bool has_news = this->broadcast_load != this->load_number;
+  if (has_news || this->current_time >= this->next_heartbeat) this->TellAll();
   if (this->current_time < this->next_registration) return;
   this->SendRegistrations();
 }
@@ -184,7 +184,7 @@
     this->started.Join(message);
     const TaskReport report = this->started.Report(message.task);
     if (report.state == StartedState::kFinished) {
-      this->Send(from, TaskFinished{report, Duration(), this->LoadFor(from)});
+      this->Send(from, TaskFinished{report, Duration(), this->TellLoad(from)});
     }
     return;
   }
@@ -201,7 +201,7 @@
   Ballot& promised =
       this->promises[this->BucketOfKey(message.task.key).value()];
   promised = std::max(promised, message.ballot);
-  this->load_changed = true;
+  ++this->load_number;
   this->room.Enqueue({message, from, this->current_time + message.time_left});
   this->StartWaiting();
 }
@@ -233,11 +233,10 @@
   const auto sender = this->connected.find(from);
   if (sender == this->connected.end()) return;
   sender->second.demand = message.queued;
-  // Told again only where there is something new, or the two would answer
-  // each other for ever.
-  if (!this->load_changed) return;
-  sender->second.demand = 0;
-  this->Send(from, AgentHeartbeat{this->LoadFor(from), this->current_time});
+  // Told again only where there is something new for this entry, or the two
+  // would answer each other for ever.
+  if (sender->second.told_load == this->load_number) return;
+  this->SendHeartbeat(from);
 }
 
 void AgentCore::OnMessage(EntryId /*from*/, const EntryHeartbeat& message) {
@@ -286,7 +285,7 @@
   for (const EntryId entry : this->acknowledged) {
     this->Send(entry, AgentReady{this->view.epoch});
     if (this->leaving) this->Send(entry, AgentLeaving{});
-    this->Send(entry, AgentHeartbeat{this->LoadFor(entry), this->current_time});
+    this->SendHeartbeat(entry);
   }
 }
 
@@ -312,18 +311,18 @@
   this->effects.emplace_back(StartRefusalCounted{reason});
   const Ballot promised =
       this->promises[this->BucketOfKey(start.task.key).value()];
-  this->Send(to, TaskNotRun{start.task, reason, promised, this->LoadFor(to),
+  this->Send(to, TaskNotRun{start.task, reason, promised, this->TellLoad(to),
                             start.Number()});
 }
 
 void AgentCore::DropWaiting(const AcceptedStart& accepted, Reason reason) {
   const TaskId& task = accepted.start.task;
   this->started.MarkNotRun(task);
-  this->load_changed = true;
+  ++this->load_number;
   this->effects.emplace_back(StartRefusalCounted{reason});
   const Ballot promised = this->promises[this->BucketOfKey(task.key).value()];
   this->Send(promised.entry,
-             TaskNotRun{task, reason, promised, this->LoadFor(promised.entry),
+             TaskNotRun{task, reason, promised, this->TellLoad(promised.entry),
                         accepted.start.Number()});
 }
 
@@ -338,7 +337,7 @@
   }
   while (const std::optional<AcceptedStart> next = this->room.TakeNext()) {
     const Duration time_left = next->deadline - this->current_time;
-    this->load_changed = true;
+    ++this->load_number;
     this->effects.emplace_back(
         RunOnUpstream{next->start.task, next->start.job_name,
                       next->start.request.body, time_left});
@@ -367,7 +366,8 @@
   const LeaseRenewal wanted = this->RenewalAt(this->current_time);
   if (wanted == this->renewal) return;
   this->renewal = wanted;
-  this->load_changed = true;
+  // Whether tasks are taken can't wait for the next heartbeat.
+  this->next_heartbeat = this->current_time;
   this->effects.emplace_back(RenewalChanged{wanted});
   this->StartWaiting();
 }
@@ -397,22 +397,36 @@
   return load;
 }
 
+AgentLoad AgentCore::TellLoad(EntryId entry) {
+  const auto receiver = this->connected.find(entry);
+  if (receiver != this->connected.end()) {
+    receiver->second.told_load = this->load_number;
+  }
+  return this->LoadFor(entry);
+}
+
+void AgentCore::SendHeartbeat(EntryId entry) {
+  const AgentLoad load = this->TellLoad(entry);
+  // The entry goes by the same rule, and asks again where it needs more.
+  if (load.ShowsRoom()) this->connected[entry].demand = 0;
+  this->Send(entry, AgentHeartbeat{load, this->current_time});
+}
+
 void AgentCore::TellDemanding(EntryId except) {
-  this->load_changed = true;
-  if (this->room.waiting_count() > 0) return;
-  for (auto& [entry, state] : this->connected) {
+  const bool has_room =
+      this->room.waiting_count() == 0 && this->LoadFor(except).ShowsRoom();
+  if (!has_room) return;
+  for (const auto& [entry, state] : this->connected) {
     if (state.demand == 0 || entry == except) continue;
-    state.demand = 0;
-    this->Send(entry, AgentHeartbeat{this->LoadFor(entry), this->current_time});
+    this->SendHeartbeat(entry);
   }
 }
 
 void AgentCore::TellAll() {
-  this->load_changed = false;
+  this->broadcast_load = this->load_number;
   this->next_heartbeat = this->current_time + this->settings.heartbeat_interval;
-  for (auto& [entry, state] : this->connected) {
-    state.demand = 0;
-    this->Send(entry, AgentHeartbeat{this->LoadFor(entry), this->current_time});
+  for (const auto& [entry, state] : this->connected) {
+    this->SendHeartbeat(entry);
   }
 }
 
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -88,6 +88,9 @@
   // Why no task is taken at the moment, if so.
   [[nodiscard]] std::optional<Reason> ReasonToTakeNone() const;
   [[nodiscard]] AgentLoad LoadFor(EntryId entry) const;
+  // The same, about to be sent: the entry knows of the load then.
+  AgentLoad TellLoad(EntryId entry);
+  void SendHeartbeat(EntryId entry);
   // Tells the entries that wait for room, or all of them, how full the
   // upstream is.
   void TellDemanding(EntryId except);
@@ -100,6 +103,8 @@
     std::uint64_t starts_seen = 0;
     // Tasks that it queues for want of room; 0 once it was told of room.
     std::uint32_t demand = 0;
+    // The load that it was last told of.
+    std::uint64_t told_load = 0;
   };
 
   AgentCoreSettings settings;
@@ -115,6 +120,10 @@
   Timestamp current_time;
   Timestamp next_registration;
   Timestamp next_heartbeat;
+  // Counts the changes of what runs and waits here.
+  std::uint64_t load_number = 1;
+  // The load that all entries were last told of.
+  std::uint64_t broadcast_load = 0;
   // When this agent sent the last heartbeat that an entry has confirmed.
   Timestamp last_confirmed;
   LeaseRenewal renewal = LeaseRenewal::kSuspended;
@@ -122,7 +131,6 @@
   bool ready = false;
   bool leaving = false;
   bool upstream_leaving = false;
-  bool load_changed = false;
   bool drained_reported = false;
   std::vector<AgentEffect> effects;
 };
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -461,7 +461,8 @@
   KnownAgent* agent = this->agents.Find(from);
   if (agent == nullptr) return;
   agent->NoteLoad(load);
-  agent->demand_told = false;
+  // Else the agent still remembers what it was told.
+  if (load.ShowsRoom()) agent->demand_told = false;
 }
 
 void HomeJobs::OnRefusalsConfirmed(
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -105,6 +105,14 @@
   bool accepting = false;
   // It takes none since it, or the agent, is about to end.
   bool leaving = false;
+
+  // Whether some task could start at once. Such a report ends what the agent
+  // remembers of the receiver's demand.
+  [[nodiscard]] bool ShowsRoom() const {
+    return this->accepting &&
+           this->running.millicores + this->waiting.millicores <
+               this->capacity.millicores;
+  }
   bool operator==(const AgentLoad&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(AgentLoad, (),
@@ -238,7 +246,7 @@
 BOOST_DESCRIBE_STRUCT(StopTask, (), (task))
 
 // The entry has queued tasks and knows of no room: the agent tells it of room
-// at once.
+// at once. Holds until the agent has told of room, or a start says otherwise.
 struct DemandNotice {
   static constexpr const char* kName = "demand_notice";
   std::uint32_t queued = 0;
--- a/tests/agent_core/agent_core_test.cc
+++ b/tests/agent_core/agent_core_test.cc
@@ -198,5 +198,39 @@
   EXPECT_EQ(Sent<TaskNotRun>(effects)[0].reason, Reason::kContactLost);
 }
 
+// An entry with a queue asked again at each answer, and was answered each time
+// until the next tick: as many rounds as the network could carry.
+TEST_F(AgentCoreTest, AnEntryThatAsksForRoomIsAnsweredOnceForEachChange) {
+  this->Tell(StartOf(1));
+  EXPECT_EQ(Sent<AgentHeartbeat>(this->Tell(DemandNotice{5})).size(), 1U);
+  for (int repeated = 0; repeated < 10; ++repeated) {
+    EXPECT_TRUE(Sent<AgentHeartbeat>(this->Tell(DemandNotice{5})).empty());
+  }
+  this->Tell(StartOf(2));
+  EXPECT_EQ(Sent<AgentHeartbeat>(this->Tell(DemandNotice{5})).size(), 1U);
+}
+
+// A heartbeat of a full upstream made the agent forget who waits for room, so
+// that each entry with a queue had to ask again after each heartbeat.
+TEST_F(AgentCoreTest, AFullAgentRemembersWhoWaitsForRoom) {
+  const EntryId waiting(2);
+  this->Handle(EntryConnected{waiting});
+  this->Tell(StartOf(1));
+  this->Tell(StartOf(2));
+  this->Handle(EntryMessageReceived{waiting, DemandNotice{3}});
+  this->now += Settings().heartbeat_interval;
+  this->Confirm();
+  EXPECT_FALSE(Sent<AgentHeartbeat>(this->Handle(AgentTick{})).empty());
+  const auto effects = this->Handle(UpstreamEnded{
+      StartOf(1).task, UpstreamResult::kSucceeded, Payload(), Duration()});
+  std::vector<EntryId> told;
+  for (const SendToEntry& sent : Only<SendToEntry>(effects)) {
+    if (std::holds_alternative<AgentHeartbeat>(sent.message)) {
+      told.push_back(sent.to);
+    }
+  }
+  EXPECT_EQ(told, std::vector<EntryId>{waiting});
+}
+
 }  // namespace
 }  // namespace dandelionspur
--- a/tests/entry_core/decision_cost_test.cc
+++ b/tests/entry_core/decision_cost_test.cc
@@ -71,6 +71,29 @@
   EXPECT_EQ(held(), GetParam());
 }
 
+// An overloaded entry told every full agent of its queue after each heartbeat,
+// although the agent knew.
+TEST(DemandTest, AFullAgentIsToldOfAQueueOnce) {
+  CoreBenchShape shape;
+  shape.agents = 4;
+  shape.slots = 1;
+  CoreBench bench(shape);
+  constexpr std::uint32_t kMoreThanRoom = 10;
+  bench.BeginJob(1, kMoreThanRoom);
+  std::size_t notices = 0;
+  for (int round = 0; round < 5; ++round) {
+    for (std::uint32_t agent = 0; agent < shape.agents; ++agent) {
+      for (const EntryEffect& effect : bench.HearFullAgent(agent)) {
+        const auto* sent = std::get_if<SendToAgent>(&effect);
+        if (sent == nullptr) continue;
+        if (std::holds_alternative<DemandNotice>(sent->message)) ++notices;
+      }
+    }
+  }
+  // The starts have told already.
+  EXPECT_EQ(notices, 0U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Buckets, DecisionCostTest,
                          testing::Values(64U, 256U, 1024U));
 
--- a/tests/support/core_bench.cc
+++ b/tests/support/core_bench.cc
@@ -39,6 +39,18 @@
   return load;
 }
 
+Relay JobOf(std::uint64_t number, std::uint32_t tasks) {
+  Relay relay;
+  relay.attempt = AttemptNumber(number);
+  relay.job.key = {number * 0x9E3779B97F4A7C15ULL, number};
+  relay.job.service = ServiceName("s");
+  relay.job.client_account = ClientAccount("t");
+  relay.job.time_allowed = std::chrono::seconds(30);
+  relay.job.tasks.resize(
+      tasks, TaskRequest{Payload(), std::chrono::milliseconds(100), kOneSlot});
+  return relay;
+}
+
 // What the other entry answers to a request for promises.
 PromiseReply GrantAll(const PromiseRequest& request) {
   PromiseReply reply;
@@ -126,9 +138,19 @@
 }
 
 std::vector<EntryEffect> CoreBench::HearAgent(std::uint32_t number) {
-  return this->Handle(AgentMessageReceived{
-      AgentId(kFirstAgent + number),
-      AgentHeartbeat{RoomOf(this->shape.slots), this->now}});
+  return this->HearLoad(number, RoomOf(this->shape.slots));
+}
+
+std::vector<EntryEffect> CoreBench::HearFullAgent(std::uint32_t number) {
+  AgentLoad load = RoomOf(this->shape.slots);
+  load.running = load.capacity;
+  return this->HearLoad(number, load);
+}
+
+std::vector<EntryEffect> CoreBench::HearLoad(std::uint32_t number,
+                                             const AgentLoad& load) {
+  return this->Handle(AgentMessageReceived{AgentId(kFirstAgent + number),
+                                           AgentHeartbeat{load, this->now}});
 }
 
 std::vector<EntryEffect> CoreBench::HearPeer(std::uint32_t number) {
@@ -149,16 +171,12 @@
   }
 }
 
+void CoreBench::BeginJob(std::uint64_t number, std::uint32_t tasks) {
+  this->Handle(PeerMessageReceived{EntryId(kOther), JobOf(number, tasks)});
+}
+
 std::uint32_t CoreBench::RunJob(std::uint64_t number, std::uint32_t tasks) {
   this->now += Duration(1);
-  Relay relay;
-  relay.attempt = AttemptNumber(number);
-  relay.job.key = {number * 0x9E3779B97F4A7C15ULL, number};
-  relay.job.service = ServiceName("s");
-  relay.job.client_account = ClientAccount("t");
-  relay.job.time_allowed = std::chrono::seconds(30);
-  relay.job.tasks.resize(
-      tasks, TaskRequest{Payload(), std::chrono::milliseconds(100), kOneSlot});
   std::uint32_t started = 0;
   std::deque<EntryEffect> work;
   const auto handle = [&](const EntryEvent& event) {
@@ -166,7 +184,7 @@
       work.push_back(std::move(effect));
     }
   };
-  handle(PeerMessageReceived{EntryId(kOther), relay});
+  handle(PeerMessageReceived{EntryId(kOther), JobOf(number, tasks)});
   while (!work.empty()) {
     const EntryEffect effect = std::move(work.front());
     work.pop_front();
--- a/tests/support/core_bench.h
+++ b/tests/support/core_bench.h
@@ -30,6 +30,8 @@
   // Submits a job, as relayed by the other entry, and runs it to its answer.
   // Returns the number of tasks started.
   std::uint32_t RunJob(std::uint64_t number, std::uint32_t tasks);
+  // Submits a job, as relayed by the other entry, of which no task ends.
+  void BeginJob(std::uint64_t number, std::uint32_t tasks);
   // Handles one event; the effects that matter are kept for the next call.
   std::vector<EntryEffect> Handle(const EntryEvent& event);
 
@@ -37,6 +39,8 @@
   void Pass(Duration time);
   // A heartbeat of an agent, the same each time but for the clock.
   std::vector<EntryEffect> HearAgent(std::uint32_t number);
+  // The same of an agent whose upstream has no room left.
+  std::vector<EntryEffect> HearFullAgent(std::uint32_t number);
   // A heartbeat of a living peer.
   std::vector<EntryEffect> HearPeer(std::uint32_t number);
 
@@ -46,6 +50,8 @@
   EntryCore& core() { return this->entry; }
 
  private:
+  std::vector<EntryEffect> HearLoad(std::uint32_t number,
+                                    const AgentLoad& load);
   // Hands the answers to all requests for promises to the core.
   void GrantPromises(const std::vector<EntryEffect>& effects);
 
