agent: Tell the load with ends and heartbeats, not at each tick

A busy agent told every entry its load at each tick of 50 ms: 20 messages/s a pair, in place of the 6.7 of its heartbeats, and each of them may be answered (at most 10/s). With 68 agents an entry got up to 1,360/s that no job asked for; a profile of a real entry has a third of its processor time in encoding and decoding messages and a fifth in their system calls.

Now the load goes with each end and refusal to the home concerned, at once to an entry that has asked for room, and else with the heartbeat. What can't wait still doesn't: an upstream that leaves, comes back or falls silent, and contact that is lost or regained. An entry that hands out starts from an older report counts its own starts on top, as before; one that knows of no room asks, and is told.

The lease argument holds as it stands: it needs a confirmed heartbeat of at most 450 ms, and the interval is 150 ms as it always was for an agent with a constant load. What a busy agent loses is the surplus: its newest confirmation used to be 50 ms old at best.

On the code before, the new test fails: ABusyAgentSendsEachEntryNoMoreThanItsHeartbeats: 60 heartbeats in 3 s, in place of at most 3 s / 150 ms + 1 = 21

Run: entry_core_test, agent_core_test, protocol_fuzz_test, protocol_fuzz_leases_test, deliberate_fault_test, decision_log_test, recording_test: all pass.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -137,8 +137,7 @@
     this->drained_reported = true;
     this->effects.emplace_back(AgentDrained{});
   }
-  const bool has_news = this->broadcast_load != this->load_number;
-  if (has_news || this->current_time >= this->next_heartbeat) this->TellAll();
+  if (this->current_time >= this->next_heartbeat) this->TellAll();
   if (this->current_time < this->next_registration) return;
   this->SendRegistrations();
 }
@@ -423,7 +422,6 @@
 }
 
 void AgentCore::TellAll() {
-  this->broadcast_load = this->load_number;
   this->next_heartbeat = this->current_time + this->settings.heartbeat_interval;
   for (const auto& [entry, state] : this->connected) {
     this->SendHeartbeat(entry);
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -122,8 +122,6 @@
   Timestamp next_heartbeat;
   // Counts the changes of what runs and waits here.
   std::uint64_t load_number = 1;
-  // The load that all entries were last told of.
-  std::uint64_t broadcast_load = 0;
   // When this agent sent the last heartbeat that an entry has confirmed.
   Timestamp last_confirmed;
   LeaseRenewal renewal = LeaseRenewal::kSuspended;
--- a/tests/agent_core/agent_core_test.cc
+++ b/tests/agent_core/agent_core_test.cc
@@ -210,6 +210,29 @@
   EXPECT_EQ(Sent<AgentHeartbeat>(this->Tell(DemandNotice{5})).size(), 1U);
 }
 
+// Messages that no job asks for must not grow with how busy an agent is: each
+// entry of a grown deployment gets them from every agent.
+TEST_F(AgentCoreTest, ABusyAgentSendsEachEntryNoMoreThanItsHeartbeats) {
+  constexpr Duration kStep = milliseconds(10);
+  constexpr Duration kTick = milliseconds(50);
+  constexpr Duration kWatched = std::chrono::seconds(3);
+  const Timestamp end = this->now + kWatched;
+  std::size_t heartbeats = 0;
+  for (std::uint64_t job = 1; this->now < end; ++job) {
+    this->Tell(StartOf(job));
+    this->now += kStep;
+    this->Confirm();
+    this->Handle(UpstreamEnded{StartOf(job).task, UpstreamResult::kSucceeded,
+                               Payload(), kStep});
+    if (job % (kTick / kStep) != 0) continue;
+    heartbeats += Sent<AgentHeartbeat>(this->Handle(AgentTick{})).size();
+  }
+  const auto due =
+      static_cast<std::size_t>(kWatched / Settings().heartbeat_interval);
+  EXPECT_LE(heartbeats, due + 1);
+  EXPECT_GE(heartbeats, due);
+}
+
 // A heartbeat of a full upstream made the agent forget who waits for room, so
 // that each entry with a queue had to ask again after each heartbeat.
 TEST_F(AgentCoreTest, AFullAgentRemembersWhoWaitsForRoom) {
