--- a/tests/support/core_bench.cc
+++ b/tests/support/core_bench.cc
@@ -126,9 +126,19 @@
 }
 
 std::vector<EntryEffect> CoreBench::HearAgent(std::uint32_t number) {
-  return this->Handle(AgentMessageReceived{
-      AgentId(kFirstAgent + number),
-      AgentHeartbeat{RoomOf(this->shape.slots), this->now}});
+  return this->HearLoad(number, RoomOf(this->shape.slots));
+}
+
+std::vector<EntryEffect> CoreBench::HearFullAgent(std::uint32_t number) {
+  AgentLoad load = RoomOf(this->shape.slots);
+  load.running = load.capacity;
+  return this->HearLoad(number, load);
+}
+
+std::vector<EntryEffect> CoreBench::HearLoad(std::uint32_t number,
+                                             const AgentLoad& load) {
+  return this->Handle(AgentMessageReceived{AgentId(kFirstAgent + number),
+                                           AgentHeartbeat{load, this->now}});
 }
 
 std::vector<EntryEffect> CoreBench::HearPeer(std::uint32_t number) {
@@ -163,6 +173,10 @@
   return relay;
 }
 
+void CoreBench::BeginJob(std::uint64_t number, std::uint32_t tasks) {
+  this->Handle(PeerMessageReceived{EntryId(kOther), RelayOf(number, tasks)});
+}
+
 std::uint32_t CoreBench::RunJob(std::uint64_t number, std::uint32_t tasks) {
   this->now += Duration(1);
   std::uint32_t started = 0;
