entry: Count a relay's wait in the sender's connection against its time

Cause: deadlines travel as time left, counted from the sending. An entry that has fallen behind reads relays late out of its sockets, gives each its whole time again, and works for callers that were answered long since. In the log of a trial, a relay sent at 56.015 s was received at 58.846 s with 2,612 ms allowed, 244 ms after its caller's entry had given up; two tasks were started.

Fix: heartbeats take their place among a peer's other messages. How much longer the latest took than the quickest tells the wait in that connection, whatever the clocks' offset; the age of this entry's own heartbeat that the peer confirms bounds it, so that a stepped clock does not pass for a wait. A relay's time is shortened by that, and one that is past it is dropped, as if lost.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -217,6 +217,19 @@
 }
 
 void EntryCore::OnPeer(EntryId from, const Relay& message) {
+  const Duration waited = this->peers.InboundDelay(from);
+  if (waited == Duration()) {
+    this->TakeRelay(from, message);
+    return;
+  }
+  // The caller has been answered by the entry that it waits at.
+  if (waited >= message.job.time_allowed) return;
+  Relay aged = message;
+  aged.job.time_allowed -= waited;
+  this->TakeRelay(from, aged);
+}
+
+void EntryCore::TakeRelay(EntryId from, const Relay& message) {
   const BucketId bucket = this->ownership.BucketOfKey(message.job.key);
   this->Observe({{bucket, message.promised}});
   const Ballot promised = this->ownership.Promised(bucket);
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -39,6 +39,10 @@
   [[nodiscard]] const AgentRegistry& agents() const { return this->registry; }
   [[nodiscard]] const Ownership& buckets() const { return this->ownership; }
   [[nodiscard]] std::size_t jobs_at_home() const { return this->home.size(); }
+  // The longest time that another entry's messages take to be handled here.
+  [[nodiscard]] Duration inbound_delay() const {
+    return this->peers.LongestInboundDelay();
+  }
   [[nodiscard]] std::size_t jobs_relayed() const { return this->relays.size(); }
   [[nodiscard]] const std::map<ServiceName, VersionedDocument>& documents()
       const {
@@ -88,6 +92,8 @@
   void OnAgent(AgentId from, const AgentHeartbeat& message);
   void OnAgent(AgentId from, const ConfirmReply& message);
 
+  // `message.job.time_allowed` counts from now.
+  void TakeRelay(EntryId from, const Relay& message);
   void AdoptView(const View& view);
   void AdoptDocument(const VersionedDocument& document);
   [[nodiscard]] PeerState StateForPeers() const;
--- a/libraries/entry_core/peer_directory.h
+++ b/libraries/entry_core/peer_directory.h
@@ -57,11 +57,15 @@
   void NoteHeartbeat(EntryId peer, Timestamp sent_at, Timestamp now) {
     Peer& known = this->Get(peer, now);
     known.newest_heartbeat = std::max(known.newest_heartbeat, sent_at);
+    const Duration offset = now - sent_at;
+    known.least_offset = std::min(known.least_offset, offset);
+    known.heartbeat_delay = offset - known.least_offset;
   }
   // The peer had this entry's heartbeat of `own` when it sent its own.
   void NoteConfirmed(EntryId peer, Timestamp own, Timestamp now) {
     Peer& known = this->Get(peer, now);
     known.confirmed = std::max(known.confirmed, own);
+    known.confirmation_age = now - own;
     known.informed = std::max(known.informed, own);
   }
   // What the peer knew of agents at this time is known here, from others.
@@ -69,6 +73,30 @@
     Peer& known = this->Get(peer, now);
     known.informed = std::max(known.informed, at);
   }
+  // How long the peer's latest messages took to come here and to be handled,
+  // beyond the quickest: an entry without enough processor time leaves them in
+  // its socket. A heartbeat takes its place among the others. How much older
+  // than the youngest it comes tells the delay, whatever the clocks' offset;
+  // a step of a clock does not pass for one, as the peer's confirmation of
+  // this entry's own heartbeats then is no older than usual.
+  [[nodiscard]] Duration InboundDelay(EntryId peer) const {
+    // Less is no sign of a backlog.
+    constexpr Duration kNegligible = std::chrono::milliseconds(50);
+    const auto found = this->peers.find(peer);
+    if (found == this->peers.end()) return Duration();
+    const Duration delay =
+        std::min(found->second.heartbeat_delay, found->second.confirmation_age);
+    return delay < kNegligible ? Duration() : delay;
+  }
+  // The longest of all peers that are connected.
+  [[nodiscard]] Duration LongestInboundDelay() const {
+    Duration longest{};
+    for (const auto& [id, peer] : this->peers) {
+      if (!peer.connected) continue;
+      longest = std::max(longest, this->InboundDelay(id));
+    }
+    return longest;
+  }
   [[nodiscard]] Timestamp NewestHeartbeat(EntryId peer) const {
     const auto found = this->peers.find(peer);
     return found == this->peers.end() ? Timestamp()
@@ -111,6 +139,12 @@
     // When this entry sent the latest heartbeat that the peer has confirmed.
     Timestamp confirmed;
     Timestamp informed;
+    // Least age of a heartbeat when it came; includes the clocks' offset.
+    Duration least_offset = Duration::max();
+    // How much longer the latest one took.
+    Duration heartbeat_delay{};
+    // How old this entry's newest heartbeat there was, when that was told.
+    Duration confirmation_age{};
   };
 
   Peer& Get(EntryId peer, Timestamp now) {
