entry: Show how far an entry is behind with its own work

An entry without enough processor time looked like slow upstreams: nothing told its own delay. Now the histogram stage_seconds{stage="own_delay"} has it at each tick, and the log says fell_behind (from 100 ms) and caught_up (below 25 ms, with the longest delay), once each.

The delay is the longest of: the mean wait of events between their arrival in the process and their turn; the tick's lateness, which also shows a process that gets no processor time; and the wait of other entries' messages in the sockets.

--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -102,6 +102,19 @@
 };
 BOOST_DESCRIBE_STRUCT(HomeOfBuckets, (), (phase, buckets))
 
+// The entry handles its work late: it gets too little processor time.
+struct EntryFellBehind {
+  static constexpr const char* kName = "fell_behind";
+  Duration delay_ms{};
+};
+BOOST_DESCRIBE_STRUCT(EntryFellBehind, (), (delay_ms))
+
+struct EntryCaughtUp {
+  static constexpr const char* kName = "caught_up";
+  Duration longest_delay_ms{};
+};
+BOOST_DESCRIBE_STRUCT(EntryCaughtUp, (), (longest_delay_ms))
+
 // The others took the entry out of the view.
 struct OutOfView {
   static constexpr const char* kName = "removed_from_view";
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -65,6 +65,8 @@
       retries(this->metrics, "retries_total"),
       refusals(this->metrics, "refusals_decided_total"),
       agent_messages(this->metrics, "messages_from_agents_total"),
+      work_delays(
+          this->metrics.TimesFor("stage_seconds", "stage", "own_delay")),
       core(CoreSettings(configured, own)),
       log(this->core, this->metrics),
       tick_timer(this->core_thread.First()),
@@ -94,8 +96,9 @@
   CallerPort port;
   port.submit = [this](JobSubmission job, AnswerCallback callback) {
     asio::post(this->core_thread.First(),
-               [this, submission = std::move(job),
-                done = std::move(callback)]() mutable {
+               [this, submission = std::move(job), done = std::move(callback),
+                arrived = SteadyClock::now()]() mutable {
+                 this->NoteWait(arrived);
                  this->Submit(std::move(submission), std::move(done));
                });
   };
@@ -177,7 +180,15 @@
 
 void EntryServer::Post(EntryEvent event) {
   asio::post(this->core_thread.First(),
-             [this, posted = std::move(event)] { this->Handle(posted); });
+             [this, posted = std::move(event), arrived = SteadyClock::now()] {
+               this->NoteWait(arrived);
+               this->Handle(posted);
+             });
+}
+
+void EntryServer::NoteWait(SteadyClock::time_point arrived) {
+  this->work_delay.NoteWait(
+      std::chrono::duration_cast<Duration>(SteadyClock::now() - arrived));
 }
 
 void EntryServer::Submit(JobSubmission job, AnswerCallback callback) {
@@ -206,12 +217,27 @@
   this->tick_timer.expires_after(kTickInterval);
   this->tick_timer.async_wait([this](boost::system::error_code error) {
     if (error) return;
+    this->ObserveDelay(std::chrono::duration_cast<Duration>(
+        SteadyClock::now() - this->tick_timer.expiry()));
     this->Handle(EntryTick{});
     FlushLog();
     this->ScheduleTick();
   });
 }
 
+void EntryServer::ObserveDelay(Duration tick_lateness) {
+  const Duration delay = std::max(this->work_delay.EndInterval(tick_lateness),
+                                  this->core.inbound_delay());
+  this->work_delays.Observe(std::chrono::duration<double>(delay).count());
+  const std::optional<PaceChange> change = this->pace.Observe(delay);
+  if (!change) return;
+  if (change->pace == Pace::kBehind) {
+    LogChange(EntryFellBehind{change->delay});
+  } else {
+    LogChange(EntryCaughtUp{change->longest});
+  }
+}
+
 void EntryServer::Apply(AnswerCaller& effect) {
   const auto found = this->waiting.find(effect.request);
   if (found == this->waiting.end()) return;
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -2,6 +2,7 @@
 #define DANDELIONSPUR_SERVICES_ENTRY_ENTRY_SERVER_H_
 
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -10,6 +11,7 @@
 #include "libraries/configuration/settings.h"
 #include "libraries/decision_log/entry_decision_log.h"
 #include "libraries/entry_core/entry_core.h"
+#include "libraries/telemetry/work_delay.h"
 #include "services/entry/caller_routes.h"
 #include "services/entry/document_routes.h"
 #include "services/entry/entry_links.h"
@@ -37,6 +39,8 @@
   void Reconfigure(const EntrySettings& changed);
 
  private:
+  using SteadyClock = std::chrono::steady_clock;
+
   explicit EntryServer(const EntrySettings& configured, EntryId self);
   Result<void> Listen();
 
@@ -53,6 +57,10 @@
   // The core's thread.
   void Handle(const EntryEvent& event);
   void ScheduleTick();
+  // An event that came to this process at `arrived` has its turn.
+  void NoteWait(SteadyClock::time_point arrived);
+  // Tells how far the process is behind with its work.
+  void ObserveDelay(Duration tick_lateness);
   void Submit(JobSubmission job, AnswerCallback callback);
   void PublishServingState();
   [[nodiscard]] nlohmann::json Status() const;
@@ -85,6 +93,9 @@
   ReasonCounters retries;
   ReasonCounters refusals;
   MessageCounters<AgentMessage> agent_messages;
+  WorkDelay work_delay;
+  PaceWatch pace;
+  prometheus::Histogram& work_delays;
   PublishedServingState serving;
   ServingState serving_draft;
   EntryCore core;
