entry: Say "not run" only if no earlier relay can act any more

What callers would see: 503 "not run" for a job that starts afterwards. Found by the protocol fuzzer with late reads.

Cause: an entry sends a job to its home, the home changes, and the entry sends the job to the next one. Its "not run" was passed on, although the former home may not have read the first relay yet. When that one becomes home again, it takes the relay for a new job. Likewise, an entry that became the home itself refused its callers' jobs without a thought for what it had sent before.

Fix: the relaying entry keeps the entries that may still act, each with the highest attempt it was sent. One is struck off when it refuses or returns that attempt (it then ignores the earlier ones) or is proven dead. While another remains, "not run" becomes "may have run". A job with one relay, or with several to one home, is refused as before. The note follows the job where the entry becomes the home or loses the bucket again.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -46,11 +46,12 @@
   const BucketId bucket = this->ownership.BucketOfKey(key);
   if (this->ownership.IsActive(bucket)) {
     this->home.Accept(event.job, event.request, std::nullopt,
-                      this->current_time);
+                      EarlierRelays::kSettled, this->current_time);
     return;
   }
-  this->relays.Submit(event.job, this->current_time + event.job.time_allowed,
-                      {event.request}, this->current_time);
+  this->relays.Submit(
+      {event.job, this->current_time + event.job.time_allowed, {event.request}},
+      this->current_time);
 }
 
 void EntryCore::On(const CallerCancelled& event) {
@@ -243,10 +244,10 @@
   this->relays.OnAnswer(from, message);
 }
 
-void EntryCore::OnPeer(EntryId /*from*/, const RelayMoved& message) {
+void EntryCore::OnPeer(EntryId from, const RelayMoved& message) {
   const BucketId bucket = this->ownership.BucketOfKey(message.key);
   this->Observe({{bucket, message.promised}});
-  this->relays.OnMoved(message, this->current_time);
+  this->relays.OnMoved(from, message, this->current_time);
 }
 
 void EntryCore::OnPeer(EntryId /*from*/, const CancelJob& message) {
@@ -472,8 +473,7 @@
 void EntryCore::MoveJobs(const std::vector<BucketId>& lost) {
   for (const BucketId bucket : lost) {
     for (const EvictedJob& job : this->home.Evict(bucket, this->current_time)) {
-      this->relays.Submit(job.submission, job.deadline, job.callers,
-                          this->current_time);
+      this->relays.Submit(job, this->current_time);
     }
     this->relays.OnBucketLost(bucket, this->current_time);
   }
--- a/libraries/entry_core/home_job.h
+++ b/libraries/entry_core/home_job.h
@@ -17,6 +17,10 @@
   AttemptNumber attempt;
 };
 
+// Whether another entry may still act on an earlier relay of a submission. A
+// refusal here doesn't bind that entry.
+enum class EarlierRelays { kSettled, kOpen };
+
 // Who waits for a job's answer: a caller of this entry, or another entry.
 using Waiter = std::variant<RequestId, RelayOrigin>;
 
@@ -71,6 +75,7 @@
   bool witnessed = false;
   // Known from before this ballot.
   bool carried = false;
+  EarlierRelays earlier = EarlierRelays::kSettled;
   Reason refusal = Reason::kComplete;
   Duration retry_after{};
   std::vector<Waiter> waiters;
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -51,7 +51,8 @@
 }
 
 void HomeJobs::Accept(const JobSubmission& submission, const Waiter& waiter,
-                      std::optional<EntryId> witness, Timestamp now) {
+                      std::optional<EntryId> witness, EarlierRelays earlier,
+                      Timestamp now) {
   const JobKey& key = submission.key;
   const RelayOrigin* origin = std::get_if<RelayOrigin>(&waiter);
   if (origin != nullptr && this->settled_attempts.Contains(key, *origin)) {
@@ -72,6 +73,7 @@
     }
     job->waiters.push_back(waiter);
     if (witness) job->witnessed = true;
+    if (earlier == EarlierRelays::kOpen) job->earlier = earlier;
     this->Advance(*job, now);
     return;
   }
@@ -92,20 +94,20 @@
       // As old as any key that might have been started unnoticed.
       this->ownership.RememberCarried(
           {key, now - this->settings.duplicate_window}, now);
-      this->Create(submission, waiter, witness, true, now);
+      this->Create(submission, waiter, witness, earlier, true, now);
       return;
     case KeyStanding::kCarried:
-      this->Create(submission, waiter, witness, true, now);
+      this->Create(submission, waiter, witness, earlier, true, now);
       return;
     case KeyStanding::kFresh:
-      this->Create(submission, waiter, witness, false, now);
+      this->Create(submission, waiter, witness, earlier, false, now);
       return;
   }
 }
 
 void HomeJobs::Create(const JobSubmission& submission, const Waiter& waiter,
-                      std::optional<EntryId> witness, bool carried,
-                      Timestamp now) {
+                      std::optional<EntryId> witness, EarlierRelays earlier,
+                      bool carried, Timestamp now) {
   this->ownership.Remember({submission.key, now}, now);
   HomeJob& job = this->jobs[submission.key];
   job.submission = submission;
@@ -116,6 +118,7 @@
   job.witnessed =
       witness.has_value() || submission.rerun == RerunPolicy::kAfterLease;
   job.carried = carried;
+  job.earlier = earlier;
   job.waiters.push_back(waiter);
   job.tasks.resize(submission.tasks.size());
   this->deadlines.emplace(job.deadline, submission.key);
@@ -158,7 +161,10 @@
 
 void HomeJobs::Refuse(HomeJob& job, Reason reason, Timestamp now) {
   // An old key may have run before, and a carried one too.
-  if (job.carried || job.started > 0 || reason == Reason::kKeyExpired) {
+  const bool may_have_run = job.carried || job.started > 0 ||
+                            job.earlier == EarlierRelays::kOpen ||
+                            reason == Reason::kKeyExpired;
+  if (may_have_run) {
     this->Finish(job, JobAnswer::MayHaveRun(reason), now);
     return;
   }
@@ -324,6 +330,7 @@
     }
     if (!gone.callers.empty()) {
       gone.deadline = job.deadline;
+      gone.earlier = job.earlier;
       gone.submission = job.submission;
       gone.submission.time_allowed = job.TimeLeft(now);
       evicted.push_back(std::move(gone));
@@ -477,6 +484,11 @@
   for (const ConfirmedRefusal& refusal : confirmed) {
     HomeJob* job = this->Find(refusal.key);
     if (job == nullptr || job->phase != JobPhase::kRefusing) continue;
+    // A caller has joined whose relay is still open elsewhere.
+    if (job->earlier == EarlierRelays::kOpen) {
+      this->Finish(*job, JobAnswer::MayHaveRun(job->refusal), now);
+      continue;
+    }
     const JobAnswer answer =
         JobAnswer::NotRun(job->refusal, refusal.proof, job->retry_after);
     for (const Waiter& waiter : job->waiters) {
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -27,6 +27,7 @@
   JobSubmission submission;
   Timestamp deadline;
   std::vector<RequestId> callers;
+  EarlierRelays earlier = EarlierRelays::kSettled;
 };
 
 // Whether what a lost agent has started may still be running at its upstream.
@@ -45,7 +46,8 @@
   // Takes in a submission of a key whose bucket is active here. `witness` is
   // set where another entry of the view already knows the key.
   void Accept(const JobSubmission& submission, const Waiter& waiter,
-              std::optional<EntryId> witness, Timestamp now);
+              std::optional<EntryId> witness, EarlierRelays earlier,
+              Timestamp now);
   void Cancel(const JobKey& key, Timestamp now);
   // Tells the sender of a relay that this entry won't act on it.
   void ReturnRelay(const JobKey& key, const RelayOrigin& origin, Timestamp now);
@@ -92,7 +94,8 @@
   void AnswerWaiter(const Waiter& waiter, const JobKey& key,
                     const JobAnswer& answer);
   void Create(const JobSubmission& submission, const Waiter& waiter,
-              std::optional<EntryId> witness, bool carried, Timestamp now);
+              std::optional<EntryId> witness, EarlierRelays earlier,
+              bool carried, Timestamp now);
   // The reason to refuse a job that has just come in, if there is one.
   std::optional<Reason> AdmissionObstacle(const HomeJob& job, Timestamp now);
   void Refuse(HomeJob& job, Reason reason, Timestamp now);
--- a/libraries/entry_core/relay_book.cc
+++ b/libraries/entry_core/relay_book.cc
@@ -23,8 +23,9 @@
       home(jobs),
       outbox(effects) {}
 
-void RelayBook::Submit(const JobSubmission& submission, Timestamp deadline,
-                       const std::vector<RequestId>& callers, Timestamp now) {
+void RelayBook::Submit(const EvictedJob& submitted, Timestamp now) {
+  const JobSubmission& submission = submitted.submission;
+  const std::vector<RequestId>& callers = submitted.callers;
   const auto existing = this->relayed.find(submission.key);
   if (existing != this->relayed.end()) {
     Relayed& job = existing->second;
@@ -37,17 +38,21 @@
       return;
     }
     job.callers.insert(job.callers.end(), callers.begin(), callers.end());
+    if (submitted.earlier == EarlierRelays::kOpen) {
+      job.earlier = submitted.earlier;
+    }
     if (only_joined && submission.kind == SubmissionKind::kRun) {
       job.submission = submission;
-      job.deadline = deadline;
+      job.deadline = submitted.deadline;
       this->Route(job, now);
     }
     return;
   }
   Relayed& job = this->relayed[submission.key];
   job.submission = submission;
-  job.deadline = deadline;
+  job.deadline = submitted.deadline;
   job.callers = callers;
+  job.earlier = submitted.earlier;
   this->Route(job, now);
 }
 
@@ -63,9 +68,10 @@
   submission.time_allowed = std::max(Duration(), job.deadline - now);
   if (this->ownership.IsActive(bucket)) {
     const std::vector<RequestId> callers = job.callers;
+    const EarlierRelays earlier = this->OpenRelays(job);
     this->relayed.erase(key);
     for (const RequestId caller : callers) {
-      this->home.Accept(submission, caller, std::nullopt, now);
+      this->home.Accept(submission, caller, std::nullopt, earlier, now);
     }
     return;
   }
@@ -79,6 +85,7 @@
   }
   job.attempt = AttemptNumber(++this->last_attempt);
   job.target = target;
+  job.open[target] = job.attempt;
   this->outbox.ToPeer(
       target, Relay{job.attempt, this->ownership.Promised(bucket), this->offer,
                     std::move(submission)});
@@ -87,18 +94,37 @@
 void RelayBook::OnAnswer(EntryId from, const RelayAnswer& answer) {
   const auto found = this->relayed.find(answer.key);
   if (found == this->relayed.end()) return;
-  const Relayed& job = found->second;
+  Relayed& job = found->second;
+  const bool not_run = answer.answer.verdict == Verdict::kNotRun;
+  if (not_run) Settle(job, from, answer.attempt);
   // An earlier attempt may have gone to a former home, which can't say what
   // the home of now does.
   if (answer.attempt != job.attempt || job.target != from) return;
-  this->AnswerCallers(job, answer.answer);
+  const bool may_run_elsewhere =
+      not_run && this->OpenRelays(job) == EarlierRelays::kOpen;
+  this->AnswerCallers(job, may_run_elsewhere
+                               ? JobAnswer::MayHaveRun(answer.answer.reason)
+                               : answer.answer);
   this->relayed.erase(found);
 }
 
-void RelayBook::OnMoved(const RelayMoved& moved, Timestamp now) {
+void RelayBook::Settle(Relayed& job, EntryId entry, AttemptNumber attempt) {
+  const auto sent = job.open.find(entry);
+  if (sent != job.open.end() && sent->second <= attempt) job.open.erase(sent);
+}
+
+EarlierRelays RelayBook::OpenRelays(const Relayed& job) const {
+  const bool may_act = std::any_of(
+      job.open.begin(), job.open.end(),
+      [&](const auto& sent) { return !this->peers.DeadSince(sent.first); });
+  return may_act ? EarlierRelays::kOpen : job.earlier;
+}
+
+void RelayBook::OnMoved(EntryId from, const RelayMoved& moved, Timestamp now) {
   const auto found = this->relayed.find(moved.key);
   if (found == this->relayed.end()) return;
   Relayed& job = found->second;
+  Settle(job, from, moved.attempt);
   if (moved.attempt != job.attempt) return;
   job.target.reset();
   job.submit_from = now + kFollowPause;
@@ -149,7 +175,7 @@
 
 void RelayBook::AcceptAtHome(EntryId from, const Relay& relay, Timestamp now) {
   this->home.Accept(relay.job, RelayOrigin{from, relay.attempt},
-                    this->WitnessOf(from, relay), now);
+                    this->WitnessOf(from, relay), EarlierRelays::kSettled, now);
 }
 
 std::optional<EntryId> RelayBook::WitnessOf(EntryId from,
--- a/libraries/entry_core/relay_book.h
+++ b/libraries/entry_core/relay_book.h
@@ -2,6 +2,7 @@
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_RELAY_BOOK_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -31,13 +32,12 @@
   RelayBook(const EntryCoreSettings& configured, Ownership& owner,
             PeerDirectory& directory, HomeJobs& jobs, EntryOutbox& effects);
 
-  void Submit(const JobSubmission& submission, Timestamp deadline,
-              const std::vector<RequestId>& callers, Timestamp now);
+  void Submit(const EvictedJob& job, Timestamp now);
   // A relay from another entry, for a bucket that is active here.
   void AcceptAtHome(EntryId from, const Relay& relay, Timestamp now);
   void Park(const ParkedRelay& parked);
   void OnAnswer(EntryId from, const RelayAnswer& answer);
-  void OnMoved(const RelayMoved& moved, Timestamp now);
+  void OnMoved(EntryId from, const RelayMoved& moved, Timestamp now);
   // Passes a cancellation on; false if the key is not relayed from here.
   bool Cancel(const JobKey& key);
   void OnPeerDisconnected(EntryId peer);
@@ -64,9 +64,19 @@
     std::optional<EntryId> target;
     // Not before this time, after the home has moved.
     Timestamp submit_from;
+    // The entries that may still act on a relay, each with the highest attempt
+    // that it was sent.
+    std::map<EntryId, AttemptNumber> open;
+    // Of relays before this entry was the job's home.
+    EarlierRelays earlier = EarlierRelays::kSettled;
   };
 
   void Route(Relayed& job, Timestamp now);
+  // The entry has refused or returned an attempt, and so acts on no earlier one
+  // either.
+  static void Settle(Relayed& job, EntryId entry, AttemptNumber attempt);
+  // Whether an entry may still act on what it was sent.
+  [[nodiscard]] EarlierRelays OpenRelays(const Relayed& job) const;
   // The sender of a relay, if it is a witness under this entry's ballot.
   [[nodiscard]] std::optional<EntryId> WitnessOf(EntryId from,
                                                  const Relay& relay) const;
