entry: Handle what the links receive without a turn of the event loop

Each message was posted to the core's thread, also where that is the thread that has just read it, as on a small instance: an allocation and a look at the sockets (epoll_wait) for each message.

The links now pass events on with dispatch: at once on the core's thread, posted from other threads as before. All events of the links go this way, so none overtakes another of the same connection. The core is never entered twice: the links call only from the completion of a socket operation or timer, and carrying out an effect (sending, closing, dialing) calls none of them. Callers, the table and a request to drain still post.

No test guards the number of turns here: that would need a whole EntryServer in a test.

--- a/services/entry/entry_links.cc
+++ b/services/entry/entry_links.cc
@@ -1,5 +1,6 @@
 #include "services/entry/entry_links.h"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -40,7 +41,7 @@
   handlers.up = [this](const Hello& other,
                        const FrameConnectionPointer& connection) {
     if (other.role != ProcessRole::kAgent) return;
-    asio::post(this->core, [this, other, connection] {
+    asio::dispatch(this->core, [this, other, connection] {
       this->OnAgentUp(AgentId(other.id), connection);
     });
   };
@@ -49,7 +50,7 @@
   };
   handlers.down = [this](const Hello& other,
                          const FrameConnectionPointer& connection) {
-    asio::post(this->core, [this, other, connection] {
+    asio::dispatch(this->core, [this, other, connection] {
       if (other.role == ProcessRole::kAgent) {
         this->OnAgentDown(AgentId(other.id), connection);
       } else {
@@ -68,7 +69,7 @@
   LinkHandlers handlers;
   handlers.up = [this](const Hello& other,
                        const FrameConnectionPointer& connection) {
-    asio::post(this->core, [this, other, connection] {
+    asio::dispatch(this->core, [this, other, connection] {
       this->OnPeerUp(EntryId(other.id), connection);
     });
   };
@@ -76,7 +77,7 @@
   handlers.frame = [](const Hello&, std::string_view) { return false; };
   handlers.down = [this](const Hello& other,
                          const FrameConnectionPointer& connection) {
-    asio::post(this->core, [this, other, connection] {
+    asio::dispatch(this->core, [this, other, connection] {
       this->OnPeerDown(EntryId(other.id), connection);
     });
   };
@@ -105,7 +106,7 @@
     const auto dialer = LinkDialer::Create(
         this->input_output.Next(), member.peer_endpoint, own, expected,
         this->DialerHandlers(), [this, peer] {
-          asio::post(this->core, [this, peer] { this->OnPeerDead(peer); });
+          asio::dispatch(this->core, [this, peer] { this->OnPeerDead(peer); });
         });
     this->dialers.emplace(peer, dialer);
     dialer->Start();
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -1,5 +1,6 @@
 #include "services/entry/entry_server.h"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <future>
 #include <nlohmann/json.hpp>
@@ -104,8 +105,10 @@
       this->serving, std::move(port), this->metrics);
   BOOST_LEAF_AUTO(
       bound_links,
-      EntryLinks::Create(this->settings, this->self, this->core_thread.First(),
-                         this->input_output, this->metrics, sink));
+      EntryLinks::Create(
+          this->settings, this->self, this->core_thread.First(),
+          this->input_output, this->metrics,
+          [this](EntryEvent event) { this->HandleSoon(std::move(event)); }));
   this->links = std::move(bound_links);
   BOOST_LEAF_AUTO(
       callers, HttpServer::Create(
@@ -180,6 +183,12 @@
              [this, posted = std::move(event)] { this->Handle(posted); });
 }
 
+void EntryServer::HandleSoon(EntryEvent event) {
+  asio::dispatch(
+      this->core_thread.First(),
+      [this, received = std::move(event)] { this->Handle(received); });
+}
+
 void EntryServer::Submit(JobSubmission job, AnswerCallback callback) {
   const RequestId request(++this->last_request);
   this->waiting.emplace(request, std::move(callback));
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -47,6 +47,9 @@
 
   // Any thread.
   void Post(EntryEvent event);
+  // Any thread, but not while the core handles an event or its effects are
+  // carried out: at once on the core's thread.
+  void HandleSoon(EntryEvent event);
   void HandleReadiness(const HttpResponder& responder);
   void HandleAdmin(const HttpRequest& request, const HttpResponder& responder);
 
