--- a/services/entry/entry_links.cc
+++ b/services/entry/entry_links.cc
@@ -1,5 +1,6 @@
 #include "services/entry/entry_links.h"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -39,7 +40,7 @@
   LinkHandlers handlers;
   handlers.up = [this](const Hello& other,
                        const FrameConnectionPointer& connection) {
-    asio::post(this->core, [this, other, connection] {
+    asio::dispatch(this->core, [this, other, connection] {
       if (other.role == ProcessRole::kAgent) {
         this->OnAgentUp(AgentId(other.id), connection);
       } else {
@@ -54,7 +55,7 @@
                          const FrameConnectionPointer& connection) {
     // Nothing is asked of a peer again before it can answer.
     if (other.role != ProcessRole::kAgent) return;
-    asio::post(this->core, [this, other, connection] {
+    asio::dispatch(this->core, [this, other, connection] {
       this->OnAgentDown(AgentId(other.id), connection);
     });
   };
@@ -69,7 +70,7 @@
   LinkHandlers handlers;
   handlers.up = [this](const Hello& other,
                        const FrameConnectionPointer& connection) {
-    asio::post(this->core, [this, other, connection] {
+    asio::dispatch(this->core, [this, other, connection] {
       this->OnPeerUp(EntryId(other.id), connection);
     });
   };
@@ -77,7 +78,7 @@
   handlers.frame = [](const Hello&, std::string_view) { return false; };
   handlers.down = [this](const Hello& other,
                          const FrameConnectionPointer& connection) {
-    asio::post(this->core, [this, other, connection] {
+    asio::dispatch(this->core, [this, other, connection] {
       this->OnPeerDown(EntryId(other.id), connection);
     });
   };
@@ -106,7 +107,7 @@
     const auto dialer = LinkDialer::Create(
         this->input_output.Next(), member.peer_endpoint, own, expected,
         this->DialerHandlers(), [this, peer] {
-          asio::post(this->core, [this, peer] { this->OnPeerDead(peer); });
+          asio::dispatch(this->core, [this, peer] { this->OnPeerDead(peer); });
         });
     this->dialers.emplace(peer, dialer);
     dialer->Start();
@@ -117,16 +118,18 @@
   const auto found = this->peers.find(to);
   if (found == this->peers.end()) return;
   this->peer_messages.Count(message);
-  found->second->SendEncoded(
-      [sent = std::move(message)] { return WireCodec::ToMessagePack(sent); });
+  found->second->SendEncoded([sent = std::move(message)](std::string& bytes) {
+    WireCodec::Append(sent, bytes);
+  });
 }
 
 void EntryLinks::Send(AgentId to, EntryToAgentMessage message) {
   const auto found = this->agents.find(to);
   if (found == this->agents.end()) return;
   this->agent_messages.Count(message);
-  found->second->SendEncoded(
-      [sent = std::move(message)] { return WireCodec::ToMessagePack(sent); });
+  found->second->SendEncoded([sent = std::move(message)](std::string& bytes) {
+    WireCodec::Append(sent, bytes);
+  });
 }
 
 void EntryLinks::RememberAgent(const AgentDescription& description) {
--- a/tests/entry/entry_links_test.cc
+++ b/tests/services/peer_links_test.cc
@@ -28,9 +28,9 @@
 }
 
 // The links of one entry, and a peer that is played by hand.
-class EntryLinksTest : public testing::Test {
+class PeerLinksTest : public testing::Test {
  protected:
-  EntryLinksTest() {
+  PeerLinksTest() {
     EntrySettings settings;
     settings.peers = {"127.0.0.1", kOwnPort};
     this->links = OrElse(
@@ -65,7 +65,7 @@
                       [this, view] { this->links->ConnectToMembers(view); });
   }
 
-  ~EntryLinksTest() override { this->threads.Stop(); }
+  ~PeerLinksTest() override { this->threads.Stop(); }
 
   // The peer's own connection to the entry.
   std::shared_ptr<LinkDialer> Dial() {
@@ -96,7 +96,7 @@
 
 // Guards against two entries that break their connections to each other in
 // turn for ever, each since the other has: all relays are sent again each time.
-TEST_F(EntryLinksTest, APeersLostConnectionBreaksNoOther) {
+TEST_F(PeerLinksTest, APeersLostConnectionBreaksNoOther) {
   ASSERT_TRUE(this->links && this->listener);
   const auto first = this->Dial();
   ASSERT_TRUE(Becomes([&] { return this->links_up == 1; }));
