entry: Ask a peer again once it speaks on its new connection

PeerLinkRenewed came with the peer's hello, but the peer can send only once it has read the answer to it. What it answered in between was dropped, and not asked for again. Now the peer's first message on the connection is the sign.

RelayAfterRenewedLinkTest.IsSentAgainOnceTheHomeCanAnswer: on the code before, the relay is sent again before the home can answer, and not after.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -81,8 +81,7 @@
 }
 
 void EntryCore::On(const PeerLinkRenewed& event) {
-  // Its answers may be lost. All other requests are repeated anyway.
-  this->relays.AskAgain(event.peer);
+  this->renewed_links.insert(event.peer);
 }
 
 void EntryCore::On(const PeerProvenDead& event) {
@@ -91,6 +90,11 @@
 
 void EntryCore::On(const PeerMessageReceived& event) {
   this->peers.Heard(event.from, this->current_time);
+  // Answers of the peer were lost until it could send again, which this message
+  // shows. All other requests are repeated anyway.
+  if (this->renewed_links.erase(event.from) > 0) {
+    this->relays.AskAgain(event.from);
+  }
   std::visit([&](const auto& message) { this->OnPeer(event.from, message); },
              event.message);
 }
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -2,6 +2,7 @@
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_ENTRY_CORE_H_
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "libraries/entry_core/agent_registry.h"
@@ -134,6 +135,8 @@
   // only through others.
   std::optional<Timestamp> member_since;
   Epoch joined_in;
+  // Peers that have not spoken yet on their newest connection.
+  std::set<EntryId> renewed_links;
   bool draining = false;
   Timestamp drain_began;
   Timestamp next_departure;
--- a/services/entry/entry_links.cc
+++ b/services/entry/entry_links.cc
@@ -53,7 +53,7 @@
   };
   handlers.down = [this](const Hello& other,
                          const FrameConnectionPointer& connection) {
-    // Nothing is asked of a peer again before it can answer.
+    // What a peer sent last is asked for once it has dialed anew.
     if (other.role != ProcessRole::kAgent) return;
     asio::dispatch(this->core, [this, other, connection] {
       this->OnAgentDown(AgentId(other.id), connection);
--- a/tests/entry_core/relayed_refusal_test.cc
+++ b/tests/entry_core/relayed_refusal_test.cc
@@ -59,6 +59,15 @@
     this->Handle(PeerConnected{this->first_home});
     this->Handle(EntryTick{});
   }
+  // The home has dialed this entry anew.
+  void HomeDialsAnew() {
+    this->Handle(PeerLinkRenewed{this->first_home});
+    this->Handle(EntryTick{});
+  }
+  void HomeSpeaks() {
+    this->Handle(PeerMessageReceived{this->first_home, PeerHeartbeat{}});
+    this->Handle(EntryTick{});
+  }
   void MoveHome() {
     const EntryId next(this->first_home == EntryId(2) ? 3 : 2);
     Ballot ballot;
@@ -175,5 +184,15 @@
                         Verdict::kNotRun}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
+// Guards against answers that are lost twice: with the home's connection that
+// broke, and while its new one was not ready to carry them.
+TEST(RelayAfterRenewedLinkTest, IsSentAgainOnceTheHomeCanAnswer) {
+  RelayingEntry entry;
+  entry.HomeDialsAnew();
+  EXPECT_FALSE(entry.HasRelayedAgain());
+  entry.HomeSpeaks();
+  EXPECT_TRUE(entry.HasRelayedAgain());
+}
+
 }  // namespace
 }  // namespace dandelionspur
