entry_core: Learn nothing of a connection's delay from heartbeats of an earlier one

What a broken connection carried may be read after what the new one carries. A heartbeat among it set the peer's delay anew, so that relays on the new connection were shortened, or dropped, until the next heartbeat. Only a heartbeat that was sent later than the newest one counts now.

--- a/libraries/entry_core/peer_directory.h
+++ b/libraries/entry_core/peer_directory.h
@@ -63,7 +63,9 @@
   // A heartbeat came that the peer sent at `sent_at`, by its clock.
   void NoteHeartbeat(EntryId peer, Timestamp sent_at, Timestamp now) {
     Peer& known = this->Get(peer, now);
-    known.newest_heartbeat = std::max(known.newest_heartbeat, sent_at);
+    // Read late from an earlier connection; says nothing of the one of now.
+    if (sent_at <= known.newest_heartbeat) return;
+    known.newest_heartbeat = sent_at;
     const Duration offset = now - sent_at;
     known.least_offset = std::min(known.least_offset, offset);
     known.heartbeat_delay = offset - known.least_offset;
@@ -71,7 +73,8 @@
   // The peer had this entry's heartbeat of `own` when it sent its own.
   void NoteConfirmed(EntryId peer, Timestamp own, Timestamp now) {
     Peer& known = this->Get(peer, now);
-    known.confirmed = std::max(known.confirmed, own);
+    if (own < known.confirmed) return;
+    known.confirmed = own;
     known.confirmation_age = now - own;
     known.informed = std::max(known.informed, own);
   }
