entry: Refuse only new submissions at the end of a planned stop

Found in the review. From the moment when answers are due, every call was told "not_run", a question for a job that ran too, and past the encoding of queue calls.

--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -105,7 +105,6 @@
   void StartRunning(HomeJob& job);
   void QueueTask(HomeJob& job, TaskIndex task);
   void LeaveQueue(HomeJob& job);
-  // Queued jobs that can't meet their objective any more go to the end.
   // Time until what is queued now has been started.
   [[nodiscard]] Duration ExpectedWait(const ServiceState& service) const;
   // Answers the jobs whose callers would not get a later answer in time.
@@ -113,6 +112,7 @@
   // Refuses untouched jobs that were set back and can't be served any more
   // before their deadlines.
   void RefuseHopeless(Timestamp now);
+  // Queued jobs that can't meet their objective any more go to the end.
   void SetBackOverdue(ServiceState& service, Timestamp now);
   void DispatchService(ServiceState& service, Timestamp now);
   // The agents that have room for a task, in `candidates`.
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -122,7 +122,7 @@
       callers, HttpServer::Create(
                    this->settings.callers, this->input_output,
                    [this](const HttpRequest& request, HttpResponder responder) {
-                     this->HandleCaller(request, std::move(responder));
+                     this->caller_routes->Handle(request, std::move(responder));
                    }));
   this->caller_server = std::move(callers);
   BOOST_LEAF_AUTO(admin,
@@ -182,17 +182,6 @@
                                 this->stop_schedule.answers_due;
 }
 
-void EntryServer::HandleCaller(const HttpRequest& request,
-                               HttpResponder responder) {
-  if (this->CanAnswerIn(Duration())) {
-    this->caller_routes->Handle(request, std::move(responder));
-    return;
-  }
-  const std::string target(request.target());
-  const JobAnswer refusal = this->Refuse(target.substr(target.rfind('/') + 1));
-  responder(AnswerResponse(refusal, false, ""));
-}
-
 JobAnswer EntryServer::Refuse(const std::string& job) {
   this->refusals.Count(Reason::kDraining);
   LogEvent(LineClass::kFailure, RequestRejected{job, "", Reason::kDraining,
@@ -278,7 +267,9 @@
 
 void EntryServer::Submit(JobSubmission job, AnswerCallback callback) {
   if (!this->CanAnswerIn(job.objective)) {
-    callback(this->Refuse(job.name));
+    const bool is_new = job.kind == SubmissionKind::kRun;
+    callback(is_new ? this->Refuse(job.name)
+                    : JobAnswer::MayHaveRun(Reason::kHomeUnreachable));
     return;
   }
   const RequestId request(++this->last_request);
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -65,7 +65,6 @@
     ServiceName service;
   };
 
-  void HandleCaller(const HttpRequest& request, HttpResponder responder);
   // Whether a planned stop leaves this much time; from any thread.
   [[nodiscard]] bool CanAnswerIn(Duration time) const;
   // Refuses what has gone no further than here; from any thread.
