--- a/tests/system/cluster_case.py
+++ b/tests/system/cluster_case.py
@@ -47,3 +47,14 @@
 
     def answers(self, futures):
         return [future.result(timeout=90) for future in futures]
+
+
+class LoaderWithout(unittest.TestLoader):
+    """Leaves out the tests that ctest runs apart, by name, since KNOWN-RED.txt lists them."""
+
+    def __init__(self, *apart):
+        super().__init__()
+        self.apart = apart
+
+    def getTestCaseNames(self, testCaseClass):
+        return [name for name in super().getTestCaseNames(testCaseClass) if name not in self.apart]
