entry: Say of two functions no more than that they refuse and look at the time

Since only new submissions are refused at the end of a planned stop, both run on the core's thread alone.

--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -65,9 +65,9 @@
     ServiceName service;
   };
 
-  // Whether a planned stop leaves this much time; from any thread.
+  // Whether a planned stop leaves this much time.
   [[nodiscard]] bool CanAnswerIn(Duration time) const;
-  // Refuses what has gone no further than here; from any thread.
+  // Refuses a submission that has gone no further than here.
   JobAnswer Refuse(const std::string& job);
   // The planned stop, on the core's thread.
   void FollowSchedule();
