entry_core: Ask the oldest member for its keys, and don't trust the age of a key without all promises

A home that was left alone in its view holds handed-over keys that nobody else knows; a member that joined then took the bucket with no promise at all. The oldest member of the view is no longer exempt: with an older member present, a home has never been alone. Without all promises only the key's own time of creation counts.

--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -424,6 +424,16 @@
                      });
 }
 
+Timestamp Ownership::FirstSeen(const Bucket& bucket,
+                               const JobSubmission& job) const {
+  // An entry that has not promised may have seen the key earlier than the
+  // record says, which then begins with a later submission of the key.
+  if (bucket.fresh_after) return job.created.value_or(Timestamp::min());
+  const auto record = bucket.known.find(job.key);
+  return record == bucket.known.end() ? Timestamp::min()
+                                      : record->second.first_seen;
+}
+
 HistoryState Ownership::HistoryOf(const JobSubmission& job,
                                   Timestamp now) const {
   const Bucket& bucket = this->Get(this->BucketOfKey(job.key));
@@ -432,10 +442,7 @@
                          !this->HasRunsOfLostAgents(bucket, job.key, now);
     return settled ? HistoryState::kComplete : HistoryState::kIncomplete;
   }
-  const auto record = bucket.known.find(job.key);
-  const Timestamp first_seen = record == bucket.known.end()
-                                   ? Timestamp::min()
-                                   : record->second.first_seen;
+  const Timestamp first_seen = this->FirstSeen(bucket, job);
   if (!this->synchronized) return HistoryState::kIncomplete;
   HistoryState state = HistoryState::kComplete;
   for (const auto& [agent, known] : this->agents.all()) {
@@ -531,7 +538,9 @@
   bucket.former_home.reset();
   const bool other_was_home =
       !previous.IsNone() && previous.entry != this->settings.self;
-  if (other_was_home) bucket.former_home = previous.entry;
+  if (other_was_home && !this->MayHaveBeenAlone(previous.entry)) {
+    bucket.former_home = previous.entry;
+  }
   bucket.own_ballot.epoch = this->current_view.epoch;
   bucket.own_ballot.round =
       previous.epoch == this->current_view.epoch ? previous.round + 1 : 0;
@@ -548,6 +557,13 @@
   }
 }
 
+bool Ownership::MayHaveBeenAlone(EntryId entry) const {
+  // Members are listed in the order in which they joined. With an older member
+  // still in the view, `entry` has never been the only one.
+  const std::vector<ViewMember>& members = this->current_view.members;
+  return !members.empty() && members.front().entry == entry;
+}
+
 void Ownership::Release(BucketId id) {
   Bucket& bucket = this->Get(id);
   this->incomplete_buckets.erase(id);
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -185,7 +185,7 @@
     std::map<EntryId, PriorState> prior_states;
     OwnershipPhase phase = OwnershipPhase::kNone;
     // The previous home. Its promise is not required, since every key that it
-    // started has another witness.
+    // has recorded is recorded by another entry as well.
     std::optional<EntryId> former_home;
     Timestamp begun_at;
     std::set<EntryId> entry_promises;
@@ -208,6 +208,9 @@
   [[nodiscard]] bool IsVacant(BucketId bucket, Timestamp now) const;
   void Acquire(const std::vector<BucketId>& wanted, Timestamp now);
   void BeginAcquisition(BucketId id, Timestamp now);
+  // Whether the view may have had no member but `entry` for some time. Keys
+  // that other entries handed over to it then are recorded nowhere else.
+  [[nodiscard]] bool MayHaveBeenAlone(EntryId entry) const;
   void Release(BucketId id);
   [[nodiscard]] std::set<EntryId> RequiredEntries(BucketId id,
                                                   const Bucket& bucket) const;
@@ -233,6 +236,10 @@
   // As above, for an agent in the registry: after the last contact with any
   // entry, the agent's leases expire within `lease_over_after`.
   [[nodiscard]] bool RunsAreOver(const KnownAgent& agent, Timestamp now) const;
+  // When an entry first saw the job's key, or an earlier time if that is not
+  // known.
+  [[nodiscard]] Timestamp FirstSeen(const Bucket& bucket,
+                                    const JobSubmission& job) const;
   // Whether a recorded task of the key may still be running on a lost agent,
   // which can't be queried.
   [[nodiscard]] bool HasRunsOfLostAgents(const Bucket& bucket,
