entry: Entries that start together join the view together

Change: an entry that joins writes a row of its own that asks for it; whoever writes the view admits all that wait and are alive, and removes their rows in the same transaction. With nobody else waiting an entry admits itself at once. An entry also adopts each view that it has written, even if a later one follows before it reads: only a member of the first view knows that it was the first. Tests: join_requests_test (one view for 35 entries; ended, replaced, removed and waiting entries; unreadable rows).

--- a/services/entry/table_watcher.cc
+++ b/services/entry/table_watcher.cc
@@ -18,6 +18,9 @@
 constexpr Duration kFeedPollTimeout = std::chrono::seconds(1);
 // Pause after a failed call, or while the table has no revision yet.
 constexpr Duration kRetryInterval = std::chrono::milliseconds(250);
+// How long an entry that joins waits for others to ask, if it sees that it is
+// not the only one.
+constexpr Duration kJoinPause = std::chrono::milliseconds(150);
 const char* const kServicePrefix = "service.";
 
 std::string DocumentRow(const ServiceName& service) {
@@ -65,7 +68,8 @@
       sink(std::move(events)),
       table(thread, configured.table),
       own_feed(TableName::kOwn, thread),
-      operator_feed(TableName::kOperators, thread) {}
+      operator_feed(TableName::kOperators, thread),
+      admission_timer(thread) {}
 
 void TableWatcher::Start() {
   asio::post(this->context, [this] {
@@ -130,6 +134,10 @@
       this->OnViewRow(row);
       continue;
     }
+    if (JoinRequests::IsRowKey(row.key)) {
+      this->OnJoinRow(row);
+      continue;
+    }
     if (!row.key.starts_with(kServicePrefix)) continue;
     std::optional<StoredDocument> stored = DecodeDocument(row.value);
     if (stored) this->sink(DocumentRead{std::move(stored->document)});
@@ -184,28 +192,87 @@
   this->sink(ViewRead{this->view});
 }
 
+void TableWatcher::OnJoinRow(const Row& row) {
+  if (row.version == RowVersion()) {
+    this->join_requests.Remove(row.key);
+    return;
+  }
+  if (this->join_requests.Note(row.key, row.value)) return;
+  this->metrics.Count("unreadable_configurations_total", "kind", "join");
+  LogStateChange(ConfigurationUnreadable{"row " + row.key});
+}
+
 void TableWatcher::Join() {
+  if (!this->joining || this->admission_scheduled) return;
+  if (!this->join_requested) {
+    this->RequestToJoin();
+    return;
+  }
+  // The pauses of the entries that wait differ, so that they rarely write at
+  // the same time.
+  constexpr std::uint64_t kSpread = 7;
+  const auto turn =
+      static_cast<std::int64_t>(this->own_member.entry.value() % kSpread);
+  const bool others = this->join_requests.HasOthers(this->own_member.entry);
+  this->ScheduleAdmission(others ? kJoinPause + turn * kJoinPause / 2
+                                 : Duration());
+}
+
+void TableWatcher::RequestToJoin() {
+  this->join_requested = true;
+  const Row row{JoinRequests::RowKey(this->own_member.entry), RowVersion(),
+                JoinRequests::EncodeRow({this->own_member, WallClockNow()})};
+  // Without the row, this entry admits itself.
+  this->table.WriteRow(row, RowVersion(), {},
+                       [this](WriteOutcome) { this->Join(); });
+}
+
+void TableWatcher::ScheduleAdmission(Duration pause) {
+  this->admission_scheduled = true;
+  this->admission_timer.expires_after(pause);
+  this->admission_timer.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    this->admission_scheduled = false;
+    this->AdmitWaiting();
+  });
+}
+
+void TableWatcher::AdmitWaiting() {
   if (!this->joining) return;
-  this->WriteView(WithMember(this->view, this->own_member, WallClockNow()));
+  const Timestamp now = WallClockNow();
+  const View admitted =
+      this->join_requests.Admit(this->view, this->own_member, now);
+  this->WriteView(admitted, this->join_requests.ObsoleteRows(admitted, now));
 }
 
 void TableWatcher::Propose(const View& proposed) {
-  asio::post(this->context, [this, proposed] { this->WriteView(proposed); });
+  asio::post(this->context,
+             [this, proposed] { this->WriteView(proposed, {}); });
 }
 
-void TableWatcher::WriteView(const View& proposed) {
+void TableWatcher::WriteView(const View& proposed,
+                             const std::vector<std::string>& obsolete_rows) {
   if (proposed.epoch.value() != this->view.epoch.value() + 1) return;
   const Row row{kViewRow, RowVersion(), EncodeViewRow(proposed)};
-  this->table.WriteRow(row, this->view_version, [this](WriteOutcome outcome) {
-    this->metrics.Count("view_writes_total", "outcome",
-                        outcome == WriteOutcome::kWritten    ? "written"
-                        : outcome == WriteOutcome::kConflict ? "conflict"
-                                                             : "unknown");
-    // Whether the write succeeded or conflicted, the view that the table now
-    // holds is adopted. If the outcome is unknown, the view arrives with the
-    // feed of changes.
-    if (outcome != WriteOutcome::kUnknown) this->RereadView();
-  });
+  this->table.WriteRow(row, this->view_version, obsolete_rows,
+                       [this, proposed](WriteOutcome outcome) {
+                         this->metrics.Count(
+                             "view_writes_total", "outcome",
+                             outcome == WriteOutcome::kWritten    ? "written"
+                             : outcome == WriteOutcome::kConflict ? "conflict"
+                                                                  : "unknown");
+                         // This entry sees each view that it has written, even
+                         // if another one follows at once: only a member of the
+                         // first view of all knows that there was none before.
+                         if (outcome == WriteOutcome::kWritten)
+                           this->sink(ViewRead{proposed});
+                         // Whether the write succeeded or conflicted, the view
+                         // that the table now holds is adopted. If the outcome
+                         // is unknown, the view arrives with the feed of
+                         // changes.
+                         if (outcome != WriteOutcome::kUnknown)
+                           this->RereadView();
+                       });
 }
 
 void TableWatcher::WriteDocument(const ServiceName& service,
@@ -259,7 +326,7 @@
           return;
         }
         this->table.WriteRow(
-            {current.key, RowVersion(), encoded}, current.version,
+            {current.key, RowVersion(), encoded}, current.version, {},
             [=, this](WriteOutcome outcome) {
               if (outcome == WriteOutcome::kWritten) {
                 callback({DocumentWriteState::kWritten, next.document.version});
--- a/services/entry/table_watcher.h
+++ b/services/entry/table_watcher.h
@@ -13,6 +13,7 @@
 #include "libraries/telemetry/metrics.h"
 #include "platform/table_client.h"
 #include "services/entry/entry_links.h"
+#include "services/entry/join_requests.h"
 
 namespace dandelionspur {
 
@@ -79,11 +80,19 @@
   void UpdateReachability(bool answered);
   void OnOwnRows(const std::vector<Row>& rows);
   void OnOperatorRows(const std::vector<Row>& rows);
+  void OnJoinRow(const Row& row);
   // Reads the view after a write of it, to adopt what the table holds now.
   void RereadView();
   void OnViewRow(const Row& row);
+  // Makes this entry a member, unless it is one or its request is under way.
   void Join();
-  void WriteView(const View& view);
+  void RequestToJoin();
+  // Admits this entry and all others that wait, after a pause in which more of
+  // them may ask.
+  void ScheduleAdmission(Duration pause);
+  void AdmitWaiting();
+  void WriteView(const View& view,
+                 const std::vector<std::string>& obsolete_rows);
   void WriteNextVersion(const Row& current, DocumentVersion base,
                         const std::string& change_id, const std::string& text,
                         const DocumentWriteCallback& callback);
@@ -106,6 +115,10 @@
   RowVersion view_version;
   View view;
   bool joining = true;
+  JoinRequests join_requests;
+  bool join_requested = false;
+  bool admission_scheduled = false;
+  boost::asio::steady_timer admission_timer;
   bool reachable = true;
 };
 
--- a/utilities/table_stand_in/table_store.cc
+++ b/utilities/table_stand_in/table_store.cc
@@ -158,6 +158,9 @@
   for (const json& row : transaction.value("writes", json())) {
     this->Write(name_of(row), row.value("value", ""));
   }
+  for (const json& row : transaction.value("remove", json())) {
+    this->Remove(name_of(row));
+  }
   this->AnswerFeeds();
   return JsonResponse(kOk, {{"schema_version", this->revision}});
 }
@@ -167,8 +170,20 @@
   this->history.push_back({this->revision, name});
 }
 
+void TableStore::Remove(const RowName& name) {
+  if (this->rows.erase(name) == 0) return;
+  this->history.push_back({this->revision, name});
+}
+
 json TableStore::RowJson(const RowName& name) const {
-  const StoredRow& row = this->rows.at(name);
+  const auto found = this->rows.find(name);
+  if (found == this->rows.end()) {
+    return {{"table", std::get<0>(name)},
+            {"part", std::get<1>(name)},
+            {"key", std::get<2>(name)},
+            {"deleted", true}};
+  }
+  const StoredRow& row = found->second;
   return {{"table", std::get<0>(name)},
           {"part", std::get<1>(name)},
           {"key", std::get<2>(name)},
--- a/utilities/table_stand_in/table_store.h
+++ b/utilities/table_stand_in/table_store.h
@@ -76,6 +76,7 @@
   // Applies a transaction if its conditions hold. Returns the answer.
   HttpResponse Apply(const nlohmann::json& transaction);
   void Write(const RowName& name, const std::string& value);
+  void Remove(const RowName& name);
   void Feed(const HttpRequest& request, const HttpResponder& responder);
   void AnswerFeeds();
   [[nodiscard]] nlohmann::json RowJson(const RowName& name) const;
