--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -73,12 +73,14 @@
 void AgentCore::On(const EntryConnected& event) {
   this->connected[event.entry] = ConnectedEntry();
   this->acknowledged.erase(event.entry);
+  this->ready_announced.erase(event.entry);
   this->SendRegistrations();
 }
 
 void AgentCore::On(const EntryDisconnected& event) {
   this->connected.erase(event.entry);
   this->acknowledged.erase(event.entry);
+  this->ready_announced.erase(event.entry);
 }
 
 void AgentCore::On(const EntryMessageReceived& event) {
@@ -149,11 +151,16 @@
     Ballot& promised_ballot = this->promises[promise.bucket.value()];
     promised_ballot = std::max(promised_ballot, promise.ballot);
   }
+  if (message.has_promises) this->promises_received.insert(from);
   this->AdoptView(message.view);
-  if (message.view.epoch != this->view.epoch) return;
-  if (!this->connected.contains(from)) return;
+  const bool is_complete =
+      this->connected.contains(from) && this->promises_received.contains(from);
+  if (!is_complete) return;
+  // The acknowledgement holds in later views as well: a member that knows this
+  // agent tells the entries that join about it.
   this->acknowledged.insert(from);
   this->CheckReady();
+  if (this->ready) this->AnnounceReady(from);
 }
 
 void AgentCore::OnMessage(EntryId from, const PromiseRequest& message) {
@@ -176,10 +183,21 @@
 
 void AgentCore::OnMessage(EntryId from, const Start& message) {
   const auto sender = this->connected.find(from);
+  Start start = message;
   if (sender != this->connected.end()) {
     ++sender->second.starts_seen;
     sender->second.demand = message.queued;
+    Payload& latest = sender->second.latest_body;
+    if (!message.repeated_body) latest = message.request.body;
+    if (message.repeated_body == latest.digest()) {
+      start.request.body = latest;
+      start.repeated_body.reset();
+    }
   }
+  this->Accept(from, start);
+}
+
+void AgentCore::Accept(EntryId from, const Start& message) {
   if (this->started.Contains(message.task) &&
       !this->started.MayRunAgain(message)) {
     this->started.UpdateLatestStart(message);
@@ -265,9 +283,12 @@
 void AgentCore::AdoptView(const View& candidate) {
   if (candidate.epoch <= this->view.epoch) return;
   this->view = candidate;
-  this->acknowledged.clear();
+  std::erase_if(this->acknowledged, [&](EntryId entry) {
+    return this->view.Find(entry) == nullptr;
+  });
   this->effects.emplace_back(ConnectToMembers{this->view});
   this->SendRegistrations();
+  this->CheckReady();
 }
 
 void AgentCore::SendRegistrations() {
@@ -276,24 +297,33 @@
   if (!this->description || this->view.epoch == Epoch()) return;
   for (const auto& [entry, state] : this->connected) {
     if (this->acknowledged.contains(entry)) continue;
-    this->Send(entry, Register{*this->description, this->view.epoch});
+    this->Send(entry, Register{*this->description, this->view.epoch,
+                               this->promises_received.contains(entry)});
   }
 }
 
 void AgentCore::CheckReady() {
+  if (this->ready) return;
   for (const ViewMember& member : this->view.members) {
     if (!this->acknowledged.contains(member.entry)) return;
   }
   this->ready = true;
-  for (const EntryId entry : this->acknowledged) {
-    this->Send(entry, AgentReady{this->view.epoch});
-    if (this->leaving) this->Send(entry, AgentLeaving{});
-    this->SendHeartbeat(entry);
-  }
+  for (const EntryId entry : this->acknowledged) this->AnnounceReady(entry);
+}
+
+void AgentCore::AnnounceReady(EntryId entry) {
+  Epoch& announced = this->ready_announced[entry];
+  if (announced == this->view.epoch) return;
+  announced = this->view.epoch;
+  this->Send(entry, AgentReady{this->view.epoch});
+  if (this->leaving) this->Send(entry, AgentLeaving{});
+  this->SendHeartbeat(entry);
 }
 
 std::optional<Reason> AgentCore::StartRefusalReason(const Start& start) const {
   if (start.agent != this->settings.self) return Reason::kWrongIncarnation;
+  // The connection with the start that had the body has broken.
+  if (start.repeated_body) return Reason::kNoFreeSlot;
   if (start.ballot <
       this->promises[this->BucketOfKey(start.task.key).value()]) {
     return Reason::kStaleBallot;
@@ -415,7 +445,7 @@
   // The entry applies the same rule to the load and sends another demand
   // notice if it needs more capacity.
   if (load.HasFreeCapacity()) this->connected[entry].demand = 0;
-  this->Send(entry, AgentHeartbeat{load, this->current_time});
+  this->Send(entry, AgentHeartbeat{load, this->current_time, this->view.epoch});
 }
 
 void AgentCore::NotifyEntriesWithDemand(EntryId except) {
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -67,6 +67,7 @@
   void OnMessage(EntryId from, const RegisterAcknowledged& message);
   void OnMessage(EntryId from, const PromiseRequest& message);
   void OnMessage(EntryId from, const Start& message);
+  void Accept(EntryId from, const Start& start);
   void OnMessage(EntryId from, const Renounce& message);
   void OnMessage(EntryId from, const StopTask& message);
   void OnMessage(EntryId from, const DemandNotice& message);
@@ -75,7 +76,11 @@
 
   void AdoptView(const View& candidate);
   void SendRegistrations();
+  // Becomes ready once every member of the view has acknowledged this agent.
+  // Announces that to all of them when it begins, and to each entry that
+  // acknowledges this agent later.
   void CheckReady();
+  void AnnounceReady(EntryId entry);
   [[nodiscard]] std::optional<Reason> StartRefusalReason(
       const Start& start) const;
   void RefuseStart(EntryId to, const Start& start, Reason reason);
@@ -107,6 +112,8 @@
     // Number of tasks that the entry queues for lack of free capacity; 0 once
     // a load with free capacity was reported to it.
     std::uint32_t demand = 0;
+    // The body of the entry's latest start on this connection.
+    Payload latest_body;
     // The load version that was last reported to the entry.
     std::uint64_t reported_load = 0;
   };
@@ -118,7 +125,13 @@
   std::optional<AgentDescription> description;
   std::vector<Ballot> promises;
   std::map<EntryId, ConnectedEntry> connected;
+  // The connected entries that know this agent.
   std::set<EntryId> acknowledged;
+  // The entries whose promises this agent has taken over.
+  std::set<EntryId> promises_received;
+  // The epoch of the view in which each connected entry was last told that this
+  // agent is ready.
+  std::map<EntryId, Epoch> ready_announced;
   // Running tasks for which the upstream has received a stop order.
   std::set<TaskId> stopping;
   Timestamp current_time;
--- /dev/null
+++ b/libraries/entry_core/agent_contacts.cc
@@ -0,0 +1,174 @@
+#include "libraries/entry_core/agent_contacts.h"
+
+#include <algorithm>
+
+namespace dandelionspur {
+namespace {
+
+// An agent or entry that was silent for two heartbeats is missing. Asking about
+// one that is only late costs a few bytes.
+constexpr Duration kMissingAfter = std::chrono::milliseconds(350);
+
+}  // namespace
+
+AgentContacts::AgentContacts(const EntryCoreSettings& configured,
+                             AgentRegistry& registry, PeerDirectory& directory)
+    : settings(configured), agents(registry), peers(directory) {}
+
+PeerHeartbeat AgentContacts::HeartbeatFor(EntryId peer, const View& view,
+                                          Timestamp now) const {
+  PeerHeartbeat heartbeat;
+  heartbeat.epoch = view.epoch;
+  heartbeat.sent_at = now;
+  if (this->peers.Asks(peer)) {
+    this->AddRequestedContacts(peer, now, heartbeat);
+  } else {
+    this->AddAllContacts(view, now, heartbeat);
+  }
+  this->AddRequests(peer, view, now, heartbeat);
+  return heartbeat;
+}
+
+void AgentContacts::AddRequestedContacts(EntryId peer, Timestamp now,
+                                         PeerHeartbeat& heartbeat) const {
+  heartbeat.coverage = ContactCoverage::kRequested;
+  heartbeat.peers.push_back(this->ContactOf(peer, now));
+  const std::vector<AgentId>& asked = this->peers.AgentsAskedBy(peer);
+  for (const EntryId entry : this->peers.EntriesAskedBy(peer)) {
+    // What this entry knows of the other's contacts must include the agents
+    // that the receiver asks about.
+    if (!this->peers.HasListed(entry, asked)) continue;
+    heartbeat.peers.push_back(this->ContactOf(entry, now));
+  }
+  for (const AgentId id : asked) {
+    const KnownAgent* known = this->agents.Find(id);
+    if (known == nullptr) {
+      // This entry has had no contact with the agent.
+      heartbeat.sightings.push_back({id, Timestamp(), Duration()});
+      continue;
+    }
+    heartbeat.sightings.push_back(
+        {id, known->newest_heartbeat, now - known->contact_at});
+    if (!known->lost_at) continue;
+    heartbeat.lost_agents.push_back({id, known->lost_at, known->ended_idle});
+  }
+}
+
+void AgentContacts::AddAllContacts(const View& view, Timestamp now,
+                                   PeerHeartbeat& heartbeat) const {
+  heartbeat.coverage = ContactCoverage::kAll;
+  for (const ViewMember& member : view.members) {
+    if (member.entry == this->settings.self) continue;
+    heartbeat.peers.push_back(this->ContactOf(member.entry, now));
+  }
+  for (const auto& [id, known] : this->agents.all()) {
+    const Duration age = now - known.contact_at;
+    if (known.lost_at || age > this->settings.lease_over_after) continue;
+    heartbeat.sightings.push_back({id, known.newest_heartbeat, age});
+  }
+}
+
+void AgentContacts::AddRequests(EntryId peer, const View& view, Timestamp now,
+                                PeerHeartbeat& heartbeat) const {
+  std::set<AgentId> missing;
+  for (const auto& [id, known] : this->agents.all()) {
+    if (this->IsMissing(known, now)) missing.insert(id);
+  }
+  for (const ViewMember& member : view.members) {
+    if (member.entry == this->settings.self || member.entry == peer) continue;
+    if (!this->peers.EntriesAskedBy(member.entry).empty()) {
+      const std::vector<AgentId>& asked =
+          this->peers.AgentsAskedBy(member.entry);
+      missing.insert(asked.begin(), asked.end());
+    }
+    if (now - this->peers.ConfirmedAt(member.entry) > kMissingAfter) {
+      heartbeat.missing_entries.push_back(member.entry);
+    }
+  }
+  heartbeat.missing_agents.assign(missing.begin(), missing.end());
+}
+
+PeerContact AgentContacts::ContactOf(EntryId peer, Timestamp now) const {
+  return {peer, this->peers.NewestHeartbeat(peer),
+          now - this->peers.ConfirmedAt(peer)};
+}
+
+std::vector<AgentSummary> AgentContacts::OnHeartbeat(
+    EntryId from, const PeerHeartbeat& message, Timestamp now) {
+  this->peers.NoteHeartbeat(from, message, now);
+  for (const AgentContact& sighting : message.sightings) {
+    this->agents.Add(sighting.agent)
+        .NoteHeartbeat(sighting.heartbeat, now - sighting.age);
+  }
+  const auto own = std::find_if(
+      message.peers.begin(), message.peers.end(),
+      [&](const auto& known) { return known.entry == this->settings.self; });
+  const bool is_confirmed =
+      own != message.peers.end() && own->heard != Timestamp();
+  if (!is_confirmed) return message.lost_agents;
+  this->peers.NoteHeartbeatConfirmed(from, own->heard, now);
+  for (const PeerContact& known : message.peers) {
+    if (known.entry == this->settings.self) continue;
+    // The peer sent this message after receiving this entry's heartbeat of
+    // `own->heard`, so by this entry's clock the peer has the sightings of
+    // `known.entry` at least up to `informed_age` before that time.
+    this->peers.NoteSightingsReceived(known.entry,
+                                      own->heard - known.informed_age, now);
+  }
+  return message.lost_agents;
+}
+
+bool AgentContacts::RunsAreOver(const KnownAgent& agent, const View& view,
+                                Timestamp now) const {
+  const Duration lease_over = this->settings.lease_over_after;
+  if (agent.lost_at) {
+    // A dead process renews no lease, whatever contact it had before its death.
+    return agent.ended_idle ||
+           now >= *agent.lost_at + lease_over - kContactLimit;
+  }
+  if (now < agent.contact_at + lease_over) return false;
+  const Timestamp over_at =
+      this->LatestPossibleContact(agent, view) + lease_over;
+  if (now < over_at) return false;
+  const bool hears_most = this->HearsMostMembers(view, now);
+  return std::all_of(
+      view.members.begin(), view.members.end(), [&](const ViewMember& member) {
+        if (member.entry == this->settings.self) return true;
+        // The member would have reported a contact that renewed a lease.
+        if (this->peers.SightingsUpTo(member.entry) >= over_at) return true;
+        const bool is_dead = this->peers.DeadSince(member.entry).has_value();
+        return (hears_most || is_dead) &&
+               now >=
+                   this->peers.MayConfirmAgentsUntil(member.entry) + lease_over;
+      });
+}
+
+bool AgentContacts::HearsMostMembers(const View& view, Timestamp now) const {
+  std::size_t heard = 1;
+  std::size_t living = 1;
+  for (const ViewMember& member : view.members) {
+    if (member.entry == this->settings.self) continue;
+    if (this->peers.DeadSince(member.entry)) continue;
+    ++living;
+    if (this->peers.IsConfirming(member.entry, now)) ++heard;
+  }
+  return 2 * heard > living;
+}
+
+bool AgentContacts::IsMissing(const KnownAgent& agent, Timestamp now) const {
+  if (agent.lost_at) return false;
+  return !agent.connected || now - agent.last_heard > kMissingAfter;
+}
+
+Timestamp AgentContacts::LatestPossibleContact(const KnownAgent& agent,
+                                               const View& view) const {
+  Timestamp latest = agent.contact_at;
+  for (const ViewMember& member : view.members) {
+    if (member.entry == this->settings.self) continue;
+    latest = std::max(latest,
+                      this->peers.UnlistedContact(member.entry, agent.agent));
+  }
+  return latest;
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/libraries/entry_core/agent_contacts.h
@@ -0,0 +1,71 @@
+#ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_AGENT_CONTACTS_H_
+#define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_AGENT_CONTACTS_H_
+
+#include <set>
+#include <vector>
+
+#include "libraries/entry_core/agent_registry.h"
+#include "libraries/entry_core/entry_core_settings.h"
+#include "libraries/entry_core/peer_directory.h"
+#include "libraries/protocol/entry_messages.h"
+
+namespace dandelionspur {
+
+// What the entries tell each other about their latest contacts with agents, and
+// when the tasks of an agent must be over because no entry has had contact with
+// it. A heartbeat between entries names only the agents that its receiver does
+// not hear itself; of all other agents the receiver must assume that the sender
+// has contact. So an idle fleet exchanges nothing about its agents.
+// docs/design/platform.md has the argument.
+class AgentContacts {
+ public:
+  AgentContacts(const EntryCoreSettings& configured, AgentRegistry& registry,
+                PeerDirectory& directory);
+
+  // The heartbeat for `peer`, a member of `view`.
+  [[nodiscard]] PeerHeartbeat HeartbeatFor(EntryId peer, const View& view,
+                                           Timestamp now) const;
+  // Records a heartbeat of another entry. Returns the agents of which this
+  // entry learns from it that they are lost.
+  std::vector<AgentSummary> OnHeartbeat(EntryId from,
+                                        const PeerHeartbeat& message,
+                                        Timestamp now);
+  // Whether no task that the agent has started can still be running: after the
+  // last contact with any member of `view`, the agent's leases expire within
+  // `lease_over_after`.
+  [[nodiscard]] bool RunsAreOver(const KnownAgent& agent, const View& view,
+                                 Timestamp now) const;
+
+  // Whether most living members of the view have recently confirmed heartbeats
+  // of this entry. At least one of these then also hears any other entry for
+  // which the same holds.
+  [[nodiscard]] bool HearsMostMembers(const View& view, Timestamp now) const;
+
+ private:
+  // Whether this entry relies on others to tell it about contacts of the agent.
+  [[nodiscard]] bool IsMissing(const KnownAgent& agent, Timestamp now) const;
+  // The latest time at which any entry can have had contact with the agent, as
+  // far as this entry has been told.
+  [[nodiscard]] Timestamp LatestPossibleContact(const KnownAgent& agent,
+                                                const View& view) const;
+  void AddRequestedContacts(EntryId peer, Timestamp now,
+                            PeerHeartbeat& heartbeat) const;
+  // For a peer of a version that expects the contacts of all agents and
+  // entries.
+  void AddAllContacts(const View& view, Timestamp now,
+                      PeerHeartbeat& heartbeat) const;
+  // Asks for the agents and entries that this entry does not hear. An entry
+  // that does not hear all others learns of their contacts through this one,
+  // which therefore passes on its requests.
+  void AddRequests(EntryId peer, const View& view, Timestamp now,
+                   PeerHeartbeat& heartbeat) const;
+  [[nodiscard]] PeerContact ContactOf(EntryId peer, Timestamp now) const;
+
+  EntryCoreSettings settings;
+  AgentRegistry& agents;
+  PeerDirectory& peers;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_ENTRY_CORE_AGENT_CONTACTS_H_
--- a/libraries/entry_core/agent_registry.cc
+++ b/libraries/entry_core/agent_registry.cc
@@ -33,6 +33,7 @@
 void KnownAgent::ResetSentStarts() {
   this->load = AgentLoad();
   this->starts_sent = 0;
+  this->latest_body.reset();
   this->unreported_starts.clear();
   this->unreported_total = Resources();
 }
@@ -96,6 +97,14 @@
   });
 }
 
+std::vector<AgentId> AgentRegistry::Acknowledged() const {
+  std::vector<AgentId> acknowledged;
+  for (const auto& [id, known] : this->agents) {
+    if (known.connected && known.acknowledged) acknowledged.push_back(id);
+  }
+  return acknowledged;
+}
+
 std::vector<AgentSummary> AgentRegistry::Summaries() const {
   std::vector<AgentSummary> summaries;
   summaries.reserve(this->agents.size());
--- a/libraries/entry_core/agent_registry.h
+++ b/libraries/entry_core/agent_registry.h
@@ -31,6 +31,12 @@
   // have received it.
   Timestamp newest_heartbeat;
   Timestamp contact_at;
+  // Whether this entry has acknowledged the agent on the current connection.
+  bool acknowledged = false;
+  // Whether the agent reports the epoch of its view with its heartbeats, and
+  // when this entry may send it the view again.
+  bool reports_epoch = false;
+  Timestamp next_view;
   // No heartbeat is answered before this time, which limits the rate of
   // answers.
   Timestamp next_reply;
@@ -38,8 +44,9 @@
   AgentLoad load;
   // The agent's latest report on any connection.
   std::optional<AgentLoad> last_load;
-  // Starts sent on this connection.
+  // Starts sent on this connection, and the body of the latest one.
   std::uint64_t starts_sent = 0;
+  std::optional<Payload> latest_body;
   // Resource needs of sent starts that `load` does not include yet, oldest
   // first.
   std::deque<Resources> unreported_starts;
@@ -105,6 +112,8 @@
   // Removes agents lost before `horizon`.
   void Expire(Timestamp horizon);
   [[nodiscard]] std::vector<AgentSummary> Summaries() const;
+  // The connected agents that this entry has acknowledged.
+  [[nodiscard]] std::vector<AgentId> Acknowledged() const;
   [[nodiscard]] const std::map<AgentId, KnownAgent>& all() const {
     return this->agents;
   }
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -4,11 +4,23 @@
 #include <utility>
 
 namespace dandelionspur {
+namespace {
+
+// An agent is sent a new view by this many entries, so that it learns of it if
+// some of them are lost.
+constexpr std::size_t kViewSenders = 3;
+// Peers and agents that still have an earlier view after this time are sent the
+// current one, once in each such interval.
+constexpr Duration kViewPatience = std::chrono::milliseconds(400);
+
+}  // namespace
 
 EntryCore::EntryCore(const EntryCoreSettings& configured)
     : settings(configured),
       peers(configured.suspect_after),
-      ownership(this->settings, this->registry, this->peers, this->outbox),
+      contacts(this->settings, this->registry, this->peers),
+      ownership(this->settings, this->registry, this->peers, this->contacts,
+                this->outbox),
       confirmer(this->settings, this->ownership, this->registry, this->outbox),
       home(this->settings, this->ownership, this->registry, this->confirmer,
            this->outbox),
@@ -72,8 +84,8 @@
 void EntryCore::On(const PeerConnected& event) {
   this->peers.Connected(event.peer, this->current_time);
   this->SendState(event.peer);
-  this->ownership.RepeatRequests();
-  this->hand_over.RepeatRequests();
+  this->ownership.RequestFromEntry(event.peer);
+  this->hand_over.RepeatRequestsTo(event.peer);
 }
 
 void EntryCore::On(const PeerDisconnected& event) {
@@ -106,6 +118,7 @@
   agent.connected = true;
   agent.last_heard = this->current_time;
   agent.contact_at = this->current_time;
+  agent.acknowledged = false;
   agent.ResetSentStarts();
   agent.demand_notified = false;
   this->disconnected_agents.erase(event.agent);
@@ -233,15 +246,12 @@
 
 void EntryCore::OnPeer(EntryId from, const Relay& message) {
   const Duration waited = this->peers.InboundDelay(from);
-  if (waited == Duration()) {
-    this->AcceptRelay(from, message);
-    return;
-  }
   // The relaying entry has already answered the caller.
-  if (waited >= message.job.time_allowed) return;
-  Relay aged = message;
-  aged.job.time_allowed -= waited;
-  this->AcceptRelay(from, aged);
+  if (waited > Duration() && waited >= message.job.time_allowed) return;
+  Relay relay = message;
+  relay.job.time_allowed -= waited;
+  relay.job.UnshareBody();
+  this->AcceptRelay(from, relay);
 }
 
 void EntryCore::AcceptRelay(EntryId from, const Relay& message) {
@@ -327,26 +337,11 @@
 }
 
 void EntryCore::OnPeer(EntryId from, const PeerHeartbeat& message) {
-  // Sends the newer view to the peer, which may be unable to reach the table.
-  if (message.epoch < this->view().epoch) this->SendState(from);
-  const Timestamp now = this->current_time;
-  this->peers.NoteHeartbeat(from, message.sent_at, now);
-  for (const AgentContact& sighting : message.sightings) {
-    this->registry.Add(sighting.agent)
-        .NoteHeartbeat(sighting.heartbeat, now - sighting.age);
-  }
-  const auto own = std::find_if(
-      message.peers.begin(), message.peers.end(),
-      [&](const auto& known) { return known.entry == this->settings.self; });
-  if (own == message.peers.end() || own->heard == Timestamp()) return;
-  this->peers.NoteHeartbeatConfirmed(from, own->heard, now);
-  for (const PeerContact& known : message.peers) {
-    if (known.entry == this->settings.self) continue;
-    // The peer sent this message after receiving this entry's heartbeat of
-    // `own->heard`, so by this entry's clock the peer has the sightings of
-    // `known.entry` at least up to `informed_age` before that time.
-    this->peers.NoteSightingsReceived(known.entry,
-                                      own->heard - known.informed_age, now);
+  this->SendViewIfOutdated(from, message.epoch);
+  for (const AgentSummary& lost :
+       this->contacts.OnHeartbeat(from, message, this->current_time)) {
+    this->MarkAgentLost(lost.agent, lost.ended_idle ? AgentRuns::kEnded
+                                                    : AgentRuns::kMayContinue);
   }
 }
 
@@ -357,14 +352,19 @@
   }
   KnownAgent& agent = this->registry.Add(from);
   agent.connected = true;
+  agent.acknowledged = true;
   this->registry.RecountCapacity();
-  this->outbox.ToAgent(
-      from, RegisterAcknowledged{this->view(), this->ownership.Promises()});
+  RegisterAcknowledged reply;
+  reply.view.epoch = this->view().epoch;
+  if (message.epoch < this->view().epoch) reply.view = this->view();
+  reply.has_promises = !message.has_promises;
+  if (reply.has_promises) reply.promises = this->ownership.Promises();
+  this->outbox.ToAgent(from, std::move(reply));
 }
 
-void EntryCore::OnAgent(AgentId from, const AgentReady& message) {
+void EntryCore::OnAgent(AgentId from, const AgentReady& /*message*/) {
   KnownAgent* agent = this->registry.Find(from);
-  if (agent == nullptr || message.epoch < this->view().epoch) return;
+  if (agent == nullptr) return;
   agent->ready = true;
   this->registry.RecountCapacity();
   this->ownership.RequestFromAgent(from);
@@ -402,6 +402,8 @@
   KnownAgent* agent = this->registry.Find(from);
   if (agent != nullptr) {
     agent->NoteHeartbeat(message.sent_at, this->current_time);
+    agent->reports_epoch = message.epoch != Epoch();
+    if (agent->reports_epoch) this->SendViewIfOutdated(*agent, message.epoch);
   }
   if (agent == nullptr || this->current_time < agent->next_reply) return;
   // An entry without contact to most others must not keep tasks running whose
@@ -420,8 +422,14 @@
 
 void EntryCore::AdoptView(const View& view) {
   if (view.epoch <= this->view().epoch) return;
-  this->ResubmitJobs(this->ownership.AdoptView(view));
+  const View former = this->view();
+  const Ownership::ViewChange change =
+      this->ownership.AdoptView(view, this->current_time);
+  this->view_adopted = this->current_time;
+  this->next_view.clear();
+  this->ResubmitJobs(change.released);
   this->hand_over.OnViewChange();
+  this->hand_over.ReReplicate(change.kept);
   for (const ViewMember& member : view.members) {
     if (member.entry == this->settings.self) continue;
     this->peers.TrackMember(member.entry, this->current_time);
@@ -439,15 +447,52 @@
     this->member_since = this->current_time;
     this->ownership.NoteJoined(this->current_time);
     this->joined_epoch = view.epoch;
-    const bool first_ever = view.members.size() == 1 && view.losses.empty();
+    // No agent can be ready that a member of the first view has not
+    // acknowledged.
+    const bool first_ever = view.epoch == Epoch(1) && view.losses.empty();
     if (first_ever) this->ownership.MarkSynchronized();
   }
-  for (const ViewMember& member : view.members) this->SendState(member.entry);
-  for (const auto& [agent, known] : this->registry.all()) {
-    if (!known.connected) continue;
-    this->outbox.ToAgent(
-        agent, RegisterAcknowledged{view, this->ownership.Promises()});
+  for (const ViewMember& member : view.members) {
+    // Former members receive each other's states when they connect.
+    if (former.Find(member.entry) == nullptr) this->SendState(member.entry);
   }
+  this->SendViewToAgents();
+}
+
+void EntryCore::SendViewToAgents() {
+  const std::vector<AgentId> ids = this->registry.Acknowledged();
+  for (const AgentId id : ids) {
+    KnownAgent& agent = *this->registry.Find(id);
+    const bool learns_from_others =
+        agent.reports_epoch &&
+        !this->view().IsAmongFirst(this->settings.self, id, kViewSenders);
+    if (!learns_from_others) this->SendView(agent);
+  }
+}
+
+void EntryCore::SendView(KnownAgent& agent) {
+  agent.next_view = this->current_time + kViewPatience;
+  this->outbox.ToAgent(agent.agent,
+                       RegisterAcknowledged{this->view(), {}, false});
+}
+
+void EntryCore::SendViewIfOutdated(KnownAgent& agent, Epoch epoch) {
+  const bool is_outdated = agent.acknowledged && epoch < this->view().epoch;
+  const bool had_time =
+      this->current_time >= this->view_adopted + kViewPatience &&
+      this->current_time >= agent.next_view;
+  if (is_outdated && had_time) this->SendView(agent);
+}
+
+void EntryCore::SendViewIfOutdated(EntryId peer, Epoch epoch) {
+  if (epoch >= this->view().epoch) return;
+  Timestamp& next = this->next_view[peer];
+  const Timestamp now = this->current_time;
+  if (now < this->view_adopted + kViewPatience || now < next) return;
+  next = now + kViewPatience;
+  // The peer may be unable to reach the table. It has the rest of the state
+  // since it connected.
+  this->outbox.ToPeer(peer, PeerState{this->view(), false, {}, {}});
 }
 
 void EntryCore::AdoptDocument(const VersionedDocument& document) {
@@ -565,36 +610,17 @@
 }
 
 void EntryCore::SendHeartbeats() {
-  const Timestamp now = this->current_time;
-  PeerHeartbeat heartbeat{this->view().epoch, now, {}, {}};
-  for (const ViewMember& member : this->view().members) {
-    if (member.entry == this->settings.self) continue;
-    heartbeat.peers.push_back({member.entry,
-                               this->peers.NewestHeartbeat(member.entry),
-                               now - this->peers.SightingsUpTo(member.entry)});
-  }
-  for (const auto& [id, known] : this->registry.all()) {
-    const Duration age = now - known.contact_at;
-    if (known.lost_at || age > this->settings.lease_over_after) continue;
-    heartbeat.sightings.push_back({id, known.newest_heartbeat, age});
-  }
   for (const ViewMember& member : this->view().members) {
     if (!this->peers.IsConnected(member.entry)) continue;
-    this->outbox.ToPeer(member.entry, heartbeat);
+    this->outbox.ToPeer(member.entry,
+                        this->contacts.HeartbeatFor(member.entry, this->view(),
+                                                    this->current_time));
   }
 }
 
 bool EntryCore::MayRenewLeases() const {
   if (!this->IsMember()) return this->draining;
-  std::size_t reached = 1;
-  std::size_t living = 1;
-  for (const ViewMember& member : this->view().members) {
-    if (member.entry == this->settings.self) continue;
-    if (this->peers.DeadSince(member.entry)) continue;
-    ++living;
-    if (this->peers.IsConfirming(member.entry, this->current_time)) ++reached;
-  }
-  return 2 * reached > living;
+  return this->contacts.HearsMostMembers(this->view(), this->current_time);
 }
 
 void EntryCore::ContinueDrain() {
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <vector>
 
+#include "libraries/entry_core/agent_contacts.h"
 #include "libraries/entry_core/agent_registry.h"
 #include "libraries/entry_core/entry_core_settings.h"
 #include "libraries/entry_core/entry_events.h"
@@ -100,6 +101,13 @@
   // the current time.
   void AcceptRelay(EntryId from, const Relay& message);
   void AdoptView(const View& view);
+  // Sends the view to the agents that learn of it from this entry.
+  void SendViewToAgents();
+  void SendView(KnownAgent& agent);
+  // Sends the view to a peer or agent that has had time to learn of it from
+  // elsewhere, and reports an earlier one.
+  void SendViewIfOutdated(EntryId peer, Epoch epoch);
+  void SendViewIfOutdated(KnownAgent& agent, Epoch epoch);
   void AdoptDocument(const VersionedDocument& document);
   [[nodiscard]] PeerState StateForPeers() const;
   void SendState(EntryId peer);
@@ -127,6 +135,7 @@
   EntryOutbox outbox;
   AgentRegistry registry;
   PeerDirectory peers;
+  AgentContacts contacts;
   Ownership ownership;
   RefusalConfirmer confirmer;
   HomeJobs home;
@@ -142,6 +151,9 @@
   // and losses from before that time.
   std::optional<Timestamp> member_since;
   Epoch joined_epoch;
+  // When the current view was adopted, and when each peer may be sent it again.
+  Timestamp view_adopted;
+  std::map<EntryId, Timestamp> next_view;
   // Peers from which no message has arrived since they reconnected.
   std::set<EntryId> renewed_links;
   bool draining = false;
--- a/libraries/entry_core/hand_over.cc
+++ b/libraries/entry_core/hand_over.cc
@@ -86,6 +86,15 @@
   for (const auto& [sequence, round] : this->rounds) this->Send(round);
 }
 
+void KeyHandOver::RepeatRequestsTo(EntryId entry) {
+  if (!this->peers.IsConnected(entry)) return;
+  for (const auto& [sequence, round] : this->rounds) {
+    if (round.pending.contains(entry)) {
+      this->outbox.ToPeer(entry, round.message);
+    }
+  }
+}
+
 void KeyHandOver::OnViewChange() {
   this->rounds.clear();
   if (!this->departure) return;
--- a/libraries/entry_core/hand_over.h
+++ b/libraries/entry_core/hand_over.h
@@ -39,6 +39,8 @@
   // Sends the hand-over messages again to members that have not acknowledged
   // them.
   void RepeatRequests();
+  // Sends the pending hand-over messages to a member that has connected.
+  void RepeatRequestsTo(EntryId entry);
   // Discards pending hand-overs, since acknowledgements under an earlier view
   // do not cover the members of the current one. Restarts that of a departure.
   void OnViewChange();
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -21,6 +21,16 @@
   return started;
 }
 
+// Leaves out the body if the agent has received it with the preceding start.
+void OmitRepeatedBody(KnownAgent& agent, Start& start) {
+  const Payload body = start.request.body;
+  const bool is_known = agent.reports_epoch && agent.latest_body == body;
+  agent.latest_body = body;
+  if (!is_known || body.size() == 0) return;
+  start.repeated_body = body.digest();
+  start.request.body = Payload();
+}
+
 // Whether tasks of the job may be started again even if an earlier start may
 // have run.
 bool IsRerunnable(const HomeJob& job) {
@@ -735,12 +745,20 @@
   this->outstanding[agent.agent].insert(id);
   const BucketId bucket = this->ownership.BucketOfKey(job.submission.key);
   record.start = {this->ownership.Promised(bucket), ++this->last_start};
-  this->outbox.ToAgent(
-      agent.agent,
-      Start{id, record.start.ballot, record.start.attempt, agent.agent,
-            job.TimeLeft(now), reason, service.queued_tasks(),
-            job.submission.name, job.submission.rerun, agent.newest_heartbeat,
-            request});
+  Start start{id,
+              record.start.ballot,
+              record.start.attempt,
+              agent.agent,
+              job.TimeLeft(now),
+              reason,
+              service.queued_tasks(),
+              job.submission.name,
+              job.submission.rerun,
+              agent.newest_heartbeat,
+              request,
+              std::nullopt};
+  OmitRepeatedBody(agent, start);
+  this->outbox.ToAgent(agent.agent, std::move(start));
 }
 
 void HomeJobs::SendDemandNotices(ServiceState& service, Timestamp now) {
--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -7,25 +7,76 @@
 
 Ownership::Ownership(const EntryCoreSettings& configured,
                      const AgentRegistry& registry,
-                     const PeerDirectory& directory, EntryOutbox& effects)
+                     const PeerDirectory& directory,
+                     const AgentContacts& agent_contacts, EntryOutbox& effects)
     : settings(configured),
       agents(registry),
       peers(directory),
+      contacts(agent_contacts),
       outbox(effects),
       buckets(configured.bucket_count),
       rankings(configured.bucket_count) {}
 
-std::vector<BucketId> Ownership::AdoptView(const View& view) {
+Ownership::ViewChange Ownership::AdoptView(const View& view, Timestamp now) {
+  for (const BucketId id : this->ActiveBuckets()) {
+    // Judged by the view in which the promises were made.
+    this->AllStartsRecorded(this->Get(id), now);
+  }
   this->current_view = view;
-  std::vector<BucketId> released;
+  this->RecordMembership();
+  ViewChange change;
   for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
     const BucketId id(i);
     this->rankings[i] = view.Ranking(id);
     if (this->Get(id).phase == OwnershipPhase::kNone) continue;
+    if (this->MayKeep(id)) {
+      change.kept.push_back(id);
+      continue;
+    }
     this->Release(id);
-    released.push_back(id);
+    change.released.push_back(id);
   }
-  return released;
+  return change;
+}
+
+void Ownership::RecordMembership() {
+  std::map<EntryId, Epoch> since;
+  for (const ViewMember& member : this->current_view.members) {
+    const auto known = this->member_since.find(member.entry);
+    since[member.entry] = known == this->member_since.end()
+                              ? this->current_view.epoch
+                              : known->second;
+  }
+  this->member_since = std::move(since);
+}
+
+std::vector<BucketId> Ownership::ActiveBuckets() const {
+  std::vector<BucketId> active;
+  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
+    if (this->IsActive(BucketId(i))) active.emplace_back(i);
+  }
+  return active;
+}
+
+bool Ownership::MayKeep(BucketId id) const {
+  const std::vector<EntryId>& ranking = this->rankings[id.value()];
+  const bool stays_home = this->IsActive(id) && !ranking.empty() &&
+                          ranking.front() == this->settings.self &&
+                          !this->incomplete_buckets.contains(id);
+  if (!stays_home) return false;
+  const auto witnesses =
+      std::count_if(ranking.begin(), ranking.end(), [&](EntryId entry) {
+        return entry != this->settings.self && this->MayWitness(entry, id);
+      });
+  // With few entries left that may be witnesses, their loss would stop jobs.
+  const auto others = static_cast<std::ptrdiff_t>(ranking.size()) - 1;
+  return witnesses > 0 && 2 * witnesses >= others;
+}
+
+bool Ownership::MayWitness(EntryId entry, BucketId bucket) const {
+  const auto since = this->member_since.find(entry);
+  return since != this->member_since.end() &&
+         since->second <= this->Get(bucket).promised.epoch;
 }
 
 OwnershipPhase Ownership::Phase(BucketId bucket) const {
@@ -48,6 +99,8 @@
 }
 
 EntryId Ownership::ExpectedHome(BucketId bucket, Timestamp now) const {
+  // A ballot of an earlier view is in force only if its owner has kept the
+  // bucket, which it does only where it ranks first.
   const Ballot& promised = this->Get(bucket).promised;
   const bool current =
       promised.epoch >= this->current_view.epoch && !promised.IsNone();
@@ -100,11 +153,24 @@
   for (const EntryId entry : this->rankings[bucket.value()]) {
     if (entry == this->settings.self) continue;
     if (this->peers.IsSuspected(entry, now)) continue;
+    if (!this->MayWitness(entry, bucket)) continue;
     if (this->peers.IsConnected(entry)) return entry;
   }
   return std::nullopt;
 }
 
+std::optional<EntryId> Ownership::OldestConnectedMember(Timestamp now) const {
+  std::optional<EntryId> oldest;
+  for (const auto& [entry, since] : this->member_since) {
+    if (entry == this->settings.self) continue;
+    if (this->peers.IsSuspected(entry, now)) continue;
+    if (!this->peers.IsConnected(entry)) continue;
+    if (oldest && this->member_since.at(*oldest) <= since) continue;
+    oldest = entry;
+  }
+  return oldest;
+}
+
 bool Ownership::Observe(const BucketBallot& seen) {
   if (seen.bucket.value() >= this->buckets.size()) return false;
   Bucket& bucket = this->Get(seen.bucket);
@@ -135,15 +201,13 @@
     const Bucket& bucket = this->Get(id);
     if (this->Phase(id) == OwnershipPhase::kNone) continue;
     for (const ViewMember& member : this->current_view.members) {
-      if (member.entry == this->settings.self) continue;
-      if (bucket.entry_promises.contains(member.entry)) continue;
+      if (!this->NeedsPromiseOf(member.entry, bucket)) continue;
       to_entries[member.entry].buckets.push_back({id, bucket.own_ballot});
     }
-    // A former home that has left the view can still report its keys.
     const bool former_left =
         bucket.former_home &&
         this->current_view.Find(*bucket.former_home) == nullptr &&
-        !bucket.entry_promises.contains(*bucket.former_home);
+        this->NeedsPromiseOf(*bucket.former_home, bucket);
     if (former_left) {
       to_entries[*bucket.former_home].buckets.push_back(
           {id, bucket.own_ballot});
@@ -257,6 +321,28 @@
   return lost;
 }
 
+void Ownership::RequestFromEntry(EntryId entry) {
+  PromiseRequest request;
+  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
+    const BucketId id(i);
+    if (this->Phase(id) == OwnershipPhase::kNone) continue;
+    if (!this->NeedsPromiseOf(entry, this->Get(id))) continue;
+    request.buckets.push_back({id, this->Get(id).own_ballot});
+  }
+  if (request.buckets.empty() || !this->peers.IsConnected(entry)) return;
+  this->outbox.ToPeer(entry, std::move(request));
+}
+
+bool Ownership::NeedsPromiseOf(EntryId entry, const Bucket& bucket) const {
+  if (entry == this->settings.self) return false;
+  if (bucket.entry_promises.contains(entry)) return false;
+  const auto since = this->member_since.find(entry);
+  // A former home that has left the view can still report its keys.
+  if (since == this->member_since.end()) return bucket.former_home == entry;
+  // A kept bucket needs no promise of an entry that has joined since.
+  return since->second <= bucket.own_ballot.epoch;
+}
+
 void Ownership::RequestFromAgent(AgentId agent) {
   PromiseRequest request;
   for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
@@ -393,23 +479,7 @@
 }
 
 bool Ownership::RunsAreOver(const KnownAgent& agent, Timestamp now) const {
-  const Duration lease_over = this->settings.lease_over_after;
-  if (agent.lost_at) {
-    // A dead process renews no lease, whatever contact it had before its death.
-    return agent.ended_idle ||
-           now >= *agent.lost_at + lease_over - kContactLimit;
-  }
-  const Timestamp over_at = agent.contact_at + lease_over;
-  if (now < over_at) return false;
-  return std::all_of(
-      this->current_view.members.begin(), this->current_view.members.end(),
-      [&](const ViewMember& member) {
-        if (member.entry == this->settings.self) return true;
-        // The member would have reported a contact that renewed a lease.
-        if (this->peers.SightingsUpTo(member.entry) >= over_at) return true;
-        return now >=
-               this->peers.MayConfirmAgentsUntil(member.entry) + lease_over;
-      });
+  return this->contacts.RunsAreOver(agent, this->current_view, now);
 }
 
 bool Ownership::HasRunsOfLostAgents(const Bucket& bucket, const JobKey& key,
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "libraries/entry_core/agent_contacts.h"
 #include "libraries/entry_core/agent_registry.h"
 #include "libraries/entry_core/entry_core_settings.h"
 #include "libraries/entry_core/entry_outbox.h"
@@ -57,13 +58,20 @@
 class Ownership {
  public:
   Ownership(const EntryCoreSettings& configured, const AgentRegistry& registry,
-            const PeerDirectory& directory, EntryOutbox& effects);
+            const PeerDirectory& directory, const AgentContacts& agent_contacts,
+            EntryOutbox& effects);
 
   [[nodiscard]] const View& view() const { return this->current_view; }
-  // Applies a newer view and releases all buckets. They must be acquired again,
-  // so that a ballot's epoch names the view that its witnesses belong to.
-  // Returns the buckets that were active or being acquired.
-  std::vector<BucketId> AdoptView(const View& view);
+  struct ViewChange {
+    // Buckets that this entry still owns under the same ballot.
+    std::vector<BucketId> kept;
+    // Buckets that were active or being acquired, and must be acquired again.
+    std::vector<BucketId> released;
+  };
+  // Applies a newer view. Keeps the fully recovered buckets of which this entry
+  // remains the first in rank; only entries that were members when the ballot
+  // was acquired may be witnesses under it. Releases all other buckets.
+  ViewChange AdoptView(const View& view, Timestamp now);
   void MarkSynchronized() {
     this->synchronized = true;
     this->promises_changed = true;
@@ -91,10 +99,16 @@
   // ballot or, if that entry is not eligible, the highest-ranked member that is
   // not suspected. An empty id if there is none.
   [[nodiscard]] EntryId ExpectedHome(BucketId bucket, Timestamp now) const;
+  // Whether the entry is a member of the view and was one in the view that the
+  // promised ballot of the bucket names. A taker may not ask a later member.
+  [[nodiscard]] bool MayWitness(EntryId entry, BucketId bucket) const;
   // The highest-ranked other member that is connected and not suspected, as
   // witness for keys of `bucket`.
   [[nodiscard]] std::optional<EntryId> WitnessFor(BucketId bucket,
                                                   Timestamp now) const;
+  // The other member that joined first, of those connected and not suspected.
+  [[nodiscard]] std::optional<EntryId> OldestConnectedMember(
+      Timestamp now) const;
 
   // Promises a ballot seen in a message if it is higher than the promised one.
   // Returns whether this entry thereby stops owning or acquiring the bucket.
@@ -115,6 +129,8 @@
   std::vector<BucketId> OnAgentPromiseReply(AgentId from,
                                             const AgentPromiseReply& reply,
                                             Timestamp now);
+  // Requests the missing promises from an entry that has connected.
+  void RequestFromEntry(EntryId entry);
   // Requests the missing promises from an agent that has connected or become
   // ready.
   void RequestFromAgent(AgentId agent);
@@ -202,6 +218,11 @@
   [[nodiscard]] const Bucket& Get(BucketId bucket) const {
     return this->buckets[bucket.value()];
   }
+  void RecordMembership();
+  [[nodiscard]] std::vector<BucketId> ActiveBuckets() const;
+  // Whether the ballot of the bucket stays in force in the current view.
+  [[nodiscard]] bool MayKeep(BucketId id) const;
+  [[nodiscard]] bool NeedsPromiseOf(EntryId entry, const Bucket& bucket) const;
   // Returns the buckets whose expected home may have changed since the last
   // call, and clears the list of changes.
   std::vector<BucketId> TakeBucketsToCheck(Timestamp now);
@@ -233,8 +254,7 @@
   // was reported with an agent's promise.
   [[nodiscard]] bool PriorRunsResolved(const Bucket& bucket,
                                        Timestamp now) const;
-  // As above, for an agent in the registry: after the last contact with any
-  // entry, the agent's leases expire within `lease_over_after`.
+  // As above, for an agent in the registry.
   [[nodiscard]] bool RunsAreOver(const KnownAgent& agent, Timestamp now) const;
   // When an entry first saw the job's key, or an earlier time if that is not
   // known.
@@ -256,8 +276,11 @@
   EntryCoreSettings settings;
   const AgentRegistry& agents;
   const PeerDirectory& peers;
+  const AgentContacts& contacts;
   EntryOutbox& outbox;
   View current_view;
+  // The epoch in which this entry first saw each member of the current view.
+  std::map<EntryId, Epoch> member_since;
   bool synchronized = false;
   std::optional<Timestamp> joined_at;
   std::vector<Bucket> buckets;
--- a/libraries/entry_core/peer_directory.h
+++ b/libraries/entry_core/peer_directory.h
@@ -4,10 +4,12 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "libraries/base/identifiers.h"
 #include "libraries/base/time.h"
+#include "libraries/protocol/entry_messages.h"
 
 namespace dandelionspur {
 
@@ -62,16 +64,72 @@
     const auto found = this->peers.find(peer);
     return found == this->peers.end() ? std::nullopt : found->second.dead_since;
   }
-  // Records a heartbeat that the peer sent at `sent_at` by its own clock.
-  void NoteHeartbeat(EntryId peer, Timestamp sent_at, Timestamp now) {
+  // Records when a heartbeat of the peer was sent, what it covers and what it
+  // asks for.
+  void NoteHeartbeat(EntryId peer, const PeerHeartbeat& heartbeat,
+                     Timestamp now) {
     Peer& known = this->Get(peer, now);
     // A late heartbeat from an earlier connection says nothing about the delay
-    // of the current connection.
-    if (sent_at <= known.newest_heartbeat) return;
-    known.newest_heartbeat = sent_at;
-    const Duration offset = now - sent_at;
+    // of the current connection, and its requests are outdated.
+    if (heartbeat.sent_at <= known.newest_heartbeat) return;
+    known.newest_heartbeat = heartbeat.sent_at;
+    const Duration offset = now - heartbeat.sent_at;
     known.least_offset = std::min(known.least_offset, offset);
     known.heartbeat_delay = offset - known.least_offset;
+    known.asks = heartbeat.coverage.has_value();
+    known.asked_agents = heartbeat.missing_agents;
+    known.asked_entries = heartbeat.missing_entries;
+    known.unlisted_contact = Timestamp();
+    known.listed.clear();
+    if (heartbeat.coverage != ContactCoverage::kRequested) return;
+    known.unlisted_contact = now;
+    for (const AgentContact& sighting : heartbeat.sightings) {
+      known.listed.insert(sighting.agent);
+    }
+  }
+  // Whether the peer asks about the agents and entries that it does not hear.
+  // Otherwise it must be sent all contacts.
+  [[nodiscard]] bool Asks(EntryId peer) const {
+    const auto found = this->peers.find(peer);
+    return found != this->peers.end() && found->second.asks;
+  }
+  // Whether the peer's version knows all kinds of messages of this version.
+  [[nodiscard]] bool Understands(EntryId peer) const {
+    return this->Asks(peer);
+  }
+  [[nodiscard]] const std::vector<AgentId>& AgentsAskedBy(EntryId peer) const {
+    static const std::vector<AgentId> kNone;
+    const auto found = this->peers.find(peer);
+    return found == this->peers.end() ? kNone : found->second.asked_agents;
+  }
+  [[nodiscard]] const std::vector<EntryId>& EntriesAskedBy(EntryId peer) const {
+    static const std::vector<EntryId> kNone;
+    const auto found = this->peers.find(peer);
+    return found == this->peers.end() ? kNone : found->second.asked_entries;
+  }
+  // Whether the peer's latest heartbeat tells its contacts with these agents.
+  [[nodiscard]] bool HasListed(EntryId peer,
+                               const std::vector<AgentId>& agents) const {
+    const auto found = this->peers.find(peer);
+    if (found == this->peers.end()) return false;
+    const Peer& known = found->second;
+    if (known.unlisted_contact == Timestamp()) return true;
+    return std::all_of(agents.begin(), agents.end(), [&](AgentId agent) {
+      return known.listed.contains(agent);
+    });
+  }
+  // When this entry sent its latest heartbeat that the peer has confirmed.
+  [[nodiscard]] Timestamp ConfirmedAt(EntryId peer) const {
+    const auto found = this->peers.find(peer);
+    return found == this->peers.end() ? Timestamp() : found->second.confirmed;
+  }
+  // The latest time at which the peer can have had contact with the agent if
+  // its latest heartbeat doesn't tell; the earliest possible time if it does.
+  [[nodiscard]] Timestamp UnlistedContact(EntryId peer, AgentId agent) const {
+    const auto found = this->peers.find(peer);
+    if (found == this->peers.end()) return Timestamp();
+    const Peer& known = found->second;
+    return known.listed.contains(agent) ? Timestamp() : known.unlisted_contact;
   }
   // Records that the peer had received this entry's heartbeat sent at `own`
   // when it sent its latest heartbeat.
@@ -170,6 +228,14 @@
     // Age of this entry's latest confirmed heartbeat when the confirmation
     // arrived.
     Duration confirmation_age{};
+    // From the peer's latest heartbeat: whether it asks about what it does not
+    // hear, what it asks about, the agents whose contacts it lists, and the
+    // latest time of its contacts with all others.
+    bool asks = false;
+    std::vector<AgentId> asked_agents;
+    std::vector<EntryId> asked_entries;
+    std::set<AgentId> listed;
+    Timestamp unlisted_contact;
   };
 
   [[nodiscard]] bool IsSuspected(const Peer& peer, Timestamp now) const {
--- a/libraries/entry_core/refusal_confirmer.cc
+++ b/libraries/entry_core/refusal_confirmer.cc
@@ -27,8 +27,10 @@
   if (!agent) return;
   std::set<BucketBallot> ballots;
   for (const auto& [key, rerun] : this->waiting) {
-    if (!entry && rerun == RerunPolicy::kNever) continue;
     const BucketId bucket = this->ownership.BucketOfKey(key);
+    // An entry that a taker of the bucket need not ask confirms nothing.
+    const bool has_entry = entry && this->ownership.MayWitness(*entry, bucket);
+    if (!has_entry && rerun == RerunPolicy::kNever) continue;
     ballots.insert({bucket, this->ownership.Promised(bucket)});
     this->asked.emplace(key, rerun);
   }
@@ -98,7 +100,7 @@
 }
 
 std::optional<EntryId> RefusalConfirmer::EntryToAsk(Timestamp now) const {
-  return this->ownership.WitnessFor(BucketId(0), now);
+  return this->ownership.OldestConnectedMember(now);
 }
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/relay_table.cc
+++ b/libraries/entry_core/relay_table.cc
@@ -91,6 +91,7 @@
   job.attempt = AttemptNumber(++this->last_attempt);
   job.target = target;
   job.pending[target] = job.attempt;
+  if (this->peers.Understands(target)) submission.ShareBody();
   this->outbox.ToPeer(
       target, Relay{job.attempt, this->ownership.Promised(bucket), this->offer,
                     std::move(submission)});
@@ -192,7 +193,7 @@
   const BucketId bucket = this->ownership.BucketOfKey(relay.job.key);
   const bool is_witness = relay.witness == WitnessOffer::kOffered &&
                           relay.promised <= this->ownership.Promised(bucket) &&
-                          this->ownership.view().Find(from) != nullptr;
+                          this->ownership.MayWitness(from, bucket);
   return is_witness ? std::optional(from) : std::nullopt;
 }
 
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -53,14 +53,20 @@
                       (agent, service, upstream, rack, capacity,
                        admin_endpoint))
 
-// Sent to every entry of the view `epoch`. The agent accepts no starts until
-// all of them have acknowledged it in that view.
+// Sent to every entry of the view that has not acknowledged the agent on this
+// connection. The agent accepts no starts until all members of its view have
+// acknowledged it.
 struct Register {
   static constexpr const char* kName = "register";
+  static constexpr std::size_t kRequiredMembers = 2;
   AgentDescription description;
+  // Epoch of the agent's view.
   Epoch epoch;
+  // Whether the agent has the ballots that the entry had promised when it first
+  // acknowledged the agent. Promises made later are requested from it.
+  bool has_promises = false;
 };
-BOOST_DESCRIBE_STRUCT(Register, (), (description, epoch))
+BOOST_DESCRIBE_STRUCT(Register, (), (description, epoch, has_promises))
 
 // Announces that every entry of the view `epoch` has acknowledged the agent.
 struct AgentReady {
@@ -187,28 +193,37 @@
 // capacity becomes free.
 struct AgentHeartbeat {
   static constexpr const char* kName = "agent_heartbeat";
+  static constexpr std::size_t kRequiredMembers = 2;
   AgentLoad load;
   // By the agent's clock; the entry returns it in EntryHeartbeat.
   Timestamp sent_at;
+  // Epoch of the agent's view; 0 from versions that do not report it.
+  Epoch epoch{};
 };
-BOOST_DESCRIBE_STRUCT(AgentHeartbeat, (), (load, sent_at))
+BOOST_DESCRIBE_STRUCT(AgentHeartbeat, (), (load, sent_at, epoch))
 
 using AgentMessage = std::variant<Register, AgentReady, AgentPromiseReply,
                                   TaskFinished, TaskNotRun, RenounceReply,
                                   AgentLeaving, AgentHeartbeat, ConfirmReply>;
 
+// Acknowledges a registration. Also sent without one, to an agent that this
+// entry has acknowledged, when a newer view is in force.
 struct RegisterAcknowledged {
   static constexpr const char* kName = "register_acknowledged";
-  // The entry's current view. The agent registers again if it is newer than
-  // the agent's own.
+  static constexpr std::size_t kRequiredMembers = 2;
+  // The entry's current view; only its epoch if the agent has that view.
   View view;
   // The highest ballot that the entry has promised for each bucket.
   std::vector<BucketBallot> promises;
+  // Whether `promises` is complete. It is left empty for an agent that has
+  // received the promises before.
+  bool has_promises = true;
 };
-BOOST_DESCRIBE_STRUCT(RegisterAcknowledged, (), (view, promises))
+BOOST_DESCRIBE_STRUCT(RegisterAcknowledged, (), (view, promises, has_promises))
 
 struct Start {
   static constexpr const char* kName = "start";
+  static constexpr std::size_t kRequiredMembers = 11;
   TaskId task;
   Ballot ballot;
   // Increases with each start of the task under this ballot, so that a delayed
@@ -229,6 +244,10 @@
   // the agent's leases, and with them its earlier runs, have expired.
   Timestamp contact;
   TaskRequest request;
+  // If set, `request` has no body: it is the body with this digest, which the
+  // sender's preceding start on this connection had. An agent that does not
+  // have it refuses the start.
+  std::optional<std::uint64_t> repeated_body;
 
   [[nodiscard]] StartNumber Number() const {
     return {this->ballot, this->attempt};
@@ -236,7 +255,8 @@
 };
 BOOST_DESCRIBE_STRUCT(Start, (),
                       (task, ballot, attempt, agent, time_left, placement,
-                       queued, job_name, rerun, contact, request))
+                       queued, job_name, rerun, contact, request,
+                       repeated_body))
 
 // Asks for the task's state and rules out a later start: if the task has not
 // been started, no start of it up to this ballot and attempt will take effect.
--- a/libraries/protocol/codec.h
+++ b/libraries/protocol/codec.h
@@ -55,13 +55,25 @@
 using MembersOf =
     boost::describe::describe_members<T, boost::describe::mod_public>;
 
+// The number of leading members that every encoding of T has. A struct declares
+// kRequiredMembers when members are appended to it; older versions of this
+// software send it without these.
+template <typename T>
+constexpr std::size_t RequiredMembers() {
+  if constexpr (requires { T::kRequiredMembers; }) {
+    return T::kRequiredMembers;
+  } else {
+    return boost::mp11::mp_size<MembersOf<T>>::value;
+  }
+}
+
 }  // namespace codec_detail
 
 // Encodes any value built from described structs, enums, strong types,
 // vectors, optionals and variants as MessagePack. Structs become arrays of
 // their members in the order of their description, which is the only definition
 // of the format. Decoding skips members that a newer version has appended to a
-// struct.
+// struct; members that an older version lacks keep their default values.
 template <CodecForm form>
 class Codec {
  public:
@@ -270,11 +282,14 @@
   template <typename T>
   static void ReadStruct(MessagePackReader& reader, T& value) {
     using Members = codec_detail::MembersOf<T>;
-    const std::size_t more =
-        EnterArray(reader, boost::mp11::mp_size<Members>::value);
-    boost::mp11::mp_for_each<Members>(
-        [&](auto member) { Read(reader, value.*member.pointer); });
-    reader.Skip(more);
+    std::size_t left = EnterArray(reader, codec_detail::RequiredMembers<T>()) +
+                       codec_detail::RequiredMembers<T>();
+    boost::mp11::mp_for_each<Members>([&](auto member) {
+      if (left == 0) return;
+      Read(reader, value.*member.pointer);
+      --left;
+    });
+    reader.Skip(left);
   }
 };
 
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -231,16 +231,32 @@
 };
 BOOST_DESCRIBE_STRUCT(PeerContact, (), (entry, heard, informed_age))
 
+// Which agents and entries a heartbeat between entries covers.
+// kAll: every entry, and every agent that may still run tasks.
+// kRequested: the receiver, and what the receiver's latest heartbeat asked for.
+// Of an agent that is not listed, the sender may have had contact just now.
+BOOST_DEFINE_ENUM_CLASS(ContactCoverage, kAll, kRequested)
+
 struct PeerHeartbeat {
   static constexpr const char* kName = "peer_heartbeat";
+  static constexpr std::size_t kRequiredMembers = 4;
   Epoch epoch;
   // By the sender's clock.
   Timestamp sent_at;
   std::vector<PeerContact> peers;
-  // One for each agent that may still run tasks.
   std::vector<AgentContact> sightings;
+  // Not set by versions that neither ask nor understand kRequested.
+  std::optional<ContactCoverage> coverage;
+  // The agents and entries that the sender does not hear itself, and asks the
+  // receiver about.
+  std::vector<AgentId> missing_agents;
+  std::vector<EntryId> missing_entries;
+  // The requested agents that the sender knows to be lost.
+  std::vector<AgentSummary> lost_agents;
 };
-BOOST_DESCRIBE_STRUCT(PeerHeartbeat, (), (epoch, sent_at, peers, sightings))
+BOOST_DESCRIBE_STRUCT(PeerHeartbeat, (),
+                      (epoch, sent_at, peers, sightings, coverage,
+                       missing_agents, missing_entries, lost_agents))
 
 using PeerMessage =
     std::variant<PeerState, PromiseRequest, PromiseReply, WitnessRequest,
--- a/libraries/protocol/job.h
+++ b/libraries/protocol/job.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONSPUR_LIBRARIES_PROTOCOL_JOB_H_
 #define DANDELIONSPUR_LIBRARIES_PROTOCOL_JOB_H_
 
+#include <algorithm>
 #include <boost/describe.hpp>
 #include <cstdint>
 #include <optional>
@@ -44,6 +45,7 @@
 BOOST_DEFINE_ENUM_CLASS(SubmissionKind, kRun, kJoin)
 
 struct JobSubmission {
+  static constexpr std::size_t kRequiredMembers = 12;
   SubmissionKind kind = SubmissionKind::kRun;
   JobKey key;
   // The creation time in the key; set for keys that have one (UUIDv7).
@@ -63,7 +65,27 @@
   // The number of failed runs of one task after which the job fails.
   std::uint32_t maximum_attempts = 1;
   std::vector<TaskRequest> tasks;
-
+  // If set, the body of every task, whose own body is then empty: the form in
+  // which a job with equal bodies travels between entries.
+  std::optional<Payload> shared_body;
+
+  // Sets `shared_body` if the tasks have equal bodies.
+  void ShareBody() {
+    if (this->tasks.empty()) return;
+    const Payload body = this->tasks.front().body;
+    const bool equal =
+        std::all_of(this->tasks.begin(), this->tasks.end(),
+                    [&](const TaskRequest& task) { return task.body == body; });
+    if (!equal) return;
+    for (TaskRequest& task : this->tasks) task.body = Payload();
+    this->shared_body = body;
+  }
+  // Gives each task its own body again.
+  void UnshareBody() {
+    if (!this->shared_body) return;
+    for (TaskRequest& task : this->tasks) task.body = *this->shared_body;
+    this->shared_body.reset();
+  }
   // Whether this submission may share the answer of a submission with the same
   // key and the body digest `other_digest`.
   [[nodiscard]] bool Matches(std::uint64_t other_digest) const {
@@ -74,7 +96,7 @@
 BOOST_DESCRIBE_STRUCT(JobSubmission, (),
                       (kind, key, created, service, client_account,
                        time_allowed, objective, body_digest, name, rerun,
-                       maximum_attempts, tasks))
+                       maximum_attempts, tasks, shared_body))
 
 // The answer to a submission. Only holders of a NotRunProof can answer that the
 // job has not run.
--- a/libraries/protocol/view.cc
+++ b/libraries/protocol/view.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace dandelionspur {
 namespace {
@@ -61,6 +62,18 @@
   return ranking;
 }
 
+bool View::IsAmongFirst(EntryId entry, AgentId agent, std::size_t count) const {
+  const auto weight = [&](EntryId member) {
+    const std::array<std::uint64_t, 2> input = {agent.value(), member.value()};
+    return std::pair(XXH3_64bits(input.data(), sizeof(input)), member);
+  };
+  const auto own = weight(entry);
+  const auto before = std::count_if(
+      this->members.begin(), this->members.end(),
+      [&](const ViewMember& member) { return weight(member.entry) > own; });
+  return static_cast<std::size_t>(before) < count;
+}
+
 View WithMember(View view, const ViewMember& member, Timestamp now) {
   const auto same_address = [&](const ViewMember& other) {
     return other.peer_endpoint == member.peer_endpoint &&
--- a/libraries/protocol/view.h
+++ b/libraries/protocol/view.h
@@ -57,6 +57,10 @@
   // member joins or leaves, only the buckets for which it ranks first change
   // their home.
   [[nodiscard]] std::vector<EntryId> Ranking(BucketId bucket) const;
+  // Whether `entry` is among the `count` members that have precedence for the
+  // agent (rendezvous hashing).
+  [[nodiscard]] bool IsAmongFirst(EntryId entry, AgentId agent,
+                                  std::size_t count) const;
   bool operator==(const View&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(View, (), (epoch, members, losses))
--- a/tests/agent_core/agent_core_test.cc
+++ b/tests/agent_core/agent_core_test.cc
@@ -258,5 +258,64 @@
   EXPECT_EQ(receivers, std::vector<EntryId>{waiting});
 }
 
+// Guards against registrations and announcements to all entries whenever the
+// view changes: an entry that knows the agent needs neither again.
+TEST_F(AgentCoreTest, AJoinIsFollowedByARegistrationWithTheJoinerOnly) {
+  ViewMember member;
+  member.entry = EntryId(kEntry);
+  ViewMember joiner;
+  joiner.entry = EntryId(2);
+  joiner.peer_endpoint.port = 2;
+  const View view =
+      WithMember(WithMember(View(), member, this->now), joiner, this->now);
+  std::vector<AgentEffect> effects =
+      this->Deliver(RegisterAcknowledged{view, {}, false});
+  EXPECT_TRUE(Sent<Register>(effects).empty());
+  effects = this->Handle(EntryConnected{EntryId(2)});
+  EXPECT_EQ(Sent<Register>(effects).size(), 1U);
+  effects = this->Handle(
+      EntryMessageReceived{EntryId(2), RegisterAcknowledged{view, {}}});
+  EXPECT_EQ(Sent<AgentReady>(effects).size(), 1U);
+}
+
+// Guards against an agent that takes starts of a home whose ballots it has not
+// taken over: the view alone is no acknowledgement.
+TEST(AgentRegistrationTest, AViewWithoutPromisesDoesNotMakeAnAgentReady) {
+  AgentCoreSettings settings;
+  settings.self = AgentId(7);
+  settings.bucket_count = 1;
+  AgentCore agent(settings);
+  const Timestamp now(std::chrono::seconds(5));
+  ViewMember member;
+  member.entry = EntryId(kEntry);
+  const View view = WithMember(View(), member, now);
+  agent.Handle(UpstreamAnnounced{}, now);
+  agent.Handle(EntryConnected{EntryId(kEntry)}, now);
+  agent.Handle(EntryMessageReceived{EntryId(kEntry),
+                                    RegisterAcknowledged{view, {}, false}},
+               now);
+  EXPECT_FALSE(agent.is_ready());
+  agent.Handle(EntryMessageReceived{EntryId(kEntry),
+                                    RegisterAcknowledged{view, {}, true}},
+               now);
+  EXPECT_TRUE(agent.is_ready());
+}
+
+// Guards against a body that is sent once for each task of a job, and against
+// a start with another job's body.
+TEST_F(AgentCoreTest, ARepeatedBodyIsTakenFromThePrecedingStart) {
+  Start first = StartOf(1);
+  first.request.body = Payload::FromBytes("body");
+  Start second = StartOf(2);
+  second.repeated_body = first.request.body.digest();
+  this->Deliver(first);
+  const auto runs = Only<RunOnUpstream>(this->Deliver(second));
+  ASSERT_EQ(runs.size(), 1U);
+  EXPECT_EQ(runs.front().body, first.request.body);
+  Start unknown = StartOf(3);
+  unknown.repeated_body = first.request.body.digest() + 1;
+  EXPECT_EQ(Sent<TaskNotRun>(this->Deliver(unknown)).size(), 1U);
+}
+
 }  // namespace
 }  // namespace dandelionspur
--- a/tests/protocol/codec_test.cc
+++ b/tests/protocol/codec_test.cc
@@ -108,17 +108,40 @@
 }
 
 // Guards against accepting a message that is followed by further bytes or lacks
-// fields.
+// fields that all versions send.
 TEST(CodecTest, ExcessBytesAndMissingFieldsAreRefused) {
   const std::string bytes = WireCodec::ToMessagePack(ExampleStart());
   EXPECT_FALSE(Decode(bytes + '\0'));
   nlohmann::json message = nlohmann::json::from_msgpack(bytes);
-  message[1].erase(message[1].size() - 1);
+  while (message[1].size() >= Start::kRequiredMembers) {
+    message[1].erase(message[1].size() - 1);
+  }
   std::string shorter;
   nlohmann::json::to_msgpack(message, shorter);
   EXPECT_FALSE(Decode(shorter));
 }
 
+// Guards the operation of mixed versions: an older process lacks the fields
+// that this version has appended.
+TEST(CodecTest, FieldsOfLaterVersionsMayBeMissing) {
+  PeerHeartbeat heartbeat;
+  heartbeat.epoch = Epoch(3);
+  heartbeat.missing_agents = {AgentId(7)};
+  nlohmann::json message =
+      nlohmann::json::from_msgpack(WireCodec::ToMessagePack(heartbeat));
+  while (message.size() > PeerHeartbeat::kRequiredMembers) {
+    message.erase(message.size() - 1);
+  }
+  std::string older;
+  nlohmann::json::to_msgpack(message, older);
+  const PeerHeartbeat decoded =
+      OrElse([&] { return WireCodec::FromMessagePack<PeerHeartbeat>(older); },
+             [](const std::string&) { return PeerHeartbeat(); });
+  EXPECT_EQ(decoded.epoch, Epoch(3));
+  EXPECT_TRUE(decoded.missing_agents.empty());
+  EXPECT_FALSE(decoded.coverage);
+}
+
 struct HeaderCase {
   const char* name;
   std::array<std::uint8_t, kFrameHeaderSize> bytes;
