recording: Compress segments, and store them below a share of the link

Change: the steps of a segment are one Zstandard frame (format DSPRSEG2; DSPRSEG1 is still read); segments close at 64 KiB before compression, or at the latest after 10 s, each process in a phase of its own; they are stored one at a time at no more than a twentieth of the link, whose capacity the settings now have (link_mbps). What doesn't fit is spooled, then dropped and counted. Tests: segment_test (earlier format, bytes a step, every truncation and changed byte).

--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -24,6 +24,9 @@
 constexpr IntegerRange kJobsFollowedRange{0, 1'000};
 constexpr IntegerRange kWriteIntervalRangeMilliseconds{100, 3'600'000};
 
+constexpr IntegerRange kLinkRangeKilobits{100, 1'000'000'000};
+
+constexpr std::int64_t kDefaultLinkKilobits = 1'000'000;
 constexpr std::int64_t kDefaultThreads = 2;
 constexpr std::int64_t kDefaultBuckets = 128;
 constexpr std::int64_t kDefaultConnections = 60;
@@ -78,7 +81,12 @@
 }
 
 RecordingSettings ReadRecording(ObjectReader& reader) {
-  RecordingSettings settings{kDefaultSpoolBytes, kDefaultWriteInterval};
+  // A link of 1 kbit/s carries 125 bytes a second; recording gets 1/20 of it.
+  constexpr std::uint64_t kRecordingBytesPerKilobit = 6;
+  const auto link = static_cast<std::uint64_t>(reader.ThousandthsOr(
+      "link_mbps", kLinkRangeKilobits, kDefaultLinkKilobits));
+  RecordingSettings settings{kDefaultSpoolBytes, kDefaultWriteInterval,
+                             link * kRecordingBytesPerKilobit};
   if (!reader.Has("recording")) return settings;
   ObjectReader nested = reader.Object("recording");
   settings.spool_bytes = static_cast<std::uint64_t>(
--- a/libraries/configuration/settings.h
+++ b/libraries/configuration/settings.h
@@ -21,8 +21,12 @@
   // The maximum size of the segments in memory that have not been uploaded. If
   // it is exceeded, the oldest segments are dropped and counted.
   std::uint64_t spool_bytes = 0;
-  // The minimum time between two writes to the object store.
+  // Records are stored at the latest after this time, if `bytes_per_second`
+  // allows it.
   Duration write_interval{};
+  // The highest rate at which segments are stored, a share of the link's
+  // capacity.
+  std::uint64_t bytes_per_second = 0;
   auto operator<=>(const RecordingSettings&) const = default;
 };
 
--- a/libraries/recording/recorder.h
+++ b/libraries/recording/recorder.h
@@ -87,7 +87,9 @@
   [[nodiscard]] std::uint64_t lost_records() const { return this->lost; }
 
  private:
-  static constexpr std::size_t kMaximumSegment = 1024U * 1024U;
+  // Before compression. Small enough that storing a segment does not fill the
+  // link of a small instance for long.
+  static constexpr std::size_t kMaximumSegment = 64U * 1024U;
 
   void Open() {
     this->open = EncodeSegmentStart(this->header);
--- a/libraries/recording/segment.cc
+++ b/libraries/recording/segment.cc
@@ -1,6 +1,7 @@
 #include "libraries/recording/segment.h"
 
 #include <xxhash.h>
+#include <zstd.h>
 
 #include <boost/endian/conversion.hpp>
 #include <optional>
@@ -10,7 +11,12 @@
 namespace dandelionspur {
 namespace {
 
-constexpr std::string_view kMagic = "DSPRSEG1";
+constexpr std::string_view kMagic = "DSPRSEG2";
+constexpr std::string_view kUncompressedMagic = "DSPRSEG1";
+// Higher levels take more processor time for a few percent in size.
+constexpr int kCompressionLevel = 3;
+// Far above what a recorder puts into one segment.
+constexpr std::size_t kMaximumStepBytes = 64U * 1024U * 1024U;
 constexpr std::size_t kChecksumSize = 8;
 constexpr std::size_t kPreambleSize = 16;
 constexpr std::size_t kLengthSize = 4;
@@ -30,12 +36,14 @@
 // Reads the length-prefixed parts of a segment: the header, then the steps.
 class PartReader {
  public:
-  PartReader(std::string_view segment, const std::string& name)
-      : bytes(segment), source(name) {}
+  PartReader(std::string_view segment, std::size_t begin,
+             const std::string& name)
+      : bytes(segment), source(name), offset(begin) {}
 
   [[nodiscard]] bool AtEnd() const {
     return this->offset == this->bytes.size();
   }
+  [[nodiscard]] std::size_t position() const { return this->offset; }
 
   template <typename T>
   Result<T> Next() {
@@ -61,9 +69,33 @@
  private:
   std::string_view bytes;
   const std::string& source;
-  std::size_t offset = kPreambleSize;
+  std::size_t offset;
 };
 
+// The size of the preamble and the header of a well-formed segment.
+std::size_t StepsOffset(std::string_view segment) {
+  const std::size_t length = boost::endian::load_big_u32(
+      reinterpret_cast<const std::uint8_t*>(segment.data() + kPreambleSize));
+  return kPreambleSize + kLengthSize + length;
+}
+
+Result<std::string> Decompress(std::string_view frame,
+                               const std::string& source, std::size_t offset) {
+  const unsigned long long size =
+      ZSTD_getFrameContentSize(frame.data(), frame.size());
+  if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN ||
+      size > kMaximumStepBytes) {
+    return Fail(AtOffset(source, offset, "malformed compressed records"));
+  }
+  std::string steps(static_cast<std::size_t>(size), '\0');
+  const std::size_t written =
+      ZSTD_decompress(steps.data(), steps.size(), frame.data(), frame.size());
+  if (ZSTD_isError(written) != 0U || written != steps.size()) {
+    return Fail(AtOffset(source, offset, "truncated compressed records"));
+  }
+  return steps;
+}
+
 }  // namespace
 
 std::string EncodeSegmentStart(const SegmentHeader& header) {
@@ -78,6 +110,21 @@
 }
 
 void SealSegment(std::string& segment) {
+  const std::size_t begin = StepsOffset(segment);
+  const std::string steps = segment.substr(begin);
+  segment.resize(begin + ZSTD_compressBound(steps.size()));
+  const std::size_t compressed =
+      ZSTD_compress(segment.data() + begin, segment.size() - begin,
+                    steps.data(), steps.size(), kCompressionLevel);
+  // Compression fails only without memory; the segment is then kept as it was,
+  // in the uncompressed format.
+  if (ZSTD_isError(compressed) != 0U) {
+    segment.replace(begin, std::string::npos, steps);
+    segment.replace(0, kUncompressedMagic.size(), kUncompressedMagic);
+  } else {
+    segment.resize(begin + compressed);
+    segment.shrink_to_fit();
+  }
   const std::string_view bytes = segment;
   const std::uint64_t checksum = DigestOf(bytes.substr(kPreambleSize));
   boost::endian::store_big_u64(
@@ -87,15 +134,26 @@
 
 Result<Segment> DecodeSegment(std::string_view bytes,
                               const std::string& source) {
-  if (bytes.size() < kPreambleSize || !bytes.starts_with(kMagic)) {
+  const bool is_compressed = bytes.starts_with(kMagic);
+  const bool is_segment =
+      is_compressed || bytes.starts_with(kUncompressedMagic);
+  if (bytes.size() < kPreambleSize || !is_segment) {
     return Fail(AtOffset(source, 0, "not a segment of dandelionspur"));
   }
-  PartReader reader(bytes, source);
+  PartReader reader(bytes, kPreambleSize, source);
   Segment segment;
   BOOST_LEAF_AUTO(header, reader.Next<SegmentHeader>());
   segment.header = std::move(header);
-  while (!reader.AtEnd()) {
-    BOOST_LEAF_AUTO(step, reader.Next<RecordedStep>());
+  std::string decompressed;
+  std::string_view steps = bytes.substr(reader.position());
+  if (is_compressed) {
+    BOOST_LEAF_ASSIGN(decompressed,
+                      Decompress(steps, source, reader.position()));
+    steps = decompressed;
+  }
+  PartReader step_reader(steps, 0, source);
+  while (!step_reader.AtEnd()) {
+    BOOST_LEAF_AUTO(step, step_reader.Next<RecordedStep>());
     segment.steps.push_back(std::move(step));
   }
   const std::uint64_t expected = boost::endian::load_big_u64(
--- a/libraries/recording/segment.h
+++ b/libraries/recording/segment.h
@@ -49,13 +49,15 @@
 // Returns the start of a segment up to its first step. A segment consists of 8
 // bytes of magic, the xxh3 of all that follows as 8 big-endian bytes, the
 // header and the steps. Header and steps are MessagePack in record form, each
-// preceded by its length in bytes as 4 big-endian bytes.
+// preceded by its length in bytes as 4 big-endian bytes. In a sealed segment
+// the steps are compressed together, as one Zstandard frame.
 std::string EncodeSegmentStart(const SegmentHeader& header);
 void AppendStep(std::string& segment, const RecordedStep& step);
-// Fills in the checksum, after the last step.
+// Compresses the steps and fills in the checksum, after the last step.
 void SealSegment(std::string& segment);
 // Fails if the segment is truncated or malformed or its checksum doesn't match.
 // The error message begins with `source` and the offset of the damaged part.
+// Also decodes segments of earlier versions, which are not compressed.
 Result<Segment> DecodeSegment(std::string_view bytes,
                               const std::string& source);
 
--- a/meta/install_dependencies.sh
+++ b/meta/install_dependencies.sh
@@ -5,7 +5,7 @@
   g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl python3
   libboost1.81-dev nlohmann-json3-dev prometheus-cpp-dev libcxxopts-dev
   libspdlog-dev librapidcheck-dev libxxhash-dev libmsgpuck-dev liburcu-dev libgtest-dev
-  libbenchmark-dev zlib1g-dev libcurl4-openssl-dev
+  libbenchmark-dev zlib1g-dev libzstd-dev libcurl4-openssl-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/services/runtime/record_uploader.h
+++ b/services/runtime/record_uploader.h
@@ -26,9 +26,9 @@
 // Sets the gauges for log lines written, left out and lost.
 void SetLogGauges(Metrics& metrics);
 
-// Records a core's steps and uploads the segments to the object store, at most
-// one per `write_interval` except during Flush(). Steps are only queued by the
-// calling thread; all other work is done on the given io_context.
+// Records a core's steps and uploads the segments to the object store, one at a
+// time and below the configured rate except during Flush(). Steps are only
+// queued by the calling thread; all other work is done on the given io_context.
 template <typename Core>
 class RecordUploader {
  public:
@@ -43,10 +43,10 @@
         settings(configured),
         metrics(counters),
         batch_timer(thread),
-        write_timer(thread) {
-    boost::asio::post(this->context, [this] {
+        close_timer(thread) {
+    boost::asio::post(this->context, [this, process] {
       this->ScheduleBatch();
-      this->ScheduleWrite();
+      this->ScheduleClose(FirstCloseAfter(process, this->settings));
     });
   }
 
@@ -94,8 +94,18 @@
     std::vector<typename Core::Effect> effects;
   };
 
+  using SteadyClock = std::chrono::steady_clock;
+
   static constexpr std::chrono::milliseconds kBatchInterval{50};
 
+  // Processes that start together close their segments at different times.
+  static Duration FirstCloseAfter(std::uint64_t process,
+                                  const RecordingSettings& configured) {
+    constexpr std::int64_t kPhases = 64;
+    const auto phase = static_cast<std::int64_t>(process % kPhases) + 1;
+    return configured.write_interval * phase / kPhases;
+  }
+
   void RecordPending() {
     std::vector<PendingStep> batch;
     {
@@ -117,30 +127,44 @@
     this->batch_timer.async_wait([this](boost::system::error_code error) {
       if (error) return;
       this->RecordPending();
+      const bool may_store = !this->storing && !this->on_flushed &&
+                             SteadyClock::now() >= this->next_store;
+      if (may_store) this->StoreOldest();
       this->ScheduleBatch();
     });
   }
 
-  void ScheduleWrite() {
-    this->write_timer.expires_after(this->settings.write_interval);
-    this->write_timer.async_wait([this](boost::system::error_code error) {
+  // A segment is also closed, earlier, by its size.
+  void ScheduleClose(Duration delay) {
+    this->close_timer.expires_after(delay);
+    this->close_timer.async_wait([this](boost::system::error_code error) {
       if (error) return;
       this->CloseSegment();
       SetRecordingGauges(this->metrics, this->recorder.lost_records(),
                          this->recorder.unsent().size());
-      if (!this->on_flushed) this->StoreOldest();
-      this->ScheduleWrite();
+      this->ScheduleClose(this->settings.write_interval);
     });
   }
 
+  // The time in which `bytes` may be stored at the configured rate.
+  [[nodiscard]] Duration TimeFor(std::size_t bytes) const {
+    constexpr std::uint64_t kMicrosecondsPerSecond = 1'000'000;
+    return Duration(static_cast<std::int64_t>(bytes * kMicrosecondsPerSecond /
+                                              this->settings.bytes_per_second));
+  }
+
   void StoreOldest() {
     const FinishedSegment* segment = this->recorder.Oldest();
     if (segment == nullptr) {
       if (this->on_flushed) this->on_flushed();
       return;
     }
+    this->storing = true;
+    this->next_store =
+        SteadyClock::now() + this->TimeFor(segment->bytes.size());
     this->table.PutObject(segment->object_key, segment->bytes,
                           [this, key = segment->object_key](bool written) {
+                            this->storing = false;
                             if (written) this->recorder.MarkStored(key);
                             if (!this->on_flushed) return;
                             if (written) {
@@ -157,7 +181,10 @@
   RecordingSettings settings;
   Metrics& metrics;
   boost::asio::steady_timer batch_timer;
-  boost::asio::steady_timer write_timer;
+  boost::asio::steady_timer close_timer;
+  // Whether a segment is being uploaded, and the earliest time for the next.
+  bool storing = false;
+  SteadyClock::time_point next_store;
   std::function<void()> on_flushed;
   std::mutex mutex;
   // Guarded by `mutex`.
--- a/tests/recording/segment_test.cc
+++ b/tests/recording/segment_test.cc
@@ -55,6 +55,48 @@
             "segment: offset 0: not a segment of dandelionspur");
 }
 
+// Guards the recordings of earlier versions, whose steps are not compressed.
+TEST(SegmentTest, UncompressedSegmentsAreReadAsWell) {
+  const std::string sealed = RecordedSegment();
+  const auto problem = OrElse(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_AUTO(segment, DecodeSegment(sealed, "segment"));
+        std::string earlier = EncodeSegmentStart(segment.header);
+        for (const RecordedStep& step : segment.steps) {
+          AppendStep(earlier, step);
+        }
+        earlier.replace(0, 8, "DSPRSEG1");
+        const std::uint64_t checksum = DigestOf(earlier.substr(16));
+        for (unsigned i = 0; i < 8; ++i) {
+          earlier[8 + i] = static_cast<char>(checksum >> (56U - 8U * i));
+        }
+        return ProblemOf(earlier);
+      },
+      [](const std::string& message) { return message; });
+  EXPECT_EQ(problem, "replayed");
+}
+
+// Guards against recordings that compete with the work for a small link.
+TEST(SegmentTest, HeartbeatsTakeFewBytes) {
+  constexpr std::size_t kSteps = 1'000;
+  constexpr std::size_t kMaximumBytesPerStep = 40;
+  AgentCore core(Settings());
+  Recorder<AgentCore> recorder(ProcessRole::kAgent, 7, Settings(), 1 << 20);
+  Timestamp now(std::chrono::seconds(1));
+  for (std::size_t i = 0; i < kSteps; ++i) {
+    now += std::chrono::milliseconds(150);
+    const AgentEvent event =
+        EntryMessageReceived{EntryId(1 + i % 3), EntryHeartbeat{now}};
+    recorder.Record(event, now, core.Handle(event, now));
+  }
+  recorder.Close();
+  std::size_t bytes = 0;
+  for (const FinishedSegment& segment : recorder.unsent()) {
+    bytes += segment.bytes.size();
+  }
+  EXPECT_LE(bytes, kSteps * kMaximumBytesPerStep);
+}
+
 TEST(SegmentTest, EveryTruncationIsReported) {
   const std::string bytes = RecordedSegment();
   for (std::size_t length = 0; length < bytes.size(); ++length) {
