network: Pace starts and relays to the link, and let starts wait at the home

Change: relays and starts of all connections pass one pacer in order, at three quarters of the link (link_mbps); everything else goes past it. A home starts no task while over 100 ms of bytes wait, so tasks wait where the most urgent is chosen and useless ones are refused; an entry with over 300 ms of bytes waiting refuses new jobs at once (queue_full), with that time as Retry-After. Bytes sent to entries and agents are counted by kind (bytes_to_entries_total, bytes_to_agents_total), and the gauge send_backlog_bytes.

--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -80,13 +80,19 @@
   return ReadEndpoint(reader, name);
 }
 
+// Returns the capacity of the link in bytes a second.
+std::uint64_t ReadLink(ObjectReader& reader) {
+  constexpr std::uint64_t kBytesPerKilobit = 125;
+  return kBytesPerKilobit *
+         static_cast<std::uint64_t>(reader.ThousandthsOr(
+             "link_mbps", kLinkRangeKilobits, kDefaultLinkKilobits));
+}
+
 RecordingSettings ReadRecording(ObjectReader& reader) {
-  // A link of 1 kbit/s carries 125 bytes a second; recording gets 1/20 of it.
-  constexpr std::uint64_t kRecordingBytesPerKilobit = 6;
-  const auto link = static_cast<std::uint64_t>(reader.ThousandthsOr(
-      "link_mbps", kLinkRangeKilobits, kDefaultLinkKilobits));
+  // The part of the link that recording may use.
+  constexpr std::uint64_t kRecordingPart = 20;
   RecordingSettings settings{kDefaultSpoolBytes, kDefaultWriteInterval,
-                             link * kRecordingBytesPerKilobit};
+                             ReadLink(reader) / kRecordingPart};
   if (!reader.Has("recording")) return settings;
   ObjectReader nested = reader.Object("recording");
   settings.spool_bytes = static_cast<std::uint64_t>(
@@ -143,6 +149,7 @@
       "drain_accepts_ms", kDrainRangeMilliseconds, kDefaultDrainAccepts);
   settings.stop_within = reader.SecondsOr(
       "stop_within_s", kStopRangeMilliseconds, kDefaultStopWithin);
+  settings.link_bytes_per_second = ReadLink(reader);
   settings.recording = ReadRecording(reader);
   settings.log = ReadLog(reader);
   if (settings.stop_within < settings.drain_accepts + kMinimumHandOverTime) {
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -162,8 +162,9 @@
   this->hand_over.BeginDeparture();
 }
 
-void EntryCore::On(const EntryTick& /*event*/) {
+void EntryCore::On(const EntryTick& event) {
   const Timestamp now = this->current_time;
+  this->home.NoteSendBacklog(event.send_backlog, now);
   const bool was_paused =
       this->last_tick != Timestamp() &&
       now - this->last_tick > this->settings.suspect_after / 2;
--- a/libraries/entry_core/entry_core_settings.h
+++ b/libraries/entry_core/entry_core_settings.h
@@ -19,6 +19,7 @@
 }
 
 struct EntryCoreSettings {
+  static constexpr std::size_t kRequiredMembers = 13;
   EntryId self;
   // The same for all entries and agents; must never change.
   std::uint32_t bucket_count = 0;
@@ -40,12 +41,15 @@
   std::uint64_t maximum_answer_bytes = 16U * 1024U * 1024U;
   // Seeds the choices of the random placement baselines.
   std::uint64_t placement_seed = 1;
+  // The rate at which starts and relays leave the instance; 0: not limited.
+  std::uint64_t link_bytes_per_second = 0;
 };
 BOOST_DESCRIBE_STRUCT(EntryCoreSettings, (),
                       (self, bucket_count, duplicate_window, suspect_after,
                        remove_after, repeat_interval, heartbeat_interval,
                        agent_reply_interval, lease_over_after, drain_accepts,
-                       drain_limit, maximum_answer_bytes, placement_seed))
+                       drain_limit, maximum_answer_bytes, placement_seed,
+                       link_bytes_per_second))
 
 }  // namespace dandelionspur
 
--- a/libraries/entry_core/entry_events.h
+++ b/libraries/entry_core/entry_events.h
@@ -104,8 +104,11 @@
 
 struct EntryTick {
   static constexpr const char* kName = "tick";
+  static constexpr std::size_t kRequiredMembers = 0;
+  // Bytes of starts and relays that wait for the link.
+  std::uint64_t send_backlog = 0;
 };
-BOOST_DESCRIBE_STRUCT(EntryTick, (), ())
+BOOST_DESCRIBE_STRUCT(EntryTick, (), (send_backlog))
 
 using EntryEvent =
     std::variant<CallerSubmitted, CallerCancelled, PeerConnected,
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -6,6 +6,8 @@
 namespace dandelionspur {
 namespace {
 
+// Approximate size of a start without its body.
+constexpr std::uint64_t kStartBytes = 150;
 constexpr Duration kMinimumRetryAfter = std::chrono::milliseconds(100);
 
 // The tasks for which no completion or refusal has been received.
@@ -48,6 +50,7 @@
       confirmer(refusals),
       outbox(effects),
       health(configured.suspect_after, registry),
+      send_budget(configured.link_bytes_per_second),
       answer_cache(configured.maximum_answer_bytes,
                    configured.duplicate_window),
       settled_attempts(configured.duplicate_window) {}
@@ -667,7 +670,9 @@
 
 void HomeJobs::DispatchService(ServiceState& service, Timestamp now) {
   this->DeprioritizeOverdue(service, now);
-  while (const std::optional<JobKey> key = service.Next()) {
+  while (this->send_budget.HasRoom(now)) {
+    const std::optional<JobKey> key = service.Next();
+    if (!key) break;
     HomeJob& job = this->jobs.at(*key);
     const TaskIndex index = job.queued.back();
     const TaskRecord& task = job.tasks[index.value()];
@@ -683,7 +688,10 @@
     }
     this->StartTask(job, index, *agent, reason, now);
   }
-  if (service.queued_tasks() > 0) this->SendDemandNotices(service, now);
+  // Tasks that wait for this entry's own link need no other upstream.
+  if (service.queued_tasks() > 0 && this->send_budget.HasRoom(now)) {
+    this->SendDemandNotices(service, now);
+  }
 }
 
 void HomeJobs::CollectCandidates(const HomeJob& job, const TaskRecord& task,
@@ -758,6 +766,7 @@
               request,
               std::nullopt};
   OmitRepeatedBody(agent, start);
+  this->send_budget.NoteSent(start.request.body.size() + kStartBytes);
   this->outbox.ToAgent(agent.agent, std::move(start));
 }
 
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -15,6 +15,7 @@
 #include "libraries/entry_core/home_job.h"
 #include "libraries/entry_core/ownership.h"
 #include "libraries/entry_core/refusal_confirmer.h"
+#include "libraries/entry_core/send_budget.h"
 #include "libraries/entry_core/service_state.h"
 #include "libraries/entry_core/settled_attempts.h"
 #include "libraries/entry_core/upstream_health.h"
@@ -75,6 +76,10 @@
   // have started.
   void AdvanceBlocked(Timestamp now);
 
+  // Records the bytes of starts and relays that wait for the link.
+  void NoteSendBacklog(std::uint64_t bytes, Timestamp now) {
+    this->send_budget.NoteBacklog(bytes, now);
+  }
   void Tick(Timestamp now);
   // Repeats the requests to witnesses that have not answered.
   void RepeatRequests(Timestamp now);
@@ -157,6 +162,7 @@
   RefusalConfirmer& confirmer;
   EntryOutbox& outbox;
   UpstreamHealth health;
+  SendBudget send_budget;
   std::map<ServiceName, ServiceState> services;
   std::unordered_map<JobKey, HomeJob> jobs;
   std::set<std::pair<Timestamp, JobKey>> deadlines;
--- a/services/entry/entry_links.cc
+++ b/services/entry/entry_links.cc
@@ -11,13 +11,22 @@
 
 namespace asio = boost::asio;
 
+// Approximate size of a relay or start without bodies.
+constexpr std::size_t kHeaderBytes = 150;
+
+std::size_t BodyBytes(const JobSubmission& job) {
+  std::size_t bytes = job.shared_body ? job.shared_body->size() : 0;
+  for (const TaskRequest& task : job.tasks) bytes += task.body.size();
+  return bytes;
+}
+
 }  // namespace
 
 Result<std::unique_ptr<EntryLinks>> EntryLinks::Create(
     const EntrySettings& settings, EntryId self, asio::io_context& core,
     ThreadGroup& input_output, Metrics& counters, EntryEventSink event_sink) {
   std::unique_ptr<EntryLinks> links(new EntryLinks(
-      self, core, input_output, counters, std::move(event_sink)));
+      settings, self, core, input_output, counters, std::move(event_sink)));
   const Hello own{ProcessRole::kEntry, self.value()};
   BOOST_LEAF_AUTO(bound, LinkListener::Create(settings.peers, input_output, own,
                                               links->ListenerHandlers()));
@@ -25,16 +34,20 @@
   return links;
 }
 
-EntryLinks::EntryLinks(EntryId own, asio::io_context& core_context,
-                       ThreadGroup& threads, Metrics& counters,
-                       EntryEventSink events)
+EntryLinks::EntryLinks(const EntrySettings& settings, EntryId own,
+                       asio::io_context& core_context, ThreadGroup& threads,
+                       Metrics& counters, EntryEventSink events)
     : self(own),
       core(core_context),
       input_output(threads),
       metrics(counters),
       sink(std::move(events)),
       peer_messages(counters, "messages_to_entries_total"),
-      agent_messages(counters, "messages_to_agents_total") {}
+      agent_messages(counters, "messages_to_agents_total"),
+      peer_bytes(counters, "bytes_to_entries_total"),
+      agent_bytes(counters, "bytes_to_agents_total"),
+      link_pacer(core_context,
+                 LinkPacer::RateFor(settings.link_bytes_per_second)) {}
 
 LinkHandlers EntryLinks::ListenerHandlers() {
   LinkHandlers handlers;
@@ -120,18 +133,43 @@
   const auto found = this->peers.find(to);
   if (found == this->peers.end()) return;
   this->peer_messages.Count(message);
-  found->second->SendEncoded([sent = std::move(message)](std::string& bytes) {
-    WireCodec::Append(sent, bytes);
-  });
+  const auto* relay = std::get_if<Relay>(&message);
+  if (relay == nullptr) {
+    Transmit(found->second, std::move(message), this->peer_bytes);
+    return;
+  }
+  const std::size_t size = kHeaderBytes + BodyBytes(relay->job);
+  this->link_pacer.Send(
+      size, [this, connection = found->second, sent = std::move(message)] {
+        Transmit(connection, sent, this->peer_bytes);
+      });
+}
+
+template <typename Message>
+void EntryLinks::Transmit(const FrameConnectionPointer& connection,
+                          Message message, ByteCounters<Message>& counters) {
+  connection->SendEncoded(
+      [sent = std::move(message), &counters](std::string& bytes) {
+        const std::size_t before = bytes.size();
+        WireCodec::Append(sent, bytes);
+        counters.Count(sent, bytes.size() - before + kFrameHeaderSize);
+      });
 }
 
 void EntryLinks::Send(AgentId to, EntryToAgentMessage message) {
   const auto found = this->agents.find(to);
   if (found == this->agents.end()) return;
   this->agent_messages.Count(message);
-  found->second->SendEncoded([sent = std::move(message)](std::string& bytes) {
-    WireCodec::Append(sent, bytes);
-  });
+  const auto* start = std::get_if<Start>(&message);
+  if (start == nullptr) {
+    Transmit(found->second, std::move(message), this->agent_bytes);
+    return;
+  }
+  const std::size_t size = kHeaderBytes + start->request.body.size();
+  this->link_pacer.Send(
+      size, [this, connection = found->second, sent = std::move(message)] {
+        Transmit(connection, sent, this->agent_bytes);
+      });
 }
 
 void EntryLinks::SetAgentEndpoint(const AgentDescription& description) {
--- a/services/entry/entry_links.h
+++ b/services/entry/entry_links.h
@@ -9,6 +9,7 @@
 #include "libraries/entry_core/entry_events.h"
 #include "libraries/network/endpoint_watch.h"
 #include "libraries/network/link.h"
+#include "libraries/network/link_pacer.h"
 #include "services/runtime/message_counters.h"
 
 namespace dandelionspur {
@@ -31,15 +32,23 @@
   EntryLinks& operator=(const EntryLinks&) = delete;
 
   void ConnectToMembers(const View& view);
+  // Relays and starts, which carry job bodies, are paced to the link; all other
+  // messages are sent at once.
   void Send(EntryId to, PeerMessage message);
   void Send(AgentId to, EntryToAgentMessage message);
+  // The relays and starts that wait for the link.
+  [[nodiscard]] const LinkPacer& pacer() const { return this->link_pacer; }
   // Records the admin endpoint at which an agent is probed once its connection
   // is lost.
   void SetAgentEndpoint(const AgentDescription& description);
 
  private:
-  EntryLinks(EntryId own, boost::asio::io_context& core_context,
-             ThreadGroup& threads, Metrics& counters, EntryEventSink events);
+  EntryLinks(const EntrySettings& settings, EntryId own,
+             boost::asio::io_context& core_context, ThreadGroup& threads,
+             Metrics& counters, EntryEventSink events);
+  template <typename Message>
+  static void Transmit(const FrameConnectionPointer& connection,
+                       Message message, ByteCounters<Message>& counters);
 
   // The returned handlers and OnFrame() run on the connections' threads.
   [[nodiscard]] LinkHandlers ListenerHandlers();
@@ -60,6 +69,9 @@
   EntryEventSink sink;
   MessageCounters<PeerMessage> peer_messages;
   MessageCounters<EntryToAgentMessage> agent_messages;
+  ByteCounters<PeerMessage> peer_bytes;
+  ByteCounters<EntryToAgentMessage> agent_bytes;
+  LinkPacer link_pacer;
   std::unique_ptr<LinkListener> listener;
   std::map<EntryId, std::shared_ptr<LinkDialer>> dialers;
   std::map<EntryId, FrameConnectionPointer> peers;
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -31,6 +31,8 @@
 constexpr std::chrono::milliseconds kAnswerMargin{1000};
 constexpr std::chrono::milliseconds kShutdownMargin{700};
 constexpr std::chrono::milliseconds kExitMargin{250};
+// A new job whose relay or starts would wait longer for the link is refused.
+constexpr Duration kMaximumSendDelay = std::chrono::milliseconds(300);
 constexpr unsigned kOk = 200;
 constexpr unsigned kAccepted = 202;
 constexpr unsigned kNotFound = 404;
@@ -48,6 +50,8 @@
   core.drain_limit = std::min(core.drain_accepts + kMaximumHandOverTime,
                               settings.stop_within - kShutdownMargin);
   core.placement_seed = self.value();
+  core.link_bytes_per_second =
+      LinkPacer::RateFor(settings.link_bytes_per_second);
   return core;
 }
 
@@ -195,6 +199,17 @@
   return SubmissionValidator::Reject(Reason::kDraining, "").answer;
 }
 
+JobAnswer EntryServer::RefuseForLink(const JobSubmission& job,
+                                     Duration send_delay) {
+  this->refusals.Count(Reason::kQueueFull);
+  LogEvent(LogCategory::kFailure,
+           RequestRejected{job.name, job.service.value(), Reason::kQueueFull,
+                           "the link of this entry is full"});
+  JobAnswer answer = SubmissionValidator::Reject(Reason::kQueueFull, "").answer;
+  answer.retry_after = send_delay;
+  return answer;
+}
+
 void EntryServer::StartShutdownSchedule() {
   this->ScheduleShutdownStep(this->shutdown_schedule.callers_close,
                              &EntryServer::CloseCallers);
@@ -280,6 +295,11 @@
                     : JobAnswer::MayHaveRun(Reason::kHomeUnreachable));
     return;
   }
+  const Duration send_delay = this->links->pacer().Delay();
+  if (job.kind == SubmissionKind::kRun && send_delay > kMaximumSendDelay) {
+    callback(this->RefuseForLink(job, send_delay));
+    return;
+  }
   const RequestId request(++this->last_request);
   this->waiting_callers.emplace(
       request, WaitingCaller{std::move(callback), job.name, job.service});
@@ -308,7 +328,7 @@
     if (error) return;
     this->ObserveDelay(std::chrono::duration_cast<Duration>(
         SteadyClock::now() - this->tick_timer.expiry()));
-    this->Handle(EntryTick{});
+    this->Handle(EntryTick{this->links->pacer().backlog()});
     FlushLog();
     this->ScheduleTick();
   });
@@ -439,6 +459,8 @@
   }
   this->metrics.Set("oldest_agent_report_seconds",
                     std::chrono::duration<double>(oldest_report).count());
+  this->metrics.Set("send_backlog_bytes",
+                    static_cast<double>(this->links->pacer().backlog()));
   SetLogGauges(this->metrics);
 }
 
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -71,6 +71,8 @@
   [[nodiscard]] bool CanAnswerWithin(Duration time) const;
   // Refuses a submission that has not been passed to the core.
   JobAnswer Refuse(const std::string& job);
+  // Refuses a new job because `send_delay` of messages wait for the link.
+  JobAnswer RefuseForLink(const JobSubmission& job, Duration send_delay);
   // Steps of the graceful shutdown, on the core's thread.
   void StartShutdownSchedule();
   void ScheduleShutdownStep(ShutdownSchedule::Time time,
--- a/services/runtime/message_counters.h
+++ b/services/runtime/message_counters.h
@@ -45,6 +45,20 @@
   CounterSet counters;
 };
 
+// Counts the bytes of messages by kind, under one metric name.
+template <typename Variant>
+class ByteCounters {
+ public:
+  ByteCounters(Metrics& metrics, const std::string& name)
+      : counters(metrics, name, "kind", AlternativeNames<Variant>()) {}
+  void Count(const Variant& message, std::size_t bytes) {
+    this->counters.Count(message.index(), static_cast<double>(bytes));
+  }
+
+ private:
+  CounterSet counters;
+};
+
 // Counts occurrences by Reason, under one metric name.
 class ReasonCounters {
  public:
