entry_core: Tell agents without an upstream about the view as well

It was connected to one entry only; all others knew it from there, saw it alive, and waited for its promise without end. Change: every connected agent is told. Failing first: ViewChangeTest.AnAgentThatHasNotRegisteredIsSentTheView.

--- a/libraries/entry_core/agent_registry.cc
+++ b/libraries/entry_core/agent_registry.cc
@@ -97,12 +97,12 @@
   });
 }
 
-std::vector<AgentId> AgentRegistry::Acknowledged() const {
-  std::vector<AgentId> acknowledged;
+std::vector<AgentId> AgentRegistry::Connected() const {
+  std::vector<AgentId> connected;
   for (const auto& [id, known] : this->agents) {
-    if (known.connected && known.acknowledged) acknowledged.push_back(id);
+    if (known.connected) connected.push_back(id);
   }
-  return acknowledged;
+  return connected;
 }
 
 std::vector<AgentSummary> AgentRegistry::Summaries() const {
--- a/libraries/entry_core/agent_registry.h
+++ b/libraries/entry_core/agent_registry.h
@@ -112,8 +112,7 @@
   // Removes agents lost before `horizon`.
   void Expire(Timestamp horizon);
   [[nodiscard]] std::vector<AgentSummary> Summaries() const;
-  // The connected agents that this entry has acknowledged.
-  [[nodiscard]] std::vector<AgentId> Acknowledged() const;
+  [[nodiscard]] std::vector<AgentId> Connected() const;
   [[nodiscard]] const std::map<AgentId, KnownAgent>& all() const {
     return this->agents;
   }
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -461,7 +461,9 @@
 }
 
 void EntryCore::SendViewToAgents() {
-  const std::vector<AgentId> ids = this->registry.Acknowledged();
+  // An agent without an upstream does not register, but takers need its promise
+  // as well, so it must connect to entries that join.
+  const std::vector<AgentId> ids = this->registry.Connected();
   for (const AgentId id : ids) {
     KnownAgent& agent = *this->registry.Find(id);
     const bool learns_from_others =
@@ -473,12 +475,17 @@
 
 void EntryCore::SendView(KnownAgent& agent) {
   agent.next_view = this->current_time + kViewPatience;
-  this->outbox.ToAgent(agent.agent,
-                       RegisterAcknowledged{this->view(), {}, false});
+  RegisterAcknowledged message{this->view(), {}, false};
+  // An earlier version takes any view for an acknowledgement.
+  if (!agent.acknowledged && !agent.reports_epoch) {
+    message.promises = this->ownership.Promises();
+    message.has_promises = true;
+  }
+  this->outbox.ToAgent(agent.agent, std::move(message));
 }
 
 void EntryCore::SendViewIfOutdated(KnownAgent& agent, Epoch epoch) {
-  const bool is_outdated = agent.acknowledged && epoch < this->view().epoch;
+  const bool is_outdated = epoch < this->view().epoch;
   const bool had_time =
       this->current_time >= this->view_adopted + kViewPatience &&
       this->current_time >= agent.next_view;
--- a/tests/entry_core/view_change_test.cc
+++ b/tests/entry_core/view_change_test.cc
@@ -98,6 +98,23 @@
   EXPECT_LE(traffic.views_to_agents, Fleet().agents);
 }
 
+// Guards against homes that wait for ever for the promise of an agent without
+// an upstream: it has not registered, so it was not told of the view with the
+// home, and never connected to it (vlc-trek-grown, trouble-1, after the loss of
+// power).
+TEST_F(ViewChangeTest, AnAgentThatHasNotRegisteredIsSentTheView) {
+  const AgentId agent(77'000);
+  this->bench.Handle(AgentConnected{agent});
+  AgentHeartbeat heartbeat;
+  heartbeat.epoch = this->bench.core().view().epoch;
+  this->bench.Handle(AgentMessageReceived{agent, heartbeat});
+  this->Join();
+  this->bench.AdvanceTime(std::chrono::milliseconds(500));
+  const std::vector<EntryEffect> effects =
+      this->bench.Handle(AgentMessageReceived{agent, heartbeat});
+  ASSERT_EQ(TrafficOf(effects).views_to_agents, 1U);
+}
+
 // The joiner needs the whole state before it may act.
 TEST_F(ViewChangeTest, TheJoinerIsSentTheStateOnceItConnects) {
   this->Join();
