entry_core: A home keeps a bucket only with enough possible witnesses

Cause: FailureTest.test_kill_of_an_entry_during_a_table_outage failed in every run (504 until the deadline): a home that had kept its bucket over the join of the third entry could use only the first as witness; that one was killed while the table was down, so that no view could follow. Change: a bucket is kept only while at least three of the others, or all of a smaller cluster, and half of them may be witnesses; else it is acquired anew, as before. The test passes; protocol_fuzz with 6 entries: 928 runs, no violation.

--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -68,9 +68,12 @@
       std::count_if(ranking.begin(), ranking.end(), [&](EntryId entry) {
         return entry != this->settings.self && this->MayWitness(entry, id);
       });
-  // With few entries left that may be witnesses, their loss would stop jobs.
+  // If all entries that may be witnesses are lost while the table is down, new
+  // jobs stop although other members live.
+  constexpr std::ptrdiff_t kFewWitnesses = 3;
   const auto others = static_cast<std::ptrdiff_t>(ranking.size()) - 1;
-  return witnesses > 0 && 2 * witnesses >= others;
+  return witnesses > 0 && witnesses >= std::min(others, kFewWitnesses) &&
+         2 * witnesses >= others;
 }
 
 bool Ownership::MayWitness(EntryId entry, BucketId bucket) const {
