--- a/libraries/entry_core/peer_directory.h
+++ b/libraries/entry_core/peer_directory.h
@@ -98,14 +98,14 @@
     return this->Asks(peer);
   }
   [[nodiscard]] const std::vector<AgentId>& AgentsAskedBy(EntryId peer) const {
-    static const std::vector<AgentId> kNone;
+    static const std::vector<AgentId> none;
     const auto found = this->peers.find(peer);
-    return found == this->peers.end() ? kNone : found->second.asked_agents;
+    return found == this->peers.end() ? none : found->second.asked_agents;
   }
   [[nodiscard]] const std::vector<EntryId>& EntriesAskedBy(EntryId peer) const {
-    static const std::vector<EntryId> kNone;
+    static const std::vector<EntryId> none;
     const auto found = this->peers.find(peer);
-    return found == this->peers.end() ? kNone : found->second.asked_entries;
+    return found == this->peers.end() ? none : found->second.asked_entries;
   }
   // Whether the peer's latest heartbeat tells its contacts with these agents.
   [[nodiscard]] bool HasListed(EntryId peer,
--- a/libraries/recording/segment.cc
+++ b/libraries/recording/segment.cc
@@ -81,8 +81,7 @@
 
 Result<std::string> Decompress(std::string_view frame,
                                const std::string& source, std::size_t offset) {
-  const unsigned long long size =
-      ZSTD_getFrameContentSize(frame.data(), frame.size());
+  const auto size = ZSTD_getFrameContentSize(frame.data(), frame.size());
   if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN ||
       size > kMaximumStepBytes) {
     return Fail(AtOffset(source, offset, "malformed compressed records"));
