--- a/services/runtime/record_uploader.h
+++ b/services/runtime/record_uploader.h
@@ -149,8 +149,9 @@
   // The time in which `bytes` may be stored at the configured rate.
   [[nodiscard]] Duration TimeFor(std::size_t bytes) const {
     constexpr std::uint64_t kMicrosecondsPerSecond = 1'000'000;
-    return Duration(static_cast<std::int64_t>(bytes * kMicrosecondsPerSecond /
-                                              this->settings.bytes_per_second));
+    const std::uint64_t microseconds =
+        bytes * kMicrosecondsPerSecond / this->settings.bytes_per_second;
+    return Duration{static_cast<std::int64_t>(microseconds)};
   }
 
   void StoreOldest() {
