--- a/services/entry/table_watcher.cc
+++ b/services/entry/table_watcher.cc
@@ -264,14 +264,16 @@
                          // This entry sees each view that it has written, even
                          // if another one follows at once: only a member of the
                          // first view of all knows that there was none before.
-                         if (outcome == WriteOutcome::kWritten)
+                         if (outcome == WriteOutcome::kWritten) {
                            this->sink(ViewRead{proposed});
+                         }
                          // Whether the write succeeded or conflicted, the view
                          // that the table now holds is adopted. If the outcome
                          // is unknown, the view arrives with the feed of
                          // changes.
-                         if (outcome != WriteOutcome::kUnknown)
+                         if (outcome != WriteOutcome::kUnknown) {
                            this->RereadView();
+                         }
                        });
 }
 
