protocol: Encode table rows and count message headers in one place

JoinRequests repeated the conversion of view_row, and the approximate size of a message header stood in the entry's links and in HomeJobs, which must agree. No behaviour changes: join_requests_test, view_change_test, protocol_test, entry_core_test pass.

--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -6,8 +6,6 @@
 namespace dandelionspur {
 namespace {
 
-// Approximate size of a start without its body.
-constexpr std::uint64_t kStartBytes = 150;
 constexpr Duration kMinimumRetryAfter = std::chrono::milliseconds(100);
 
 // The tasks for which no completion or refusal has been received.
@@ -766,7 +764,8 @@
               request,
               std::nullopt};
   OmitRepeatedBody(agent, start);
-  this->send_budget.NoteSent(start.request.body.size() + kStartBytes);
+  this->send_budget.NoteSent(start.request.body.size() +
+                             kJobMessageHeaderBytes);
   this->outbox.ToAgent(agent.agent, std::move(start));
 }
 
--- a/libraries/protocol/job.h
+++ b/libraries/protocol/job.h
@@ -44,6 +44,9 @@
 // of a job that was submitted before (kJoin).
 BOOST_DEFINE_ENUM_CLASS(SubmissionKind, kRun, kJoin)
 
+// Approximate size of a relay or a start without bodies, in bytes.
+inline constexpr std::size_t kJobMessageHeaderBytes = 150;
+
 struct JobSubmission {
   static constexpr std::size_t kRequiredMembers = 12;
   SubmissionKind kind = SubmissionKind::kRun;
--- /dev/null
+++ b/libraries/protocol/table_row.h
@@ -0,0 +1,37 @@
+#ifndef DANDELIONSPUR_LIBRARIES_PROTOCOL_TABLE_ROW_H_
+#define DANDELIONSPUR_LIBRARIES_PROTOCOL_TABLE_ROW_H_
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "libraries/protocol/codec.h"
+
+namespace dandelionspur {
+
+// The text of a table row that holds `value`. Rows hold text, so the
+// MessagePack of the value is converted to JSON.
+template <typename T>
+std::string EncodeTableRow(const T& value) {
+  return nlohmann::json::from_msgpack(WireCodec::ToMessagePack(value)).dump();
+}
+
+// Returns nothing if the text does not hold a T.
+template <typename T>
+std::optional<T> DecodeTableRow(const std::string& text) {
+  const nlohmann::json row = nlohmann::json::parse(text, nullptr, false);
+  if (row.is_discarded()) return std::nullopt;
+  std::string bytes;
+  nlohmann::json::to_msgpack(row, bytes);
+  return OrElse(
+      [&]() -> Result<std::optional<T>> {
+        BOOST_LEAF_AUTO(value, WireCodec::FromMessagePack<T>(bytes));
+        return std::optional<T>(std::move(value));
+      },
+      [](const std::string&) { return std::optional<T>(); });
+}
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_PROTOCOL_TABLE_ROW_H_
--- a/services/entry/entry_links.cc
+++ b/services/entry/entry_links.cc
@@ -11,9 +11,6 @@
 
 namespace asio = boost::asio;
 
-// Approximate size of a relay or start without bodies.
-constexpr std::size_t kHeaderBytes = 150;
-
 std::size_t BodyBytes(const JobSubmission& job) {
   std::size_t bytes = job.shared_body ? job.shared_body->size() : 0;
   for (const TaskRequest& task : job.tasks) bytes += task.body.size();
@@ -138,7 +135,7 @@
     Transmit(found->second, std::move(message), this->peer_bytes);
     return;
   }
-  const std::size_t size = kHeaderBytes + BodyBytes(relay->job);
+  const std::size_t size = kJobMessageHeaderBytes + BodyBytes(relay->job);
   this->link_pacer.Send(
       size, [this, connection = found->second, sent = std::move(message)] {
         Transmit(connection, sent, this->peer_bytes);
@@ -165,7 +162,7 @@
     Transmit(found->second, std::move(message), this->agent_bytes);
     return;
   }
-  const std::size_t size = kHeaderBytes + start->request.body.size();
+  const std::size_t size = kJobMessageHeaderBytes + start->request.body.size();
   this->link_pacer.Send(
       size, [this, connection = found->second, sent = std::move(message)] {
         Transmit(connection, sent, this->agent_bytes);
--- a/services/entry/join_requests.cc
+++ b/services/entry/join_requests.cc
@@ -1,10 +1,10 @@
 #include "services/entry/join_requests.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
-#include "libraries/protocol/codec.h"
+#include "libraries/protocol/table_row.h"
 
 namespace dandelionspur {
 namespace {
@@ -45,23 +45,14 @@
 }
 
 std::string JoinRequests::EncodeRow(const JoinRequest& request) {
-  // Rows hold text, so the MessagePack is converted to JSON.
-  return nlohmann::json::from_msgpack(WireCodec::ToMessagePack(request)).dump();
+  return EncodeTableRow(request);
 }
 
 bool JoinRequests::Note(const std::string& key, const std::string& value) {
-  const nlohmann::json row = nlohmann::json::parse(value, nullptr, false);
-  if (row.is_discarded()) return false;
-  std::string bytes;
-  nlohmann::json::to_msgpack(row, bytes);
-  return OrElse(
-      [&]() -> Result<bool> {
-        BOOST_LEAF_AUTO(request,
-                        WireCodec::FromMessagePack<JoinRequest>(bytes));
-        this->requests[key] = std::move(request);
-        return true;
-      },
-      [](const std::string&) { return false; });
+  std::optional<JoinRequest> request = DecodeTableRow<JoinRequest>(value);
+  if (!request) return false;
+  this->requests[key] = std::move(*request);
+  return true;
 }
 
 bool JoinRequests::HasOthers(EntryId self) const {
