entry, network: Tell which messages fill the link, and when the time limit ends a stop

The line link_full names the kind of message with the most bytes of the last second and the bytes that wait in sockets; stop_time_reached counts what is open when the process ends by its time limit.

--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -144,6 +144,31 @@
 };
 BOOST_DESCRIBE_STRUCT(EntryCaughtUp, (), (longest_delay_ms))
 
+// Messages to entries and agents have used most of the instance's link in the
+// last second.
+struct LinkFull {
+  static constexpr const char* kName = "link_full";
+  std::uint64_t bytes = 0;
+  std::uint64_t link_bytes_per_second = 0;
+  // The kind of message with the most bytes.
+  std::string largest_kind;
+  std::uint64_t largest_bytes = 0;
+  // Bytes that the sockets have not taken yet.
+  std::uint64_t unsent_bytes = 0;
+};
+BOOST_DESCRIBE_STRUCT(LinkFull, (),
+                      (bytes, link_bytes_per_second, largest_kind,
+                       largest_bytes, unsent_bytes))
+
+// The time limit of a graceful shutdown has passed and the process exits, with
+// its connections in whatever state they are.
+struct StopTimeReached {
+  static constexpr const char* kName = "stop_time_reached";
+  std::size_t connections = 0;
+  std::size_t unanswered = 0;
+};
+BOOST_DESCRIBE_STRUCT(StopTimeReached, (), (connections, unanswered))
+
 // The other entries have removed this entry from the view.
 struct RemovedFromViewLine {
   static constexpr const char* kName = "removed_from_view";
--- a/libraries/network/frame_connection.cc
+++ b/libraries/network/frame_connection.cc
@@ -82,6 +82,7 @@
           self->End(std::nullopt);
           return;
         }
+        self->unsent -= self->writing.size();
         self->writing.clear();
         if (self->writing.capacity() > kRetainedBufferBytes) {
           self->writing.shrink_to_fit();
--- a/libraries/network/frame_connection.h
+++ b/libraries/network/frame_connection.h
@@ -49,12 +49,17 @@
         this->socket.get_executor(),
         [self = this->shared_from_this(), append = std::move(append_body)] {
           if (self->ended) return;
+          const std::size_t before = self->outgoing.size();
           AppendFrame(self->outgoing, append);
+          self->unsent += self->outgoing.size() - before;
           if (self->writing.empty()) self->WriteNext();
         });
   }
   // No frame is delivered after this call.
   void Close();
+  // The bytes passed to Send that the socket has not taken yet. May be called
+  // from any thread.
+  [[nodiscard]] std::size_t unsent_bytes() const { return this->unsent; }
 
  private:
   explicit FrameConnection(boost::asio::ip::tcp::socket connected);
@@ -71,6 +76,7 @@
   // Frames queued while those in `writing` are being written.
   std::string outgoing;
   std::string writing;
+  std::atomic<std::size_t> unsent{0};
   std::atomic<bool> closing{false};
   bool ended = false;
 };
--- a/services/entry/entry_links.cc
+++ b/services/entry/entry_links.cc
@@ -169,6 +169,23 @@
       });
 }
 
+ByteUse EntryLinks::TakeByteUse() {
+  ByteUse use = this->peer_bytes.TakeInterval();
+  use.Add(this->agent_bytes.TakeInterval());
+  return use;
+}
+
+std::size_t EntryLinks::unsent_bytes() const {
+  std::size_t bytes = 0;
+  for (const auto& [peer, connection] : this->peers) {
+    bytes += connection->unsent_bytes();
+  }
+  for (const auto& [agent, connection] : this->agents) {
+    bytes += connection->unsent_bytes();
+  }
+  return bytes;
+}
+
 void EntryLinks::SetAgentEndpoint(const AgentDescription& description) {
   // A new agent process has bound this address, so all earlier processes at it
   // are dead and need no probe.
--- a/services/entry/entry_links.h
+++ b/services/entry/entry_links.h
@@ -38,6 +38,10 @@
   void Send(AgentId to, EntryToAgentMessage message);
   // The relays and starts that wait for the link.
   [[nodiscard]] const LinkPacer& pacer() const { return this->link_pacer; }
+  // The bytes sent to entries and agents since the last call.
+  ByteUse TakeByteUse();
+  // The bytes that the connections' sockets have not taken yet.
+  [[nodiscard]] std::size_t unsent_bytes() const;
   // Records the admin endpoint at which an agent is probed once its connection
   // is lost.
   void SetAgentEndpoint(const AgentDescription& description);
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -31,6 +31,9 @@
 constexpr std::chrono::milliseconds kAnswerMargin{1000};
 constexpr std::chrono::milliseconds kShutdownMargin{700};
 constexpr std::chrono::milliseconds kExitMargin{250};
+constexpr std::chrono::seconds kLinkInterval{1};
+// Above this share of the link's rate, in percent, the link counts as full.
+constexpr std::uint64_t kFullLinkPercent = 80;
 // A new job whose relay or starts would wait longer for the link is refused.
 constexpr Duration kMaximumSendDelay = std::chrono::milliseconds(300);
 constexpr unsigned kOk = 200;
@@ -166,8 +169,11 @@
       std::max(callers_close, kill_time - kShutdownMargin)};
   this->draining = true;
   LogStateChange(ProcessDraining{});
-  Lifetime::FinishAfter(this->settings.stop_within - kExitMargin,
-                        ExitCode::kSuccess);
+  Lifetime::FinishAfter(
+      this->settings.stop_within - kExitMargin, ExitCode::kSuccess, [this] {
+        const HttpServerLoad load = this->caller_server->Load();
+        LogStateChange(StopTimeReached{load.connections, load.unanswered});
+      });
   this->table->StopJoining();
   this->Post(DrainRequested{});
   this->caller_server->CloseAfterAnswers();
@@ -329,11 +335,26 @@
     this->ObserveDelay(std::chrono::duration_cast<Duration>(
         SteadyClock::now() - this->tick_timer.expiry()));
     this->Handle(EntryTick{this->links->pacer().backlog()});
+    this->ObserveLink(SteadyClock::now());
     FlushLog();
     this->ScheduleTick();
   });
 }
 
+void EntryServer::ObserveLink(SteadyClock::time_point now) {
+  if (now < this->next_link_check) return;
+  this->next_link_check = now + kLinkInterval;
+  constexpr std::uint64_t kPercent = 100;
+  const std::uint64_t limit = this->settings.link_bytes_per_second;
+  const ByteUse use = this->links->TakeByteUse();
+  const std::size_t unsent = this->links->unsent_bytes();
+  const bool is_full =
+      limit > 0 && (use.bytes + unsent) * kPercent > limit * kFullLinkPercent;
+  if (!is_full) return;
+  LogStateChange(
+      LinkFull{use.bytes, limit, use.largest_kind, use.largest_bytes, unsent});
+}
+
 void EntryServer::ObserveDelay(Duration tick_lateness) {
   const Duration delay = std::max(this->work_delay.EndInterval(tick_lateness),
                                   this->core.inbound_delay());
@@ -461,6 +482,8 @@
                     std::chrono::duration<double>(oldest_report).count());
   this->metrics.Set("send_backlog_bytes",
                     static_cast<double>(this->links->pacer().backlog()));
+  this->metrics.Set("unsent_bytes",
+                    static_cast<double>(this->links->unsent_bytes()));
   SetLogGauges(this->metrics);
 }
 
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -100,6 +100,8 @@
   // Updates the delay metric, and logs when the process falls behind or has
   // caught up.
   void ObserveDelay(Duration tick_lateness);
+  // Logs, once a second, if messages have used most of the link.
+  void ObserveLink(SteadyClock::time_point now);
   void Submit(JobSubmission job, AnswerCallback callback);
   void PublishServingState();
   [[nodiscard]] nlohmann::json Status() const;
@@ -134,6 +136,7 @@
   MessageCounters<AgentMessage> agent_messages;
   EventLoopDelay work_delay;
   LagDetector pace;
+  SteadyClock::time_point next_link_check;
   prometheus::Histogram& work_delays;
   PublishedServingState serving;
   ServingState next_serving_state;
--- a/services/runtime/daemon.cc
+++ b/services/runtime/daemon.cc
@@ -11,6 +11,7 @@
 #include <iostream>
 #include <memory>
 #include <random>
+#include <utility>
 
 namespace dandelionspur {
 namespace {
@@ -114,11 +115,15 @@
   MainContext().stop();
 }
 
-void Lifetime::FinishAfter(std::chrono::microseconds time, ExitCode code) {
+void Lifetime::FinishAfter(std::chrono::microseconds time, ExitCode code,
+                           std::function<void()> report) {
   const auto timer =
       std::make_shared<boost::asio::steady_timer>(MainContext(), time);
-  timer->async_wait([timer, code](boost::system::error_code error) {
-    if (!error) Finish(code);
+  timer->async_wait([timer, code, before = std::move(report)](
+                        boost::system::error_code error) {
+    if (error) return;
+    before();
+    Finish(code);
   });
 }
 
--- a/services/runtime/daemon.h
+++ b/services/runtime/daemon.h
@@ -45,9 +45,11 @@
                   const std::function<void()>& reload);
   // Makes Run() return. Safe from any thread.
   static void Finish(ExitCode code);
-  // Calls Finish() after `time` unless Run() has returned by then. Runs on the
-  // main thread, so that a server with blocked threads can't delay it.
-  static void FinishAfter(std::chrono::microseconds time, ExitCode code);
+  // Calls `report` and Finish() after `time` unless Run() has returned by then.
+  // Runs on the main thread, so that a server with blocked threads can't delay
+  // it.
+  static void FinishAfter(std::chrono::microseconds time, ExitCode code,
+                          std::function<void()> report);
   static ExitCode Result();
 };
 
