--- a/tests/entry_core/hand_over_test.cc
+++ b/tests/entry_core/hand_over_test.cc
@@ -85,8 +85,9 @@
   }
   // Acknowledges every message, and those sent in reaction.
   void AcknowledgeAll() {
-    for (std::size_t i = 0; i < this->traffic.size(); ++i) {
-      const SendToPeer sent = this->traffic[i];
+    std::size_t next = 0;
+    while (next < this->traffic.size()) {
+      const SendToPeer sent = this->traffic[next++];
       HandOverReply reply;
       reply.sequence = std::get<HandOver>(sent.message).sequence;
       this->Handle(PeerMessageReceived{sent.to, reply});
