entry_core: Hand keys over to two members, one message at a time

What callers saw: a stopping entry read requests and closed their connections unanswered (LOST), and nearly nothing was served while half of the entries stopped. Cause: a leaving entry sent every key that it knows to every other member, again each 250 ms to all that had not acknowledged, anew at each change of the view, and on after it had left. 25,000 keys to seven members fill a link of 25 Mbit/s for seconds; answers and heartbeats wait behind them, and what is unsent is memory. Why this works: at most one knower of a key is exempt from promising, so two holders suffice (at-most-once.md, rule 9). Each receiver has one message of at most 1,024 keys under way, the next follows the acknowledgement, and only a broken connection repeats one. A change of the view continues the copies. A home's copies after a loss take the same way, since they are the same cause elsewhere.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -85,7 +85,7 @@
   this->peers.Connected(event.peer, this->current_time);
   this->SendState(event.peer);
   this->ownership.RequestFromEntry(event.peer);
-  this->hand_over.RepeatRequestsTo(event.peer);
+  this->hand_over.ResumeTo(event.peer);
 }
 
 void EntryCore::On(const PeerDisconnected& event) {
@@ -104,10 +104,11 @@
 void EntryCore::On(const PeerMessageReceived& event) {
   this->peers.NoteMessage(event.from, this->current_time);
   // The first message after the peer has reconnected shows that it can send
-  // again. Its answers to relays may have been lost before. All other requests
-  // are repeated periodically.
+  // again. Its answers to relays and its acknowledgements may have been lost
+  // before. All other requests are repeated periodically.
   if (this->renewed_links.erase(event.from) > 0) {
     this->relays.ResubmitRelaysTo(event.from);
+    this->hand_over.ResumeTo(event.from);
   }
   std::visit([&](const auto& message) { this->OnPeer(event.from, message); },
              event.message);
@@ -159,7 +160,7 @@
   this->draining = true;
   this->drain_began = this->current_time;
   this->relays.StopWitnessing();
-  this->hand_over.BeginDeparture();
+  this->hand_over.BeginDeparture(this->current_time);
 }
 
 void EntryCore::On(const EntryTick& event) {
@@ -180,7 +181,7 @@
     this->next_repeat = now + this->settings.repeat_interval;
     this->ownership.RepeatRequests();
     this->home.RepeatRequests(now);
-    this->hand_over.RepeatRequests();
+    this->hand_over.ReplaceUnreachable(now);
     this->RemoveDeadMembers();
     this->ownership.Expire(now - this->settings.duplicate_window);
     this->registry.Expire(now - this->settings.duplicate_window);
@@ -429,8 +430,8 @@
   this->view_adopted = this->current_time;
   this->next_view.clear();
   this->ResubmitJobs(change.released);
-  this->hand_over.OnViewChange();
-  this->hand_over.ReReplicate(change.kept);
+  this->hand_over.OnViewChange(this->current_time);
+  this->hand_over.ReReplicate(change.kept, this->current_time);
   for (const ViewMember& member : view.members) {
     if (member.entry == this->settings.self) continue;
     this->peers.TrackMember(member.entry, this->current_time);
@@ -547,7 +548,7 @@
   if (!this->draining) this->ownership.AcquireVacant(now);
   const Ownership::Activation activation = this->ownership.ActivateReady(now);
   this->relays.OnActivated(activation.activated, now);
-  this->hand_over.ReReplicate(activation.fully_recovered);
+  this->hand_over.ReReplicate(activation.fully_recovered, now);
   this->home.Dispatch(now);
 }
 
--- a/libraries/entry_core/hand_over.cc
+++ b/libraries/entry_core/hand_over.cc
@@ -4,6 +4,15 @@
 #include <utility>
 
 namespace dandelionspur {
+namespace {
+
+// A key of which only one member knew could be lost with the exemption of a
+// former home.
+constexpr std::size_t kHoldersPerKey = 2;
+// About 30 kB: a hundredth of a second of a link of 25 Mbit/s.
+constexpr std::size_t kKeysPerMessage = 1024;
+
+}  // namespace
 
 KeyHandOver::KeyHandOver(const EntryCoreSettings& configured, Ownership& owner,
                          PeerDirectory& directory, EntryOutbox& effects)
@@ -12,26 +21,37 @@
       peers(directory),
       outbox(effects) {}
 
-void KeyHandOver::ReReplicate(const std::vector<BucketId>& buckets) {
-  HandOver message;
-  std::set<EntryId> losses;
+void KeyHandOver::ReReplicate(const std::vector<BucketId>& buckets,
+                              Timestamp now) {
   for (const BucketId bucket : buckets) {
-    const std::vector<EntryId> unreplicated =
-        this->ownership.UnreplicatedLosses(bucket);
-    if (unreplicated.empty()) continue;
-    losses.insert(unreplicated.begin(), unreplicated.end());
-    message.buckets.push_back({bucket, this->ownership.Promised(bucket)});
-    const std::vector<KnownKey> keys = this->ownership.KeysOf(bucket);
-    message.keys.insert(message.keys.end(), keys.begin(), keys.end());
+    std::vector<EntryId> losses = this->ownership.UnreplicatedLosses(bucket);
+    if (losses.empty()) continue;
+    if (this->replaced_losses.contains(bucket)) continue;
+    this->replaced_losses.emplace(bucket, std::move(losses));
+    this->AddCopy(Purpose::kBallotCheck, bucket, {});
+    this->AddCopies(Purpose::kReplication, bucket,
+                    this->ownership.KeysOf(bucket));
   }
-  if (losses.empty()) return;
-  this->Begin(std::move(message), {losses.begin(), losses.end()});
+  this->Continue(now);
 }
 
-void KeyHandOver::BeginDeparture() {
-  HandOver message;
-  message.keys = this->ownership.AllKeys();
-  this->departure = this->Begin(std::move(message), {});
+void KeyHandOver::BeginDeparture(Timestamp now) {
+  this->departing = true;
+  for (std::uint32_t i = 0; i < this->settings.bucket_count; ++i) {
+    const BucketId bucket(i);
+    this->AddCopies(Purpose::kDeparture, bucket,
+                    this->ownership.KeysOf(bucket));
+  }
+  this->Continue(now);
+}
+
+bool KeyHandOver::DepartureComplete() const {
+  if (!this->departing) return false;
+  return std::all_of(
+      this->copies.begin(), this->copies.end(), [&](const auto& item) {
+        const Copy& copy = item.second;
+        return copy.purpose != Purpose::kDeparture || this->IsComplete(copy);
+      });
 }
 
 void KeyHandOver::Answer(EntryId from, const HandOver& message, Timestamp now) {
@@ -47,82 +67,203 @@
   // Recording additional keys is safe under any ballot.
   for (const KnownKey& key : message.keys) {
     this->ownership.RememberInherited(key, now);
+    if (!this->departing) continue;
+    this->received[this->ownership.BucketOfKey(key.key)].push_back(key);
   }
   this->outbox.ToPeer(from, std::move(reply));
 }
 
 void KeyHandOver::OnReply(EntryId from, const HandOverReply& reply) {
-  const auto found = this->rounds.find(reply.sequence);
-  if (found == this->rounds.end()) return;
-  Round& round = found->second;
-  for (const BucketBallot& lost : reply.higher) {
-    std::erase_if(round.message.buckets, [&](const BucketBallot& bucket) {
-      return bucket.bucket == lost.bucket;
-    });
+  const auto found = this->receivers.find(from);
+  if (found == this->receivers.end()) return;
+  Receiver& receiver = found->second;
+  const bool expected =
+      !receiver.in_flight.empty() && receiver.sequence == reply.sequence;
+  if (!expected) return;
+  this->DropReplaced(reply.higher);
+  std::set<BucketId> acknowledged;
+  for (const CopyId id : receiver.in_flight) {
+    const auto copy = this->copies.find(id);
+    if (copy == this->copies.end()) continue;
+    copy->second.holders.insert(from);
+    if (copy->second.purpose == Purpose::kDeparture) continue;
+    acknowledged.insert(copy->second.bucket);
   }
-  round.pending.erase(from);
-  if (!round.pending.empty() || this->departure == reply.sequence) return;
-  KeysReplicated healed;
-  healed.lost = round.losses;
-  for (const BucketBallot& bucket : round.message.buckets) {
-    const bool still_home =
-        this->ownership.IsActive(bucket.bucket) &&
-        this->ownership.Promised(bucket.bucket) == bucket.ballot;
-    if (still_home) healed.buckets.push_back(bucket.bucket);
-  }
-  for (const BucketId bucket : healed.buckets) {
-    for (const EntryId lost : healed.lost) {
-      this->ownership.MarkReReplicated(bucket, lost);
-    }
+  receiver.in_flight.clear();
+  this->AnnounceReplicated(acknowledged);
+  this->SendNext(from, receiver);
+}
+
+void KeyHandOver::ResumeTo(EntryId entry) {
+  const auto found = this->receivers.find(entry);
+  if (found == this->receivers.end()) return;
+  if (!this->peers.IsConnected(entry)) return;
+  if (found->second.in_flight.empty()) {
+    this->SendNext(entry, found->second);
+  } else {
+    this->Send(entry, found->second);
   }
-  for (const ViewMember& member : this->ownership.view().members) {
-    if (member.entry == this->settings.self) continue;
-    this->outbox.ToPeer(member.entry, healed);
+}
+
+void KeyHandOver::OnViewChange(Timestamp now) {
+  const View& view = this->ownership.view();
+  const bool left = view.Find(this->settings.self) == nullptr;
+  this->replaced_losses.clear();
+  std::erase_if(this->copies, [&](const auto& item) {
+    return left || item.second.purpose != Purpose::kDeparture;
+  });
+  const auto is_gone = [&](EntryId entry) {
+    return view.Find(entry) == nullptr;
+  };
+  std::erase_if(this->receivers,
+                [&](const auto& item) { return left || is_gone(item.first); });
+  if (left || !this->departing) return;
+  for (auto& [id, copy] : this->copies) {
+    std::erase_if(copy.receivers, is_gone);
+    std::erase_if(copy.holders, is_gone);
   }
-  this->rounds.erase(found);
+  for (const auto& [bucket, keys] : std::exchange(this->received, {})) {
+    this->AddCopies(Purpose::kDeparture, bucket, keys);
+  }
+  this->Continue(now);
 }
 
-void KeyHandOver::RepeatRequests() {
-  for (const auto& [sequence, round] : this->rounds) this->Send(round);
+void KeyHandOver::AddCopies(Purpose purpose, BucketId bucket,
+                            const std::vector<KnownKey>& keys) {
+  for (std::size_t first = 0; first < keys.size(); first += kKeysPerMessage) {
+    const std::size_t last = std::min(keys.size(), first + kKeysPerMessage);
+    this->AddCopy(purpose, bucket,
+                  {keys.begin() + static_cast<std::ptrdiff_t>(first),
+                   keys.begin() + static_cast<std::ptrdiff_t>(last)});
+  }
 }
 
-void KeyHandOver::RepeatRequestsTo(EntryId entry) {
-  if (!this->peers.IsConnected(entry)) return;
-  for (const auto& [sequence, round] : this->rounds) {
-    if (round.pending.contains(entry)) {
-      this->outbox.ToPeer(entry, round.message);
+void KeyHandOver::AddCopy(Purpose purpose, BucketId bucket,
+                          std::vector<KnownKey> keys) {
+  Copy copy;
+  copy.purpose = purpose;
+  copy.bucket = bucket;
+  copy.keys = std::move(keys);
+  this->copies.emplace(++this->last_copy, std::move(copy));
+}
+
+std::size_t KeyHandOver::RequiredHolders(const Copy& copy) const {
+  const View& view = this->ownership.view();
+  const bool is_member = view.Find(this->settings.self) != nullptr;
+  const std::size_t others = view.members.size() - (is_member ? 1 : 0);
+  if (copy.purpose == Purpose::kBallotCheck) return others;
+  return std::min(others, kHoldersPerKey);
+}
+
+void KeyHandOver::Continue(Timestamp now) {
+  for (auto& [id, copy] : this->copies) this->Assign(id, copy, now);
+  for (auto& [entry, receiver] : this->receivers) {
+    this->SendNext(entry, receiver);
+  }
+}
+
+void KeyHandOver::Assign(CopyId id, Copy& copy, Timestamp now) {
+  const std::size_t required = this->RequiredHolders(copy);
+  if (copy.holders.size() >= required) return;
+  const auto is_reachable = [&](EntryId entry) {
+    return this->peers.IsConnected(entry) &&
+           !this->peers.IsSuspected(entry, now);
+  };
+  auto expected = static_cast<std::size_t>(std::count_if(
+      copy.receivers.begin(), copy.receivers.end(), [&](EntryId entry) {
+        return copy.holders.contains(entry) || is_reachable(entry);
+      }));
+  for (const EntryId entry : this->ownership.MembersByRank(copy.bucket)) {
+    if (expected >= required) return;
+    if (entry == this->settings.self) continue;
+    if (copy.receivers.contains(entry) || !is_reachable(entry)) continue;
+    copy.receivers.insert(entry);
+    this->receivers[entry].queued.push_back(id);
+    ++expected;
+  }
+}
+
+void KeyHandOver::SendNext(EntryId to, Receiver& receiver) {
+  if (!receiver.in_flight.empty() || !this->peers.IsConnected(to)) return;
+  std::size_t keys = 0;
+  while (!receiver.queued.empty()) {
+    const CopyId id = receiver.queued.front();
+    const auto copy = this->copies.find(id);
+    if (copy != this->copies.end()) {
+      const std::size_t size = copy->second.keys.size();
+      if (keys > 0 && keys + size > kKeysPerMessage) break;
+      keys += size;
+      receiver.in_flight.push_back(id);
     }
+    receiver.queued.pop_front();
   }
+  if (receiver.in_flight.empty()) return;
+  receiver.sequence = ++this->last_sequence;
+  this->Send(to, receiver);
 }
 
-void KeyHandOver::OnViewChange() {
-  this->rounds.clear();
-  if (!this->departure) return;
-  this->departure.reset();
-  this->BeginDeparture();
+void KeyHandOver::Send(EntryId to, const Receiver& receiver) {
+  HandOver message;
+  message.sequence = receiver.sequence;
+  std::set<BucketId> checked;
+  for (const CopyId id : receiver.in_flight) {
+    const auto found = this->copies.find(id);
+    if (found == this->copies.end()) continue;
+    const Copy& copy = found->second;
+    message.keys.insert(message.keys.end(), copy.keys.begin(), copy.keys.end());
+    if (copy.purpose == Purpose::kDeparture) continue;
+    if (!checked.insert(copy.bucket).second) continue;
+    message.buckets.push_back(
+        {copy.bucket, this->ownership.Promised(copy.bucket)});
+  }
+  this->outbox.ToPeer(to, std::move(message));
 }
 
-std::uint64_t KeyHandOver::Begin(HandOver message,
-                                 std::vector<EntryId> losses) {
-  message.sequence = ++this->last_sequence;
-  Round round{std::move(message), {}, std::move(losses)};
-  for (const ViewMember& member : this->ownership.view().members) {
-    if (member.entry != this->settings.self) {
-      round.pending.insert(member.entry);
+void KeyHandOver::DropReplaced(const std::vector<BucketBallot>& higher) {
+  for (const BucketBallot& lost : higher) {
+    this->replaced_losses.erase(lost.bucket);
+    std::erase_if(this->copies, [&](const auto& item) {
+      return item.second.bucket == lost.bucket &&
+             item.second.purpose != Purpose::kDeparture;
+    });
+  }
+}
+
+void KeyHandOver::AnnounceReplicated(const std::set<BucketId>& buckets) {
+  std::set<BucketId> complete = buckets;
+  for (const auto& [id, copy] : this->copies) {
+    if (copy.purpose == Purpose::kDeparture) continue;
+    if (!this->IsComplete(copy)) complete.erase(copy.bucket);
+  }
+  std::map<std::vector<EntryId>, std::vector<BucketId>> announced;
+  for (const BucketId bucket : complete) {
+    const auto losses = this->replaced_losses.find(bucket);
+    if (losses == this->replaced_losses.end()) continue;
+    if (this->ownership.IsActive(bucket)) {
+      announced[losses->second].push_back(bucket);
     }
+    this->replaced_losses.erase(losses);
+  }
+  std::erase_if(this->copies, [&](const auto& item) {
+    return item.second.purpose != Purpose::kDeparture &&
+           complete.contains(item.second.bucket);
+  });
+  for (const auto& [lost, replicated] : announced) {
+    this->AnnounceReplicated(lost, replicated);
   }
-  this->Send(round);
-  const std::uint64_t sequence = round.message.sequence;
-  this->rounds.emplace(sequence, std::move(round));
-  return sequence;
 }
 
-void KeyHandOver::Send(const Round& round) {
-  for (const EntryId entry : round.pending) {
-    if (this->peers.IsConnected(entry)) {
-      this->outbox.ToPeer(entry, round.message);
+void KeyHandOver::AnnounceReplicated(const std::vector<EntryId>& lost,
+                                     const std::vector<BucketId>& buckets) {
+  for (const BucketId bucket : buckets) {
+    for (const EntryId entry : lost) {
+      this->ownership.MarkReReplicated(bucket, entry);
     }
   }
+  for (const ViewMember& member : this->ownership.view().members) {
+    if (member.entry == this->settings.self) continue;
+    this->outbox.ToPeer(member.entry, KeysReplicated{buckets, lost});
+  }
 }
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/hand_over.h
+++ b/libraries/entry_core/hand_over.h
@@ -2,6 +2,7 @@
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_HAND_OVER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -14,54 +15,106 @@
 
 namespace dandelionspur {
 
-// Replicates this entry's keys to all other members, so that no home needs the
-// promise of a lost or leaving entry for them any more.
+// Copies this entry's keys to other members, so that no home needs the promise
+// of a lost or leaving entry for them any more. Every key goes to two members,
+// the fewest with which a key outlives the exemption of one former home:
+// docs/design/at-most-once.md, rule 9. Each receiver is sent one message at a
+// time, and the next one once it has acknowledged that, so that the keys never
+// take more than a small part of a link.
 class KeyHandOver {
  public:
   KeyHandOver(const EntryCoreSettings& configured, Ownership& owner,
               PeerDirectory& directory, EntryOutbox& effects);
 
-  // Sends the keys of `buckets` to all other members if the view lists lost
-  // entries that may have witnessed some of them. Call it only for buckets of
-  // which this entry, as home, has recorded every started key: otherwise the
-  // lost entry would count as replaced although it alone had recorded a start.
-  void ReReplicate(const std::vector<BucketId>& buckets);
-  // Begins a graceful shutdown by sending all recorded keys to the other
-  // members.
-  void BeginDeparture();
-  // Whether every other member has acknowledged the keys sent by
-  // BeginDeparture.
-  [[nodiscard]] bool DepartureComplete() const {
-    return this->departure && this->rounds.at(*this->departure).pending.empty();
-  }
+  // Copies the keys of `buckets` if the view lists lost entries that may have
+  // witnessed some of them. Call it only for buckets of which this entry, as
+  // home, has recorded every started key: otherwise the lost entry would count
+  // as replaced although it alone had recorded a start.
+  void ReReplicate(const std::vector<BucketId>& buckets, Timestamp now);
+  // Begins a graceful shutdown by copying all recorded keys.
+  void BeginDeparture(Timestamp now);
+  // Whether this entry may leave the view: every key that it had recorded when
+  // the departure began or the current view came into force has its copies.
+  [[nodiscard]] bool DepartureComplete() const;
   void Answer(EntryId from, const HandOver& message, Timestamp now);
   void OnReply(EntryId from, const HandOverReply& reply);
-  // Sends the hand-over messages again to members that have not acknowledged
-  // them.
-  void RepeatRequests();
-  // Sends the pending hand-over messages to a member that has connected.
-  void RepeatRequestsTo(EntryId entry);
-  // Discards pending hand-overs, since acknowledgements under an earlier view
-  // do not cover the members of the current one. Restarts that of a departure.
-  void OnViewChange();
+  // Sends again what the member has not acknowledged, since it or the
+  // acknowledgement may have been lost with an earlier connection.
+  void ResumeTo(EntryId entry);
+  // Discards the copies of a home, which are begun anew for the current view.
+  // Those of a departure continue, with further receivers in place of the ones
+  // that are no longer members.
+  void OnViewChange(Timestamp now);
+  // Chooses further receivers for the copies whose receivers have become
+  // unreachable. Call it periodically.
+  void ReplaceUnreachable(Timestamp now) { this->Continue(now); }
 
  private:
-  struct Round {
-    HandOver message;
-    std::set<EntryId> pending;
-    std::vector<EntryId> losses;
+  using CopyId = std::uint64_t;
+  enum class Purpose {
+    // The sender leaves the view.
+    kDeparture,
+    // The home replaces lost entries that may have been witnesses.
+    kReplication,
+    // The home makes sure that no member has promised a higher ballot: a home
+    // that was replaced must not declare lost entries dispensable. Carries no
+    // keys and goes to all other members.
+    kBallotCheck,
+  };
+  // Keys of one bucket that are to be recorded by other members.
+  struct Copy {
+    Purpose purpose = Purpose::kDeparture;
+    BucketId bucket;
+    std::vector<KnownKey> keys;
+    // The members to which the copy was assigned, and those of them that have
+    // acknowledged it.
+    std::set<EntryId> receivers;
+    std::set<EntryId> holders;
+  };
+  struct Receiver {
+    std::deque<CopyId> queued;
+    // The copies of the message that is not acknowledged yet.
+    std::vector<CopyId> in_flight;
+    std::uint64_t sequence = 0;
   };
 
-  std::uint64_t Begin(HandOver message, std::vector<EntryId> losses);
-  void Send(const Round& round);
+  // Adds copies of the keys, split so that each fits into one message.
+  void AddCopies(Purpose purpose, BucketId bucket,
+                 const std::vector<KnownKey>& keys);
+  void AddCopy(Purpose purpose, BucketId bucket, std::vector<KnownKey> keys);
+  // The number of other members that must acknowledge the copy.
+  [[nodiscard]] std::size_t RequiredHolders(const Copy& copy) const;
+  [[nodiscard]] bool IsComplete(const Copy& copy) const {
+    return copy.holders.size() >= this->RequiredHolders(copy);
+  }
+  // Queues the incomplete copies for as many members as are missing, highest
+  // rank first, and sends what can be sent.
+  void Continue(Timestamp now);
+  void Assign(CopyId id, Copy& copy, Timestamp now);
+  // Sends the next message unless the last one is not acknowledged yet.
+  void SendNext(EntryId to, Receiver& receiver);
+  void Send(EntryId to, const Receiver& receiver);
+  // Drops the home's copies of buckets that are promised to another home.
+  void DropReplaced(const std::vector<BucketBallot>& higher);
+  // Announces the buckets among `buckets` of which all copies are complete.
+  void AnnounceReplicated(const std::set<BucketId>& buckets);
+  void AnnounceReplicated(const std::vector<EntryId>& lost,
+                          const std::vector<BucketId>& buckets);
 
   EntryCoreSettings settings;
   Ownership& ownership;
   PeerDirectory& peers;
   EntryOutbox& outbox;
   std::uint64_t last_sequence = 0;
-  std::map<std::uint64_t, Round> rounds;
-  std::optional<std::uint64_t> departure;
+  CopyId last_copy = 0;
+  std::map<CopyId, Copy> copies;
+  std::map<EntryId, Receiver> receivers;
+  // The entries that the home's copies of a bucket replace.
+  std::map<BucketId, std::vector<EntryId>> replaced_losses;
+  bool departing = false;
+  // Keys received from other leaving entries since the departure began or the
+  // view last changed. Their sender counts on this entry once it has left.
+  std::map<BucketId, std::vector<KnownKey>> received;
 };
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -555,15 +555,6 @@
   return keys;
 }
 
-std::vector<KnownKey> Ownership::AllKeys() const {
-  std::vector<KnownKey> keys;
-  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
-    const std::vector<KnownKey> some = this->KeysOf(BucketId(i));
-    keys.insert(keys.end(), some.begin(), some.end());
-  }
-  return keys;
-}
-
 std::size_t Ownership::KnownKeyCount() const {
   std::size_t count = 0;
   for (const Bucket& bucket : this->buckets) count += bucket.known.size();
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -102,6 +102,11 @@
   // Whether the entry is a member of the view and was one in the view that the
   // promised ballot of the bucket names. A taker may not ask a later member.
   [[nodiscard]] bool MayWitness(EntryId entry, BucketId bucket) const;
+  // The members of the view, the one that should be home of `bucket` first.
+  [[nodiscard]] const std::vector<EntryId>& MembersByRank(
+      BucketId bucket) const {
+    return this->rankings[bucket.value()];
+  }
   // The highest-ranked other member that is connected and not suspected, as
   // witness for keys of `bucket`.
   [[nodiscard]] std::optional<EntryId> WitnessFor(BucketId bucket,
@@ -166,7 +171,6 @@
       const JobKey& key) const;
   [[nodiscard]] bool AgentPromised(BucketId bucket, AgentId agent) const;
   [[nodiscard]] std::vector<KnownKey> KeysOf(BucketId bucket) const;
-  [[nodiscard]] std::vector<KnownKey> AllKeys() const;
   [[nodiscard]] std::size_t KnownKeyCount() const;
 
   // The lost entries that may have witnessed a key of `bucket` that is not yet
