entry_core: A leaving home needs two witnesses for a new key

What could happen: a task started twice (fuzzer). A home that leaves goes on starting new keys after its hand-over began; only the witness knew such a key. It became home, was then the exempt previous home of the next one, and nobody reported the key. Now the key of a job that must not run again needs two witnesses while its home is leaving, which outlive the exemption of one. Keys that are recorded after the departure began are copied to two members when the view changes, since a witness may have left with it; the list of keys from other leaving entries becomes part of that. Jobs that may run again need no witness, as before.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -160,6 +160,7 @@
   this->draining = true;
   this->drain_began = this->current_time;
   this->relays.StopWitnessing();
+  this->home.BeginDeparture();
   this->hand_over.BeginDeparture(this->current_time);
 }
 
@@ -241,9 +242,9 @@
   this->outbox.ToPeer(from, std::move(reply));
 }
 
-void EntryCore::OnPeer(EntryId /*from*/, const WitnessReply& message) {
+void EntryCore::OnPeer(EntryId from, const WitnessReply& message) {
   this->Observe(message.higher);
-  this->home.OnWitnessReply(message, this->current_time);
+  this->home.OnWitnessReply(from, message, this->current_time);
 }
 
 void EntryCore::OnPeer(EntryId from, const Relay& message) {
--- a/libraries/entry_core/hand_over.cc
+++ b/libraries/entry_core/hand_over.cc
@@ -37,6 +37,7 @@
 
 void KeyHandOver::BeginDeparture(Timestamp now) {
   this->departing = true;
+  this->ownership.TrackNewKeys();
   for (std::uint32_t i = 0; i < this->settings.bucket_count; ++i) {
     const BucketId bucket(i);
     this->AddCopies(Purpose::kDeparture, bucket,
@@ -67,8 +68,6 @@
   // Recording additional keys is safe under any ballot.
   for (const KnownKey& key : message.keys) {
     this->ownership.RememberInherited(key, now);
-    if (!this->departing) continue;
-    this->received[this->ownership.BucketOfKey(key.key)].push_back(key);
   }
   this->outbox.ToPeer(from, std::move(reply));
 }
@@ -122,7 +121,7 @@
     std::erase_if(copy.receivers, is_gone);
     std::erase_if(copy.holders, is_gone);
   }
-  for (const auto& [bucket, keys] : std::exchange(this->received, {})) {
+  for (const auto& [bucket, keys] : this->ownership.TakeNewKeys()) {
     this->AddCopies(Purpose::kDeparture, bucket, keys);
   }
   this->Continue(now);
--- a/libraries/entry_core/hand_over.h
+++ b/libraries/entry_core/hand_over.h
@@ -43,7 +43,8 @@
   void ResumeTo(EntryId entry);
   // Discards the copies of a home, which are begun anew for the current view.
   // Those of a departure continue, with further receivers in place of the ones
-  // that are no longer members.
+  // that are no longer members, and are joined by the keys that were recorded
+  // in the meantime: their other holders may be no longer members either.
   void OnViewChange(Timestamp now);
   // Chooses further receivers for the copies whose receivers have become
   // unreachable. Call it periodically.
@@ -112,9 +113,6 @@
   // The entries that the home's copies of a bucket replace.
   std::map<BucketId, std::vector<EntryId>> replaced_losses;
   bool departing = false;
-  // Keys received from other leaving entries since the departure began or the
-  // view last changed. Their sender counts on this entry once it has left.
-  std::map<BucketId, std::vector<KnownKey>> received;
 };
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/home_job.h
+++ b/libraries/entry_core/home_job.h
@@ -2,6 +2,7 @@
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_HOME_JOB_H_
 
 #include <cstdint>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -65,7 +66,7 @@
 };
 
 enum class JobPhase {
-  // A witness must record the key before the first task is started.
+  // Witnesses must record the key before the first task is started.
   kAwaitingWitness,
   // The agents must report the tasks that a former home started.
   kAwaitingHistory,
@@ -81,8 +82,8 @@
   Timestamp accepted_at;
   Timestamp deadline;
   JobPhase phase = JobPhase::kAwaitingWitness;
-  // Another entry has recorded the key, or the job needs no witness.
-  bool witnessed = false;
+  // The other entries that have recorded the key as witnesses.
+  std::set<EntryId> witnesses;
   // The key was received from the bucket's former home or from other entries,
   // from before this entry's ballot, so a former home may have started tasks.
   bool inherited = false;
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -85,7 +85,7 @@
       return;
     }
     job->waiters.push_back(waiter);
-    if (witness) job->witnessed = true;
+    if (witness) job->witnesses.insert(*witness);
     if (earlier == EarlierRelays::kOpen) job->earlier = earlier;
     this->Advance(*job, now);
     return;
@@ -127,10 +127,7 @@
   job.submission = submission;
   job.accepted_at = now;
   job.deadline = now + submission.time_allowed;
-  // Rerunnable jobs need no witness: a later home that finds no record of the
-  // key queries the agents before it starts the job.
-  job.witnessed =
-      witness.has_value() || submission.rerun == RerunPolicy::kAfterLease;
+  if (witness) job.witnesses.insert(*witness);
   job.inherited = inherited;
   job.earlier = earlier;
   job.waiters.push_back(waiter);
@@ -203,7 +200,7 @@
   if (job.phase == JobPhase::kRunning || job.phase == JobPhase::kRefusing) {
     return;
   }
-  if (!job.witnessed) {
+  if (!this->IsWitnessed(job)) {
     if (this->blocked.insert(job.submission.key).second) {
       this->RequestWitness(job, now);
     }
@@ -225,10 +222,20 @@
   this->StartRunning(job);
 }
 
+std::size_t HomeJobs::RequiredWitnesses(const HomeJob& job) const {
+  // A later home that finds no record of the key of a rerunnable job queries
+  // the agents before it starts the job.
+  if (IsRerunnable(job)) return 0;
+  constexpr std::size_t kWitnessesOfLeavingHome = 2;
+  const std::size_t wanted = this->leaving ? kWitnessesOfLeavingHome : 1;
+  const std::size_t members = this->ownership.view().members.size();
+  return members > wanted ? wanted : 1;
+}
+
 void HomeJobs::RequestWitness(const HomeJob& job, Timestamp now) {
   const BucketId bucket = this->ownership.BucketOfKey(job.submission.key);
   const std::optional<EntryId> witness =
-      this->ownership.WitnessFor(bucket, now);
+      this->ownership.WitnessFor(bucket, job.witnesses, now);
   if (!witness) return;
   const WitnessedKey key{{job.submission.key, job.accepted_at},
                          this->ownership.Promised(bucket)};
@@ -355,13 +362,15 @@
   return evicted;
 }
 
-void HomeJobs::OnWitnessReply(const WitnessReply& reply, Timestamp now) {
+void HomeJobs::OnWitnessReply(EntryId from, const WitnessReply& reply,
+                              Timestamp now) {
   for (const WitnessedKey& witnessed : reply.keys) {
     HomeJob* job = this->Find(witnessed.known.key);
-    if (job == nullptr || job->witnessed) continue;
+    if (job == nullptr || this->IsWitnessed(*job)) continue;
     const BucketId bucket = this->ownership.BucketOfKey(witnessed.known.key);
     if (witnessed.ballot != this->ownership.Promised(bucket)) continue;
-    job->witnessed = true;
+    job->witnesses.insert(from);
+    if (!this->IsWitnessed(*job)) this->RequestWitness(*job, now);
     this->Advance(*job, now);
   }
 }
@@ -634,7 +643,9 @@
 void HomeJobs::RepeatRequests(Timestamp now) {
   for (const JobKey& key : this->blocked) {
     const HomeJob* job = this->Find(key);
-    if (job != nullptr && !job->witnessed) this->RequestWitness(*job, now);
+    if (job != nullptr && !this->IsWitnessed(*job)) {
+      this->RequestWitness(*job, now);
+    }
   }
 }
 
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -57,7 +57,12 @@
   // returned to the caller of this function.
   std::vector<EvictedJob> Evict(BucketId bucket, Timestamp now);
 
-  void OnWitnessReply(const WitnessReply& reply, Timestamp now);
+  // From now on the key of a job needs two witnesses before the first start,
+  // since this entry leaves the view and will not report the key to a later
+  // home.
+  void BeginDeparture() { this->leaving = true; }
+
+  void OnWitnessReply(EntryId from, const WitnessReply& reply, Timestamp now);
   void OnTaskFinished(AgentId from, const TaskFinished& message, Timestamp now);
   void OnTaskNotRun(AgentId from, const TaskNotRun& message, Timestamp now);
   void OnRenounceReply(AgentId from, const RenounceReply& message,
@@ -113,6 +118,11 @@
   // all agents have reported what they started. Otherwise the job is blocked,
   // or answered "may have run" if the missing agent is lost.
   void Advance(HomeJob& job, Timestamp now);
+  [[nodiscard]] std::size_t RequiredWitnesses(const HomeJob& job) const;
+  [[nodiscard]] bool IsWitnessed(const HomeJob& job) const {
+    return job.witnesses.size() >= this->RequiredWitnesses(job);
+  }
+  // Asks a further entry to record the job's key.
   void RequestWitness(const HomeJob& job, Timestamp now);
   void StartRunning(HomeJob& job);
   void QueueTask(HomeJob& job, TaskIndex task);
@@ -174,6 +184,7 @@
   // Counts the starts by this home over all jobs, so that the starts of a job
   // that is submitted again have higher numbers than its earlier ones.
   std::uint32_t last_start = 0;
+  bool leaving = false;
   // A member only to reuse its allocation; the content is per decision.
   Candidates candidates;
   AnswerCache answer_cache;
--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -152,9 +152,10 @@
 }
 
 std::optional<EntryId> Ownership::WitnessFor(BucketId bucket,
+                                             const std::set<EntryId>& excluded,
                                              Timestamp now) const {
   for (const EntryId entry : this->rankings[bucket.value()]) {
-    if (entry == this->settings.self) continue;
+    if (entry == this->settings.self || excluded.contains(entry)) continue;
     if (this->peers.IsSuspected(entry, now)) continue;
     if (!this->MayWitness(entry, bucket)) continue;
     if (this->peers.IsConnected(entry)) return entry;
@@ -396,12 +397,19 @@
   const KeyRecord own{known.first_seen, now, KeyOrigin::kOwn};
   const auto [record, inserted] = bucket.known.emplace(known.key, own);
   record->second.last_heard = now;
+  if (inserted) this->TrackNewKey(known);
 }
 
 void Ownership::RememberInherited(const KnownKey& known, Timestamp now) {
   Bucket& bucket = this->Get(this->BucketOfKey(known.key));
-  bucket.known.emplace(known.key,
-                       KeyRecord{known.first_seen, now, KeyOrigin::kInherited});
+  const KeyRecord inherited{known.first_seen, now, KeyOrigin::kInherited};
+  const auto [record, inserted] = bucket.known.emplace(known.key, inherited);
+  if (inserted) this->TrackNewKey(known);
+}
+
+void Ownership::TrackNewKey(const KnownKey& known) {
+  if (!this->tracks_new_keys) return;
+  this->new_keys[this->BucketOfKey(known.key)].push_back(known);
 }
 
 void Ownership::Close(const JobKey& key, Timestamp now) {
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "libraries/entry_core/agent_contacts.h"
@@ -108,9 +109,9 @@
     return this->rankings[bucket.value()];
   }
   // The highest-ranked other member that is connected and not suspected, as
-  // witness for keys of `bucket`.
-  [[nodiscard]] std::optional<EntryId> WitnessFor(BucketId bucket,
-                                                  Timestamp now) const;
+  // witness for keys of `bucket`; not one of `excluded`.
+  [[nodiscard]] std::optional<EntryId> WitnessFor(
+      BucketId bucket, const std::set<EntryId>& excluded, Timestamp now) const;
   // The other member that joined first, of those connected and not suspected.
   [[nodiscard]] std::optional<EntryId> OldestConnectedMember(
       Timestamp now) const;
@@ -159,6 +160,13 @@
   void Remember(const KnownKey& known, Timestamp now);
   // Records a key of which another home may have started tasks.
   void RememberInherited(const KnownKey& known, Timestamp now);
+  // Keeps a list of the keys that are recorded by the two functions above from
+  // now on.
+  void TrackNewKeys() { this->tracks_new_keys = true; }
+  // The tracked keys since the last call.
+  std::map<BucketId, std::vector<KnownKey>> TakeNewKeys() {
+    return std::exchange(this->new_keys, {});
+  }
   // Marks a key as having its final answer under the current ballot.
   void Close(const JobKey& key, Timestamp now);
   // Treats a key that may run again as inherited; `started` are its tasks that
@@ -227,6 +235,7 @@
   // Whether the ballot of the bucket stays in force in the current view.
   [[nodiscard]] bool MayKeep(BucketId id) const;
   [[nodiscard]] bool NeedsPromiseOf(EntryId entry, const Bucket& bucket) const;
+  void TrackNewKey(const KnownKey& known);
   // Returns the buckets whose expected home may have changed since the last
   // call, and clears the list of changes.
   std::vector<BucketId> TakeBucketsToCheck(Timestamp now);
@@ -303,6 +312,8 @@
   // last call of ActivateReady.
   bool promises_changed = false;
   std::uint64_t examined = 0;
+  bool tracks_new_keys = false;
+  std::map<BucketId, std::vector<KnownKey>> new_keys;
 };
 
 }  // namespace dandelionspur
