entry: Refuse new jobs before the instance's memory ends

Cause: nothing bounded what an entry holds while it is behind (requests, relays, unsent messages, answers). Now the limit on the instance's memory is a setting (memory_mb), and from 60% of it on, in bytes that are allocated and not freed, new jobs are refused at the door: 503, one log line, a counter by resource, and a Retry-After that follows from how fast memory was last freed. The check of the link becomes part of the same class. Jobs taken in before go on; relays from other entries are not refused by it.

--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -25,6 +25,7 @@
 constexpr IntegerRange kWriteIntervalRangeMilliseconds{100, 3'600'000};
 
 constexpr IntegerRange kLinkRangeKilobits{100, 1'000'000'000};
+constexpr IntegerRange kMemoryRangeMegabytes{16, 1'048'576};
 
 constexpr std::int64_t kDefaultLinkKilobits = 1'000'000;
 constexpr std::int64_t kDefaultThreads = 2;
@@ -88,6 +89,14 @@
              "link_mbps", kLinkRangeKilobits, kDefaultLinkKilobits));
 }
 
+// Returns the limit in bytes; 0 if there is none.
+std::uint64_t ReadMemoryLimit(ObjectReader& reader) {
+  constexpr std::uint64_t kBytesPerMegabyte = 1'000'000;
+  if (!reader.Has("memory_mb")) return 0;
+  return kBytesPerMegabyte * static_cast<std::uint64_t>(reader.Integer(
+                                 "memory_mb", kMemoryRangeMegabytes));
+}
+
 RecordingSettings ReadRecording(ObjectReader& reader) {
   // The part of the link that recording may use.
   constexpr std::uint64_t kRecordingPart = 20;
@@ -150,6 +159,7 @@
   settings.stop_within = reader.SecondsOr(
       "stop_within_s", kStopRangeMilliseconds, kDefaultStopWithin);
   settings.link_bytes_per_second = ReadLink(reader);
+  settings.memory_bytes = ReadMemoryLimit(reader);
   settings.recording = ReadRecording(reader);
   settings.log = ReadLog(reader);
   if (settings.stop_within < settings.drain_accepts + kMinimumHandOverTime) {
--- a/libraries/configuration/settings.h
+++ b/libraries/configuration/settings.h
@@ -51,6 +51,8 @@
   std::uint32_t millicores = 0;
   // The capacity of the instance's own link.
   std::uint64_t link_bytes_per_second = 0;
+  // The process is killed above this much memory; 0: not limited.
+  std::uint64_t memory_bytes = 0;
   // 0: a single thread does everything, for an instance with one core.
   std::uint32_t input_output_threads = 0;
   std::uint32_t bucket_count = 0;
@@ -72,10 +74,10 @@
 };
 BOOST_DESCRIBE_STRUCT(EntrySettings, (),
                       (data_centre, callers, readiness, peers, admin, table,
-                       millicores, link_bytes_per_second, input_output_threads,
-                       bucket_count, duplicate_window, suspect_after,
-                       remove_after, lease, drain_accepts, stop_within,
-                       recording, log))
+                       millicores, link_bytes_per_second, memory_bytes,
+                       input_output_threads, bucket_count, duplicate_window,
+                       suspect_after, remove_after, lease, drain_accepts,
+                       stop_within, recording, log))
 
 struct AgentSettings {
   DataCentreName data_centre;
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -1,5 +1,7 @@
 #include "services/entry/entry_server.h"
 
+#include <malloc.h>
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <future>
@@ -34,13 +36,28 @@
 constexpr std::chrono::seconds kLinkInterval{1};
 // Above this share of the link's rate, in percent, the link counts as full.
 constexpr std::uint64_t kFullLinkPercent = 80;
-// A new job whose relay or starts would wait longer for the link is refused.
-constexpr Duration kMaximumSendDelay = std::chrono::milliseconds(300);
 constexpr unsigned kOk = 200;
 constexpr unsigned kAccepted = 202;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
 
+// The bytes that this process has allocated and not freed. Memory that the
+// allocator keeps for later is left out, since it can be used again.
+std::uint64_t AllocatedBytes() {
+  const struct mallinfo2 usage = mallinfo2();
+  return usage.uordblks + usage.hblkhd;
+}
+
+const char* DetailOf(ScarceResource resource) {
+  switch (resource) {
+    case ScarceResource::kLink:
+      return "the link of this entry is full";
+    case ScarceResource::kMemory:
+      return "the memory of this entry is full";
+  }
+  return "";
+}
+
 EntryCoreSettings CoreSettings(const EntrySettings& settings, EntryId self) {
   EntryCoreSettings core;
   core.self = self;
@@ -78,6 +95,7 @@
       retries(this->metrics, "retries_total"),
       refusals(this->metrics, "refusals_decided_total"),
       agent_messages(this->metrics, "messages_from_agents_total"),
+      load_guard(configured.memory_bytes),
       work_delays(
           this->metrics.HistogramFor("stage_seconds", "stage", "own_delay")),
       core(CoreSettings(configured, own)),
@@ -205,14 +223,16 @@
   return SubmissionValidator::Reject(Reason::kDraining, "").answer;
 }
 
-JobAnswer EntryServer::RefuseForLink(const JobSubmission& job,
-                                     Duration send_delay) {
+JobAnswer EntryServer::RefuseOverload(const JobSubmission& job,
+                                      const Overload& overload) {
   this->refusals.Count(Reason::kQueueFull);
+  this->metrics.Count("overload_refusals_total", "resource",
+                      EnumName(overload.resource));
   LogEvent(LogCategory::kFailure,
            RequestRejected{job.name, job.service.value(), Reason::kQueueFull,
-                           "the link of this entry is full"});
+                           DetailOf(overload.resource)});
   JobAnswer answer = SubmissionValidator::Reject(Reason::kQueueFull, "").answer;
-  answer.retry_after = send_delay;
+  answer.retry_after = overload.retry_after;
   return answer;
 }
 
@@ -301,9 +321,10 @@
                     : JobAnswer::MayHaveRun(Reason::kHomeUnreachable));
     return;
   }
-  const Duration send_delay = this->links->pacer().Delay();
-  if (job.kind == SubmissionKind::kRun && send_delay > kMaximumSendDelay) {
-    callback(this->RefuseForLink(job, send_delay));
+  const std::optional<Overload> overload =
+      this->load_guard.Check(this->links->pacer().Delay());
+  if (job.kind == SubmissionKind::kRun && overload) {
+    callback(this->RefuseOverload(job, *overload));
     return;
   }
   const RequestId request(++this->last_request);
@@ -335,12 +356,17 @@
     this->ObserveDelay(std::chrono::duration_cast<Duration>(
         SteadyClock::now() - this->tick_timer.expiry()));
     this->Handle(EntryTick{this->links->pacer().backlog()});
+    this->ObserveMemory(SteadyClock::now());
     this->ObserveLink(SteadyClock::now());
     FlushLog();
     this->ScheduleTick();
   });
 }
 
+void EntryServer::ObserveMemory(SteadyClock::time_point now) {
+  this->load_guard.NoteMemory(AllocatedBytes(), now);
+}
+
 void EntryServer::ObserveLink(SteadyClock::time_point now) {
   if (now < this->next_link_check) return;
   this->next_link_check = now + kLinkInterval;
@@ -482,6 +508,7 @@
                     std::chrono::duration<double>(oldest_report).count());
   this->metrics.Set("send_backlog_bytes",
                     static_cast<double>(this->links->pacer().backlog()));
+  this->metrics.Set("allocated_bytes", static_cast<double>(AllocatedBytes()));
   this->metrics.Set("unsent_bytes",
                     static_cast<double>(this->links->unsent_bytes()));
   SetLogGauges(this->metrics);
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -17,6 +17,7 @@
 #include "services/entry/caller_routes.h"
 #include "services/entry/document_routes.h"
 #include "services/entry/entry_links.h"
+#include "services/entry/load_guard.h"
 #include "services/entry/serving_state.h"
 #include "services/entry/table_watcher.h"
 #include "services/runtime/record_uploader.h"
@@ -71,8 +72,8 @@
   [[nodiscard]] bool CanAnswerWithin(Duration time) const;
   // Refuses a submission that has not been passed to the core.
   JobAnswer Refuse(const std::string& job);
-  // Refuses a new job because `send_delay` of messages wait for the link.
-  JobAnswer RefuseForLink(const JobSubmission& job, Duration send_delay);
+  // Refuses a new job because a resource of the instance has no room for it.
+  JobAnswer RefuseOverload(const JobSubmission& job, const Overload& overload);
   // Steps of the graceful shutdown, on the core's thread.
   void StartShutdownSchedule();
   void ScheduleShutdownStep(ShutdownSchedule::Time time,
@@ -100,6 +101,8 @@
   // Updates the delay metric, and logs when the process falls behind or has
   // caught up.
   void ObserveDelay(Duration tick_lateness);
+  // Records the memory in use for the load guard.
+  void ObserveMemory(SteadyClock::time_point now);
   // Logs, once a second, if messages have used most of the link.
   void ObserveLink(SteadyClock::time_point now);
   void Submit(JobSubmission job, AnswerCallback callback);
@@ -136,6 +139,7 @@
   MessageCounters<AgentMessage> agent_messages;
   EventLoopDelay work_delay;
   LagDetector pace;
+  LoadGuard load_guard;
   SteadyClock::time_point next_link_check;
   prometheus::Histogram& work_delays;
   PublishedServingState serving;
