tests/support: Split the simulated cluster into one class a file

The network, the upstreams, the table, the clock, the workload, the fault injector, the processes, the log and the oracle are now classes of their own; SimulatedCluster chooses and performs the steps. No behaviour changes.

--- /dev/null
+++ b/tests/support/fault_injector.h
@@ -0,0 +1,43 @@
+#ifndef DANDELIONSPUR_TESTS_SUPPORT_FAULT_INJECTOR_H_
+#define DANDELIONSPUR_TESTS_SUPPORT_FAULT_INJECTOR_H_
+
+#include "libraries/agent_core/agent_core.h"
+#include "tests/support/simulated_clock.h"
+#include "tests/support/simulated_network.h"
+#include "tests/support/simulation_options.h"
+
+namespace dandelionspur {
+
+// Applies a deliberate fault to messages and events.
+class FaultInjector {
+ public:
+  FaultInjector(DeliberateFault injected, SimulatedNetwork& simulated_network,
+                const SimulatedClock& simulated_clock)
+      : fault(injected), network(simulated_network), clock(simulated_clock) {}
+
+  enum class Outcome { kSend, kDrop };
+  // Applies the fault to a message that is about to be sent on the current
+  // connection from `from` to `to`.
+  [[nodiscard]] Outcome AlterMessage(NodeId from, NodeId to,
+                                     SimulatedMessage& message);
+  // For kRenewUnconfirmed, has the agent handle an event as if the sender of
+  // each message had just received one of its heartbeats. Otherwise returns the
+  // event as it is.
+  [[nodiscard]] AgentEvent ForgeContact(AgentCore& agent,
+                                        AgentEvent event) const;
+
+ private:
+  // Replies to a request in place of its receiver, if `message` is one.
+  [[nodiscard]] Outcome ForgeWitnessReply(NodeId from, NodeId to,
+                                          const SimulatedMessage& message);
+  [[nodiscard]] Outcome ForgeConfirmReply(NodeId from, NodeId to,
+                                          const SimulatedMessage& message);
+
+  DeliberateFault fault;
+  SimulatedNetwork& network;
+  const SimulatedClock& clock;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_TESTS_SUPPORT_FAULT_INJECTOR_H_
--- /dev/null
+++ b/tests/support/simulated_processes.cc
@@ -0,0 +1,514 @@
+#include "tests/support/simulated_processes.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libraries/protocol/codec.h"
+#include "tests/support/simulated_workload.h"
+
+namespace dandelionspur {
+namespace {
+
+AgentDescription DescriptionOf(std::uint32_t slot) {
+  constexpr std::uint32_t kFirstAdminPort = 1000;
+  AgentDescription description;
+  description.service = kSimulatedService;
+  description.capacity = kOneSlot + kOneSlot;
+  description.admin_endpoint.port =
+      static_cast<std::uint16_t>(kFirstAdminPort + slot);
+  return description;
+}
+
+// Whether one of `processes` is alive in the slot.
+template <typename Processes>
+bool IsAliveIn(const Processes& processes, std::uint32_t slot) {
+  return std::any_of(processes.begin(), processes.end(), [&](const auto& item) {
+    return item.second.alive && item.second.slot == slot;
+  });
+}
+
+template <typename Processes>
+std::vector<NodeId> AliveOf(const Processes& processes) {
+  std::vector<NodeId> alive;
+  for (const auto& [id, process] : processes) {
+    if (process.alive) alive.push_back(id);
+  }
+  return alive;
+}
+
+// The event by which an entry learns of a connection to another entry.
+EntryEvent PeerLinkEvent(EntryId peer, LinkChange change) {
+  if (change == LinkChange::kConnected) return PeerConnected{peer};
+  return PeerDisconnected{peer};
+}
+
+// The event by which an entry learns of a connection to an agent.
+EntryEvent AgentLinkEvent(AgentId agent, LinkChange change) {
+  if (change == LinkChange::kConnected) return AgentConnected{agent};
+  return AgentDisconnected{agent};
+}
+
+// The event by which an agent learns of a connection to an entry.
+AgentEvent EntryLinkEvent(EntryId entry, LinkChange change) {
+  if (change == LinkChange::kConnected) return EntryConnected{entry};
+  return EntryDisconnected{entry};
+}
+
+}  // namespace
+
+SimulatedProcesses::SimulatedProcesses(
+    const SimulatedSurroundings& surroundings)
+    : options(surroundings.options),
+      clock(surroundings.clock),
+      network(surroundings.network),
+      upstreams(surroundings.upstreams),
+      table(surroundings.table),
+      faults(surroundings.faults),
+      oracle(surroundings.oracle),
+      log(surroundings.log) {}
+
+EntryCoreSettings SimulatedProcesses::SettingsOf(NodeId entry) const {
+  EntryCoreSettings settings;
+  settings.self = EntryId(entry);
+  settings.bucket_count = this->options.buckets;
+  if (this->options.fault == DeliberateFault::kAssumeLeaseExpiredEarly) {
+    settings.lease_over_after = kMaximumLease / 4;
+  }
+  return settings;
+}
+
+SimulatedProcesses::Entry SimulatedProcesses::MakeEntry(
+    NodeId id, std::uint32_t slot) const {
+  Entry entry;
+  entry.core = std::make_unique<EntryCore>(this->SettingsOf(id));
+  entry.slot = slot;
+  return entry;
+}
+
+SimulatedProcesses::Agent SimulatedProcesses::MakeAgent(
+    NodeId id, std::uint32_t slot) const {
+  AgentCoreSettings settings;
+  settings.self = AgentId(id);
+  settings.bucket_count = this->options.buckets;
+  Agent agent;
+  agent.core = std::make_unique<AgentCore>(settings);
+  agent.slot = slot;
+  return agent;
+}
+
+void SimulatedProcesses::StartEntry(std::uint32_t slot) {
+  const NodeId id = ++this->last_node;
+  this->entries[id] = this->MakeEntry(id, slot);
+  this->log.Append("entry " + std::to_string(id) + " starts");
+  this->JoinView(id);
+  if (!this->table.IsUp()) return;
+  this->HandleEntry(id, ViewRead{this->table.view()});
+}
+
+void SimulatedProcesses::StartAgent(std::uint32_t slot) {
+  const NodeId id = ++this->last_node;
+  this->StopPredecessorTasks(slot);
+  this->agents[id] = this->MakeAgent(id, slot);
+  this->log.Append("agent " + std::to_string(id) + " starts");
+  this->HandleAgent(id, UpstreamAnnounced{DescriptionOf(slot)});
+  if (!this->table.IsUp()) return;
+  this->HandleAgent(id, AgentViewRead{this->table.view()});
+}
+
+void SimulatedProcesses::StopPredecessorTasks(std::uint32_t slot) {
+  // A new agent stops the tasks of its predecessors before it registers.
+  const bool stops =
+      this->options.HasLeases() &&
+      this->options.fault != DeliberateFault::kKeepPredecessorTasks;
+  if (!stops) return;
+  for (const auto& [id, agent] : this->agents) {
+    if (agent.slot == slot) this->upstreams.Stop(id);
+  }
+}
+
+void SimulatedProcesses::RestartEntry(std::uint32_t slot) {
+  if (this->options.fault == DeliberateFault::kReuseEntryIncarnation) {
+    for (const auto& [id, entry] : this->entries) {
+      if (!entry.alive && entry.slot == slot) return this->ReviveEntry(id);
+    }
+  }
+  this->StartEntry(slot);
+}
+
+void SimulatedProcesses::RestartAgent(std::uint32_t slot) {
+  if (this->options.fault == DeliberateFault::kReuseAgentIncarnation) {
+    for (const auto& [id, agent] : this->agents) {
+      if (!agent.alive && agent.slot == slot) return this->ReviveAgent(id);
+    }
+  }
+  this->StartAgent(slot);
+}
+
+void SimulatedProcesses::ReviveEntry(NodeId id) {
+  Entry& entry = this->entries.at(id);
+  entry = this->MakeEntry(id, entry.slot);
+  this->log.Append("entry " + std::to_string(id) + " restarts, id reused");
+  this->HandleEntry(id, ViewRead{this->table.view()});
+}
+
+void SimulatedProcesses::ReviveAgent(NodeId id) {
+  Agent& agent = this->agents.at(id);
+  const std::uint32_t slot = agent.slot;
+  agent = this->MakeAgent(id, slot);
+  this->log.Append("agent " + std::to_string(id) + " restarts, id reused");
+  this->HandleAgent(id, UpstreamAnnounced{DescriptionOf(slot)});
+  this->HandleAgent(id, AgentViewRead{this->table.view()});
+}
+
+void SimulatedProcesses::JoinView(NodeId entry) {
+  if (!this->table.IsUp()) return;
+  ViewMember member;
+  member.entry = EntryId(entry);
+  member.peer_endpoint.port =
+      static_cast<std::uint16_t>(1 + this->entries.at(entry).slot);
+  this->table.AddMember(member, this->clock.Now());
+  this->log.Append("view " + std::to_string(this->table.view().epoch.value()) +
+                   " with entry " + std::to_string(entry));
+}
+
+void SimulatedProcesses::RejoinView(NodeId entry) {
+  const Entry& process = this->entries.at(entry);
+  if (!process.alive || process.draining) return;
+  if (process.core->view().Find(EntryId(entry)) != nullptr) return;
+  this->JoinView(entry);
+}
+
+void SimulatedProcesses::ReadTable(NodeId entry) {
+  this->HandleEntry(entry, ViewRead{this->table.view()});
+  this->HandleEntry(entry, DocumentRead{this->table.Document()});
+}
+
+void SimulatedProcesses::TerminateEntry(NodeId id) {
+  Entry& entry = this->entries.at(id);
+  this->log.Append("entry " + std::to_string(id) + " ends");
+  entry.alive = false;
+  entry.deferred.clear();
+  for (auto& [other, unused] : this->entries) this->Disconnect(id, other);
+  for (auto& [other, unused] : this->agents) this->Disconnect(id, other);
+}
+
+void SimulatedProcesses::TerminateAgent(NodeId id) {
+  Agent& agent = this->agents.at(id);
+  this->log.Append("agent " + std::to_string(id) + " ends");
+  agent.alive = false;
+  agent.deferred.clear();
+  for (auto& [other, unused] : this->entries) this->Disconnect(id, other);
+  // Half of the agents that end are proven dead at once.
+  if (id % 2 == 0) this->NotifyProvenDead(id);
+}
+
+void SimulatedProcesses::NotifyProvenDead(NodeId dead) {
+  if (this->options.fault == DeliberateFault::kReuseAgentIncarnation ||
+      this->options.fault == DeliberateFault::kReuseEntryIncarnation) {
+    return;
+  }
+  for (const NodeId entry : this->AliveEntries()) {
+    if (this->IsEntry(dead)) {
+      this->HandleEntry(entry, PeerProvenDead{EntryId(dead)});
+    } else {
+      this->HandleEntry(entry, AgentProvenDead{AgentId(dead)});
+    }
+  }
+}
+
+void SimulatedProcesses::NotifyAllProvenDead() {
+  for (auto& [id, entry] : this->entries) {
+    if (!entry.alive) this->NotifyProvenDead(id);
+  }
+  for (auto& [id, agent] : this->agents) {
+    if (!agent.alive) this->NotifyProvenDead(id);
+  }
+}
+
+void SimulatedProcesses::Freeze(NodeId node) {
+  this->log.Append("freeze " + std::to_string(node));
+  if (this->IsEntry(node)) {
+    this->entries.at(node).frozen = true;
+  } else {
+    this->agents.at(node).frozen = true;
+  }
+}
+
+void SimulatedProcesses::Thaw(NodeId node) {
+  if (this->IsEntry(node)) {
+    this->ThawEntry(node);
+  } else {
+    this->ThawAgent(node);
+  }
+}
+
+void SimulatedProcesses::ThawEntry(NodeId id) {
+  Entry& entry = this->entries.at(id);
+  entry.frozen = false;
+  std::deque<EntryEvent> events;
+  events.swap(entry.deferred);
+  for (const EntryEvent& event : events) this->HandleEntry(id, event);
+}
+
+void SimulatedProcesses::ThawAgent(NodeId id) {
+  Agent& agent = this->agents.at(id);
+  this->log.Append("agent " + std::to_string(id) + " thaws");
+  agent.frozen = false;
+  std::deque<AgentEvent> events;
+  events.swap(agent.deferred);
+  for (const AgentEvent& event : events) this->HandleAgent(id, event);
+}
+
+void SimulatedProcesses::Drain(NodeId entry) {
+  this->log.Append("drain entry " + std::to_string(entry));
+  this->entries.at(entry).draining = true;
+  this->HandleEntry(entry, DrainRequested{});
+}
+
+void SimulatedProcesses::Leave(NodeId agent) {
+  this->agents.at(agent).leaving = true;
+  if (this->options.fault == DeliberateFault::kIgnoreLeaveRequest) return;
+  this->HandleAgent(agent, LeaveRequested{});
+}
+
+void SimulatedProcesses::Connect(NodeId first, NodeId second) {
+  if (!this->IsAlive(first) || !this->IsAlive(second)) return;
+  const LinkChange change = this->network.Connect(first, second);
+  if (change == LinkChange::kNone) return;
+  this->NotifyConnectionChange(first, second, change);
+  this->NotifyConnectionChange(second, first, change);
+}
+
+void SimulatedProcesses::Disconnect(NodeId first, NodeId second,
+                                    InFlightMessages in_flight) {
+  const LinkChange change = this->network.Disconnect(first, second, in_flight);
+  if (change == LinkChange::kNone) return;
+  this->NotifyConnectionChange(first, second, change);
+  this->NotifyConnectionChange(second, first, change);
+}
+
+void SimulatedProcesses::NotifyConnectionChange(NodeId node, NodeId other,
+                                                LinkChange change) {
+  if (!this->IsAlive(node)) return;
+  if (!this->IsEntry(node)) {
+    this->HandleAgent(node, EntryLinkEvent(EntryId(other), change));
+  } else if (this->IsEntry(other)) {
+    this->HandleEntry(node, PeerLinkEvent(EntryId(other), change));
+  } else {
+    this->HandleEntry(node, AgentLinkEvent(AgentId(other), change));
+  }
+}
+
+bool SimulatedProcesses::IsAlive(NodeId node) const {
+  const auto entry = this->entries.find(node);
+  if (entry != this->entries.end()) return entry->second.alive;
+  const auto agent = this->agents.find(node);
+  return agent != this->agents.end() && agent->second.alive;
+}
+
+bool SimulatedProcesses::IsFrozen(NodeId node) const {
+  const auto entry = this->entries.find(node);
+  if (entry != this->entries.end()) return entry->second.frozen;
+  const auto agent = this->agents.find(node);
+  return agent != this->agents.end() && agent->second.frozen;
+}
+
+bool SimulatedProcesses::IsEntryAliveIn(std::uint32_t slot) const {
+  return IsAliveIn(this->entries, slot);
+}
+
+bool SimulatedProcesses::IsAgentAliveIn(std::uint32_t slot) const {
+  return IsAliveIn(this->agents, slot);
+}
+
+std::vector<NodeId> SimulatedProcesses::AliveEntries() const {
+  return AliveOf(this->entries);
+}
+
+std::vector<NodeId> SimulatedProcesses::AliveAgents() const {
+  return AliveOf(this->agents);
+}
+
+std::vector<NodeId> SimulatedProcesses::Alive() const {
+  std::vector<NodeId> alive = this->AliveEntries();
+  for (const NodeId agent : this->AliveAgents()) alive.push_back(agent);
+  return alive;
+}
+
+LeaseRenewal SimulatedProcesses::RenewalOf(NodeId agent) const {
+  return this->agents.at(agent).core->RenewalAt(this->clock.Now());
+}
+
+bool SimulatedProcesses::ReplaysEqually() const {
+  for (const auto& [id, entry] : this->entries) {
+    EntryCore replay(this->SettingsOf(id));
+    for (const RecordedEntryStep& step : entry.steps) {
+      const std::vector<EntryEffect> effects =
+          replay.Handle(step.event, step.now);
+      if (RecordCodec::ToMessagePack(effects) != step.effects) return false;
+    }
+  }
+  return true;
+}
+
+void SimulatedProcesses::Send(NodeId from, NodeId to,
+                              SimulatedMessage message) {
+  if (!this->network.IsConnected(from, to)) return;
+  const FaultInjector::Outcome outcome =
+      this->faults.AlterMessage(from, to, message);
+  if (outcome == FaultInjector::Outcome::kDrop) return;
+  this->network.Send(from, to, std::move(message));
+}
+
+void SimulatedProcesses::Deliver(NodeId from, NodeId to,
+                                 const SimulatedMessage& message) {
+  if (!this->IsAlive(to)) return;
+  if (const auto* peer = std::get_if<PeerMessage>(&message)) {
+    this->HandleEntry(to, PeerMessageReceived{EntryId(from), *peer});
+  } else if (const auto* agent = std::get_if<AgentMessage>(&message)) {
+    this->HandleEntry(to, AgentMessageReceived{AgentId(from), *agent});
+  } else {
+    this->HandleAgent(
+        to, EntryMessageReceived{EntryId(from),
+                                 std::get<EntryToAgentMessage>(message)});
+  }
+}
+
+void SimulatedProcesses::HandleEntry(NodeId id, const EntryEvent& event) {
+  Entry& entry = this->entries.at(id);
+  if (!entry.alive || this->oracle.violation()) return;
+  if (entry.frozen) {
+    entry.deferred.push_back(event);
+    return;
+  }
+  const Timestamp now = this->clock.Now();
+  const std::vector<EntryEffect> effects = entry.core->Handle(event, now);
+  entry.steps.push_back({event, now, RecordCodec::ToMessagePack(effects)});
+  for (const EntryEffect& effect : effects) {
+    if (!entry.alive) return;
+    std::visit([&](const auto& known) { this->Apply(id, known); }, effect);
+  }
+}
+
+void SimulatedProcesses::HandleAgent(NodeId id, const AgentEvent& event) {
+  Agent& agent = this->agents.at(id);
+  if (!agent.alive || this->oracle.violation()) return;
+  if (agent.frozen) {
+    agent.deferred.push_back(event);
+    return;
+  }
+  const AgentEvent altered = this->faults.ForgeContact(*agent.core, event);
+  const std::vector<AgentEffect> effects =
+      agent.core->Handle(altered, this->clock.Now());
+  for (const AgentEffect& effect : effects) {
+    if (!agent.alive) return;
+    std::visit([&](const auto& known) { this->Apply(id, known); }, effect);
+  }
+}
+
+void SimulatedProcesses::Apply(NodeId /*from*/, const AnswerCaller& answer) {
+  this->oracle.RecordAnswer(answer);
+}
+
+void SimulatedProcesses::Apply(NodeId from, const SendToPeer& sent) {
+  this->oracle.RecordRelayAnswer(from, sent);
+  if (const auto* reply = std::get_if<ConfirmReply>(&sent.message)) {
+    this->oracle.RecordConfirmation(sent.to.value(), *reply);
+  }
+  this->Send(from, sent.to.value(), sent.message);
+}
+
+void SimulatedProcesses::Apply(NodeId from, const SendToAgent& sent) {
+  this->Send(from, sent.to.value(), sent.message);
+}
+
+void SimulatedProcesses::Apply(NodeId from, const ProposeView& proposal) {
+  const auto result = this->table.Propose(proposal.view);
+  if (result == SimulatedTable::ProposalResult::kRejected) return;
+  this->log.Append("view " + std::to_string(this->table.view().epoch.value()) +
+                   " by entry " + std::to_string(from));
+}
+
+void SimulatedProcesses::Apply(NodeId from, const ViewInForce& in_force) {
+  for (const ViewMember& member : in_force.view.members) {
+    if (member.entry.value() == from) continue;
+    this->Connect(from, member.entry.value());
+  }
+}
+
+void SimulatedProcesses::Apply(NodeId from, const RetryCounted& retried) {
+  this->log.Append("entry " + std::to_string(from) + " queues " +
+                   ShortName(retried.task) +
+                   " again: " + std::string(ReasonName(retried.reason)));
+}
+
+void SimulatedProcesses::Apply(NodeId from, const OwnershipChanged& change) {
+  const std::string verb = change.phase == OwnershipPhase::kActive
+                               ? " is home of bucket "
+                               : " asks for bucket ";
+  for (const BucketBallot& bucket : change.buckets) {
+    this->log.Append("entry " + std::to_string(from) + verb +
+                     std::to_string(bucket.bucket.value()) + " under ballot " +
+                     std::to_string(bucket.ballot.epoch.value()) + "." +
+                     std::to_string(bucket.ballot.round));
+  }
+}
+
+void SimulatedProcesses::Apply(NodeId from, const DocumentInForce& in_force) {
+  const DocumentVersion version = in_force.document.version;
+  DocumentVersion& highest = this->entries.at(from).highest_document;
+  if (version <= highest || version > this->table.Document().version) {
+    this->oracle.Fail("a document version fell or was never written");
+  }
+  highest = version;
+}
+
+void SimulatedProcesses::Apply(NodeId from,
+                               const RemovedFromView& /*removed*/) {
+  this->TerminateEntry(from);
+}
+
+void SimulatedProcesses::Apply(NodeId from, const EntryDrained& /*drained*/) {
+  if (this->oracle.HasPendingRequest(from)) {
+    this->oracle.Fail("drained with a request pending");
+  }
+  this->TerminateEntry(from);
+}
+
+void SimulatedProcesses::Apply(NodeId from, const SendToEntry& sent) {
+  if (const auto* reply = std::get_if<ConfirmReply>(&sent.message)) {
+    this->oracle.RecordConfirmation(sent.to.value(), *reply);
+  }
+  this->Send(from, sent.to.value(), sent.message);
+}
+
+void SimulatedProcesses::Apply(NodeId from, const RunOnUpstream& run) {
+  this->log.Append("agent " + std::to_string(from) + " starts " +
+                   ShortName(run.task));
+  // The upstream is unreachable for one in 13 starts.
+  constexpr std::uint32_t kUnreachableEvery = 13;
+  constexpr std::uint32_t kUnreachable = 5;
+  const std::uint64_t number = this->oracle.starts() + this->oracle.requests();
+  if (number % kUnreachableEvery == kUnreachable) {
+    this->oracle.RecordUnreachableStart();
+    this->HandleAgent(from,
+                      UpstreamTaskCompleted{run.task, UpstreamResult::kNotSent,
+                                            Payload(), Duration()});
+    return;
+  }
+  this->oracle.RecordStart(run, {this->upstreams.IsRunning(run.task),
+                                 this->agents.at(from).leaving});
+  this->upstreams.Run(from, run.task);
+}
+
+void SimulatedProcesses::Apply(NodeId from, const ConnectToMembers& members) {
+  for (const ViewMember& member : members.view.members) {
+    this->Connect(member.entry.value(), from);
+  }
+}
+
+void SimulatedProcesses::Apply(NodeId from, const AgentDrained& /*drained*/) {
+  this->TerminateAgent(from);
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/tests/support/simulated_table.cc
@@ -0,0 +1,36 @@
+#include "tests/support/simulated_table.h"
+
+#include "tests/support/simulated_workload.h"
+
+namespace dandelionspur {
+namespace {
+
+constexpr const char* kDocumentText =
+    R"({"service": "s", "owner": "o", "maximum_queued_tasks": 5,)"
+    R"( "maximum_deadline_ms": 60000})";
+
+}  // namespace
+
+VersionedDocument SimulatedTable::Document() const {
+  return {kSimulatedService, this->version, kDocumentText};
+}
+
+void SimulatedTable::AddMember(const ViewMember& member, Timestamp now) {
+  if (!this->up) return;
+  this->current_view = WithMember(this->current_view, member, now);
+}
+
+SimulatedTable::ProposalResult SimulatedTable::Propose(const View& proposed) {
+  const bool follows =
+      proposed.epoch.value() == this->current_view.epoch.value() + 1;
+  if (!this->up || !follows) return ProposalResult::kRejected;
+  this->current_view = proposed;
+  return ProposalResult::kAccepted;
+}
+
+void SimulatedTable::WriteDocument() {
+  if (!this->up) return;
+  this->version = DocumentVersion(this->version.value() + 1);
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/tests/support/simulation_options.h
@@ -0,0 +1,78 @@
+#ifndef DANDELIONSPUR_TESTS_SUPPORT_SIMULATION_OPTIONS_H_
+#define DANDELIONSPUR_TESTS_SUPPORT_SIMULATION_OPTIONS_H_
+
+#include <cstdint>
+
+#include "libraries/entry_core/entry_core.h"
+
+namespace dandelionspur {
+
+// A fault injected by altering messages, settings or the state of a process.
+// The oracle of SimulatedCluster must detect each of them.
+enum class DeliberateFault {
+  kNone,
+  // Agents accept starts under any ballot.
+  kSkipBallotCheck,
+  // A home receives a witness reply although no entry has recorded the key.
+  kSkipWitness,
+  // Agents leave their started sets out of their promise replies.
+  kForgetStartedSet,
+  // Entries leave their known keys out of their promise replies.
+  kForgetWitnessedKeys,
+  // A task is run again after a broken connection, whether or not the agent
+  // has started it.
+  kRerunAfterBrokenConnection,
+  // Confirmations are forged, so that no other process confirms a refusal.
+  kRefuseWithoutConfirmation,
+  // A restarted agent reuses its former id but has lost its state.
+  kReuseAgentIncarnation,
+  // A restarted entry reuses its former id but has lost its state.
+  kReuseEntryIncarnation,
+  // A task's result is replaced by that of the first task of its job.
+  kWrongResult,
+  // Documents are pushed to peers under a version that is one too high, so that
+  // an older text comes into force as if it were newer.
+  kInflateDocumentVersion,
+  // An agent that is asked to leave neither announces it nor stops.
+  kIgnoreLeaveRequest,
+  // Agents renew leases although no entry confirms their heartbeats.
+  kRenewUnconfirmed,
+  // Entries assume that the leases of an unresponsive agent have expired
+  // before they have.
+  kAssumeLeaseExpiredEarly,
+  // A restarted agent does not stop the tasks that its predecessor started.
+  kKeepPredecessorTasks,
+  // Entries do not send each other their last contacts with agents.
+  kHideSightings,
+};
+
+// What happens to messages between entries that are in flight on a connection
+// when it breaks. kReadLater: half of the breaks leave them in the receiver's
+// socket buffer, from which they are read at some later step.
+enum class InFlightMessages { kLost, kReadLater };
+
+struct SimulationOptions {
+  std::uint32_t entries = 3;
+  std::uint32_t agents = 2;
+  std::uint32_t buckets = 2;
+  // A resubmission uses one of this many latest keys. 0: every submission has
+  // a key of its own, so that each key has a single caller and answer.
+  std::uint32_t keys = 4;
+  std::uint32_t tasks_per_job = 2;
+  // The share of the fault steps that take effect, in quarters.
+  std::uint32_t intensity = 2;
+  // kAfterLease: tasks sometimes fail and may run again, but never twice at
+  // the same time; upstreams end tasks whose lease has expired; all processes
+  // may be lost at once.
+  RerunPolicy rerun = RerunPolicy::kNever;
+  InFlightMessages in_flight = InFlightMessages::kLost;
+  DeliberateFault fault = DeliberateFault::kNone;
+
+  [[nodiscard]] bool HasLeases() const {
+    return this->rerun == RerunPolicy::kAfterLease;
+  }
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_TESTS_SUPPORT_SIMULATION_OPTIONS_H_
