tests: Freeze an agent only once its worker runs a task

Cause: the test, not the product. An agent accepts no tasks until an entry has confirmed one of its heartbeats; the cluster counts as ready before that. Of a failing run: agent-0 "22:30:03.758Z event=lease_renewal renewal=allowed tasks_running=0", the entries' task_start_sent 22:30:03.644 to .659 to the other two agents only, and agent-0 at its return "22:30:06.220Z event=lease_renewal renewal=suspended tasks_running=0". Change: the test submits jobs until worker 0 runs a task, then freezes its agent. Stricter than before: each run that worker 0 had at the freeze must have lapsed 2 s later, where one of any worker sufficed. Runs take 4 s, so that none ends before the lease does.

--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from cluster_case import ExcludingLoader, PlatformCase
+from cluster_case import PlatformCase
 from cluster import call, call_json
 
 
@@ -117,14 +117,27 @@
 
     def test_frozen_agent_lets_its_lease_run_out(self):
         cluster = self.cluster()
-        first = self.submit_many(cluster, 12, "2500")
-        time.sleep(0.5)
+        first = self.submit_many(cluster, 12, "4000")
+        runs_at_worker = lambda: call_json("GET", cluster.upstream_port(0), "/v1/runs")[1]["runs"]
+
+        # An agent accepts no tasks before an entry has confirmed one of its heartbeats, which may be after all these
+        # tasks were sent to the other agents.
+        def worker_runs_a_task():
+            if runs_at_worker():
+                return True
+            time.sleep(0.1)
+            first.extend(self.submit_many(cluster, 1, "4000", first=len(first)))
+            return False
+
+        cluster.wait_for(worker_runs_a_task, "a run at the agent's worker", 10)
         cluster.agents[0].signal(signal.SIGSTOP)
+        held = {(run["task"], run["run"]) for run in runs_at_worker() if run["how"] == "running"}
         time.sleep(2)
-        endings = {run["how"] for run in cluster.runs()}
+        endings = {run["how"] for run in runs_at_worker() if (run["task"], run["run"]) in held}
         cluster.agents[0].signal(signal.SIGCONT)
         self.answers(first)
-        self.assertIn("lapsed", endings)
+        # All of them, since the worker holds all its runs under one lease.
+        self.assertEqual(endings, {"lapsed"}, cluster.logs())
         self.check_no_overlapping_runs(cluster)
 
     def test_delayed_start_orders_cause_no_overlapping_runs(self):
@@ -174,4 +187,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main(testLoader=ExcludingLoader("test_frozen_agent_lets_its_lease_run_out"))
+    unittest.main()
