utilities: Don't answer a list of the platform worker twice

Cause: the stand-in crashed. A run's end answers all pending lists, cancels their timers and erases them. A timer that was due in the same pass of the event loop keeps its handler, which then answered and erased the list through a dangling iterator. Runs of 800 ms and lists of 400 ms are due together, so a busy machine meets it: in system_late_answer_test all three workers died at once and jobs got 504 after 20 s. Of a failing run, the three agents: "22:31:32.414Z event=upstream_contact contact=silent tasks_running=4", ".412Z ... tasks_running=5", ".413Z ... tasks_running=3", then "22:31:34.092Z event=upstream_ended_task ... result=broken". Change: pending lists have numbers; a handler whose list is gone does nothing. No product code is concerned.

--- a/utilities/upstream_stand_in/platform_worker.cc
+++ b/utilities/upstream_stand_in/platform_worker.cc
@@ -190,14 +190,19 @@
     responder(this->ListAnswer());
     return;
   }
+  const std::uint64_t number = ++this->last_list;
   PendingList& pending =
-      this->pending_lists.emplace_back(responder, this->context);
+      this->pending_lists.try_emplace(number, responder, this->context)
+          .first->second;
   pending.timer.expires_after(std::chrono::milliseconds(wait));
-  const auto position = std::prev(this->pending_lists.end());
-  pending.timer.async_wait([this, position](boost::system::error_code error) {
+  // Cancelling the timer does not stop a handler that is due already. Hence the
+  // search: AnswerLists may have answered the list in the meantime.
+  pending.timer.async_wait([this, number](boost::system::error_code error) {
     if (error) return;
-    position->responder(this->ListAnswer());
-    this->pending_lists.erase(position);
+    const auto found = this->pending_lists.find(number);
+    if (found == this->pending_lists.end()) return;
+    found->second.responder(this->ListAnswer());
+    this->pending_lists.erase(found);
   });
 }
 
@@ -218,7 +223,7 @@
 }
 
 void PlatformWorker::AnswerLists() {
-  for (PendingList& pending : this->pending_lists) {
+  for (auto& [number, pending] : this->pending_lists) {
     pending.timer.cancel();
     pending.responder(this->ListAnswer());
   }
--- a/utilities/upstream_stand_in/platform_worker.h
+++ b/utilities/upstream_stand_in/platform_worker.h
@@ -5,7 +5,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <deque>
-#include <list>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -106,7 +105,9 @@
   std::map<std::string, std::uint64_t> highest_runs;
   std::deque<Completion> completions;
   std::uint64_t last_completion = 0;
-  std::list<PendingList> pending_lists;
+  // By the number of the list request.
+  std::map<std::uint64_t, PendingList> pending_lists;
+  std::uint64_t last_list = 0;
   std::vector<LoggedRun> log;
   std::uint32_t late_orders = 0;
   std::uint32_t late_milliseconds = 0;
