entry_core: Count confirmations only under the ballot that they were given for

Confirmations that members gave under an earlier ballot counted for a later one, after another home had held the bucket in between, and the home declared a lost entry replaced although it alone had witnessed a key: the key could start twice. A reply that names the home's own later ballot no longer ends its copies, copies are sent under the ballot under which they were begun, and are dropped when that is not in force.

--- a/libraries/entry_core/hand_over.cc
+++ b/libraries/entry_core/hand_over.cc
@@ -23,16 +23,23 @@
 
 void KeyHandOver::ReReplicate(const std::vector<BucketId>& buckets,
                               Timestamp now) {
+  bool added = false;
   for (const BucketId bucket : buckets) {
     std::vector<EntryId> losses = this->ownership.UnreplicatedLosses(bucket);
     if (losses.empty()) continue;
-    if (this->replaced_losses.contains(bucket)) continue;
-    this->replaced_losses.emplace(bucket, std::move(losses));
+    const auto begun = this->replacements.find(bucket);
+    if (begun != this->replacements.end()) {
+      if (this->IsInForce(bucket, begun->second)) continue;
+      this->DropCopies(bucket);
+    }
+    this->replacements[bucket] = {std::move(losses),
+                                  this->ownership.Promised(bucket)};
     this->AddCopy(Purpose::kBallotCheck, bucket, {});
     this->AddCopies(Purpose::kReplication, bucket,
                     this->ownership.KeysOf(bucket));
+    added = true;
   }
-  this->Continue(now);
+  if (added) this->Continue(now);
 }
 
 void KeyHandOver::BeginDeparture(Timestamp now) {
@@ -107,7 +114,7 @@
 void KeyHandOver::OnViewChange(Timestamp now) {
   const View& view = this->ownership.view();
   const bool left = view.Find(this->settings.self) == nullptr;
-  this->replaced_losses.clear();
+  this->replacements.clear();
   std::erase_if(this->copies, [&](const auto& item) {
     return left || item.second.purpose != Purpose::kDeparture;
   });
@@ -188,11 +195,15 @@
   while (!receiver.queued.empty()) {
     const CopyId id = receiver.queued.front();
     const auto copy = this->copies.find(id);
-    if (copy != this->copies.end()) {
+    const bool is_needed =
+        copy != this->copies.end() && !this->IsComplete(copy->second);
+    if (is_needed) {
       const std::size_t size = copy->second.keys.size();
       if (keys > 0 && keys + size > kKeysPerMessage) break;
       keys += size;
       receiver.in_flight.push_back(id);
+    } else if (copy != this->copies.end()) {
+      copy->second.receivers.erase(to);
     }
     receiver.queued.pop_front();
   }
@@ -212,23 +223,39 @@
     message.keys.insert(message.keys.end(), copy.keys.begin(), copy.keys.end());
     if (copy.purpose == Purpose::kDeparture) continue;
     if (!checked.insert(copy.bucket).second) continue;
-    message.buckets.push_back(
-        {copy.bucket, this->ownership.Promised(copy.bucket)});
+    const auto replacement = this->replacements.find(copy.bucket);
+    if (replacement == this->replacements.end()) continue;
+    message.buckets.push_back({copy.bucket, replacement->second.ballot});
   }
   this->outbox.ToPeer(to, std::move(message));
 }
 
+bool KeyHandOver::IsInForce(BucketId bucket,
+                            const Replacement& replacement) const {
+  return this->ownership.IsActive(bucket) &&
+         this->ownership.Promised(bucket) == replacement.ballot;
+}
+
+void KeyHandOver::DropCopies(BucketId bucket) {
+  std::erase_if(this->copies, [&](const auto& item) {
+    return item.second.bucket == bucket &&
+           item.second.purpose != Purpose::kDeparture;
+  });
+}
+
 void KeyHandOver::DropReplaced(const std::vector<BucketBallot>& higher) {
   for (const BucketBallot& lost : higher) {
-    this->replaced_losses.erase(lost.bucket);
-    std::erase_if(this->copies, [&](const auto& item) {
-      return item.second.bucket == lost.bucket &&
-             item.second.purpose != Purpose::kDeparture;
-    });
+    const auto replacement = this->replacements.find(lost.bucket);
+    const bool is_lost = replacement != this->replacements.end() &&
+                         replacement->second.ballot < lost.ballot;
+    if (!is_lost) continue;
+    this->replacements.erase(replacement);
+    this->DropCopies(lost.bucket);
   }
 }
 
 void KeyHandOver::AnnounceReplicated(const std::set<BucketId>& buckets) {
+  if (buckets.empty()) return;
   std::set<BucketId> complete = buckets;
   for (const auto& [id, copy] : this->copies) {
     if (copy.purpose == Purpose::kDeparture) continue;
@@ -236,12 +263,12 @@
   }
   std::map<std::vector<EntryId>, std::vector<BucketId>> announced;
   for (const BucketId bucket : complete) {
-    const auto losses = this->replaced_losses.find(bucket);
-    if (losses == this->replaced_losses.end()) continue;
-    if (this->ownership.IsActive(bucket)) {
-      announced[losses->second].push_back(bucket);
+    const auto found = this->replacements.find(bucket);
+    if (found == this->replacements.end()) continue;
+    if (this->IsInForce(bucket, found->second)) {
+      announced[found->second.losses].push_back(bucket);
     }
-    this->replaced_losses.erase(losses);
+    this->replacements.erase(found);
   }
   std::erase_if(this->copies, [&](const auto& item) {
     return item.second.purpose != Purpose::kDeparture &&
--- a/libraries/entry_core/hand_over.h
+++ b/libraries/entry_core/hand_over.h
@@ -72,6 +72,13 @@
     std::set<EntryId> receivers;
     std::set<EntryId> holders;
   };
+  // What the home's copies of a bucket replace. They count only under the
+  // ballot under which they were begun: under a later one, the members confirm
+  // less than the announcement says.
+  struct Replacement {
+    std::vector<EntryId> losses;
+    Ballot ballot;
+  };
   struct Receiver {
     std::deque<CopyId> queued;
     // The copies of the message that is not acknowledged yet.
@@ -95,6 +102,10 @@
   // Sends the next message unless the last one is not acknowledged yet.
   void SendNext(EntryId to, Receiver& receiver);
   void Send(EntryId to, const Receiver& receiver);
+  [[nodiscard]] bool IsInForce(BucketId bucket,
+                               const Replacement& replacement) const;
+  // Drops the home's copies of a bucket.
+  void DropCopies(BucketId bucket);
   // Drops the home's copies of buckets that are promised to another home.
   void DropReplaced(const std::vector<BucketBallot>& higher);
   // Announces the buckets among `buckets` of which all copies are complete.
@@ -110,8 +121,7 @@
   CopyId last_copy = 0;
   std::map<CopyId, Copy> copies;
   std::map<EntryId, Receiver> receivers;
-  // The entries that the home's copies of a bucket replace.
-  std::map<BucketId, std::vector<EntryId>> replaced_losses;
+  std::map<BucketId, Replacement> replacements;
   bool departing = false;
 };
 
