entry_core: Send heartbeats to entries that have left the view

Now a member goes on sending heartbeats to every entry that it is connected to. Result: ReplicationBallotTest.AFormerMemberIsStillSentHeartbeats failed before and passes.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -620,11 +620,11 @@
 }
 
 void EntryCore::SendHeartbeats() {
-  for (const ViewMember& member : this->view().members) {
-    if (!this->peers.IsConnected(member.entry)) continue;
-    this->outbox.ToPeer(member.entry,
-                        this->contacts.HeartbeatFor(member.entry, this->view(),
-                                                    this->current_time));
+  // Also to former members: they still relay their callers' jobs, to members
+  // that they hear.
+  for (const EntryId peer : this->peers.Connected()) {
+    this->outbox.ToPeer(peer, this->contacts.HeartbeatFor(peer, this->view(),
+                                                          this->current_time));
   }
 }
 
--- a/libraries/entry_core/peer_directory.h
+++ b/libraries/entry_core/peer_directory.h
@@ -48,6 +48,13 @@
     const auto found = this->peers.find(peer);
     return found != this->peers.end() && found->second.connected;
   }
+  [[nodiscard]] std::vector<EntryId> Connected() const {
+    std::vector<EntryId> connected;
+    for (const auto& [id, peer] : this->peers) {
+      if (peer.connected) connected.push_back(id);
+    }
+    return connected;
+  }
   [[nodiscard]] bool IsSuspected(EntryId peer, Timestamp now) const {
     const auto found = this->peers.find(peer);
     return found != this->peers.end() && this->IsSuspected(found->second, now);
--- a/tests/entry_core/replication_ballot_test.cc
+++ b/tests/entry_core/replication_ballot_test.cc
@@ -169,5 +169,21 @@
   EXPECT_FALSE(this->announced);
 }
 
+// Guards against jobs at an entry that has left the view and waits for its last
+// callers: without heartbeats it suspects all members and relays nothing, so
+// that the jobs wait until their deadlines.
+TEST_F(ReplicationBallotTest, AFormerMemberIsStillSentHeartbeats) {
+  const EntryId former(2);
+  this->Handle(ViewRead{WithoutMember(this->view, former)});
+  this->now += Settings().heartbeat_interval;
+  bool heard = false;
+  for (const EntryEffect& effect : this->entry.Handle(EntryTick{}, this->now)) {
+    const auto* sent = std::get_if<SendToPeer>(&effect);
+    if (sent == nullptr || sent->to != former) continue;
+    heard = heard || std::holds_alternative<PeerHeartbeat>(sent->message);
+  }
+  EXPECT_TRUE(heard);
+}
+
 }  // namespace
 }  // namespace dandelionspur
