--- /dev/null
+++ b/libraries/entry_core/key_records.cc
@@ -0,0 +1,104 @@
+#include "libraries/entry_core/key_records.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionspur {
+namespace {
+
+const std::vector<ReportedTask> kNoTasks;
+
+}  // namespace
+
+void KeyRecords::Remember(const KnownKey& known, Timestamp now) {
+  const Record own{known.first_seen, now, KeyOrigin::kOwn};
+  const auto [record, inserted] = this->records.emplace(known.key, own);
+  record->second.last_heard = now;
+}
+
+void KeyRecords::RememberInherited(const KnownKey& known, Timestamp now) {
+  this->records.emplace(known.key,
+                        Record{known.first_seen, now, KeyOrigin::kInherited});
+}
+
+void KeyRecords::MergePromised(const KnownKey& known, RecordedKeys recorded,
+                               Timestamp now) {
+  const Record inherited{known.first_seen, now, KeyOrigin::kInherited};
+  const auto [record, inserted] = this->records.emplace(known.key, inherited);
+  record->second.first_seen =
+      std::min(record->second.first_seen, known.first_seen);
+  if (recorded == RecordedKeys::kBecomeInherited) {
+    record->second.origin = KeyOrigin::kInherited;
+  }
+}
+
+void KeyRecords::AddReported(const KnownKey& known,
+                             const std::vector<TaskIndex>& tasks, AgentId agent,
+                             Timestamp now) {
+  this->RememberInherited(known, now);
+  std::vector<ReportedTask>& found = this->reported[known.key];
+  for (const TaskIndex task : tasks) found.push_back({task, agent});
+}
+
+void KeyRecords::Close(const JobKey& key, Timestamp now) {
+  const auto record = this->records.find(key);
+  if (record == this->records.end()) return;
+  record->second.origin = KeyOrigin::kClosed;
+  record->second.last_heard = now;
+}
+
+void KeyRecords::Reopen(const JobKey& key, std::vector<ReportedTask> started) {
+  const auto record = this->records.find(key);
+  if (record == this->records.end()) return;
+  record->second.origin = KeyOrigin::kInherited;
+  this->reported[key] = std::move(started);
+}
+
+void KeyRecords::BeginBallot() {
+  this->ClearReported();
+  for (auto& [key, record] : this->records) {
+    record.origin = KeyOrigin::kInherited;
+  }
+}
+
+void KeyRecords::Expire(Timestamp horizon) {
+  std::erase_if(this->records, [&](const auto& item) {
+    return item.second.last_heard < horizon;
+  });
+  std::erase_if(this->reported, [&](const auto& item) {
+    return !this->records.contains(item.first);
+  });
+}
+
+std::optional<KeyOrigin> KeyRecords::OriginOf(const JobKey& key) const {
+  const auto record = this->records.find(key);
+  if (record == this->records.end()) return std::nullopt;
+  return record->second.origin;
+}
+
+std::optional<Timestamp> KeyRecords::FirstSeen(const JobKey& key) const {
+  const auto record = this->records.find(key);
+  if (record == this->records.end()) return std::nullopt;
+  return record->second.first_seen;
+}
+
+const std::vector<ReportedTask>& KeyRecords::ReportedTasks(
+    const JobKey& key) const {
+  const auto found = this->reported.find(key);
+  return found == this->reported.end() ? kNoTasks : found->second;
+}
+
+std::vector<KnownKey> KeyRecords::Sorted() const {
+  std::vector<KnownKey> keys;
+  keys.reserve(this->records.size());
+  for (const auto& [key, record] : this->records) {
+    keys.push_back({key, record.first_seen});
+  }
+  std::sort(keys.begin(), keys.end(),
+            [](const KnownKey& left, const KnownKey& right) {
+              return left.key < right.key;
+            });
+  return keys;
+}
+
+}  // namespace dandelionspur
--- /dev/null
+++ b/libraries/entry_core/key_records.h
@@ -0,0 +1,85 @@
+#ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_KEY_RECORDS_H_
+#define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_KEY_RECORDS_H_
+
+#include <cstddef>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "libraries/protocol/entry_messages.h"
+
+namespace dandelionspur {
+
+// A task that an agent has reported as started.
+struct ReportedTask {
+  TaskIndex task;
+  AgentId agent;
+  bool operator==(const ReportedTask&) const = default;
+};
+
+// How a key was recorded, with regard to the current ballot.
+enum class KeyOrigin {
+  // Handled by this entry as home or witness under this ballot.
+  kOwn,
+  // From before this ballot; another home may have started tasks of the key.
+  kInherited,
+  // Has its final answer under this ballot.
+  kClosed,
+};
+
+// What a promise changes about keys that are recorded already.
+enum class RecordedKeys { kKeepOrigin, kBecomeInherited };
+
+// The keys of one bucket that an entry has recorded, with the tasks of them
+// that agents have reported as started. Ownership applies the ballot protocol
+// to them.
+class KeyRecords {
+ public:
+  // Records a key that this entry handles as home, or as witness.
+  void Remember(const KnownKey& known, Timestamp now);
+  // Records a key of which another home may have started tasks. Changes nothing
+  // if the key is recorded already.
+  void RememberInherited(const KnownKey& known, Timestamp now);
+  // Records a key that another entry has listed in its promise as inherited.
+  // Keeps the earlier one of the times at which the key was first seen.
+  void MergePromised(const KnownKey& known, RecordedKeys recorded,
+                     Timestamp now);
+  // Records tasks that an agent has listed in its promise as started.
+  void AddReported(const KnownKey& known, const std::vector<TaskIndex>& tasks,
+                   AgentId agent, Timestamp now);
+  // Marks a key as having its final answer.
+  void Close(const JobKey& key, Timestamp now);
+  // Treats a key as inherited; `started` replaces its reported tasks.
+  void Reopen(const JobKey& key, std::vector<ReportedTask> started);
+  // Treats all keys as inherited and forgets the reported tasks, since a new
+  // ballot begins.
+  void BeginBallot();
+  // Forgets the reported tasks. The keys stay recorded.
+  void ClearReported() { this->reported.clear(); }
+  // Removes keys that were last recorded before `horizon`.
+  void Expire(Timestamp horizon);
+
+  // OriginOf and FirstSeen return nothing if the key is not recorded.
+  [[nodiscard]] std::optional<KeyOrigin> OriginOf(const JobKey& key) const;
+  [[nodiscard]] std::optional<Timestamp> FirstSeen(const JobKey& key) const;
+  // Valid until the next change.
+  [[nodiscard]] const std::vector<ReportedTask>& ReportedTasks(
+      const JobKey& key) const;
+  // The recorded keys in ascending order.
+  [[nodiscard]] std::vector<KnownKey> Sorted() const;
+  [[nodiscard]] std::size_t size() const { return this->records.size(); }
+
+ private:
+  struct Record {
+    Timestamp first_seen;
+    Timestamp last_heard;
+    KeyOrigin origin = KeyOrigin::kOwn;
+  };
+
+  std::unordered_map<JobKey, Record> records;
+  std::unordered_map<JobKey, std::vector<ReportedTask>> reported;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_ENTRY_CORE_KEY_RECORDS_H_
--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -272,17 +272,13 @@
       bucket.prior_states[from] = {promise.previous, promise.held,
                                    promise.knew_all_starts};
     }
+    // Keys that this entry received under its own ballot keep their origin; any
+    // other key may have been started by a former home.
+    const RecordedKeys recorded = bucket.phase == OwnershipPhase::kCollecting
+                                      ? RecordedKeys::kBecomeInherited
+                                      : RecordedKeys::kKeepOrigin;
     for (const KnownKey& known : promise.known) {
-      // Keys that this entry received under its own ballot keep their origin;
-      // any other key may have been started by a former home.
-      const KeyRecord inherited{known.first_seen, now, KeyOrigin::kInherited};
-      const auto [record, inserted] =
-          bucket.known.emplace(known.key, inherited);
-      record->second.first_seen =
-          std::min(record->second.first_seen, known.first_seen);
-      if (bucket.phase == OwnershipPhase::kCollecting) {
-        record->second.origin = KeyOrigin::kInherited;
-      }
+      bucket.keys.MergePromised(known, recorded, now);
     }
   }
   return lost;
@@ -312,14 +308,10 @@
   for (const StartedJob& job : reply.started) {
     const BucketId id = this->BucketOfKey(job.key);
     if (!accepted.contains(id)) continue;
-    Bucket& bucket = this->Get(id);
     // The age of the key is not known if only the agent has recorded it. It may
     // be as old as the oldest key that the agent keeps.
-    const KeyRecord record{now - this->settings.duplicate_window, now,
-                           KeyOrigin::kInherited};
-    bucket.known.emplace(job.key, record);
-    std::vector<ReportedTask>& found = bucket.reported_tasks[job.key];
-    for (const TaskIndex task : job.tasks) found.push_back({task, from});
+    const KnownKey known{job.key, now - this->settings.duplicate_window};
+    this->Get(id).keys.AddReported(known, job.tasks, from, now);
   }
   return lost;
 }
@@ -392,39 +384,25 @@
 }
 
 void Ownership::Remember(const KnownKey& known, Timestamp now) {
-  Bucket& bucket = this->Get(this->BucketOfKey(known.key));
-  const KeyRecord own{known.first_seen, now, KeyOrigin::kOwn};
-  const auto [record, inserted] = bucket.known.emplace(known.key, own);
-  record->second.last_heard = now;
+  this->RecordsOf(known.key).Remember(known, now);
 }
 
 void Ownership::RememberInherited(const KnownKey& known, Timestamp now) {
-  Bucket& bucket = this->Get(this->BucketOfKey(known.key));
-  bucket.known.emplace(known.key,
-                       KeyRecord{known.first_seen, now, KeyOrigin::kInherited});
+  this->RecordsOf(known.key).RememberInherited(known, now);
 }
 
 void Ownership::Close(const JobKey& key, Timestamp now) {
-  Bucket& bucket = this->Get(this->BucketOfKey(key));
-  const auto record = bucket.known.find(key);
-  if (record == bucket.known.end()) return;
-  record->second.origin = KeyOrigin::kClosed;
-  record->second.last_heard = now;
+  this->RecordsOf(key).Close(key, now);
 }
 
 void Ownership::Reopen(const JobKey& key, std::vector<ReportedTask> started) {
-  Bucket& bucket = this->Get(this->BucketOfKey(key));
-  const auto record = bucket.known.find(key);
-  if (record == bucket.known.end()) return;
-  record->second.origin = KeyOrigin::kInherited;
-  bucket.reported_tasks[key] = std::move(started);
+  this->RecordsOf(key).Reopen(key, std::move(started));
 }
 
 KeyStatus Ownership::StatusOf(const JobSubmission& job, Timestamp now) {
   Bucket& bucket = this->Get(this->BucketOfKey(job.key));
-  const auto record = bucket.known.find(job.key);
-  if (record != bucket.known.end()) {
-    switch (record->second.origin) {
+  if (const auto origin = bucket.keys.OriginOf(job.key)) {
+    switch (*origin) {
       case KeyOrigin::kOwn:
         return KeyStatus::kFresh;
       case KeyOrigin::kInherited:
@@ -487,9 +465,8 @@
 
 bool Ownership::HasRunsOfLostAgents(const Bucket& bucket, const JobKey& key,
                                     Timestamp now) const {
-  const auto found = bucket.reported_tasks.find(key);
-  if (found == bucket.reported_tasks.end()) return false;
-  return std::any_of(found->second.begin(), found->second.end(),
+  const std::vector<ReportedTask>& started = bucket.keys.ReportedTasks(key);
+  return std::any_of(started.begin(), started.end(),
                      [&](const ReportedTask& task) {
                        const KnownAgent* holder = this->agents.Find(task.agent);
                        return holder != nullptr && holder->lost_at &&
@@ -502,9 +479,7 @@
   // An entry that has not promised may have seen the key earlier than the
   // record says, which then begins with a later submission of the key.
   if (bucket.fresh_after) return job.created.value_or(Timestamp::min());
-  const auto record = bucket.known.find(job.key);
-  return record == bucket.known.end() ? Timestamp::min()
-                                      : record->second.first_seen;
+  return bucket.keys.FirstSeen(job.key).value_or(Timestamp::min());
 }
 
 HistoryState Ownership::HistoryOf(const JobSubmission& job,
@@ -532,10 +507,7 @@
 }
 
 std::vector<ReportedTask> Ownership::ReportedTasks(const JobKey& key) const {
-  const Bucket& bucket = this->Get(this->BucketOfKey(key));
-  const auto found = bucket.reported_tasks.find(key);
-  return found == bucket.reported_tasks.end() ? std::vector<ReportedTask>()
-                                              : found->second;
+  return this->RecordsOf(key).ReportedTasks(key);
 }
 
 bool Ownership::AgentPromised(BucketId bucket, AgentId agent) const {
@@ -543,21 +515,12 @@
 }
 
 std::vector<KnownKey> Ownership::KeysOf(BucketId bucket) const {
-  std::vector<KnownKey> keys;
-  keys.reserve(this->Get(bucket).known.size());
-  for (const auto& [key, record] : this->Get(bucket).known) {
-    keys.push_back({key, record.first_seen});
-  }
-  std::sort(keys.begin(), keys.end(),
-            [](const KnownKey& left, const KnownKey& right) {
-              return left.key < right.key;
-            });
-  return keys;
+  return this->Get(bucket).keys.Sorted();
 }
 
 std::size_t Ownership::KnownKeyCount() const {
   std::size_t count = 0;
-  for (const Bucket& bucket : this->buckets) count += bucket.known.size();
+  for (const Bucket& bucket : this->buckets) count += bucket.keys.size();
   return count;
 }
 
@@ -580,14 +543,7 @@
 void Ownership::Expire(Timestamp horizon) {
   // Lost agents are removed from the registry at the same time.
   this->promises_changed = true;
-  for (Bucket& bucket : this->buckets) {
-    std::erase_if(bucket.known, [&](const auto& item) {
-      return item.second.last_heard < horizon;
-    });
-    std::erase_if(bucket.reported_tasks, [&](const auto& item) {
-      return !bucket.known.contains(item.first);
-    });
-  }
+  for (Bucket& bucket : this->buckets) bucket.keys.Expire(horizon);
 }
 
 void Ownership::BeginAcquisition(BucketId id, Timestamp now) {
@@ -614,11 +570,8 @@
   bucket.begun_at = now;
   bucket.entry_promises.clear();
   bucket.agent_promises.clear();
-  bucket.reported_tasks.clear();
   bucket.fresh_after.reset();
-  for (auto& [key, record] : bucket.known) {
-    record.origin = KeyOrigin::kInherited;
-  }
+  bucket.keys.BeginBallot();
 }
 
 bool Ownership::MayHaveBeenAlone(EntryId entry) const {
@@ -633,7 +586,7 @@
   this->incomplete_buckets.erase(id);
   this->changed_buckets.insert(id);
   bucket.phase = OwnershipPhase::kNone;
-  bucket.reported_tasks.clear();
+  bucket.keys.ClearReported();
   bucket.entry_promises.clear();
   bucket.agent_promises.clear();
 }
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -4,13 +4,13 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <unordered_map>
 #include <vector>
 
 #include "libraries/entry_core/agent_contacts.h"
 #include "libraries/entry_core/agent_registry.h"
 #include "libraries/entry_core/entry_core_settings.h"
 #include "libraries/entry_core/entry_outbox.h"
+#include "libraries/entry_core/key_records.h"
 #include "libraries/entry_core/peer_directory.h"
 #include "libraries/protocol/entry_messages.h"
 
@@ -46,11 +46,6 @@
   kLost,
 };
 
-struct ReportedTask {
-  TaskIndex task;
-  AgentId agent;
-};
-
 // This entry's part in the ballot protocol that assigns each bucket a home: the
 // ballots that it has promised, the keys that it has witnessed, and its own
 // acquisitions of buckets. docs/design/at-most-once.md has the safety
@@ -182,13 +177,6 @@
   void Expire(Timestamp horizon);
 
  private:
-  // How a key was recorded, with regard to the current ballot.
-  enum class KeyOrigin { kOwn, kInherited, kClosed };
-  struct KeyRecord {
-    Timestamp first_seen;
-    Timestamp last_heard;
-    KeyOrigin origin = KeyOrigin::kOwn;
-  };
   // The state of an entry immediately before it made a promise.
   struct PriorState {
     Ballot promised;
@@ -214,14 +202,19 @@
     // time.
     std::optional<Timestamp> fresh_after;
     std::set<EntryId> replicated_losses;
-    std::unordered_map<JobKey, KeyRecord> known;
-    std::unordered_map<JobKey, std::vector<ReportedTask>> reported_tasks;
+    KeyRecords keys;
   };
 
   Bucket& Get(BucketId bucket) { return this->buckets[bucket.value()]; }
   [[nodiscard]] const Bucket& Get(BucketId bucket) const {
     return this->buckets[bucket.value()];
   }
+  [[nodiscard]] KeyRecords& RecordsOf(const JobKey& key) {
+    return this->Get(this->BucketOfKey(key)).keys;
+  }
+  [[nodiscard]] const KeyRecords& RecordsOf(const JobKey& key) const {
+    return this->Get(this->BucketOfKey(key)).keys;
+  }
   void RecordMembership();
   [[nodiscard]] std::vector<BucketId> ActiveBuckets() const;
   // Whether the ballot of the bucket stays in force in the current view.
