configuration: Parse stored documents in one place

The entry core and the entry daemon had the same code for documents that do not parse. No behaviour changes.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "libraries/configuration/stored_document.h"
+
 namespace dandelionspur {
 namespace {
 
@@ -507,15 +509,7 @@
 void EntryCore::AdoptDocument(const VersionedDocument& document) {
   VersionedDocument& current = this->documents_in_force[document.service];
   if (document.version <= current.version) return;
-  const auto parsed = OrElse(
-      [&]() -> Result<std::optional<ServiceDocument>> {
-        BOOST_LEAF_AUTO(value, ParseServiceDocument(document.text,
-                                                    document.service.value()));
-        return value;
-      },
-      [](const std::string&) { return std::optional<ServiceDocument>(); });
-  // Documents are validated when they are written. One that does not parse
-  // comes from a newer release; the document in force stays.
+  const std::optional<ServiceDocument> parsed = ParseStoredDocument(document);
   if (!parsed) return;
   current = document;
   this->home.ApplyDocument(*parsed);
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "libraries/base/enum_name.h"
+#include "libraries/configuration/stored_document.h"
 #include "libraries/entry_core/submission_validator.h"
 #include "libraries/telemetry/log.h"
 #include "platform/job_calls.h"
@@ -400,13 +401,7 @@
   const VersionedDocument& document = effect.document;
   LogStateChange(
       DocumentAdopted{document.service.value(), document.version.value()});
-  const auto parsed = OrElse(
-      [&]() -> Result<std::optional<ServiceDocument>> {
-        BOOST_LEAF_AUTO(value, ParseServiceDocument(document.text,
-                                                    document.service.value()));
-        return value;
-      },
-      [](const std::string&) { return std::optional<ServiceDocument>(); });
+  const std::optional<ServiceDocument> parsed = ParseStoredDocument(document);
   if (!parsed) return;
   this->next_serving_state.documents[document.service] = {*parsed, document};
   this->next_serving_state.routes = RouteTable();
