--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -4,7 +4,6 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -12,6 +11,7 @@
 #include "libraries/entry_core/agent_registry.h"
 #include "libraries/entry_core/entry_core_settings.h"
 #include "libraries/entry_core/entry_outbox.h"
+#include "libraries/entry_core/key_records.h"
 #include "libraries/entry_core/peer_directory.h"
 #include "libraries/protocol/entry_messages.h"
 
@@ -47,11 +47,6 @@
   kLost,
 };
 
-struct ReportedTask {
-  TaskIndex task;
-  AgentId agent;
-};
-
 // This entry's part in the ballot protocol that assigns each bucket a home: the
 // ballots that it has promised, the keys that it has witnessed, and its own
 // acquisitions of buckets. docs/design/at-most-once.md has the safety
@@ -190,13 +185,6 @@
   void Expire(Timestamp horizon);
 
  private:
-  // How a key was recorded, with regard to the current ballot.
-  enum class KeyOrigin { kOwn, kInherited, kClosed };
-  struct KeyRecord {
-    Timestamp first_seen;
-    Timestamp last_heard;
-    KeyOrigin origin = KeyOrigin::kOwn;
-  };
   // The state of an entry immediately before it made a promise.
   struct PriorState {
     Ballot promised;
@@ -222,20 +210,25 @@
     // time.
     std::optional<Timestamp> fresh_after;
     std::set<EntryId> replicated_losses;
-    std::unordered_map<JobKey, KeyRecord> known;
-    std::unordered_map<JobKey, std::vector<ReportedTask>> reported_tasks;
+    KeyRecords keys;
   };
 
   Bucket& Get(BucketId bucket) { return this->buckets[bucket.value()]; }
   [[nodiscard]] const Bucket& Get(BucketId bucket) const {
     return this->buckets[bucket.value()];
   }
+  [[nodiscard]] KeyRecords& RecordsOf(const JobKey& key) {
+    return this->Get(this->BucketOfKey(key)).keys;
+  }
+  [[nodiscard]] const KeyRecords& RecordsOf(const JobKey& key) const {
+    return this->Get(this->BucketOfKey(key)).keys;
+  }
   void RecordMembership();
   [[nodiscard]] std::vector<BucketId> ActiveBuckets() const;
   // Whether the ballot of the bucket stays in force in the current view.
   [[nodiscard]] bool MayKeep(BucketId id) const;
   [[nodiscard]] bool NeedsPromiseOf(EntryId entry, const Bucket& bucket) const;
-  void TrackNewKey(const KnownKey& known);
+  void TrackNewKey(const KnownKey& known, KeyNovelty novelty);
   // Returns the buckets whose expected home may have changed since the last
   // call, and clears the list of changes.
   std::vector<BucketId> TakeBucketsToCheck(Timestamp now);
