agent_core: One long task no longer keeps later ones past the window

Cause: Expire stopped at the first task past the duplicate window that still ran, so every later task stayed as long as it ran; a full set refuses all starts. Change: tasks that still run are put aside and examined with each call until they have completed.

--- a/libraries/agent_core/started_set.cc
+++ b/libraries/agent_core/started_set.cc
@@ -104,20 +104,16 @@
 void StartedSet::Expire(Timestamp now) {
   this->last_update_time = now;
   const Timestamp horizon = now - this->limits.duplicate_window;
+  std::erase_if(this->long_running, [&](const TimedTask& item) {
+    return this->ExpireTask(item) == Expiry::kRemoved;
+  });
   while (!this->expiry_order.empty() &&
          this->expiry_order.front().added_at < horizon) {
     const TimedTask oldest = this->expiry_order.front();
-    const auto found = this->tasks.find(oldest.id);
-    const bool running = found != this->tasks.end() &&
-                         found->second.state == StartedState::kRunning;
-    // A running task stays in the set until it completes.
-    if (running) break;
     this->expiry_order.pop_front();
-    // A newer start of the task has another item later in `expiry_order`, which
-    // determines when the task expires.
-    const bool is_latest_start =
-        found != this->tasks.end() && found->second.added_at == oldest.added_at;
-    if (is_latest_start) this->tasks.erase(found);
+    if (this->ExpireTask(oldest) == Expiry::kStillRuns) {
+      this->long_running.push_back(oldest);
+    }
   }
   while (!this->forbidden_order.empty() &&
          this->forbidden_order.front().added_at < horizon) {
@@ -126,6 +122,18 @@
   }
 }
 
+StartedSet::Expiry StartedSet::ExpireTask(const TimedTask& item) {
+  const auto found = this->tasks.find(item.id);
+  // A newer start of the task has an item of its own, which determines when the
+  // task expires.
+  const bool is_latest_start =
+      found != this->tasks.end() && found->second.added_at == item.added_at;
+  if (!is_latest_start) return Expiry::kRemoved;
+  if (found->second.state == StartedState::kRunning) return Expiry::kStillRuns;
+  this->tasks.erase(found);
+  return Expiry::kRemoved;
+}
+
 void StartedSet::DropOldestAnswer() {
   const TaskId oldest = this->answer_order.front();
   this->answer_order.pop_front();
--- a/libraries/agent_core/started_set.h
+++ b/libraries/agent_core/started_set.h
@@ -92,6 +92,9 @@
     TaskId id;
   };
 
+  // Whether the task of an item past the window still runs.
+  enum class Expiry { kRemoved, kStillRuns };
+  Expiry ExpireTask(const TimedTask& item);
   void DropOldestAnswer();
   void DropAnswer(const TaskId& id);
 
@@ -101,6 +104,8 @@
   std::unordered_map<TaskId, Payload, TaskIdHash> answers;
   std::deque<TaskId> answer_order;
   std::deque<TimedTask> expiry_order;
+  // Taken from `expiry_order` while their tasks still ran.
+  std::vector<TimedTask> long_running;
   std::deque<TimedTask> forbidden_order;
   std::size_t answer_bytes = 0;
   Timestamp last_update_time;
--- a/tests/agent_core/agent_core_parts_test.cc
+++ b/tests/agent_core/agent_core_parts_test.cc
@@ -49,6 +49,33 @@
   EXPECT_EQ(set.size(), 0U);
 }
 
+constexpr Duration kWindow = std::chrono::seconds(10);
+
+StartedSetLimits LimitsWithWindow() {
+  StartedSetLimits limits;
+  limits.duplicate_window = kWindow;
+  return limits;
+}
+
+Timestamp Second(std::int64_t second) {
+  return Timestamp(std::chrono::seconds(second));
+}
+
+// Guards against completed tasks that stay in the set for as long as one older
+// task runs, until the set is full and refuses every start.
+TEST(StartedSetTest, ALongTaskDoesNotKeepLaterOnesBeyondTheWindow) {
+  StartedSet set(LimitsWithWindow());
+  set.Insert(StartOf(1, 1), Second(0));
+  set.Insert(StartOf(2, 1), Second(1));
+  set.MarkFinished(StartOf(2, 1).task, TaskOutcome::kSucceeded, Payload());
+  set.Expire(Second(12));
+  EXPECT_TRUE(set.Contains(StartOf(1, 1).task));
+  EXPECT_FALSE(set.Contains(StartOf(2, 1).task));
+  set.MarkFinished(StartOf(1, 1).task, TaskOutcome::kSucceeded, Payload());
+  set.Expire(Second(13));
+  EXPECT_FALSE(set.Contains(StartOf(1, 1).task));
+}
+
 Start StartNeeding(std::uint64_t job, std::uint64_t millicores) {
   Start start = StartOf(job, 1);
   start.request.need.millicores = millicores;
