agent_core: A start that is forbidden again keeps its own window

Cause: Expire erased a forbidden start by the age of its first prohibition, so that a delayed duplicate of a later refused start could run after a fraction of the duplicate window. Change: the entry holds the time of the latest prohibition, and only the item of that one removes it.

--- a/libraries/agent_core/started_set.cc
+++ b/libraries/agent_core/started_set.cc
@@ -7,7 +7,8 @@
 
 bool StartedSet::IsForbidden(const Start& start) const {
   const auto found = this->forbidden.find(start.task);
-  return found != this->forbidden.end() && start.Number() <= found->second;
+  return found != this->forbidden.end() &&
+         start.Number() <= found->second.highest;
 }
 
 bool StartedSet::MayRunAgain(const Start& start) const {
@@ -78,8 +79,9 @@
 }
 
 void StartedSet::Forbid(const TaskId& id, const StartNumber& start) {
-  StartNumber& highest = this->forbidden[id];
-  highest = std::max(highest, start);
+  ForbiddenStarts& starts = this->forbidden[id];
+  starts.highest = std::max(starts.highest, start);
+  starts.added_at = this->last_update_time;
   this->forbidden_order.push_back({this->last_update_time, id});
 }
 
@@ -117,8 +119,13 @@
   }
   while (!this->forbidden_order.empty() &&
          this->forbidden_order.front().added_at < horizon) {
-    this->forbidden.erase(this->forbidden_order.front().id);
+    const TimedTask oldest = this->forbidden_order.front();
     this->forbidden_order.pop_front();
+    const auto found = this->forbidden.find(oldest.id);
+    // Forbidden again since: a later item determines when it expires.
+    const bool is_latest = found != this->forbidden.end() &&
+                           found->second.added_at == oldest.added_at;
+    if (is_latest) this->forbidden.erase(found);
   }
 }
 
--- a/libraries/agent_core/started_set.h
+++ b/libraries/agent_core/started_set.h
@@ -91,6 +91,12 @@
     Timestamp added_at;
     TaskId id;
   };
+  struct ForbiddenStarts {
+    // The highest forbidden number.
+    StartNumber highest;
+    // When a start of the task was last forbidden.
+    Timestamp added_at;
+  };
 
   // Whether the task of an item past the window still runs.
   enum class Expiry { kRemoved, kStillRuns };
@@ -100,7 +106,7 @@
 
   StartedSetLimits limits;
   std::unordered_map<TaskId, Entry, TaskIdHash> tasks;
-  std::unordered_map<TaskId, StartNumber, TaskIdHash> forbidden;
+  std::unordered_map<TaskId, ForbiddenStarts, TaskIdHash> forbidden;
   std::unordered_map<TaskId, Payload, TaskIdHash> answers;
   std::deque<TaskId> answer_order;
   std::deque<TimedTask> expiry_order;
--- a/tests/agent_core/agent_core_parts_test.cc
+++ b/tests/agent_core/agent_core_parts_test.cc
@@ -76,6 +76,21 @@
   EXPECT_FALSE(set.Contains(StartOf(1, 1).task));
 }
 
+// Guards against a delayed duplicate that runs although its start was forbidden
+// less than one window ago.
+TEST(StartedSetTest, AStartForbiddenAgainStaysForbiddenForItsOwnWindow) {
+  StartedSet set(LimitsWithWindow());
+  const TaskId task = StartOf(1, 1).task;
+  set.Expire(Second(0));
+  set.Forbid(task, StartOf(1, 1).Number());
+  set.Expire(Second(8));
+  set.Forbid(task, StartOf(1, 2).Number());
+  set.Expire(Second(11));
+  EXPECT_TRUE(set.IsForbidden(StartOf(1, 2)));
+  set.Expire(Second(19));
+  EXPECT_FALSE(set.IsForbidden(StartOf(1, 2)));
+}
+
 Start StartNeeding(std::uint64_t job, std::uint64_t millicores) {
   Start start = StartOf(job, 1);
   start.request.need.millicores = millicores;
