agent_core: Drop the position of an answer together with the answer

Cause: DropAnswer left the task in answer_order. When the task ran again, eviction met the old position first and dropped the newest answer before older ones. Change: each answer has a number, and the order is kept by number, so that both are removed together.

--- a/libraries/agent_core/started_set.cc
+++ b/libraries/agent_core/started_set.cc
@@ -48,8 +48,9 @@
   found->second.outcome = outcome;
   this->DropAnswer(id);
   this->answer_bytes += result.size();
-  this->answers.insert_or_assign(id, std::move(result));
-  this->answer_order.push_back(id);
+  const std::uint64_t number = ++this->last_answer;
+  this->answers.insert_or_assign(id, Answer{std::move(result), number});
+  this->answer_order.emplace(number, id);
   while (this->answer_bytes > this->limits.maximum_answer_bytes) {
     this->DropOldestAnswer();
   }
@@ -65,7 +66,7 @@
   report.outcome = found->second.outcome;
   const auto answer = this->answers.find(id);
   if (answer == this->answers.end()) return report;
-  report.result = answer->second;
+  report.result = answer->second.result;
   report.result_kept = true;
   return report;
 }
@@ -142,15 +143,15 @@
 }
 
 void StartedSet::DropOldestAnswer() {
-  const TaskId oldest = this->answer_order.front();
-  this->answer_order.pop_front();
+  const TaskId oldest = this->answer_order.begin()->second;
   this->DropAnswer(oldest);
 }
 
 void StartedSet::DropAnswer(const TaskId& id) {
   const auto found = this->answers.find(id);
   if (found == this->answers.end()) return;
-  this->answer_bytes -= found->second.size();
+  this->answer_bytes -= found->second.result.size();
+  this->answer_order.erase(found->second.number);
   this->answers.erase(found);
 }
 
--- a/libraries/agent_core/started_set.h
+++ b/libraries/agent_core/started_set.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <unordered_set>
@@ -97,6 +98,11 @@
     // When a start of the task was last forbidden.
     Timestamp added_at;
   };
+  struct Answer {
+    Payload result;
+    // Increases with each answer that is added.
+    std::uint64_t number = 0;
+  };
 
   // Whether the task of an item past the window still runs.
   enum class Expiry { kRemoved, kStillRuns };
@@ -107,8 +113,10 @@
   StartedSetLimits limits;
   std::unordered_map<TaskId, Entry, TaskIdHash> tasks;
   std::unordered_map<TaskId, ForbiddenStarts, TaskIdHash> forbidden;
-  std::unordered_map<TaskId, Payload, TaskIdHash> answers;
-  std::deque<TaskId> answer_order;
+  std::unordered_map<TaskId, Answer, TaskIdHash> answers;
+  // By the number of the answer, oldest first.
+  std::map<std::uint64_t, TaskId> answer_order;
+  std::uint64_t last_answer = 0;
   std::deque<TimedTask> expiry_order;
   // Taken from `expiry_order` while their tasks still ran.
   std::vector<TimedTask> long_running;
--- a/tests/agent_core/agent_core_parts_test.cc
+++ b/tests/agent_core/agent_core_parts_test.cc
@@ -91,6 +91,26 @@
   EXPECT_FALSE(set.IsForbidden(StartOf(1, 2)));
 }
 
+// Guards against the eviction of the newest answer in place of the oldest: a
+// task that ran again kept the position of its first answer.
+TEST(StartedSetTest, TheAnswerOfATaskThatRanAgainCountsAsNew) {
+  StartedSetLimits limits;
+  limits.maximum_answer_bytes = 150;
+  StartedSet set(limits);
+  const Payload answer = Payload::FromBytes(std::string(60, 'x'));
+  const auto run = [&](const Start& start) {
+    set.Insert(start, Timestamp());
+    set.MarkFinished(start.task, TaskOutcome::kFailed, answer);
+  };
+  run(StartOf(1, 1));
+  run(StartOf(2, 1));
+  run(StartOf(1, 2));
+  run(StartOf(3, 1));
+  EXPECT_TRUE(set.Report(StartOf(1, 2).task).result_kept);
+  EXPECT_FALSE(set.Report(StartOf(2, 1).task).result_kept);
+  EXPECT_TRUE(set.Report(StartOf(3, 1).task).result_kept);
+}
+
 Start StartNeeding(std::uint64_t job, std::uint64_t millicores) {
   Start start = StartOf(job, 1);
   start.request.need.millicores = millicores;
