agent_core: Act on a changed capacity at once

Cause: a new announcement of the upstream only set the capacity. Starts in the queue went on waiting for the next completion although the grown capacity had room; a start larger than the shrunk capacity stayed at the head of the queue to its deadline and blocked smaller ones. Change: starts that can't fit are returned as not run, with no_free_slot, which spends neither an attempt nor the retry budget at the home; then those that fit are started, and each entry gets a heartbeat that counts both. Held before: no start goes over a shrunk capacity, what is being stopped counts, and no start is lost or runs twice.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -49,11 +49,13 @@
   this->description = event.description;
   this->description->agent = this->settings.self;
   this->admission.SetCapacity(event.description.capacity);
+  ++this->load_version;
   this->upstream_leaving = false;
   this->contact = UpstreamContact::kAnswering;
   // Entries need the description of an upstream that returned with changes.
   this->acknowledged.clear();
   this->SendRegistrations();
+  this->ApplyCapacity();
   this->SendHeartbeats();
 }
 
@@ -377,6 +379,13 @@
   }
 }
 
+void AgentCore::ApplyCapacity() {
+  for (const AcceptedStart& accepted : this->admission.WithdrawOversized()) {
+    this->RejectQueued(accepted, Reason::kNoFreeSlot);
+  }
+  this->StartQueued();
+}
+
 void AgentCore::StopOverdue() {
   for (const AcceptedStart& accepted :
        this->admission.WithdrawOverdue(this->current_time)) {
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -90,6 +90,9 @@
   // Starts queued tasks while there is free capacity; returns all of them while
   // the agent accepts no tasks.
   void StartQueued();
+  // After a change of the capacity: returns the queued starts that can't fit
+  // into it, and starts those for which there is free capacity.
+  void ApplyCapacity();
   void StopOverdue();
   // Updates whether leases may be granted; returns the queued starts while they
   // may not.
@@ -137,7 +140,8 @@
   Timestamp current_time;
   Timestamp next_registration;
   Timestamp next_heartbeat;
-  // Increases whenever a task is queued, started, withdrawn or completed.
+  // Increases whenever a task is queued, started, withdrawn or completed, or
+  // the capacity changes.
   std::uint64_t load_version = 1;
   // Send time of the latest heartbeat that an entry has confirmed.
   Timestamp last_confirmed;
--- a/libraries/agent_core/upstream_admission.cc
+++ b/libraries/agent_core/upstream_admission.cc
@@ -49,19 +49,32 @@
   return withdrawn;
 }
 
-std::vector<AcceptedStart> UpstreamAdmission::WithdrawOverdue(Timestamp now) {
-  std::vector<TaskId> overdue;
+template <typename Condition>
+std::vector<AcceptedStart> UpstreamAdmission::WithdrawIf(
+    const Condition& condition) {
+  std::vector<TaskId> matching;
   for (const AcceptedStart& accepted : this->queue) {
-    if (accepted.deadline <= now) overdue.push_back(accepted.start.task);
+    if (condition(accepted)) matching.push_back(accepted.start.task);
   }
   std::vector<AcceptedStart> withdrawn;
-  for (const TaskId& task : overdue) {
+  for (const TaskId& task : matching) {
     std::optional<AcceptedStart> accepted = this->Withdraw(task);
     if (accepted) withdrawn.push_back(std::move(*accepted));
   }
   return withdrawn;
 }
 
+std::vector<AcceptedStart> UpstreamAdmission::WithdrawOverdue(Timestamp now) {
+  return this->WithdrawIf(
+      [&](const AcceptedStart& accepted) { return accepted.deadline <= now; });
+}
+
+std::vector<AcceptedStart> UpstreamAdmission::WithdrawOversized() {
+  return this->WithdrawIf([&](const AcceptedStart& accepted) {
+    return !accepted.start.request.need.FitsIn(this->capacity);
+  });
+}
+
 void UpstreamAdmission::Release(const TaskId& task) {
   const auto found = this->running.find(task);
   if (found == this->running.end()) return;
--- a/libraries/agent_core/upstream_admission.h
+++ b/libraries/agent_core/upstream_admission.h
@@ -42,6 +42,8 @@
   std::optional<AcceptedStart> Withdraw(const TaskId& task);
   // Removes all starts from the queue whose deadline is `now` or earlier.
   std::vector<AcceptedStart> WithdrawOverdue(Timestamp now);
+  // Removes all starts from the queue that don't fit into the total capacity.
+  std::vector<AcceptedStart> WithdrawOversized();
   // Frees the resources of a completed task.
   void Release(const TaskId& task);
 
@@ -64,6 +66,10 @@
     Timestamp deadline;
   };
 
+  // Removes all starts from the queue for which `condition` holds.
+  template <typename Condition>
+  std::vector<AcceptedStart> WithdrawIf(const Condition& condition);
+
   Resources capacity;
   Resources in_use;
   Resources waiting;
--- a/tests/agent_core/agent_core_test.cc
+++ b/tests/agent_core/agent_core_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace dandelionspur {
 namespace {
 
@@ -258,6 +260,155 @@
   EXPECT_EQ(receivers, std::vector<EntryId>{waiting});
 }
 
+constexpr std::uint64_t kCores = kMillicoresPerCore;
+
+// An agent whose upstream announces another capacity while tasks run.
+class CapacityChangeTest : public AgentCoreTest {
+ protected:
+  std::vector<AgentEffect> Announce(std::uint64_t millicores) {
+    AgentDescription description;
+    description.capacity.millicores = millicores;
+    return this->Handle(UpstreamAnnounced{description});
+  }
+  static Start StartNeeding(std::uint64_t job, std::uint64_t millicores) {
+    Start start = StartOf(job);
+    start.request.need.millicores = millicores;
+    return start;
+  }
+  std::vector<AgentEffect> Complete(std::uint64_t job) {
+    return this->Handle(UpstreamTaskCompleted{
+        StartOf(job).task, UpstreamResult::kSucceeded, Payload(), Duration()});
+  }
+  static std::vector<std::uint64_t> Started(
+      const std::vector<AgentEffect>& effects) {
+    std::vector<std::uint64_t> jobs;
+    for (const RunOnUpstream& run : Only<RunOnUpstream>(effects)) {
+      jobs.push_back(run.task.key.low);
+    }
+    return jobs;
+  }
+  static std::vector<std::uint64_t> Returned(
+      const std::vector<AgentEffect>& effects) {
+    std::vector<std::uint64_t> jobs;
+    for (const TaskNotRun& returned : Sent<TaskNotRun>(effects)) {
+      EXPECT_EQ(returned.reason, Reason::kNoFreeSlot);
+      jobs.push_back(returned.task.key.low);
+    }
+    return jobs;
+  }
+};
+
+struct CapacityCase {
+  const char* name;
+  std::uint64_t millicores;
+  std::vector<std::uint64_t> started;
+  std::vector<std::uint64_t> returned;
+};
+
+class QueueAfterCapacityChangeTest
+    : public CapacityChangeTest,
+      public testing::WithParamInterface<CapacityCase> {
+ protected:
+  // Jobs 1 and 2 run on all 8 cores; jobs 3 and 4 wait for 3 cores and for one.
+  QueueAfterCapacityChangeTest() {
+    this->Announce(8 * kCores);
+    this->Deliver(StartNeeding(1, 4 * kCores));
+    this->Deliver(StartNeeding(2, 4 * kCores));
+    this->Deliver(StartNeeding(3, 3 * kCores));
+    this->Deliver(StartNeeding(4, 1 * kCores));
+  }
+};
+
+// Guards against queued starts that wait for capacity which is there already,
+// or which the upstream no longer has.
+TEST_P(QueueAfterCapacityChangeTest, StartsWhatFitsAndReturnsWhatNeverFits) {
+  const CapacityCase& tested = this->GetParam();
+  const auto effects = this->Announce(tested.millicores);
+  EXPECT_EQ(Started(effects), tested.started);
+  EXPECT_EQ(Returned(effects), tested.returned);
+}
+
+// Guards against entries that send starts by an outdated capacity.
+TEST_P(QueueAfterCapacityChangeTest, EntriesAreToldAtOnce) {
+  const CapacityCase& tested = this->GetParam();
+  const auto effects = this->Announce(tested.millicores);
+  ASSERT_EQ(Sent<Register>(effects).size(), 1U);
+  EXPECT_EQ(Sent<Register>(effects)[0].description.capacity.millicores,
+            tested.millicores);
+  ASSERT_FALSE(Sent<AgentHeartbeat>(effects).empty());
+  const AgentLoad load = Sent<AgentHeartbeat>(effects).back().load;
+  EXPECT_EQ(load.capacity.millicores, tested.millicores);
+  EXPECT_TRUE(load.accepting);
+  std::uint64_t running = 8 * kCores;
+  std::uint64_t waiting = 4 * kCores;
+  for (const std::uint64_t job : tested.started) {
+    const std::uint64_t need = job == 3 ? 3 * kCores : kCores;
+    running += need;
+    waiting -= need;
+  }
+  for (const std::uint64_t job : tested.returned) {
+    waiting -= job == 3 ? 3 * kCores : kCores;
+  }
+  EXPECT_EQ(load.running.millicores, running);
+  EXPECT_EQ(load.waiting.millicores, waiting);
+}
+
+// Guards against a start that is lost or runs twice since the upstream was
+// announced again while it was on its way.
+TEST_P(QueueAfterCapacityChangeTest, EachStartRunsOnceOrIsReturned) {
+  std::vector<AgentEffect> all = this->Announce(this->GetParam().millicores);
+  const auto append = [&](std::vector<AgentEffect> effects) {
+    for (AgentEffect& effect : effects) all.push_back(std::move(effect));
+  };
+  append(this->Deliver(StartNeeding(3, 3 * kCores)));
+  append(this->Deliver(StartNeeding(4, 1 * kCores)));
+  append(this->Complete(1));
+  append(this->Complete(2));
+  const std::vector<std::uint64_t> started = Started(all);
+  for (const std::uint64_t job : {3, 4}) {
+    const auto runs = std::count(started.begin(), started.end(), job);
+    const std::vector<std::uint64_t>& returned = this->GetParam().returned;
+    const auto expected = 1 - std::count(returned.begin(), returned.end(), job);
+    EXPECT_EQ(runs, expected) << job;
+  }
+  EXPECT_EQ(Sent<TaskFinished>(all).size(), 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Capacities, QueueAfterCapacityChangeTest,
+    testing::Values(CapacityCase{"BelowWhatRuns", 6 * kCores, {}, {}},
+                    CapacityCase{
+                        "BelowTheFirstInTheQueue", 2 * kCores, {}, {3}},
+                    CapacityCase{"BelowAllQueued", kCores / 2, {}, {3, 4}},
+                    CapacityCase{"EnoughForOneMore", 11 * kCores, {3}, {}},
+                    CapacityCase{"EnoughForAll", 12 * kCores, {3, 4}, {}}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
+// Guards against a start over the shrunk capacity, whether it was queued before
+// or arrives later: a task that is being stopped occupies it until it ends.
+TEST_F(CapacityChangeTest, TasksBeingStoppedCountAgainstAShrunkCapacity) {
+  this->Deliver(StartOf(1));
+  this->Deliver(StartOf(2));
+  this->Deliver(StartOf(3));
+  std::vector<AgentEffect> effects = this->Deliver(StopTask{StartOf(1).task});
+  EXPECT_EQ(Only<StopOnUpstream>(effects).size(), 1U);
+  EXPECT_TRUE(Started(this->Announce(kCores)).empty());
+  EXPECT_TRUE(Started(this->Complete(2)).empty());
+  EXPECT_TRUE(Started(this->Deliver(StartOf(4))).empty());
+  EXPECT_EQ(Started(this->Complete(1)), std::vector<std::uint64_t>{3});
+}
+
+// Guards against a start over the capacity when it shrinks and grows again
+// while tasks run.
+TEST_F(CapacityChangeTest, ACapacityThatReturnsIsUsedOnce) {
+  this->Deliver(StartOf(1));
+  this->Deliver(StartOf(2));
+  this->Announce(kCores);
+  EXPECT_TRUE(Started(this->Deliver(StartOf(3))).empty());
+  EXPECT_TRUE(Started(this->Announce(2 * kCores)).empty());
+  EXPECT_EQ(Started(this->Announce(3 * kCores)), std::vector<std::uint64_t>{3});
+}
+
 // Guards against registrations and announcements to all entries whenever the
 // view changes: an entry that knows the agent needs neither again.
 TEST_F(AgentCoreTest, AJoinIsFollowedByARegistrationWithTheJoinerOnly) {
