upstream_session: A changed capacity doesn't end an upstream's silence

Cause: the announcement of a changed capacity, or of a return from leaving, made an upstream count as answering although it sent heartbeats only and answered no call, so that starts were sent to it until the next tick. Change: the contact stays what it was, and is reported after the announcement. Held before: a changed capacity is announced at once and no start is lost or ordered twice (SessionCapacityTest).

--- a/libraries/upstream_session/leased_upstream.cc
+++ b/libraries/upstream_session/leased_upstream.cc
@@ -68,7 +68,11 @@
     this->leaving_reported = true;
     return;
   }
-  if (this->unknown_runs_stopped && (changed || returned)) this->Announce();
+  if (!this->unknown_runs_stopped || !(changed || returned)) return;
+  const UpstreamContact contact_before = this->contact;
+  this->Announce();
+  // A heartbeat is no answer to a call.
+  this->SetContact(contact_before);
 }
 
 void LeasedUpstream::Adopt(const UpstreamHeartbeat& heartbeat, SteadyTime now) {
--- a/tests/upstream_session/leased_upstream_test.cc
+++ b/tests/upstream_session/leased_upstream_test.cc
@@ -141,6 +141,59 @@
             CompletionNumber(7));
 }
 
+// The upstream announces another capacity while a task runs and another start
+// order is unanswered.
+class SessionCapacityTest : public LeasedUpstreamTest,
+                            public testing::WithParamInterface<std::uint64_t> {
+ protected:
+  void ChangeCapacity() {
+    UpstreamHeartbeat changed = Heartbeat(1, 2, UpstreamState::kReady);
+    changed.capacity.millicores = this->GetParam();
+    this->upstream.OnHeartbeat(changed, this->now);
+  }
+};
+
+// Guards against starts by an outdated capacity, and against a start that is
+// lost or ordered twice since the upstream was announced again.
+TEST_P(SessionCapacityTest, IsAnnouncedAtOnceAndLeavesTheStartsAlone) {
+  this->Announce();
+  const StartOrder running = this->Start(1);
+  this->AnswerStart(running, OrderOutcome::kDone);
+  const StartOrder unanswered = this->Start(2);
+  this->ChangeCapacity();
+  ASSERT_EQ(this->Events<UpstreamAnnounced>().size(), 2U);
+  EXPECT_EQ(
+      this->Events<UpstreamAnnounced>().back().description.capacity.millicores,
+      this->GetParam());
+  EXPECT_TRUE(this->Events<UpstreamTaskCompleted>().empty());
+  this->AnswerStart(unanswered, OrderOutcome::kDone);
+  EXPECT_EQ(this->All<SendStart>().size(), 2U);
+  ListAnswer ended = Ended(running.run, 1, RunOutcome::kDone);
+  ended.completed.push_back(
+      {CompletionNumber(2), unanswered.run, RunOutcome::kDone});
+  this->AnswerList(ended);
+  EXPECT_EQ(this->Events<UpstreamTaskCompleted>().size(), 2U);
+}
+
+// Guards against starts for an upstream that sends heartbeats but answers no
+// call: a changed capacity is no answer.
+TEST_P(SessionCapacityTest, DoesNotMakeASilentUpstreamCountAsAnswering) {
+  this->Announce();
+  this->Start(1);
+  this->now += milliseconds(700);
+  this->upstream.Tick(this->now);
+  ASSERT_EQ(this->Events<UpstreamContactChanged>().size(), 1U);
+  this->ChangeCapacity();
+  ASSERT_EQ(this->Events<UpstreamAnnounced>().size(), 2U);
+  const AgentEvent last = this->All<AgentEvent>().back();
+  const auto* contact = std::get_if<UpstreamContactChanged>(&last);
+  ASSERT_NE(contact, nullptr);
+  EXPECT_EQ(contact->contact, UpstreamContact::kSilent);
+}
+
+INSTANTIATE_TEST_SUITE_P(Millicores, SessionCapacityTest,
+                         testing::Values(2000, 16'000));
+
 struct RefusalCase {
   const char* name;
   OrderOutcome outcome;
