entry_core: Refuse at once what no upstream's capacity can hold

Cause: the home compared a task only with the free capacity of each upstream. A task larger than every upstream, after one had shrunk or from the start, waited to its deadline, and at the head of the queue it blocked all smaller ones. Change: such a job is refused when it arrives, when an upstream registers a smaller capacity, and when it comes to the head of the queue. The reason is deadline_too_short (503 with Retry-After): impossible_job tells the caller of a mistake, but the capacity may grow again. A job with started tasks is answered "may have run". An upstream that is disconnected counts with its last capacity; while no connected upstream has any, or an agent's upstream is not known yet, jobs wait as before. Held before: no start is sent to an upstream whose last report, with the starts on their way, lacks the room; a grown capacity is used with the report that tells of it.

--- a/libraries/entry_core/agent_registry.cc
+++ b/libraries/entry_core/agent_registry.cc
@@ -130,6 +130,26 @@
       1, static_cast<std::int64_t>(millicores / kMillicoresPerCore));
 }
 
+bool AgentRegistry::MayEverHold(const ServiceName& service,
+                                const Resources& need) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) return true;
+  bool any_present = false;
+  for (const KnownAgent* known : found->second.agents) {
+    if (known->lost_at || known->leaving) continue;
+    if (need.FitsIn(known->description->capacity)) return true;
+    const bool is_present = known->connected && known->ready &&
+                            known->description->capacity.millicores > 0;
+    any_present = any_present || is_present;
+  }
+  if (!any_present) return true;
+  // Agents that have registered only with other entries so far.
+  return std::any_of(this->agents.begin(), this->agents.end(),
+                     [](const auto& item) {
+                       return !item.second.description && !item.second.lost_at;
+                     });
+}
+
 void AgentRegistry::RecountCapacity() {
   for (auto& [name, service] : this->services) {
     service.capacity = Resources();
--- a/libraries/entry_core/agent_registry.h
+++ b/libraries/entry_core/agent_registry.h
@@ -123,6 +123,12 @@
   [[nodiscard]] Resources CapacityOf(const ServiceName& service) const;
   // Processor cores in CapacityOf; at least one, as it serves as a divisor.
   [[nodiscard]] std::int64_t CoresOf(const ServiceName& service) const;
+  // Whether an upstream of the service can hold a task with this need once
+  // nothing else runs there. An upstream that is disconnected may return with
+  // its capacity. Any need counts as possible while no connected upstream has
+  // capacity, or the upstream of some agent is unknown.
+  [[nodiscard]] bool MayEverHold(const ServiceName& service,
+                                 const Resources& need) const;
   // Must be called whenever an agent connects, disconnects or changes state.
   void RecountCapacity();
 
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -348,6 +348,10 @@
 }
 
 void EntryCore::OnAgent(AgentId from, const Register& message) {
+  const KnownAgent* known = this->registry.Find(from);
+  const bool has_shrunk =
+      known != nullptr && known->description &&
+      !known->description->capacity.FitsIn(message.description.capacity);
   for (const AgentId replaced : this->registry.Register(message.description)) {
     // An agent registers only once no task of its predecessor is running.
     this->MarkAgentLost(replaced, AgentRuns::kEnded);
@@ -362,6 +366,8 @@
   reply.has_promises = !message.has_promises;
   if (reply.has_promises) reply.promises = this->ownership.Promises();
   this->outbox.ToAgent(from, std::move(reply));
+  if (!has_shrunk) return;
+  this->home.OnCapacityShrunk(message.description.service, this->current_time);
 }
 
 void EntryCore::OnAgent(AgentId from, const AgentReady& /*message*/) {
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -170,9 +170,24 @@
   if (this->ExpectedWait(service) > job.submission.time_allowed) {
     return Reason::kDeadlineTooShort;
   }
+  const std::vector<TaskRequest>& tasks = job.submission.tasks;
+  const bool may_start =
+      std::all_of(tasks.begin(), tasks.end(), [&](const TaskRequest& task) {
+        return this->agents.MayEverHold(job.submission.service, task.need);
+      });
+  // No mistake of the caller: the capacity may grow again.
+  if (!may_start) return Reason::kDeadlineTooShort;
   return std::nullopt;
 }
 
+bool HomeJobs::MayEverStart(const HomeJob& job) const {
+  return std::all_of(
+      job.queued.begin(), job.queued.end(), [&](TaskIndex index) {
+        return this->agents.MayEverHold(
+            job.submission.service, job.submission.tasks[index.value()].need);
+      });
+}
+
 void HomeJobs::Refuse(HomeJob& job, Reason reason, Timestamp now) {
   // A key that has expired or is inherited may have run earlier.
   const bool may_have_run = job.inherited || job.started > 0 ||
@@ -501,6 +516,18 @@
   if (load.HasFreeCapacity()) agent->demand_notified = false;
 }
 
+void HomeJobs::OnCapacityShrunk(const ServiceName& service, Timestamp now) {
+  std::vector<JobKey> oversized;
+  for (const auto& [key, job] : this->jobs) {
+    if (job.submission.service != service) continue;
+    if (!this->MayEverStart(job)) oversized.push_back(key);
+  }
+  std::sort(oversized.begin(), oversized.end());
+  for (const JobKey& key : oversized) {
+    this->Refuse(this->jobs.at(key), Reason::kDeadlineTooShort, now);
+  }
+}
+
 void HomeJobs::OnRefusalsConfirmed(
     const std::vector<ConfirmedRefusal>& confirmed, Timestamp now) {
   for (const ConfirmedRefusal& refusal : confirmed) {
@@ -677,7 +704,12 @@
     this->CollectCandidates(job, task, now);
     const bool only_one = this->candidates.size() == 1;
     KnownAgent* agent = this->ChooseAgent(job, service);
-    if (agent == nullptr) break;
+    if (agent == nullptr) {
+      const Resources& need = job.submission.tasks[index.value()].need;
+      if (this->agents.MayEverHold(job.submission.service, need)) break;
+      this->Refuse(job, Reason::kDeadlineTooShort, now);
+      continue;
+    }
     PlacementReason reason = PlacementReason::kFastestFree;
     if (only_one) reason = PlacementReason::kOnlyCandidate;
     if (task.retried) reason = PlacementReason::kRetryElsewhere;
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -63,6 +63,9 @@
   void OnRenounceReply(AgentId from, const RenounceReply& message,
                        Timestamp now);
   void OnAgentLoad(AgentId from, const AgentLoad& load);
+  // The total capacity of an upstream of the service has shrunk. Refuses the
+  // queued jobs that no upstream can hold any more.
+  void OnCapacityShrunk(const ServiceName& service, Timestamp now);
   void OnRefusalsConfirmed(const std::vector<ConfirmedRefusal>& confirmed,
                            Timestamp now);
   // The agent has connected or reconnected. Queries the state of tasks that
@@ -109,6 +112,9 @@
   // The reason to refuse a new job, or nothing if the job is admitted.
   std::optional<Reason> CheckAdmission(const HomeJob& job, Timestamp now);
   void Refuse(HomeJob& job, Reason reason, Timestamp now);
+  // Whether each queued task of the job fits into the total capacity of an
+  // upstream that is there or may return.
+  [[nodiscard]] bool MayEverStart(const HomeJob& job) const;
   // Starts to run the job if its key is witnessed and, for an inherited key,
   // all agents have reported what they started. Otherwise the job is blocked,
   // or answered "may have run" if the missing agent is lost.
