protocol: Tell truncated from malformed MessagePack

Cause: the reader had one exception for bytes that end too early and for bytes that are wrong, with the text "truncated or malformed", and skipped the byte 0xc1, which begins no value, as if it were one. Change: MessagePackError has a problem, kTruncated or kMalformed; bytes that mp_check() refuses are examined for which of the two it is; 0xc1 is refused wherever a value is expected. EveryTruncationIsRefused is stricter: each truncation must be reported as one.

--- a/libraries/protocol/codec.h
+++ b/libraries/protocol/codec.h
@@ -100,7 +100,7 @@
       Read(reader, value);
       if (!reader.AtEnd()) return Fail("unexpected trailing bytes");
       return value;
-    } catch (const MalformedMessagePack& exception) {
+    } catch (const MessagePackError& exception) {
       return Fail(exception.what());
     }
   }
@@ -199,7 +199,8 @@
   template <typename T, typename Wide>
   static T Narrowed(Wide value) {
     if (!std::in_range<T>(value)) {
-      throw MalformedMessagePack("integer out of range");
+      throw MessagePackError(MessagePackProblem::kMalformed,
+                             "integer out of range");
     }
     return static_cast<T>(value);
   }
@@ -208,7 +209,8 @@
   // of items beyond these.
   static std::size_t EnterArray(MessagePackReader& reader, std::size_t items) {
     const std::size_t found = reader.ArrayItems();
-    if (found < items) throw MalformedMessagePack("array too short");
+    if (found < items)
+      throw MessagePackError(MessagePackProblem::kMalformed, "array too short");
     return found - items;
   }
 
@@ -238,7 +240,8 @@
     const T candidate =
         static_cast<T>(Narrowed<std::underlying_type_t<T>>(reader.Signed()));
     if (boost::describe::enum_to_string(candidate, nullptr) == nullptr) {
-      throw MalformedMessagePack("unknown enumeration value");
+      throw MessagePackError(MessagePackProblem::kMalformed,
+                             "unknown enumeration value");
     }
     value = candidate;
   }
@@ -264,7 +267,8 @@
     const std::size_t more = EnterArray(reader, 2);
     const std::uint64_t index = reader.Unsigned();
     if (index >= std::variant_size_v<T>) {
-      throw MalformedMessagePack("unknown variant index");
+      throw MessagePackError(MessagePackProblem::kMalformed,
+                             "unknown variant index");
     }
     boost::mp11::mp_with_index<std::variant_size_v<T>>(
         index, [&](auto i) { Read(reader, value.template emplace<i>()); });
--- a/libraries/protocol/message_pack_reader.cc
+++ b/libraries/protocol/message_pack_reader.cc
@@ -7,8 +7,41 @@
 namespace dandelionspur {
 namespace {
 
-[[noreturn]] void Refuse(const char* problem) {
-  throw MalformedMessagePack(problem);
+[[noreturn]] void Refuse(const char* message) {
+  throw MessagePackError(MessagePackProblem::kMalformed, message);
+}
+
+[[noreturn]] void RefuseTruncated() {
+  throw MessagePackError(MessagePackProblem::kTruncated, "truncated");
+}
+
+// The only byte that begins no value.
+constexpr char kNeverUsed = '\xc1';
+
+// Finds out what is wrong with the value at `next`, which mp_check() refuses.
+// Arrays are entered, since one of their items may be the cause; all other
+// values are refused for their first byte, or end too early. A map is read like
+// an array of its keys and values.
+MessagePackProblem ProblemOf(const char* next, const char* end) {
+  std::uint64_t values = 1;
+  for (; values > 0 && next != end; --values) {
+    if (*next == kNeverUsed) return MessagePackProblem::kMalformed;
+    switch (mp_typeof(*next)) {
+      case MP_ARRAY:
+        if (mp_check_array(next, end) > 0) {
+          return MessagePackProblem::kTruncated;
+        }
+        values += mp_decode_array(&next);
+        break;
+      case MP_MAP:
+        if (mp_check_map(next, end) > 0) return MessagePackProblem::kTruncated;
+        values += 2 * std::uint64_t{mp_decode_map(&next)};
+        break;
+      default:
+        if (mp_check(&next, end) != 0) return MessagePackProblem::kTruncated;
+    }
+  }
+  return MessagePackProblem::kTruncated;
 }
 
 }  // namespace
@@ -17,7 +50,9 @@
     : next(source.data()), end(source.data() + source.size()) {
   const char* checked = this->next;
   while (checked != this->end) {
+    const char* value = checked;
     if (mp_check(&checked, this->end) == 0) continue;
+    this->problem_at_end = ProblemOf(value, this->end);
     this->end = this->next;
     return;
   }
@@ -72,7 +107,7 @@
   if (this->NextType() != MP_ARRAY) Refuse("not an array");
   const std::size_t items = mp_decode_array(&this->next);
   // mp_check() treats an array of 2^32 - 1 items as empty.
-  if (std::cmp_greater(items, this->end - this->next)) Refuse("truncated");
+  if (std::cmp_greater(items, this->end - this->next)) RefuseTruncated();
   return items;
 }
 
@@ -89,7 +124,14 @@
 }
 
 int MessagePackReader::NextType() const {
-  if (this->AtEnd()) Refuse("truncated or malformed");
+  if (this->AtEnd()) {
+    if (this->problem_at_end == MessagePackProblem::kMalformed) {
+      Refuse("not MessagePack");
+    }
+    RefuseTruncated();
+  }
+  // mp_check() accepts it.
+  if (*this->next == kNeverUsed) Refuse("not MessagePack");
   return mp_typeof(*this->next);
 }
 
--- a/libraries/protocol/message_pack_reader.h
+++ b/libraries/protocol/message_pack_reader.h
@@ -8,19 +8,37 @@
 
 namespace dandelionspur {
 
+// What is wrong with bytes that are read as MessagePack.
+enum class MessagePackProblem {
+  // The bytes end within a value or before an expected one, as those of a
+  // message do that was cut off.
+  kTruncated,
+  // The bytes are no MessagePack, or not of the expected layout.
+  kMalformed,
+};
+
 // Thrown for bytes that are not MessagePack of the expected layout.
-class MalformedMessagePack : public std::runtime_error {
+class MessagePackError : public std::runtime_error {
  public:
-  using std::runtime_error::runtime_error;
+  MessagePackError(MessagePackProblem kind, const char* message)
+      : std::runtime_error(message), what_is_wrong(kind) {}
+
+  [[nodiscard]] MessagePackProblem problem() const {
+    return this->what_is_wrong;
+  }
+
+ private:
+  MessagePackProblem what_is_wrong;
 };
 
 // Reads the values of a MessagePack buffer in order, without an intermediate
-// tree of values. Each call throws MalformedMessagePack if the next value is of
+// tree of values. Each call throws MessagePackError if the next value is of
 // another type or the buffer is at its end.
 class MessagePackReader {
  public:
   // `source` must outlive the reader and the text and binary values read from
-  // it. If any part of `source` is truncated or malformed, the reader is empty.
+  // it. If any part of `source` is truncated or malformed, the reader is empty,
+  // and its errors say which of the two it is.
   explicit MessagePackReader(std::string_view source);
 
   // Consumes the next value if it is null; returns whether it was.
@@ -45,6 +63,8 @@
 
   const char* next;
   const char* end;
+  // Why there is no next value at the end.
+  MessagePackProblem problem_at_end = MessagePackProblem::kTruncated;
 };
 
 }  // namespace dandelionspur
--- a/tests/protocol/message_pack_test.cc
+++ b/tests/protocol/message_pack_test.cc
@@ -115,7 +115,12 @@
   for (std::size_t length = 0; length < bytes.size(); length += step) {
     const std::string truncated = bytes.substr(0, length);
     MessagePackReader reader(truncated);
-    EXPECT_THROW(reader.Skip(1), MalformedMessagePack) << length;
+    try {
+      reader.Skip(1);
+      ADD_FAILURE() << "accepted " << length;
+    } catch (const MessagePackError& error) {
+      EXPECT_EQ(error.problem(), MessagePackProblem::kTruncated) << length;
+    }
   }
 }
 
@@ -138,18 +143,70 @@
         json(json::array_t()), json(15, nullptr), json(16, nullptr),
         json(kTooLongForTwoBytes, nullptr)));
 
+struct ProblemCase {
+  const char* name;
+  std::string bytes;
+  MessagePackProblem problem;
+};
+
+class MessagePackProblemTest : public testing::TestWithParam<ProblemCase> {};
+
+// Guards against a message that was cut off and is taken for one of a process
+// that writes nonsense, or the reverse.
+TEST_P(MessagePackProblemTest, TellsTruncatedFromMalformed) {
+  MessagePackReader reader(this->GetParam().bytes);
+  try {
+    reader.Skip(reader.ArrayItems());
+    static_cast<void>(reader.Unsigned());
+    FAIL() << "accepted";
+  } catch (const MessagePackError& error) {
+    EXPECT_EQ(error.problem(), this->GetParam().problem);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bytes, MessagePackProblemTest,
+    testing::Values(
+        ProblemCase{"Empty", "", MessagePackProblem::kTruncated},
+        ProblemCase{"ArrayHeaderCutOff", "\xdc",
+                    MessagePackProblem::kTruncated},
+        ProblemCase{"ItemMissing", "\x92\x01", MessagePackProblem::kTruncated},
+        ProblemCase{"NumberCutOff", "\x91\xcd\x01",
+                    MessagePackProblem::kTruncated},
+        ProblemCase{"StringCutOff",
+                    "\x91\xa3"
+                    "ab",
+                    MessagePackProblem::kTruncated},
+        ProblemCase{"NestedItemCutOff", "\x92\x92\x01\x02\xcd",
+                    MessagePackProblem::kTruncated},
+        ProblemCase{"ValueMissing", "\x91\x01", MessagePackProblem::kTruncated},
+        ProblemCase{"MapCutOff", "\x91\x82\x01\x02",
+                    MessagePackProblem::kTruncated},
+        ProblemCase{"UnusedByte", "\xc1", MessagePackProblem::kMalformed},
+        ProblemCase{"UnusedByteInAnArray", "\x92\x01\xc1",
+                    MessagePackProblem::kMalformed},
+        ProblemCase{"UnusedByteInACutOffArray", "\x93\x01\xc1",
+                    MessagePackProblem::kMalformed},
+        ProblemCase{"UnusedByteAfterAnArray", "\x91\x01\xc1",
+                    MessagePackProblem::kMalformed},
+        ProblemCase{"NoArray", "\x01", MessagePackProblem::kMalformed},
+        ProblemCase{"Map", "\x91\x80\x01", MessagePackProblem::kMalformed},
+        ProblemCase{"WrongType", "\x91\x01\xc3",
+                    MessagePackProblem::kMalformed}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
 // Guards against exhausting the memory by an array header that announces more
 // items than there are bytes.
 TEST(MessagePackReaderTest, ArrayLongerThanTheBytesIsRefused) {
   MessagePackReader reader(std::string_view("\xdd\xff\xff\xff\xff\x00", 6));
-  EXPECT_THROW(static_cast<void>(reader.ArrayItems()), MalformedMessagePack);
+  EXPECT_THROW(static_cast<void>(reader.ArrayItems()), MessagePackError);
 }
 
 // Guards against silent truncation of a number that doesn't fit.
 TEST(MessagePackReaderTest, UnsignedBeyondSignedRangeIsRefused) {
   const std::string bytes = Written(std::numeric_limits<std::uint64_t>::max());
   MessagePackReader reader(bytes);
-  EXPECT_THROW(static_cast<void>(reader.Signed()), MalformedMessagePack);
+  EXPECT_THROW(static_cast<void>(reader.Signed()), MessagePackError);
 }
 
 }  // namespace
