--- a/libraries/agent_core/started_set.cc
+++ b/libraries/agent_core/started_set.cc
@@ -7,7 +7,8 @@
 
 bool StartedSet::IsForbidden(const Start& start) const {
   const auto found = this->forbidden.find(start.task);
-  return found != this->forbidden.end() && start.Number() <= found->second;
+  return found != this->forbidden.end() &&
+         start.Number() <= found->second.highest;
 }
 
 bool StartedSet::MayRunAgain(const Start& start) const {
@@ -47,8 +48,9 @@
   found->second.outcome = outcome;
   this->DropAnswer(id);
   this->answer_bytes += result.size();
-  this->answers.insert_or_assign(id, std::move(result));
-  this->answer_order.push_back(id);
+  const std::uint64_t number = ++this->last_answer;
+  this->answers.insert_or_assign(id, Answer{std::move(result), number});
+  this->answer_order.emplace(number, id);
   while (this->answer_bytes > this->limits.maximum_answer_bytes) {
     this->DropOldestAnswer();
   }
@@ -64,7 +66,7 @@
   report.outcome = found->second.outcome;
   const auto answer = this->answers.find(id);
   if (answer == this->answers.end()) return report;
-  report.result = answer->second;
+  report.result = answer->second.result;
   report.result_kept = true;
   return report;
 }
@@ -78,8 +80,9 @@
 }
 
 void StartedSet::Forbid(const TaskId& id, const StartNumber& start) {
-  StartNumber& highest = this->forbidden[id];
-  highest = std::max(highest, start);
+  ForbiddenStarts& starts = this->forbidden[id];
+  starts.highest = std::max(starts.highest, start);
+  starts.added_at = this->last_update_time;
   this->forbidden_order.push_back({this->last_update_time, id});
 }
 
@@ -104,38 +107,51 @@
 void StartedSet::Expire(Timestamp now) {
   this->last_update_time = now;
   const Timestamp horizon = now - this->limits.duplicate_window;
+  std::erase_if(this->long_running, [&](const TimedTask& item) {
+    return this->ExpireTask(item) == Expiry::kRemoved;
+  });
   while (!this->expiry_order.empty() &&
          this->expiry_order.front().added_at < horizon) {
     const TimedTask oldest = this->expiry_order.front();
-    const auto found = this->tasks.find(oldest.id);
-    const bool running = found != this->tasks.end() &&
-                         found->second.state == StartedState::kRunning;
-    // A running task stays in the set until it completes.
-    if (running) break;
     this->expiry_order.pop_front();
-    // A newer start of the task has another item later in `expiry_order`, which
-    // determines when the task expires.
-    const bool is_latest_start =
-        found != this->tasks.end() && found->second.added_at == oldest.added_at;
-    if (is_latest_start) this->tasks.erase(found);
+    if (this->ExpireTask(oldest) == Expiry::kStillRuns) {
+      this->long_running.push_back(oldest);
+    }
   }
   while (!this->forbidden_order.empty() &&
          this->forbidden_order.front().added_at < horizon) {
-    this->forbidden.erase(this->forbidden_order.front().id);
+    const TimedTask oldest = this->forbidden_order.front();
     this->forbidden_order.pop_front();
+    const auto found = this->forbidden.find(oldest.id);
+    // Forbidden again since: a later item determines when it expires.
+    const bool is_latest = found != this->forbidden.end() &&
+                           found->second.added_at == oldest.added_at;
+    if (is_latest) this->forbidden.erase(found);
   }
 }
 
+StartedSet::Expiry StartedSet::ExpireTask(const TimedTask& item) {
+  const auto found = this->tasks.find(item.id);
+  // A newer start of the task has an item of its own, which determines when the
+  // task expires.
+  const bool is_latest_start =
+      found != this->tasks.end() && found->second.added_at == item.added_at;
+  if (!is_latest_start) return Expiry::kRemoved;
+  if (found->second.state == StartedState::kRunning) return Expiry::kStillRuns;
+  this->tasks.erase(found);
+  return Expiry::kRemoved;
+}
+
 void StartedSet::DropOldestAnswer() {
-  const TaskId oldest = this->answer_order.front();
-  this->answer_order.pop_front();
+  const TaskId oldest = this->answer_order.begin()->second;
   this->DropAnswer(oldest);
 }
 
 void StartedSet::DropAnswer(const TaskId& id) {
   const auto found = this->answers.find(id);
   if (found == this->answers.end()) return;
-  this->answer_bytes -= found->second.size();
+  this->answer_bytes -= found->second.result.size();
+  this->answer_order.erase(found->second.number);
   this->answers.erase(found);
 }
 
--- a/tests/agent_core/agent_core_parts_test.cc
+++ b/tests/agent_core/agent_core_parts_test.cc
@@ -49,6 +49,68 @@
   EXPECT_EQ(set.size(), 0U);
 }
 
+constexpr Duration kWindow = std::chrono::seconds(10);
+
+StartedSetLimits LimitsWithWindow() {
+  StartedSetLimits limits;
+  limits.duplicate_window = kWindow;
+  return limits;
+}
+
+Timestamp Second(std::int64_t second) {
+  return Timestamp(std::chrono::seconds(second));
+}
+
+// Guards against completed tasks that stay in the set for as long as one older
+// task runs, until the set is full and refuses every start.
+TEST(StartedSetTest, ALongTaskDoesNotKeepLaterOnesBeyondTheWindow) {
+  StartedSet set(LimitsWithWindow());
+  set.Insert(StartOf(1, 1), Second(0));
+  set.Insert(StartOf(2, 1), Second(1));
+  set.MarkFinished(StartOf(2, 1).task, TaskOutcome::kSucceeded, Payload());
+  set.Expire(Second(12));
+  EXPECT_TRUE(set.Contains(StartOf(1, 1).task));
+  EXPECT_FALSE(set.Contains(StartOf(2, 1).task));
+  set.MarkFinished(StartOf(1, 1).task, TaskOutcome::kSucceeded, Payload());
+  set.Expire(Second(13));
+  EXPECT_FALSE(set.Contains(StartOf(1, 1).task));
+}
+
+// Guards against a delayed duplicate that runs although its start was forbidden
+// less than one window ago.
+TEST(StartedSetTest, AStartForbiddenAgainStaysForbiddenForItsOwnWindow) {
+  StartedSet set(LimitsWithWindow());
+  const TaskId task = StartOf(1, 1).task;
+  set.Expire(Second(0));
+  set.Forbid(task, StartOf(1, 1).Number());
+  set.Expire(Second(8));
+  set.Forbid(task, StartOf(1, 2).Number());
+  set.Expire(Second(11));
+  EXPECT_TRUE(set.IsForbidden(StartOf(1, 2)));
+  set.Expire(Second(19));
+  EXPECT_FALSE(set.IsForbidden(StartOf(1, 2)));
+}
+
+// Guards against the eviction of the newest answer in place of the oldest: a
+// task that ran again kept the position of its first answer.
+TEST(StartedSetTest, TheAnswerOfATaskThatRanAgainCountsAsNew) {
+  StartedSetLimits limits;
+  limits.maximum_answer_bytes = 150;
+  StartedSet set(limits);
+  const Payload answer = Payload::FromBytes(std::string(60, 'x'));
+  const auto run = [&](const Start& start) {
+    set.Insert(start, Timestamp());
+    set.MarkFinished(start.task, TaskOutcome::kFailed, answer);
+  };
+  run(StartOf(1, 1));
+  run(StartOf(2, 1));
+  run(StartOf(1, 2));
+  run(StartOf(3, 1));
+  EXPECT_TRUE(set.Report(StartOf(1, 2).task).result_kept);
+  EXPECT_FALSE(set.Report(StartOf(2, 1).task).result_kept);
+  EXPECT_TRUE(set.Report(StartOf(3, 1).task).result_kept);
+}
+
 Start StartNeeding(std::uint64_t job, std::uint64_t millicores) {
   Start start = StartOf(job, 1);
   start.request.need.millicores = millicores;
