upstream_session, agent: Tell the loss of an upstream from a run that vanished

Now the session reports UpstreamLost before the completions: another incarnation without an announced departure, or silence until the lease has run out. Not where the upstream was leaving, nor where the agent itself was out of contact, since those ends are no crashes. The agent logs upstream_lost with at most 32 tasks by name, and counts upstreams_lost_total{evidence}.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -70,6 +70,10 @@
   this->SendHeartbeats();
 }
 
+void AgentCore::On(const UpstreamLost& /*event*/) {
+  // The completions of its tasks follow.
+}
+
 void AgentCore::On(const EntryConnected& event) {
   this->connected[event.entry] = ConnectedEntry();
   this->acknowledged.erase(event.entry);
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -46,6 +46,10 @@
   [[nodiscard]] std::size_t running() const {
     return this->admission.running_count();
   }
+  // The tasks at the upstream, in the order of their ids.
+  [[nodiscard]] std::vector<TaskId> RunningTasks() const {
+    return this->admission.RunningTasks();
+  }
   [[nodiscard]] std::size_t remembered() const { return this->started.size(); }
   // Whether a lease may be granted or extended at `now`. Call it for each
   // lease, since the process may have been frozen after its last event.
@@ -63,6 +67,7 @@
   void On(const AgentTick& event);
   void On(const UpstreamLeaving& event);
   void On(const UpstreamContactChanged& event);
+  void On(const UpstreamLost& event);
 
   void OnMessage(EntryId from, const RegisterAcknowledged& message);
   void OnMessage(EntryId from, const PromiseRequest& message);
--- a/libraries/agent_core/agent_events.h
+++ b/libraries/agent_core/agent_events.h
@@ -2,6 +2,7 @@
 #define DANDELIONSPUR_LIBRARIES_AGENT_CORE_AGENT_EVENTS_H_
 
 #include <boost/describe.hpp>
+#include <string>
 #include <variant>
 
 #include "libraries/protocol/agent_messages.h"
@@ -67,6 +68,20 @@
 };
 BOOST_DESCRIBE_STRUCT(UpstreamContactChanged, (), (contact))
 
+// How the loss of an upstream was noticed.
+// kNewIncarnation: another incarnation of the upstream has announced itself.
+// kSilent: it has not answered until the lease of its tasks had expired.
+BOOST_DEFINE_ENUM_CLASS(LossEvidence, kNewIncarnation, kSilent)
+
+// The upstream process has ended without notice, and with it all its tasks.
+// Their completions follow.
+struct UpstreamLost {
+  static constexpr const char* kName = "upstream_lost";
+  std::string upstream;
+  LossEvidence evidence = LossEvidence::kNewIncarnation;
+};
+BOOST_DESCRIBE_STRUCT(UpstreamLost, (), (upstream, evidence))
+
 struct AgentViewRead {
   static constexpr const char* kName = "view_read";
   View view;
@@ -87,7 +102,7 @@
     std::variant<UpstreamAnnounced, EntryConnected, EntryDisconnected,
                  EntryMessageReceived, UpstreamTaskCompleted, AgentViewRead,
                  LeaveRequested, AgentTick, UpstreamLeaving,
-                 UpstreamContactChanged>;
+                 UpstreamContactChanged, UpstreamLost>;
 
 struct SendToEntry {
   static constexpr const char* kName = "send_to_entry";
--- a/libraries/agent_core/upstream_admission.cc
+++ b/libraries/agent_core/upstream_admission.cc
@@ -78,4 +78,12 @@
   return overdue;
 }
 
+std::vector<TaskId> UpstreamAdmission::RunningTasks() const {
+  std::vector<TaskId> tasks;
+  tasks.reserve(this->running.size());
+  for (const auto& [task, need] : this->running) tasks.push_back(task);
+  std::sort(tasks.begin(), tasks.end());
+  return tasks;
+}
+
 }  // namespace dandelionspur
--- a/libraries/agent_core/upstream_admission.h
+++ b/libraries/agent_core/upstream_admission.h
@@ -50,6 +50,7 @@
   }
   // Running tasks whose deadline is `now` or earlier.
   [[nodiscard]] std::vector<TaskId> Overdue(Timestamp now) const;
+  [[nodiscard]] std::vector<TaskId> RunningTasks() const;
   [[nodiscard]] std::size_t running_count() const {
     return this->running.size();
   }
--- a/libraries/decision_log/agent_decision_log.cc
+++ b/libraries/decision_log/agent_decision_log.cc
@@ -1,5 +1,8 @@
 #include "libraries/decision_log/agent_decision_log.h"
 
+#include <string>
+#include <vector>
+
 namespace dandelionspur {
 
 void AgentDecisionLog::Observe(const AgentEvent& event,
@@ -59,6 +62,23 @@
   LogStateChange(UpstreamContactLine{event.contact, this->core.running()});
 }
 
+void AgentDecisionLog::OnEvent(const UpstreamLost& event) {
+  const std::vector<TaskId> running = this->core.RunningTasks();
+  std::string names;
+  for (std::size_t i = 0; i < running.size() && i < kMaximumNamedTasks; ++i) {
+    if (i > 0) names += ',';
+    names += this->NameOf(running[i]);
+  }
+  LogStateChange(
+      UpstreamLostLine{event.upstream, event.evidence, running.size(), names});
+}
+
+std::string AgentDecisionLog::NameOf(const TaskId& task) {
+  const TaskTraces::Trace* trace = this->traces.Find(task);
+  const std::string job = trace == nullptr ? task.key.ToHex() : trace->job;
+  return job + '.' + std::to_string(task.task.value());
+}
+
 void AgentDecisionLog::OnEffect(const RunOnUpstream& effect) {
   TaskTraces::Trace* trace = this->traces.Find(effect.task);
   if (trace == nullptr) return;
--- a/libraries/decision_log/agent_decision_log.h
+++ b/libraries/decision_log/agent_decision_log.h
@@ -39,6 +39,7 @@
   void OnEvent(const UpstreamAnnounced& event);
   void OnEvent(const UpstreamLeaving& event);
   void OnEvent(const UpstreamContactChanged& event);
+  void OnEvent(const UpstreamLost& event);
   template <typename Other>
   void OnEvent(const Other& /*event*/) {}
 
@@ -51,6 +52,9 @@
   template <typename Other>
   void OnEffect(const Other& /*effect*/) {}
 
+  // The name of a task as its caller wrote it, "job.task"; the job's digest if
+  // the name is not known.
+  [[nodiscard]] std::string NameOf(const TaskId& task);
   // Ends the task's trace: writes its lines or discards them.
   void Finish(const TaskId& task, LogCategory log_category);
 
--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -246,6 +246,9 @@
                       (agent, upstream, runs_are_over, unheard_ms,
                        tasks_started))
 
+// The most tasks that one line names.
+inline constexpr std::size_t kMaximumNamedTasks = 32;
+
 struct UpstreamAnnouncedLine {
   static constexpr const char* kName = "upstream_announced";
   std::string upstream;
@@ -267,6 +270,18 @@
 };
 BOOST_DESCRIBE_STRUCT(UpstreamContactLine, (), (contact, tasks_running))
 
+// The upstream was lost with the tasks that ran there. Names at most
+// kMaximumNamedTasks of them as "job.task", separated by commas.
+struct UpstreamLostLine {
+  static constexpr const char* kName = "upstream_lost";
+  std::string upstream;
+  LossEvidence evidence = LossEvidence::kNewIncarnation;
+  std::uint64_t tasks_running = 0;
+  std::string tasks;
+};
+BOOST_DESCRIBE_STRUCT(UpstreamLostLine, (),
+                      (upstream, evidence, tasks_running, tasks))
+
 // A request of the upstream to its agent can't be parsed.
 struct UpstreamCallUnreadable {
   static constexpr const char* kName = "upstream_call_unreadable";
--- a/libraries/upstream_session/leased_upstream.cc
+++ b/libraries/upstream_session/leased_upstream.cc
@@ -50,6 +50,9 @@
   if (received != current) {
     // A delayed heartbeat may come from an earlier incarnation.
     if (received.started_milliseconds < current.started_milliseconds) return;
+    // The end of an upstream that was leaving is planned.
+    const bool planned = this->upstream->state == UpstreamState::kLeaving;
+    if (!planned) this->ReportLoss(LossEvidence::kNewIncarnation);
     this->CompleteAll(UpstreamResult::kBroken, now);
     this->Adopt(heartbeat, now);
     return;
@@ -325,6 +328,10 @@
   if (needs_list && unresponsive) this->SetContact(UpstreamContact::kSilent);
   if (!this->tasks.empty() && unresponsive && now > this->lease_expiry) {
     this->RaiseToken();
+    // While renewal is suspended, the leases expire because this process was
+    // frozen or cut off, which says nothing about the upstream.
+    const bool renews = this->renewal == LeaseRenewal::kAllowed;
+    if (renews) this->ReportLoss(LossEvidence::kSilent);
     this->CompleteAll(UpstreamResult::kBroken, now);
   }
   this->RequestListIfDue(now);
@@ -387,6 +394,12 @@
   for (const std::string& name : all) this->Complete(name, result, now);
 }
 
+void LeasedUpstream::ReportLoss(LossEvidence evidence) {
+  if (this->tasks.empty()) return;
+  this->effects.emplace_back(
+      UpstreamLost{this->upstream->incarnation.id, evidence});
+}
+
 Duration LeasedUpstream::ExtendLease(SteadyTime now) {
   this->lease_expiry = now + MaximumLeaseRunTime(this->settings.maximum_lease);
   return this->UpstreamClock(now) + this->settings.maximum_lease;
--- a/libraries/upstream_session/leased_upstream.h
+++ b/libraries/upstream_session/leased_upstream.h
@@ -132,6 +132,8 @@
   bool StopUnknownRuns(const ListAnswer& list);
   void Complete(const std::string& name, UpstreamResult result, SteadyTime now);
   void CompleteAll(UpstreamResult result, SteadyTime now);
+  // Reports the upstream as lost, if tasks were running there.
+  void ReportLoss(LossEvidence evidence);
   // Returns the expiry of a lease granted at `now`, on the upstream's clock,
   // and records the latest time on this process's clock at which it expires.
   Duration ExtendLease(SteadyTime now);
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "libraries/base/enum_name.h"
 #include "libraries/configuration/object_reader.h"
 #include "libraries/protocol/view_row.h"
 #include "libraries/telemetry/log.h"
@@ -206,6 +207,10 @@
     announced->description.agent = this->self;
     announced->description.admin_endpoint = this->settings.admin;
   }
+  if (const auto* lost = std::get_if<UpstreamLost>(&event)) {
+    this->metrics.Count("upstreams_lost_total", "evidence",
+                        EnumName(lost->evidence));
+  }
   this->Handle(event);
 }
 
--- a/tests/decision_log/decision_log_test.cc
+++ b/tests/decision_log/decision_log_test.cc
@@ -255,5 +255,22 @@
   EXPECT_NE(output.find("result=failed took_ms=30"), std::string::npos);
 }
 
+// An engineer on call must be able to tell from the log which tasks were
+// running on an upstream when it was lost.
+TEST(AgentDecisionLogTest, NamesTheTasksOfALostUpstream) {
+  AgentCoreSettings settings;
+  settings.self = kAgent;
+  settings.bucket_count = 8;
+  AgentCore core(settings);
+  AgentDecisionLog log(core);
+  CapturedLog captured;
+  log.Observe(UpstreamLost{"i-1", LossEvidence::kSilent}, {}, After(0));
+  const std::string output = captured.Take();
+  EXPECT_EQ(EventsIn(output), std::vector<std::string>{"upstream_lost"});
+  EXPECT_NE(output.find("upstream=i-1 evidence=silent tasks_running=0"),
+            std::string::npos)
+      << output;
+}
+
 }  // namespace
 }  // namespace dandelionspur
--- a/tests/upstream_session/leased_upstream_test.cc
+++ b/tests/upstream_session/leased_upstream_test.cc
@@ -338,6 +338,66 @@
             UpstreamResult::kNotSent);
 }
 
+struct LossCase {
+  std::string name;
+  UpstreamState state;
+  LeaseRenewal renewal;
+  // How the upstream ends.
+  bool returns_as_new_incarnation;
+  std::vector<LossEvidence> expected;
+};
+
+class UpstreamLossTest : public LeasedUpstreamTest,
+                         public testing::WithParamInterface<LossCase> {};
+
+// Guards against tasks that crash upstreams without being counted, and against
+// counting planned ends and leases that expired because the agent was frozen.
+TEST_P(UpstreamLossTest, OnlyAnUnplannedEndIsReportedAsALoss) {
+  this->Announce();
+  this->AnswerStart(this->Start(1), OrderOutcome::kDone);
+  this->upstream.OnHeartbeat(Heartbeat(1, 2, this->GetParam().state),
+                             this->now);
+  this->upstream.SetLeaseRenewal(this->GetParam().renewal);
+  if (this->GetParam().returns_as_new_incarnation) {
+    this->upstream.OnHeartbeat(Heartbeat(2, 1, UpstreamState::kReady),
+                               this->now);
+  } else {
+    this->now += std::chrono::seconds(3);
+    this->upstream.Tick(this->now);
+  }
+  std::vector<LossEvidence> seen_evidence;
+  for (const UpstreamLost& lost : this->Events<UpstreamLost>()) {
+    EXPECT_EQ(lost.upstream, "i-1");
+    seen_evidence.push_back(lost.evidence);
+  }
+  EXPECT_EQ(seen_evidence, this->GetParam().expected);
+  EXPECT_EQ(this->Events<UpstreamTaskCompleted>().size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ends, UpstreamLossTest,
+    testing::Values(LossCase{"NewIncarnation",
+                             UpstreamState::kReady,
+                             LeaseRenewal::kAllowed,
+                             true,
+                             {LossEvidence::kNewIncarnation}},
+                    LossCase{"Silent",
+                             UpstreamState::kReady,
+                             LeaseRenewal::kAllowed,
+                             false,
+                             {LossEvidence::kSilent}},
+                    LossCase{"RestartAfterLeaving",
+                             UpstreamState::kLeaving,
+                             LeaseRenewal::kAllowed,
+                             true,
+                             {}},
+                    LossCase{"AgentOutOfContact",
+                             UpstreamState::kReady,
+                             LeaseRenewal::kSuspended,
+                             false,
+                             {}}),
+    [](const auto& test) { return test.param.name; });
+
 TEST_F(LeasedUpstreamTest, AStopIsRepeatedUntilTheCompletionIsListed) {
   this->Announce();
   const StartOrder order = this->Start(1);
