agent_core, entry_core: Give a task up once two upstreams were lost under it

What callers saw: a task that crashes upstreams goes on until its job's deadline, and takes the tasks beside it along at each start. Cause: the home counts failed runs only; the loss of an upstream counted nowhere. Evidence: lost_upstreams_test, 108 starts of one task in 60 s. Why this works: the agent's process lives on while its upstream crashes, so it remembers each loss as (task, agent, start number), and tells it with each report of the task and with each promise to a new home; a start carries the losses that the home knows to the next agent. So the count survives the home, an answer 'may have run' and a resubmission, and no loss counts twice. The agent sees all that ran there and charges only those with the most earlier charges; the others are bystanders. A job ends as failed (task_crashes_upstreams) at two losses as a suspect or three in any role.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -32,6 +32,7 @@
 AgentCore::AgentCore(const AgentCoreSettings& configured)
     : settings(configured),
       started(configured.started_set),
+      losses(configured.started_set.duplicate_window),
       promises(configured.bucket_count) {}
 
 std::vector<AgentEffect> AgentCore::Handle(const AgentEvent& event,
@@ -71,7 +72,26 @@
 }
 
 void AgentCore::On(const UpstreamLost& /*event*/) {
-  // The completions of its tasks follow.
+  const std::vector<TaskId> running = this->admission.RunningTasks();
+  std::size_t most_suspected = 0;
+  for (const TaskId& task : running) {
+    most_suspected =
+        std::max(most_suspected, this->losses.SuspectedCount(task));
+  }
+  // A task that ran on more lost upstreams than the others is the likely cause.
+  for (const TaskId& task : running) {
+    const bool suspect = this->losses.SuspectedCount(task) == most_suspected;
+    const UpstreamLoss loss{
+        this->settings.self, this->started.LatestStart(task),
+        suspect ? LossRole::kSuspect : LossRole::kBystander};
+    this->losses.Record(task, {loss}, this->current_time);
+  }
+}
+
+TaskReport AgentCore::ReportOf(const TaskId& task) const {
+  TaskReport report = this->started.Report(task);
+  report.losses = this->losses.Of(task);
+  return report;
 }
 
 void AgentCore::On(const EntryConnected& event) {
@@ -120,7 +140,8 @@
   // Built from the event, since the size limit of the set may have evicted the
   // answer already.
   const TaskReport report{
-      event.task, StartedState::kFinished, outcome, event.body, true, start};
+      event.task, StartedState::kFinished,    outcome, event.body, true,
+      start,      this->losses.Of(event.task)};
   this->Send(home, TaskFinished{report, event.elapsed, this->ReportLoad(home)});
   this->NotifyEntriesWithDemand(home);
 }
@@ -137,6 +158,7 @@
 
 void AgentCore::On(const AgentTick& /*event*/) {
   this->started.Expire(this->current_time);
+  this->losses.Expire(this->current_time);
   this->StopOverdue();
   const bool idle = this->admission.running_count() == 0 &&
                     this->admission.waiting_count() == 0;
@@ -182,6 +204,7 @@
     reply.buckets.push_back({request.bucket, promised_ballot, grant});
   }
   reply.started = this->started.TasksOf(granted, this->settings.bucket_count);
+  reply.losses = this->losses.InBuckets(granted, this->settings.bucket_count);
   this->Send(from, std::move(reply));
 }
 
@@ -205,7 +228,7 @@
   if (this->started.Contains(message.task) &&
       !this->started.MayRunAgain(message)) {
     this->started.UpdateLatestStart(message);
-    const TaskReport report = this->started.Report(message.task);
+    const TaskReport report = this->ReportOf(message.task);
     if (report.state == StartedState::kFinished) {
       this->Send(from,
                  TaskFinished{report, Duration(), this->ReportLoad(from)});
@@ -222,6 +245,7 @@
     return;
   }
   this->started.Insert(message, this->current_time);
+  this->losses.Record(message.task, message.losses, this->current_time);
   Ballot& promised =
       this->promises[this->BucketOfKey(message.task.key).value()];
   promised = std::max(promised, message.ballot);
@@ -235,7 +259,7 @@
   if (!this->started.Contains(message.task)) {
     this->started.Forbid(message.task, {message.ballot, message.attempt});
   }
-  RenounceReply reply{this->started.Report(message.task)};
+  RenounceReply reply{this->ReportOf(message.task)};
   if (reply.report.state == StartedState::kNeverStarted) {
     reply.report.start = {message.ballot, message.attempt};
   }
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -10,6 +10,7 @@
 #include "libraries/agent_core/agent_events.h"
 #include "libraries/agent_core/started_set.h"
 #include "libraries/agent_core/upstream_admission.h"
+#include "libraries/protocol/upstream_losses.h"
 
 namespace dandelionspur {
 
@@ -96,6 +97,8 @@
   // the agent accepts no tasks.
   void StartQueued();
   void StopOverdue();
+  // The task's state, with the losses of upstreams under it.
+  [[nodiscard]] TaskReport ReportOf(const TaskId& task) const;
   // Updates whether leases may be granted; returns the queued starts while they
   // may not.
   void UpdateRenewal();
@@ -126,6 +129,7 @@
   AgentCoreSettings settings;
   StartedSet started;
   UpstreamAdmission admission;
+  UpstreamLosses losses;
   View view;
   std::optional<AgentDescription> description;
   std::vector<Ballot> promises;
--- a/libraries/base/verdict.h
+++ b/libraries/base/verdict.h
@@ -21,7 +21,7 @@
                         kAgentLeaving, kAgentNotReady, kWrongIncarnation,
                         kStartedSetFull, kAttemptRefused, kRenounced,
                         kDeadlineTooShort, kNotFound, kUnsupportedJob,
-                        kOrderUnanswered, kContactLost)
+                        kOrderUnanswered, kContactLost, kTaskCrashesUpstreams)
 
 // The external name of a reason: "queue_full" for kQueueFull.
 std::string_view ReasonName(Reason reason);
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -375,6 +375,7 @@
 void EntryCore::OnAgent(AgentId from, const AgentPromiseReply& message) {
   this->ResubmitJobs(
       this->ownership.OnAgentPromiseReply(from, message, this->current_time));
+  this->home.OnUpstreamLosses(message.losses, this->current_time);
   this->home.AdvanceBlocked(this->current_time);
 }
 
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -51,7 +51,8 @@
       send_budget(configured.link_bytes_per_second),
       answer_cache(configured.maximum_answer_bytes,
                    configured.duplicate_window),
-      settled_attempts(configured.duplicate_window) {}
+      settled_attempts(configured.duplicate_window),
+      losses(configured.duplicate_window) {}
 
 void HomeJobs::ApplyDocument(const ServiceDocument& document) {
   const auto found = this->services.find(document.service);
@@ -222,6 +223,11 @@
     }
   }
   this->blocked.erase(job.submission.key);
+  // The losses may have been reported while the job was not here.
+  if (this->losses.IsGivenUp(job.submission.key)) {
+    this->Finish(job, JobAnswer::Ran(Reason::kTaskCrashesUpstreams), now);
+    return;
+  }
   this->StartRunning(job);
 }
 
@@ -387,9 +393,27 @@
       }
     }
   }
+  if (report.outcome != TaskOutcome::kSucceeded) {
+    this->OnUpstreamLosses({{report.task, report.losses}}, now);
+  }
   this->OnRunCompleted(from, report, now);
 }
 
+void HomeJobs::OnUpstreamLosses(const std::vector<TaskLosses>& reported,
+                                Timestamp now) {
+  for (const TaskLosses& item : reported) {
+    if (item.losses.empty()) continue;
+    this->losses.Record(item.task, item.losses, now);
+    if (!this->losses.IsGivenUp(item.task)) continue;
+    HomeJob* job = this->Find(item.task.key);
+    const bool is_open =
+        job != nullptr && item.task.task.value() < job->tasks.size() &&
+        job->tasks[item.task.task.value()].phase != TaskPhase::kSucceeded;
+    if (!is_open) continue;
+    this->Finish(*job, JobAnswer::Ran(Reason::kTaskCrashesUpstreams), now);
+  }
+}
+
 void HomeJobs::OnRunCompleted(AgentId from, const TaskReport& report,
                               Timestamp now) {
   HomeJob* job = this->Find(report.task.key);
@@ -469,6 +493,9 @@
 void HomeJobs::OnRenounceReply(AgentId from, const RenounceReply& message,
                                Timestamp now) {
   const TaskReport& report = message.report;
+  if (report.outcome != TaskOutcome::kSucceeded) {
+    this->OnUpstreamLosses({{report.task, report.losses}}, now);
+  }
   if (report.state == StartedState::kFinished) {
     this->OnRunCompleted(from, report, now);
     return;
@@ -589,6 +616,7 @@
   this->AdvanceBlocked(now);
   this->answer_cache.Expire(now);
   this->settled_attempts.Expire(now);
+  this->losses.Expire(now);
 }
 
 void HomeJobs::AbandonBeforeDeadlines(Timestamp now) {
@@ -762,7 +790,8 @@
               job.submission.rerun,
               agent.newest_heartbeat,
               request,
-              std::nullopt};
+              std::nullopt,
+              this->losses.Of(id)};
   OmitRepeatedBody(agent, start);
   this->send_budget.NoteSent(start.request.body.size() +
                              kJobMessageHeaderBytes);
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -19,6 +19,7 @@
 #include "libraries/entry_core/service_state.h"
 #include "libraries/entry_core/settled_attempts.h"
 #include "libraries/entry_core/upstream_health.h"
+#include "libraries/protocol/upstream_losses.h"
 
 namespace dandelionspur {
 
@@ -62,6 +63,9 @@
   void OnTaskNotRun(AgentId from, const TaskNotRun& message, Timestamp now);
   void OnRenounceReply(AgentId from, const RenounceReply& message,
                        Timestamp now);
+  // Records losses of upstreams under tasks, and ends the jobs whose tasks have
+  // thereby reached the limit.
+  void OnUpstreamLosses(const std::vector<TaskLosses>& reported, Timestamp now);
   void OnAgentLoad(AgentId from, const AgentLoad& load);
   void OnRefusalsConfirmed(const std::vector<ConfirmedRefusal>& confirmed,
                            Timestamp now);
@@ -178,6 +182,7 @@
   Candidates candidates;
   AnswerCache answer_cache;
   SettledAttempts settled_attempts;
+  UpstreamLosses losses;
 };
 
 }  // namespace dandelionspur
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -84,10 +84,36 @@
 };
 BOOST_DESCRIBE_STRUCT(StartNumber, (), (ballot, attempt))
 
+// What a task was when the upstream that ran it was lost. kBystander: other
+// tasks there had been running on more lost upstreams before.
+BOOST_DEFINE_ENUM_CLASS(LossRole, kSuspect, kBystander)
+
+// The loss of an upstream while it ran a task. The agent and the start identify
+// it.
+struct UpstreamLoss {
+  AgentId agent;
+  StartNumber start;
+  LossRole role = LossRole::kSuspect;
+
+  [[nodiscard]] bool IsSameLoss(const UpstreamLoss& other) const {
+    return this->agent == other.agent && this->start == other.start;
+  }
+  bool operator==(const UpstreamLoss&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(UpstreamLoss, (), (agent, start, role))
+
+// The upstreams that were lost while they ran the task.
+struct TaskLosses {
+  TaskId task;
+  std::vector<UpstreamLoss> losses;
+};
+BOOST_DESCRIBE_STRUCT(TaskLosses, (), (task, losses))
+
 BOOST_DEFINE_ENUM_CLASS(StartedState, kNeverStarted, kRunning, kFinished)
 
 // The state of one task at an agent.
 struct TaskReport {
+  static constexpr std::size_t kRequiredMembers = 6;
   TaskId task;
   StartedState state = StartedState::kNeverStarted;
   TaskOutcome outcome = TaskOutcome::kUnknown;
@@ -97,9 +123,12 @@
   bool result_kept = false;
   // The latest start of the task that the report covers.
   StartNumber start;
+  // All losses of upstreams under the task that the agent knows.
+  std::vector<UpstreamLoss> losses;
 };
 BOOST_DESCRIBE_STRUCT(TaskReport, (),
-                      (task, state, outcome, result, result_kept, start))
+                      (task, state, outcome, result, result_kept, start,
+                       losses))
 
 // The load of an agent's upstream, as reported to one entry.
 struct AgentLoad {
@@ -147,12 +176,16 @@
 
 struct AgentPromiseReply {
   static constexpr const char* kName = "agent_promise_reply";
+  static constexpr std::size_t kRequiredMembers = 2;
   std::vector<AgentBucketPromise> buckets;
   // Every task of the granted buckets that the agent has started. Carries no
   // outcomes: the home queries them with Renounce where it needs them.
   std::vector<StartedJob> started;
+  // The losses of upstreams under tasks of the granted buckets that the agent
+  // knows.
+  std::vector<TaskLosses> losses;
 };
-BOOST_DESCRIBE_STRUCT(AgentPromiseReply, (), (buckets, started))
+BOOST_DESCRIBE_STRUCT(AgentPromiseReply, (), (buckets, started, losses))
 
 struct TaskFinished {
   static constexpr const char* kName = "task_finished";
@@ -248,6 +281,9 @@
   // sender's preceding start on this connection had. An agent that does not
   // have it refuses the start.
   std::optional<std::uint64_t> repeated_body;
+  // The losses of upstreams under the task that the home knows. The agent
+  // reports them to later homes as well.
+  std::vector<UpstreamLoss> losses;
 
   [[nodiscard]] StartNumber Number() const {
     return {this->ballot, this->attempt};
@@ -255,8 +291,8 @@
 };
 BOOST_DESCRIBE_STRUCT(Start, (),
                       (task, ballot, attempt, agent, time_left, placement,
-                       queued, job_name, rerun, contact, request,
-                       repeated_body))
+                       queued, job_name, rerun, contact, request, repeated_body,
+                       losses))
 
 // Asks for the task's state and rules out a later start: if the task has not
 // been started, no start of it up to this ballot and attempt will take effect.
--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -48,6 +48,7 @@
     case Reason::kQuotaExceeded:
       return kTooManyRequests;
     case Reason::kTaskFailed:
+    case Reason::kTaskCrashesUpstreams:
     case Reason::kUpstreamBroken:
     case Reason::kAgentLost:
       return kBadGateway;
--- a/tests/agent_core/agent_core_test.cc
+++ b/tests/agent_core/agent_core_test.cc
@@ -317,5 +317,68 @@
   EXPECT_EQ(Sent<TaskNotRun>(this->Deliver(unknown)).size(), 1U);
 }
 
+struct SuspicionCase {
+  std::string name;
+  // The earlier losses under the two tasks that run when the upstream is lost.
+  std::size_t first;
+  std::size_t second;
+  std::vector<LossRole> expected;
+};
+
+class SuspicionTest : public AgentCoreTest,
+                      public testing::WithParamInterface<SuspicionCase> {
+ protected:
+  static Start StartAfterLosses(std::uint64_t job, std::size_t count) {
+    Start start = StartOf(job);
+    for (std::size_t i = 0; i < count; ++i) {
+      start.losses.push_back(
+          {AgentId(50 + i), start.Number(), LossRole::kSuspect});
+    }
+    return start;
+  }
+};
+
+// Guards against bystanders that are charged with the loss of an upstream
+// although a task that ran beside them had crashed others before.
+TEST_P(SuspicionTest, TheTaskWithTheMostEarlierLossesIsSuspected) {
+  this->Deliver(StartAfterLosses(1, this->GetParam().first));
+  this->Deliver(StartAfterLosses(2, this->GetParam().second));
+  this->Handle(UpstreamLost{"i-1", LossEvidence::kSilent});
+  std::vector<LossRole> roles;
+  for (const std::uint64_t job : {1, 2}) {
+    const auto sent = Sent<TaskFinished>(this->Handle(UpstreamTaskCompleted{
+        StartOf(job).task, UpstreamResult::kBroken, Payload(), Duration()}));
+    ASSERT_EQ(sent.size(), 1U);
+    ASSERT_FALSE(sent[0].report.losses.empty());
+    EXPECT_EQ(sent[0].report.losses.back().agent, AgentId(7));
+    roles.push_back(sent[0].report.losses.back().role);
+  }
+  EXPECT_EQ(roles, this->GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    EarlierLosses, SuspicionTest,
+    testing::Values(
+        SuspicionCase{"None", 0, 0, {LossRole::kSuspect, LossRole::kSuspect}},
+        SuspicionCase{
+            "First", 1, 0, {LossRole::kSuspect, LossRole::kBystander}},
+        SuspicionCase{"Both", 1, 1, {LossRole::kSuspect, LossRole::kSuspect}}),
+    [](const auto& test) { return test.param.name; });
+
+// Guards against a loss that only the agent's former home knew.
+TEST_F(AgentCoreTest, ALossIsReportedToTheNextHome) {
+  this->Deliver(StartOf(1));
+  this->Handle(UpstreamLost{"i-1", LossEvidence::kSilent});
+  this->Handle(UpstreamTaskCompleted{StartOf(1).task, UpstreamResult::kBroken,
+                                     Payload(), Duration()});
+  PromiseRequest request;
+  request.buckets.push_back({BucketId(0), {Epoch(2), 0, EntryId(kEntry)}});
+  const auto replies = Sent<AgentPromiseReply>(this->Deliver(request));
+  ASSERT_EQ(replies.size(), 1U);
+  ASSERT_EQ(replies[0].losses.size(), 1U);
+  EXPECT_EQ(replies[0].losses[0].task, StartOf(1).task);
+  EXPECT_EQ(replies[0].losses[0].losses.size(), 1U);
+}
+
 }  // namespace
 }  // namespace dandelionspur
--- a/tests/benchmarks/core_benchmark.cc
+++ b/tests/benchmarks/core_benchmark.cc
@@ -187,6 +187,7 @@
                                  TaskOutcome::kSucceeded,
                                  Payload::FromBytes("result"),
                                  true,
+                                 {},
                                  {}},
                                 std::chrono::milliseconds(300),
                                 {}};
--- a/tests/decision_log/decision_log_test.cc
+++ b/tests/decision_log/decision_log_test.cc
@@ -118,6 +118,7 @@
                      outcome,
                      Payload(),
                      true,
+                     {},
                      {}};
   return finished;
 }
--- a/tests/support/core_bench.cc
+++ b/tests/support/core_bench.cc
@@ -204,6 +204,7 @@
                        TaskOutcome::kSucceeded,
                        Payload(),
                        true,
+                       {},
                        {}};
     finished.elapsed = std::chrono::milliseconds(100);
     finished.load = IdleLoad(this->shape.slots);
