--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -10,6 +10,7 @@
 #include "libraries/agent_core/agent_events.h"
 #include "libraries/agent_core/started_set.h"
 #include "libraries/agent_core/upstream_admission.h"
+#include "libraries/protocol/upstream_losses.h"
 
 namespace dandelionspur {
 
@@ -46,6 +47,10 @@
   [[nodiscard]] std::size_t running() const {
     return this->admission.running_count();
   }
+  // The tasks at the upstream, in the order of their ids.
+  [[nodiscard]] std::vector<TaskId> RunningTasks() const {
+    return this->admission.RunningTasks();
+  }
   [[nodiscard]] std::size_t remembered() const { return this->started.size(); }
   // Whether a lease may be granted or extended at `now`. Call it for each
   // lease, since the process may have been frozen after its last event.
@@ -63,6 +68,7 @@
   void On(const AgentTick& event);
   void On(const UpstreamLeaving& event);
   void On(const UpstreamContactChanged& event);
+  void On(const UpstreamLost& event);
 
   void OnMessage(EntryId from, const RegisterAcknowledged& message);
   void OnMessage(EntryId from, const PromiseRequest& message);
@@ -94,6 +100,8 @@
   // into it, and starts those for which there is free capacity.
   void ApplyCapacity();
   void StopOverdue();
+  // The task's state, with the losses of upstreams under it.
+  [[nodiscard]] TaskReport ReportOf(const TaskId& task) const;
   // Updates whether leases may be granted; returns the queued starts while they
   // may not.
   void UpdateRenewal();
@@ -124,6 +132,7 @@
   AgentCoreSettings settings;
   StartedSet started;
   UpstreamAdmission admission;
+  UpstreamLosses losses;
   View view;
   std::optional<AgentDescription> description;
   std::vector<Ballot> promises;
