entry_core: Move what belongs to an agent or a job out of home_jobs.cc

No change of behaviour: leaving out a repeated body is a function of KnownAgent, and whether a job may run again one of HomeJob. home_jobs.cc grew with the losses of upstreams.

--- a/libraries/entry_core/agent_registry.cc
+++ b/libraries/entry_core/agent_registry.cc
@@ -10,6 +10,15 @@
   this->unreported_total += need;
 }
 
+void KnownAgent::OmitRepeatedBody(Start& start) {
+  const Payload body = start.request.body;
+  const bool is_known = this->reports_epoch && this->latest_body == body;
+  this->latest_body = body;
+  if (!is_known || body.size() == 0) return;
+  start.repeated_body = body.digest();
+  start.request.body = Payload();
+}
+
 void KnownAgent::NoteLoad(const AgentLoad& reported) {
   this->load = reported;
   this->last_load = reported;
--- a/libraries/entry_core/agent_registry.h
+++ b/libraries/entry_core/agent_registry.h
@@ -86,6 +86,9 @@
   [[nodiscard]] bool WasIdleAndLeaving(Timestamp now) const;
   // Records that a start was sent to the agent.
   void NoteStartSent(const Resources& need);
+  // Leaves out the body of a start that is about to be sent, if the agent has
+  // received it with the preceding start.
+  void OmitRepeatedBody(Start& start);
   void NoteLoad(const AgentLoad& reported);
   // Clears what was sent and reported on the previous connection.
   void ResetSentStarts();
--- a/libraries/entry_core/home_job.h
+++ b/libraries/entry_core/home_job.h
@@ -106,6 +106,11 @@
   // In the queue of the jobs that can no longer be answered by DueAt().
   bool is_late = false;
 
+  // Whether tasks of the job may be started again even if an earlier start may
+  // have run.
+  [[nodiscard]] bool IsRerunnable() const {
+    return this->submission.rerun == RerunPolicy::kAfterLease;
+  }
   // The latency objective as a point in time. Without an objective, the
   // deadline.
   [[nodiscard]] Timestamp DueAt() const {
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -21,22 +21,6 @@
   return started;
 }
 
-// Leaves out the body if the agent has received it with the preceding start.
-void OmitRepeatedBody(KnownAgent& agent, Start& start) {
-  const Payload body = start.request.body;
-  const bool is_known = agent.reports_epoch && agent.latest_body == body;
-  agent.latest_body = body;
-  if (!is_known || body.size() == 0) return;
-  start.repeated_body = body.digest();
-  start.request.body = Payload();
-}
-
-// Whether tasks of the job may be started again even if an earlier start may
-// have run.
-bool IsRerunnable(const HomeJob& job) {
-  return job.submission.rerun == RerunPolicy::kAfterLease;
-}
-
 }  // namespace
 
 HomeJobs::HomeJobs(const EntryCoreSettings& configured, Ownership& owner,
@@ -251,7 +235,7 @@
       if (found.task.value() >= job.tasks.size()) continue;
       const KnownAgent* holder = this->agents.Find(found.agent);
       const bool may_run_again =
-          IsRerunnable(job) && (holder == nullptr || holder->lost_at);
+          job.IsRerunnable() && (holder == nullptr || holder->lost_at);
       // The agent's lease has expired; the task is queued below.
       if (may_run_again) continue;
       TaskRecord& task = job.tasks[found.task.value()];
@@ -422,7 +406,7 @@
   if (!task.IsOutstandingAt(from)) return;
   // A rerunnable task may have been started at the same agent again since. A
   // success counts no matter which start it belongs to.
-  const bool stale = IsRerunnable(*job) && task.IsStale(report.start) &&
+  const bool stale = job->IsRerunnable() && task.IsStale(report.start) &&
                      report.outcome != TaskOutcome::kSucceeded;
   if (stale) return;
   this->RemoveOutstanding(*job, task);
@@ -459,7 +443,7 @@
 
 bool HomeJobs::MayRunAgain(const HomeJob& job, const TaskRecord& task,
                            TaskOutcome outcome) {
-  if (!IsRerunnable(job)) return false;
+  if (!job.IsRerunnable()) return false;
   if (outcome == TaskOutcome::kSucceeded) return false;
   return task.failures < job.submission.maximum_attempts;
 }
@@ -509,7 +493,7 @@
     task.phase = TaskPhase::kStarted;
     return;
   }
-  const bool may_run_again = IsRerunnable(*job);
+  const bool may_run_again = job->IsRerunnable();
   if (task.phase == TaskPhase::kQuerying && !may_run_again) {
     // The agent had started the task, but no longer has a record of it.
     this->Finish(*job, JobAnswer::MayHaveRun(Reason::kAnswerNotKept), now);
@@ -792,7 +776,7 @@
               request,
               std::nullopt,
               this->losses.Of(id)};
-  OmitRepeatedBody(agent, start);
+  agent.OmitRepeatedBody(start);
   this->send_budget.NoteSent(start.request.body.size() +
                              kJobMessageHeaderBytes);
   this->outbox.ToAgent(agent.agent, std::move(start));
@@ -849,7 +833,7 @@
     this->AnswerWaiter(waiter, key, answer);
   }
   const bool may_run_again =
-      IsRerunnable(job) && answer.verdict == Verdict::kMayHaveRun;
+      job.IsRerunnable() && answer.verdict == Verdict::kMayHaveRun;
   if (may_run_again) {
     // A later submission of the key first queries the state of these tasks.
     this->ownership.Reopen(key, StartedTasks(job));
