--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -230,7 +230,7 @@
 std::size_t HomeJobs::RequiredWitnesses(const HomeJob& job) const {
   // A later home that finds no record of the key of a rerunnable job queries
   // the agents before it starts the job.
-  if (IsRerunnable(job)) return 0;
+  if (job.IsRerunnable()) return 0;
   constexpr std::size_t kWitnessesOfLeavingHome = 2;
   const std::size_t wanted = this->leaving ? kWitnessesOfLeavingHome : 1;
   const std::size_t members = this->ownership.view().members.size();
