--- a/libraries/entry_core/hand_over.h
+++ b/libraries/entry_core/hand_over.h
@@ -19,8 +19,8 @@
 // of a lost or leaving entry for them any more. Every key goes to two members,
 // the fewest with which a key outlives the exemption of one former home:
 // docs/design/at-most-once.md, rule 9. Each receiver is sent one message at a
-// time, and the next one once it has acknowledged that, so that the keys never
-// take more than a small part of a link.
+// time, and the next one once it has acknowledged that, so that callers'
+// answers and heartbeats never wait behind more than these messages.
 class KeyHandOver {
  public:
   KeyHandOver(const EntryCoreSettings& configured, Ownership& owner,
