--- a/libraries/protocol/codec.h
+++ b/libraries/protocol/codec.h
@@ -209,8 +209,9 @@
   // of items beyond these.
   static std::size_t EnterArray(MessagePackReader& reader, std::size_t items) {
     const std::size_t found = reader.ArrayItems();
-    if (found < items)
+    if (found < items) {
       throw MessagePackError(MessagePackProblem::kMalformed, "array too short");
+    }
     return found - items;
   }
 
