entry: Refuse new jobs while the entry stays behind with its work

An entry that lacked processor time took in jobs that it answered late or never. Its delay from an event's arrival to its handling is now the third resource of the load guard: the least delay of the last 200 ms (a burst that is worked off doesn't count), which falls by half in 500 ms at most, so that admission doesn't alternate. A job passes four such waits; it is refused with 503 and a Retry-After if they are more than its caller can wait beyond the run of its longest task. Below 100 ms none is refused, above 500 ms all are. Retry-After follows how fast the delay falls, by the estimate that memory uses.

The delay of messages from entries counts by its lower median, since one peer that sends late must not make all others refuse.

--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -47,6 +47,10 @@
   [[nodiscard]] Duration inbound_delay() const {
     return this->peers.LongestInboundDelay();
   }
+  // The delay with which messages of most connected entries are handled.
+  [[nodiscard]] Duration typical_inbound_delay() const {
+    return this->peers.TypicalInboundDelay();
+  }
   [[nodiscard]] std::size_t jobs_relayed() const { return this->relays.size(); }
   [[nodiscard]] const std::map<ServiceName, VersionedDocument>& documents()
       const {
--- a/libraries/entry_core/peer_directory.h
+++ b/libraries/entry_core/peer_directory.h
@@ -2,6 +2,7 @@
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_PEER_DIRECTORY_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -180,6 +181,20 @@
     }
     return longest;
   }
+  // The delay with which the messages of most connected peers are handled: the
+  // lower median of their inbound delays. A single peer that sends late doesn't
+  // change it; a backlog of this entry delays the messages of all peers.
+  [[nodiscard]] Duration TypicalInboundDelay() const {
+    std::vector<Duration> delays;
+    for (const auto& [id, peer] : this->peers) {
+      if (peer.connected) delays.push_back(this->InboundDelay(id));
+    }
+    if (delays.empty()) return Duration();
+    const auto middle =
+        delays.begin() + static_cast<std::ptrdiff_t>((delays.size() - 1) / 2);
+    std::nth_element(delays.begin(), middle, delays.end());
+    return *middle;
+  }
   [[nodiscard]] Timestamp NewestHeartbeat(EntryId peer) const {
     const auto found = this->peers.find(peer);
     return found == this->peers.end() ? Timestamp()
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -55,10 +55,21 @@
       return "the link of this entry is full";
     case ScarceResource::kMemory:
       return "the memory of this entry is full";
+    case ScarceResource::kDelay:
+      return "this entry is behind with its work";
   }
   return "";
 }
 
+// How long the job's caller can wait beyond the run of its longest task.
+Duration SlackOf(const JobSubmission& job) {
+  Duration longest_task{};
+  for (const TaskRequest& task : job.tasks) {
+    longest_task = std::max(longest_task, task.declared);
+  }
+  return job.time_allowed - longest_task;
+}
+
 EntryCoreSettings CoreSettings(const EntrySettings& settings, EntryId self) {
   EntryCoreSettings core;
   core.self = self;
@@ -323,7 +334,7 @@
     return;
   }
   const std::optional<Overload> overload =
-      this->load_guard.Check(this->links->pacer().Delay());
+      this->load_guard.Check({this->links->pacer().Delay(), SlackOf(job)});
   if (job.kind == SubmissionKind::kRun && overload) {
     callback(this->RefuseOverload(job, *overload));
     return;
@@ -383,8 +394,11 @@
 }
 
 void EntryServer::ObserveDelay(Duration tick_lateness) {
-  const Duration delay = std::max(this->work_delay.EndInterval(tick_lateness),
-                                  this->core.inbound_delay());
+  const Duration own_delay = this->work_delay.EndInterval(tick_lateness);
+  this->load_guard.NoteDelay(
+      std::max(own_delay, this->core.typical_inbound_delay()),
+      SteadyClock::now());
+  const Duration delay = std::max(own_delay, this->core.inbound_delay());
   this->work_delays.Observe(std::chrono::duration<double>(delay).count());
   const std::optional<LagChange> change = this->pace.Observe(delay);
   if (!change) return;
--- a/services/entry/load_guard.h
+++ b/services/entry/load_guard.h
@@ -7,11 +7,13 @@
 #include <optional>
 
 #include "libraries/base/time.h"
+#include "libraries/telemetry/standing_delay.h"
+#include "services/entry/drain_estimate.h"
 
 namespace dandelionspur {
 
 // The resource of the instance that has no room for a further job.
-BOOST_DEFINE_ENUM_CLASS(ScarceResource, kLink, kMemory)
+BOOST_DEFINE_ENUM_CLASS(ScarceResource, kLink, kMemory, kDelay)
 
 // Why an entry takes in no new jobs, and when a caller should come back.
 struct Overload {
@@ -19,10 +21,21 @@
   Duration retry_after{};
 };
 
+// What decides whether a new job may be taken in, besides what the guard has
+// recorded.
+struct Admission {
+  // The time that the messages take that wait for the link.
+  Duration send_delay{};
+  // How long the caller can wait beyond the run of the job's longest task.
+  Duration slack{};
+};
+
 // Decides whether an entry may take in a new job, by the messages that wait for
-// the instance's link and by the memory that the process holds. An entry that
-// took in more than it can hold would be killed, and all its callers with it
-// would get no answer. Jobs that were taken in before go on.
+// the instance's link, by the memory that the process holds, and by how far the
+// process is behind with its own work. An entry that took in more than it can
+// hold would be killed, and all its callers with it would get no answer; one
+// that is behind would answer after its callers' deadlines. Jobs that were
+// taken in before go on.
 class LoadGuard {
  public:
   using SteadyTime = std::chrono::steady_clock::time_point;
@@ -34,19 +47,23 @@
   // Records the bytes that the process has allocated and not freed. Call it
   // periodically.
   void NoteMemory(std::uint64_t bytes, SteadyTime now);
-  // Why no new job may be taken in, or nothing. `send_delay` is the time that
-  // the messages take that wait for the link.
-  [[nodiscard]] std::optional<Overload> Check(Duration send_delay) const;
+  // Records the delay of the process in the interval that ends at `now`, from
+  // the arrival of an event to its handling.
+  void NoteDelay(Duration delay, SteadyTime now);
+  // Why the new job may not be taken in, or nothing.
+  [[nodiscard]] std::optional<Overload> Check(const Admission& job) const;
+  // Whether the process is so far behind that callers notice it.
+  [[nodiscard]] bool IsBehind() const;
 
  private:
-  [[nodiscard]] Duration TimeToFree(std::uint64_t excess) const;
+  [[nodiscard]] std::optional<Overload> CheckMemory() const;
+  [[nodiscard]] std::optional<Overload> CheckDelay(Duration slack) const;
 
   std::uint64_t memory_budget;
   std::uint64_t memory_in_use = 0;
-  SteadyTime noted_at;
-  // In bytes a second, when memory was last freed faster than it was allocated;
-  // 0 if it never was.
-  double freeing_rate = 0;
+  DrainEstimate memory_drain;
+  StandingDelay delay;
+  DrainEstimate delay_drain;
 };
 
 }  // namespace dandelionspur
--- a/tests/entry_core/inbound_delay_test.cc
+++ b/tests/entry_core/inbound_delay_test.cc
@@ -2,6 +2,7 @@
 
 #include <vector>
 
+#include "libraries/entry_core/peer_directory.h"
 #include "tests/support/entry_harness.h"
 
 namespace dandelionspur {
@@ -75,5 +76,44 @@
                     DelayCase{"ClockStepped", 2400, 20, 2000}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
+struct PeersCase {
+  const char* name;
+  // How much longer than its first heartbeat the second one of each peer was in
+  // transit.
+  std::vector<std::int64_t> delays_ms;
+  std::int64_t typical_ms;
+};
+
+class TypicalDelayTest : public testing::TestWithParam<PeersCase> {};
+
+// Guards against entries that all refuse jobs because one peer sends late, and
+// against an entry that takes jobs in although it reads all its peers late.
+TEST_P(TypicalDelayTest, OneLatePeerDoesNotCount) {
+  const PeersCase& tested = this->GetParam();
+  PeerDirectory peers(std::chrono::seconds(1));
+  const Timestamp began(std::chrono::seconds(100));
+  const Timestamp later = began + std::chrono::seconds(3);
+  for (std::size_t i = 0; i < tested.delays_ms.size(); ++i) {
+    const EntryId peer(i + 1);
+    const milliseconds delay(tested.delays_ms[i]);
+    peers.Connected(peer, began);
+    PeerHeartbeat heartbeat;
+    heartbeat.sent_at = began;
+    peers.NoteHeartbeat(peer, heartbeat, began);
+    heartbeat.sent_at = later - delay;
+    peers.NoteHeartbeat(peer, heartbeat, later);
+    peers.NoteHeartbeatConfirmed(peer, later - delay, later);
+  }
+  EXPECT_EQ(peers.TypicalInboundDelay(), milliseconds(tested.typical_ms));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Peers, TypicalDelayTest,
+    testing::Values(PeersCase{"NoPeer", {}, 0}, PeersCase{"OnePeer", {300}, 300},
+                    PeersCase{"OneOfTwoIsLate", {10, 800}, 0},
+                    PeersCase{"OneOfThreeIsLate", {10, 800, 20}, 0},
+                    PeersCase{"MostAreLate", {10, 300, 400}, 300}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
 }  // namespace
 }  // namespace dandelionspur
--- a/tests/services/load_guard_test.cc
+++ b/tests/services/load_guard_test.cc
@@ -15,6 +15,9 @@
 
 constexpr std::uint64_t kMegabyte = 1'000'000;
 constexpr std::uint64_t kSmallInstance = 120 * kMegabyte;
+constexpr milliseconds kLongSlack{30'000};
+// Longer than any burst that an entry works off at once.
+constexpr int kManyIntervals = 40;
 
 struct GuardCase {
   std::string name;
@@ -37,7 +40,8 @@
     guard.NoteMemory(bytes, now);
     now += milliseconds(100);
   }
-  const std::optional<Overload> overload = guard.Check(parameters.send_delay);
+  const std::optional<Overload> overload =
+      guard.Check({parameters.send_delay, kLongSlack});
   ASSERT_EQ(overload.has_value(), parameters.expected.has_value());
   if (!overload) return;
   EXPECT_EQ(overload->resource, parameters.expected->resource);
@@ -83,5 +87,87 @@
       return tested.param.name;
     });
 
+struct DelayCase {
+  std::string name;
+  // The delays of the entry in intervals of 50 ms, repeated in turn.
+  std::vector<std::int64_t> delays_ms;
+  // How long the caller can wait beyond the run of its task.
+  std::int64_t slack_ms;
+  std::optional<ScarceResource> expected;
+};
+
+class DelayedEntryTest : public testing::TestWithParam<DelayCase> {};
+
+constexpr milliseconds kInterval{50};
+
+// Guards against an entry that is short of processor time and takes in jobs
+// that it answers after their deadlines or never, where it could refuse them at
+// once.
+TEST_P(DelayedEntryTest, RefusesWhatItCannotAnswerInTime) {
+  const DelayCase& parameters = GetParam();
+  LoadGuard guard(kSmallInstance);
+  LoadGuard::SteadyTime now(std::chrono::seconds(1));
+  for (int i = 0; i < kManyIntervals; ++i) {
+    const milliseconds delay(
+        parameters.delays_ms[i % parameters.delays_ms.size()]);
+    now += kInterval + delay;
+    guard.NoteDelay(delay, now);
+  }
+  const std::optional<Overload> overload =
+      guard.Check({Duration(), milliseconds(parameters.slack_ms)});
+  ASSERT_EQ(overload.has_value(), parameters.expected.has_value());
+  if (!overload) return;
+  EXPECT_EQ(overload->resource, *parameters.expected);
+  EXPECT_GE(overload->retry_after, milliseconds(200));
+  EXPECT_LE(overload->retry_after, milliseconds(2000));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Delays, DelayedEntryTest,
+    testing::Values(
+        DelayCase{"KeepsUp", {1, 4, 2}, 600, std::nullopt},
+        DelayCase{"OneBurstASecond",
+                  {1, 400, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1},
+                  600,
+                  std::nullopt},
+        DelayCase{"DelayHardlyNoticed", {95}, 10, std::nullopt},
+        DelayCase{"JobWithLittleTime", {200}, 600, ScarceResource::kDelay},
+        DelayCase{"JobWithMoreTime", {200}, 1400, std::nullopt},
+        DelayCase{"FarBehind", {900, 700}, 1400, ScarceResource::kDelay},
+        DelayCase{"OthersTakeItForLost", {600}, 30'000, ScarceResource::kDelay},
+        DelayCase{"BehindWithIntervalsInTime",
+                  {450, 450, 450, 1},
+                  600,
+                  ScarceResource::kDelay}),
+    [](const testing::TestParamInfo<DelayCase>& tested) {
+      return tested.param.name;
+    });
+
+// Guards against refusals that go on after the entry has caught up, and against
+// one Retry-After for all: it has to follow how fast the delay falls.
+TEST(LoadGuardTest, RetryAfterFollowsHowFastTheDelayFalls) {
+  LoadGuard guard(kSmallInstance);
+  LoadGuard::SteadyTime now(std::chrono::seconds(1));
+  for (int i = 0; i < kManyIntervals; ++i) {
+    now += kInterval;
+    guard.NoteDelay(milliseconds(1500), now);
+  }
+  const Admission job{Duration(), milliseconds(1200)};
+  EXPECT_EQ(guard.Check(job).value().retry_after, milliseconds(1500));
+  while (guard.Check(job)) {
+    now += kInterval;
+    guard.NoteDelay(Duration(), now);
+    const std::optional<Overload> overload = guard.Check(job);
+    if (overload) EXPECT_LE(overload->retry_after, milliseconds(1200));
+  }
+  // 1,500 ms fall to 300 ms in two to three times 500 ms, and the delays before
+  // count for 200 ms.
+  const LoadGuard::SteadyTime fell(std::chrono::seconds(1) +
+                                   kManyIntervals * kInterval);
+  EXPECT_GE(now - fell, milliseconds(1000));
+  EXPECT_LE(now - fell, milliseconds(1700));
+  EXPECT_FALSE(guard.Check(job));
+}
+
 }  // namespace
 }  // namespace dandelionspur
