entry: Take the due steps of a shutdown before each event

The steps were timers, which run behind all events that are queued on a thread that lags. An entry that is behind when it stops refuses new jobs at once.

--- a/services/entry/caller_routes.h
+++ b/services/entry/caller_routes.h
@@ -7,12 +7,11 @@
 #include "libraries/network/http_server.h"
 #include "libraries/protocol/job.h"
 #include "services/entry/serving_state.h"
+#include "services/entry/waiting_callers.h"
 #include "services/runtime/message_counters.h"
 
 namespace dandelionspur {
 
-using AnswerCallback = std::function<void(const JobAnswer&)>;
-
 // The calls that the HTTP routes make to the core. Safe from any thread.
 struct CoreInterface {
   // Invokes the callback exactly once, on the core's thread.
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -29,9 +29,8 @@
 // Time to hand over the buckets after the last caller was accepted. Buckets
 // that were not handed over by then are left for other entries to take over.
 constexpr std::chrono::milliseconds kMaximumHandOverTime{2400};
-// Margins before the process would be killed, for the last answers, for the
-// recording and for the exit itself, which take longer on a busy processor.
-constexpr std::chrono::milliseconds kAnswerMargin{1000};
+// Margins before the process would be killed, for the last steps of the core's
+// hand-over and for the exit itself, which take longer on a busy processor.
 constexpr std::chrono::milliseconds kShutdownMargin{700};
 constexpr std::chrono::milliseconds kExitMargin{250};
 constexpr std::chrono::seconds kLinkInterval{1};
@@ -112,8 +111,12 @@
           this->metrics.HistogramFor("stage_seconds", "stage", "own_delay")),
       core(CoreSettings(configured, own)),
       log(this->core, this->metrics),
-      tick_timer(this->core_thread.First()),
-      drain_timer(this->core_thread.First()) {
+      shutdown(
+          this->core_thread.First(), this->core, own, this->waiting_callers,
+          [this] {
+            this->records->Flush([] { Lifetime::Finish(ExitCode::kSuccess); });
+          }),
+      tick_timer(this->core_thread.First()) {
   this->log.Follow(configured.log.jobs_followed_per_thousand);
 }
 
@@ -190,14 +193,6 @@
 
 void EntryServer::Drain() {
   if (this->drain_requested.exchange(true)) return;
-  const auto now = std::chrono::steady_clock::now();
-  const auto callers_close =
-      now + CoreSettings(this->settings, this->self).drain_accepts;
-  const auto kill_time = now + this->settings.stop_within;
-  this->shutdown_schedule = {
-      callers_close, std::max(callers_close, kill_time - kAnswerMargin),
-      std::max(callers_close, kill_time - kShutdownMargin)};
-  this->draining = true;
   LogStateChange(ProcessDraining{});
   Lifetime::FinishAfter(
       this->settings.stop_within - kExitMargin, ExitCode::kSuccess, [this] {
@@ -206,9 +201,11 @@
       });
   this->table->StopJoining();
   this->Post(DrainRequested{});
-  this->caller_server->CloseAfterAnswers();
-  asio::post(this->core_thread.First(),
-             [this] { this->StartShutdownSchedule(); });
+  this->shutdown.Begin(
+      *this->caller_server,
+      ShutdownSchedule(SteadyClock::now(),
+                       CoreSettings(this->settings, this->self).drain_accepts,
+                       this->settings.stop_within));
 }
 
 void EntryServer::Reconfigure(const EntrySettings& changed) {
@@ -221,11 +218,6 @@
   this->records->Reconfigure(changed.table, changed.recording);
 }
 
-bool EntryServer::CanAnswerWithin(Duration time) const {
-  return !this->draining || std::chrono::steady_clock::now() + time <
-                                this->shutdown_schedule.answers_due;
-}
-
 JobAnswer EntryServer::Refuse(const std::string& job) {
   this->refusals.Count(Reason::kDraining);
   LogEvent(LogCategory::kFailure, RequestRejected{job, "", Reason::kDraining,
@@ -248,65 +240,6 @@
   return answer;
 }
 
-void EntryServer::StartShutdownSchedule() {
-  this->ScheduleShutdownStep(this->shutdown_schedule.callers_close,
-                             &EntryServer::CloseCallers);
-}
-
-void EntryServer::ScheduleShutdownStep(ShutdownSchedule::Time time,
-                                       void (EntryServer::*step)()) {
-  this->drain_timer.expires_at(time);
-  this->drain_timer.async_wait([this, step](boost::system::error_code error) {
-    if (!error) (this->*step)();
-  });
-}
-
-void EntryServer::CloseCallers() {
-  const HttpServerLoad load = this->caller_server->Load();
-  LogStateChange(CallersClosed{load.connections, load.unanswered});
-  this->caller_server->Drain([this] {
-    asio::post(this->core_thread.First(), [this] {
-      LogStateChange(CallersAnswered{});
-      this->all_callers_answered = true;
-      this->FinishIfDrained();
-    });
-  });
-  this->ScheduleShutdownStep(this->shutdown_schedule.answers_due,
-                             &EntryServer::AnswerWaitingCallers);
-}
-
-void EntryServer::AnswerWaitingCallers() {
-  const HttpServerLoad load = this->caller_server->Load();
-  LogStateChange(AnswersDue{load.connections, load.unanswered,
-                            this->waiting_callers.size()});
-  // The core's later answers to these requests are discarded.
-  const std::map<RequestId, WaitingCaller> unanswered =
-      std::move(this->waiting_callers);
-  this->waiting_callers.clear();
-  const JobAnswer answer = JobAnswer::MayHaveRun(Reason::kHomeUnreachable);
-  for (const auto& [request, caller] : unanswered) {
-    LogEvent(LogCategory::kFailure,
-             RequestCutShort{caller.job, caller.service.value(),
-                             Reason::kHomeUnreachable});
-    caller.callback(answer);
-  }
-  this->ScheduleShutdownStep(this->shutdown_schedule.overdue,
-                             &EntryServer::AbandonDrain);
-}
-
-void EntryServer::AbandonDrain() {
-  const HttpServerLoad load = this->caller_server->Load();
-  LogStateChange(DrainOverdue{load.connections, load.unanswered,
-                              this->core.jobs_at_home(),
-                              this->core.jobs_relayed(),
-                              this->core.view().Find(this->self) != nullptr});
-  this->FinishDrain();
-}
-
-void EntryServer::FinishIfDrained() {
-  if (this->core_is_drained && this->all_callers_answered) this->FinishDrain();
-}
-
 void EntryServer::Post(EntryEvent event) {
   asio::post(this->core_thread.First(),
              [this, posted = std::move(event), arrived = SteadyClock::now()] {
@@ -327,25 +260,28 @@
 }
 
 void EntryServer::Submit(JobSubmission job, AnswerCallback callback) {
-  if (!this->CanAnswerWithin(job.objective)) {
-    const bool is_new = job.kind == SubmissionKind::kRun;
+  this->shutdown.TakeDueSteps();
+  const bool is_new = job.kind == SubmissionKind::kRun;
+  // A process that is behind with its work when it stops takes in no more.
+  const bool must_refuse =
+      is_new && this->shutdown.has_begun() && this->load_guard.IsBehind();
+  if (must_refuse || !this->shutdown.CanAnswerWithin(job.objective)) {
     callback(is_new ? this->Refuse(job.name)
                     : JobAnswer::MayHaveRun(Reason::kHomeUnreachable));
     return;
   }
   const std::optional<Overload> overload =
       this->load_guard.Check({this->links->pacer().Delay(), SlackOf(job)});
-  if (job.kind == SubmissionKind::kRun && overload) {
+  if (is_new && overload) {
     callback(this->RefuseOverload(job, *overload));
     return;
   }
-  const RequestId request(++this->last_request);
-  this->waiting_callers.emplace(
-      request, WaitingCaller{std::move(callback), job.name, job.service});
+  const RequestId request = this->waiting_callers.Add(job, std::move(callback));
   this->Handle(CallerSubmitted{request, std::move(job)});
 }
 
 void EntryServer::Handle(const EntryEvent& event) {
+  this->shutdown.TakeDueSteps();
   const Timestamp now = WallClockNow();
   if (const auto* received = std::get_if<AgentMessageReceived>(&event)) {
     this->agent_messages.Count(received->message);
@@ -410,11 +346,7 @@
 }
 
 void EntryServer::Apply(AnswerCaller& effect) {
-  const auto found = this->waiting_callers.find(effect.request);
-  if (found == this->waiting_callers.end()) return;
-  const AnswerCallback callback = std::move(found->second.callback);
-  this->waiting_callers.erase(found);
-  callback(effect.answer);
+  this->waiting_callers.Answer(effect.request, effect.answer);
 }
 
 void EntryServer::Apply(SendToPeer& effect) {
@@ -473,21 +405,7 @@
 
 void EntryServer::Apply(const EntryDrained& /*effect*/) {
   LogStateChange(ProcessDrained{});
-  this->core_is_drained = true;
-  this->FinishIfDrained();
-}
-
-void EntryServer::FinishDrain() {
-  if (this->is_finishing) return;
-  this->is_finishing = true;
-  this->drain_timer.cancel();
-  // Leaves time to send the last queued messages to other entries.
-  constexpr std::chrono::milliseconds kSendGrace{100};
-  auto timer = std::make_shared<asio::steady_timer>(this->core_thread.First(),
-                                                    kSendGrace);
-  timer->async_wait([this, timer](boost::system::error_code) {
-    this->records->Flush([] { Lifetime::Finish(ExitCode::kSuccess); });
-  });
+  this->shutdown.OnCoreDrained();
 }
 
 void EntryServer::PublishServingState() {
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -4,8 +4,6 @@
 #include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
-#include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -17,9 +15,11 @@
 #include "services/entry/caller_routes.h"
 #include "services/entry/document_routes.h"
 #include "services/entry/entry_links.h"
+#include "services/entry/graceful_shutdown.h"
 #include "services/entry/load_guard.h"
 #include "services/entry/serving_state.h"
 #include "services/entry/table_watcher.h"
+#include "services/entry/waiting_callers.h"
 #include "services/runtime/record_uploader.h"
 
 namespace dandelionspur {
@@ -48,42 +48,10 @@
   explicit EntryServer(const EntrySettings& configured, EntryId self);
   Result<void> Listen();
 
-  // The deadlines of the steps of a graceful shutdown.
-  struct ShutdownSchedule {
-    using Time = std::chrono::steady_clock::time_point;
-    // Caller connections are accepted until this time.
-    Time callers_close;
-    // Requests are accepted until this time. Callers that still wait are then
-    // answered that their jobs may have run.
-    Time answers_due;
-    // The recording is flushed and the process exits, whatever is unfinished.
-    Time overdue;
-  };
-
-  // A caller that waits for the core's answer.
-  struct WaitingCaller {
-    AnswerCallback callback;
-    std::string job;
-    ServiceName service;
-  };
-
-  // Whether a request that takes `time` can be answered before a shutdown in
-  // progress reaches `answers_due`.
-  [[nodiscard]] bool CanAnswerWithin(Duration time) const;
   // Refuses a submission that has not been passed to the core.
   JobAnswer Refuse(const std::string& job);
   // Refuses a new job because a resource of the instance has no room for it.
   JobAnswer RefuseOverload(const JobSubmission& job, const Overload& overload);
-  // Steps of the graceful shutdown, on the core's thread.
-  void StartShutdownSchedule();
-  void ScheduleShutdownStep(ShutdownSchedule::Time time,
-                            void (EntryServer::*step)());
-  void CloseCallers();
-  void AnswerWaitingCallers();
-  void AbandonDrain();
-  void FinishIfDrained();
-  void FinishDrain();
-
   // Safe from any thread.
   void Post(EntryEvent event);
   // Handles the event immediately on the core's thread, or posts it from any
@@ -146,22 +114,15 @@
   ServingState next_serving_state;
   EntryCore core;
   EntryDecisionLog log;
-  std::map<RequestId, WaitingCaller> waiting_callers;
-  std::uint64_t last_request = 0;
+  WaitingCallers waiting_callers;
+  GracefulShutdown shutdown;
   std::unique_ptr<EntryLinks> links;
   std::unique_ptr<RecordUploader<EntryCore>> records;
   std::unique_ptr<TableWatcher> table;
   std::unique_ptr<CallerRoutes> caller_routes;
   std::unique_ptr<DocumentRoutes> document_routes;
   boost::asio::steady_timer tick_timer;
-  boost::asio::steady_timer drain_timer;
   std::atomic<bool> drain_requested = false;
-  // Whether `shutdown_schedule` is set.
-  std::atomic<bool> draining = false;
-  ShutdownSchedule shutdown_schedule;
-  bool core_is_drained = false;
-  bool all_callers_answered = false;
-  bool is_finishing = false;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> admin_server;
   std::unique_ptr<HttpServer> readiness_server;
--- /dev/null
+++ b/services/entry/graceful_shutdown.h
@@ -0,0 +1,70 @@
+#ifndef DANDELIONSPUR_SERVICES_ENTRY_GRACEFUL_SHUTDOWN_H_
+#define DANDELIONSPUR_SERVICES_ENTRY_GRACEFUL_SHUTDOWN_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <optional>
+
+#include "libraries/entry_core/entry_core.h"
+#include "libraries/network/http_server.h"
+#include "services/entry/shutdown_schedule.h"
+#include "services/entry/waiting_callers.h"
+
+namespace dandelionspur {
+
+// Takes the steps of an entry's graceful shutdown. Used on the core's thread
+// only, except where noted.
+class GracefulShutdown {
+ public:
+  // `exit` ends the process; it is called once.
+  GracefulShutdown(boost::asio::io_context& core_context,
+                   const EntryCore& entry_core, EntryId own,
+                   WaitingCallers& waiting, std::function<void()> exit);
+  GracefulShutdown(const GracefulShutdown&) = delete;
+  GracefulShutdown& operator=(const GracefulShutdown&) = delete;
+
+  // Begins the shutdown. Must be called once at most, from any thread. `server`
+  // serves the callers.
+  void Begin(HttpServer& server, const ShutdownSchedule& times);
+  [[nodiscard]] bool has_begun() const { return this->begun; }
+  // Whether a request that takes `time` can be answered before the process
+  // ends.
+  [[nodiscard]] bool CanAnswerWithin(Duration time) const;
+  // Takes the steps that are due. Called before each event, since the timer of
+  // a busy process runs behind the events that are queued.
+  void TakeDueSteps();
+  // The core has handed its buckets over and has no jobs left.
+  void OnCoreDrained();
+
+ private:
+  void AwaitNextStep();
+  void Take(ShutdownStep step);
+  void CloseCallers();
+  void AnswerCallers();
+  void ReportOverdue();
+  void ExitIfAnswered();
+  void ExitIfDrained();
+  void Exit();
+
+  boost::asio::io_context& context;
+  const EntryCore& core;
+  EntryId self;
+  WaitingCallers& waiting_callers;
+  std::function<void()> exit_process;
+  boost::asio::steady_timer timer;
+  // Set before `begun`.
+  HttpServer* callers = nullptr;
+  std::optional<ShutdownSchedule> schedule;
+  std::atomic<bool> begun = false;
+  bool core_is_drained = false;
+  bool all_callers_answered = false;
+  // Whether only open connections of callers delay the exit.
+  bool is_overdue = false;
+  bool is_exiting = false;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_SERVICES_ENTRY_GRACEFUL_SHUTDOWN_H_
--- a/tests/entry_core/inbound_delay_test.cc
+++ b/tests/entry_core/inbound_delay_test.cc
@@ -109,7 +109,8 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Peers, TypicalDelayTest,
-    testing::Values(PeersCase{"NoPeer", {}, 0}, PeersCase{"OnePeer", {300}, 300},
+    testing::Values(PeersCase{"NoPeer", {}, 0},
+                    PeersCase{"OnePeer", {300}, 300},
                     PeersCase{"OneOfTwoIsLate", {10, 800}, 0},
                     PeersCase{"OneOfThreeIsLate", {10, 800, 20}, 0},
                     PeersCase{"MostAreLate", {10, 300, 400}, 300}),
--- a/tests/telemetry/standing_delay_test.cc
+++ b/tests/telemetry/standing_delay_test.cc
@@ -40,16 +40,15 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Loads, StandingDelayTest,
-    testing::Values(
-        StandingCase{"KeepsUp", {2, 3, 1, 2, 4, 1}, 1},
-        StandingCase{"OneBurst", {1, 1, 400}, 1},
-        StandingCase{"FirstInterval", {400}, 0},
-        StandingCase{"StaysBehind", {100, 180, 160, 170}, 160},
-        StandingCase{"FarBehind", {900, 1100, 1000}, 1000},
-        // 500 ms after the last delay.
-        StandingCase{"FallsGradually",
-                     {400, 400, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0},
-                     200}),
+    testing::Values(StandingCase{"KeepsUp", {2, 3, 1, 2, 4, 1}, 1},
+                    StandingCase{"OneBurst", {1, 1, 400}, 1},
+                    StandingCase{"FirstInterval", {400}, 0},
+                    StandingCase{"StaysBehind", {100, 180, 160, 170}, 160},
+                    StandingCase{"FarBehind", {900, 1100, 1000}, 1000},
+                    // 500 ms after the last delay.
+                    StandingCase{"FallsGradually",
+                                 {400, 400, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0},
+                                 200}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
 // Guards against an entry that alternates between all and no jobs: the delay
