entry: Derive the slack of a job from when its answer is of use

The deadline says how long a caller waits, not how long it has use for the answer: homes already take three times the latency objective as the end of that. The load guard takes the same time, which moves to JobSubmission.

--- a/libraries/entry_core/home_job.h
+++ b/libraries/entry_core/home_job.h
@@ -120,15 +120,10 @@
                           this->accepted_at + this->submission.objective)
                : this->deadline;
   }
-  // The time after which an answer is of no use to the caller: three times the
-  // latency objective, at most the deadline.
+  // The time after which an answer is of no use to the caller.
   [[nodiscard]] Timestamp UsefulUntil() const {
-    constexpr std::int64_t kUsefulObjectives = 3;
-    return this->submission.objective > Duration()
-               ? std::min(this->deadline,
-                          this->accepted_at +
-                              kUsefulObjectives * this->submission.objective)
-               : this->deadline;
+    return std::min(this->deadline,
+                    this->accepted_at + this->submission.UsefulTime());
   }
   // The latest time to start all queued tasks at once if the job is to complete
   // by DueAt(). `stretch` is the ratio of actual to declared task time.
--- a/libraries/protocol/job.h
+++ b/libraries/protocol/job.h
@@ -89,6 +89,24 @@
     for (TaskRequest& task : this->tasks) task.body = *this->shared_body;
     this->shared_body.reset();
   }
+  // The time after which an answer is of no use to the caller: three times the
+  // latency objective, at most the time allowed.
+  [[nodiscard]] Duration UsefulTime() const {
+    constexpr std::int64_t kUsefulObjectives = 3;
+    return this->objective > Duration()
+               ? std::min(this->time_allowed,
+                          kUsefulObjectives * this->objective)
+               : this->time_allowed;
+  }
+  // How much of that time is left if the longest task runs as long as declared.
+  // Negative if it is too short for the task.
+  [[nodiscard]] Duration Slack() const {
+    Duration longest{};
+    for (const TaskRequest& task : this->tasks) {
+      longest = std::max(longest, task.declared);
+    }
+    return this->UsefulTime() - longest;
+  }
   // Whether this submission may share the answer of a submission with the same
   // key and the body digest `other_digest`.
   [[nodiscard]] bool Matches(std::uint64_t other_digest) const {
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -60,15 +60,6 @@
   return "";
 }
 
-// How long the job's caller can wait beyond the run of its longest task.
-Duration SlackOf(const JobSubmission& job) {
-  Duration longest_task{};
-  for (const TaskRequest& task : job.tasks) {
-    longest_task = std::max(longest_task, task.declared);
-  }
-  return job.time_allowed - longest_task;
-}
-
 EntryCoreSettings CoreSettings(const EntrySettings& settings, EntryId self) {
   EntryCoreSettings core;
   core.self = self;
@@ -271,7 +262,7 @@
     return;
   }
   const std::optional<Overload> overload =
-      this->load_guard.Check({this->links->pacer().Delay(), SlackOf(job)});
+      this->load_guard.Check({this->links->pacer().Delay(), job.Slack()});
   if (is_new && overload) {
     callback(this->RefuseOverload(job, *overload));
     return;
--- a/services/entry/load_guard.h
+++ b/services/entry/load_guard.h
@@ -26,7 +26,8 @@
 struct Admission {
   // The time that the messages take that wait for the link.
   Duration send_delay{};
-  // How long the caller can wait beyond the run of the job's longest task.
+  // How long the caller has use for the answer, beyond the run of the job's
+  // longest task.
   Duration slack{};
 };
 
--- a/tests/services/load_guard_test.cc
+++ b/tests/services/load_guard_test.cc
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "libraries/protocol/job.h"
+
 namespace dandelionspur {
 namespace {
 
@@ -143,6 +145,39 @@
       return tested.param.name;
     });
 
+struct SlackCase {
+  std::string name;
+  std::int64_t allowed_ms;
+  std::int64_t objective_ms;
+  std::vector<std::int64_t> declared_ms;
+  std::int64_t slack_ms;
+};
+
+class SlackTest : public testing::TestWithParam<SlackCase> {};
+
+// Guards against jobs that are taken in although their answers would be of no
+// use any more, long before their callers' deadlines.
+TEST_P(SlackTest, IsWhatTheLongestTaskLeavesOfTheUsefulTime) {
+  const SlackCase& parameters = GetParam();
+  JobSubmission job;
+  job.time_allowed = milliseconds(parameters.allowed_ms);
+  job.objective = milliseconds(parameters.objective_ms);
+  for (const std::int64_t declared : parameters.declared_ms) {
+    job.tasks.push_back({Payload(), milliseconds(declared), kOneSlot});
+  }
+  EXPECT_EQ(job.Slack(), milliseconds(parameters.slack_ms));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Jobs, SlackTest,
+    testing::Values(SlackCase{"NoObjective", 1500, 0, {900, 100}, 600},
+                    SlackCase{"ShortTask", 1500, 156, {60}, 408},
+                    SlackCase{"LongTask", 1500, 1500, {900}, 600},
+                    SlackCase{"TooLittleTime", 500, 0, {900}, -400}),
+    [](const testing::TestParamInfo<SlackCase>& tested) {
+      return tested.param.name;
+    });
+
 // Guards against refusals that go on after the entry has caught up, and against
 // one Retry-After for all: it has to follow how fast the delay falls.
 TEST(LoadGuardTest, RetryAfterFollowsHowFastTheDelayFalls) {
