entry: Refuse jobs whose home reads its messages too slowly

What was unsent to a peer that reads slowly grew without bound. Lines peer_queue_full and peer_queue_drained name the peer, overload_refusals_total{resource="peer"} counts.

--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -160,6 +160,23 @@
                       (bytes, link_bytes_per_second, largest_kind,
                        largest_bytes, unsent_bytes))
 
+// The messages that wait for the connection to an entry are too many for
+// further relays: new jobs that it is the home of are refused.
+struct PeerQueueFull {
+  static constexpr const char* kName = "peer_queue_full";
+  EntryId peer;
+  std::uint64_t unsent_bytes = 0;
+};
+BOOST_DESCRIBE_STRUCT(PeerQueueFull, (), (peer, unsent_bytes))
+
+// The connection to the entry has room for relays again.
+struct PeerQueueDrained {
+  static constexpr const char* kName = "peer_queue_drained";
+  EntryId peer;
+  std::uint64_t unsent_bytes = 0;
+};
+BOOST_DESCRIBE_STRUCT(PeerQueueDrained, (), (peer, unsent_bytes))
+
 // The time limit of a graceful shutdown has passed and the process exits, with
 // its connections in whatever state they are.
 struct StopTimeReached {
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -51,6 +51,15 @@
          !this->documents_in_force.empty();
 }
 
+std::optional<EntryId> EntryCore::OtherHomeOf(const JobKey& key,
+                                              Timestamp now) const {
+  const BucketId bucket = this->ownership.BucketOfKey(key);
+  if (this->ownership.IsActive(bucket)) return std::nullopt;
+  const EntryId home = this->ownership.ExpectedHome(bucket, now);
+  const bool is_other = home != EntryId() && home != this->settings.self;
+  return is_other ? std::optional(home) : std::nullopt;
+}
+
 void EntryCore::On(const CallerSubmitted& event) {
   const JobKey& key = event.job.key;
   const CachedAnswer* answer = this->home.FindAnswer(key);
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -43,6 +43,10 @@
   [[nodiscard]] const AgentRegistry& agents() const { return this->registry; }
   [[nodiscard]] const Ownership& buckets() const { return this->ownership; }
   [[nodiscard]] std::size_t jobs_at_home() const { return this->home.size(); }
+  // The other entry to which a job with this key would be relayed now; nothing
+  // if this entry is its home or the home is not known.
+  [[nodiscard]] std::optional<EntryId> OtherHomeOf(const JobKey& key,
+                                                   Timestamp now) const;
   // The longest delay with which messages of connected entries are handled.
   [[nodiscard]] Duration inbound_delay() const {
     return this->peers.LongestInboundDelay();
--- a/services/entry/entry_links.cc
+++ b/services/entry/entry_links.cc
@@ -186,6 +186,14 @@
   return bytes;
 }
 
+std::map<EntryId, std::uint64_t> EntryLinks::UnsentToPeers() const {
+  std::map<EntryId, std::uint64_t> unsent;
+  for (const auto& [peer, connection] : this->peers) {
+    unsent.emplace(peer, connection->unsent_bytes());
+  }
+  return unsent;
+}
+
 void EntryLinks::SetAgentEndpoint(const AgentDescription& description) {
   // A new agent process has bound this address, so all earlier processes at it
   // are dead and need no probe.
--- a/services/entry/entry_links.h
+++ b/services/entry/entry_links.h
@@ -42,6 +42,8 @@
   ByteUse TakeByteUse();
   // The bytes that the connections' sockets have not taken yet.
   [[nodiscard]] std::size_t unsent_bytes() const;
+  // The same, for each connected entry.
+  [[nodiscard]] std::map<EntryId, std::uint64_t> UnsentToPeers() const;
   // Records the admin endpoint at which an agent is probed once its connection
   // is lost.
   void SetAgentEndpoint(const AgentDescription& description);
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -56,6 +56,8 @@
       return "the memory of this entry is full";
     case ScarceResource::kDelay:
       return "this entry is behind with its work";
+    case ScarceResource::kPeer:
+      return "the connection to the job's home is full";
   }
   return "";
 }
@@ -98,6 +100,7 @@
       refusals(this->metrics, "refusals_decided_total"),
       agent_messages(this->metrics, "messages_from_agents_total"),
       load_guard(configured.memory_bytes),
+      peer_queues(configured.link_bytes_per_second),
       work_delays(
           this->metrics.HistogramFor("stage_seconds", "stage", "own_delay")),
       core(CoreSettings(configured, own)),
@@ -261,8 +264,7 @@
                     : JobAnswer::MayHaveRun(Reason::kHomeUnreachable));
     return;
   }
-  const std::optional<Overload> overload =
-      this->load_guard.Check({this->links->pacer().Delay(), job.Slack()});
+  const std::optional<Overload> overload = this->CheckLoad(job);
   if (is_new && overload) {
     callback(this->RefuseOverload(job, *overload));
     return;
@@ -271,6 +273,16 @@
   this->Handle(CallerSubmitted{request, std::move(job)});
 }
 
+std::optional<Overload> EntryServer::CheckLoad(const JobSubmission& job) const {
+  const std::optional<Overload> overload =
+      this->load_guard.Check({this->links->pacer().Delay(), job.Slack()});
+  if (overload) return overload;
+  const std::optional<EntryId> home =
+      this->core.OtherHomeOf(job.key, WallClockNow());
+  if (!home || !this->peer_queues.IsFull(*home)) return std::nullopt;
+  return Overload{ScarceResource::kPeer, PeerQueues::TimeToDrain()};
+}
+
 void EntryServer::Handle(const EntryEvent& event) {
   this->shutdown.TakeDueSteps();
   const Timestamp now = WallClockNow();
@@ -296,6 +308,7 @@
         SteadyClock::now() - this->tick_timer.expiry()));
     this->Handle(EntryTick{this->links->pacer().backlog()});
     this->ObserveMemory(SteadyClock::now());
+    this->ObservePeerQueues();
     this->ObserveLink(SteadyClock::now());
     FlushLog();
     this->ScheduleTick();
@@ -306,6 +319,18 @@
   this->load_guard.NoteMemory(AllocatedBytes(), now);
 }
 
+void EntryServer::ObservePeerQueues() {
+  const std::vector<QueueChange> changes =
+      this->peer_queues.Note(this->links->UnsentToPeers());
+  for (const QueueChange& change : changes) {
+    if (change.state == QueueState::kFull) {
+      LogStateChange(PeerQueueFull{change.peer, change.unsent_bytes});
+    } else {
+      LogStateChange(PeerQueueDrained{change.peer, change.unsent_bytes});
+    }
+  }
+}
+
 void EntryServer::ObserveLink(SteadyClock::time_point now) {
   if (now < this->next_link_check) return;
   this->next_link_check = now + kLinkInterval;
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -17,6 +17,7 @@
 #include "services/entry/entry_links.h"
 #include "services/entry/graceful_shutdown.h"
 #include "services/entry/load_guard.h"
+#include "services/entry/peer_queues.h"
 #include "services/entry/serving_state.h"
 #include "services/entry/table_watcher.h"
 #include "services/entry/waiting_callers.h"
@@ -71,8 +72,13 @@
   void ObserveDelay(Duration tick_lateness);
   // Records the memory in use for the load guard.
   void ObserveMemory(SteadyClock::time_point now);
+  // Logs the peers whose queues have become full or have room again.
+  void ObservePeerQueues();
   // Logs, once a second, if messages have used most of the link.
   void ObserveLink(SteadyClock::time_point now);
+  // Why no new job with this submission may be taken in, or nothing.
+  [[nodiscard]] std::optional<Overload> CheckLoad(
+      const JobSubmission& job) const;
   void Submit(JobSubmission job, AnswerCallback callback);
   void PublishServingState();
   [[nodiscard]] nlohmann::json Status() const;
@@ -108,6 +114,7 @@
   EventLoopDelay work_delay;
   LagDetector pace;
   LoadGuard load_guard;
+  PeerQueues peer_queues;
   SteadyClock::time_point next_link_check;
   prometheus::Histogram& work_delays;
   PublishedServingState serving;
--- a/services/entry/load_guard.h
+++ b/services/entry/load_guard.h
@@ -13,7 +13,8 @@
 namespace dandelionspur {
 
 // The resource of the instance that has no room for a further job.
-BOOST_DEFINE_ENUM_CLASS(ScarceResource, kLink, kMemory, kDelay)
+// kPeer: the connection to the home of the job.
+BOOST_DEFINE_ENUM_CLASS(ScarceResource, kLink, kMemory, kDelay, kPeer)
 
 // Why an entry takes in no new jobs, and when a caller should come back.
 struct Overload {
