entry: Show what an entry's memory belongs to

Gauges held_bytes{kind} for jobs at home, relayed jobs, parked relays, kept answers and records, and longest_peer_queue_bytes.

--- a/libraries/entry_core/answer_cache.h
+++ b/libraries/entry_core/answer_cache.h
@@ -34,6 +34,7 @@
     const auto found = this->answers.find(key);
     return found == this->answers.end() ? nullptr : &found->second;
   }
+  [[nodiscard]] std::uint64_t held_bytes() const { return this->bytes; }
   void Expire(Timestamp now) {
     while (!this->order.empty() &&
            this->order.front().inserted_at + this->duplicate_window < now) {
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -51,6 +51,11 @@
          !this->documents_in_force.empty();
 }
 
+MemoryUse EntryCore::ComputeMemoryUse() const {
+  return {this->home.HeldBytes(), this->relays.HeldBytes(),
+          this->relays.ParkedBytes(), this->home.kept_answer_bytes()};
+}
+
 std::optional<EntryId> EntryCore::OtherHomeOf(const JobKey& key,
                                               Timestamp now) const {
   const BucketId bucket = this->ownership.BucketOfKey(key);
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -12,6 +12,7 @@
 #include "libraries/entry_core/entry_outbox.h"
 #include "libraries/entry_core/hand_over.h"
 #include "libraries/entry_core/home_jobs.h"
+#include "libraries/entry_core/memory_use.h"
 #include "libraries/entry_core/ownership.h"
 #include "libraries/entry_core/peer_directory.h"
 #include "libraries/entry_core/refusal_confirmer.h"
@@ -55,6 +56,8 @@
   [[nodiscard]] Duration typical_inbound_delay() const {
     return this->peers.TypicalInboundDelay();
   }
+  // Walks over all jobs; for reports only.
+  [[nodiscard]] MemoryUse ComputeMemoryUse() const;
   [[nodiscard]] std::size_t jobs_relayed() const { return this->relays.size(); }
   [[nodiscard]] const std::map<ServiceName, VersionedDocument>& documents()
       const {
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -162,6 +162,15 @@
   return std::nullopt;
 }
 
+std::uint64_t HomeJobs::HeldBytes() const {
+  std::uint64_t bytes = 0;
+  for (const auto& [key, job] : this->jobs) {
+    bytes += job.submission.HeldBytes() + job.tasks.size() * sizeof(TaskRecord);
+    for (const TaskRecord& task : job.tasks) bytes += task.result.size();
+  }
+  return bytes;
+}
+
 bool HomeJobs::MayEverStart(const HomeJob& job) const {
   return std::all_of(
       job.queued.begin(), job.queued.end(), [&](TaskIndex index) {
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -101,6 +101,11 @@
 
   // Number of jobs.
   [[nodiscard]] std::size_t size() const { return this->jobs.size(); }
+  // The memory that the jobs take, approximately, without kept answers.
+  [[nodiscard]] std::uint64_t HeldBytes() const;
+  [[nodiscard]] std::uint64_t kept_answer_bytes() const {
+    return this->answer_cache.held_bytes();
+  }
   // Number of tasks sent to the agent that have not completed.
   [[nodiscard]] std::size_t StartedAt(AgentId agent) const {
     const auto found = this->outstanding.find(agent);
--- a/libraries/entry_core/relay_table.cc
+++ b/libraries/entry_core/relay_table.cc
@@ -234,6 +234,22 @@
   });
 }
 
+std::uint64_t RelayTable::HeldBytes() const {
+  std::uint64_t bytes = 0;
+  for (const auto& [key, job] : this->relayed) {
+    bytes += sizeof(Relayed) + job.submission.HeldBytes();
+  }
+  return bytes;
+}
+
+std::uint64_t RelayTable::ParkedBytes() const {
+  std::uint64_t bytes = 0;
+  for (const ParkedRelay& parked : this->parked_relays) {
+    bytes += sizeof(ParkedRelay) + parked.relay.job.HeldBytes();
+  }
+  return bytes;
+}
+
 void RelayTable::AnswerCallers(const Relayed& job, const JobAnswer& answer) {
   for (const RequestId caller : job.callers) {
     this->outbox.Answer(caller, job.submission.key, answer);
--- a/libraries/entry_core/relay_table.h
+++ b/libraries/entry_core/relay_table.h
@@ -59,6 +59,9 @@
   void StopWitnessing() { this->offer = WitnessOffer::kNone; }
 
   [[nodiscard]] std::size_t size() const { return this->relayed.size(); }
+  // The memory that the relayed submissions take, approximately.
+  [[nodiscard]] std::uint64_t HeldBytes() const;
+  [[nodiscard]] std::uint64_t ParkedBytes() const;
 
  private:
   struct Relayed {
--- a/libraries/protocol/job.h
+++ b/libraries/protocol/job.h
@@ -89,6 +89,20 @@
     for (TaskRequest& task : this->tasks) task.body = *this->shared_body;
     this->shared_body.reset();
   }
+  // The memory that the submission takes, approximately. A body that successive
+  // tasks share counts once.
+  [[nodiscard]] std::uint64_t HeldBytes() const {
+    std::uint64_t bytes = sizeof(JobSubmission) + this->name.size() +
+                          this->tasks.size() * sizeof(TaskRequest);
+    if (this->shared_body) bytes += this->shared_body->size();
+    const Payload* previous = nullptr;
+    for (const TaskRequest& task : this->tasks) {
+      const bool is_shared = previous != nullptr && task.body == *previous;
+      if (!is_shared) bytes += task.body.size();
+      previous = &task.body;
+    }
+    return bytes;
+  }
   // The time after which an answer is of no use to the caller: three times the
   // latency objective, at most the time allowed.
   [[nodiscard]] Duration UsefulTime() const {
--- a/libraries/recording/recorder.h
+++ b/libraries/recording/recorder.h
@@ -83,6 +83,10 @@
   [[nodiscard]] const std::deque<FinishedSegment>& unsent() const {
     return this->spool;
   }
+  // The memory that the segments take that are not stored yet.
+  [[nodiscard]] std::size_t held_bytes() const {
+    return this->spooled_bytes + this->open.size();
+  }
   // Number of records that were dropped from the spool before they were stored.
   [[nodiscard]] std::uint64_t lost_records() const { return this->lost; }
 
--- a/libraries/telemetry/metrics.cc
+++ b/libraries/telemetry/metrics.cc
@@ -37,6 +37,15 @@
       .Set(value);
 }
 
+void Metrics::Set(const std::string& name, const std::string& label,
+                  std::string_view value, double amount) {
+  prometheus::BuildGauge()
+      .Name("dandelionspur_" + name)
+      .Register(*this->registry)
+      .Add({{label, std::string(value)}})
+      .Set(amount);
+}
+
 prometheus::Histogram& Metrics::HistogramFor(const std::string& name,
                                              const std::string& label,
                                              const std::string& value) {
--- a/libraries/telemetry/metrics.h
+++ b/libraries/telemetry/metrics.h
@@ -26,6 +26,9 @@
              std::string_view value, double amount = 1);
   // Sets a gauge that has no labels.
   void Set(const std::string& name, double value);
+  // Sets the gauge with the given label value.
+  void Set(const std::string& name, const std::string& label,
+           std::string_view value, double amount);
   // Returns all metrics in the Prometheus text format.
   [[nodiscard]] std::string SerializeToText() const;
   // Returns the counter with the given label value, which is valid for the
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/mp11.hpp>
 #include <future>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -62,6 +63,15 @@
   return "";
 }
 
+// A small instance keeps fewer answers. `memory_bytes` may be 0: not limited.
+std::uint64_t MaximumAnswerBytes(std::uint64_t usual,
+                                 std::uint64_t memory_bytes) {
+  // One part of the memory in this many.
+  constexpr std::uint64_t kAnswerShare = 16;
+  if (memory_bytes == 0) return usual;
+  return std::min(usual, memory_bytes / kAnswerShare);
+}
+
 EntryCoreSettings CoreSettings(const EntrySettings& settings, EntryId self) {
   EntryCoreSettings core;
   core.self = self;
@@ -73,6 +83,8 @@
   core.drain_accepts = settings.drain_accepts + kDrainNoticeDelay;
   core.drain_limit = std::min(core.drain_accepts + kMaximumHandOverTime,
                               settings.stop_within - kShutdownMargin);
+  core.maximum_answer_bytes =
+      MaximumAnswerBytes(core.maximum_answer_bytes, settings.memory_bytes);
   core.placement_seed = self.value();
   core.link_bytes_per_second =
       LinkPacer::RateFor(settings.link_bytes_per_second);
@@ -454,9 +466,25 @@
   this->metrics.Set("allocated_bytes", static_cast<double>(AllocatedBytes()));
   this->metrics.Set("unsent_bytes",
                     static_cast<double>(this->links->unsent_bytes()));
+  this->SetMemoryGauges();
   SetLogGauges(this->metrics);
 }
 
+void EntryServer::SetMemoryGauges() {
+  const MemoryUse use = this->core.ComputeMemoryUse();
+  boost::mp11::mp_for_each<boost::describe::describe_members<
+      MemoryUse, boost::describe::mod_public>>([&](auto member) {
+    this->metrics.Set("held_bytes", "kind", member.name,
+                      static_cast<double>(use.*member.pointer));
+  });
+  std::uint64_t longest_queue = 0;
+  for (const auto& [peer, unsent] : this->links->UnsentToPeers()) {
+    longest_queue = std::max(longest_queue, unsent);
+  }
+  this->metrics.Set("longest_peer_queue_bytes",
+                    static_cast<double>(longest_queue));
+}
+
 nlohmann::json EntryServer::Status() const {
   std::uint32_t active = 0;
   for (std::uint32_t i = 0; i < this->settings.bucket_count; ++i) {
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -82,6 +82,7 @@
   void Submit(JobSubmission job, AnswerCallback callback);
   void PublishServingState();
   [[nodiscard]] nlohmann::json Status() const;
+  void SetMemoryGauges();
   // Called before metrics are read.
   void UpdateGauges();
 
--- a/services/runtime/record_uploader.cc
+++ b/services/runtime/record_uploader.cc
@@ -5,9 +5,10 @@
 namespace dandelionspur {
 
 void SetRecordingGauges(Metrics& metrics, std::uint64_t lost,
-                        std::size_t unsent) {
+                        std::size_t unsent, std::size_t held_bytes) {
   metrics.Set("records_lost", static_cast<double>(lost));
   metrics.Set("record_segments_unsent", static_cast<double>(unsent));
+  metrics.Set("held_bytes", "kind", "records", static_cast<double>(held_bytes));
 }
 
 void SetLogGauges(Metrics& metrics) {
--- a/services/runtime/record_uploader.h
+++ b/services/runtime/record_uploader.h
@@ -21,7 +21,7 @@
 
 // Sets the gauges for lost records and for segments not yet stored.
 void SetRecordingGauges(Metrics& metrics, std::uint64_t lost,
-                        std::size_t unsent);
+                        std::size_t unsent, std::size_t held_bytes);
 
 // Sets the gauges for log lines written, left out and lost.
 void SetLogGauges(Metrics& metrics);
@@ -141,7 +141,8 @@
       if (error) return;
       this->CloseSegment();
       SetRecordingGauges(this->metrics, this->recorder.lost_records(),
-                         this->recorder.unsent().size());
+                         this->recorder.unsent().size(),
+                         this->recorder.held_bytes());
       this->ScheduleClose(this->settings.write_interval);
     });
   }
--- a/tests/support/entry_harness.h
+++ b/tests/support/entry_harness.h
@@ -39,6 +39,9 @@
   [[nodiscard]] AgentLoad Load(std::uint32_t running,
                                std::uint64_t starts_seen) const;
   [[nodiscard]] Timestamp now() const { return this->time; }
+  [[nodiscard]] MemoryUse memory_use() const {
+    return this->entry.ComputeMemoryUse();
+  }
 
  private:
   // Delivers the replies of the agents to `effects` and to the effects that
--- a/tests/system/stop_test.py
+++ b/tests/system/stop_test.py
@@ -49,17 +49,17 @@
     """Pauses and resumes a process in turn, which simulates a processor that is busy with other processes."""
 
     RUN_SECONDS = 0.005
-    PAUSE_SECONDS = 0.045
 
-    def __init__(self, process):
+    def __init__(self, process, pause_seconds=0.045):
         self.process = process
+        self.pause_seconds = pause_seconds
         self.thread = threading.Thread(target=self._run)
         self.thread.start()
 
     def _run(self):
         while self.process.popen.poll() is None:
             self.process.signal(signal.SIGSTOP)
-            time.sleep(self.PAUSE_SECONDS)
+            time.sleep(self.pause_seconds)
             self.process.signal(signal.SIGCONT)
             time.sleep(self.RUN_SECONDS)
 
@@ -95,6 +95,26 @@
         self.assertLessEqual(set(statuses), {200, 503})
         self.assertEqual(cluster.overlapping_runs(), [])
 
+    # Guards against requests without an answer (LOST): an entry that is behind with its work takes them in while it
+    # stops, and its answers and the steps of the stop wait behind queued events until its time is over.
+    def test_requests_are_answered_by_an_entry_that_stops_while_behind(self):
+        cluster = self.cluster(agents=2, entry_settings={"drain_accepts_ms": 1500, "stop_within_s": 5})
+        callers = self.callers(cluster, 400)
+        busy = BusyProcessor(cluster.entries[0], pause_seconds=0.145)
+        for i, caller in enumerate(callers[:200]):
+            caller.send(f"{i:016x}", "1000")
+        time.sleep(0.5)
+        cluster.entries[0].signal(signal.SIGTERM)
+        time.sleep(0.5)
+        for i, caller in enumerate(callers[200:]):
+            caller.send(f"{200 + i:016x}", "1000")
+        statuses = [caller.receive() for caller in callers]
+        code = cluster.entries[0].wait(8)
+        busy.thread.join()
+        lines = [line for line in cluster.log("entry-0").splitlines() if " job=" not in line]
+        self.assertEqual((statuses.count(None), code), (0, 0), "\n".join(lines))
+        self.assertEqual(cluster.overlapping_runs(), [])
+
     # Guards against requests without an answer (LOST): jobs that outlast their entry's graceful shutdown are cut when
     # the process exits.
     def test_jobs_that_outlast_the_stop_get_a_final_answer(self):
