--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -60,9 +60,10 @@
                                               Timestamp now) const {
   const BucketId bucket = this->ownership.BucketOfKey(key);
   if (this->ownership.IsActive(bucket)) return std::nullopt;
-  const EntryId home = this->ownership.ExpectedHome(bucket, now);
-  const bool is_other = home != EntryId() && home != this->settings.self;
-  return is_other ? std::optional(home) : std::nullopt;
+  const EntryId expected = this->ownership.ExpectedHome(bucket, now);
+  const bool is_other =
+      expected != EntryId() && expected != this->settings.self;
+  return is_other ? std::optional(expected) : std::nullopt;
 }
 
 void EntryCore::On(const CallerSubmitted& event) {
