--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -51,6 +51,21 @@
          !this->documents_in_force.empty();
 }
 
+MemoryUse EntryCore::ComputeMemoryUse() const {
+  return {this->home.HeldBytes(), this->relays.HeldBytes(),
+          this->relays.ParkedBytes(), this->home.kept_answer_bytes()};
+}
+
+std::optional<EntryId> EntryCore::OtherHomeOf(const JobKey& key,
+                                              Timestamp now) const {
+  const BucketId bucket = this->ownership.BucketOfKey(key);
+  if (this->ownership.IsActive(bucket)) return std::nullopt;
+  const EntryId expected = this->ownership.ExpectedHome(bucket, now);
+  const bool is_other =
+      expected != EntryId() && expected != this->settings.self;
+  return is_other ? std::optional(expected) : std::nullopt;
+}
+
 void EntryCore::On(const CallerSubmitted& event) {
   const JobKey& key = event.job.key;
   const CachedAnswer* answer = this->home.FindAnswer(key);
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -12,6 +12,7 @@
 #include "libraries/entry_core/entry_outbox.h"
 #include "libraries/entry_core/hand_over.h"
 #include "libraries/entry_core/home_jobs.h"
+#include "libraries/entry_core/memory_use.h"
 #include "libraries/entry_core/ownership.h"
 #include "libraries/entry_core/peer_directory.h"
 #include "libraries/entry_core/refusal_confirmer.h"
@@ -43,10 +44,20 @@
   [[nodiscard]] const AgentRegistry& agents() const { return this->registry; }
   [[nodiscard]] const Ownership& buckets() const { return this->ownership; }
   [[nodiscard]] std::size_t jobs_at_home() const { return this->home.size(); }
+  // The other entry to which a job with this key would be relayed now; nothing
+  // if this entry is its home or the home is not known.
+  [[nodiscard]] std::optional<EntryId> OtherHomeOf(const JobKey& key,
+                                                   Timestamp now) const;
   // The longest delay with which messages of connected entries are handled.
   [[nodiscard]] Duration inbound_delay() const {
     return this->peers.LongestInboundDelay();
   }
+  // The delay with which messages of most connected entries are handled.
+  [[nodiscard]] Duration typical_inbound_delay() const {
+    return this->peers.TypicalInboundDelay();
+  }
+  // Walks over all jobs; for reports only.
+  [[nodiscard]] MemoryUse ComputeMemoryUse() const;
   [[nodiscard]] std::size_t jobs_relayed() const { return this->relays.size(); }
   [[nodiscard]] const std::map<ServiceName, VersionedDocument>& documents()
       const {
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/mp11.hpp>
 #include <future>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -29,9 +30,8 @@
 // Time to hand over the buckets after the last caller was accepted. Buckets
 // that were not handed over by then are left for other entries to take over.
 constexpr std::chrono::milliseconds kMaximumHandOverTime{2400};
-// Margins before the process would be killed, for the last answers, for the
-// recording and for the exit itself, which take longer on a busy processor.
-constexpr std::chrono::milliseconds kAnswerMargin{1000};
+// Margins before the process would be killed, for the last steps of the core's
+// hand-over and for the exit itself, which take longer on a busy processor.
 constexpr std::chrono::milliseconds kShutdownMargin{700};
 constexpr std::chrono::milliseconds kExitMargin{250};
 constexpr std::chrono::seconds kLinkInterval{1};
@@ -55,10 +55,23 @@
       return "the link of this entry is full";
     case ScarceResource::kMemory:
       return "the memory of this entry is full";
+    case ScarceResource::kDelay:
+      return "this entry is behind with its work";
+    case ScarceResource::kPeer:
+      return "the connection to the job's home is full";
   }
   return "";
 }
 
+// A small instance keeps fewer answers. `memory_bytes` may be 0: not limited.
+std::uint64_t MaximumAnswerBytes(std::uint64_t usual,
+                                 std::uint64_t memory_bytes) {
+  // One part of the memory in this many.
+  constexpr std::uint64_t kAnswerShare = 16;
+  if (memory_bytes == 0) return usual;
+  return std::min(usual, memory_bytes / kAnswerShare);
+}
+
 EntryCoreSettings CoreSettings(const EntrySettings& settings, EntryId self) {
   EntryCoreSettings core;
   core.self = self;
@@ -70,6 +83,8 @@
   core.drain_accepts = settings.drain_accepts + kDrainNoticeDelay;
   core.drain_limit = std::min(core.drain_accepts + kMaximumHandOverTime,
                               settings.stop_within - kShutdownMargin);
+  core.maximum_answer_bytes =
+      MaximumAnswerBytes(core.maximum_answer_bytes, settings.memory_bytes);
   core.placement_seed = self.value();
   core.link_bytes_per_second =
       LinkPacer::RateFor(settings.link_bytes_per_second);
@@ -97,12 +112,17 @@
       refusals(this->metrics, "refusals_decided_total"),
       agent_messages(this->metrics, "messages_from_agents_total"),
       load_guard(configured.memory_bytes),
+      peer_queues(configured.link_bytes_per_second),
       work_delays(
           this->metrics.HistogramFor("stage_seconds", "stage", "own_delay")),
       core(CoreSettings(configured, own)),
       log(this->core, this->metrics),
-      tick_timer(this->core_thread.First()),
-      drain_timer(this->core_thread.First()) {
+      shutdown(
+          this->core_thread.First(), this->core, own, this->waiting_callers,
+          [this] {
+            this->records->Flush([] { Lifetime::Finish(ExitCode::kSuccess); });
+          }),
+      tick_timer(this->core_thread.First()) {
   this->log.Follow(configured.log.jobs_followed_per_thousand);
 }
 
@@ -179,14 +199,6 @@
 
 void EntryServer::Drain() {
   if (this->drain_requested.exchange(true)) return;
-  const auto now = std::chrono::steady_clock::now();
-  const auto callers_close =
-      now + CoreSettings(this->settings, this->self).drain_accepts;
-  const auto kill_time = now + this->settings.stop_within;
-  this->shutdown_schedule = {
-      callers_close, std::max(callers_close, kill_time - kAnswerMargin),
-      std::max(callers_close, kill_time - kShutdownMargin)};
-  this->draining = true;
   LogStateChange(ProcessDraining{});
   Lifetime::FinishAfter(
       this->settings.stop_within - kExitMargin, ExitCode::kSuccess, [this] {
@@ -195,9 +207,11 @@
       });
   this->table->StopJoining();
   this->Post(DrainRequested{});
-  this->caller_server->CloseAfterAnswers();
-  asio::post(this->core_thread.First(),
-             [this] { this->StartShutdownSchedule(); });
+  this->shutdown.Begin(
+      *this->caller_server,
+      ShutdownSchedule(SteadyClock::now(),
+                       CoreSettings(this->settings, this->self).drain_accepts,
+                       this->settings.stop_within));
 }
 
 void EntryServer::Reconfigure(const EntrySettings& changed) {
@@ -210,11 +224,6 @@
   this->records->Reconfigure(changed.table, changed.recording);
 }
 
-bool EntryServer::CanAnswerWithin(Duration time) const {
-  return !this->draining || std::chrono::steady_clock::now() + time <
-                                this->shutdown_schedule.answers_due;
-}
-
 JobAnswer EntryServer::Refuse(const std::string& job) {
   this->refusals.Count(Reason::kDraining);
   LogEvent(LogCategory::kFailure, RequestRejected{job, "", Reason::kDraining,
@@ -237,65 +246,6 @@
   return answer;
 }
 
-void EntryServer::StartShutdownSchedule() {
-  this->ScheduleShutdownStep(this->shutdown_schedule.callers_close,
-                             &EntryServer::CloseCallers);
-}
-
-void EntryServer::ScheduleShutdownStep(ShutdownSchedule::Time time,
-                                       void (EntryServer::*step)()) {
-  this->drain_timer.expires_at(time);
-  this->drain_timer.async_wait([this, step](boost::system::error_code error) {
-    if (!error) (this->*step)();
-  });
-}
-
-void EntryServer::CloseCallers() {
-  const HttpServerLoad load = this->caller_server->Load();
-  LogStateChange(CallersClosed{load.connections, load.unanswered});
-  this->caller_server->Drain([this] {
-    asio::post(this->core_thread.First(), [this] {
-      LogStateChange(CallersAnswered{});
-      this->all_callers_answered = true;
-      this->FinishIfDrained();
-    });
-  });
-  this->ScheduleShutdownStep(this->shutdown_schedule.answers_due,
-                             &EntryServer::AnswerWaitingCallers);
-}
-
-void EntryServer::AnswerWaitingCallers() {
-  const HttpServerLoad load = this->caller_server->Load();
-  LogStateChange(AnswersDue{load.connections, load.unanswered,
-                            this->waiting_callers.size()});
-  // The core's later answers to these requests are discarded.
-  const std::map<RequestId, WaitingCaller> unanswered =
-      std::move(this->waiting_callers);
-  this->waiting_callers.clear();
-  const JobAnswer answer = JobAnswer::MayHaveRun(Reason::kHomeUnreachable);
-  for (const auto& [request, caller] : unanswered) {
-    LogEvent(LogCategory::kFailure,
-             RequestCutShort{caller.job, caller.service.value(),
-                             Reason::kHomeUnreachable});
-    caller.callback(answer);
-  }
-  this->ScheduleShutdownStep(this->shutdown_schedule.overdue,
-                             &EntryServer::AbandonDrain);
-}
-
-void EntryServer::AbandonDrain() {
-  const HttpServerLoad load = this->caller_server->Load();
-  LogStateChange(DrainOverdue{load.connections, load.unanswered,
-                              this->core.jobs_at_home(),
-                              this->core.jobs_relayed(),
-                              this->core.view().Find(this->self) != nullptr});
-  this->FinishDrain();
-}
-
-void EntryServer::FinishIfDrained() {
-  if (this->core_is_drained && this->all_callers_answered) this->FinishDrain();
-}
-
 void EntryServer::Post(EntryEvent event) {
   asio::post(this->core_thread.First(),
              [this, posted = std::move(event), arrived = SteadyClock::now()] {
@@ -316,25 +266,37 @@
 }
 
 void EntryServer::Submit(JobSubmission job, AnswerCallback callback) {
-  if (!this->CanAnswerWithin(job.objective)) {
-    const bool is_new = job.kind == SubmissionKind::kRun;
+  this->shutdown.TakeDueSteps();
+  const bool is_new = job.kind == SubmissionKind::kRun;
+  // A process that is behind with its work when it stops takes in no more.
+  const bool must_refuse =
+      is_new && this->shutdown.has_begun() && this->load_guard.IsBehind();
+  if (must_refuse || !this->shutdown.CanAnswerWithin(job.objective)) {
     callback(is_new ? this->Refuse(job.name)
                     : JobAnswer::MayHaveRun(Reason::kHomeUnreachable));
     return;
   }
-  const std::optional<Overload> overload =
-      this->load_guard.Check(this->links->pacer().Delay());
-  if (job.kind == SubmissionKind::kRun && overload) {
+  const std::optional<Overload> overload = this->CheckLoad(job);
+  if (is_new && overload) {
     callback(this->RefuseOverload(job, *overload));
     return;
   }
-  const RequestId request(++this->last_request);
-  this->waiting_callers.emplace(
-      request, WaitingCaller{std::move(callback), job.name, job.service});
+  const RequestId request = this->waiting_callers.Add(job, std::move(callback));
   this->Handle(CallerSubmitted{request, std::move(job)});
 }
 
+std::optional<Overload> EntryServer::CheckLoad(const JobSubmission& job) const {
+  const std::optional<Overload> overload =
+      this->load_guard.Check({this->links->pacer().Delay(), job.Slack()});
+  if (overload) return overload;
+  const std::optional<EntryId> home =
+      this->core.OtherHomeOf(job.key, WallClockNow());
+  if (!home || !this->peer_queues.IsFull(*home)) return std::nullopt;
+  return Overload{ScarceResource::kPeer, PeerQueues::TimeToDrain()};
+}
+
 void EntryServer::Handle(const EntryEvent& event) {
+  this->shutdown.TakeDueSteps();
   const Timestamp now = WallClockNow();
   if (const auto* received = std::get_if<AgentMessageReceived>(&event)) {
     this->agent_messages.Count(received->message);
@@ -358,6 +320,7 @@
         SteadyClock::now() - this->tick_timer.expiry()));
     this->Handle(EntryTick{this->links->pacer().backlog()});
     this->ObserveMemory(SteadyClock::now());
+    this->ObservePeerQueues();
     this->ObserveLink(SteadyClock::now());
     FlushLog();
     this->ScheduleTick();
@@ -368,6 +331,18 @@
   this->load_guard.NoteMemory(AllocatedBytes(), now);
 }
 
+void EntryServer::ObservePeerQueues() {
+  const std::vector<QueueChange> changes =
+      this->peer_queues.Note(this->links->UnsentToPeers());
+  for (const QueueChange& change : changes) {
+    if (change.state == QueueState::kFull) {
+      LogStateChange(PeerQueueFull{change.peer, change.unsent_bytes});
+    } else {
+      LogStateChange(PeerQueueDrained{change.peer, change.unsent_bytes});
+    }
+  }
+}
+
 void EntryServer::ObserveLink(SteadyClock::time_point now) {
   if (now < this->next_link_check) return;
   this->next_link_check = now + kLinkInterval;
@@ -383,8 +358,11 @@
 }
 
 void EntryServer::ObserveDelay(Duration tick_lateness) {
-  const Duration delay = std::max(this->work_delay.EndInterval(tick_lateness),
-                                  this->core.inbound_delay());
+  const Duration own_delay = this->work_delay.EndInterval(tick_lateness);
+  this->load_guard.NoteDelay(
+      std::max(own_delay, this->core.typical_inbound_delay()),
+      SteadyClock::now());
+  const Duration delay = std::max(own_delay, this->core.inbound_delay());
   this->work_delays.Observe(std::chrono::duration<double>(delay).count());
   const std::optional<LagChange> change = this->pace.Observe(delay);
   if (!change) return;
@@ -396,11 +374,7 @@
 }
 
 void EntryServer::Apply(AnswerCaller& effect) {
-  const auto found = this->waiting_callers.find(effect.request);
-  if (found == this->waiting_callers.end()) return;
-  const AnswerCallback callback = std::move(found->second.callback);
-  this->waiting_callers.erase(found);
-  callback(effect.answer);
+  this->waiting_callers.Answer(effect.request, effect.answer);
 }
 
 void EntryServer::Apply(SendToPeer& effect) {
@@ -459,21 +433,7 @@
 
 void EntryServer::Apply(const EntryDrained& /*effect*/) {
   LogStateChange(ProcessDrained{});
-  this->core_is_drained = true;
-  this->FinishIfDrained();
-}
-
-void EntryServer::FinishDrain() {
-  if (this->is_finishing) return;
-  this->is_finishing = true;
-  this->drain_timer.cancel();
-  // Leaves time to send the last queued messages to other entries.
-  constexpr std::chrono::milliseconds kSendGrace{100};
-  auto timer = std::make_shared<asio::steady_timer>(this->core_thread.First(),
-                                                    kSendGrace);
-  timer->async_wait([this, timer](boost::system::error_code) {
-    this->records->Flush([] { Lifetime::Finish(ExitCode::kSuccess); });
-  });
+  this->shutdown.OnCoreDrained();
 }
 
 void EntryServer::PublishServingState() {
@@ -506,9 +466,25 @@
   this->metrics.Set("allocated_bytes", static_cast<double>(AllocatedBytes()));
   this->metrics.Set("unsent_bytes",
                     static_cast<double>(this->links->unsent_bytes()));
+  this->SetMemoryGauges();
   SetLogGauges(this->metrics);
 }
 
+void EntryServer::SetMemoryGauges() {
+  const MemoryUse use = this->core.ComputeMemoryUse();
+  boost::mp11::mp_for_each<boost::describe::describe_members<
+      MemoryUse, boost::describe::mod_public>>([&](auto member) {
+    this->metrics.Set("held_bytes", "kind", member.name,
+                      static_cast<double>(use.*member.pointer));
+  });
+  std::uint64_t longest_queue = 0;
+  for (const auto& [peer, unsent] : this->links->UnsentToPeers()) {
+    longest_queue = std::max(longest_queue, unsent);
+  }
+  this->metrics.Set("longest_peer_queue_bytes",
+                    static_cast<double>(longest_queue));
+}
+
 nlohmann::json EntryServer::Status() const {
   std::uint32_t active = 0;
   for (std::uint32_t i = 0; i < this->settings.bucket_count; ++i) {
