protocol: Name the group of a job, and the recent losses of an upstream

Tasks of one client account and route are likely to crash upstreams in the same way. The group travels with a submission and a start as a digest; an agent's heartbeat can tell which groups are suspected of its upstream's latest losses. Nothing fills in or reads the losses yet. Appended members, so that processes of the version before are understood.

--- a/libraries/base/identifiers.h
+++ b/libraries/base/identifiers.h
@@ -23,6 +23,9 @@
 using DocumentVersion = StrongType<std::uint64_t, struct DocumentVersionTag>;
 using ServiceName = StrongType<std::string, struct ServiceNameTag>;
 using ClientAccount = StrongType<std::string, struct ClientAccountTag>;
+// A set of jobs that are likely to fail in the same way: those of one client
+// account that arrived by one route. 0: unknown.
+using JobGroupId = StrongType<std::uint64_t, struct JobGroupIdTag>;
 using DataCentreName = StrongType<std::string, struct DataCentreNameTag>;
 // Identifies one edit of a document. After a write without an answer, the
 // writer reads the document and recognises its own edit by this id.
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -818,7 +818,8 @@
               agent.newest_heartbeat,
               request,
               std::nullopt,
-              this->losses.Of(id)};
+              this->losses.Of(id),
+              job.submission.group};
   agent.OmitRepeatedBody(start);
   this->send_budget.NoteSent(start.request.body.size() +
                              kJobMessageHeaderBytes);
--- a/libraries/entry_core/submission_validator.cc
+++ b/libraries/entry_core/submission_validator.cc
@@ -26,6 +26,13 @@
   return std::nullopt;
 }
 
+// `origin`: the route of a queue, or the service for jobs of the API.
+JobGroupId GroupOf(const ClientAccount& client_account,
+                   const std::string& origin) {
+  const std::string name = client_account.value() + '\n' + origin;
+  return JobGroupId(XXH3_64bits(name.data(), name.size()));
+}
+
 JobSubmission NewSubmission(const RawSubmission& raw,
                             const ServiceDocument& document) {
   JobSubmission job;
@@ -38,6 +45,7 @@
   job.body_digest = XXH3_64bits(raw.body.data(), raw.body.size());
   job.name = std::string(raw.key);
   job.time_allowed = document.default_deadline;
+  job.group = GroupOf(job.client_account, job.service.value());
   return job;
 }
 
@@ -65,6 +73,7 @@
   JobSubmission job = NewSubmission(raw, document);
   job.client_account = ClientAccount(
       reader.TextOr("client_account", job.client_account.value()));
+  job.group = GroupOf(job.client_account, job.service.value());
   job.time_allowed = reader.MillisecondsOr(
       "deadline_ms", kDeadlineRangeMilliseconds, document.default_deadline);
   if (job.time_allowed > document.maximum_deadline) {
@@ -106,6 +115,7 @@
   job.body_digest = XXH3_64bits(body.data(), body.size());
   job.name = std::string(key);
   job.maximum_attempts = route.maximum_attempts;
+  job.group = GroupOf(job.client_account, route.host + route.path_prefix);
   return job;
 }
 
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -222,6 +222,18 @@
 };
 BOOST_DESCRIBE_STRUCT(AgentLeaving, (), ())
 
+// The loss of an agent's upstream, as the agent tells all entries.
+struct RecentLoss {
+  // Counts the losses that this agent has seen, from 1.
+  std::uint32_t number = 0;
+  // Time since the loss when the message was sent.
+  Duration age{};
+  // The groups of the tasks that may have caused it; empty if no task is more
+  // likely than the others.
+  std::vector<JobGroupId> suspects;
+};
+BOOST_DESCRIBE_STRUCT(RecentLoss, (), (number, age, suspects))
+
 // Sent at regular intervals, and at once to an entry with queued tasks when
 // capacity becomes free.
 struct AgentHeartbeat {
@@ -232,8 +244,10 @@
   Timestamp sent_at;
   // Epoch of the agent's view; 0 from versions that do not report it.
   Epoch epoch{};
+  // The latest losses of the agent's upstream, oldest first.
+  std::vector<RecentLoss> recent_losses;
 };
-BOOST_DESCRIBE_STRUCT(AgentHeartbeat, (), (load, sent_at, epoch))
+BOOST_DESCRIBE_STRUCT(AgentHeartbeat, (), (load, sent_at, epoch, recent_losses))
 
 using AgentMessage = std::variant<Register, AgentReady, AgentPromiseReply,
                                   TaskFinished, TaskNotRun, RenounceReply,
@@ -284,6 +298,8 @@
   // The losses of upstreams under the task that the home knows. The agent
   // reports them to later homes as well.
   std::vector<UpstreamLoss> losses;
+  // The group of the task's job.
+  JobGroupId group;
 
   [[nodiscard]] StartNumber Number() const {
     return {this->ballot, this->attempt};
@@ -292,7 +308,7 @@
 BOOST_DESCRIBE_STRUCT(Start, (),
                       (task, ballot, attempt, agent, time_left, placement,
                        queued, job_name, rerun, contact, request, repeated_body,
-                       losses))
+                       losses, group))
 
 // Asks for the task's state and rules out a later start: if the task has not
 // been started, no start of it up to this ballot and attempt will take effect.
--- a/libraries/protocol/job.h
+++ b/libraries/protocol/job.h
@@ -71,6 +71,7 @@
   // If set, the body of every task, whose own body is then empty: the form in
   // which a job with equal bodies travels between entries.
   std::optional<Payload> shared_body;
+  JobGroupId group;
 
   // Sets `shared_body` if the tasks have equal bodies.
   void ShareBody() {
@@ -99,7 +100,7 @@
 BOOST_DESCRIBE_STRUCT(JobSubmission, (),
                       (kind, key, created, service, client_account,
                        time_allowed, objective, body_digest, name, rerun,
-                       maximum_attempts, tasks, shared_body))
+                       maximum_attempts, tasks, shared_body, group))
 
 // The answer to a submission. Only holders of a NotRunProof can answer that the
 // job has not run.
