--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -482,8 +482,7 @@
   // The entry applies the same rule to the load and sends another demand
   // notice if it needs more capacity.
   if (load.HasFreeCapacity()) this->connected[entry].demand = 0;
-  this->Send(entry,
-             AgentHeartbeat{load, this->current_time, this->view.epoch, {}});
+  this->Send(entry, AgentHeartbeat{load, this->current_time, this->view.epoch});
 }
 
 void AgentCore::NotifyEntriesWithDemand(EntryId except) {
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -245,7 +245,7 @@
   // Epoch of the agent's view; 0 from versions that do not report it.
   Epoch epoch{};
   // The latest losses of the agent's upstream, oldest first.
-  std::vector<RecentLoss> recent_losses;
+  std::vector<RecentLoss> recent_losses{};
 };
 BOOST_DESCRIBE_STRUCT(AgentHeartbeat, (), (load, sent_at, epoch, recent_losses))
 
