entry_core: Move admission and placement out of home_jobs.cc

The decision whether a new job can be served (Admission) and the choice of a task's agent (TaskPlacement) each become a class of their own. No change of behaviour: lost_upstreams_test, entry_core_test, start_collision_test and answer_times_test pass.

--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -32,6 +32,8 @@
       confirmer(refusals),
       outbox(effects),
       health(configured.suspect_after, registry),
+      admission(configured.duplicate_window, registry),
+      placement(owner, registry, this->health),
       send_budget(configured.link_bytes_per_second),
       answer_cache(configured.maximum_answer_bytes,
                    configured.duplicate_window),
@@ -119,7 +121,8 @@
   job.tasks.resize(submission.tasks.size());
   this->deadlines.emplace(job.deadline, submission.key);
   const std::optional<Reason> refusal_reason =
-      inherited ? std::nullopt : this->CheckAdmission(job, now);
+      inherited ? std::nullopt
+                : this->admission.Check(job, this->Service(job), now);
   if (refusal_reason) {
     this->Refuse(job, *refusal_reason, now);
     return;
@@ -127,49 +130,6 @@
   this->Advance(job, now);
 }
 
-std::optional<Reason> HomeJobs::CheckAdmission(const HomeJob& job,
-                                               Timestamp now) {
-  const auto found = this->services.find(job.submission.service);
-  if (found == this->services.end()) return Reason::kUnknownService;
-  const ServiceState& service = found->second;
-  const ServiceDocument& document = service.document();
-  if (!service.Admits(job.submission.client_account)) {
-    return Reason::kQuotaExceeded;
-  }
-  if (job.tasks.size() > document.maximum_tasks_per_job) {
-    return Reason::kImpossibleJob;
-  }
-  const Duration window =
-      std::min(document.duplicate_window, this->settings.duplicate_window);
-  const std::optional<Timestamp>& created = job.submission.created;
-  if (created && *created + window < now) return Reason::kKeyExpired;
-  if (service.queued_tasks() + job.tasks.size() >
-      document.maximum_queued_tasks) {
-    return Reason::kQueueFull;
-  }
-  const Resources capacity = this->agents.CapacityOf(job.submission.service);
-  if (capacity.millicores == 0) return std::nullopt;
-  if (this->ExpectedWait(service) > job.submission.time_allowed) {
-    return Reason::kDeadlineTooShort;
-  }
-  const std::vector<TaskRequest>& tasks = job.submission.tasks;
-  const bool may_start =
-      std::all_of(tasks.begin(), tasks.end(), [&](const TaskRequest& task) {
-        return this->agents.MayEverHold(job.submission.service, task.need);
-      });
-  // No mistake of the caller: the capacity may grow again.
-  if (!may_start) return Reason::kDeadlineTooShort;
-  return std::nullopt;
-}
-
-bool HomeJobs::MayEverStart(const HomeJob& job) const {
-  return std::all_of(
-      job.queued.begin(), job.queued.end(), [&](TaskIndex index) {
-        return this->agents.MayEverHold(
-            job.submission.service, job.submission.tasks[index.value()].need);
-      });
-}
-
 void HomeJobs::Refuse(HomeJob& job, Reason reason, Timestamp now) {
   // A key that has expired or is inherited may have run earlier.
   const bool may_have_run = job.inherited || job.started > 0 ||
@@ -186,7 +146,7 @@
   JobRefused refused{job.submission.key, reason};
   if (const ServiceState* service = this->Service(job)) {
     refused.queued_tasks = service->queued_tasks();
-    refused.expected_wait = this->ExpectedWait(*service);
+    refused.expected_wait = this->admission.ExpectedWait(*service);
     refused.cores = static_cast<std::uint64_t>(
         this->agents.CoresOf(job.submission.service));
   }
@@ -540,7 +500,7 @@
   std::vector<JobKey> oversized;
   for (const auto& [key, job] : this->jobs) {
     if (job.submission.service != service) continue;
-    if (!this->MayEverStart(job)) oversized.push_back(key);
+    if (!this->admission.MayEverStart(job)) oversized.push_back(key);
   }
   std::sort(oversized.begin(), oversized.end());
   for (const JobKey& key : oversized) {
@@ -663,7 +623,7 @@
     for (const JobKey& key : service.LateJobs()) {
       HomeJob& job = this->jobs.at(key);
       const Duration wait =
-          has_capacity ? this->ExpectedWait(service) : Duration();
+          has_capacity ? this->admission.ExpectedWait(service) : Duration();
       const bool unservable = now + wait > job.RefuseBy();
       if (!unservable || !job.HasNoStarts()) continue;
       this->Refuse(job, Reason::kDeadlineTooShort, now);
@@ -703,19 +663,12 @@
     // The caller is better served by an early refusal, as it can then try
     // elsewhere or later.
     if (job.HasNoStarts() &&
-        now + this->ExpectedWait(service) > job.UsefulUntil()) {
+        now + this->admission.ExpectedWait(service) > job.UsefulUntil()) {
       this->Refuse(job, Reason::kDeadlineTooShort, now);
     }
   }
 }
 
-Duration HomeJobs::ExpectedWait(const ServiceState& service) const {
-  const std::int64_t cores = this->agents.CoresOf(service.document().service);
-  const double wait = static_cast<double>(service.queued_work().count()) *
-                      service.declared_error() / static_cast<double>(cores);
-  return Duration(static_cast<std::int64_t>(wait));
-}
-
 void HomeJobs::DispatchService(ServiceState& service, Timestamp now) {
   this->DeprioritizeOverdue(service, now);
   while (this->send_budget.HasRoom(now)) {
@@ -723,23 +676,15 @@
     if (!key) break;
     HomeJob& job = this->jobs.at(*key);
     const TaskIndex index = job.queued.back();
-    const TaskRecord& task = job.tasks[index.value()];
-    this->CollectCandidates(job, task, now);
-    const bool only_one = this->candidates.size() == 1;
-    KnownAgent* agent = this->ChooseAgent(job, service);
-    if (agent == nullptr) {
+    const std::optional<PlacementChoice> choice =
+        this->placement.Choose(job, service, now);
+    if (!choice) {
       const Resources& need = job.submission.tasks[index.value()].need;
       if (this->agents.MayEverHold(job.submission.service, need)) break;
       this->Refuse(job, Reason::kDeadlineTooShort, now);
       continue;
     }
-    PlacementReason reason = PlacementReason::kFastestFree;
-    if (only_one) reason = PlacementReason::kOnlyCandidate;
-    if (task.retried) reason = PlacementReason::kRetryElsewhere;
-    if (this->health.IsOnProbation(*agent)) {
-      reason = PlacementReason::kProbation;
-    }
-    this->StartTask(job, index, *agent, reason, now);
+    this->StartTask(job, index, *choice->agent, choice->reason, now);
   }
   // Tasks that wait for this entry's own link need no other upstream.
   if (service.queued_tasks() > 0 && this->send_budget.HasRoom(now)) {
@@ -747,44 +692,6 @@
   }
 }
 
-void HomeJobs::CollectCandidates(const HomeJob& job, const TaskRecord& task,
-                                 Timestamp now) {
-  this->candidates.clear();
-  const TaskIndex index = job.queued.back();
-  const Resources& need = job.submission.tasks[index.value()].need;
-  const KnownAgent* last_resort = nullptr;
-  for (const KnownAgent* agent :
-       this->agents.OfService(job.submission.service)) {
-    if (!this->health.MayTakeTask(*agent, need, now)) continue;
-    if (task.retried && agent->agent == task.agent) {
-      last_resort = agent;
-      continue;
-    }
-    this->candidates.push_back(agent);
-  }
-  if (this->candidates.empty() && last_resort != nullptr) {
-    this->candidates.push_back(last_resort);
-  }
-}
-
-KnownAgent* HomeJobs::ChooseAgent(const HomeJob& job, ServiceState& service) {
-  const BucketId bucket = this->ownership.BucketOfKey(job.submission.key);
-  while (!this->candidates.empty()) {
-    const std::size_t choice = std::visit(
-        [&](auto& policy) { return policy.Choose(this->candidates); },
-        service.placement());
-    const AgentId agent = this->candidates[choice]->agent;
-    // Nearly every agent has promised, so it is cheaper to check the chosen one
-    // than to filter all candidates.
-    if (this->ownership.AgentPromised(bucket, agent)) {
-      return this->agents.Find(agent);
-    }
-    this->candidates.erase(this->candidates.begin() +
-                           static_cast<std::ptrdiff_t>(choice));
-  }
-  return nullptr;
-}
-
 void HomeJobs::StartTask(HomeJob& job, TaskIndex task, KnownAgent& agent,
                          PlacementReason reason, Timestamp now) {
   ServiceState& service = *this->Service(job);
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "libraries/entry_core/admission.h"
 #include "libraries/entry_core/agent_registry.h"
 #include "libraries/entry_core/answer_cache.h"
 #include "libraries/entry_core/entry_core_settings.h"
@@ -18,6 +19,7 @@
 #include "libraries/entry_core/send_budget.h"
 #include "libraries/entry_core/service_state.h"
 #include "libraries/entry_core/settled_attempts.h"
+#include "libraries/entry_core/task_placement.h"
 #include "libraries/entry_core/upstream_health.h"
 #include "libraries/protocol/upstream_losses.h"
 
@@ -118,12 +120,7 @@
   void Create(const JobSubmission& submission, const Waiter& waiter,
               std::optional<EntryId> witness, EarlierRelays earlier,
               bool inherited, Timestamp now);
-  // The reason to refuse a new job, or nothing if the job is admitted.
-  std::optional<Reason> CheckAdmission(const HomeJob& job, Timestamp now);
   void Refuse(HomeJob& job, Reason reason, Timestamp now);
-  // Whether each queued task of the job fits into the total capacity of an
-  // upstream that is there or may return.
-  [[nodiscard]] bool MayEverStart(const HomeJob& job) const;
   // Starts to run the job if its key is witnessed and, for an inherited key,
   // all agents have reported what they started. Otherwise the job is blocked,
   // or answered "may have run" if the missing agent is lost.
@@ -137,8 +134,6 @@
   void StartRunning(HomeJob& job);
   void QueueTask(HomeJob& job, TaskIndex task);
   void RemoveFromQueue(HomeJob& job);
-  // Estimated time until all tasks in the service's queue have been started.
-  [[nodiscard]] Duration ExpectedWait(const ServiceState& service) const;
   // Abandons the jobs that must be refused or answered now for the answer to
   // reach the caller before the deadline.
   void AbandonBeforeDeadlines(Timestamp now);
@@ -148,13 +143,6 @@
   // others, and refuses those without starts whose answer would be of no use.
   void DeprioritizeOverdue(ServiceState& service, Timestamp now);
   void DispatchService(ServiceState& service, Timestamp now);
-  // Fills `candidates` with the agents that have free capacity for the task.
-  void CollectCandidates(const HomeJob& job, const TaskRecord& task,
-                         Timestamp now);
-  // Chooses among `candidates` with the service's placement policy. Returns
-  // nullptr if none of them has promised the ballot of the job's bucket.
-  [[nodiscard]] KnownAgent* ChooseAgent(const HomeJob& job,
-                                        ServiceState& service);
   void StartTask(HomeJob& job, TaskIndex task, KnownAgent& agent,
                  PlacementReason reason, Timestamp now);
   void SendDemandNotices(ServiceState& service, Timestamp now);
@@ -182,6 +170,8 @@
   RefusalConfirmer& confirmer;
   EntryOutbox& outbox;
   UpstreamHealth health;
+  Admission admission;
+  TaskPlacement placement;
   SendBudget send_budget;
   std::map<ServiceName, ServiceState> services;
   std::unordered_map<JobKey, HomeJob> jobs;
@@ -195,8 +185,6 @@
   // that is submitted again have higher numbers than its earlier ones.
   std::uint32_t last_start = 0;
   bool leaving = false;
-  // A member only to reuse its allocation; the content is per decision.
-  Candidates candidates;
   AnswerCache answer_cache;
   SettledAttempts settled_attempts;
   UpstreamLosses losses;
--- /dev/null
+++ b/libraries/entry_core/task_placement.h
@@ -0,0 +1,51 @@
+#ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_TASK_PLACEMENT_H_
+#define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_TASK_PLACEMENT_H_
+
+#include <optional>
+
+#include "libraries/entry_core/agent_registry.h"
+#include "libraries/entry_core/home_job.h"
+#include "libraries/entry_core/ownership.h"
+#include "libraries/entry_core/placement.h"
+#include "libraries/entry_core/service_state.h"
+#include "libraries/entry_core/upstream_health.h"
+
+namespace dandelionspur {
+
+// The agent that was chosen for a task, and why.
+struct PlacementChoice {
+  KnownAgent* agent = nullptr;
+  PlacementReason reason = PlacementReason::kFastestFree;
+};
+
+// Chooses the agents that queued tasks are sent to.
+class TaskPlacement {
+ public:
+  TaskPlacement(const Ownership& owner, AgentRegistry& registry,
+                const UpstreamHealth& upstream_health)
+      : ownership(owner), agents(registry), health(upstream_health) {}
+
+  // The agent for the job's next queued task, or nothing if no agent that has
+  // promised the ballot of the job's bucket has free capacity.
+  [[nodiscard]] std::optional<PlacementChoice> Choose(const HomeJob& job,
+                                                      ServiceState& service,
+                                                      Timestamp now);
+
+ private:
+  // Fills `candidates` with the agents that have free capacity for the task.
+  void CollectCandidates(const HomeJob& job, TaskIndex index, Timestamp now);
+  // Chooses among `candidates` with the service's placement policy. Returns
+  // nullptr if none of them has promised the ballot of the job's bucket.
+  [[nodiscard]] KnownAgent* ChooseCandidate(const HomeJob& job,
+                                            ServiceState& service);
+
+  const Ownership& ownership;
+  AgentRegistry& agents;
+  const UpstreamHealth& health;
+  // A member only to reuse its allocation; the content is per decision.
+  Candidates candidates;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_ENTRY_CORE_TASK_PLACEMENT_H_
