network: Tell a refused connection from one that timed out

A connection that is refused or reset while connecting and one that gets no answer both ended as "not sent", so an agent could not tell an upstream whose process has ended from one that is cut off. Both still prove that nothing was sent. A case of the decoded outcomes covers the new one.

--- a/libraries/network/http_client.cc
+++ b/libraries/network/http_client.cc
@@ -19,6 +19,11 @@
 constexpr std::uint64_t kMaximumResponseBytes = 64ULL * 1024 * 1024;
 constexpr Duration kConnectTimeout = std::chrono::seconds(1);
 
+bool IsRefusal(const boost::system::error_code& error) {
+  return error == asio::error::connection_refused ||
+         error == asio::error::connection_reset;
+}
+
 }  // namespace
 
 // A connection, which runs one request at a time.
@@ -50,7 +55,8 @@
         Tcp::endpoint(asio::ip::make_address(remote.address), remote.port),
         [self = this->shared_from_this()](boost::system::error_code error) {
           if (error) {
-            self->Fail(HttpProgress::kNotSent);
+            self->Fail(IsRefusal(error) ? HttpProgress::kConnectionRefused
+                                        : HttpProgress::kNotSent);
             return;
           }
           boost::system::error_code ignored;
--- a/libraries/network/http_client.h
+++ b/libraries/network/http_client.h
@@ -21,6 +21,8 @@
   kAnswered,
   // Nothing was sent, so the server has certainly not received the request.
   kNotSent,
+  // Like kNotSent; the server's host refused the connection or reset it.
+  kConnectionRefused,
   // The connection failed or timed out after sending began; the server may
   // have received the request.
   kUnknown,
--- a/services/agent/upstream_client.cc
+++ b/services/agent/upstream_client.cc
@@ -27,6 +27,7 @@
 UpstreamResult ToUpstreamResult(const HttpResult& result) {
   switch (result.progress) {
     case HttpProgress::kNotSent:
+    case HttpProgress::kConnectionRefused:
       return UpstreamResult::kNotSent;
     case HttpProgress::kUnknown:
       return UpstreamResult::kBroken;
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -256,6 +256,9 @@
                   OrderOutcome::kUnknown},
         OrderCase{
             "NotSent", {HttpProgress::kNotSent, {}}, OrderOutcome::kNotSent},
+        OrderCase{"ConnectionRefused",
+                  {HttpProgress::kConnectionRefused, {}},
+                  OrderOutcome::kConnectionRefused},
         OrderCase{
             "NoAnswer", {HttpProgress::kUnknown, {}}, OrderOutcome::kUnknown}),
     [](const auto& tested) { return std::string(tested.param.name); });
