agent: Notice at once that calls to the upstream are refused, and name suspects

A task that crashes its upstream does so within milliseconds of its start, but the agent noticed after 0.6 s of silence, and starts went there until then. After a call that fails, the session now requests a list at once. If that connection is refused as well, contact counts as broken: queued starts are returned, new ones are refused, and the core looks for suspects: the tasks with the most earlier losses, and among these the ones that started within 50 ms before the break. Their groups are told to all entries with the next heartbeats. The same suspects are charged once the upstream counts as lost, so that tasks that had been running for longer are bystanders. One reset connection, an upstream that leaves, and one that only gets silent report no break.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -69,25 +69,56 @@
 void AgentCore::On(const UpstreamContactChanged& event) {
   if (event.contact == this->contact) return;
   this->contact = event.contact;
+  if (event.contact == UpstreamContact::kAnswering) {
+    this->WithdrawContactBreak();
+  }
+  this->StartQueued();
+  this->SendHeartbeats();
+}
+
+void AgentCore::On(const UpstreamContactBroken& event) {
+  const Timestamp broken_at = this->current_time - event.age;
+  LossSuspects found =
+      FindSuspects(this->admission.RunningTasks(), this->losses, broken_at);
+  if (!found.tasks.empty()) {
+    this->recent_losses.Add(broken_at, std::move(found.groups));
+  }
+  this->break_suspects = std::move(found.tasks);
+  this->contact = UpstreamContact::kSilent;
   this->StartQueued();
   this->SendHeartbeats();
 }
 
+void AgentCore::WithdrawContactBreak() {
+  if (this->break_suspects.empty()) return;
+  this->break_suspects.clear();
+  this->recent_losses.WithdrawLatest();
+}
+
 void AgentCore::On(const UpstreamLost& /*event*/) {
-  const std::vector<TaskId> running = this->admission.RunningTasks();
-  std::size_t most_suspected = 0;
-  for (const TaskId& task : running) {
-    most_suspected =
-        std::max(most_suspected, this->losses.SuspectedCount(task));
-  }
-  // A task that ran on more lost upstreams than the others is the likely cause.
-  for (const TaskId& task : running) {
-    const bool suspect = this->losses.SuspectedCount(task) == most_suspected;
+  const std::vector<TaskAtUpstream> running = this->admission.RunningTasks();
+  std::set<TaskId> suspects = std::exchange(this->break_suspects, {});
+  if (suspects.empty()) {
+    LossSuspects found = FindSuspects(running, this->losses, std::nullopt);
+    suspects = std::move(found.tasks);
+    this->recent_losses.Add(this->current_time, std::move(found.groups));
+    this->next_heartbeat = this->current_time;
+  }
+  for (const TaskAtUpstream& task : running) {
     const UpstreamLoss loss{
-        this->settings.self, this->started.LatestStart(task),
-        suspect ? LossRole::kSuspect : LossRole::kBystander};
-    this->losses.Record(task, {loss}, this->current_time);
+        this->settings.self, this->started.LatestStart(task.task),
+        suspects.contains(task.task) ? LossRole::kSuspect
+                                     : LossRole::kBystander};
+    this->losses.Record(task.task, {loss}, this->current_time);
+  }
+}
+
+std::vector<TaskId> AgentCore::RunningTasks() const {
+  std::vector<TaskId> tasks;
+  for (const TaskAtUpstream& task : this->admission.RunningTasks()) {
+    tasks.push_back(task.task);
   }
+  return tasks;
 }
 
 TaskReport AgentCore::ReportOf(const TaskId& task) const {
@@ -117,6 +148,7 @@
 void AgentCore::On(const UpstreamTaskCompleted& event) {
   if (!this->admission.IsRunning(event.task)) return;
   this->admission.Release(event.task);
+  if (this->admission.running_count() == 0) this->break_suspects.clear();
   ++this->load_version;
   this->stopping.erase(event.task);
   this->StartQueued();
@@ -161,6 +193,7 @@
 void AgentCore::On(const AgentTick& /*event*/) {
   this->started.Expire(this->current_time);
   this->losses.Expire(this->current_time);
+  this->recent_losses.Expire(this->current_time);
   this->StopOverdue();
   const bool idle = this->admission.running_count() == 0 &&
                     this->admission.waiting_count() == 0;
@@ -398,7 +431,8 @@
     }
     return;
   }
-  while (const std::optional<AcceptedStart> next = this->admission.TakeNext()) {
+  while (const std::optional<AcceptedStart> next =
+             this->admission.TakeNext(this->current_time)) {
     const Duration time_left = next->deadline - this->current_time;
     ++this->load_version;
     this->effects.emplace_back(
@@ -482,7 +516,9 @@
   // The entry applies the same rule to the load and sends another demand
   // notice if it needs more capacity.
   if (load.HasFreeCapacity()) this->connected[entry].demand = 0;
-  this->Send(entry, AgentHeartbeat{load, this->current_time, this->view.epoch});
+  this->Send(entry,
+             AgentHeartbeat{load, this->current_time, this->view.epoch,
+                            this->recent_losses.Report(this->current_time)});
 }
 
 void AgentCore::NotifyEntriesWithDemand(EntryId except) {
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "libraries/agent_core/agent_events.h"
+#include "libraries/agent_core/loss_suspects.h"
+#include "libraries/agent_core/recent_losses.h"
 #include "libraries/agent_core/started_set.h"
 #include "libraries/agent_core/upstream_admission.h"
 #include "libraries/protocol/upstream_losses.h"
@@ -48,8 +50,11 @@
     return this->admission.running_count();
   }
   // The tasks at the upstream, in the order of their ids.
-  [[nodiscard]] std::vector<TaskId> RunningTasks() const {
-    return this->admission.RunningTasks();
+  [[nodiscard]] std::vector<TaskId> RunningTasks() const;
+  // The running tasks that may have caused the latest break of contact with the
+  // upstream; empty if contact is not broken.
+  [[nodiscard]] const std::set<TaskId>& suspected_tasks() const {
+    return this->break_suspects;
   }
   [[nodiscard]] std::size_t remembered() const { return this->started.size(); }
   // Whether a lease may be granted or extended at `now`. Call it for each
@@ -69,6 +74,7 @@
   void On(const UpstreamLeaving& event);
   void On(const UpstreamContactChanged& event);
   void On(const UpstreamLost& event);
+  void On(const UpstreamContactBroken& event);
 
   void OnMessage(EntryId from, const RegisterAcknowledged& message);
   void OnMessage(EntryId from, const PromiseRequest& message);
@@ -100,6 +106,8 @@
   // into it, and starts those for which there is free capacity.
   void ApplyCapacity();
   void StopOverdue();
+  // Ends a break of contact after which the same upstream has answered again.
+  void WithdrawContactBreak();
   // The task's state, with the losses of upstreams under it.
   [[nodiscard]] TaskReport ReportOf(const TaskId& task) const;
   // Updates whether leases may be granted; returns the queued starts while they
@@ -133,6 +141,9 @@
   StartedSet started;
   UpstreamAdmission admission;
   UpstreamLosses losses;
+  RecentLosses recent_losses;
+  // The suspects of a break of contact that has not ended; empty without one.
+  std::set<TaskId> break_suspects;
   View view;
   std::optional<AgentDescription> description;
   std::vector<Ballot> promises;
--- a/libraries/agent_core/agent_events.h
+++ b/libraries/agent_core/agent_events.h
@@ -82,6 +82,17 @@
 };
 BOOST_DESCRIBE_STRUCT(UpstreamLost, (), (upstream, evidence))
 
+// A call to the upstream has failed, and so did the next one, whose connection
+// was refused. The upstream counts as silent. Its tasks may still run, since a
+// refused connection does not prove that the process has ended.
+struct UpstreamContactBroken {
+  static constexpr const char* kName = "upstream_contact_broken";
+  std::string upstream;
+  // Time since the first call failed.
+  Duration age{};
+};
+BOOST_DESCRIBE_STRUCT(UpstreamContactBroken, (), (upstream, age))
+
 struct AgentViewRead {
   static constexpr const char* kName = "view_read";
   View view;
@@ -102,7 +113,7 @@
     std::variant<UpstreamAnnounced, EntryConnected, EntryDisconnected,
                  EntryMessageReceived, UpstreamTaskCompleted, AgentViewRead,
                  LeaveRequested, AgentTick, UpstreamLeaving,
-                 UpstreamContactChanged, UpstreamLost>;
+                 UpstreamContactChanged, UpstreamLost, UpstreamContactBroken>;
 
 struct SendToEntry {
   static constexpr const char* kName = "send_to_entry";
--- a/libraries/agent_core/upstream_admission.cc
+++ b/libraries/agent_core/upstream_admission.cc
@@ -25,7 +25,7 @@
   this->queue.push_back(std::move(accepted));
 }
 
-std::optional<AcceptedStart> UpstreamAdmission::TakeNext() {
+std::optional<AcceptedStart> UpstreamAdmission::TakeNext(Timestamp now) {
   if (this->queue.empty()) return std::nullopt;
   const Resources need = this->queue.front().start.request.need;
   if (!(this->in_use + need).FitsIn(this->capacity)) return std::nullopt;
@@ -33,7 +33,8 @@
   this->queue.pop_front();
   this->waiting = Without(this->waiting, need);
   this->in_use += need;
-  this->running.emplace(next.start.task, Running{need, next.deadline});
+  this->running.emplace(next.start.task,
+                        Running{need, next.deadline, next.start.group, now});
   return next;
 }
 
@@ -91,11 +92,16 @@
   return overdue;
 }
 
-std::vector<TaskId> UpstreamAdmission::RunningTasks() const {
-  std::vector<TaskId> tasks;
+std::vector<TaskAtUpstream> UpstreamAdmission::RunningTasks() const {
+  std::vector<TaskAtUpstream> tasks;
   tasks.reserve(this->running.size());
-  for (const auto& [task, need] : this->running) tasks.push_back(task);
-  std::sort(tasks.begin(), tasks.end());
+  for (const auto& [task, state] : this->running) {
+    tasks.push_back({task, state.group, state.started_at});
+  }
+  std::sort(tasks.begin(), tasks.end(),
+            [](const TaskAtUpstream& first, const TaskAtUpstream& second) {
+              return first.task < second.task;
+            });
   return tasks;
 }
 
--- a/libraries/agent_core/upstream_admission.h
+++ b/libraries/agent_core/upstream_admission.h
@@ -20,6 +20,13 @@
   Timestamp deadline;
 };
 
+// A task that is at the upstream.
+struct TaskAtUpstream {
+  TaskId task;
+  JobGroupId group;
+  Timestamp started_at;
+};
+
 // Admission control for the upstream: its capacity, the running tasks and a
 // queue of accepted starts. Entries send starts by their own estimate of the
 // free capacity, without reserving it, so that no capacity lies idle for an
@@ -37,7 +44,7 @@
   void Enqueue(AcceptedStart accepted);
   // Removes the first start from the queue and counts its task as running.
   // Returns nothing if the queue is empty or the free capacity is too small.
-  std::optional<AcceptedStart> TakeNext();
+  std::optional<AcceptedStart> TakeNext(Timestamp now);
   // Removes a start from the queue; returns nothing if it is not queued.
   std::optional<AcceptedStart> Withdraw(const TaskId& task);
   // Removes all starts from the queue whose deadline is `now` or earlier.
@@ -52,7 +59,8 @@
   }
   // Running tasks whose deadline is `now` or earlier.
   [[nodiscard]] std::vector<TaskId> Overdue(Timestamp now) const;
-  [[nodiscard]] std::vector<TaskId> RunningTasks() const;
+  // In the order of the ids.
+  [[nodiscard]] std::vector<TaskAtUpstream> RunningTasks() const;
   [[nodiscard]] std::size_t running_count() const {
     return this->running.size();
   }
@@ -65,6 +73,8 @@
   struct Running {
     Resources need;
     Timestamp deadline;
+    JobGroupId group;
+    Timestamp started_at;
   };
 
   // Removes all starts from the queue for which `condition` holds.
--- a/libraries/decision_log/agent_decision_log.cc
+++ b/libraries/decision_log/agent_decision_log.cc
@@ -64,13 +64,26 @@
 
 void AgentDecisionLog::OnEvent(const UpstreamLost& event) {
   const std::vector<TaskId> running = this->core.RunningTasks();
+  LogStateChange(UpstreamLostLine{event.upstream, event.evidence,
+                                  running.size(), this->NamesOf(running)});
+}
+
+void AgentDecisionLog::OnEvent(const UpstreamContactBroken& event) {
+  LogStateChange(
+      UpstreamContactBrokenLine{event.upstream, event.age, this->core.running(),
+                                this->NamesOf(this->core.suspected_tasks())});
+}
+
+template <typename TaskRange>
+std::string AgentDecisionLog::NamesOf(const TaskRange& tasks) {
   std::string names;
-  for (std::size_t i = 0; i < running.size() && i < kMaximumNamedTasks; ++i) {
-    if (i > 0) names += ',';
-    names += this->NameOf(running[i]);
+  std::size_t named = 0;
+  for (const TaskId& task : tasks) {
+    if (++named > kMaximumNamedTasks) break;
+    if (named > 1) names += ',';
+    names += this->NameOf(task);
   }
-  LogStateChange(
-      UpstreamLostLine{event.upstream, event.evidence, running.size(), names});
+  return names;
 }
 
 std::string AgentDecisionLog::NameOf(const TaskId& task) {
--- a/libraries/decision_log/agent_decision_log.h
+++ b/libraries/decision_log/agent_decision_log.h
@@ -40,6 +40,7 @@
   void OnEvent(const UpstreamLeaving& event);
   void OnEvent(const UpstreamContactChanged& event);
   void OnEvent(const UpstreamLost& event);
+  void OnEvent(const UpstreamContactBroken& event);
   template <typename Other>
   void OnEvent(const Other& /*event*/) {}
 
@@ -55,6 +56,9 @@
   // The name of a task as its caller wrote it, "job.task"; the job's digest if
   // the name is not known.
   [[nodiscard]] std::string NameOf(const TaskId& task);
+  // The names of at most kMaximumNamedTasks of the tasks.
+  template <typename TaskRange>
+  [[nodiscard]] std::string NamesOf(const TaskRange& tasks);
   // Ends the task's trace: writes its lines or discards them.
   void Finish(const TaskId& task, LogCategory log_category);
 
--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -270,6 +270,19 @@
 };
 BOOST_DESCRIBE_STRUCT(UpstreamContactLine, (), (contact, tasks_running))
 
+// Calls to the upstream are refused. Names at most kMaximumNamedTasks of the
+// tasks that may have caused it, as "job.task", separated by commas.
+struct UpstreamContactBrokenLine {
+  static constexpr const char* kName = "upstream_contact_broken";
+  std::string upstream;
+  // Time since the first call failed.
+  Duration age_ms{};
+  std::uint64_t tasks_running = 0;
+  std::string suspects;
+};
+BOOST_DESCRIBE_STRUCT(UpstreamContactBrokenLine, (),
+                      (upstream, age_ms, tasks_running, suspects))
+
 // The upstream was lost with the tasks that ran there. Names at most
 // kMaximumNamedTasks of them as "job.task", separated by commas.
 struct UpstreamLostLine {
--- a/libraries/upstream_session/leased_upstream.cc
+++ b/libraries/upstream_session/leased_upstream.cc
@@ -84,6 +84,7 @@
   this->clock_read_at = now;
   this->acknowledged = CompletionNumber();
   this->lists.clear();
+  this->failure.reset();
   this->unknown_runs_stopped = false;
   this->leaving_reported = false;
   this->last_answer = now;
@@ -194,9 +195,11 @@
     case OrderOutcome::kUnknown:
       task->phase = Phase::kUnconfirmed;
       this->RaiseToken();
+      this->failure = this->failure.value_or(this->FailureAt(now));
       this->RequestList(Duration(), now);
       return;
     case OrderOutcome::kNotSent:
+    case OrderOutcome::kConnectionRefused:
     case OrderOutcome::kOtherIncarnation:
       this->RecordFailure(now);
       this->Complete(name, UpstreamResult::kNotSent, now);
@@ -238,9 +241,12 @@
       this->upstream->incarnation.started_milliseconds != 0 &&
       list.started_milliseconds !=
           this->upstream->incarnation.started_milliseconds;
+  if (this->IsContactBroken(number, list.answer.outcome)) {
+    this->ReportContactBroken(now);
+  }
   if (list.answer.outcome != OrderOutcome::kDone || restarted) {
-    this->RecordFailure(now);
     this->next_list = now + kListRetryDelay;
+    this->RecordFailure(now);
     return;
   }
   this->RecordAnswer(now);
@@ -432,15 +438,43 @@
 
 void LeasedUpstream::RecordAnswer(SteadyTime now) {
   this->last_answer = now;
+  this->failure.reset();
   if (this->unknown_runs_stopped) this->SetContact(UpstreamContact::kAnswering);
 }
 
+LeasedUpstream::Failure LeasedUpstream::FailureAt(SteadyTime now) const {
+  return {now, ListNumber(this->last_list_number + 1)};
+}
+
 void LeasedUpstream::RecordFailure(SteadyTime now) {
+  if (!this->failure) {
+    this->failure = this->FailureAt(now);
+    this->RequestList(Duration(), now);
+  }
   if (now - this->last_answer > kUnresponsiveAfter) {
     this->SetContact(UpstreamContact::kSilent);
   }
 }
 
+bool LeasedUpstream::IsContactBroken(ListNumber number,
+                                     OrderOutcome outcome) const {
+  return outcome == OrderOutcome::kConnectionRefused && this->failure &&
+         number >= this->failure->next_list &&
+         this->contact == UpstreamContact::kAnswering;
+}
+
+void LeasedUpstream::ReportContactBroken(SteadyTime now) {
+  // The end of an upstream that was leaving is planned.
+  const bool planned = this->upstream->state == UpstreamState::kLeaving;
+  if (!planned && !this->tasks.empty()) {
+    const auto age =
+        std::chrono::duration_cast<Duration>(now - this->failure->failed_at);
+    this->effects.emplace_back(
+        UpstreamContactBroken{this->upstream->incarnation.id, age});
+  }
+  this->SetContact(UpstreamContact::kSilent);
+}
+
 void LeasedUpstream::SetContact(UpstreamContact wanted) {
   if (wanted == this->contact) return;
   this->contact = wanted;
--- a/libraries/upstream_session/leased_upstream.h
+++ b/libraries/upstream_session/leased_upstream.h
@@ -114,6 +114,13 @@
     Duration poll_timeout{};
   };
 
+  // The first call since the latest answer that the upstream did not answer.
+  struct Failure {
+    SteadyTime failed_at;
+    // The first list request that was sent after it.
+    ListNumber next_list;
+  };
+
   void Adopt(const UpstreamHeartbeat& heartbeat, SteadyTime now);
   void Announce();
   void SendOrder(Task& task, SteadyTime now);
@@ -142,7 +149,16 @@
   void ReplaceToken(FencingToken refused);
   void UpdateClock(const OrderAnswer& answer, SteadyTime now);
   void RecordAnswer(SteadyTime now);
+  [[nodiscard]] Failure FailureAt(SteadyTime now) const;
+  // Records a call that the upstream did not answer. After the first one since
+  // the latest answer, requests a list at once to find out whether the upstream
+  // still answers.
   void RecordFailure(SteadyTime now);
+  // Whether a list request that was sent after a failed call was refused as
+  // well.
+  [[nodiscard]] bool IsContactBroken(ListNumber number,
+                                     OrderOutcome outcome) const;
+  void ReportContactBroken(SteadyTime now);
   void SetContact(UpstreamContact wanted);
   [[nodiscard]] Duration UpstreamClock(SteadyTime now) const;
   [[nodiscard]] Task* Find(const TaskRun& run);
@@ -167,6 +183,7 @@
   // expires.
   SteadyTime lease_expiry;
   UpstreamContact contact = UpstreamContact::kSilent;
+  std::optional<Failure> failure;
   // Whether a list has shown that no runs of an earlier process are left.
   bool unknown_runs_stopped = false;
   bool leaving_reported = false;
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -207,6 +207,10 @@
     announced->description.agent = this->self;
     announced->description.admin_endpoint = this->settings.admin;
   }
+  if (std::holds_alternative<UpstreamContactBroken>(event)) {
+    this->metrics.Count("upstream_contact_breaks_total", "evidence",
+                        "connection_refused");
+  }
   if (const auto* lost = std::get_if<UpstreamLost>(&event)) {
     this->metrics.Count("upstreams_lost_total", "evidence",
                         EnumName(lost->evidence));
--- a/tests/agent_core/agent_core_parts_test.cc
+++ b/tests/agent_core/agent_core_parts_test.cc
@@ -175,12 +175,12 @@
   for (std::uint64_t job = 1; job <= 3; ++job) {
     admission.Enqueue({StartNeeding(job, 4000), EntryId(1), Timestamp::max()});
   }
-  EXPECT_TRUE(admission.TakeNext().has_value());
-  EXPECT_TRUE(admission.TakeNext().has_value());
-  EXPECT_FALSE(admission.TakeNext().has_value());
+  EXPECT_TRUE(admission.TakeNext(Timestamp()).has_value());
+  EXPECT_TRUE(admission.TakeNext(Timestamp()).has_value());
+  EXPECT_FALSE(admission.TakeNext(Timestamp()).has_value());
   EXPECT_EQ(admission.running_need().millicores, 8000U);
   admission.Release(StartNeeding(1, 0).task);
-  const std::optional<AcceptedStart> third = admission.TakeNext();
+  const std::optional<AcceptedStart> third = admission.TakeNext(Timestamp());
   ASSERT_TRUE(third.has_value());
   EXPECT_EQ(third->start.task, StartNeeding(3, 0).task);
 }
@@ -189,10 +189,10 @@
   UpstreamAdmission admission;
   admission.SetCapacity({8000, 0, 0});
   admission.Enqueue({StartNeeding(1, 6000), EntryId(1), Timestamp::max()});
-  ASSERT_TRUE(admission.TakeNext().has_value());
+  ASSERT_TRUE(admission.TakeNext(Timestamp()).has_value());
   admission.Enqueue({StartNeeding(2, 4000), EntryId(1), Timestamp::max()});
   admission.Enqueue({StartNeeding(3, 1000), EntryId(1), Timestamp::max()});
-  EXPECT_FALSE(admission.TakeNext().has_value());
+  EXPECT_FALSE(admission.TakeNext(Timestamp()).has_value());
 }
 
 TEST(UpstreamAdmissionTest,
@@ -214,7 +214,7 @@
   const Timestamp soon(std::chrono::seconds(1));
   const Timestamp later(std::chrono::seconds(2));
   admission.Enqueue({StartNeeding(1, 1000), EntryId(1), soon});
-  ASSERT_TRUE(admission.TakeNext().has_value());
+  ASSERT_TRUE(admission.TakeNext(Timestamp()).has_value());
   admission.Enqueue({StartNeeding(2, 500), EntryId(1), soon});
   admission.Enqueue({StartNeeding(3, 500), EntryId(1), later});
   EXPECT_EQ(admission.WithdrawOverdue(soon).size(), 1U);
--- a/tests/agent_core/agent_core_test.cc
+++ b/tests/agent_core/agent_core_test.cc
@@ -476,8 +476,7 @@
   std::vector<LossRole> expected;
 };
 
-class SuspicionTest : public AgentCoreTest,
-                      public testing::WithParamInterface<SuspicionCase> {
+class SuspicionTestBase : public AgentCoreTest {
  protected:
   static Start StartAfterLosses(std::uint64_t job, std::size_t count) {
     Start start = StartOf(job);
@@ -489,6 +488,9 @@
   }
 };
 
+class SuspicionTest : public SuspicionTestBase,
+                      public testing::WithParamInterface<SuspicionCase> {};
+
 // Guards against bystanders that are charged with the loss of an upstream
 // although a task that ran beside them had crashed others before.
 TEST_P(SuspicionTest, TheTaskWithTheMostEarlierLossesIsSuspected) {
@@ -516,6 +518,167 @@
         SuspicionCase{"Both", 1, 1, {LossRole::kSuspect, LossRole::kSuspect}}),
     [](const auto& test) { return test.param.name; });
 
+struct RecentLossCase {
+  std::string name;
+  // How long before the break the two tasks started, and their earlier losses.
+  std::vector<Duration> ages;
+  std::vector<std::size_t> losses;
+  std::vector<JobGroupId> suspects;
+};
+
+class RecentLossTest : public SuspicionTestBase,
+                       public testing::WithParamInterface<RecentLossCase> {
+ protected:
+  void StartTasks() {
+    const Timestamp broken_at = this->now + std::chrono::milliseconds(400);
+    for (const std::size_t i : {0U, 1U}) {
+      this->now = broken_at - this->GetParam().ages[i];
+      this->Confirm();
+      Start start = StartAfterLosses(i + 1, this->GetParam().losses[i]);
+      start.group = JobGroupId(i + 1);
+      this->Deliver(start);
+    }
+    this->now = broken_at;
+    this->Confirm();
+  }
+  // The losses that the latest heartbeat of `effects` tells.
+  static std::vector<RecentLoss> Told(const std::vector<AgentEffect>& effects) {
+    const auto heartbeats = Sent<AgentHeartbeat>(effects);
+    return heartbeats.empty() ? std::vector<RecentLoss>()
+                              : heartbeats.back().recent_losses;
+  }
+};
+
+// Guards against entries that go on placing tasks of a group that crashes
+// upstreams, and against bystanders' groups that are blamed for it.
+TEST_P(RecentLossTest, ABreakNamesTheGroupsOfItsSuspectsAtOnce) {
+  this->StartTasks();
+  this->now += milliseconds(3);
+  const auto told =
+      Told(this->Handle(UpstreamContactBroken{"i-1", milliseconds(3)}));
+  ASSERT_EQ(told.size(), 1U);
+  EXPECT_EQ(told[0].number, 1U);
+  EXPECT_EQ(told[0].age, milliseconds(3));
+  EXPECT_EQ(told[0].suspects, this->GetParam().suspects);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Tasks, RecentLossTest,
+    testing::Values(RecentLossCase{"NoneStandsOut",
+                                   {milliseconds(300), milliseconds(200)},
+                                   {0, 0},
+                                   {}},
+                    RecentLossCase{"OneJustStarted",
+                                   {milliseconds(300), milliseconds(10)},
+                                   {0, 0},
+                                   {JobGroupId(2)}},
+                    RecentLossCase{"BothJustStarted",
+                                   {milliseconds(12), milliseconds(10)},
+                                   {0, 0},
+                                   {JobGroupId(1), JobGroupId(2)}},
+                    RecentLossCase{"AnEarlierLossWeighsMore",
+                                   {milliseconds(300), milliseconds(10)},
+                                   {1, 0},
+                                   {JobGroupId(1)}},
+                    RecentLossCase{"EarlierLossesAndAStart",
+                                   {milliseconds(300), milliseconds(10)},
+                                   {1, 1},
+                                   {JobGroupId(2)}}),
+    [](const auto& test) { return test.param.name; });
+
+// A loss that the entries learn of in time must not depend on one heartbeat.
+TEST_F(AgentCoreTest, ALossIsRepeatedForSomeSecondsWithItsAge) {
+  this->Deliver(StartOf(1));
+  this->Handle(UpstreamContactBroken{"i-1", Duration()});
+  this->now += std::chrono::seconds(2);
+  auto told = Sent<AgentHeartbeat>(this->Handle(AgentTick{}));
+  ASSERT_FALSE(told.empty());
+  ASSERT_EQ(told.back().recent_losses.size(), 1U);
+  EXPECT_EQ(told.back().recent_losses[0].age, std::chrono::seconds(2));
+  this->now += std::chrono::seconds(10);
+  told = Sent<AgentHeartbeat>(this->Handle(AgentTick{}));
+  ASSERT_FALSE(told.empty());
+  EXPECT_TRUE(told.back().recent_losses.empty());
+}
+
+// Guards against one crash that counts as two: contact breaks first, and the
+// end of the upstream is known only later.
+TEST_F(AgentCoreTest, ABreakAndTheLossThatFollowsAreToldOnce) {
+  this->Deliver(StartOf(1));
+  this->Handle(UpstreamContactBroken{"i-1", Duration()});
+  this->Handle(UpstreamContactChanged{UpstreamContact::kSilent});
+  this->now += milliseconds(1200);
+  this->Confirm();
+  this->Handle(UpstreamLost{"i-1", LossEvidence::kSilent});
+  this->now += milliseconds(200);
+  const auto told = Sent<AgentHeartbeat>(this->Handle(AgentTick{}));
+  ASSERT_FALSE(told.empty());
+  EXPECT_EQ(told.back().recent_losses.size(), 1U);
+}
+
+TEST_F(AgentCoreTest, ABreakAfterWhichTheUpstreamAnswersIsWithdrawn) {
+  this->Deliver(StartOf(1));
+  this->Handle(UpstreamContactBroken{"i-1", Duration()});
+  const auto told = Sent<AgentHeartbeat>(
+      this->Handle(UpstreamContactChanged{UpstreamContact::kAnswering}));
+  ASSERT_FALSE(told.empty());
+  EXPECT_TRUE(told.back().recent_losses.empty());
+}
+
+// Silence does not tell when the upstream was lost, so tasks that have just
+// started are no more likely than others.
+TEST_F(AgentCoreTest, AnUpstreamThatOnlyGotSilentNamesNoGroup) {
+  Start start = StartOf(1);
+  start.group = JobGroupId(1);
+  this->Deliver(start);
+  this->Handle(UpstreamLost{"i-1", LossEvidence::kSilent});
+  const auto told = Sent<AgentHeartbeat>(this->Handle(AgentTick{}));
+  ASSERT_FALSE(told.empty());
+  ASSERT_EQ(told.back().recent_losses.size(), 1U);
+  EXPECT_TRUE(told.back().recent_losses[0].suspects.empty());
+}
+
+// Guards against starts that fail one after the other, or wait, at an upstream
+// whose connections are refused.
+TEST_F(AgentCoreTest, ABreakReturnsQueuedStartsAndRefusesNewOnes) {
+  this->Deliver(StartOf(1));
+  this->Deliver(StartOf(2));
+  this->Deliver(StartOf(3));
+  const auto effects =
+      this->Handle(UpstreamContactBroken{"i-1", milliseconds(3)});
+  ASSERT_EQ(Sent<TaskNotRun>(effects).size(), 1U);
+  EXPECT_EQ(Sent<TaskNotRun>(effects)[0].task, StartOf(3).task);
+  EXPECT_EQ(Sent<TaskNotRun>(effects)[0].reason, Reason::kUpstreamUnreachable);
+  EXPECT_FALSE(Sent<AgentHeartbeat>(effects).back().load.accepting);
+  const auto refused = Sent<TaskNotRun>(this->Deliver(StartOf(4)));
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_EQ(refused[0].reason, Reason::kUpstreamUnreachable);
+}
+
+// Guards against a bystander that is given up since it ran on two upstreams
+// that others crashed.
+TEST_F(AgentCoreTest, ATaskThatRanLongBeforeTheBreakIsABystander) {
+  this->Deliver(StartOf(1));
+  this->now += milliseconds(300);
+  this->Confirm();
+  this->Deliver(StartOf(2));
+  this->now += milliseconds(10);
+  this->Handle(UpstreamContactBroken{"i-1", Duration()});
+  this->now += milliseconds(1200);
+  this->Handle(UpstreamLost{"i-1", LossEvidence::kSilent});
+  std::vector<LossRole> roles;
+  for (const std::uint64_t job : {1, 2}) {
+    const auto sent = Sent<TaskFinished>(this->Handle(UpstreamTaskCompleted{
+        StartOf(job).task, UpstreamResult::kBroken, Payload(), Duration()}));
+    ASSERT_EQ(sent.size(), 1U);
+    ASSERT_EQ(sent[0].report.losses.size(), 1U);
+    roles.push_back(sent[0].report.losses[0].role);
+  }
+  const std::vector<LossRole> expected = {LossRole::kBystander,
+                                          LossRole::kSuspect};
+  EXPECT_EQ(roles, expected);
+}
+
 // Guards against a loss that only the agent's former home knew.
 TEST_F(AgentCoreTest, ALossIsReportedToTheNextHome) {
   this->Deliver(StartOf(1));
--- a/tests/decision_log/decision_log_test.cc
+++ b/tests/decision_log/decision_log_test.cc
@@ -288,5 +288,22 @@
       << output;
 }
 
+TEST(AgentDecisionLogTest, ABreakOfContactIsLoggedWithItsUpstream) {
+  AgentCoreSettings settings;
+  settings.self = kAgent;
+  settings.bucket_count = 8;
+  AgentCore core(settings);
+  AgentDecisionLog log(core);
+  CapturedLog captured;
+  log.Observe(UpstreamContactBroken{"i-1", std::chrono::milliseconds(4)}, {},
+              After(0));
+  const std::string output = captured.Take();
+  EXPECT_EQ(EventsIn(output),
+            std::vector<std::string>{"upstream_contact_broken"});
+  EXPECT_NE(output.find("upstream=i-1 age_ms=4 tasks_running=0"),
+            std::string::npos)
+      << output;
+}
+
 }  // namespace
 }  // namespace dandelionspur
--- a/tests/upstream_session/leased_upstream_test.cc
+++ b/tests/upstream_session/leased_upstream_test.cc
@@ -90,6 +90,15 @@
     this->upstream.OnListAnswer(requested.back().number, list, this->now);
   }
 
+  // The latest list request fails.
+  void FailList(OrderOutcome outcome) {
+    ListAnswer failed;
+    failed.answer.outcome = outcome;
+    const ListNumber number = this->All<SendList>().back().number;
+    this->answered.insert(number);
+    this->upstream.OnListAnswer(number, failed, this->now);
+  }
+
   StartOrder Start(std::uint64_t job) {
     this->upstream.Run(Wanted(job), this->now);
     return this->All<SendStart>().back().order;
@@ -237,6 +246,8 @@
                     UpstreamResult::kNotSent},
         RefusalCase{"NotSent", OrderOutcome::kNotSent,
                     UpstreamResult::kNotSent},
+        RefusalCase{"ConnectionRefused", OrderOutcome::kConnectionRefused,
+                    UpstreamResult::kNotSent},
         RefusalCase{"OtherIncarnation", OrderOutcome::kOtherIncarnation,
                     UpstreamResult::kNotSent}),
     [](const auto& tested) { return std::string(tested.param.name); });
@@ -451,6 +462,136 @@
                              {}}),
     [](const auto& test) { return test.param.name; });
 
+struct BreakCase {
+  std::string name;
+  UpstreamState state;
+  // Outcomes of the list requests, in order; kDone for an answer.
+  std::vector<OrderOutcome> outcomes;
+  std::size_t expected_breaks;
+  UpstreamContact expected_contact;
+};
+
+class ContactBreakTest : public LeasedUpstreamTest,
+                         public testing::WithParamInterface<BreakCase> {};
+
+// Guards against starts for an upstream that has crashed, and against a loss
+// that is reported because one connection was reset.
+TEST_P(ContactBreakTest, OnlyARefusalAfterAFailedCallBreaksContact) {
+  this->Announce();
+  const StartOrder order = this->Start(1);
+  this->AnswerStart(order, OrderOutcome::kDone);
+  this->upstream.OnHeartbeat(Heartbeat(1, 2, this->GetParam().state),
+                             this->now);
+  for (const OrderOutcome outcome : this->GetParam().outcomes) {
+    if (outcome == OrderOutcome::kDone) {
+      ListAnswer list;
+      list.running.push_back(order.run);
+      this->AnswerList(list);
+    } else {
+      this->FailList(outcome);
+    }
+    this->now += milliseconds(1);
+  }
+  EXPECT_EQ(this->Events<UpstreamContactBroken>().size(),
+            this->GetParam().expected_breaks);
+  UpstreamContact contact = UpstreamContact::kAnswering;
+  for (const auto& changed : this->Events<UpstreamContactChanged>()) {
+    contact = changed.contact;
+  }
+  EXPECT_EQ(contact, this->GetParam().expected_contact);
+  EXPECT_TRUE(this->Events<UpstreamLost>().empty());
+  EXPECT_TRUE(this->Events<UpstreamTaskCompleted>().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Outcomes, ContactBreakTest,
+    testing::Values(
+        BreakCase{"ResetThenRefused",
+                  UpstreamState::kReady,
+                  {OrderOutcome::kUnknown, OrderOutcome::kConnectionRefused},
+                  1,
+                  UpstreamContact::kSilent},
+        BreakCase{"RefusedTwice",
+                  UpstreamState::kReady,
+                  {OrderOutcome::kConnectionRefused,
+                   OrderOutcome::kConnectionRefused},
+                  1,
+                  UpstreamContact::kSilent},
+        BreakCase{"RefusedForLong",
+                  UpstreamState::kReady,
+                  {OrderOutcome::kUnknown, OrderOutcome::kConnectionRefused,
+                   OrderOutcome::kConnectionRefused},
+                  1,
+                  UpstreamContact::kSilent},
+        BreakCase{"ResetOnce",
+                  UpstreamState::kReady,
+                  {OrderOutcome::kUnknown, OrderOutcome::kDone},
+                  0,
+                  UpstreamContact::kAnswering},
+        BreakCase{"RefusedOnce",
+                  UpstreamState::kReady,
+                  {OrderOutcome::kConnectionRefused, OrderOutcome::kDone},
+                  0,
+                  UpstreamContact::kAnswering},
+        BreakCase{"ResetTwice",
+                  UpstreamState::kReady,
+                  {OrderOutcome::kUnknown, OrderOutcome::kUnknown},
+                  0,
+                  UpstreamContact::kAnswering},
+        BreakCase{"ConnectingTimedOut",
+                  UpstreamState::kReady,
+                  {OrderOutcome::kUnknown, OrderOutcome::kNotSent},
+                  0,
+                  UpstreamContact::kAnswering},
+        BreakCase{"WhileLeaving",
+                  UpstreamState::kLeaving,
+                  {OrderOutcome::kUnknown, OrderOutcome::kConnectionRefused},
+                  0,
+                  UpstreamContact::kSilent}),
+    [](const auto& test) { return test.param.name; });
+
+// Guards against a crash that is noticed only when the next regular request
+// fails.
+TEST_F(LeasedUpstreamTest, TheUpstreamIsAskedAgainAtOnceAfterAFailedCall) {
+  this->Announce();
+  const StartOrder first = this->Start(1);
+  this->AnswerStart(first, OrderOutcome::kDone);
+  const std::size_t requested = this->All<SendList>().size();
+  this->AnswerStart(this->Start(2), OrderOutcome::kConnectionRefused);
+  ASSERT_EQ(this->All<SendList>().size(), requested + 1);
+  EXPECT_EQ(this->All<SendList>().back().order.poll_timeout, Duration());
+  this->now += milliseconds(3);
+  this->FailList(OrderOutcome::kConnectionRefused);
+  ASSERT_EQ(this->Events<UpstreamContactBroken>().size(), 1U);
+  EXPECT_EQ(this->Events<UpstreamContactBroken>()[0].age, milliseconds(3));
+}
+
+// A refusal of a request that was sent before the failure may have the same
+// cause as the failure.
+TEST_F(LeasedUpstreamTest, ARefusalOfAnEarlierRequestDoesNotBreakContact) {
+  this->Announce();
+  this->AnswerStart(this->Start(1), OrderOutcome::kDone);
+  const ListNumber earlier = this->All<SendList>().back().number;
+  this->AnswerStart(this->Start(2), OrderOutcome::kConnectionRefused);
+  ListAnswer refused;
+  refused.answer.outcome = OrderOutcome::kConnectionRefused;
+  this->upstream.OnListAnswer(earlier, refused, this->now);
+  EXPECT_TRUE(this->Events<UpstreamContactBroken>().empty());
+}
+
+// Guards against groups that are named because the agent had no answer for a
+// while: silence does not tell when the upstream was lost.
+TEST_F(LeasedUpstreamTest, ARefusalAfterSilenceIsNoBreak) {
+  this->Announce();
+  this->AnswerStart(this->Start(1), OrderOutcome::kDone);
+  this->now += milliseconds(700);
+  this->upstream.Tick(this->now);
+  this->FailList(OrderOutcome::kUnknown);
+  this->upstream.Tick(this->now + milliseconds(50));
+  this->FailList(OrderOutcome::kConnectionRefused);
+  EXPECT_TRUE(this->Events<UpstreamContactBroken>().empty());
+}
+
 TEST_F(LeasedUpstreamTest, AStopIsRepeatedUntilTheCompletionIsListed) {
   this->Announce();
   const StartOrder order = this->Start(1);
