agent: End the tasks of a crashed upstream after the last lease that it may have

The agent moved the end of the lease with each list request, also with those whose connection was refused, and went on renewing for 1.2 s without an answer: so the tasks of a crashed upstream ended 2.3 s after the crash, too late for callers that wait 1.5 s. An order for which connecting failed was not sent, so it grants nothing now; every other order still counts, with or without an answer. Renewal also stops as soon as the upstream counts as unresponsive.

--- a/libraries/upstream_session/leased_upstream.cc
+++ b/libraries/upstream_session/leased_upstream.cc
@@ -10,12 +10,12 @@
 // If the answer takes this much longer than the timeout, it counts as lost, and
 // a new list is requested.
 constexpr Duration kListAnswerMargin = std::chrono::milliseconds(60);
-// Without an answer for this long, the upstream counts as unresponsive, and the
-// agent accepts no new tasks for it.
+// Without an answer for this long, the upstream counts as unresponsive: the
+// agent accepts no new tasks for it, and does not renew the lease, so that the
+// running tasks must stop when it expires.
 constexpr Duration kUnresponsiveAfter = std::chrono::milliseconds(600);
-// Without an answer for this long, the upstream's lease is not extended any
-// more, so that its tasks must stop when the lease expires.
-constexpr Duration kStopRenewalAfter = std::chrono::milliseconds(1200);
+// An unanswered list request is forgotten once its answer is this much overdue.
+constexpr Duration kListForgottenAfter = std::chrono::milliseconds(1800);
 // Delay before the next request after a failed list request.
 constexpr Duration kListRetryDelay = std::chrono::milliseconds(50);
 constexpr Duration kStopRetryInterval = std::chrono::milliseconds(150);
@@ -27,10 +27,18 @@
 // Number of task names whose latest run number is stored.
 constexpr std::size_t kMaximumRememberedRuns = 20'000;
 
+// Whether the order has certainly not left this process.
+bool IsUndelivered(OrderOutcome outcome) {
+  return outcome == OrderOutcome::kNotSent ||
+         outcome == OrderOutcome::kConnectionRefused;
+}
+
 }  // namespace
 
 LeasedUpstream::LeasedUpstream(const LeasedUpstreamSettings& configured)
-    : settings(configured), token(configured.first_token) {}
+    : settings(configured),
+      token(configured.first_token),
+      leases(MaximumLeaseRunTime(configured.maximum_lease)) {}
 
 std::vector<SessionEffect> LeasedUpstream::TakeEffects() {
   return std::exchange(this->effects, {});
@@ -155,7 +163,8 @@
   ++task.orders;
   task.phase = Phase::kOrdered;
   task.token = this->token;
-  const StartOrder order{task.run, task.body.bytes(), this->ExtendLease(now),
+  task.lease = this->leases.Add(now);
+  const StartOrder order{task.run, task.body.bytes(), this->LeaseUntil(now),
                          this->token};
   this->effects.emplace_back(SendStart{*this->upstream, order});
 }
@@ -173,6 +182,7 @@
   const bool expected = task != nullptr && task->phase == Phase::kOrdered &&
                         task->token == order.token;
   if (!expected) return;
+  if (IsUndelivered(answer.outcome)) this->leases.Withdraw(task->lease);
   const std::string name = order.run.task;
   const bool may_repeat = task->orders < kMaximumOrders;
   switch (answer.outcome) {
@@ -231,6 +241,9 @@
   const PendingList request = found->second;
   this->lists.erase(found);
   this->UpdateClock(list.answer, now);
+  const bool grants_nothing =
+      request.lease && IsUndelivered(list.answer.outcome);
+  if (grants_nothing) this->leases.Withdraw(*request.lease);
   if (list.answer.outcome == OrderOutcome::kFenced) {
     this->ReplaceToken(request.token);
     this->RequestList(Duration(), now);
@@ -326,9 +339,9 @@
   if (!this->upstream) return;
   // Removes requests whose answers are no longer expected.
   const Duration answer_limit =
-      this->settings.list_poll_timeout + kUnresponsiveAfter;
+      this->settings.list_poll_timeout + kListForgottenAfter;
   std::erase_if(this->lists, [&](const auto& item) {
-    return now - item.second.sent_at > answer_limit + kStopRenewalAfter;
+    return now - item.second.sent_at > answer_limit;
   });
   for (auto& [name, task] : this->tasks) {
     if (task.stopping && now >= task.next_stop) this->SendStopOrder(task, now);
@@ -336,7 +349,7 @@
   const bool unresponsive = now - this->last_answer > kUnresponsiveAfter;
   const bool needs_list = !this->tasks.empty() || !this->unknown_runs_stopped;
   if (needs_list && unresponsive) this->SetContact(UpstreamContact::kSilent);
-  if (!this->tasks.empty() && unresponsive && now > this->lease_expiry) {
+  if (!this->tasks.empty() && unresponsive && this->leases.AllExpired(now)) {
     this->RaiseToken();
     // While renewal is suspended, the leases expire because this process was
     // frozen or cut off, which says nothing about the upstream.
@@ -371,17 +384,20 @@
 
 void LeasedUpstream::RequestList(Duration poll_timeout, SteadyTime now) {
   const ListNumber number(++this->last_list_number);
-  this->lists.emplace(number, PendingList{this->token, now, poll_timeout});
+  PendingList pending{this->token, now, poll_timeout, std::nullopt};
   ListOrder order;
   order.token = this->token;
   order.acknowledged = this->acknowledged;
   order.poll_timeout = poll_timeout;
   const bool renews = !this->tasks.empty() &&
                       this->renewal == LeaseRenewal::kAllowed &&
-                      now - this->last_answer <= kStopRenewalAfter;
+                      this->contact == UpstreamContact::kAnswering &&
+                      now - this->last_answer <= kUnresponsiveAfter;
   if (renews) {
-    order.lease_until = this->ExtendLease(now);
+    pending.lease = this->leases.Add(now);
+    order.lease_until = this->LeaseUntil(now);
   }
+  this->lists.emplace(number, pending);
   this->effects.emplace_back(SendList{*this->upstream, number, order});
 }
 
@@ -410,8 +426,7 @@
       UpstreamLost{this->upstream->incarnation.id, evidence});
 }
 
-Duration LeasedUpstream::ExtendLease(SteadyTime now) {
-  this->lease_expiry = now + MaximumLeaseRunTime(this->settings.maximum_lease);
+Duration LeasedUpstream::LeaseUntil(SteadyTime now) const {
   return this->UpstreamClock(now) + this->settings.maximum_lease;
 }
 
--- a/libraries/upstream_session/leased_upstream.h
+++ b/libraries/upstream_session/leased_upstream.h
@@ -13,6 +13,7 @@
 
 #include "libraries/agent_core/agent_events.h"
 #include "libraries/agent_core/started_set.h"
+#include "libraries/upstream_session/lease_grants.h"
 #include "platform/upstream_calls.h"
 
 namespace dandelionspur {
@@ -100,6 +101,8 @@
     Phase phase = Phase::kOrdered;
     // Token of the latest start order.
     FencingToken token;
+    // The lease that the latest start order requests.
+    LeaseGrantNumber lease;
     // The first list request sent after the run was confirmed.
     ListNumber listed_from;
     SteadyTime started_at;
@@ -112,6 +115,8 @@
     SteadyTime sent_at;
     // How long the upstream may delay the answer.
     Duration poll_timeout{};
+    // The lease that the request renews.
+    std::optional<LeaseGrantNumber> lease;
   };
 
   // The first call since the latest answer that the upstream did not answer.
@@ -141,9 +146,8 @@
   void CompleteAll(UpstreamResult result, SteadyTime now);
   // Reports the upstream as lost, if tasks were running there.
   void ReportLoss(LossEvidence evidence);
-  // Returns the expiry of a lease granted at `now`, on the upstream's clock,
-  // and records the latest time on this process's clock at which it expires.
-  Duration ExtendLease(SteadyTime now);
+  // The expiry of a lease granted at `now`, on the upstream's clock.
+  [[nodiscard]] Duration LeaseUntil(SteadyTime now) const;
   void RaiseToken();
   // Raises the token after the upstream has refused an order under `refused`.
   void ReplaceToken(FencingToken refused);
@@ -179,9 +183,8 @@
   SteadyTime clock_read_at;
   SteadyTime last_answer;
   SteadyTime next_list;
-  // The latest time, on this process's clock, at which the last requested lease
-  // expires.
-  SteadyTime lease_expiry;
+  // On this process's clock.
+  LeaseGrants leases;
   UpstreamContact contact = UpstreamContact::kSilent;
   std::optional<Failure> failure;
   // Whether a list has shown that no runs of an earlier process are left.
--- a/tests/upstream_session/leased_upstream_test.cc
+++ b/tests/upstream_session/leased_upstream_test.cc
@@ -592,6 +592,129 @@
   EXPECT_TRUE(this->Events<UpstreamContactBroken>().empty());
 }
 
+struct CrashCase {
+  std::string name;
+  // When the upstream crashes, after it received the latest list request.
+  Duration crash_after;
+  // The outcome of all requests after the crash.
+  OrderOutcome outcome;
+};
+
+// An upstream that crashes while it runs a task.
+class CrashTest : public LeasedUpstreamTest,
+                  public testing::WithParamInterface<CrashCase> {
+ protected:
+  static constexpr Duration kTickInterval = milliseconds(50);
+
+  void RunAndCrash() {
+    this->Announce();
+    const StartOrder order = this->Start(1);
+    this->AnswerStart(order, OrderOutcome::kDone);
+    ListAnswer running;
+    running.running.push_back(order.run);
+    this->now += milliseconds(100);
+    this->AnswerList(running);
+    this->last_delivered = this->now;
+    this->now += this->GetParam().crash_after;
+    this->crashed_at = this->now;
+    this->FailList(OrderOutcome::kUnknown);
+    this->FailRequests();
+  }
+
+  // Answers all list requests that are still unanswered.
+  void FailRequests() {
+    for (const SendList& list : this->All<SendList>()) {
+      if (this->answered.contains(list.number)) continue;
+      this->answered.insert(list.number);
+      const bool may_renew = this->GetParam().outcome == OrderOutcome::kUnknown;
+      if (may_renew && list.order.lease_until) this->last_delivered = this->now;
+      ListAnswer failed;
+      failed.answer.outcome = this->GetParam().outcome;
+      this->upstream.OnListAnswer(list.number, failed, this->now);
+    }
+  }
+
+  void AdvanceUntilTasksEnd() {
+    constexpr std::size_t kMaximumTicks = 100;
+    for (std::size_t i = 0; i < kMaximumTicks; ++i) {
+      if (!this->Events<UpstreamTaskCompleted>().empty()) return;
+      this->now += kTickInterval;
+      this->upstream.Tick(this->now);
+      this->FailRequests();
+    }
+  }
+
+  SteadyTime crashed_at;
+  // When the last request was sent that may have renewed the lease.
+  SteadyTime last_delivered;
+};
+
+// Guards against two runs of a task at once: a request without an answer may
+// have renewed the lease. Also guards against waiting longer than for the last
+// such request, so that callers with short deadlines get no second run.
+TEST_P(CrashTest, TasksEndOnceTheLastLeaseThatMayBeGrantedHasExpired) {
+  this->RunAndCrash();
+  this->AdvanceUntilTasksEnd();
+  ASSERT_EQ(this->Events<UpstreamTaskCompleted>().size(), 1U);
+  ASSERT_EQ(this->Events<UpstreamLost>().size(), 1U);
+  const Duration lease = MaximumLeaseRunTime(Settings().maximum_lease);
+  EXPECT_GT(this->now, this->last_delivered + lease);
+  EXPECT_LE(this->now, this->last_delivered + lease + kTickInterval);
+  if (this->GetParam().outcome == OrderOutcome::kUnknown) return;
+  EXPECT_LE(this->now, this->crashed_at + milliseconds(1300));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Crashes, CrashTest,
+    testing::Values(
+        CrashCase{"RefusedAtOnce", Duration(),
+                  OrderOutcome::kConnectionRefused},
+        CrashCase{"Refused", milliseconds(210),
+                  OrderOutcome::kConnectionRefused},
+        CrashCase{"RefusedLate", milliseconds(399),
+                  OrderOutcome::kConnectionRefused},
+        CrashCase{"NotSent", milliseconds(210), OrderOutcome::kNotSent},
+        CrashCase{"MayBeDelivered", milliseconds(210), OrderOutcome::kUnknown}),
+    [](const auto& test) { return test.param.name; });
+
+// Guards against leases that are renewed for an upstream that takes no starts,
+// so that its tasks end later than they could.
+TEST_F(LeasedUpstreamTest, RenewalStopsWhileTheUpstreamIsUnresponsive) {
+  this->Announce();
+  const StartOrder order = this->Start(1);
+  this->AnswerStart(order, OrderOutcome::kDone);
+  this->FailList(OrderOutcome::kUnknown);
+  EXPECT_TRUE(this->All<SendList>().back().order.lease_until.has_value());
+  this->FailList(OrderOutcome::kConnectionRefused);
+  this->now += milliseconds(50);
+  this->upstream.Tick(this->now);
+  EXPECT_FALSE(this->All<SendList>().back().order.lease_until.has_value());
+  ListAnswer running;
+  running.running.push_back(order.run);
+  this->AnswerList(running);
+  EXPECT_TRUE(this->All<SendList>().back().order.lease_until.has_value());
+}
+
+// A start order that did not leave this process does not keep the other tasks
+// waiting for the end of its lease.
+TEST_F(LeasedUpstreamTest, AStartThatWasNotDeliveredExtendsNoLease) {
+  this->Announce();
+  this->AnswerStart(this->Start(1), OrderOutcome::kDone);
+  const SteadyTime first_start = this->now;
+  this->now += milliseconds(300);
+  const StartOrder refused = this->Start(2);
+  this->FailList(OrderOutcome::kUnknown);
+  this->AnswerStart(refused, OrderOutcome::kConnectionRefused);
+  this->FailList(OrderOutcome::kConnectionRefused);
+  EXPECT_EQ(this->Events<UpstreamTaskCompleted>().size(), 1U);
+  this->now = first_start + MaximumLeaseRunTime(Settings().maximum_lease);
+  this->upstream.Tick(this->now);
+  EXPECT_EQ(this->Events<UpstreamTaskCompleted>().size(), 1U);
+  this->now += milliseconds(1);
+  this->upstream.Tick(this->now);
+  EXPECT_EQ(this->Events<UpstreamTaskCompleted>().size(), 2U);
+}
+
 TEST_F(LeasedUpstreamTest, AStopIsRepeatedUntilTheCompletionIsListed) {
   this->Announce();
   const StartOrder order = this->Start(1);
