--- a/tests/upstream_session/leased_upstream_test.cc
+++ b/tests/upstream_session/leased_upstream_test.cc
@@ -90,6 +90,15 @@
     this->upstream.OnListAnswer(requested.back().number, list, this->now);
   }
 
+  // The latest list request fails.
+  void FailList(OrderOutcome outcome) {
+    ListAnswer failed;
+    failed.answer.outcome = outcome;
+    const ListNumber number = this->All<SendList>().back().number;
+    this->answered.insert(number);
+    this->upstream.OnListAnswer(number, failed, this->now);
+  }
+
   StartOrder Start(std::uint64_t job) {
     this->upstream.Run(Wanted(job), this->now);
     return this->All<SendStart>().back().order;
@@ -237,6 +246,8 @@
                     UpstreamResult::kNotSent},
         RefusalCase{"NotSent", OrderOutcome::kNotSent,
                     UpstreamResult::kNotSent},
+        RefusalCase{"ConnectionRefused", OrderOutcome::kConnectionRefused,
+                    UpstreamResult::kNotSent},
         RefusalCase{"OtherIncarnation", OrderOutcome::kOtherIncarnation,
                     UpstreamResult::kNotSent}),
     [](const auto& tested) { return std::string(tested.param.name); });
@@ -451,6 +462,259 @@
                              {}}),
     [](const auto& test) { return test.param.name; });
 
+struct BreakCase {
+  std::string name;
+  UpstreamState state;
+  // Outcomes of the list requests, in order; kDone for an answer.
+  std::vector<OrderOutcome> outcomes;
+  std::size_t expected_breaks;
+  UpstreamContact expected_contact;
+};
+
+class ContactBreakTest : public LeasedUpstreamTest,
+                         public testing::WithParamInterface<BreakCase> {};
+
+// Guards against starts for an upstream that has crashed, and against a loss
+// that is reported because one connection was reset.
+TEST_P(ContactBreakTest, OnlyARefusalAfterAFailedCallBreaksContact) {
+  this->Announce();
+  const StartOrder order = this->Start(1);
+  this->AnswerStart(order, OrderOutcome::kDone);
+  this->upstream.OnHeartbeat(Heartbeat(1, 2, this->GetParam().state),
+                             this->now);
+  for (const OrderOutcome outcome : this->GetParam().outcomes) {
+    if (outcome == OrderOutcome::kDone) {
+      ListAnswer list;
+      list.running.push_back(order.run);
+      this->AnswerList(list);
+    } else {
+      this->FailList(outcome);
+    }
+    this->now += milliseconds(1);
+  }
+  EXPECT_EQ(this->Events<UpstreamContactBroken>().size(),
+            this->GetParam().expected_breaks);
+  UpstreamContact contact = UpstreamContact::kAnswering;
+  for (const auto& changed : this->Events<UpstreamContactChanged>()) {
+    contact = changed.contact;
+  }
+  EXPECT_EQ(contact, this->GetParam().expected_contact);
+  EXPECT_TRUE(this->Events<UpstreamLost>().empty());
+  EXPECT_TRUE(this->Events<UpstreamTaskCompleted>().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Outcomes, ContactBreakTest,
+    testing::Values(
+        BreakCase{"ResetThenRefused",
+                  UpstreamState::kReady,
+                  {OrderOutcome::kUnknown, OrderOutcome::kConnectionRefused},
+                  1,
+                  UpstreamContact::kSilent},
+        BreakCase{"RefusedTwice",
+                  UpstreamState::kReady,
+                  {OrderOutcome::kConnectionRefused,
+                   OrderOutcome::kConnectionRefused},
+                  1,
+                  UpstreamContact::kSilent},
+        BreakCase{"RefusedForLong",
+                  UpstreamState::kReady,
+                  {OrderOutcome::kUnknown, OrderOutcome::kConnectionRefused,
+                   OrderOutcome::kConnectionRefused},
+                  1,
+                  UpstreamContact::kSilent},
+        BreakCase{"ResetOnce",
+                  UpstreamState::kReady,
+                  {OrderOutcome::kUnknown, OrderOutcome::kDone},
+                  0,
+                  UpstreamContact::kAnswering},
+        BreakCase{"RefusedOnce",
+                  UpstreamState::kReady,
+                  {OrderOutcome::kConnectionRefused, OrderOutcome::kDone},
+                  0,
+                  UpstreamContact::kAnswering},
+        BreakCase{"ResetTwice",
+                  UpstreamState::kReady,
+                  {OrderOutcome::kUnknown, OrderOutcome::kUnknown},
+                  0,
+                  UpstreamContact::kAnswering},
+        BreakCase{"ConnectingTimedOut",
+                  UpstreamState::kReady,
+                  {OrderOutcome::kUnknown, OrderOutcome::kNotSent},
+                  0,
+                  UpstreamContact::kAnswering},
+        BreakCase{"WhileLeaving",
+                  UpstreamState::kLeaving,
+                  {OrderOutcome::kUnknown, OrderOutcome::kConnectionRefused},
+                  0,
+                  UpstreamContact::kSilent}),
+    [](const auto& test) { return test.param.name; });
+
+// Guards against a crash that is noticed only when the next regular request
+// fails.
+TEST_F(LeasedUpstreamTest, TheUpstreamIsAskedAgainAtOnceAfterAFailedCall) {
+  this->Announce();
+  const StartOrder first = this->Start(1);
+  this->AnswerStart(first, OrderOutcome::kDone);
+  const std::size_t requested = this->All<SendList>().size();
+  this->AnswerStart(this->Start(2), OrderOutcome::kConnectionRefused);
+  ASSERT_EQ(this->All<SendList>().size(), requested + 1);
+  EXPECT_EQ(this->All<SendList>().back().order.poll_timeout, Duration());
+  this->now += milliseconds(3);
+  this->FailList(OrderOutcome::kConnectionRefused);
+  ASSERT_EQ(this->Events<UpstreamContactBroken>().size(), 1U);
+  EXPECT_EQ(this->Events<UpstreamContactBroken>()[0].age, milliseconds(3));
+}
+
+// A refusal of a request that was sent before the failure may have the same
+// cause as the failure.
+TEST_F(LeasedUpstreamTest, ARefusalOfAnEarlierRequestDoesNotBreakContact) {
+  this->Announce();
+  this->AnswerStart(this->Start(1), OrderOutcome::kDone);
+  const ListNumber earlier = this->All<SendList>().back().number;
+  this->AnswerStart(this->Start(2), OrderOutcome::kConnectionRefused);
+  ListAnswer refused;
+  refused.answer.outcome = OrderOutcome::kConnectionRefused;
+  this->upstream.OnListAnswer(earlier, refused, this->now);
+  EXPECT_TRUE(this->Events<UpstreamContactBroken>().empty());
+}
+
+// Guards against groups that are named because the agent had no answer for a
+// while: silence does not tell when the upstream was lost.
+TEST_F(LeasedUpstreamTest, ARefusalAfterSilenceIsNoBreak) {
+  this->Announce();
+  this->AnswerStart(this->Start(1), OrderOutcome::kDone);
+  this->now += milliseconds(700);
+  this->upstream.Tick(this->now);
+  this->FailList(OrderOutcome::kUnknown);
+  this->upstream.Tick(this->now + milliseconds(50));
+  this->FailList(OrderOutcome::kConnectionRefused);
+  EXPECT_TRUE(this->Events<UpstreamContactBroken>().empty());
+}
+
+struct CrashCase {
+  std::string name;
+  // When the upstream crashes, after it received the latest list request.
+  Duration crash_after;
+  // The outcome of all requests after the crash.
+  OrderOutcome outcome;
+};
+
+// An upstream that crashes while it runs a task.
+class CrashTest : public LeasedUpstreamTest,
+                  public testing::WithParamInterface<CrashCase> {
+ protected:
+  static constexpr Duration kTickInterval = milliseconds(50);
+
+  void RunAndCrash() {
+    this->Announce();
+    const StartOrder order = this->Start(1);
+    this->AnswerStart(order, OrderOutcome::kDone);
+    ListAnswer running;
+    running.running.push_back(order.run);
+    this->now += milliseconds(100);
+    this->AnswerList(running);
+    this->last_delivered = this->now;
+    this->now += this->GetParam().crash_after;
+    this->crashed_at = this->now;
+    this->FailList(OrderOutcome::kUnknown);
+    this->FailRequests();
+  }
+
+  // Answers all list requests that are still unanswered.
+  void FailRequests() {
+    for (const SendList& list : this->All<SendList>()) {
+      if (this->answered.contains(list.number)) continue;
+      this->answered.insert(list.number);
+      const bool may_renew = this->GetParam().outcome == OrderOutcome::kUnknown;
+      if (may_renew && list.order.lease_until) this->last_delivered = this->now;
+      ListAnswer failed;
+      failed.answer.outcome = this->GetParam().outcome;
+      this->upstream.OnListAnswer(list.number, failed, this->now);
+    }
+  }
+
+  void AdvanceUntilTasksEnd() {
+    constexpr std::size_t kMaximumTicks = 100;
+    for (std::size_t i = 0; i < kMaximumTicks; ++i) {
+      if (!this->Events<UpstreamTaskCompleted>().empty()) return;
+      this->now += kTickInterval;
+      this->upstream.Tick(this->now);
+      this->FailRequests();
+    }
+  }
+
+  SteadyTime crashed_at;
+  // When the last request was sent that may have renewed the lease.
+  SteadyTime last_delivered;
+};
+
+// Guards against two runs of a task at once: a request without an answer may
+// have renewed the lease. Also guards against waiting longer than for the last
+// such request, so that callers with short deadlines get no second run.
+TEST_P(CrashTest, TasksEndOnceTheLastLeaseThatMayBeGrantedHasExpired) {
+  this->RunAndCrash();
+  this->AdvanceUntilTasksEnd();
+  ASSERT_EQ(this->Events<UpstreamTaskCompleted>().size(), 1U);
+  ASSERT_EQ(this->Events<UpstreamLost>().size(), 1U);
+  const Duration lease = MaximumLeaseRunTime(Settings().maximum_lease);
+  EXPECT_GT(this->now, this->last_delivered + lease);
+  EXPECT_LE(this->now, this->last_delivered + lease + kTickInterval);
+  if (this->GetParam().outcome == OrderOutcome::kUnknown) return;
+  EXPECT_LE(this->now, this->crashed_at + milliseconds(1300));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Crashes, CrashTest,
+    testing::Values(
+        CrashCase{"RefusedAtOnce", Duration(),
+                  OrderOutcome::kConnectionRefused},
+        CrashCase{"Refused", milliseconds(210),
+                  OrderOutcome::kConnectionRefused},
+        CrashCase{"RefusedLate", milliseconds(399),
+                  OrderOutcome::kConnectionRefused},
+        CrashCase{"NotSent", milliseconds(210), OrderOutcome::kNotSent},
+        CrashCase{"MayBeDelivered", milliseconds(210), OrderOutcome::kUnknown}),
+    [](const auto& test) { return test.param.name; });
+
+// Guards against leases that are renewed for an upstream that takes no starts,
+// so that its tasks end later than they could.
+TEST_F(LeasedUpstreamTest, RenewalStopsWhileTheUpstreamIsUnresponsive) {
+  this->Announce();
+  const StartOrder order = this->Start(1);
+  this->AnswerStart(order, OrderOutcome::kDone);
+  this->FailList(OrderOutcome::kUnknown);
+  EXPECT_TRUE(this->All<SendList>().back().order.lease_until.has_value());
+  this->FailList(OrderOutcome::kConnectionRefused);
+  this->now += milliseconds(50);
+  this->upstream.Tick(this->now);
+  EXPECT_FALSE(this->All<SendList>().back().order.lease_until.has_value());
+  ListAnswer running;
+  running.running.push_back(order.run);
+  this->AnswerList(running);
+  EXPECT_TRUE(this->All<SendList>().back().order.lease_until.has_value());
+}
+
+// A start order that did not leave this process does not keep the other tasks
+// waiting for the end of its lease.
+TEST_F(LeasedUpstreamTest, AStartThatWasNotDeliveredExtendsNoLease) {
+  this->Announce();
+  this->AnswerStart(this->Start(1), OrderOutcome::kDone);
+  const SteadyTime first_start = this->now;
+  this->now += milliseconds(300);
+  const StartOrder refused = this->Start(2);
+  this->FailList(OrderOutcome::kUnknown);
+  this->AnswerStart(refused, OrderOutcome::kConnectionRefused);
+  this->FailList(OrderOutcome::kConnectionRefused);
+  EXPECT_EQ(this->Events<UpstreamTaskCompleted>().size(), 1U);
+  this->now = first_start + MaximumLeaseRunTime(Settings().maximum_lease);
+  this->upstream.Tick(this->now);
+  EXPECT_EQ(this->Events<UpstreamTaskCompleted>().size(), 1U);
+  this->now += milliseconds(1);
+  this->upstream.Tick(this->now);
+  EXPECT_EQ(this->Events<UpstreamTaskCompleted>().size(), 2U);
+}
+
 TEST_F(LeasedUpstreamTest, AStopIsRepeatedUntilTheCompletionIsListed) {
   this->Announce();
   const StartOrder order = this->Start(1);
