entry_core: Say "may have run" for relays whose home is lost or has started tasks

Cause: a run of a job that may run again and that ended without success is not reported to the next home, since it doesn't bind a restart. A home that lost its bucket returned such relays without saying that it had started tasks.

Change: for jobs that may run again a dead home settles nothing, and the return of a relay says whether tasks may have been started for it or for an earlier relay of that sender (appended member; older versions send none). Jobs of an entry's own callers that move to another home carry the same.

Measured: LostUpstreamsTest.AJobThatRanIsNotRefusedAsNotRunByTheNextHome and the two new cases of RelayedRefusalTest (FormerHomeIsDead, FormerHomeReturnedItAfterStarts) fail without the change and pass with it; relay_attempts_test and lost_upstreams_test pass.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -277,7 +277,7 @@
     return;
   }
   this->home.ReturnRelay(message.job.key, {from, message.attempt},
-                         this->current_time);
+                         RelayedStarts::kNone, this->current_time);
 }
 
 void EntryCore::OnPeer(EntryId from, const RelayAnswer& message) {
--- a/libraries/entry_core/home_job.h
+++ b/libraries/entry_core/home_job.h
@@ -20,8 +20,9 @@
 };
 
 // Whether another entry may still start tasks for an earlier relay of a
-// submission. A refusal by this entry doesn't prevent those starts, so while a
-// relay is open the answer must not be "not run".
+// submission, or may have started some of which a later home does not learn. A
+// refusal by this entry says nothing about those starts, so while a relay is
+// open the answer must not be "not run".
 enum class EarlierRelays { kSettled, kOpen };
 
 // The receiver of a job's answer: a caller of this entry, or the entry that
@@ -147,6 +148,13 @@
   [[nodiscard]] bool HasNoStarts() const {
     return this->started == 0 && !this->inherited;
   }
+  // Whether tasks may have run of which a later home does not learn: runs of
+  // jobs that may run again are not reported once they ended without success.
+  [[nodiscard]] RelayedStarts UnreportedStarts() const {
+    return this->IsRerunnable() && !this->HasNoStarts()
+               ? RelayedStarts::kPossible
+               : RelayedStarts::kNone;
+  }
   // The time at which a job without starts is refused, which leaves enough time
   // to confirm the refusal before the deadline.
   [[nodiscard]] Timestamp RefuseBy() const {
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -329,12 +329,13 @@
 }
 
 void HomeJobs::ReturnRelay(const JobKey& key, const RelayOrigin& origin,
-                           Timestamp now) {
-  this->settled_attempts.Add(key, origin, now);
+                           RelayedStarts starts, Timestamp now) {
+  this->settled_attempts.Add(key, origin, starts, now);
   const BucketId bucket = this->ownership.BucketOfKey(key);
   this->outbox.ToPeer(
       origin.entry,
-      RelayMoved{key, origin.attempt, this->ownership.Promised(bucket)});
+      RelayMoved{key, origin.attempt, this->ownership.Promised(bucket),
+                 this->settled_attempts.StartsOf(key, origin.entry)});
 }
 
 std::vector<EvictedJob> HomeJobs::Evict(BucketId bucket, Timestamp now) {
@@ -352,11 +353,14 @@
         evicted_job.callers.push_back(*request);
         continue;
       }
-      this->ReturnRelay(key, std::get<RelayOrigin>(waiter), now);
+      this->ReturnRelay(key, std::get<RelayOrigin>(waiter),
+                        job.UnreportedStarts(), now);
     }
     if (!evicted_job.callers.empty()) {
       evicted_job.deadline = job.deadline;
-      evicted_job.earlier = job.earlier;
+      evicted_job.earlier = job.UnreportedStarts() == RelayedStarts::kPossible
+                                ? EarlierRelays::kOpen
+                                : job.earlier;
       evicted_job.submission = job.submission;
       evicted_job.submission.time_allowed = job.TimeLeft(now);
       evicted.push_back(std::move(evicted_job));
@@ -563,7 +567,8 @@
     for (const Waiter& waiter : job->waiters) {
       this->AnswerWaiter(waiter, refusal.key, answer);
       if (const auto* origin = std::get_if<RelayOrigin>(&waiter)) {
-        this->settled_attempts.Add(refusal.key, *origin, now);
+        this->settled_attempts.Add(refusal.key, *origin, RelayedStarts::kNone,
+                                   now);
       }
     }
     // The refusal is not cached, since a later submission of the key may run.
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -51,8 +51,10 @@
               std::optional<EntryId> witness, EarlierRelays earlier,
               Timestamp now);
   void Cancel(const JobKey& key, Timestamp now);
-  // Notifies the sender of a relay that this entry will not act on the relay.
-  void ReturnRelay(const JobKey& key, const RelayOrigin& origin, Timestamp now);
+  // Notifies the sender of a relay that this entry will not act on the relay
+  // any more, and whether it may have done so before.
+  void ReturnRelay(const JobKey& key, const RelayOrigin& origin,
+                   RelayedStarts starts, Timestamp now);
   // Removes the jobs of a bucket that has moved to another home. Relays by
   // other entries are returned to them; jobs with callers of this entry are
   // returned to the caller of this function.
--- a/libraries/entry_core/relay_table.cc
+++ b/libraries/entry_core/relay_table.cc
@@ -121,10 +121,14 @@
 }
 
 EarlierRelays RelayTable::OpenRelays(const Relayed& job) const {
-  const bool may_act = std::any_of(
-      job.pending.begin(), job.pending.end(),
-      [&](const auto& sent) { return !this->peers.DeadSince(sent.first); });
-  return may_act ? EarlierRelays::kOpen : job.earlier;
+  // A new home knows what a dead one has started of jobs that must not run
+  // again, but not the ended runs of the others.
+  const bool is_rerunnable = job.submission.rerun == RerunPolicy::kAfterLease;
+  const bool is_open = std::any_of(
+      job.pending.begin(), job.pending.end(), [&](const auto& sent) {
+        return is_rerunnable || !this->peers.DeadSince(sent.first);
+      });
+  return is_open ? EarlierRelays::kOpen : job.earlier;
 }
 
 void RelayTable::OnMoved(EntryId from, const RelayMoved& moved, Timestamp now) {
@@ -132,6 +136,9 @@
   if (found == this->relayed.end()) return;
   Relayed& job = found->second;
   SettleAttempts(job, from, moved.attempt);
+  if (moved.starts == RelayedStarts::kPossible) {
+    job.earlier = EarlierRelays::kOpen;
+  }
   if (moved.attempt != job.attempt) return;
   job.target.reset();
   job.submit_from = now + kResubmitPause;
@@ -201,7 +208,8 @@
   std::erase_if(this->parked_relays, [&](const ParkedRelay& parked) {
     const JobKey& key = parked.relay.job.key;
     if (this->ownership.BucketOfKey(key) != bucket) return false;
-    this->home.ReturnRelay(key, {parked.from, parked.relay.attempt}, now);
+    this->home.ReturnRelay(key, {parked.from, parked.relay.attempt},
+                           RelayedStarts::kNone, now);
     return true;
   });
 }
--- a/libraries/entry_core/relay_table.h
+++ b/libraries/entry_core/relay_table.h
@@ -74,10 +74,11 @@
     std::optional<EntryId> target;
     // After a change of home, the job is not submitted again before this time.
     Timestamp submit_from;
-    // The entries that may still act on a relay, with the highest attempt sent
-    // to each.
+    // The entries that have neither refused nor returned their relays, with the
+    // highest attempt sent to each.
     std::map<EntryId, AttemptNumber> pending;
-    // Whether relays sent before this entry was the job's home are settled.
+    // Whether relays sent before this entry was the job's home are settled, and
+    // none was returned after tasks were started for it.
     EarlierRelays earlier = EarlierRelays::kSettled;
 
     void SetDeadline(Timestamp end, Timestamp now);
@@ -88,8 +89,8 @@
   // it does not act on earlier attempts either.
   static void SettleAttempts(Relayed& job, EntryId entry,
                              AttemptNumber attempt);
-  // Whether an entry that is not proven dead may still act on a relay of the
-  // job.
+  // Whether an entry may still act on a relay of the job, or may have started
+  // tasks for one of which a new home does not learn.
   [[nodiscard]] EarlierRelays OpenRelays(const Relayed& job) const;
   // The sender of a relay if it is a witness under this entry's ballot, else
   // nothing.
--- a/libraries/entry_core/settled_attempts.h
+++ b/libraries/entry_core/settled_attempts.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_SETTLED_ATTEMPTS_H_
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_SETTLED_ATTEMPTS_H_
 
+#include <algorithm>
 #include <deque>
 #include <map>
 
@@ -17,25 +18,37 @@
  public:
   explicit SettledAttempts(Duration window) : duplicate_window(window) {}
 
-  void Add(const JobKey& key, const RelayOrigin& origin, Timestamp now) {
+  // `starts`: whether tasks may have been started for the attempt.
+  void Add(const JobKey& key, const RelayOrigin& origin, RelayedStarts starts,
+           Timestamp now) {
     const SenderAndJob sender_and_job{origin.entry, key};
-    AttemptNumber& highest = this->attempts[sender_and_job];
-    if (origin.attempt <= highest) return;
-    highest = origin.attempt;
+    Settled& settled = this->attempts[sender_and_job];
+    settled.starts = std::max(settled.starts, starts);
+    if (origin.attempt <= settled.highest) return;
+    settled.highest = origin.attempt;
     this->order.push_back({sender_and_job, origin.attempt, now});
   }
   [[nodiscard]] bool Contains(const JobKey& key,
                               const RelayOrigin& origin) const {
     const auto found = this->attempts.find({origin.entry, key});
-    return found != this->attempts.end() && origin.attempt <= found->second;
+    return found != this->attempts.end() &&
+           origin.attempt <= found->second.highest;
+  }
+  // Whether tasks may have been started for any of the sender's attempts. The
+  // message that said so may have been lost with its connection.
+  [[nodiscard]] RelayedStarts StartsOf(const JobKey& key,
+                                       EntryId sender) const {
+    const auto found = this->attempts.find({sender, key});
+    return found == this->attempts.end() ? RelayedStarts::kNone
+                                         : found->second.starts;
   }
   void Expire(Timestamp now) {
     while (!this->order.empty() &&
            this->order.front().inserted_at + this->duplicate_window < now) {
       const Insertion& oldest = this->order.front();
       const auto found = this->attempts.find(oldest.sender_and_job);
-      const bool is_highest =
-          found != this->attempts.end() && found->second == oldest.attempt;
+      const bool is_highest = found != this->attempts.end() &&
+                              found->second.highest == oldest.attempt;
       if (is_highest) this->attempts.erase(found);
       this->order.pop_front();
     }
@@ -47,6 +60,10 @@
     JobKey key;
     auto operator<=>(const SenderAndJob&) const = default;
   };
+  struct Settled {
+    AttemptNumber highest;
+    RelayedStarts starts = RelayedStarts::kNone;
+  };
   struct Insertion {
     SenderAndJob sender_and_job;
     AttemptNumber attempt;
@@ -54,8 +71,8 @@
   };
 
   Duration duplicate_window;
-  // The highest settled attempt of each sender and job.
-  std::map<SenderAndJob, AttemptNumber> attempts;
+  // The settled attempts of each sender and job.
+  std::map<SenderAndJob, Settled> attempts;
   std::deque<Insertion> order;
 };
 
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -128,15 +128,22 @@
 };
 BOOST_DESCRIBE_STRUCT(RelayAnswer, (), (key, attempt, ballot, answer))
 
+// Whether the entry that returns a relay may have started tasks for it, or for
+// an earlier relay of the same job by the same sender, of which a later home
+// may not learn.
+BOOST_DEFINE_ENUM_CLASS(RelayedStarts, kNone, kPossible)
+
 // Refuses a relay because the receiver is not, or no longer, the job's home.
 // `promised` is the highest ballot that it has promised for the bucket.
 struct RelayMoved {
   static constexpr const char* kName = "relay_moved";
+  static constexpr std::size_t kRequiredMembers = 3;
   JobKey key;
   AttemptNumber attempt;
   Ballot promised;
+  RelayedStarts starts = RelayedStarts::kNone;
 };
-BOOST_DESCRIBE_STRUCT(RelayMoved, (), (key, attempt, promised))
+BOOST_DESCRIBE_STRUCT(RelayMoved, (), (key, attempt, promised, starts))
 
 struct CancelJob {
   static constexpr const char* kName = "cancel_job";
--- a/tests/entry_core/lost_upstreams_test.cc
+++ b/tests/entry_core/lost_upstreams_test.cc
@@ -118,6 +118,10 @@
 
   void Apply(EntryId from, const EntryEffect& effect) {
     if (const auto* peer = std::get_if<SendToPeer>(&effect)) {
+      const bool is_delayed =
+          this->delayed_requests.contains(peer->to) &&
+          std::holds_alternative<PromiseRequest>(peer->message);
+      if (is_delayed) return;
       this->Post(peer->to, PeerMessageReceived{from, peer->message});
     } else if (const auto* agent = std::get_if<SendToAgent>(&effect)) {
       if (std::holds_alternative<Start>(agent->message)) this->home = from;
@@ -200,10 +204,23 @@
     this->Post(this->entries.begin()->first, submitted);
     this->Deliver();
   }
+  // The number of a job that the entry that callers submit to is the last one
+  // to be home of.
+  [[nodiscard]] std::uint64_t NumberOfRelayedJob() const {
+    std::uint64_t number = 1;
+    while (this->view.Ranking(BucketOf(KeyOf(number), kBuckets)).back() !=
+           this->entries.begin()->first) {
+      ++number;
+    }
+    return number;
+  }
   // The home of the job that was started last is lost.
   void KillHome() {
+    this->entries.erase(this->home);
+    this->DetectLossOfHome();
+  }
+  void DetectLossOfHome() {
     const EntryId dead = this->home;
-    this->entries.erase(dead);
     for (const auto& [id, entry] : this->entries) {
       this->Post(id, PeerDisconnected{dead});
       this->Post(id, PeerProvenDead{dead});
@@ -227,6 +244,8 @@
   std::map<EntryId, std::unique_ptr<EntryCore>> entries;
   std::map<AgentId, std::unique_ptr<AgentCore>> agents;
   std::deque<std::function<void()>> pending;
+  // The entries to which promise requests are on their way until the end.
+  std::set<EntryId> delayed_requests;
   std::multimap<Timestamp, AgentId> crashes;
   std::multimap<Timestamp, AgentId> returns;
   // The jobs whose tasks crash the upstreams that run them.
@@ -280,6 +299,26 @@
   EXPECT_EQ(this->answers.back().verdict, Verdict::kRan);
 }
 
+// Guards against a refusal as not run by a new home that learns nothing of the
+// run, which ended with its upstream when the former home was lost already. The
+// agents promise before the entry that has relayed the job does.
+TEST_F(LostUpstreamsTest, AJobThatRanIsNotRefusedAsNotRunByTheNextHome) {
+  const std::uint64_t relayed = this->NumberOfRelayedJob();
+  this->deadly = {KeyOf(relayed)};
+  this->Submit(relayed, seconds(6));
+  this->Advance(kTickInterval);
+  ASSERT_EQ(this->starts[KeyOf(relayed)], 1U);
+  this->entries.erase(this->home);
+  this->AdvanceUntilLost(1);
+  // No agent takes the task, so the next home refuses the job.
+  for (const auto& [id, agent] : this->agents) this->Post(id, LeaveRequested{});
+  this->delayed_requests.insert(this->entries.begin()->first);
+  this->DetectLossOfHome();
+  this->Advance(seconds(6));
+  ASSERT_EQ(this->answers.size(), 1U);
+  EXPECT_EQ(this->answers[0].verdict, Verdict::kMayHaveRun);
+}
+
 // Guards against bystanders that are given up because they ran beside a task
 // that was suspected already.
 TEST_F(LostUpstreamsTest, OnlyTheStrongestSuspectIsCharged) {
--- a/tests/entry_core/relayed_refusal_test.cc
+++ b/tests/entry_core/relayed_refusal_test.cc
@@ -37,7 +37,8 @@
 // home, to the new one.
 class RelayingEntry {
  public:
-  RelayingEntry() : core(Settings()), now(std::chrono::seconds(1)) {
+  explicit RelayingEntry(RerunPolicy rerun = RerunPolicy::kNever)
+      : core(Settings()), now(std::chrono::seconds(1)) {
     this->Handle(ViewRead{ThreeEntries()});
     this->Handle(PeerConnected{EntryId(2)});
     this->Handle(PeerConnected{EntryId(3)});
@@ -45,6 +46,7 @@
     while (this->HomeOf(job.key) == kSelf) ++job.key.low;
     job.service = ServiceName("s");
     job.time_allowed = std::chrono::seconds(2);
+    job.rerun = rerun;
     job.tasks.resize(1);
     this->key = job.key;
     this->Handle(CallerSubmitted{kRequest, job});
@@ -81,6 +83,13 @@
     this->Handle(PeerMessageReceived{
         this->first_home, RelayMoved{this->key, this->first_attempt, {}}});
   }
+  // The former home had started tasks for the relay.
+  void ReturnFirstRelayAfterStarts() {
+    this->Handle(PeerMessageReceived{
+        this->first_home,
+        RelayMoved{
+            this->key, this->first_attempt, {}, RelayedStarts::kPossible}});
+  }
   void RefuseFirstRelay() {
     this->Refuse(this->first_home, this->first_attempt);
   }
@@ -139,6 +148,7 @@
   const char* name;
   std::function<void(RelayingEntry&)> arrange;
   Verdict reported_verdict;
+  RerunPolicy rerun = RerunPolicy::kNever;
 };
 
 class RelayedRefusalTest : public testing::TestWithParam<RelayCase> {};
@@ -146,7 +156,7 @@
 // Guards against jobs that start after they have been refused as not run: the
 // former home has not yet read the first relay, and becomes the home again.
 TEST_P(RelayedRefusalTest, HoldsForAllRelays) {
-  RelayingEntry entry;
+  RelayingEntry entry(this->GetParam().rerun);
   this->GetParam().arrange(entry);
   ASSERT_TRUE(entry.HasRelayedAgain());
   entry.RefuseLastRelay();
@@ -188,6 +198,38 @@
                               Verdict::kNotRun}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
+// Guards against jobs that are refused as not run although a former home, lost
+// since, has started tasks of them: a run of a job that may run again and that
+// ended without success is not reported to the new home.
+INSTANTIATE_TEST_SUITE_P(
+    RelaysOfJobsThatMayRunAgain, RelayedRefusalTest,
+    testing::Values(RelayCase{"FormerHomeIsDead",
+                              [](RelayingEntry& entry) {
+                                entry.ChangeHome();
+                                entry.FirstHomeDies();
+                              },
+                              Verdict::kMayHaveRun, RerunPolicy::kAfterLease},
+                    RelayCase{"FormerHomeReturnedItAfterStarts",
+                              [](RelayingEntry& entry) {
+                                entry.ChangeHome();
+                                entry.ReturnFirstRelayAfterStarts();
+                              },
+                              Verdict::kMayHaveRun, RerunPolicy::kAfterLease},
+                    RelayCase{"FormerHomeReturnedItAndDied",
+                              [](RelayingEntry& entry) {
+                                entry.ChangeHome();
+                                entry.ReturnFirstRelay();
+                                entry.FirstHomeDies();
+                              },
+                              Verdict::kNotRun, RerunPolicy::kAfterLease},
+                    RelayCase{"FormerHomeRefusedIt",
+                              [](RelayingEntry& entry) {
+                                entry.ChangeHome();
+                                entry.RefuseFirstRelay();
+                              },
+                              Verdict::kNotRun, RerunPolicy::kAfterLease}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
 // Guards against answers that are lost twice: first with the home's connection
 // that broke, then before its new connection could carry them.
 TEST(RelayAfterRenewedLinkTest, IsSentAgainAfterAHeartbeatOfTheHome) {
