--- a/services/entry/load_guard.cc
+++ b/services/entry/load_guard.cc
@@ -42,7 +42,7 @@
   this->delay_drain.Note(static_cast<double>(this->delay.value().count()), now);
 }
 
-std::optional<Overload> LoadGuard::Check(const Admission& job) const {
+std::optional<Overload> LoadGuard::Check(const AdmissionRequest& job) const {
   const std::optional<Overload> memory_is_scarce = this->CheckMemory();
   if (memory_is_scarce) return memory_is_scarce;
   if (job.send_delay > kMaximumSendDelay) {
--- a/services/entry/load_guard.h
+++ b/services/entry/load_guard.h
@@ -24,7 +24,7 @@
 
 // What decides whether a new job may be taken in, besides what the guard has
 // recorded.
-struct Admission {
+struct AdmissionRequest {
   // The time that the messages take that wait for the link.
   Duration send_delay{};
   // How long the caller has use for the answer, beyond the run of the job's
@@ -53,7 +53,8 @@
   // the arrival of an event to its handling.
   void NoteDelay(Duration delay, SteadyTime now);
   // Why the new job may not be taken in, or nothing.
-  [[nodiscard]] std::optional<Overload> Check(const Admission& job) const;
+  [[nodiscard]] std::optional<Overload> Check(
+      const AdmissionRequest& job) const;
   // Whether the process is so far behind that callers notice it.
   [[nodiscard]] bool IsBehind() const;
 
--- a/tests/services/load_guard_test.cc
+++ b/tests/services/load_guard_test.cc
@@ -187,7 +187,7 @@
     now += kInterval;
     guard.NoteDelay(milliseconds(1500), now);
   }
-  const Admission job{Duration(), milliseconds(1200)};
+  const AdmissionRequest job{Duration(), milliseconds(1200)};
   EXPECT_EQ(guard.Check(job).value().retry_after, milliseconds(1500));
   while (guard.Check(job)) {
     now += kInterval;
