entry_core: Quarantine the groups of jobs that crash upstreams

Cause: a tenth of the jobs of one class crashed each upstream that started them; within 1.2 s nearly all upstreams were down, and no job of any class was served. Change: the tasks of a group that explains losses at three moments run only at a few upstreams, which all entries choose alike by rendezvous hashing, and no other tasks run there while others have room elsewhere. The group's jobs have a queue, a capacity and an expected wait of their own. A suspected task starts apart from other suspects, at the upstream with the least in use. maximum_quarantined_percent of the service document bounds the upstreams; 0 turns the quarantine off.

--- a/libraries/configuration/service_document.cc
+++ b/libraries/configuration/service_document.cc
@@ -25,6 +25,7 @@
 constexpr std::int64_t kDefaultQueuedTasks = 20'000;
 constexpr std::int64_t kDefaultRetryPercent = 10;
 constexpr std::int64_t kDefaultEjectedPercent = 30;
+constexpr std::int64_t kDefaultQuarantinedPercent = 50;
 constexpr Duration kDefaultDeadline = std::chrono::seconds(30);
 constexpr Duration kDefaultMaximumDeadline = std::chrono::minutes(5);
 constexpr Duration kDefaultRouteTimeout = std::chrono::seconds(30);
@@ -113,6 +114,9 @@
   document.maximum_ejected_percent =
       static_cast<std::uint32_t>(reader.IntegerOr(
           "maximum_ejected_percent", kPercentRange, kDefaultEjectedPercent));
+  document.maximum_quarantined_percent = static_cast<std::uint32_t>(
+      reader.IntegerOr("maximum_quarantined_percent", kPercentRange,
+                       kDefaultQuarantinedPercent));
   ReadClientAccounts(reader, document);
   ReadRoutes(reader, document);
   if (document.default_deadline > document.maximum_deadline) {
--- a/libraries/configuration/service_document.h
+++ b/libraries/configuration/service_document.h
@@ -77,6 +77,10 @@
   // Outlier ejection: the largest percentage of the upstreams that may be on
   // probation at the same time.
   std::uint32_t maximum_ejected_percent = 0;
+  // Quarantine of groups of jobs that crash upstreams: the largest percentage
+  // of the service's capacity that may be set aside for them. 0: none is
+  // quarantined.
+  std::uint32_t maximum_quarantined_percent = 0;
   // Empty: any client account may submit, all with weight 1.
   std::vector<ClientAccountPolicy> client_accounts;
   std::vector<Route> routes;
@@ -85,8 +89,8 @@
                       (service, version, change_id, owner, placement, order,
                        maximum_queued_tasks, maximum_tasks_per_job,
                        default_deadline, maximum_deadline, duplicate_window,
-                       retry_percent, maximum_ejected_percent, client_accounts,
-                       routes))
+                       retry_percent, maximum_ejected_percent,
+                       maximum_quarantined_percent, client_accounts, routes))
 
 // Parses and validates the text of a service document. Errors name the text by
 // `source`, the field and the allowed values.
--- a/libraries/decision_log/entry_decision_log.cc
+++ b/libraries/decision_log/entry_decision_log.cc
@@ -155,6 +155,7 @@
     TaskStartSent line{job, start.task.task.value(), start.attempt, start.agent,
                        start.placement};
     line.still_queued = start.queued;
+    line.scope = start.scope;
     const KnownAgent* agent = this->core.agents().Find(start.agent);
     if (agent == nullptr) return line;
     line.millicores_in_use = agent->load.running.millicores +
--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -108,6 +108,23 @@
 };
 BOOST_DESCRIBE_STRUCT(ConfigurationUnreadable, (), (problem))
 
+// The tasks of a group of jobs run only at a few upstreams, since they crash
+// upstreams, or run at all upstreams again.
+struct GroupQuarantined {
+  static constexpr const char* kName = "group_quarantine";
+  QuarantinePhase phase = QuarantinePhase::kBegun;
+  std::string service;
+  std::uint64_t group = 0;
+  // The losses that the group explained when it was quarantined, and the number
+  // of distinct moments at which they occurred.
+  std::uint64_t losses = 0;
+  std::uint64_t moments = 0;
+  // The number of upstreams that are set aside for the group.
+  std::uint64_t upstreams = 0;
+};
+BOOST_DESCRIBE_STRUCT(GroupQuarantined, (),
+                      (phase, service, group, losses, moments, upstreams))
+
 struct ViewAdopted {
   static constexpr const char* kName = "view_in_force";
   std::uint64_t epoch = 0;
@@ -395,10 +412,11 @@
   Duration report_age_ms{};
   // Number of tasks that remain queued for the service.
   std::uint64_t still_queued = 0;
+  PlacementScope scope = PlacementScope::kOrdinary;
 };
 BOOST_DESCRIBE_STRUCT(TaskStartSent, (),
                       (job, task, attempt, agent, placement, millicores_in_use,
-                       millicores, report_age_ms, still_queued))
+                       millicores, report_age_ms, still_queued, scope))
 
 // The agent has reported that this start of the task will never take effect.
 struct TaskStartRefused {
--- a/libraries/entry_core/admission.cc
+++ b/libraries/entry_core/admission.cc
@@ -3,6 +3,16 @@
 #include <algorithm>
 
 namespace dandelionspur {
+namespace {
+
+Duration WaitFor(Duration core_time, const ServiceState& service,
+                 double cores) {
+  const double wait =
+      static_cast<double>(core_time.count()) * service.declared_error() / cores;
+  return Duration(static_cast<std::int64_t>(wait));
+}
+
+}  // namespace
 
 std::optional<Reason> Admission::Check(const HomeJob& job,
                                        const ServiceState* service,
@@ -25,9 +35,13 @@
   }
   const Resources capacity = this->agents.CapacityOf(job.submission.service);
   if (capacity.millicores == 0) return std::nullopt;
-  if (this->ExpectedWait(*service) > job.submission.time_allowed) {
-    return Reason::kDeadlineTooShort;
-  }
+  const JobGroupId group = job.submission.group;
+  const Duration wait = this->ExpectedWait(*service, group, now);
+  if (wait > job.submission.time_allowed) return Reason::kDeadlineTooShort;
+  // The few upstreams of a quarantined group start no job that is of no use.
+  const bool would_be_useless =
+      service->quarantine().Contains(group) && now + wait > job.UsefulUntil();
+  if (would_be_useless) return Reason::kDeadlineTooShort;
   const std::vector<TaskRequest>& tasks = job.submission.tasks;
   const bool may_start =
       std::all_of(tasks.begin(), tasks.end(), [&](const TaskRequest& task) {
@@ -46,11 +60,38 @@
       });
 }
 
-Duration Admission::ExpectedWait(const ServiceState& service) const {
-  const std::int64_t cores = this->agents.CoresOf(service.document().service);
-  const double wait = static_cast<double>(service.queued_work().count()) *
-                      service.declared_error() / static_cast<double>(cores);
-  return Duration(static_cast<std::int64_t>(wait));
+Duration Admission::ExpectedWait(const ServiceState& service, JobGroupId group,
+                                 Timestamp now) const {
+  const Quarantine& quarantine = service.quarantine();
+  if (quarantine.Contains(group)) {
+    return WaitInQuarantine(service, group, service.QueuedWorkOf(group), now);
+  }
+  Duration work = service.queued_work();
+  for (const JobGroupId quarantined : quarantine.Groups()) {
+    work -= service.QueuedWorkOf(quarantined);
+  }
+  return WaitFor(work, service, this->CoresFor(service, group));
+}
+
+Duration Admission::WaitInQuarantine(const ServiceState& service,
+                                     JobGroupId group, Duration core_time,
+                                     Timestamp now) const {
+  const Quarantine& quarantine = service.quarantine();
+  return quarantine.UntilUsable(group, now) +
+         WaitFor(core_time, service, this->CoresFor(service, group));
+}
+
+double Admission::CoresFor(const ServiceState& service,
+                           JobGroupId group) const {
+  const Quarantine& quarantine = service.quarantine();
+  if (!quarantine.IsActive()) {
+    return static_cast<double>(
+        this->agents.CoresOf(service.document().service));
+  }
+  const double cores = quarantine.Contains(group)
+                           ? quarantine.UsableCoresOf(group)
+                           : quarantine.UsableCoresOutside();
+  return std::max(1.0, cores);
 }
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/admission.h
+++ b/libraries/entry_core/admission.h
@@ -24,8 +24,19 @@
   // Whether each queued task of the job fits into the total capacity of an
   // upstream that is there or may return.
   [[nodiscard]] bool MayEverStart(const HomeJob& job) const;
-  // Estimated time until all tasks in the service's queue have been started.
-  [[nodiscard]] Duration ExpectedWait(const ServiceState& service) const;
+  // Estimated time until all queued tasks have been started that share the
+  // upstreams of this group: those of the group alone if it is quarantined, and
+  // else those of all groups that are not.
+  [[nodiscard]] Duration ExpectedWait(const ServiceState& service,
+                                      JobGroupId group, Timestamp now) const;
+  // Estimated time until a quarantined group's queued tasks of this core time
+  // have been started.
+  [[nodiscard]] Duration WaitInQuarantine(const ServiceState& service,
+                                          JobGroupId group, Duration core_time,
+                                          Timestamp now) const;
+  // The number of cores that ExpectedWait assumes; at least one.
+  [[nodiscard]] double CoresFor(const ServiceState& service,
+                                JobGroupId group) const;
 
  private:
   Duration duplicate_window;
--- a/libraries/entry_core/agent_registry.h
+++ b/libraries/entry_core/agent_registry.h
@@ -55,6 +55,10 @@
   bool demand_notified = false;
   // Tasks started by this entry that have not completed.
   std::uint32_t running = 0;
+  // How many of them are suspected of the loss of an upstream.
+  std::uint32_t running_suspects = 0;
+  // The quarantined groups whose tasks run at this upstream.
+  std::vector<JobGroupId> quarantined_groups;
   // After a failed start, no further start is sent before this time.
   Timestamp usable_from;
   std::uint32_t consecutive_failures = 0;
@@ -63,10 +67,14 @@
   bool slowness_known = false;
 
   [[nodiscard]] bool IsUsable(Timestamp now, Duration suspect_after) const {
-    return this->connected && this->ready && !this->leaving && !this->lost_at &&
-           this->load.accepting && now >= this->usable_from &&
+    return this->TakesTasks() && now >= this->usable_from &&
            now - this->last_heard <= suspect_after;
   }
+  // Whether the agent's upstream is up and takes tasks, as last reported.
+  [[nodiscard]] bool TakesTasks() const {
+    return this->connected && this->ready && !this->leaving && !this->lost_at &&
+           this->load.accepting;
+  }
   // Records that an entry received the agent's heartbeat at `at` or earlier.
   // `heartbeat` is the agent's time of sending.
   void NoteHeartbeat(Timestamp heartbeat, Timestamp at) {
@@ -77,9 +85,12 @@
   }
   // Whether the agent's free capacity allows a task to start at once.
   [[nodiscard]] bool HasCapacityFor(const Resources& need) const {
-    const Resources taken =
-        this->load.running + this->load.waiting + this->unreported_total;
-    return (taken + need).FitsIn(this->load.capacity);
+    return (this->Taken() + need).FitsIn(this->load.capacity);
+  }
+  // The resources of the tasks that run at the agent, wait there or were sent
+  // and aren't reported yet.
+  [[nodiscard]] Resources Taken() const {
+    return this->load.running + this->load.waiting + this->unreported_total;
   }
   // Whether the latest report is recent, and the agent was then leaving with no
   // task running or waiting.
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -411,6 +411,7 @@
 
 void EntryCore::OnAgent(AgentId from, const AgentHeartbeat& message) {
   this->home.OnAgentLoad(from, message.load);
+  this->home.OnRecentLosses(from, message.recent_losses, this->current_time);
   KnownAgent* agent = this->registry.Find(from);
   if (agent != nullptr) {
     agent->NoteHeartbeat(message.sent_at, this->current_time);
--- a/libraries/entry_core/entry_events.h
+++ b/libraries/entry_core/entry_events.h
@@ -195,6 +195,24 @@
 };
 BOOST_DESCRIBE_STRUCT(AgentLost, (), (agent, runs_are_over, tasks_started))
 
+BOOST_DEFINE_ENUM_CLASS(QuarantinePhase, kBegun, kReleased)
+
+// From now on the tasks of a group that crashes upstreams run only at a few
+// upstreams, or again at all.
+struct QuarantineChanged {
+  static constexpr const char* kName = "quarantine_changed";
+  QuarantinePhase phase = QuarantinePhase::kBegun;
+  ServiceName service;
+  JobGroupId group;
+  // The losses of upstreams that the group explained when it was quarantined,
+  // and the number of distinct moments at which they occurred.
+  std::uint32_t losses = 0;
+  std::uint32_t moments = 0;
+  std::uint32_t upstreams = 0;
+};
+BOOST_DESCRIBE_STRUCT(QuarantineChanged, (),
+                      (phase, service, group, losses, moments, upstreams))
+
 BOOST_DEFINE_ENUM_CLASS(OwnershipPhase, kNone, kCollecting, kActive)
 
 // The phase of these buckets at this entry has changed: it is acquiring them or
@@ -222,7 +240,8 @@
 using EntryEffect =
     std::variant<AnswerCaller, SendToPeer, SendToAgent, ProposeView,
                  ViewInForce, DocumentInForce, RetryCounted, JobRefused,
-                 AgentLost, OwnershipChanged, RemovedFromView, EntryDrained>;
+                 AgentLost, OwnershipChanged, RemovedFromView, EntryDrained,
+                 QuarantineChanged>;
 
 }  // namespace dandelionspur
 
--- a/libraries/entry_core/home_job.h
+++ b/libraries/entry_core/home_job.h
@@ -49,6 +49,8 @@
   // Set when the task is queued again for any reason but kNoFreeSlot, such as a
   // refused start or a failed run.
   bool retried = false;
+  // The latest start was sent with losses under which the task is suspected.
+  bool started_as_suspect = false;
   Payload result;
 
   // Whether the task was started at `from` and its completion is still
@@ -104,6 +106,8 @@
   // `is_queued`.
   std::int64_t rank = 0;
   bool is_queued = false;
+  // In the queue of its group, which was quarantined when it was queued.
+  bool is_quarantined = false;
   // In the queue of the jobs that can no longer be answered by DueAt().
   bool is_late = false;
 
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -33,7 +33,8 @@
       outbox(effects),
       health(configured.suspect_after, registry),
       admission(configured.duplicate_window, registry),
-      placement(owner, registry, this->health),
+      placement(owner, registry, this->health, this->losses),
+      quarantine(owner, registry, effects),
       send_budget(configured.link_bytes_per_second),
       answer_cache(configured.maximum_answer_bytes,
                    configured.duplicate_window),
@@ -120,9 +121,12 @@
   job.waiters.push_back(waiter);
   job.tasks.resize(submission.tasks.size());
   this->deadlines.emplace(job.deadline, submission.key);
+  ServiceState* service = this->Service(job);
+  if (service != nullptr && !inherited) {
+    service->demand().Add(submission.group, submission.CoreTime(), now);
+  }
   const std::optional<Reason> refusal_reason =
-      inherited ? std::nullopt
-                : this->admission.Check(job, this->Service(job), now);
+      inherited ? std::nullopt : this->admission.Check(job, service, now);
   if (refusal_reason) {
     this->Refuse(job, *refusal_reason, now);
     return;
@@ -146,9 +150,10 @@
   JobRefused refused{job.submission.key, reason};
   if (const ServiceState* service = this->Service(job)) {
     refused.queued_tasks = service->queued_tasks();
-    refused.expected_wait = this->admission.ExpectedWait(*service);
-    refused.cores = static_cast<std::uint64_t>(
-        this->agents.CoresOf(job.submission.service));
+    const JobGroupId group = job.submission.group;
+    refused.expected_wait = this->admission.ExpectedWait(*service, group, now);
+    refused.cores =
+        static_cast<std::uint64_t>(this->admission.CoresFor(*service, group));
   }
   job.retry_after = kMinimumRetryAfter + refused.expected_wait;
   this->outbox.Add(refused);
@@ -257,7 +262,7 @@
   service->Dequeue(job);
   job.queued.push_back(task);
   job.queued_work += core_time;
-  service->TaskQueued(core_time);
+  service->TaskQueued(job.submission.group, core_time);
   service->Enqueue(job, this->agents.CoresOf(job.submission.service));
 }
 
@@ -266,7 +271,8 @@
   if (service == nullptr) return;
   service->Dequeue(job);
   for (const TaskIndex task : job.queued) {
-    service->TaskUnqueued(job.submission.tasks[task.value()].CoreTime());
+    service->TaskUnqueued(job.submission.group,
+                          job.submission.tasks[task.value()].CoreTime());
   }
   job.queued.clear();
   job.queued_work = Duration();
@@ -496,6 +502,58 @@
   if (load.HasFreeCapacity()) agent->demand_notified = false;
 }
 
+void HomeJobs::OnRecentLosses(AgentId from,
+                              const std::vector<RecentLoss>& reported,
+                              Timestamp now) {
+  if (reported.empty()) return;
+  const KnownAgent* agent = this->agents.Find(from);
+  if (agent == nullptr || !agent->description) return;
+  const auto found = this->services.find(agent->description->service);
+  if (found == this->services.end()) return;
+  ServiceState& service = found->second;
+  if (!service.quarantine().Record(from, reported, now)) return;
+  service.demand().Advance(now);
+  this->UpdateQuarantine(service, now);
+}
+
+void HomeJobs::UpdateQuarantine(ServiceState& service, Timestamp now) {
+  const std::set<JobGroupId> changed = this->quarantine.Update(service, now);
+  if (!changed.empty()) this->RequeueGroups(service, changed);
+  this->RefuseUnservableInQuarantine(service, now);
+}
+
+void HomeJobs::RequeueGroups(ServiceState& service,
+                             const std::set<JobGroupId>& groups) {
+  const std::int64_t cores = this->agents.CoresOf(service.document().service);
+  for (auto& [key, job] : this->jobs) {
+    const bool is_concerned =
+        job.is_queued && groups.contains(job.submission.group) &&
+        job.submission.service == service.document().service;
+    if (!is_concerned) continue;
+    service.Dequeue(job);
+    service.Enqueue(job, cores);
+  }
+}
+
+void HomeJobs::RefuseUnservableInQuarantine(ServiceState& service,
+                                            Timestamp now) {
+  for (const JobGroupId group : service.quarantine().Groups()) {
+    Duration ahead{};
+    for (const JobKey& key : service.JobsOf(group)) {
+      HomeJob& job = this->jobs.at(key);
+      const Duration wait =
+          this->admission.WaitInQuarantine(service, group, ahead, now);
+      const Timestamp useful_until =
+          std::min(job.UsefulUntil(), job.RefuseBy());
+      if (job.HasNoStarts() && now + wait > useful_until) {
+        this->Refuse(job, Reason::kDeadlineTooShort, now);
+        continue;
+      }
+      ahead += job.queued_work;
+    }
+  }
+}
+
 void HomeJobs::OnCapacityShrunk(const ServiceName& service, Timestamp now) {
   std::vector<JobKey> oversized;
   for (const auto& [key, job] : this->jobs) {
@@ -590,6 +648,12 @@
 }
 
 void HomeJobs::Tick(Timestamp now) {
+  for (auto& [name, service] : this->services) {
+    service.demand().Advance(now);
+    const bool may_change = service.quarantine().IsActive() ||
+                            service.quarantine().HasRecentLosses();
+    if (may_change) this->UpdateQuarantine(service, now);
+  }
   this->AbandonBeforeDeadlines(now);
   this->RefuseUnservable(now);
   this->RequeueAfterLeases(now);
@@ -623,7 +687,9 @@
     for (const JobKey& key : service.LateJobs()) {
       HomeJob& job = this->jobs.at(key);
       const Duration wait =
-          has_capacity ? this->admission.ExpectedWait(service) : Duration();
+          has_capacity
+              ? this->admission.ExpectedWait(service, job.submission.group, now)
+              : Duration();
       const bool unservable = now + wait > job.RefuseBy();
       if (!unservable || !job.HasNoStarts()) continue;
       this->Refuse(job, Reason::kDeadlineTooShort, now);
@@ -663,7 +729,8 @@
     // The caller is better served by an early refusal, as it can then try
     // elsewhere or later.
     if (job.HasNoStarts() &&
-        now + this->admission.ExpectedWait(service) > job.UsefulUntil()) {
+        now + this->admission.ExpectedWait(service, job.submission.group, now) >
+            job.UsefulUntil()) {
       this->Refuse(job, Reason::kDeadlineTooShort, now);
     }
   }
@@ -671,8 +738,21 @@
 
 void HomeJobs::DispatchService(ServiceState& service, Timestamp now) {
   this->DeprioritizeOverdue(service, now);
+  this->DispatchQueue(service, now, [&] { return service.Next(); });
+  for (const JobGroupId group : service.quarantine().Groups()) {
+    this->DispatchQueue(service, now, [&] { return service.NextOf(group); });
+  }
+  // Tasks that wait for this entry's own link need no other upstream.
+  if (service.queued_tasks() > 0 && this->send_budget.HasRoom(now)) {
+    this->SendDemandNotices(service, now);
+  }
+}
+
+template <typename NextJob>
+void HomeJobs::DispatchQueue(ServiceState& service, Timestamp now,
+                             const NextJob& next_job) {
   while (this->send_budget.HasRoom(now)) {
-    const std::optional<JobKey> key = service.Next();
+    const std::optional<JobKey> key = next_job();
     if (!key) break;
     HomeJob& job = this->jobs.at(*key);
     const TaskIndex index = job.queued.back();
@@ -684,22 +764,19 @@
       this->Refuse(job, Reason::kDeadlineTooShort, now);
       continue;
     }
-    this->StartTask(job, index, *choice->agent, choice->reason, now);
-  }
-  // Tasks that wait for this entry's own link need no other upstream.
-  if (service.queued_tasks() > 0 && this->send_budget.HasRoom(now)) {
-    this->SendDemandNotices(service, now);
+    this->StartTask(job, index, *choice, now);
   }
 }
 
-void HomeJobs::StartTask(HomeJob& job, TaskIndex task, KnownAgent& agent,
-                         PlacementReason reason, Timestamp now) {
+void HomeJobs::StartTask(HomeJob& job, TaskIndex task,
+                         const PlacementChoice& choice, Timestamp now) {
+  KnownAgent& agent = *choice.agent;
   ServiceState& service = *this->Service(job);
   const TaskRequest& request = job.submission.tasks[task.value()];
   service.Dequeue(job);
   job.queued.pop_back();
   job.queued_work -= request.CoreTime();
-  service.TaskUnqueued(request.CoreTime());
+  service.TaskUnqueued(job.submission.group, request.CoreTime());
   service.Enqueue(job, this->agents.CoresOf(job.submission.service));
   service.TaskStarted(job.submission.client_account);
   TaskRecord& record = job.tasks[task.value()];
@@ -710,6 +787,8 @@
   agent.NoteStartSent(request.need);
   agent.demand_notified = service.queued_tasks() > 0;
   const TaskId id{job.submission.key, task};
+  record.started_as_suspect = this->losses.SuspectedCount(id) > 0;
+  if (record.started_as_suspect) ++agent.running_suspects;
   this->outstanding[agent.agent].insert(id);
   const BucketId bucket = this->ownership.BucketOfKey(job.submission.key);
   record.start = {this->ownership.Promised(bucket), ++this->last_start};
@@ -718,7 +797,7 @@
               record.start.attempt,
               agent.agent,
               job.TimeLeft(now),
-              reason,
+              choice.reason,
               service.queued_tasks(),
               job.submission.name,
               job.submission.rerun,
@@ -726,7 +805,8 @@
               request,
               std::nullopt,
               this->losses.Of(id),
-              job.submission.group};
+              job.submission.group,
+              choice.scope};
   agent.OmitRepeatedBody(start);
   this->send_budget.NoteSent(start.request.body.size() +
                              kJobMessageHeaderBytes);
@@ -751,7 +831,10 @@
     service->TaskEnded(job.submission.client_account);
   }
   KnownAgent* agent = this->agents.Find(task.agent);
-  if (agent != nullptr && agent->running > 0) --agent->running;
+  const bool was_suspect = std::exchange(task.started_as_suspect, false);
+  if (agent == nullptr) return;
+  if (agent->running > 0) --agent->running;
+  if (was_suspect && agent->running_suspects > 0) --agent->running_suspects;
 }
 
 void HomeJobs::Requeue(HomeJob& job, TaskIndex index, Reason reason,
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -15,6 +15,7 @@
 #include "libraries/entry_core/entry_outbox.h"
 #include "libraries/entry_core/home_job.h"
 #include "libraries/entry_core/ownership.h"
+#include "libraries/entry_core/quarantine_control.h"
 #include "libraries/entry_core/refusal_confirmer.h"
 #include "libraries/entry_core/send_budget.h"
 #include "libraries/entry_core/service_state.h"
@@ -73,6 +74,9 @@
   // Records losses of upstreams under tasks, and ends the jobs whose tasks have
   // thereby reached the limit.
   void OnUpstreamLosses(const std::vector<TaskLosses>& reported, Timestamp now);
+  // Records the losses that the agent reports of its own upstream.
+  void OnRecentLosses(AgentId from, const std::vector<RecentLoss>& reported,
+                      Timestamp now);
   void OnAgentLoad(AgentId from, const AgentLoad& load);
   // The total capacity of an upstream of the service has shrunk. Refuses the
   // queued jobs that no upstream can hold any more.
@@ -143,8 +147,21 @@
   // others, and refuses those without starts whose answer would be of no use.
   void DeprioritizeOverdue(ServiceState& service, Timestamp now);
   void DispatchService(ServiceState& service, Timestamp now);
-  void StartTask(HomeJob& job, TaskIndex task, KnownAgent& agent,
-                 PlacementReason reason, Timestamp now);
+  // Starts the tasks of the jobs that `next_job` names while agents have free
+  // capacity for them.
+  template <typename NextJob>
+  void DispatchQueue(ServiceState& service, Timestamp now,
+                     const NextJob& next_job);
+  void StartTask(HomeJob& job, TaskIndex task, const PlacementChoice& choice,
+                 Timestamp now);
+  // Quarantines and releases groups of the service's jobs.
+  void UpdateQuarantine(ServiceState& service, Timestamp now);
+  // Moves the queued jobs of groups that were quarantined or released to their
+  // new queues.
+  void RequeueGroups(ServiceState& service, const std::set<JobGroupId>& groups);
+  // Refuses the jobs without starts that the upstreams of their quarantined
+  // groups cannot serve in time.
+  void RefuseUnservableInQuarantine(ServiceState& service, Timestamp now);
   void SendDemandNotices(ServiceState& service, Timestamp now);
   // Applies the outcome of a run, if its task is outstanding at `from`.
   void OnRunCompleted(AgentId from, const TaskReport& report, Timestamp now);
@@ -172,6 +189,7 @@
   UpstreamHealth health;
   Admission admission;
   TaskPlacement placement;
+  QuarantineControl quarantine;
   SendBudget send_budget;
   std::map<ServiceName, ServiceState> services;
   std::unordered_map<JobKey, HomeJob> jobs;
--- a/libraries/entry_core/placement.h
+++ b/libraries/entry_core/placement.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_PLACEMENT_H_
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_PLACEMENT_H_
 
+#include <algorithm>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
@@ -42,6 +43,19 @@
   }
 };
 
+// The upstream with the least resources in use, for tasks that may crash it.
+class LeastTaken {
+ public:
+  [[nodiscard]] std::size_t Choose(const Candidates& agents) const {
+    const auto least = std::min_element(
+        agents.begin(), agents.end(),
+        [](const KnownAgent* left, const KnownAgent* right) {
+          return left->Taken().millicores < right->Taken().millicores;
+        });
+    return static_cast<std::size_t>(least - agents.begin());
+  }
+};
+
 // Baseline: a random upstream.
 class RandomChoice {
  public:
@@ -81,8 +95,9 @@
   RandomChoice random;
 };
 
-static_assert(PlacementPolicy<FastestFree> && PlacementPolicy<RandomChoice> &&
-              PlacementPolicy<RoundRobin> && PlacementPolicy<TwoChoices>);
+static_assert(PlacementPolicy<FastestFree> && PlacementPolicy<LeastTaken> &&
+              PlacementPolicy<RandomChoice> && PlacementPolicy<RoundRobin> &&
+              PlacementPolicy<TwoChoices>);
 
 using Placement =
     std::variant<FastestFree, RandomChoice, RoundRobin, TwoChoices>;
--- a/libraries/entry_core/service_state.cc
+++ b/libraries/entry_core/service_state.cc
@@ -64,23 +64,28 @@
     job.rank = rank.time_since_epoch().count();
   }
   job.is_queued = true;
-  AccountState& client_account = this->Account(job.submission.client_account);
-  (job.is_late ? client_account.late : client_account.jobs)
-      .insert({job.rank, job.submission.key});
+  job.is_quarantined = this->isolation.Contains(job.submission.group);
+  this->PositionsOf(job).insert({job.rank, job.submission.key});
 }
 
 void ServiceState::Dequeue(HomeJob& job) {
   if (!job.is_queued) return;
   job.is_queued = false;
-  AccountState& client_account = this->Account(job.submission.client_account);
-  (job.is_late ? client_account.late : client_account.jobs)
-      .erase({job.rank, job.submission.key});
+  this->PositionsOf(job).erase({job.rank, job.submission.key});
+}
+
+std::set<ServiceState::Position>& ServiceState::PositionsOf(
+    const HomeJob& job) {
+  Queue& queue = job.is_quarantined
+                     ? this->quarantined[job.submission.group]
+                     : this->Account(job.submission.client_account).queue;
+  return job.is_late ? queue.late : queue.jobs;
 }
 
 std::optional<JobKey> ServiceState::Next() const {
   const AccountState* best = nullptr;
   for (const auto& [name, client_account] : this->client_accounts) {
-    if (client_account.IsIdle() ||
+    if (client_account.queue.IsIdle() ||
         client_account.running >= client_account.maximum_running) {
       continue;
     }
@@ -95,17 +100,42 @@
     if (share < best_share) best = &client_account;
   }
   if (best == nullptr) return std::nullopt;
-  const std::set<Position>& queue =
-      best->jobs.empty() ? best->late : best->jobs;
-  return queue.begin()->key;
+  return best->queue.First();
+}
+
+std::optional<JobKey> ServiceState::NextOf(JobGroupId group) const {
+  const auto found = this->quarantined.find(group);
+  const bool is_idle =
+      found == this->quarantined.end() || found->second.IsIdle();
+  if (is_idle) return std::nullopt;
+  return found->second.First();
+}
+
+std::vector<JobKey> ServiceState::JobsOf(JobGroupId group) const {
+  std::vector<JobKey> keys;
+  const auto found = this->quarantined.find(group);
+  if (found == this->quarantined.end()) return keys;
+  for (const auto* positions : {&found->second.jobs, &found->second.late}) {
+    for (const Position& position : *positions) keys.push_back(position.key);
+  }
+  return keys;
+}
+
+std::vector<const ServiceState::Queue*> ServiceState::Queues() const {
+  std::vector<const Queue*> queues;
+  for (const auto& [name, client_account] : this->client_accounts) {
+    queues.push_back(&client_account.queue);
+  }
+  for (const auto& [group, queue] : this->quarantined) queues.push_back(&queue);
+  return queues;
 }
 
 std::vector<JobKey> ServiceState::OverdueJobs(Timestamp now) const {
   std::vector<JobKey> overdue;
   if (this->in_force.order != OrderKind::kLeastSlack) return overdue;
   const std::int64_t latest = now.time_since_epoch().count();
-  for (const auto& [name, client_account] : this->client_accounts) {
-    for (const Position& position : client_account.jobs) {
+  for (const Queue* queue : this->Queues()) {
+    for (const Position& position : queue->jobs) {
       if (position.rank >= latest) break;
       overdue.push_back(position.key);
     }
@@ -115,22 +145,31 @@
 
 std::vector<JobKey> ServiceState::LateJobs() const {
   std::vector<JobKey> late;
-  for (const auto& [name, client_account] : this->client_accounts) {
-    for (const Position& position : client_account.late) {
+  for (const Queue* queue : this->Queues()) {
+    for (const Position& position : queue->late) {
       late.push_back(position.key);
     }
   }
   return late;
 }
 
-void ServiceState::TaskQueued(Duration core_time) {
+void ServiceState::TaskQueued(JobGroupId group, Duration core_time) {
   ++this->queued_count;
   this->queued_total += core_time;
+  this->queued_of_groups[group] += core_time;
 }
 
-void ServiceState::TaskUnqueued(Duration core_time) {
+void ServiceState::TaskUnqueued(JobGroupId group, Duration core_time) {
   --this->queued_count;
   this->queued_total -= core_time;
+  const auto found = this->queued_of_groups.find(group);
+  found->second -= core_time;
+  if (found->second <= Duration()) this->queued_of_groups.erase(found);
+}
+
+Duration ServiceState::QueuedWorkOf(JobGroupId group) const {
+  const auto found = this->queued_of_groups.find(group);
+  return found == this->queued_of_groups.end() ? Duration() : found->second;
 }
 
 void ServiceState::TaskStarted(const ClientAccount& client_account) {
--- a/libraries/entry_core/service_state.h
+++ b/libraries/entry_core/service_state.h
@@ -8,8 +8,10 @@
 #include <vector>
 
 #include "libraries/configuration/service_document.h"
+#include "libraries/entry_core/group_demand.h"
 #include "libraries/entry_core/home_job.h"
 #include "libraries/entry_core/placement.h"
+#include "libraries/entry_core/quarantine.h"
 
 namespace dandelionspur {
 
@@ -27,8 +29,9 @@
 
   // Whether the document lets the client account submit.
   [[nodiscard]] bool Admits(const ClientAccount& client_account) const;
-  // Inserts a job with queued tasks into its client account's queue. `cores` is
-  // the number of processor cores of the service, at least one.
+  // Inserts a job with queued tasks into its client account's queue, or into
+  // the queue of its group if that is quarantined. `cores` is the number of
+  // processor cores of the service, at least one.
   void Enqueue(HomeJob& job, std::int64_t cores);
   void Dequeue(HomeJob& job);
   // The job whose task should start next, or nothing if every client account
@@ -37,6 +40,10 @@
   // account, the document's order decides. With kShortestRemaining, waiting
   // time lowers the rank (ageing), so that large jobs don't starve.
   [[nodiscard]] std::optional<JobKey> Next() const;
+  // The same for the queue of a quarantined group.
+  [[nodiscard]] std::optional<JobKey> NextOf(JobGroupId group) const;
+  // The queued jobs of a quarantined group, the next one first.
+  [[nodiscard]] std::vector<JobKey> JobsOf(JobGroupId group) const;
   // The jobs whose latest start has passed. The caller marks each as late and
   // queues it again, so that jobs that can still be in time go first. Empty
   // unless the document's order is kLeastSlack.
@@ -45,8 +52,8 @@
   // The queued jobs that are marked as late.
   [[nodiscard]] std::vector<JobKey> LateJobs() const;
 
-  void TaskQueued(Duration core_time);
-  void TaskUnqueued(Duration core_time);
+  void TaskQueued(JobGroupId group, Duration core_time);
+  void TaskUnqueued(JobGroupId group, Duration core_time);
   void TaskStarted(const ClientAccount& client_account);
   void TaskEnded(const ClientAccount& client_account);
   [[nodiscard]] std::uint32_t queued_tasks() const {
@@ -54,6 +61,12 @@
   }
   // Sum of the declared core times of all queued tasks.
   [[nodiscard]] Duration queued_work() const { return this->queued_total; }
+  // The part of it that belongs to the group.
+  [[nodiscard]] Duration QueuedWorkOf(JobGroupId group) const;
+
+  [[nodiscard]] Quarantine& quarantine() { return this->isolation; }
+  [[nodiscard]] const Quarantine& quarantine() const { return this->isolation; }
+  [[nodiscard]] GroupDemand& demand() { return this->group_demand; }
 
   // Takes one retry from the budget. Returns false if the budget is exhausted.
   bool TakeRetry();
@@ -69,7 +82,7 @@
     JobKey key;
     auto operator<=>(const Position&) const = default;
   };
-  struct AccountState {
+  struct Queue {
     std::set<Position> jobs;
     // Served only when `jobs` is empty.
     std::set<Position> late;
@@ -77,19 +90,33 @@
     [[nodiscard]] bool IsIdle() const {
       return this->jobs.empty() && this->late.empty();
     }
+    [[nodiscard]] const JobKey& First() const {
+      return (this->jobs.empty() ? this->late : this->jobs).begin()->key;
+    }
+  };
+  struct AccountState {
+    // The jobs of the groups that are not quarantined.
+    Queue queue;
     std::uint32_t running = 0;
     std::uint32_t weight = 1;
     std::uint32_t maximum_running = UINT32_MAX;
   };
 
   AccountState& Account(const ClientAccount& client_account);
+  [[nodiscard]] std::set<Position>& PositionsOf(const HomeJob& job);
+  [[nodiscard]] std::vector<const Queue*> Queues() const;
 
   ServiceDocument in_force;
   Placement policy;
   std::uint64_t seed;
   std::map<ClientAccount, AccountState> client_accounts;
+  // The queues of the quarantined groups.
+  std::map<JobGroupId, Queue> quarantined;
   std::uint32_t queued_count = 0;
   Duration queued_total{};
+  std::map<JobGroupId, Duration> queued_of_groups;
+  Quarantine isolation;
+  GroupDemand group_demand;
   double retry_tokens = 0;
   double error_ratio = 1.0;
 };
--- a/libraries/entry_core/task_placement.cc
+++ b/libraries/entry_core/task_placement.cc
@@ -1,19 +1,49 @@
 #include "libraries/entry_core/task_placement.h"
 
+#include <algorithm>
 #include <variant>
 
 namespace dandelionspur {
+namespace {
+
+// Whether tasks that are placed in this scope may run at the agent.
+bool IsInScope(const KnownAgent& agent, PlacementScope scope,
+               JobGroupId group) {
+  const std::vector<JobGroupId>& groups = agent.quarantined_groups;
+  switch (scope) {
+    case PlacementScope::kOrdinary:
+      return true;
+    case PlacementScope::kOutsideQuarantines:
+      return groups.empty();
+    case PlacementScope::kInQuarantine:
+      return std::find(groups.begin(), groups.end(), group) != groups.end();
+  }
+  return true;
+}
+
+}  // namespace
 
 std::optional<PlacementChoice> TaskPlacement::Choose(const HomeJob& job,
                                                      ServiceState& service,
                                                      Timestamp now) {
   const TaskIndex index = job.queued.back();
-  this->CollectCandidates(job, index, now);
+  const Quarantine& quarantine = service.quarantine();
   PlacementChoice choice;
+  choice.scope = this->ScopeOf(job, job.submission.tasks[index.value()].need,
+                               quarantine, now);
+  this->CollectCandidates(job, index, choice.scope, now);
   if (this->candidates.size() == 1) {
     choice.reason = PlacementReason::kOnlyCandidate;
   }
-  choice.agent = this->ChooseCandidate(job, service);
+  if (this->losses.SuspectedCount({job.submission.key, index}) > 0) {
+    this->KeepApartFromSuspects();
+    LeastTaken least_taken;
+    choice.agent = this->ChooseCandidate(job, least_taken);
+  } else {
+    choice.agent = std::visit(
+        [&](auto& policy) { return this->ChooseCandidate(job, policy); },
+        service.placement());
+  }
   if (choice.agent == nullptr) return std::nullopt;
   if (job.tasks[index.value()].retried) {
     choice.reason = PlacementReason::kRetryElsewhere;
@@ -24,8 +54,27 @@
   return choice;
 }
 
+PlacementScope TaskPlacement::ScopeOf(const HomeJob& job, const Resources& need,
+                                      const Quarantine& quarantine,
+                                      Timestamp now) const {
+  if (!quarantine.IsActive()) return PlacementScope::kOrdinary;
+  if (quarantine.Contains(job.submission.group)) {
+    return PlacementScope::kInQuarantine;
+  }
+  const std::vector<KnownAgent*>& all =
+      this->agents.OfService(job.submission.service);
+  const bool has_room_elsewhere =
+      std::any_of(all.begin(), all.end(), [&](const KnownAgent* agent) {
+        return agent->quarantined_groups.empty() &&
+               this->health.MayTakeTasks(*agent, now) &&
+               need.FitsIn(agent->load.capacity);
+      });
+  return has_room_elsewhere ? PlacementScope::kOutsideQuarantines
+                            : PlacementScope::kOrdinary;
+}
+
 void TaskPlacement::CollectCandidates(const HomeJob& job, TaskIndex index,
-                                      Timestamp now) {
+                                      PlacementScope scope, Timestamp now) {
   this->candidates.clear();
   const TaskRecord& task = job.tasks[index.value()];
   const Resources& need = job.submission.tasks[index.value()].need;
@@ -33,6 +82,7 @@
   for (const KnownAgent* agent :
        this->agents.OfService(job.submission.service)) {
     if (!this->health.MayTakeTask(*agent, need, now)) continue;
+    if (!IsInScope(*agent, scope, job.submission.group)) continue;
     if (task.retried && agent->agent == task.agent) {
       last_resort = agent;
       continue;
@@ -44,13 +94,20 @@
   }
 }
 
-KnownAgent* TaskPlacement::ChooseCandidate(const HomeJob& job,
-                                           ServiceState& service) {
+void TaskPlacement::KeepApartFromSuspects() {
+  const auto runs_suspects = [](const KnownAgent* agent) {
+    return agent->running_suspects > 0;
+  };
+  const bool all_run_suspects = std::all_of(
+      this->candidates.begin(), this->candidates.end(), runs_suspects);
+  if (!all_run_suspects) std::erase_if(this->candidates, runs_suspects);
+}
+
+template <PlacementPolicy Policy>
+KnownAgent* TaskPlacement::ChooseCandidate(const HomeJob& job, Policy& policy) {
   const BucketId bucket = this->ownership.BucketOfKey(job.submission.key);
   while (!this->candidates.empty()) {
-    const std::size_t choice = std::visit(
-        [&](auto& policy) { return policy.Choose(this->candidates); },
-        service.placement());
+    const std::size_t choice = policy.Choose(this->candidates);
     const AgentId agent = this->candidates[choice]->agent;
     // Nearly every agent has promised, so it is cheaper to check the chosen one
     // than to filter all candidates.
--- a/libraries/entry_core/task_placement.h
+++ b/libraries/entry_core/task_placement.h
@@ -9,6 +9,7 @@
 #include "libraries/entry_core/placement.h"
 #include "libraries/entry_core/service_state.h"
 #include "libraries/entry_core/upstream_health.h"
+#include "libraries/protocol/upstream_losses.h"
 
 namespace dandelionspur {
 
@@ -16,14 +17,19 @@
 struct PlacementChoice {
   KnownAgent* agent = nullptr;
   PlacementReason reason = PlacementReason::kFastestFree;
+  PlacementScope scope = PlacementScope::kOrdinary;
 };
 
 // Chooses the agents that queued tasks are sent to.
 class TaskPlacement {
  public:
   TaskPlacement(const Ownership& owner, AgentRegistry& registry,
-                const UpstreamHealth& upstream_health)
-      : ownership(owner), agents(registry), health(upstream_health) {}
+                const UpstreamHealth& upstream_health,
+                const UpstreamLosses& upstream_losses)
+      : ownership(owner),
+        agents(registry),
+        health(upstream_health),
+        losses(upstream_losses) {}
 
   // The agent for the job's next queued task, or nothing if no agent that has
   // promised the ballot of the job's bucket has free capacity.
@@ -33,15 +39,24 @@
 
  private:
   // Fills `candidates` with the agents that have free capacity for the task.
-  void CollectCandidates(const HomeJob& job, TaskIndex index, Timestamp now);
-  // Chooses among `candidates` with the service's placement policy. Returns
-  // nullptr if none of them has promised the ballot of the job's bucket.
-  [[nodiscard]] KnownAgent* ChooseCandidate(const HomeJob& job,
-                                            ServiceState& service);
+  void CollectCandidates(const HomeJob& job, TaskIndex index,
+                         PlacementScope scope, Timestamp now);
+  // The part of the upstreams where the job's tasks may run now.
+  [[nodiscard]] PlacementScope ScopeOf(const HomeJob& job,
+                                       const Resources& need,
+                                       const Quarantine& quarantine,
+                                       Timestamp now) const;
+  // Leaves only candidates without other suspects, if there are any.
+  void KeepApartFromSuspects();
+  // Chooses among `candidates` with the policy. Returns nullptr if none of them
+  // has promised the ballot of the job's bucket.
+  template <PlacementPolicy Policy>
+  [[nodiscard]] KnownAgent* ChooseCandidate(const HomeJob& job, Policy& policy);
 
   const Ownership& ownership;
   AgentRegistry& agents;
   const UpstreamHealth& health;
+  const UpstreamLosses& losses;
   // A member only to reuse its allocation; the content is per decision.
   Candidates candidates;
 };
--- a/libraries/entry_core/upstream_health.cc
+++ b/libraries/entry_core/upstream_health.cc
@@ -25,8 +25,8 @@
 
 bool UpstreamHealth::MayTakeTask(const KnownAgent& agent, const Resources& need,
                                  Timestamp now) const {
-  const bool usable = agent.IsUsable(now, this->suspect_after);
-  if (!usable || !agent.HasCapacityFor(need)) return false;
+  if (!this->MayTakeTasks(agent, now)) return false;
+  if (!agent.HasCapacityFor(need)) return false;
   return !this->IsOnProbation(agent) || agent.running == 0;
 }
 
--- a/libraries/entry_core/upstream_health.h
+++ b/libraries/entry_core/upstream_health.h
@@ -17,6 +17,11 @@
   UpstreamHealth(Duration suspicion, AgentRegistry& registry)
       : suspect_after(suspicion), agents(registry) {}
 
+  // Whether the agent takes any tasks now, if it has free capacity.
+  [[nodiscard]] bool MayTakeTasks(const KnownAgent& agent,
+                                  Timestamp now) const {
+    return agent.IsUsable(now, this->suspect_after);
+  }
   // Whether a task with this need may be sent to the agent now.
   [[nodiscard]] bool MayTakeTask(const KnownAgent& agent, const Resources& need,
                                  Timestamp now) const;
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -300,6 +300,7 @@
   std::vector<UpstreamLoss> losses;
   // The group of the task's job.
   JobGroupId group;
+  PlacementScope scope = PlacementScope::kOrdinary;
 
   [[nodiscard]] StartNumber Number() const {
     return {this->ballot, this->attempt};
@@ -308,7 +309,7 @@
 BOOST_DESCRIBE_STRUCT(Start, (),
                       (task, ballot, attempt, agent, time_left, placement,
                        queued, job_name, rerun, contact, request, repeated_body,
-                       losses, group))
+                       losses, group, scope))
 
 // Asks for the task's state and rules out a later start: if the task has not
 // been started, no start of it up to this ballot and attempt will take effect.
--- a/libraries/protocol/job.h
+++ b/libraries/protocol/job.h
@@ -73,6 +73,12 @@
   std::optional<Payload> shared_body;
   JobGroupId group;
 
+  // Sum of the declared core times of all tasks.
+  [[nodiscard]] Duration CoreTime() const {
+    Duration total{};
+    for (const TaskRequest& task : this->tasks) total += task.CoreTime();
+    return total;
+  }
   // Sets `shared_body` if the tasks have equal bodies.
   void ShareBody() {
     if (this->tasks.empty()) return;
@@ -136,6 +142,12 @@
 BOOST_DEFINE_ENUM_CLASS(PlacementReason, kOnlyCandidate, kFastestFree,
                         kRetryElsewhere, kProbation)
 
+// The part of the service's upstreams among which placement selected the agent
+// of a task: all of them, those that no quarantined group runs at, or those of
+// the task's own group, which is quarantined.
+BOOST_DEFINE_ENUM_CLASS(PlacementScope, kOrdinary, kOutsideQuarantines,
+                        kInQuarantine)
+
 }  // namespace dandelionspur
 
 #endif  // DANDELIONSPUR_LIBRARIES_PROTOCOL_JOB_H_
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -452,6 +452,14 @@
   this->refusals.Count(effect.reason);
 }
 
+void EntryServer::Apply(const QuarantineChanged& effect) {
+  LogStateChange(GroupQuarantined{effect.phase, effect.service.value(),
+                                  effect.group.value(), effect.losses,
+                                  effect.moments, effect.upstreams});
+  this->metrics.Count("quarantine_changes_total", "phase",
+                      EnumName(effect.phase), 1);
+}
+
 void EntryServer::Apply(const RemovedFromView& /*effect*/) {
   LogStateChange(RemovedFromViewLine{});
   this->records->Flush([] { Lifetime::Finish(ExitCode::kRemoved); });
