--- a/tests/services/load_guard_test.cc
+++ b/tests/services/load_guard_test.cc
@@ -193,7 +193,9 @@
     now += kInterval;
     guard.NoteDelay(Duration(), now);
     const std::optional<Overload> overload = guard.Check(job);
-    if (overload) EXPECT_LE(overload->retry_after, milliseconds(1200));
+    if (overload) {
+      EXPECT_LE(overload->retry_after, milliseconds(1200));
+    }
   }
   // 1,500 ms fall to 300 ms in two to three times 500 ms, and the delays before
   // count for 200 ms.
--- a/tests/services/shutdown_schedule_test.cc
+++ b/tests/services/shutdown_schedule_test.cc
@@ -32,7 +32,9 @@
   while (const auto step = schedule.TakeDue(now)) taken.push_back(*step);
   EXPECT_EQ(taken, tested.due);
   EXPECT_EQ(schedule.NextDue().has_value(), tested.due.size() < 4);
-  if (schedule.NextDue()) EXPECT_GT(*schedule.NextDue(), now);
+  if (schedule.NextDue()) {
+    EXPECT_GT(*schedule.NextDue(), now);
+  }
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/telemetry/standing_delay_test.cc
+++ b/tests/telemetry/standing_delay_test.cc
@@ -60,7 +60,9 @@
     const milliseconds delay(i % 5 == 4 ? 1 : 300);
     now += kInterval + delay;
     standing.Note(delay, now);
-    if (i > 1) EXPECT_GE(standing.value(), milliseconds(150)) << i;
+    if (i > 1) {
+      EXPECT_GE(standing.value(), milliseconds(150)) << i;
+    }
   }
 }
 
