--- a/tests/entry_core/memory_use_test.cc
+++ b/tests/entry_core/memory_use_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <utility>
+#include <variant>
 #include <vector>
 
 #include "tests/support/entry_harness.h"
@@ -44,17 +46,33 @@
                            return std::string(tested.param.name);
                          });
 
+// The report of an agent that the task of this start has succeeded.
+TaskFinished SuccessOf(const Start& start, std::string result) {
+  TaskFinished finished;
+  finished.report.task = start.task;
+  finished.report.state = StartedState::kFinished;
+  finished.report.outcome = TaskOutcome::kSucceeded;
+  finished.report.result = Payload::FromBytes(std::move(result));
+  finished.report.result_kept = true;
+  finished.report.start = {start.ballot, start.attempt};
+  return finished;
+}
+
 // Guards against memory that no gauge shows: jobs must be counted while they
-// are held, and no longer.
-TEST(MemoryUseTest, JobsAreCountedUntilTheyAreAnswered) {
+// are held, and their answers from then on.
+TEST(MemoryUseTest, CountsJobsUntilTheyAreAnsweredAndThenTheAnswers) {
   EntryHarness harness(1, 1);
   EXPECT_EQ(harness.memory_use().jobs_at_home, 0U);
-  harness.Submit(1, 3, std::chrono::seconds(2));
-  EXPECT_GT(harness.memory_use().jobs_at_home, 3 * sizeof(TaskRequest));
+  const std::vector<SendToAgent> starts =
+      StartsIn(harness.Submit(1, 1, std::chrono::seconds(2)));
+  ASSERT_EQ(starts.size(), 1U);
+  EXPECT_GT(harness.memory_use().jobs_at_home, sizeof(TaskRequest));
   EXPECT_EQ(harness.memory_use().kept_answers, 0U);
-  harness.Advance(std::chrono::seconds(3));
+  const Start& start = std::get<Start>(starts.front().message);
+  harness.Handle(AgentMessageReceived{
+      starts.front().to, SuccessOf(start, std::string(kBodyBytes, 'r'))});
   EXPECT_EQ(harness.memory_use().jobs_at_home, 0U);
-  EXPECT_GT(harness.memory_use().kept_answers, 0U);
+  EXPECT_GT(harness.memory_use().kept_answers, kBodyBytes);
 }
 
 }  // namespace
