entry_core: Ask for promises in parts, one request at a time

Cause: an entry that acquires buckets asked every member and agent for all buckets at once, got all keys and started tasks in one message, and asked again each 250 ms until the answer was there, however long the answer waited behind other bytes.

A list that does not fit goes on after its last key. A bucket that a reply does not reach is not promised, and a promise counts once its list has come without a gap. A request is repeated only after a new connection, or when the peer has confirmed a later heartbeat without having answered.

The stand-in of CoreBench relied on the repetition: it now grants every request, also those that follow a grant. The test of the started set asks through the new interface for the same tasks.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -27,6 +27,12 @@
   return std::nullopt;
 }
 
+// Whether an agent that has promised `promised` grants a request for a promise.
+bool MayGrant(EntryId from, const BucketBallot& request,
+              const Ballot& promised) {
+  return request.ballot >= promised && request.ballot.entry == from;
+}
+
 }  // namespace
 
 AgentCore::AgentCore(const AgentCoreSettings& configured)
@@ -192,24 +198,47 @@
 }
 
 void AgentCore::OnMessage(EntryId from, const PromiseRequest& message) {
+  const std::vector<BucketId> grantable = this->Grantable(from, message);
+  StartedQuery query{grantable, this->settings.bucket_count, std::nullopt,
+                     message.maximum_listed};
+  const bool continues =
+      !grantable.empty() && grantable.front() == message.buckets.front().bucket;
+  if (continues) query.after = message.after;
+  StartedList list = this->started.List(query);
   AgentPromiseReply reply;
-  std::unordered_set<BucketId> granted;
+  reply.part = {message.sequence, query.after, list.resume_after};
+  std::unordered_set<BucketId> complete;
   for (const BucketBallot& request : message.buckets) {
     if (request.bucket.value() >= this->promises.size()) continue;
     Ballot& promised_ballot = this->promises[request.bucket.value()];
-    const bool grant =
-        request.ballot >= promised_ballot && request.ballot.entry == from;
+    const bool grant = MayGrant(from, request, promised_ballot);
+    // A promise without the list of what has been started is worth nothing, and
+    // would stop the present home too early.
+    if (grant && complete.size() == list.covered) continue;
     if (grant) {
       promised_ballot = request.ballot;
-      granted.insert(request.bucket);
+      complete.insert(request.bucket);
     }
     reply.buckets.push_back({request.bucket, promised_ballot, grant});
   }
-  reply.started = this->started.TasksOf(granted, this->settings.bucket_count);
-  reply.losses = this->losses.InBuckets(granted, this->settings.bucket_count);
+  if (list.resume_after) complete.erase(grantable[list.covered - 1]);
+  reply.started = std::move(list.jobs);
+  reply.losses = this->losses.InBuckets(complete, this->settings.bucket_count);
   this->Send(from, std::move(reply));
 }
 
+std::vector<BucketId> AgentCore::Grantable(
+    EntryId from, const PromiseRequest& message) const {
+  std::vector<BucketId> grantable;
+  for (const BucketBallot& request : message.buckets) {
+    if (request.bucket.value() >= this->promises.size()) continue;
+    const Ballot& promised = this->promises[request.bucket.value()];
+    if (!MayGrant(from, request, promised)) continue;
+    grantable.push_back(request.bucket);
+  }
+  return grantable;
+}
+
 void AgentCore::OnMessage(EntryId from, const Start& message) {
   const auto sender = this->connected.find(from);
   Start start = message;
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -87,6 +87,9 @@
   // acknowledges this agent later.
   void CheckReady();
   void AnnounceReady(EntryId entry);
+  // The buckets of the request that this agent may promise to the sender.
+  [[nodiscard]] std::vector<BucketId> Grantable(
+      EntryId from, const PromiseRequest& message) const;
   [[nodiscard]] std::optional<Reason> StartRefusalReason(
       const Start& start) const;
   void RefuseStart(EntryId to, const Start& start, Reason reason);
--- a/libraries/agent_core/started_set.cc
+++ b/libraries/agent_core/started_set.cc
@@ -86,22 +86,55 @@
   this->forbidden_order.push_back({this->last_update_time, id});
 }
 
-std::vector<StartedJob> StartedSet::TasksOf(
-    const std::unordered_set<BucketId>& buckets,
-    std::uint32_t bucket_count) const {
-  std::unordered_map<JobKey, std::size_t> positions;
-  std::vector<StartedJob> jobs;
+StartedList StartedSet::List(const StartedQuery& query) const {
+  StartedList list;
+  list.covered = query.buckets.size();
+  std::size_t listed = 0;
+  std::size_t last_position = 0;
+  for (const QueriedTask& task : this->Find(query)) {
+    const bool begins_job =
+        list.jobs.empty() || list.jobs.back().key != task.id.key;
+    const bool is_full =
+        query.maximum_tasks > 0 && listed >= query.maximum_tasks;
+    if (begins_job && is_full) {
+      list.covered = task.position;
+      if (task.position != last_position) return list;
+      // Jobs are listed whole, so that a key says where to go on.
+      list.covered = task.position + 1;
+      list.resume_after = list.jobs.back().key;
+      return list;
+    }
+    if (begins_job) list.jobs.push_back({task.id.key, {}});
+    list.jobs.back().tasks.push_back(task.id.task);
+    last_position = task.position;
+    ++listed;
+  }
+  return list;
+}
+
+std::vector<StartedSet::QueriedTask> StartedSet::Find(
+    const StartedQuery& query) const {
+  std::unordered_map<BucketId, std::size_t> positions;
+  for (const BucketId bucket : query.buckets) {
+    positions.emplace(bucket, positions.size());
+  }
+  std::vector<QueriedTask> found;
   for (const auto& [id, entry] : this->tasks) {
-    if (!buckets.contains(BucketOf(id.key, bucket_count))) continue;
-    const bool rerunnable = entry.rerun == RerunPolicy::kAfterLease &&
-                            entry.state == StartedState::kFinished &&
-                            entry.outcome != TaskOutcome::kSucceeded;
-    if (rerunnable) continue;
-    const auto [position, inserted] = positions.emplace(id.key, jobs.size());
-    if (inserted) jobs.push_back({id.key, {}});
-    jobs[position->second].tasks.push_back(id.task);
+    const auto queried = positions.find(BucketOf(id.key, query.bucket_count));
+    if (queried == positions.end() || IsRerunnable(entry)) continue;
+    const std::size_t position = queried->second;
+    const bool is_listed_already =
+        position == 0 && query.after && id.key <= *query.after;
+    if (!is_listed_already) found.push_back({position, id});
   }
-  return jobs;
+  std::sort(found.begin(), found.end());
+  return found;
+}
+
+bool StartedSet::IsRerunnable(const Entry& entry) {
+  return entry.rerun == RerunPolicy::kAfterLease &&
+         entry.state == StartedState::kFinished &&
+         entry.outcome != TaskOutcome::kSucceeded;
 }
 
 void StartedSet::Expire(Timestamp now) {
--- a/libraries/agent_core/started_set.h
+++ b/libraries/agent_core/started_set.h
@@ -8,7 +8,6 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "libraries/base/ballot.h"
@@ -25,6 +24,25 @@
   Duration duplicate_window = std::chrono::minutes(10);
 };
 
+// Which started tasks to list.
+struct StartedQuery {
+  std::vector<BucketId> buckets;
+  std::uint32_t bucket_count = 0;
+  // If set, jobs of the first bucket up to this key are left out.
+  std::optional<JobKey> after;
+  // The list ends with the job with which it reaches this number of tasks; 0:
+  // not limited.
+  std::size_t maximum_tasks = 0;
+};
+
+struct StartedList {
+  std::vector<StartedJob> jobs;
+  // How many of the buckets the list covers.
+  std::size_t covered = 0;
+  // If set, the last one of these has jobs after this key that are not listed.
+  std::optional<JobKey> resume_after;
+};
+
 struct TaskIdHash {
   std::size_t operator()(const TaskId& id) const {
     constexpr std::uint64_t kOddMultiplier = 0x9E3779B97F4A7C15ULL;
@@ -68,12 +86,10 @@
   // Records a newer start of a task that still runs; the outcome of the run
   // then answers the newer start as well.
   void UpdateLatestStart(const Start& start);
-  // The started tasks whose bucket is in `buckets`, grouped by job. Tasks that
-  // completed without success and may run again are left out, since another
-  // agent may have started them later.
-  [[nodiscard]] std::vector<StartedJob> TasksOf(
-      const std::unordered_set<BucketId>& buckets,
-      std::uint32_t bucket_count) const;
+  // The started tasks of the buckets, grouped by job, in the order of the
+  // buckets and keys. Tasks that completed without success and may run again
+  // are left out, since another agent may have started them later.
+  [[nodiscard]] StartedList List(const StartedQuery& query) const;
   // Removes completed tasks and forbidden starts that are older than the
   // duplicate window.
   void Expire(Timestamp now);
@@ -98,12 +114,21 @@
     // When a start of the task was last forbidden.
     Timestamp added_at;
   };
+  // A task of the bucket at `position` of a query.
+  struct QueriedTask {
+    std::size_t position = 0;
+    TaskId id;
+    auto operator<=>(const QueriedTask&) const = default;
+  };
   struct Answer {
     Payload result;
     // Increases with each answer that is added.
     std::uint64_t number = 0;
   };
 
+  [[nodiscard]] std::vector<QueriedTask> Find(const StartedQuery& query) const;
+  // Whether the task completed without success and may run again.
+  [[nodiscard]] static bool IsRerunnable(const Entry& entry);
   // Whether the task of an item past the window still runs.
   enum class Expiry { kRemoved, kStillRuns };
   Expiry ExpireTask(const TimedTask& item);
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -86,7 +86,7 @@
 void EntryCore::On(const PeerConnected& event) {
   this->peers.Connected(event.peer, this->current_time);
   this->SendState(event.peer);
-  this->ownership.RequestFromEntry(event.peer);
+  this->ownership.ResumeFrom(event.peer, this->current_time);
   this->hand_over.ResumeTo(event.peer);
 }
 
@@ -111,6 +111,7 @@
   if (this->renewed_links.erase(event.from) > 0) {
     this->relays.ResubmitRelaysTo(event.from);
     this->hand_over.ResumeTo(event.from);
+    this->ownership.ResumeFrom(event.from, this->current_time);
   }
   std::visit([&](const auto& message) { this->OnPeer(event.from, message); },
              event.message);
@@ -126,7 +127,7 @@
   agent.demand_notified = false;
   this->disconnected_agents.erase(event.agent);
   this->registry.RecountCapacity();
-  this->ownership.RequestFromAgent(event.agent);
+  this->ownership.ResumeFrom(event.agent, this->current_time);
   this->home.OnAgentConnected(event.agent);
 }
 
@@ -182,7 +183,7 @@
   this->confirmer.Advance(now);
   if (now >= this->next_repeat) {
     this->next_repeat = now + this->settings.repeat_interval;
-    this->ownership.RepeatRequests();
+    this->ownership.RequestMissing(now);
     this->home.RepeatRequests(now);
     this->hand_over.ReplaceUnreachable(now);
     this->RemoveDeadMembers();
@@ -378,7 +379,7 @@
   if (agent == nullptr) return;
   agent->ready = true;
   this->registry.RecountCapacity();
-  this->ownership.RequestFromAgent(from);
+  this->ownership.RequestFrom(from, this->current_time);
 }
 
 void EntryCore::OnAgent(AgentId from, const AgentPromiseReply& message) {
--- a/libraries/entry_core/key_records.cc
+++ b/libraries/entry_core/key_records.cc
@@ -39,7 +39,12 @@
                              Timestamp now) {
   this->RememberInherited(known, now);
   std::vector<ReportedTask>& found = this->reported[known.key];
-  for (const TaskIndex task : tasks) found.push_back({task, agent});
+  for (const TaskIndex task : tasks) {
+    const ReportedTask report{task, agent};
+    const bool is_known =
+        std::find(found.begin(), found.end(), report) != found.end();
+    if (!is_known) found.push_back(report);
+  }
 }
 
 void KeyRecords::Close(const JobKey& key, Timestamp now) {
@@ -91,16 +96,25 @@
 }
 
 std::vector<KnownKey> KeyRecords::Sorted() const {
-  std::vector<KnownKey> keys;
-  keys.reserve(this->records.size());
+  return this->ListAfter(std::nullopt, this->records.size()).keys;
+}
+
+KeyList KeyRecords::ListAfter(const std::optional<JobKey>& after,
+                              std::size_t maximum) const {
+  KeyList list;
   for (const auto& [key, record] : this->records) {
-    keys.push_back({key, record.first_seen});
+    if (after && key <= *after) continue;
+    list.keys.push_back({key, record.first_seen});
   }
-  std::sort(keys.begin(), keys.end(),
-            [](const KnownKey& left, const KnownKey& right) {
-              return left.key < right.key;
-            });
-  return keys;
+  list.is_complete = list.keys.size() <= maximum;
+  const auto listed = list.keys.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                              list.keys.size(), maximum));
+  std::partial_sort(list.keys.begin(), listed, list.keys.end(),
+                    [](const KnownKey& left, const KnownKey& right) {
+                      return left.key < right.key;
+                    });
+  list.keys.erase(listed, list.keys.end());
+  return list;
 }
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/key_records.h
+++ b/libraries/entry_core/key_records.h
@@ -33,6 +33,12 @@
 // Whether a key that is to be recorded was not recorded before.
 enum class KeyNovelty { kNew, kKnown };
 
+// Some recorded keys in ascending order, and whether there are further ones.
+struct KeyList {
+  std::vector<KnownKey> keys;
+  bool is_complete = true;
+};
+
 // The keys of one bucket that an entry has recorded, with the tasks of them
 // that agents have reported as started. Ownership applies the ballot protocol
 // to them.
@@ -47,7 +53,8 @@
   // Keeps the earlier one of the times at which the key was first seen.
   void MergePromised(const KnownKey& known, RecordedKeys recorded,
                      Timestamp now);
-  // Records tasks that an agent has listed in its promise as started.
+  // Records tasks that an agent has listed in its promise as started, each
+  // once.
   void AddReported(const KnownKey& known, const std::vector<TaskIndex>& tasks,
                    AgentId agent, Timestamp now);
   // Marks a key as having its final answer.
@@ -70,6 +77,10 @@
       const JobKey& key) const;
   // The recorded keys in ascending order.
   [[nodiscard]] std::vector<KnownKey> Sorted() const;
+  // The lowest `maximum` recorded keys above `after`, in ascending order; all
+  // keys are above nothing.
+  [[nodiscard]] KeyList ListAfter(const std::optional<JobKey>& after,
+                                  std::size_t maximum) const;
   [[nodiscard]] std::size_t size() const { return this->records.size(); }
 
  private:
--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -1,9 +1,32 @@
 #include "libraries/entry_core/ownership.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace dandelionspur {
+namespace {
+
+// Which part of its bucket's list each promise of a reply comes with. Only the
+// first and the last granted one can have less than the whole list.
+template <typename Promise>
+std::vector<PromisePart> PartsOf(const std::vector<Promise>& promises,
+                                 const PromisePart& part) {
+  std::vector<PromisePart> parts(promises.size());
+  const auto is_granted = [](const Promise& promise) {
+    return promise.granted;
+  };
+  const auto first = std::find_if(promises.begin(), promises.end(), is_granted);
+  const auto last =
+      std::find_if(promises.rbegin(), promises.rend(), is_granted);
+  if (first == promises.end()) return parts;
+  parts[static_cast<std::size_t>(first - promises.begin())].after = part.after;
+  parts[static_cast<std::size_t>(promises.rend() - last - 1)].resume_after =
+      part.resume_after;
+  return parts;
+}
+
+}  // namespace
 
 Ownership::Ownership(const EntryCoreSettings& configured,
                      const AgentRegistry& registry,
@@ -194,48 +217,113 @@
     begun.push_back({id, this->Get(id).own_ballot});
   }
   this->outbox.Add(OwnershipChanged{OwnershipPhase::kCollecting, begun});
-  this->RepeatRequests();
+  this->RequestMissing(now);
+}
+
+void Ownership::RequestMissing(Timestamp now) {
+  for (const EntryId entry : this->EntriesToAsk()) {
+    // Messages between two processes arrive in order: the entry has answered
+    // the request before it confirmed a later heartbeat.
+    const std::optional<Timestamp> sent = this->entry_requests.SentAt(entry);
+    const bool is_lost = sent && this->peers.ConfirmedAt(entry) > *sent;
+    if (is_lost) this->entry_requests.Abandon(entry);
+    this->RequestFrom(entry, now);
+  }
+  for (const AgentId agent : this->agents.Connected()) {
+    this->RequestFrom(agent, now);
+  }
+}
+
+std::set<EntryId> Ownership::EntriesToAsk() const {
+  std::set<EntryId> entries;
+  for (const ViewMember& member : this->current_view.members) {
+    entries.insert(member.entry);
+  }
+  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
+    const bool has_former_home =
+        this->buckets[i].former_home.has_value() &&
+        this->Phase(BucketId(i)) != OwnershipPhase::kNone;
+    if (has_former_home) entries.insert(*this->buckets[i].former_home);
+  }
+  return entries;
+}
+
+std::uint32_t Ownership::MaximumListed() const {
+  // About 120 kB, which is 40 ms of a link of 25 Mbit/s.
+  constexpr std::size_t kListedInAllReplies = 4096;
+  constexpr std::size_t kLeast = 64;
+  constexpr std::size_t kMost = 1024;
+  const std::size_t responders =
+      this->current_view.members.size() + this->agents.all().size();
+  return static_cast<std::uint32_t>(
+      std::clamp(kListedInAllReplies / std::max<std::size_t>(responders, 1),
+                 kLeast, kMost));
+}
+
+void Ownership::ResumeFrom(EntryId entry, Timestamp now) {
+  this->entry_requests.Abandon(entry);
+  this->RequestFrom(entry, now);
+}
+
+void Ownership::ResumeFrom(AgentId agent, Timestamp now) {
+  this->agent_requests.Abandon(agent);
+  this->RequestFrom(agent, now);
 }
 
-void Ownership::RepeatRequests() {
-  std::map<EntryId, PromiseRequest> to_entries;
-  std::map<AgentId, PromiseRequest> to_agents;
+void Ownership::RequestFrom(EntryId entry, Timestamp now) {
+  if (!this->peers.IsConnected(entry)) return;
+  if (this->entry_requests.IsUnderWay(entry)) return;
+  std::vector<BucketBallot> missing;
   for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
     const BucketId id(i);
-    const Bucket& bucket = this->Get(id);
     if (this->Phase(id) == OwnershipPhase::kNone) continue;
-    for (const ViewMember& member : this->current_view.members) {
-      if (!this->NeedsPromiseOf(member.entry, bucket)) continue;
-      to_entries[member.entry].buckets.push_back({id, bucket.own_ballot});
-    }
-    const bool former_left =
-        bucket.former_home &&
-        this->current_view.Find(*bucket.former_home) == nullptr &&
-        this->NeedsPromiseOf(*bucket.former_home, bucket);
-    if (former_left) {
-      to_entries[*bucket.former_home].buckets.push_back(
-          {id, bucket.own_ballot});
-    }
-    for (const auto& [agent, known] : this->agents.all()) {
-      if (!known.connected || bucket.agent_promises.contains(agent)) continue;
-      to_agents[agent].buckets.push_back({id, bucket.own_ballot});
-    }
-  }
-  for (auto& [entry, request] : to_entries) {
-    if (!this->peers.IsConnected(entry)) continue;
-    this->outbox.ToPeer(entry, std::move(request));
+    if (!this->NeedsPromiseOf(entry, this->Get(id))) continue;
+    missing.push_back({id, this->Get(id).own_ballot});
   }
-  for (auto& [agent, request] : to_agents) {
-    this->outbox.ToAgent(agent, std::move(request));
+  if (missing.empty()) return;
+  this->outbox.ToPeer(entry,
+                      this->entry_requests.Begin(entry, std::move(missing),
+                                                 this->MaximumListed(), now));
+}
+
+void Ownership::RequestFrom(AgentId agent, Timestamp now) {
+  if (this->agent_requests.IsUnderWay(agent)) return;
+  std::vector<BucketBallot> missing;
+  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
+    const BucketId id(i);
+    if (this->Phase(id) == OwnershipPhase::kNone) continue;
+    if (this->AgentPromised(id, agent)) continue;
+    missing.push_back({id, this->Get(id).own_ballot});
   }
+  if (missing.empty()) return;
+  this->outbox.ToAgent(agent,
+                       this->agent_requests.Begin(agent, std::move(missing),
+                                                  this->MaximumListed(), now));
+}
+
+bool Ownership::NeedsPromiseOf(EntryId entry, const Bucket& bucket) const {
+  if (entry == this->settings.self) return false;
+  if (bucket.entry_promises.contains(entry)) return false;
+  const auto since = this->member_since.find(entry);
+  // A former home that has left the view can still report its keys.
+  if (since == this->member_since.end()) return bucket.former_home == entry;
+  // A kept bucket needs no promise of an entry that has joined since.
+  return since->second <= bucket.own_ballot.epoch;
 }
 
 std::vector<BucketId> Ownership::OnPromiseRequest(
     EntryId from, const PromiseRequest& request) {
   std::vector<BucketId> lost;
   PromiseReply reply;
+  reply.part.sequence = request.sequence;
+  const bool is_limited = request.maximum_listed > 0;
+  std::size_t room = is_limited ? request.maximum_listed
+                                : std::numeric_limits<std::size_t>::max();
   for (const BucketBallot& asked : request.buckets) {
     if (asked.bucket.value() >= this->buckets.size()) continue;
+    // A promise without the bucket's keys is worth nothing, and would stop the
+    // present home too early.
+    if (room == 0 || reply.part.resume_after) break;
     const Ballot previous = this->Get(asked.bucket).promised;
     if (this->Observe(asked)) lost.push_back(asked.bucket);
     const Bucket& bucket = this->Get(asked.bucket);
@@ -244,7 +332,15 @@
     BucketPromise promise{
         asked.bucket, bucket.promised,           granted, {}, previous,
         bucket.held,  bucket.all_starts_recorded};
-    if (granted) promise.known = this->KeysOf(asked.bucket);
+    if (granted) {
+      const bool continues = asked.bucket == request.buckets.front().bucket;
+      if (continues) reply.part.after = request.after;
+      KeyList list =
+          bucket.keys.ListAfter(continues ? request.after : std::nullopt, room);
+      room -= list.keys.size();
+      promise.known = std::move(list.keys);
+      if (!list.is_complete) reply.part.resume_after = promise.known.back().key;
+    }
     reply.buckets.push_back(std::move(promise));
   }
   this->outbox.ToPeer(from, std::move(reply));
@@ -255,7 +351,9 @@
                                                 const PromiseReply& reply,
                                                 Timestamp now) {
   std::vector<BucketId> lost;
-  for (const BucketPromise& promise : reply.buckets) {
+  const std::vector<PromisePart> parts = PartsOf(reply.buckets, reply.part);
+  for (std::size_t i = 0; i < reply.buckets.size(); ++i) {
+    const BucketPromise& promise = reply.buckets[i];
     if (promise.bucket.value() >= this->buckets.size()) continue;
     Bucket& bucket = this->Get(promise.bucket);
     if (!promise.granted) {
@@ -267,12 +365,7 @@
     const bool for_own_ballot = bucket.phase != OwnershipPhase::kNone &&
                                 promise.ballot == bucket.own_ballot;
     if (!for_own_ballot) continue;
-    // Only the first reply describes the state before the promise.
-    if (bucket.entry_promises.insert(from).second) {
-      this->promises_changed = true;
-      bucket.prior_states[from] = {promise.previous, promise.held,
-                                   promise.knew_all_starts};
-    }
+    this->AddPromise(from, promise, parts[i]);
     // Keys that this entry received under its own ballot keep their origin; any
     // other key may have been started by a former home.
     const RecordedKeys recorded = bucket.phase == OwnershipPhase::kCollecting
@@ -282,28 +375,44 @@
       bucket.keys.MergePromised(known, recorded, now);
     }
   }
+  this->entry_requests.End(from, reply.part.sequence);
+  // An entry that can promise none of the buckets would be asked again and
+  // again without a pause.
+  if (!reply.buckets.empty()) this->RequestFrom(from, now);
   return lost;
 }
 
+void Ownership::AddPromise(EntryId from, const BucketPromise& promise,
+                           const PromisePart& part) {
+  Bucket& bucket = this->Get(promise.bucket);
+  const PartUse use = this->entry_requests.Add(
+      from, {{promise.bucket, promise.ballot}, part.after, part.resume_after});
+  if (use == PartUse::kNone) return;
+  // Only the first reply describes the state before the promise.
+  bucket.prior_states.try_emplace(
+      from,
+      PriorState{promise.previous, promise.held, promise.knew_all_starts});
+  if (use != PartUse::kCompletes) return;
+  if (!bucket.entry_promises.insert(from).second) return;
+  this->promises_changed = true;
+}
+
 std::vector<BucketId> Ownership::OnAgentPromiseReply(
     AgentId from, const AgentPromiseReply& reply, Timestamp now) {
   std::vector<BucketId> lost;
   std::set<BucketId> accepted;
-  for (const AgentBucketPromise& promise : reply.buckets) {
+  const std::vector<PromisePart> parts = PartsOf(reply.buckets, reply.part);
+  for (std::size_t i = 0; i < reply.buckets.size(); ++i) {
+    const AgentBucketPromise& promise = reply.buckets[i];
     if (promise.bucket.value() >= this->buckets.size()) continue;
-    Bucket& bucket = this->Get(promise.bucket);
     if (!promise.granted) {
       if (this->Observe({promise.bucket, promise.ballot})) {
         lost.push_back(promise.bucket);
       }
       continue;
     }
-    const bool for_own_ballot = bucket.phase != OwnershipPhase::kNone &&
-                                promise.ballot == bucket.own_ballot;
-    // Only the first reply describes the starts before the promise.
-    if (for_own_ballot && bucket.agent_promises.insert(from).second) {
+    if (this->AddPromise(from, promise, parts[i])) {
       accepted.insert(promise.bucket);
-      this->promises_changed = true;
     }
   }
   for (const StartedJob& job : reply.started) {
@@ -314,42 +423,28 @@
     const KnownKey known{job.key, now - this->settings.duplicate_window};
     this->Get(id).keys.AddReported(known, job.tasks, from, now);
   }
+  this->agent_requests.End(from, reply.part.sequence);
+  const KnownAgent* agent = this->agents.Find(from);
+  const bool may_ask = agent != nullptr && agent->connected;
+  // As with entries, one that can promise nothing is not asked without a pause.
+  if (may_ask && !reply.buckets.empty()) this->RequestFrom(from, now);
   return lost;
 }
 
-void Ownership::RequestFromEntry(EntryId entry) {
-  PromiseRequest request;
-  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
-    const BucketId id(i);
-    if (this->Phase(id) == OwnershipPhase::kNone) continue;
-    if (!this->NeedsPromiseOf(entry, this->Get(id))) continue;
-    request.buckets.push_back({id, this->Get(id).own_ballot});
-  }
-  if (request.buckets.empty() || !this->peers.IsConnected(entry)) return;
-  this->outbox.ToPeer(entry, std::move(request));
-}
-
-bool Ownership::NeedsPromiseOf(EntryId entry, const Bucket& bucket) const {
-  if (entry == this->settings.self) return false;
-  if (bucket.entry_promises.contains(entry)) return false;
-  const auto since = this->member_since.find(entry);
-  // A former home that has left the view can still report its keys.
-  if (since == this->member_since.end()) return bucket.former_home == entry;
-  // A kept bucket needs no promise of an entry that has joined since.
-  return since->second <= bucket.own_ballot.epoch;
-}
-
-void Ownership::RequestFromAgent(AgentId agent) {
-  PromiseRequest request;
-  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
-    const BucketId id(i);
-    if (this->Phase(id) == OwnershipPhase::kNone) continue;
-    if (this->AgentPromised(id, agent)) continue;
-    request.buckets.push_back({id, this->Get(id).own_ballot});
-  }
-  if (!request.buckets.empty()) {
-    this->outbox.ToAgent(agent, std::move(request));
+bool Ownership::AddPromise(AgentId from, const AgentBucketPromise& promise,
+                           const PromisePart& part) {
+  Bucket& bucket = this->Get(promise.bucket);
+  const bool for_own_ballot = bucket.phase != OwnershipPhase::kNone &&
+                              promise.ballot == bucket.own_ballot;
+  // Only the first reply describes the starts before the promise.
+  if (!for_own_ballot || bucket.agent_promises.contains(from)) return false;
+  const PartUse use = this->agent_requests.Add(
+      from, {{promise.bucket, promise.ballot}, part.after, part.resume_after});
+  if (use == PartUse::kCompletes) {
+    bucket.agent_promises.insert(from);
+    this->promises_changed = true;
   }
+  return use != PartUse::kNone;
 }
 
 Ownership::Activation Ownership::ActivateReady(Timestamp now) {
@@ -441,16 +536,21 @@
 }
 
 bool Ownership::FormerHomeReportedAllStarts(const Bucket& bucket) const {
+  const auto has_reported = [&](EntryId entry) {
+    return entry == this->settings.self ||
+           bucket.entry_promises.contains(entry);
+  };
   Ballot latest;
   for (const ViewMember& member : this->current_view.members) {
-    if (!bucket.prior_states.contains(member.entry)) return false;
+    if (!has_reported(member.entry)) return false;
   }
   for (const auto& [entry, before] : bucket.prior_states) {
     latest = std::max(latest, before.promised);
   }
   const auto former = bucket.prior_states.find(latest.entry);
   return !latest.IsNone() && former != bucket.prior_states.end() &&
-         former->second.held == latest && former->second.knew_all_starts;
+         has_reported(former->first) && former->second.held == latest &&
+         former->second.knew_all_starts;
 }
 
 bool Ownership::PriorRunsResolved(const Bucket& bucket, Timestamp now) const {
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -13,6 +13,7 @@
 #include "libraries/entry_core/entry_outbox.h"
 #include "libraries/entry_core/key_records.h"
 #include "libraries/entry_core/peer_directory.h"
+#include "libraries/entry_core/promise_requests.h"
 #include "libraries/protocol/entry_messages.h"
 
 namespace dandelionspur {
@@ -117,8 +118,10 @@
   // Begins to acquire the buckets that this entry should be home of. Examines
   // only buckets whose expected home may have changed since the last call.
   void AcquireVacant(Timestamp now);
-  // Sends promise requests again to entries and agents that have not promised.
-  void RepeatRequests();
+  // Asks entries and agents for missing promises: those that have answered the
+  // latest request, and those whose answer to it is lost for certain. Call it
+  // periodically.
+  void RequestMissing(Timestamp now);
   // Replies to another entry's promise request. Returns the buckets that this
   // entry loses by promising.
   std::vector<BucketId> OnPromiseRequest(EntryId from,
@@ -130,11 +133,13 @@
   std::vector<BucketId> OnAgentPromiseReply(AgentId from,
                                             const AgentPromiseReply& reply,
                                             Timestamp now);
-  // Requests the missing promises from an entry that has connected.
-  void RequestFromEntry(EntryId entry);
-  // Requests the missing promises from an agent that has connected or become
-  // ready.
-  void RequestFromAgent(AgentId agent);
+  // Requests the missing promises from an entry to or from which there is a new
+  // connection. A request or reply on the earlier one may be lost.
+  void ResumeFrom(EntryId entry, Timestamp now);
+  // The same for an agent that has connected.
+  void ResumeFrom(AgentId agent, Timestamp now);
+  // Requests the missing promises from an agent that has become ready.
+  void RequestFrom(AgentId agent, Timestamp now);
   struct Activation {
     std::vector<BucketId> activated;
     // Buckets of which every started key is recorded from now on.
@@ -198,6 +203,7 @@
     Ballot held;
     // Whether every key that any home has started is recorded here.
     bool all_starts_recorded = false;
+    // Also of entries whose keys have not all arrived yet.
     std::map<EntryId, PriorState> prior_states;
     OwnershipPhase phase = OwnershipPhase::kNone;
     // The previous home. Its promise is not required, since every key that it
@@ -228,6 +234,21 @@
   // Whether the ballot of the bucket stays in force in the current view.
   [[nodiscard]] bool MayKeep(BucketId id) const;
   [[nodiscard]] bool NeedsPromiseOf(EntryId entry, const Bucket& bucket) const;
+  // Requests the missing promises from an entry, unless an earlier request is
+  // under way.
+  void RequestFrom(EntryId entry, Timestamp now);
+  // The members, and the former homes that have left the view.
+  [[nodiscard]] std::set<EntryId> EntriesToAsk() const;
+  // How much a responder may list in one reply. All replies together must not
+  // delay heartbeats on this entry's link.
+  [[nodiscard]] std::uint32_t MaximumListed() const;
+  // Records an entry's state before it made its promise, and the promise once
+  // all keys of the bucket have arrived.
+  void AddPromise(EntryId from, const BucketPromise& promise,
+                  const PromisePart& part);
+  // Returns whether the started tasks listed for the bucket are new.
+  bool AddPromise(AgentId from, const AgentBucketPromise& promise,
+                  const PromisePart& part);
   void TrackNewKey(const KnownKey& known, KeyNovelty novelty);
   // Returns the buckets whose expected home may have changed since the last
   // call, and clears the list of changes.
@@ -304,6 +325,8 @@
   // Whether a condition for activation or full recovery has changed since the
   // last call of ActivateReady.
   bool promises_changed = false;
+  PromiseRequests<EntryId> entry_requests;
+  PromiseRequests<AgentId> agent_requests;
   std::uint64_t examined = 0;
   bool tracks_new_keys = false;
   std::map<BucketId, std::vector<KnownKey>> new_keys;
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -178,14 +178,16 @@
   static constexpr const char* kName = "agent_promise_reply";
   static constexpr std::size_t kRequiredMembers = 2;
   std::vector<AgentBucketPromise> buckets;
-  // Every task of the granted buckets that the agent has started. Carries no
-  // outcomes: the home queries them with Renounce where it needs them.
+  // The tasks of the granted buckets that the agent has started: all of them,
+  // but for the limits that `part` states. Carries no outcomes: the home
+  // queries them with Renounce where it needs them.
   std::vector<StartedJob> started;
   // The losses of upstreams under tasks of the granted buckets that the agent
-  // knows.
+  // knows. Those of a bucket come with the end of its list.
   std::vector<TaskLosses> losses;
+  PromisePart part;
 };
-BOOST_DESCRIBE_STRUCT(AgentPromiseReply, (), (buckets, started, losses))
+BOOST_DESCRIBE_STRUCT(AgentPromiseReply, (), (buckets, started, losses, part))
 
 struct TaskFinished {
   static constexpr const char* kName = "task_finished";
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -2,7 +2,9 @@
 #define DANDELIONSPUR_LIBRARIES_PROTOCOL_ENTRY_MESSAGES_H_
 
 #include <boost/describe.hpp>
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -46,9 +48,30 @@
 // Asks for a promise to refuse all requests under lower ballots.
 struct PromiseRequest {
   static constexpr const char* kName = "promise_request";
+  static constexpr std::size_t kRequiredMembers = 1;
   std::vector<BucketBallot> buckets;
+  // Returned in the reply; 0 from versions that do not number their requests.
+  std::uint64_t sequence = 0;
+  // The largest number of keys, or of started tasks, that the reply may list
+  // before it ends; 0: not limited. The receiver then answers the buckets in
+  // order, and promises nothing for those that the reply does not reach.
+  std::uint32_t maximum_listed = 0;
+  // If set, the sender has the keys of the first bucket up to this one.
+  std::optional<JobKey> after;
+};
+BOOST_DESCRIBE_STRUCT(PromiseRequest, (),
+                      (buckets, sequence, maximum_listed, after))
+
+// Which part of the answer to a PromiseRequest a reply is.
+struct PromisePart {
+  // From the request; 0 from versions that list everything in one reply.
+  std::uint64_t sequence = 0;
+  // From the request: the first granted bucket's list begins after this key.
+  std::optional<JobKey> after;
+  // If set, the last granted bucket's list ends with this key and goes on.
+  std::optional<JobKey> resume_after;
 };
-BOOST_DESCRIBE_STRUCT(PromiseRequest, (), (buckets))
+BOOST_DESCRIBE_STRUCT(PromisePart, (), (sequence, after, resume_after))
 
 struct BucketPromise {
   BucketId bucket;
@@ -71,9 +94,11 @@
 
 struct PromiseReply {
   static constexpr const char* kName = "promise_reply";
+  static constexpr std::size_t kRequiredMembers = 1;
   std::vector<BucketPromise> buckets;
+  PromisePart part;
 };
-BOOST_DESCRIBE_STRUCT(PromiseReply, (), (buckets))
+BOOST_DESCRIBE_STRUCT(PromiseReply, (), (buckets, part))
 
 // A key, and the ballot of the home for which a witness records it.
 struct WitnessedKey {
--- a/tests/agent_core/agent_core_parts_test.cc
+++ b/tests/agent_core/agent_core_parts_test.cc
@@ -158,14 +158,15 @@
       {RerunPolicy::kAfterLease, TaskOutcome::kSucceeded, 1},
       {RerunPolicy::kNever, TaskOutcome::kFailed, 1},
   };
+  const StartedQuery query{{BucketId(0)}, kBuckets, std::nullopt, 0};
   for (const Case& example : cases) {
     StartedSet set{StartedSetLimits{}};
     Start start = StartOf(1, 1);
     start.rerun = example.rerun;
     set.Insert(start, Timestamp());
-    EXPECT_EQ(set.TasksOf({BucketId(0)}, kBuckets).size(), 1U);
+    EXPECT_EQ(set.List(query).jobs.size(), 1U);
     set.MarkFinished(start.task, example.outcome, Payload());
-    EXPECT_EQ(set.TasksOf({BucketId(0)}, kBuckets).size(), example.reported);
+    EXPECT_EQ(set.List(query).jobs.size(), example.reported);
   }
 }
 
--- a/tests/agent_core/agent_core_test.cc
+++ b/tests/agent_core/agent_core_test.cc
@@ -3,6 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <optional>
+#include <set>
+#include <vector>
 
 namespace dandelionspur {
 namespace {
@@ -531,5 +534,71 @@
   EXPECT_EQ(replies[0].losses[0].losses.size(), 1U);
 }
 
+// Guards against a reply with all that the agent has started, which fills the
+// entry's link when many agents are asked at once.
+TEST_F(AgentCoreTest, APromiseListsTheStartedJobsInParts) {
+  for (std::uint64_t job = 1; job <= 3; ++job) this->Deliver(StartOf(job));
+  this->Handle(UpstreamLost{"i-1", LossEvidence::kSilent});
+  PromiseRequest request;
+  request.sequence = 5;
+  request.maximum_listed = 2;
+  request.buckets.push_back({BucketId(0), {Epoch(2), 0, EntryId(kEntry)}});
+  const auto first = Sent<AgentPromiseReply>(this->Deliver(request));
+  ASSERT_EQ(first.size(), 1U);
+  EXPECT_EQ(first[0].part.sequence, 5U);
+  EXPECT_EQ(first[0].started.size(), 2U);
+  EXPECT_TRUE(first[0].losses.empty());
+  ASSERT_TRUE(first[0].part.resume_after);
+  request.after = first[0].part.resume_after;
+  const auto second = Sent<AgentPromiseReply>(this->Deliver(request));
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_EQ(second[0].part.after, request.after);
+  ASSERT_EQ(second[0].started.size(), 1U);
+  EXPECT_EQ(second[0].started[0].key, StartOf(3).task.key);
+  EXPECT_FALSE(second[0].part.resume_after);
+  // Two of the three tasks were running, on two cores.
+  EXPECT_EQ(second[0].losses.size(), 2U);
+}
+
+// Guards against a bucket that is promised without the list of its started
+// tasks: its home would start them again.
+TEST(AgentPromiseTest, ABucketThatTheListDoesNotReachIsNotPromised) {
+  constexpr std::uint32_t kBuckets = 4;
+  StartedSet set{StartedSetLimits{}};
+  for (std::uint64_t job = 0; job < 40; ++job) {
+    Start start;
+    start.task = {{job, job}, TaskIndex(0)};
+    set.Insert(start, Timestamp());
+  }
+  const std::vector<BucketId> all = {BucketId(0), BucketId(1), BucketId(2),
+                                     BucketId(3)};
+  StartedQuery query{all, kBuckets, std::nullopt, 7};
+  std::set<JobKey> listed;
+  std::size_t parts = 0;
+  while (!query.buckets.empty()) {
+    const StartedList list = set.List(query);
+    EXPECT_LE(list.jobs.size(), 7U);
+    for (const StartedJob& job : list.jobs) {
+      EXPECT_TRUE(listed.insert(job.key).second);
+    }
+    const auto complete =
+        static_cast<std::ptrdiff_t>(list.covered - (list.resume_after ? 1 : 0));
+    for (auto it = query.buckets.begin();
+         it != query.buckets.begin() + complete; ++it) {
+      for (std::uint64_t job = 0; job < 40; ++job) {
+        const JobKey key{job, job};
+        if (BucketOf(key, kBuckets) != *it) continue;
+        EXPECT_TRUE(listed.contains(key));
+      }
+    }
+    query.buckets.erase(query.buckets.begin(),
+                        query.buckets.begin() + complete);
+    query.after = list.resume_after;
+    ++parts;
+  }
+  EXPECT_EQ(listed.size(), 40U);
+  EXPECT_EQ(parts, 6U);
+}
+
 }  // namespace
 }  // namespace dandelionspur
--- a/tests/entry_core/relayed_refusal_test.cc
+++ b/tests/entry_core/relayed_refusal_test.cc
@@ -74,7 +74,9 @@
     ballot.epoch = ThreeEntries().epoch;
     ballot.entry = next;
     const BucketId bucket = BucketOf(this->key, kBuckets);
-    this->Handle(PeerMessageReceived{next, PromiseRequest{{{bucket, ballot}}}});
+    PromiseRequest request;
+    request.buckets.push_back({bucket, ballot});
+    this->Handle(PeerMessageReceived{next, request});
     this->Handle(EntryTick{});
   }
   void ReturnFirstRelay() {
--- a/tests/support/core_bench.cc
+++ b/tests/support/core_bench.cc
@@ -90,28 +90,30 @@
     this->Handle(AgentMessageReceived{agent, AgentReady{state.view.epoch}});
     this->DeliverAgentHeartbeat(i);
   }
-  // Grants the promises requested so far and those of repeated requests.
+  // Grants the promises requested so far and those requested then.
   for (int round = 0; round < 3; ++round) {
     this->now += std::chrono::milliseconds(300);
     this->DeliverPeerHeartbeats();
-    this->GrantPromises(this->Handle(EntryTick{}));
+    this->Handle(EntryTick{});
+    this->GrantPromises();
   }
 }
 
-void CoreBench::GrantPromises(const std::vector<EntryEffect>& effects) {
-  for (const EntryEffect& effect : effects) {
+void CoreBench::GrantPromises() {
+  while (!this->promise_requests.empty()) {
+    const EntryEffect effect = std::move(this->promise_requests.front());
+    this->promise_requests.pop_front();
     if (const auto* sent = std::get_if<SendToAgent>(&effect)) {
-      const auto* request = std::get_if<PromiseRequest>(&sent->message);
-      if (request == nullptr) continue;
       AgentPromiseReply reply;
-      for (const BucketBallot& asked : request->buckets) {
+      const auto& request = std::get<PromiseRequest>(sent->message);
+      for (const BucketBallot& asked : request.buckets) {
         reply.buckets.push_back({asked.bucket, asked.ballot, true});
       }
       this->Handle(AgentMessageReceived{sent->to, reply});
     } else if (const auto* peer = std::get_if<SendToPeer>(&effect)) {
-      const auto* request = std::get_if<PromiseRequest>(&peer->message);
-      if (request == nullptr) continue;
-      this->Handle(PeerMessageReceived{peer->to, GrantAll(*request)});
+      if (peer->to == RelayingPeer()) continue;
+      const auto& request = std::get<PromiseRequest>(peer->message);
+      this->Handle(PeerMessageReceived{peer->to, GrantAll(request)});
     }
   }
 }
@@ -152,7 +154,17 @@
 }
 
 std::vector<EntryEffect> CoreBench::Handle(const EntryEvent& event) {
-  return this->entry.Handle(event, this->now);
+  std::vector<EntryEffect> effects = this->entry.Handle(event, this->now);
+  for (const EntryEffect& effect : effects) {
+    const auto* peer = std::get_if<SendToPeer>(&effect);
+    const auto* agent = std::get_if<SendToAgent>(&effect);
+    const bool asks = (peer != nullptr &&
+                       std::holds_alternative<PromiseRequest>(peer->message)) ||
+                      (agent != nullptr &&
+                       std::holds_alternative<PromiseRequest>(agent->message));
+    if (asks) this->promise_requests.push_back(effect);
+  }
+  return effects;
 }
 
 void CoreBench::DeliverPeerHeartbeats() {
--- a/tests/support/core_bench.h
+++ b/tests/support/core_bench.h
@@ -2,6 +2,7 @@
 #define DANDELIONSPUR_TESTS_SUPPORT_CORE_BENCH_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <vector>
 
@@ -57,14 +58,17 @@
  private:
   std::vector<EntryEffect> DeliverHeartbeat(std::uint32_t number,
                                             const AgentLoad& load);
-  // Delivers replies that grant all requests for promises among the effects.
-  void GrantPromises(const std::vector<EntryEffect>& effects);
+  // Delivers replies that grant all requests for promises since the last call,
+  // and those that are sent in reaction.
+  void GrantPromises();
 
   CoreBenchShape shape;
   EntryCore entry;
   // The number of starts that each agent has received.
   std::map<AgentId, std::uint64_t> starts_seen;
   Timestamp now;
+  // Not granted yet.
+  std::deque<EntryEffect> promise_requests;
 };
 
 }  // namespace dandelionspur
