entry_core: Submit a returned job to the same entry ever more rarely

Cause: while two entries disagree about a job's home, the relay went there and back with the whole job every 20 to 50 ms until its deadline.

Change: each return doubles the pause before the job goes to the same entry, from 20 ms up to 320 ms and never more than half of the time that is left. If another entry becomes the home, only the shortest pause applies.

--- a/libraries/entry_core/relay_table.cc
+++ b/libraries/entry_core/relay_table.cc
@@ -8,9 +8,9 @@
 namespace dandelionspur {
 namespace {
 
-// Delay before a job is submitted to its new home. Limits how often a job is
-// passed between two entries that disagree about the home.
-constexpr Duration kResubmitPause = std::chrono::milliseconds(20);
+// Each return of a job doubles the pause before it is submitted to the same
+// entry, up to this one: views reach all entries within 400 ms.
+constexpr Duration kLongestPause = std::chrono::milliseconds(320);
 
 }  // namespace
 
@@ -134,7 +134,17 @@
   SettleAttempts(job, from, moved.attempt);
   if (moved.attempt != job.attempt) return;
   job.target.reset();
-  job.submit_from = now + kResubmitPause;
+  // Half of the time that is left, so that a pause never takes all of it.
+  const Duration left = (job.answer_by - now) / 2;
+  job.returned_by = from;
+  job.move_from = now + kResubmitPause;
+  job.submit_from = now + std::max(kResubmitPause, std::min(job.pause, left));
+  job.pause = std::min(2 * job.pause, kLongestPause);
+}
+
+bool RelayTable::MustPause(const Relayed& job, EntryId target, Timestamp now) {
+  if (now < job.move_from) return true;
+  return target == job.returned_by && now < job.submit_from;
 }
 
 bool RelayTable::Cancel(const JobKey& key) {
@@ -223,10 +233,10 @@
       continue;
     }
     const BucketId bucket = this->ownership.BucketOfKey(key);
+    const EntryId home_now = this->ownership.ExpectedHome(bucket, now);
     const bool awaiting_answer =
-        job.target == this->ownership.ExpectedHome(bucket, now) &&
-        this->peers.IsConnected(*job.target);
-    if (awaiting_answer || now < job.submit_from) continue;
+        job.target == home_now && this->peers.IsConnected(*job.target);
+    if (awaiting_answer || MustPause(job, home_now, now)) continue;
     this->Route(job, now);
   }
   std::erase_if(this->parked_relays, [&](const ParkedRelay& parked) {
--- a/libraries/entry_core/relay_table.h
+++ b/libraries/entry_core/relay_table.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_RELAY_TABLE_H_
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_RELAY_TABLE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -61,6 +62,10 @@
   [[nodiscard]] std::size_t size() const { return this->relayed.size(); }
 
  private:
+  // Delay before a job is submitted to its new home. Limits how often a job is
+  // passed between two entries that disagree about the home.
+  static constexpr Duration kResubmitPause = std::chrono::milliseconds(20);
+
   struct Relayed {
     JobSubmission submission;
     Timestamp deadline;
@@ -72,8 +77,13 @@
     // The entry that the latest attempt was sent to; nothing if the job must be
     // submitted again.
     std::optional<EntryId> target;
-    // After a change of home, the job is not submitted again before this time.
+    // After an entry has returned the job, it is not submitted to that entry
+    // again before this time, and to another one not before `move_from`.
     Timestamp submit_from;
+    Timestamp move_from;
+    std::optional<EntryId> returned_by;
+    // The next pause before the job is submitted to the entry that returned it.
+    Duration pause = kResubmitPause;
     // The entries that may still act on a relay, with the highest attempt sent
     // to each.
     std::map<EntryId, AttemptNumber> pending;
@@ -84,6 +94,9 @@
   };
 
   void Route(Relayed& job, Timestamp now);
+  // Whether a returned job must wait before it is submitted to `target`.
+  [[nodiscard]] static bool MustPause(const Relayed& job, EntryId target,
+                                      Timestamp now);
   // Records that the entry has refused or returned an attempt, which means that
   // it does not act on earlier attempts either.
   static void SettleAttempts(Relayed& job, EntryId entry,
