entry_core: Tell the home that a leaving entry witnesses no key

Cause: an entry that leaves declined to witness without a word. The home asked the same one again each 250 ms until it had left the view.

Change: the reply to a request for a witness lists the declined keys (an appended member). The home asks the next-ranked entry at once, and asks an entry that has declined no more.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -237,7 +237,10 @@
     }
     // A draining entry has already handed over its keys, so it witnesses no
     // further ones.
-    if (this->draining) continue;
+    if (this->draining) {
+      reply.declined.push_back(asked);
+      continue;
+    }
     this->Observe({{bucket, asked.ballot}});
     this->ownership.Remember(asked.known, this->current_time);
     reply.keys.push_back(asked);
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -239,8 +239,10 @@
 
 void HomeJobs::RequestWitness(const HomeJob& job, Timestamp now) {
   const BucketId bucket = this->ownership.BucketOfKey(job.submission.key);
+  std::set<EntryId> excluded = job.witnesses;
+  excluded.insert(this->declining.begin(), this->declining.end());
   const std::optional<EntryId> witness =
-      this->ownership.WitnessFor(bucket, job.witnesses, now);
+      this->ownership.WitnessFor(bucket, excluded, now);
   if (!witness) return;
   const WitnessedKey key{{job.submission.key, job.accepted_at},
                          this->ownership.Promised(bucket)};
@@ -378,6 +380,15 @@
     if (!this->IsWitnessed(*job)) this->RequestWitness(*job, now);
     this->Advance(*job, now);
   }
+  // An entry that leaves never witnesses again.
+  if (!reply.declined.empty()) this->declining.insert(from);
+  for (const WitnessedKey& refused : reply.declined) {
+    const HomeJob* job = this->Find(refused.known.key);
+    const bool needs_another = job != nullptr &&
+                               this->blocked.contains(refused.known.key) &&
+                               !this->IsWitnessed(*job);
+    if (needs_another) this->RequestWitness(*job, now);
+  }
 }
 
 void HomeJobs::OnTaskFinished(AgentId from, const TaskFinished& message,
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -189,6 +189,8 @@
   // Jobs that wait for a witness or for reports of what the agents have
   // started.
   std::set<JobKey> blocked;
+  // The entries that have declined to witness, since they leave the view.
+  std::set<EntryId> declining;
   // Tasks sent to each agent that have not completed.
   std::map<AgentId, std::set<TaskId>> outstanding;
   // Counts the starts by this home over all jobs, so that the starts of a job
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -118,11 +118,15 @@
 // Lists the keys of a WitnessRequest that are now recorded under their ballots.
 struct WitnessReply {
   static constexpr const char* kName = "witness_reply";
+  static constexpr std::size_t kRequiredMembers = 2;
   std::vector<WitnessedKey> keys;
   // The higher ballots because of which the other keys were refused.
   std::vector<BucketBallot> higher;
+  // The keys that were refused because the sender leaves the view. Earlier
+  // versions refuse them without a reply.
+  std::vector<WitnessedKey> declined;
 };
-BOOST_DESCRIBE_STRUCT(WitnessReply, (), (keys, higher))
+BOOST_DESCRIBE_STRUCT(WitnessReply, (), (keys, higher, declined))
 
 // Numbers the submissions that one entry relays.
 using AttemptNumber = StrongType<std::uint64_t, struct AttemptNumberTag>;
--- a/tests/support/fault_injector.cc
+++ b/tests/support/fault_injector.cc
@@ -110,7 +110,8 @@
     NodeId from, NodeId to, const SimulatedMessage& message) {
   const auto* request = FindContent<PeerMessage, WitnessRequest>(message);
   if (request == nullptr) return Outcome::kSend;
-  this->network.Send(to, from, PeerMessage(WitnessReply{request->keys, {}}));
+  this->network.Send(to, from,
+                     PeerMessage(WitnessReply{request->keys, {}, {}}));
   return Outcome::kDrop;
 }
 
