entry_core: Exempt no lost home that may have been alone in the view

Cause: a taker does not wait for the previous home, since another entry knows each of its keys. One that was left alone in the view knows keys by itself and is not exempt as the view's oldest member; but once it was lost, it was no member and so exempt. The taker took its keys for new: started twice.

Change: a previous home is exempt only if this entry has seen it in a view together with an older member. The older one was there before, and this entry has been since.

--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -71,6 +71,12 @@
                               : known->second;
   }
   this->member_since = std::move(since);
+  if (!this->member_since.contains(this->settings.self)) return;
+  // Members are listed in the order in which they joined.
+  const std::vector<ViewMember>& members = this->current_view.members;
+  for (std::size_t i = 1; i < members.size(); ++i) {
+    this->never_alone.insert(members[i].entry);
+  }
 }
 
 std::vector<BucketId> Ownership::ActiveBuckets() const {
@@ -684,10 +690,9 @@
 }
 
 bool Ownership::MayHaveBeenAlone(EntryId entry) const {
-  // Members are listed in the order in which they joined. With an older member
-  // still in the view, `entry` has never been the only one.
   const std::vector<ViewMember>& members = this->current_view.members;
-  return !members.empty() && members.front().entry == entry;
+  const bool is_oldest = !members.empty() && members.front().entry == entry;
+  return is_oldest || !this->never_alone.contains(entry);
 }
 
 void Ownership::Release(BucketId id) {
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -256,8 +256,9 @@
   [[nodiscard]] bool IsVacant(BucketId bucket, Timestamp now) const;
   void Acquire(const std::vector<BucketId>& wanted, Timestamp now);
   void BeginAcquisition(BucketId id, Timestamp now);
-  // Whether the view may have had no member but `entry` for some time. Keys
-  // that other entries handed over to it then are recorded nowhere else.
+  // Whether the view may have had no member but `entry`, which may be lost by
+  // now, for some time. Keys that other entries handed over to it then are
+  // recorded nowhere else.
   [[nodiscard]] bool MayHaveBeenAlone(EntryId entry) const;
   void Release(BucketId id);
   [[nodiscard]] std::set<EntryId> RequiredEntries(BucketId id,
@@ -308,6 +309,9 @@
   View current_view;
   // The epoch in which this entry first saw each member of the current view.
   std::map<EntryId, Epoch> member_since;
+  // The entries that were in a view together with an older member and with this
+  // entry. The older member was there before, and this one has been since.
+  std::set<EntryId> never_alone;
   bool synchronized = false;
   std::optional<Timestamp> joined_at;
   std::vector<Bucket> buckets;
--- a/tests/entry_core/protocol_fuzz_test.cc
+++ b/tests/entry_core/protocol_fuzz_test.cc
@@ -121,6 +121,9 @@
 INSTANTIATE_TEST_SUITE_P(
     AtMostOnce, PastFailureTest,
     testing::Values(
+        // The former home was lost after it had been left alone in the view,
+        // so that only it knew a key, but was exempt from promising.
+        PastFailure{4040811411, RerunPolicy::kNever, 2},
         // The refusal of a start arrived twice, the second time after the task
         // had been started again on the same agent.
         PastFailure{12553, RerunPolicy::kNever, 2}),
