--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -101,7 +101,7 @@
 void EntryCore::On(const PeerConnected& event) {
   this->peers.Connected(event.peer, this->current_time);
   this->SendState(event.peer);
-  this->ownership.RequestFromEntry(event.peer);
+  this->ownership.ResumeFrom(event.peer, this->current_time);
   this->hand_over.ResumeTo(event.peer);
 }
 
@@ -126,6 +126,7 @@
   if (this->renewed_links.erase(event.from) > 0) {
     this->relays.ResubmitRelaysTo(event.from);
     this->hand_over.ResumeTo(event.from);
+    this->ownership.ResumeFrom(event.from, this->current_time);
   }
   std::visit([&](const auto& message) { this->OnPeer(event.from, message); },
              event.message);
@@ -141,7 +142,7 @@
   agent.demand_notified = false;
   this->disconnected_agents.erase(event.agent);
   this->registry.RecountCapacity();
-  this->ownership.RequestFromAgent(event.agent);
+  this->ownership.ResumeFrom(event.agent, this->current_time);
   this->home.OnAgentConnected(event.agent);
 }
 
@@ -197,7 +198,7 @@
   this->confirmer.Advance(now);
   if (now >= this->next_repeat) {
     this->next_repeat = now + this->settings.repeat_interval;
-    this->ownership.RepeatRequests();
+    this->ownership.RequestMissing(now);
     this->home.RepeatRequests(now);
     this->hand_over.ReplaceUnreachable(now);
     this->RemoveDeadMembers();
@@ -251,7 +252,10 @@
     }
     // A draining entry has already handed over its keys, so it witnesses no
     // further ones.
-    if (this->draining) continue;
+    if (this->draining) {
+      reply.declined.push_back(asked);
+      continue;
+    }
     this->Observe({{bucket, asked.ballot}});
     this->ownership.Remember(asked.known, this->current_time);
     reply.keys.push_back(asked);
@@ -393,7 +397,7 @@
   if (agent == nullptr) return;
   agent->ready = true;
   this->registry.RecountCapacity();
-  this->ownership.RequestFromAgent(from);
+  this->ownership.RequestFrom(from, this->current_time);
 }
 
 void EntryCore::OnAgent(AgentId from, const AgentPromiseReply& message) {
