entry_core: Size a quarantine for upstreams that are down for much of the time

Change: a margin of 2.5 in place of 1.25 for the group, as far as the others leave room, and release 6 s after the last loss.

--- a/libraries/entry_core/quarantine.cc
+++ b/libraries/entry_core/quarantine.cc
@@ -9,14 +9,17 @@
 namespace dandelionspur {
 namespace {
 
-constexpr Duration kFirstRelease = std::chrono::seconds(10);
+constexpr Duration kFirstRelease = std::chrono::seconds(6);
 constexpr Duration kLongestRelease = std::chrono::seconds(80);
 // A group that is blamed again within this time after its release has relapsed.
 constexpr Duration kRelapseMemory = std::chrono::minutes(5);
 constexpr Duration kChoiceInterval = std::chrono::seconds(1);
-// The upstreams of a part of the service are to have this many times the cores
-// that its jobs keep busy.
+// The upstreams outside are to have this many times the cores that their jobs
+// keep busy.
 constexpr double kHeadroom = 1.25;
+// The same for a quarantined group, whose upstreams are down for much of the
+// time.
+constexpr double kHeadroomInQuarantine = 2.5;
 constexpr double kPercent = 100;
 
 std::uint64_t RendezvousScore(JobGroupId group,
@@ -137,7 +140,7 @@
 
 double Quarantine::NeededCores(double demanded,
                                const QuarantineLimits& limits) {
-  return demanded * limits.homes * limits.stretch * kHeadroom;
+  return demanded * limits.homes * limits.stretch;
 }
 
 void Quarantine::ChooseUpstreams(
@@ -151,13 +154,14 @@
     // Refused jobs are submitted elsewhere, so the demand falls during a
     // quarantine.
     item.needed_cores =
-        std::max(item.needed_cores, NeededCores(demanded, limits));
+        std::max(item.needed_cores,
+                 NeededCores(demanded, limits) * kHeadroomInQuarantine);
   }
   const double total = TotalCores(upstreams);
   SetAside set_aside(
       upstreams.size(),
       std::min(total * limits.maximum_percent / kPercent,
-               total - NeededCores(std::max(others, 0.0), limits)));
+               total - NeededCores(std::max(others, 0.0), limits) * kHeadroom));
   for (auto& [group, item] : this->held) {
     item.upstreams.clear();
     double cores = 0;
