--- a/libraries/entry_core/quarantine.h
+++ b/libraries/entry_core/quarantine.h
@@ -96,7 +96,7 @@
     Duration release_after{};
   };
 
-  // The cores that a part of the service needs of the upstreams.
+  // The cores that jobs with this demand at this home keep busy at all homes.
   static double NeededCores(double demanded, const QuarantineLimits& limits);
   static QuarantineStep StepOf(const Held& item, QuarantinePhase phase);
   // Quarantines the groups to blame. Returns the new ones.
--- a/tests/configuration/settings_test.cc
+++ b/tests/configuration/settings_test.cc
@@ -84,6 +84,12 @@
                     "file.json: field \"retry_percent\" must be an integer "
                     "from 0 to 100",
                     DocumentProblem},
+        ProblemCase{"QuarantineOutOfRange",
+                    R"({"service": "s", "owner": "o",
+                        "maximum_quarantined_percent": 101})",
+                    "file.json: field \"maximum_quarantined_percent\" must be "
+                    "an integer from 0 to 100",
+                    DocumentProblem},
         ProblemCase{"UnknownChoice",
                     R"({"service": "s", "owner": "o", "order": "best"})",
                     "file.json: field \"order\" must be one of: "
