--- a/libraries/agent_core/recent_losses.cc
+++ b/libraries/agent_core/recent_losses.cc
@@ -1,5 +1,6 @@
 #include "libraries/agent_core/recent_losses.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace dandelionspur {
@@ -27,7 +28,9 @@
 std::vector<RecentLoss> RecentLosses::Report(Timestamp now) const {
   std::vector<RecentLoss> report;
   for (const Loss& loss : this->losses) {
-    report.push_back({loss.number, now - loss.lost_at, loss.suspects});
+    // The clock may have been set back since.
+    const Duration age = std::max(Duration(), now - loss.lost_at);
+    report.push_back({loss.number, age, loss.suspects});
   }
   return report;
 }
