tests: The fuzzer checks refusals of jobs that may run again

The oracle left them out, as a later submission of a started job may be refused truthfully. It now asks that one submission from before the first start is not refused; with all of them refused, the job counted as not run although it ran.

--- a/tests/support/simulation_oracle.cc
+++ b/tests/support/simulation_oracle.cc
@@ -42,6 +42,7 @@
   if (++this->starts_of_task[run.task] > 1 && !this->options.HasLeases()) {
     this->Fail(ShortName(run.task) + " started twice");
   }
+  this->first_starts.emplace(run.task.key, RequestId(this->last_request));
   if (conditions.agent_leaves) this->Fail("a leaving agent starts");
   if (!(run.body == BodyOf(run.task))) this->Fail("a task has a wrong body");
   if (!this->IsWanted(run.task.key)) this->Fail("a refused submission starts");
@@ -74,6 +75,7 @@
 void SimulationOracle::RecordRefusal(Submission& submission) {
   submission.refused = true;
   ++this->refusal_count;
+  this->CheckStartsAreAccountedFor(submission.key);
   // RecordRelayAnswer has checked a refusal that the home decided. By the time
   // it reaches the caller, the home may have started the job for a submission
   // accepted later.
@@ -83,6 +85,19 @@
   this->CheckNeverStarted(submission.entry, submission.key);
 }
 
+void SimulationOracle::CheckStartsAreAccountedFor(const JobKey& key) {
+  const auto first_start = this->first_starts.find(key);
+  if (first_start == this->first_starts.end()) return;
+  const bool is_accounted_for =
+      std::any_of(this->submissions.begin(), this->submissions.end(),
+                  [&](const auto& item) {
+                    return item.second.key == key && !item.second.refused &&
+                           item.first <= first_start->second;
+                  });
+  if (is_accounted_for) return;
+  this->Fail("a job that was started has all its submissions refused");
+}
+
 void SimulationOracle::CheckResults(const JobKey& key,
                                     const JobAnswer& answer) {
   const std::vector<Payload>& results = answer.results;
--- a/tests/support/simulation_oracle.h
+++ b/tests/support/simulation_oracle.h
@@ -78,6 +78,10 @@
   // another submission of its key.
   void CheckNeverStarted(NodeId home, const JobKey& key);
   void RecordRefusal(Submission& submission);
+  // Reports a violation if the job was started although each submission that
+  // preceded its first start is refused as not run. Jobs that may run again may
+  // be started for one submission and truthfully refused for a later one.
+  void CheckStartsAreAccountedFor(const JobKey& key);
   // Checks the results of a complete answer.
   void CheckResults(const JobKey& key, const JobAnswer& answer);
   // Whether a submission of the key has not been refused.
@@ -87,6 +91,8 @@
   SimulationLog& log;
   std::map<RequestId, Submission> submissions;
   std::map<TaskId, std::uint32_t> starts_of_task;
+  // The latest submission of any job at the first start of each job.
+  std::map<JobKey, RequestId> first_starts;
   std::map<NodeId, StartedJobs> started_at_confirmation;
   // The relaying entries that have been sent a refusal as not run, each with
   // the key of the job.
