tests: The fuzzer cuts single links for longer than leases last

Change: a mix of faults of its own, in which one entry and one agent are cut off from each other for 2.5 s while the rest of the cluster works. Recorded seeds of the other mix mean what they did.

--- a/tests/entry_core/deliberate_fault_test.cc
+++ b/tests/entry_core/deliberate_fault_test.cc
@@ -18,6 +18,7 @@
   // Whether each key is submitted only once, so that it has a single caller and
   // answer, and the messages in flight on broken connections may still be read.
   bool single_submissions = false;
+  FaultMix fault_mix = FaultMix::kGeneral;
 };
 
 constexpr std::uint64_t kSeeds = 1500;
@@ -32,6 +33,7 @@
   SimulationOptions options;
   options.fault = fault;
   options.rerun = tested.rerun;
+  options.fault_mix = tested.fault_mix;
   // With two agents, a task rarely runs twice at the same time.
   if (tested.rerun == RerunPolicy::kAfterLease) options.agents = 3;
   if (tested.single_submissions) {
@@ -84,8 +86,10 @@
         FaultCase{"AssumeLeaseExpiredEarly",
                   DeliberateFault::kAssumeLeaseExpiredEarly, 1,
                   RerunPolicy::kAfterLease},
+        // Only a cut that outlasts the leases lets one entry take an agent's
+        // runs for over while another entry keeps them running.
         FaultCase{"HideSightings", DeliberateFault::kHideSightings, 6000,
-                  RerunPolicy::kAfterLease},
+                  RerunPolicy::kAfterLease, false, FaultMix::kPartialCuts},
         FaultCase{"KeepPredecessorTasks",
                   DeliberateFault::kKeepPredecessorTasks, 1,
                   RerunPolicy::kAfterLease}),
--- a/tests/entry_core/protocol_fuzz_main.cc
+++ b/tests/entry_core/protocol_fuzz_main.cc
@@ -78,6 +78,7 @@
       cxxopts::value<std::uint32_t>()->default_value("4"))(
       "late-reads",
       "messages in flight on broken connections may be read later")(
+      "partial-cuts", "also cut single links for long")(
       "leases", "jobs may run again after their lease has expired")(
       "log", "print the events of every run")(
       "fault", "number of the DeliberateFault; 0: none",
@@ -100,6 +101,9 @@
   if (parsed.count("leases") > 0) {
     options.simulation.rerun = dandelionspur::RerunPolicy::kAfterLease;
   }
+  if (parsed.count("partial-cuts") > 0) {
+    options.simulation.fault_mix = dandelionspur::FaultMix::kPartialCuts;
+  }
   options.simulation.fault =
       static_cast<dandelionspur::DeliberateFault>(parsed["fault"].as<int>());
   return dandelionspur::Fuzz(options);
--- a/tests/support/simulated_cluster.cc
+++ b/tests/support/simulated_cluster.cc
@@ -13,6 +13,9 @@
 // Covers every deadline with its grace period, and takeovers of buckets.
 constexpr int kCompletionTicks = 400;
 constexpr int kTicksPerPoll = 20;
+// 2.5 s, which is longer than the leases of an agent that nobody hears can
+// last.
+constexpr int kPartialCutTicks = 50;
 constexpr Duration kTaskTime = std::chrono::milliseconds(100);
 
 NodeId Pick(const std::vector<NodeId>& nodes, std::uint32_t choice) {
@@ -78,7 +81,7 @@
 }
 
 void SimulatedCluster::InjectFault(std::uint32_t kind, std::uint32_t choice) {
-  if (kind < 110) return this->DeliverOutOfOrder(choice);
+  if (kind < 110) return this->DisturbLink(choice);
   if (kind < 113) return this->FreezeOrThaw(choice);
   if (kind < 117) return this->CutOrReconnect(choice);
   if (kind < 119) return this->KillEntry(choice);
@@ -93,6 +96,37 @@
   this->table.WriteDocument();
 }
 
+void SimulatedCluster::DisturbLink(std::uint32_t choice) {
+  if (this->options.fault_mix == FaultMix::kGeneral) {
+    return this->DeliverOutOfOrder(choice);
+  }
+  if (choice % 2 == 0) return this->CutPartially(choice / 2);
+  this->DeliverOutOfOrder(choice / 2);
+}
+
+void SimulatedCluster::CutPartially(std::uint32_t choice) {
+  const std::vector<NodeId> alive_entries = this->processes.AliveEntries();
+  const std::vector<NodeId> alive_agents = this->processes.AliveAgents();
+  if (alive_entries.size() < 2 || alive_agents.empty()) return;
+  const NodeId entry = Pick(alive_entries, choice);
+  const NodeId agent = Pick(alive_agents, choice / 8);
+  this->log.Append("entry " + std::to_string(entry) + " and agent " +
+                   std::to_string(agent) + " are cut off from each other");
+  this->ThawAll();
+  for (int i = 0; i < kPartialCutTicks && !this->violation(); ++i) {
+    this->processes.Disconnect(entry, agent);
+    this->DeliverAll();
+    this->AdvanceTime(kTick);
+  }
+  this->processes.Connect(entry, agent);
+}
+
+void SimulatedCluster::ThawAll() {
+  for (const NodeId node : this->processes.Alive()) {
+    this->processes.Thaw(node);
+  }
+}
+
 void SimulatedCluster::RunToCompletion() {
   if (this->violation()) return;
   this->ClearFaults();
--- a/tests/support/simulated_cluster.h
+++ b/tests/support/simulated_cluster.h
@@ -60,7 +60,13 @@
   // The simulation steps.
   void DeliverSome(std::uint32_t choice);
   void DeliverOne(std::uint32_t choice);
+  // Delivers a message out of order, or cuts one link for long, by the mix of
+  // faults.
+  void DisturbLink(std::uint32_t choice);
   void DeliverOutOfOrder(std::uint32_t choice);
+  // Cuts one entry and one agent off from each other until all leases would
+  // have expired that only this entry has confirmed. Everything else works.
+  void CutPartially(std::uint32_t choice);
   void Submit(std::uint32_t choice);
   void AdvanceTime(Duration step);
   void FinishTask(std::uint32_t choice);
@@ -86,6 +92,7 @@
   // Restarts all processes that are down.
   void RestartAll();
   void ClearFaults();
+  void ThawAll();
   // Connects the entry to all other processes.
   void ReconnectEntry(NodeId entry);
   // Delivers the messages in flight and those that follow from them.
--- a/tests/support/simulation_options.h
+++ b/tests/support/simulation_options.h
@@ -51,6 +51,11 @@
 // socket buffer, from which they are read at some later step.
 enum class InFlightMessages { kLost, kReadLater };
 
+// The faults that a simulation injects. kGeneral: cuts that mostly end at once.
+// kPartialCuts: in addition, cuts between one entry and one agent that outlast
+// every lease, while all other connections work.
+enum class FaultMix { kGeneral, kPartialCuts };
+
 struct SimulationOptions {
   std::uint32_t entries = 3;
   std::uint32_t agents = 2;
@@ -66,6 +71,7 @@
   // may be lost at once.
   RerunPolicy rerun = RerunPolicy::kNever;
   InFlightMessages in_flight = InFlightMessages::kLost;
+  FaultMix fault_mix = FaultMix::kGeneral;
   DeliberateFault fault = DeliberateFault::kNone;
 
   [[nodiscard]] bool HasLeases() const {
