entry_core: Keep the runs that agents reported when a job is answered before it runs

Cause: a job of an inherited key that is answered "may have run" while an agent's promise is outstanding has no tasks of its own in work, and reopening its key replaced the tasks that the other agents had reported by none. A later submission then started a task anew while an agent still ran it.

Change: until the job has begun to run, the reported tasks stand.

No test at the cores alone shows it yet.

--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -884,7 +884,11 @@
       job.IsRerunnable() && answer.verdict == Verdict::kMayHaveRun;
   if (may_run_again) {
     // A later submission of the key first queries the state of these tasks.
-    this->ownership.Reopen(key, StartedTasks(job));
+    // Those that agents have reported are among the started ones only once the
+    // job has begun to run.
+    this->ownership.Reopen(key, job.phase == JobPhase::kRunning
+                                    ? StartedTasks(job)
+                                    : this->ownership.ReportedTasks(key));
   } else {
     this->answer_cache.Insert(key, {job.submission.body_digest, answer}, now);
     this->ownership.Close(key, now);
