tests: The fuzzer has tasks that crash upstreams and capacities that change

A mix of faults of its own: some tasks crash their upstreams, which return later; capacities shrink and grow; entries end and start while one entry's messages to another are late. Agents live on and other messages arrive soon, since the bounds are promised for that. The oracle checks the upstreams lost under a task (2, with the loss of an entry 3), that no job is given up without them, and that no full upstream is sent a task.

Deliberate faults: ForgetLosses, OmitLossesFromStarts, IgnoreLosses, IgnoreShrunkCapacity, and ReturnRelaysOfEndedHome, for which a refusal passed on after the loss of a home is untrue.

--- a/tests/entry_core/deliberate_fault_test.cc
+++ b/tests/entry_core/deliberate_fault_test.cc
@@ -90,6 +90,22 @@
         // runs for over while another entry keeps them running.
         FaultCase{"HideSightings", DeliberateFault::kHideSightings, 6000,
                   RerunPolicy::kAfterLease, false, FaultMix::kPartialCuts},
+        FaultCase{"ReturnRelaysOfEndedHome",
+                  DeliberateFault::kReturnRelaysOfEndedHome, 1000,
+                  RerunPolicy::kAfterLease, false,
+                  FaultMix::kCrashingUpstreams},
+        FaultCase{"ForgetLosses", DeliberateFault::kForgetLosses, 1,
+                  RerunPolicy::kAfterLease, false,
+                  FaultMix::kCrashingUpstreams},
+        FaultCase{
+            "OmitLossesFromStarts", DeliberateFault::kOmitLossesFromStarts, 1,
+            RerunPolicy::kAfterLease, false, FaultMix::kCrashingUpstreams},
+        FaultCase{"IgnoreLosses", DeliberateFault::kIgnoreLosses, 1,
+                  RerunPolicy::kAfterLease, false,
+                  FaultMix::kCrashingUpstreams},
+        FaultCase{
+            "IgnoreShrunkCapacity", DeliberateFault::kIgnoreShrunkCapacity, 1,
+            RerunPolicy::kAfterLease, false, FaultMix::kCrashingUpstreams},
         FaultCase{"KeepPredecessorTasks",
                   DeliberateFault::kKeepPredecessorTasks, 1,
                   RerunPolicy::kAfterLease}),
--- a/tests/entry_core/protocol_fuzz_main.cc
+++ b/tests/entry_core/protocol_fuzz_main.cc
@@ -79,6 +79,7 @@
       "late-reads",
       "messages in flight on broken connections may be read later")(
       "partial-cuts", "also cut single links for long")(
+      "crashing-upstreams", "some tasks crash upstreams; capacities change")(
       "leases", "jobs may run again after their lease has expired")(
       "log", "print the events of every run")(
       "fault", "number of the DeliberateFault; 0: none",
@@ -104,6 +105,9 @@
   if (parsed.count("partial-cuts") > 0) {
     options.simulation.fault_mix = dandelionspur::FaultMix::kPartialCuts;
   }
+  if (parsed.count("crashing-upstreams") > 0) {
+    options.simulation.fault_mix = dandelionspur::FaultMix::kCrashingUpstreams;
+  }
   options.simulation.fault =
       static_cast<dandelionspur::DeliberateFault>(parsed["fault"].as<int>());
   return dandelionspur::Fuzz(options);
--- a/tests/entry_core/protocol_fuzz_test.cc
+++ b/tests/entry_core/protocol_fuzz_test.cc
@@ -33,6 +33,7 @@
   std::uint32_t entries;
   std::uint32_t agents;
   RerunPolicy rerun = RerunPolicy::kNever;
+  FaultMix fault_mix = FaultMix::kGeneral;
 };
 
 class ProtocolFuzz : public testing::TestWithParam<ClusterCase> {};
@@ -44,6 +45,7 @@
   options.entries = this->GetParam().entries;
   options.agents = this->GetParam().agents;
   options.rerun = this->GetParam().rerun;
+  options.fault_mix = this->GetParam().fault_mix;
   std::uint64_t starts = 0;
   std::uint64_t answers = 0;
   std::uint64_t refusals = 0;
@@ -67,13 +69,18 @@
   EXPECT_GT(refusals, 0U);
 }
 
-INSTANTIATE_TEST_SUITE_P(ClusterSizes, ProtocolFuzz,
-                         testing::Values(ClusterCase{"ThreeEntries", 3, 2},
-                                         ClusterCase{"FourEntries", 4, 3},
-                                         ClusterCase{"TwoEntries", 2, 2},
-                                         ClusterCase{"Leases", 3, 3,
-                                                     RerunPolicy::kAfterLease}),
-                         [](const auto& tested) { return tested.param.name; });
+INSTANTIATE_TEST_SUITE_P(
+    ClusterSizes, ProtocolFuzz,
+    testing::Values(ClusterCase{"ThreeEntries", 3, 2},
+                    ClusterCase{"FourEntries", 4, 3},
+                    ClusterCase{"TwoEntries", 2, 2},
+                    ClusterCase{"Leases", 3, 3, RerunPolicy::kAfterLease},
+                    ClusterCase{"PartialCuts", 3, 3, RerunPolicy::kAfterLease,
+                                FaultMix::kPartialCuts},
+                    ClusterCase{"CrashingUpstreams", 3, 3,
+                                RerunPolicy::kAfterLease,
+                                FaultMix::kCrashingUpstreams}),
+    [](const auto& tested) { return tested.param.name; });
 
 // A seed with which protocol_fuzz once found a violation.
 struct PastFailure {
--- a/tests/support/fault_injector.cc
+++ b/tests/support/fault_injector.cc
@@ -1,5 +1,7 @@
 #include "tests/support/fault_injector.h"
 
+#include <utility>
+
 #include "tests/support/simulated_workload.h"
 
 namespace dandelionspur {
@@ -62,6 +64,23 @@
   }
 }
 
+void OmitLossesFromStart(SimulatedMessage& message) {
+  auto* start = FindContent<EntryToAgentMessage, Start>(message);
+  if (start != nullptr) start->losses.clear();
+}
+
+void OmitReportedLosses(SimulatedMessage& message) {
+  if (auto* done = FindContent<AgentMessage, TaskFinished>(message)) {
+    done->report.losses.clear();
+  }
+  if (auto* known = FindContent<AgentMessage, RenounceReply>(message)) {
+    known->report.losses.clear();
+  }
+  if (auto* promise = FindContent<AgentMessage, AgentPromiseReply>(message)) {
+    promise->losses.clear();
+  }
+}
+
 ConfirmReply ConfirmationOf(const ConfirmRequest& request) {
   ConfirmReply reply{request.sequence, {}, {}};
   for (const BucketBallot& bucket : request.buckets) {
@@ -100,12 +119,34 @@
     case DeliberateFault::kHideSightings:
       HideSightings(message);
       break;
+    case DeliberateFault::kReturnRelaysOfEndedHome:
+      this->RecordRelay(from, to, message);
+      break;
+    case DeliberateFault::kOmitLossesFromStarts:
+      OmitLossesFromStart(message);
+      break;
+    case DeliberateFault::kIgnoreLosses:
+      OmitReportedLosses(message);
+      break;
     default:
       break;
   }
   return Outcome::kSend;
 }
 
+void FaultInjector::RecordRelay(NodeId from, NodeId to,
+                                const SimulatedMessage& message) {
+  const auto* relay = FindContent<PeerMessage, Relay>(message);
+  if (relay == nullptr) return;
+  const RelayMoved forged{relay->job.key, relay->attempt, relay->promised};
+  this->forged_returns[to].push_back({from, forged});
+}
+
+std::vector<FaultInjector::ForgedReturn> FaultInjector::TakeReturnsOf(
+    NodeId ended) {
+  return std::exchange(this->forged_returns[ended], {});
+}
+
 FaultInjector::Outcome FaultInjector::ForgeWitnessReply(
     NodeId from, NodeId to, const SimulatedMessage& message) {
   const auto* request = FindContent<PeerMessage, WitnessRequest>(message);
--- a/tests/support/fault_injector.h
+++ b/tests/support/fault_injector.h
@@ -1,6 +1,9 @@
 #ifndef DANDELIONSPUR_TESTS_SUPPORT_FAULT_INJECTOR_H_
 #define DANDELIONSPUR_TESTS_SUPPORT_FAULT_INJECTOR_H_
 
+#include <map>
+#include <vector>
+
 #include "libraries/agent_core/agent_core.h"
 #include "tests/support/simulated_clock.h"
 #include "tests/support/simulated_network.h"
@@ -20,6 +23,13 @@
   // connection from `from` to `to`.
   [[nodiscard]] Outcome AlterMessage(NodeId from, NodeId to,
                                      SimulatedMessage& message);
+  // For kReturnRelaysOfEndedHome, the forged returns of the relays that were
+  // sent to the entry, each with the entry that sent the relay.
+  struct ForgedReturn {
+    NodeId to = 0;
+    RelayMoved message;
+  };
+  [[nodiscard]] std::vector<ForgedReturn> TakeReturnsOf(NodeId ended);
   // For kRenewUnconfirmed, has the agent handle an event as if the sender of
   // each message had just received one of its heartbeats. Otherwise returns the
   // event as it is.
@@ -27,6 +37,8 @@
                                         AgentEvent event) const;
 
  private:
+  // Prepares the forged return of a relay, if `message` is one.
+  void RecordRelay(NodeId from, NodeId to, const SimulatedMessage& message);
   // Replies to a request in place of its receiver, if `message` is one.
   [[nodiscard]] Outcome ForgeWitnessReply(NodeId from, NodeId to,
                                           const SimulatedMessage& message);
@@ -36,6 +48,8 @@
   DeliberateFault fault;
   SimulatedNetwork& network;
   const SimulatedClock& clock;
+  // By the entry that the relay was sent to.
+  std::map<NodeId, std::vector<ForgedReturn>> forged_returns;
 };
 
 }  // namespace dandelionspur
--- a/tests/support/simulated_cluster.cc
+++ b/tests/support/simulated_cluster.cc
@@ -31,7 +31,8 @@
       upstreams(this->clock),
       faults(this->options.fault, this->network, this->clock),
       processes({this->options, this->clock, this->network, this->upstreams,
-                 this->table, this->faults, this->oracle, this->log}) {
+                 this->table, this->faults, this->oracle, this->log}),
+      crashes(this->options, this->upstreams, this->processes, this->oracle) {
   for (std::uint32_t i = 0; i < this->options.entries; ++i) {
     this->processes.StartEntry(i);
   }
@@ -72,6 +73,9 @@
 void SimulatedCluster::MakeProgress(std::uint32_t kind, std::uint32_t choice) {
   if (kind < 62) return this->DeliverSome(choice);
   if (kind < 78) return this->Submit(choice);
+  const bool is_prompt =
+      this->options.fault_mix == FaultMix::kCrashingUpstreams;
+  if (kind < 90 && is_prompt) return this->AdvanceTimeAfterDelivery(choice);
   if (kind < 90) {
     const bool long_pause = choice % 16 == 0;
     return this->AdvanceTime(kTick * (long_pause ? 24 : 1 + choice % 4));
@@ -80,7 +84,66 @@
   this->PollTable(choice);
 }
 
+void SimulatedCluster::AdvanceTimeAfterDelivery(std::uint32_t choice) {
+  for (std::uint32_t i = 0; i <= choice % 4; ++i) {
+    this->DeliverAll();
+    this->AdvanceTime(kTick);
+  }
+}
+
+void SimulatedCluster::ChangeHomes(std::uint32_t choice) {
+  constexpr int kDelayTicks = 6;
+  const std::vector<NodeId> before = this->processes.AliveEntries();
+  const bool ends = choice % 2 == 0 && before.size() > 1;
+  if (ends) {
+    const NodeId ended = Pick(before, choice / 2);
+    this->processes.TerminateEntry(ended);
+    this->processes.NotifyProvenDead(ended);
+  } else {
+    this->RestartOne(choice / 2);
+  }
+  const std::vector<NodeId> alive = this->processes.AliveEntries();
+  const NodeId from = Pick(alive, choice / 8);
+  const NodeId to = Pick(alive, choice / 32);
+  for (int i = 0; i < kDelayTicks; ++i) {
+    for (const NodeId entry : alive) {
+      if (this->processes.IsAlive(entry)) this->processes.ReadTable(entry);
+    }
+    this->DeliverAllBut(from, to);
+    this->AdvanceTime(kTick);
+  }
+}
+
+void SimulatedCluster::DeliverAllBut(NodeId from, NodeId to) {
+  constexpr int kMaximumRounds = 200;
+  bool delivered = true;
+  for (int round = 0; delivered && round < kMaximumRounds; ++round) {
+    delivered = false;
+    for (const Channel& channel : this->network.Channels()) {
+      if (channel.from == from && channel.to == to) continue;
+      // The delivery of another message may have ended the connection.
+      if (!this->network.HasMessages(channel)) continue;
+      this->processes.Deliver(channel.from, channel.to,
+                              this->network.TakeFirst(channel));
+      delivered = true;
+    }
+  }
+}
+
+void SimulatedCluster::InjectCrashFault(std::uint32_t kind,
+                                        std::uint32_t choice) {
+  if (kind < 114) return this->crashes.ReturnOne(choice);
+  if (kind < 121) return this->crashes.ChangeCapacity(choice);
+  if (kind < 122) return this->RestartOne(choice);
+  if (kind < 123) return this->KillEntry(choice);
+  if (kind < 127) return this->ChangeHomes(choice);
+  this->Cancel(choice);
+}
+
 void SimulatedCluster::InjectFault(std::uint32_t kind, std::uint32_t choice) {
+  if (this->options.fault_mix == FaultMix::kCrashingUpstreams) {
+    return this->InjectCrashFault(kind, choice);
+  }
   if (kind < 110) return this->DisturbLink(choice);
   if (kind < 113) return this->FreezeOrThaw(choice);
   if (kind < 117) return this->CutOrReconnect(choice);
@@ -138,6 +201,7 @@
     }
     this->DeliverAll();
     while (!this->upstreams.IsIdle()) this->FinishTask(0);
+    if (polls) this->crashes.ReturnAll();
     this->AdvanceTime(kTick);
   }
   this->CheckAllAnswered();
@@ -261,6 +325,10 @@
 
 void SimulatedCluster::FinishTask(std::uint32_t choice) {
   if (this->upstreams.IsIdle()) return;
+  const RunningTask& next = this->upstreams.Peek(choice);
+  if (this->crashes.IsDeadly(next.task)) {
+    return this->crashes.Crash(next.agent);
+  }
   const RunningTask task = this->upstreams.Finish(choice);
   if (!this->processes.IsAlive(task.agent)) return;
   constexpr std::uint32_t kFailureEvery = 16;
@@ -285,9 +353,13 @@
 
 void SimulatedCluster::KillEntry(std::uint32_t choice) {
   const std::vector<NodeId> alive = this->processes.AliveEntries();
-  const std::size_t least = this->options.HasLeases() ? 1 : 2;
+  const bool agents_live_on =
+      this->options.fault_mix == FaultMix::kCrashingUpstreams;
+  const bool may_end_last = this->options.HasLeases() && !agents_live_on;
+  const std::size_t least = may_end_last ? 1 : 2;
   if (alive.size() < least) return;
   this->processes.TerminateEntry(Pick(alive, choice));
+  if (agents_live_on) return;
   // Some of the steps end all processes at once.
   constexpr std::uint32_t kAllEvery = 8;
   const bool ends_all = (choice / 8) % kAllEvery == 0;
--- a/tests/support/simulated_cluster.h
+++ b/tests/support/simulated_cluster.h
@@ -7,6 +7,7 @@
 
 #include "tests/support/fault_injector.h"
 #include "tests/support/simulated_clock.h"
+#include "tests/support/simulated_crashes.h"
 #include "tests/support/simulated_network.h"
 #include "tests/support/simulated_processes.h"
 #include "tests/support/simulated_table.h"
@@ -56,10 +57,19 @@
   // the others inject a fault.
   void MakeProgress(std::uint32_t kind, std::uint32_t choice);
   void InjectFault(std::uint32_t kind, std::uint32_t choice);
+  // As above, for kCrashingUpstreams.
+  void InjectCrashFault(std::uint32_t kind, std::uint32_t choice);
 
   // The simulation steps.
   void DeliverSome(std::uint32_t choice);
   void DeliverOne(std::uint32_t choice);
+  // Changes who is home of the buckets, while one entry's messages to another
+  // one are delayed: an entry ends and is proven dead at once, or one starts.
+  void ChangeHomes(std::uint32_t choice);
+  // Delivers all messages but those from `from` to `to`.
+  void DeliverAllBut(NodeId from, NodeId to);
+  // Advances time as AdvanceTime does, after all messages have been delivered.
+  void AdvanceTimeAfterDelivery(std::uint32_t choice);
   // Delivers a message out of order, or cuts one link for long, by the mix of
   // faults.
   void DisturbLink(std::uint32_t choice);
@@ -108,6 +118,7 @@
   SimulatedTable table;
   FaultInjector faults;
   SimulatedProcesses processes;
+  SimulatedCrashes crashes;
   std::uint32_t key_count = 0;
 };
 
--- a/tests/support/simulated_network.cc
+++ b/tests/support/simulated_network.cc
@@ -42,6 +42,14 @@
   return std::next(this->channels.begin(), offset)->first;
 }
 
+std::vector<Channel> SimulatedNetwork::Channels() const {
+  std::vector<Channel> found;
+  for (const auto& [channel, messages] : this->channels) {
+    found.push_back(channel);
+  }
+  return found;
+}
+
 SimulatedMessage SimulatedNetwork::TakeFirst(const Channel& channel) {
   const auto found = this->channels.find(channel);
   SimulatedMessage message = std::move(found->second.front());
--- a/tests/support/simulated_network.h
+++ b/tests/support/simulated_network.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "libraries/agent_core/agent_core.h"
 #include "libraries/entry_core/entry_core.h"
@@ -47,6 +48,11 @@
   [[nodiscard]] bool IsIdle() const { return this->channels.empty(); }
   // One of the channels with messages in flight. There must be one.
   [[nodiscard]] Channel PickChannel(std::uint32_t choice) const;
+  [[nodiscard]] bool HasMessages(const Channel& channel) const {
+    return this->channels.contains(channel);
+  }
+  // The channels with messages in flight.
+  [[nodiscard]] std::vector<Channel> Channels() const;
   // Removes the first message in flight on the channel.
   SimulatedMessage TakeFirst(const Channel& channel);
   // A copy of any message in flight on the channel.
--- a/tests/support/simulated_processes.cc
+++ b/tests/support/simulated_processes.cc
@@ -115,6 +115,16 @@
   this->HandleAgent(id, AgentViewRead{this->table.view()});
 }
 
+void SimulatedProcesses::AnnounceUpstream(NodeId agent) {
+  AgentDescription description = DescriptionOf(this->agents.at(agent).slot);
+  const std::uint32_t slots = this->upstreams.SlotsOf(agent);
+  description.capacity = Resources();
+  for (std::uint32_t i = 0; i < slots; ++i) description.capacity += kOneSlot;
+  this->log.Append("the upstream of agent " + std::to_string(agent) + " has " +
+                   std::to_string(slots) + " slots");
+  this->HandleAgent(agent, UpstreamAnnounced{description});
+}
+
 void SimulatedProcesses::StopPredecessorTasks(std::uint32_t slot) {
   // A new agent stops the tasks of its predecessors before it registers.
   const bool stops =
@@ -188,8 +198,13 @@
   this->log.Append("entry " + std::to_string(id) + " ends");
   entry.alive = false;
   entry.deferred.clear();
+  this->oracle.RecordEntryLoss();
   for (auto& [other, unused] : this->entries) this->Disconnect(id, other);
   for (auto& [other, unused] : this->agents) this->Disconnect(id, other);
+  for (const FaultInjector::ForgedReturn& forged :
+       this->faults.TakeReturnsOf(id)) {
+    this->Deliver(id, forged.to, PeerMessage(forged.message));
+  }
 }
 
 void SimulatedProcesses::TerminateAgent(NodeId id) {
@@ -489,15 +504,18 @@
   constexpr std::uint32_t kUnreachableEvery = 13;
   constexpr std::uint32_t kUnreachable = 5;
   const std::uint64_t number = this->oracle.starts() + this->oracle.requests();
-  if (number % kUnreachableEvery == kUnreachable) {
+  const bool is_unreachable = number % kUnreachableEvery == kUnreachable ||
+                              this->upstreams.IsDown(from);
+  if (is_unreachable) {
     this->oracle.RecordUnreachableStart();
     this->HandleAgent(from,
                       UpstreamTaskCompleted{run.task, UpstreamResult::kNotSent,
                                             Payload(), Duration()});
     return;
   }
-  this->oracle.RecordStart(run, {this->upstreams.IsRunning(run.task),
-                                 this->agents.at(from).leaving});
+  this->oracle.RecordStart(
+      run, {this->upstreams.IsRunning(run.task), this->agents.at(from).leaving,
+            this->upstreams.IsFull(from)});
   this->upstreams.Run(from, run.task);
 }
 
--- a/tests/support/simulated_processes.h
+++ b/tests/support/simulated_processes.h
@@ -54,6 +54,8 @@
   // Asks the process to stop.
   void Drain(NodeId entry);
   void Leave(NodeId agent);
+  // The agent's upstream announces itself with its present capacity.
+  void AnnounceUpstream(NodeId agent);
   // Has the entry read the view and the document from the table.
   void ReadTable(NodeId entry);
   // Adds the entry to the view again if it has been removed from it.
--- a/tests/support/simulated_upstreams.cc
+++ b/tests/support/simulated_upstreams.cc
@@ -46,4 +46,27 @@
                 [&](const RunningTask& task) { return task.agent == agent; });
 }
 
+std::vector<TaskId> SimulatedUpstreams::Crash(NodeId agent) {
+  this->down.insert(agent);
+  std::vector<TaskId> lost;
+  std::erase_if(this->running, [&](const RunningTask& task) {
+    if (task.agent != agent) return false;
+    lost.push_back(task.task);
+    return true;
+  });
+  return lost;
+}
+
+std::uint32_t SimulatedUpstreams::SlotsOf(NodeId agent) const {
+  const auto found = this->slots.find(agent);
+  return found == this->slots.end() ? kInitialSlots : found->second;
+}
+
+bool SimulatedUpstreams::IsFull(NodeId agent) const {
+  const auto count = std::count_if(
+      this->running.begin(), this->running.end(),
+      [&](const RunningTask& task) { return task.agent == agent; });
+  return static_cast<std::uint32_t>(count) >= this->SlotsOf(agent);
+}
+
 }  // namespace dandelionspur
--- a/tests/support/simulation_options.h
+++ b/tests/support/simulation_options.h
@@ -44,6 +44,17 @@
   kKeepPredecessorTasks,
   // Entries do not send each other their last contacts with agents.
   kHideSightings,
+  // The relays to an entry that ends are returned to their senders as if it had
+  // started no task for them.
+  kReturnRelaysOfEndedHome,
+  // Agents forget under which tasks their upstreams were lost.
+  kForgetLosses,
+  // Starts do not carry the losses of upstreams that the home knows.
+  kOmitLossesFromStarts,
+  // Homes ignore the losses of upstreams that agents report.
+  kIgnoreLosses,
+  // Agents are not told that the capacity of their upstream has shrunk.
+  kIgnoreShrunkCapacity,
 };
 
 // What happens to messages between entries that are in flight on a connection
@@ -54,7 +65,9 @@
 // The faults that a simulation injects. kGeneral: cuts that mostly end at once.
 // kPartialCuts: in addition, cuts between one entry and one agent that outlast
 // every lease, while all other connections work.
-enum class FaultMix { kGeneral, kPartialCuts };
+// kCrashingUpstreams: some tasks crash the upstreams that run them, capacities
+// change, and entries end; messages are delivered soon, and agents live on.
+enum class FaultMix { kGeneral, kPartialCuts, kCrashingUpstreams };
 
 struct SimulationOptions {
   std::uint32_t entries = 3;
--- a/tests/support/simulation_oracle.cc
+++ b/tests/support/simulation_oracle.cc
@@ -43,6 +43,7 @@
     this->Fail(ShortName(run.task) + " started twice");
   }
   this->first_starts.emplace(run.task.key, RequestId(this->last_request));
+  if (conditions.upstream_full) this->Fail("a full upstream is sent a task");
   if (conditions.agent_leaves) this->Fail("a leaving agent starts");
   if (!(run.body == BodyOf(run.task))) this->Fail("a task has a wrong body");
   if (!this->IsWanted(run.task.key)) this->Fail("a refused submission starts");
@@ -55,6 +56,17 @@
                      });
 }
 
+void SimulationOracle::RecordUpstreamLoss(NodeId agent,
+                                          const std::vector<TaskId>& running) {
+  std::string names;
+  for (const TaskId& task : running) names += " " + ShortName(task);
+  this->log.Append("the upstream of agent " + std::to_string(agent) +
+                   " is lost under" + names);
+  const std::optional<std::string> violation =
+      this->upstream_losses.OnUpstreamLost(running);
+  if (violation) this->Fail(*violation);
+}
+
 void SimulationOracle::RecordAnswer(const AnswerCaller& answer) {
   Submission& submission = this->submissions.at(answer.request);
   if (submission.answered) this->Fail("a request is answered twice");
@@ -67,6 +79,11 @@
   if (answer.answer.verdict == Verdict::kNotRun) {
     this->RecordRefusal(submission);
   }
+  if (answer.answer.reason == Reason::kTaskCrashesUpstreams) {
+    const std::optional<std::string> violation =
+        this->upstream_losses.OnGivenUp(submission.key);
+    if (violation) this->Fail(*violation);
+  }
   if (answer.answer.reason != Reason::kComplete) return;
   ++this->complete_count;
   this->CheckResults(submission.key, answer.answer);
--- a/tests/support/simulation_oracle.h
+++ b/tests/support/simulation_oracle.h
@@ -7,12 +7,14 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "libraries/agent_core/agent_core.h"
 #include "libraries/entry_core/entry_core.h"
 #include "tests/support/simulated_network.h"
 #include "tests/support/simulation_log.h"
 #include "tests/support/simulation_options.h"
+#include "tests/support/upstream_loss_check.h"
 
 namespace dandelionspur {
 
@@ -50,8 +52,13 @@
     bool still_runs = false;
     // Whether the agent has been asked to leave.
     bool agent_leaves = false;
+    // Whether the tasks that run there need all of the upstream's capacity.
+    bool upstream_full = false;
   };
   void RecordStart(const RunOnUpstream& run, const StartConditions& conditions);
+  // Records that the agent's upstream was lost while it ran these tasks.
+  void RecordUpstreamLoss(NodeId agent, const std::vector<TaskId>& running);
+  void RecordEntryLoss() { this->upstream_losses.OnEntryLost(); }
   void RecordAnswer(const AnswerCaller& answer);
   // Logs the answer to a relay if `sent` is one. Checks that a job refused as
   // not run has not been started, and records the refusal.
@@ -91,6 +98,7 @@
   SimulationLog& log;
   std::map<RequestId, Submission> submissions;
   std::map<TaskId, std::uint32_t> starts_of_task;
+  UpstreamLossCheck upstream_losses;
   // The latest submission of any job at the first start of each job.
   std::map<JobKey, RequestId> first_starts;
   std::map<NodeId, StartedJobs> started_at_confirmation;
