--- a/tests/support/simulation_oracle.cc
+++ b/tests/support/simulation_oracle.cc
@@ -42,6 +42,8 @@
   if (++this->starts_of_task[run.task] > 1 && !this->options.HasLeases()) {
     this->Fail(ShortName(run.task) + " started twice");
   }
+  this->first_starts.emplace(run.task.key, RequestId(this->last_request));
+  if (conditions.upstream_full) this->Fail("a full upstream is sent a task");
   if (conditions.agent_leaves) this->Fail("a leaving agent starts");
   if (!(run.body == BodyOf(run.task))) this->Fail("a task has a wrong body");
   if (!this->IsWanted(run.task.key)) this->Fail("a refused submission starts");
@@ -54,6 +56,17 @@
                      });
 }
 
+void SimulationOracle::RecordUpstreamLoss(NodeId agent,
+                                          const std::vector<TaskId>& running) {
+  std::string names;
+  for (const TaskId& task : running) names += " " + ShortName(task);
+  this->log.Append("the upstream of agent " + std::to_string(agent) +
+                   " is lost under" + names);
+  const std::optional<std::string> violation =
+      this->upstream_losses.OnUpstreamLost(running);
+  if (violation) this->Fail(*violation);
+}
+
 void SimulationOracle::RecordAnswer(const AnswerCaller& answer) {
   Submission& submission = this->submissions.at(answer.request);
   if (submission.answered) this->Fail("a request is answered twice");
@@ -66,6 +79,11 @@
   if (answer.answer.verdict == Verdict::kNotRun) {
     this->RecordRefusal(submission);
   }
+  if (answer.answer.reason == Reason::kTaskCrashesUpstreams) {
+    const std::optional<std::string> violation =
+        this->upstream_losses.OnGivenUp(submission.key);
+    if (violation) this->Fail(*violation);
+  }
   if (answer.answer.reason != Reason::kComplete) return;
   ++this->complete_count;
   this->CheckResults(submission.key, answer.answer);
@@ -74,6 +92,7 @@
 void SimulationOracle::RecordRefusal(Submission& submission) {
   submission.refused = true;
   ++this->refusal_count;
+  this->CheckStartsAreAccountedFor(submission.key);
   // RecordRelayAnswer has checked a refusal that the home decided. By the time
   // it reaches the caller, the home may have started the job for a submission
   // accepted later.
@@ -83,6 +102,19 @@
   this->CheckNeverStarted(submission.entry, submission.key);
 }
 
+void SimulationOracle::CheckStartsAreAccountedFor(const JobKey& key) {
+  const auto first_start = this->first_starts.find(key);
+  if (first_start == this->first_starts.end()) return;
+  const bool is_accounted_for =
+      std::any_of(this->submissions.begin(), this->submissions.end(),
+                  [&](const auto& item) {
+                    return item.second.key == key && !item.second.refused &&
+                           item.first <= first_start->second;
+                  });
+  if (is_accounted_for) return;
+  this->Fail("a job that was started has all its submissions refused");
+}
+
 void SimulationOracle::CheckResults(const JobKey& key,
                                     const JobAnswer& answer) {
   const std::vector<Payload>& results = answer.results;
