benchmarks: Answer every request for a part of the promises

A take-over asks for the started tasks in parts, so that one round of answers no longer completes it.

--- a/tests/benchmarks/core_benchmark.cc
+++ b/tests/benchmarks/core_benchmark.cc
@@ -149,19 +149,24 @@
     const Timestamp now(std::chrono::seconds(2));
     state.ResumeTiming();
     home.AcquireVacant(now);
-    for (EntryEffect& effect : outbox.Take()) {
-      const auto* sent = std::get_if<SendToAgent>(&effect);
-      if (sent == nullptr) continue;
-      AgentCore& agent = *agents[sent->to.value() - 1000];
-      for (AgentEffect& answer :
-           agent.Handle(EntryMessageReceived{EntryId(1), sent->message}, now)) {
-        const auto* back = std::get_if<SendToEntry>(&answer);
-        if (back == nullptr) continue;
-        const std::string bytes = WireCodec::ToMessagePack(back->message);
-        const AgentMessage decoded = Decoded<AgentMessage>(bytes);
-        home.OnAgentPromiseReply(sent->to, std::get<AgentPromiseReply>(decoded),
-                                 now);
+    // Each answer leads to the request for the next part.
+    std::vector<EntryEffect> effects = outbox.Take();
+    while (!effects.empty()) {
+      for (EntryEffect& effect : effects) {
+        const auto* sent = std::get_if<SendToAgent>(&effect);
+        if (sent == nullptr) continue;
+        AgentCore& agent = *agents[sent->to.value() - 1000];
+        for (AgentEffect& answer : agent.Handle(
+                 EntryMessageReceived{EntryId(1), sent->message}, now)) {
+          const auto* back = std::get_if<SendToEntry>(&answer);
+          if (back == nullptr) continue;
+          const std::string bytes = WireCodec::ToMessagePack(back->message);
+          const AgentMessage decoded = Decoded<AgentMessage>(bytes);
+          home.OnAgentPromiseReply(sent->to,
+                                   std::get<AgentPromiseReply>(decoded), now);
+        }
       }
+      effects = outbox.Take();
     }
     home.ActivateReady(now);
     if (!home.IsActive(BucketId(0))) state.SkipWithError("bucket inactive");
