tests: A task that crashes its upstreams, with real processes

The stand-in upstreams end without notice after a task that is marked for it; dandelionspur-load can send a share of jobs with such a task (--crashing). A test starts one beside twelve others on four upstreams, which come back 3.3 s after each crash: its job is answered as failed after two crashes, and the others complete.

--- a/meta/cluster.py
+++ b/meta/cluster.py
@@ -13,6 +13,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BUILD = pathlib.Path(os.environ.get("DANDELIONSPUR_BUILD", ROOT / "build"))
 LOOPBACK = "127.0.0.1"
+UPSTREAM_RESTART_SECONDS = 3.3
 READY_TIMEOUT_SECONDS = 30
 
 
@@ -182,6 +183,22 @@
             + (["--platform"] if self.platform else []),
         )
 
+    def restart_crashed_upstreams(self, answer):
+        """Starts upstreams that have exited again, some time after their exit, until the future `answer` is done.
+        Returns how many have exited."""
+        exits = 0
+        due = {}
+        while not answer.done():
+            for agent, upstream in enumerate(self.upstreams):
+                if agent not in due and upstream.popen.poll() is not None:
+                    due[agent] = time.monotonic() + UPSTREAM_RESTART_SECONDS
+                    exits += 1
+            for agent in [agent for agent, at in due.items() if time.monotonic() >= at]:
+                del due[agent]
+                self.start_upstream(agent)
+            time.sleep(0.02)
+        return exits
+
     def __enter__(self):
         try:
             self.start_table()
--- a/tests/load/workload_test.cc
+++ b/tests/load/workload_test.cc
@@ -26,6 +26,24 @@
   }
 }
 
+// Guards against plans with tasks that crash upstreams where none was asked
+// for.
+TEST(WorkloadTest, TheShareOfJobsThatCrashUpstreamsIsAsGiven) {
+  WorkloadOptions options;
+  options.jobs = 200;
+  const std::vector<UpstreamGroup> fleet = {{8, 1}};
+  const auto crashing = [](const std::vector<PlannedJob>& plan) {
+    std::size_t count = 0;
+    for (const PlannedJob& job : plan) {
+      for (const PlannedTask& task : job.tasks) count += task.crashes ? 1 : 0;
+    }
+    return count;
+  };
+  EXPECT_EQ(crashing(PlanWorkload(options, fleet)), 0U);
+  options.crashing_fraction = 1;
+  EXPECT_EQ(crashing(PlanWorkload(options, fleet)), 200U);
+}
+
 TEST(WorkloadTest, IdleFleetBoundIsTheLargerOfTaskAndCapacityBounds) {
   const std::vector<UpstreamGroup> fleet = {{2, 1}, {2, 2}};
   // The only task's run time on the faster upstream.
--- a/tests/system/operations_test.py
+++ b/tests/system/operations_test.py
@@ -5,6 +5,7 @@
 KEY are the last values of `agent=`, `home=` and `key=` in the output of earlier commands.
 """
 
+import os
 import re
 import subprocess
 import sys
@@ -12,12 +13,14 @@
 import unittest
 
 from cluster_case import PlatformCase
-from cluster import ROOT, call
+from cluster import BUILD, ROOT, call
 
 PAGE = ROOT / "docs/OPERATIONS.md"
 # Placeholders in commands, and the log fields of earlier output that they are replaced by.
 PLACEHOLDER_FIELDS = {"AGENT": "agent", "HOME": "home", "KEY": "key"}
 LOG_DELAY_SECONDS = 0.5
+# The page calls the operator's command by its name.
+COMMAND_ENVIRONMENT = {**os.environ, "PATH": f"{BUILD / 'utilities'}:{os.environ['PATH']}"}
 
 
 def steps_of(heading):
@@ -41,13 +44,17 @@
             "JOB": job,
             "LOGS": f"{cluster.directory.name}/*.log",
             "ENTRY": f"127.0.0.1:{cluster.entry_admin_port(entry)}",
+            "TABLE": f"127.0.0.1:{cluster.table_port()}",
+            "SERVICE": "demo",
         }
         for command, expected in steps:
             for name, value in values.items():
                 command = re.sub(rf"\b{name}\b", value, command)
             if "--print" in sys.argv:
                 print("$", command)
-            printed = subprocess.run(command, shell=True, capture_output=True, text=True, timeout=30).stdout
+            printed = subprocess.run(
+                command, shell=True, capture_output=True, text=True, timeout=30, env=COMMAND_ENVIRONMENT
+            ).stdout
             if "--print" in sys.argv:
                 print(printed)
             for words in expected:
@@ -89,6 +96,14 @@
         self.assertNotEqual(answer.result(timeout=60)[0], 200)
         self.follow("A request failed after its upstream and agent were lost", cluster, job)
 
+    def test_upstreams_crash_one_after_another(self):
+        cluster = self.cluster(agents=3)
+        job = "00000000000000dd"
+        answer = self.pool.submit(cluster.submit_to_queue, 0, job, "8 crash", 1)
+        cluster.restart_crashed_upstreams(answer)
+        self.assertEqual(answer.result()[1]["state"], "failed", cluster.logs())
+        self.follow("Upstreams crash one after another", cluster, job)
+
     def test_answered_late_after_a_take_over(self):
         cluster = self.cluster()
         jobs = self.submit_many(cluster, 12, "3000", 1, entries=[0])
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -59,6 +59,19 @@
         self.assertEqual((status, answer["state"]), (200, "failed"))
         self.assertEqual([run["how"] for run in cluster.runs()], ["failed"] * 3)
 
+    # Guards against a task that takes down one upstream after the other, and its neighbours with them.
+    def test_task_that_crashes_its_upstreams_is_given_up(self):
+        cluster = self.cluster(agents=4, slots=4)
+        bystanders = self.submit_many(cluster, 12, "700", tasks=1, first=256)
+        time.sleep(0.2)
+        deadly = self.pool.submit(cluster.submit_to_queue, 0, "00000000000000dd", "8 crash", 1)
+        crashes = cluster.restart_crashed_upstreams(deadly)
+        status, answer = deadly.result()
+        self.assertEqual((status, answer["state"]), (200, "failed"), cluster.logs())
+        self.assertEqual(crashes, 2, cluster.logs())
+        self.check_completed(self.answers(bystanders))
+        self.check_no_overlapping_runs(cluster)
+
     def test_routes_follow_the_configuration(self):
         cluster = self.cluster(entries=2, agents=1)
         self.assertEqual(cluster.submit_to_queue(0, "0" * 16, "10", path_prefix="/other/")[0], 404)
--- a/utilities/dandelionspur/step_description.cc
+++ b/utilities/dandelionspur/step_description.cc
@@ -40,6 +40,19 @@
          FormatMilliseconds(job.time_allowed) + " left";
 }
 
+// Nothing if no upstream was lost under the task.
+std::string Format(const std::vector<UpstreamLoss>& losses) {
+  if (losses.empty()) return "";
+  std::string text = "; this task was running on " +
+                     std::to_string(losses.size()) +
+                     " upstreams when they were lost:";
+  for (const UpstreamLoss& loss : losses) {
+    text += " that of agent " + FormatId(loss.agent) + " (" +
+            std::string(EnumName(loss.role)) + ")";
+  }
+  return text;
+}
+
 std::string Format(const TaskReport& report) {
   return Format(report.task) + ": " + std::string(EnumName(report.state)) +
          ", " + std::string(EnumName(report.outcome));
@@ -73,7 +86,8 @@
     return "start " + Format(message.task) + " under " +
            Format(message.ballot) + ", attempt " +
            std::to_string(message.attempt) +
-           ", placement reason: " + std::string(EnumName(message.placement));
+           ", placement reason: " + std::string(EnumName(message.placement)) +
+           Format(message.losses);
   }
   std::string operator()(const Renounce& message) const {
     return "query the state of " + Format(message.task) +
@@ -84,7 +98,7 @@
   }
   std::string operator()(const TaskFinished& message) const {
     return Format(message.report) + " after " +
-           FormatMilliseconds(message.elapsed);
+           FormatMilliseconds(message.elapsed) + Format(message.report.losses);
   }
   std::string operator()(const TaskNotRun& message) const {
     return Format(message.task) +
@@ -92,7 +106,7 @@
            std::string(ReasonName(message.reason));
   }
   std::string operator()(const RenounceReply& message) const {
-    return Format(message.report);
+    return Format(message.report) + Format(message.report.losses);
   }
   std::string operator()(const AgentPromiseReply& message) const {
     for (const StartedJob& job : message.started) {
--- a/utilities/load/main.cc
+++ b/utilities/load/main.cc
@@ -28,6 +28,8 @@
       cxxopts::value<std::string>()->default_value("load"))(
       "resubmitted", "fraction of the jobs submitted twice",
       cxxopts::value<double>()->default_value("0"))(
+      "crashing", "fraction of the jobs with a task that crashes its upstream",
+      cxxopts::value<double>()->default_value("0"))(
       "declared-error", "largest error factor of declared run times",
       cxxopts::value<double>()->default_value("1"))(
       "largest-job", "largest number of tasks in a job",
@@ -49,6 +51,7 @@
   workload.seed = arguments["seed"].as<std::uint64_t>();
   workload.key_prefix = arguments["key-prefix"].as<std::string>();
   workload.resubmitted_fraction = arguments["resubmitted"].as<double>();
+  workload.crashing_fraction = arguments["crashing"].as<double>();
   workload.declared_error = arguments["declared-error"].as<double>();
   workload.largest_job = arguments["largest-job"].as<std::size_t>();
   workload.burst = arguments["burst"].as<std::size_t>();
--- a/utilities/load/runner.cc
+++ b/utilities/load/runner.cc
@@ -104,6 +104,7 @@
     };
     tasks.push_back({{"body",
                       {{"sleep_ms", milliseconds(task.duration)},
+                       {"outcome", task.crashes ? "crash" : "ok"},
                        {"token", TaskToken(planned, i)}}},
                      {"declared_ms", milliseconds(task.declared)}});
   }
--- a/utilities/load/workload.cc
+++ b/utilities/load/workload.cc
@@ -46,6 +46,11 @@
     const std::size_t count = this->DrawTaskCount();
     for (std::size_t i = 0; i < count; ++i) job.tasks.push_back(this->Task());
     job.resubmitted = this->Chance(this->options.resubmitted_fraction);
+    // Drawn only if asked for, so that a seed gives the same jobs without it.
+    const bool may_crash = this->options.crashing_fraction > 0;
+    if (may_crash) {
+      job.tasks.front().crashes = this->Chance(this->options.crashing_fraction);
+    }
     return job;
   }
 
--- a/utilities/load/workload.h
+++ b/utilities/load/workload.h
@@ -29,6 +29,8 @@
   Duration duration{};
   // Run time that the caller declares.
   Duration declared{};
+  // Whether the task crashes its upstream at the end of its run time.
+  bool crashes = false;
 };
 
 struct PlannedJob {
@@ -54,6 +56,8 @@
   double declared_error = 1;
   // Largest number of tasks in a job.
   std::size_t largest_job = 100;
+  // Fraction of the jobs whose first task crashes its upstream.
+  double crashing_fraction = 0;
   // Number of jobs in a burst; 1 plans no bursts.
   std::size_t burst = 1;
 };
--- a/utilities/upstream_stand_in/platform_worker.cc
+++ b/utilities/upstream_stand_in/platform_worker.cc
@@ -6,6 +6,7 @@
 
 #include "libraries/base/time.h"
 #include "services/runtime/admin_routes.h"
+#include "utilities/upstream_stand_in/crash.h"
 
 namespace dandelionspur {
 namespace {
@@ -162,12 +163,15 @@
   run.from_microseconds = WallMicroseconds();
   if (this->hangs) return JsonResponse(kOk, accepted);
   const bool fail = this->fails || spec.ends_with("fail");
+  const bool crash = spec.ends_with("crash");
   run.completion = std::make_unique<boost::asio::steady_timer>(
       this->context,
       std::chrono::milliseconds(std::strtoll(spec.c_str(), nullptr, 10)));
   run.completion->async_wait(
-      [this, task, fail](boost::system::error_code error) {
-        if (!error) this->EndRun(task, fail ? "failed" : "done");
+      [this, task, fail, crash](boost::system::error_code error) {
+        if (error) return;
+        if (crash) Crash();
+        this->EndRun(task, fail ? "failed" : "done");
       });
   return JsonResponse(kOk, accepted);
 }
--- a/utilities/upstream_stand_in/platform_worker.h
+++ b/utilities/upstream_stand_in/platform_worker.h
@@ -28,8 +28,9 @@
 
 // A stand-in for a worker of the users' platform. The worker sends heartbeats
 // to its agent, runs all tasks under one lease on its own clock, and lists its
-// running and completed runs. A task's `spec` is "MILLISECONDS" or
-// "MILLISECONDS fail". Must be used from one thread.
+// running and completed runs. A task's `spec` is "MILLISECONDS",
+// "MILLISECONDS fail" or "MILLISECONDS crash"; the last one ends the process
+// without notice. Must be used from one thread.
 //
 //   POST /-/run-start, /-/run-stop, /-/hold
 //   GET  /v1/runs    {"runs": [{"task", "run", "from_us", "to_us", "how"}]}
--- a/utilities/upstream_stand_in/stand_in_upstream.cc
+++ b/utilities/upstream_stand_in/stand_in_upstream.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "services/runtime/admin_routes.h"
+#include "utilities/upstream_stand_in/crash.h"
 
 namespace dandelionspur {
 namespace {
@@ -105,6 +106,7 @@
     sleep = body.value("sleep_ms", sleep);
     task.token = body.value("token", "");
     task.fails = body.value("outcome", "ok") == "fail";
+    task.crashes = body.value("outcome", "ok") == "crash";
   }
   if (this->mode == Mode::kFailEverything) {
     this->EndTask(id, kFailed, "failed by request");
@@ -121,6 +123,7 @@
   task.completion->async_wait([this, id](boost::system::error_code error) {
     if (error) return;
     const RunningTask& done = this->running.at(id);
+    if (done.crashes) Crash();
     const nlohmann::json result = {{"task", id}, {"token", done.token}};
     this->EndTask(id, done.fails ? kFailed : kOk, result.dump());
   });
--- a/utilities/upstream_stand_in/stand_in_upstream.h
+++ b/utilities/upstream_stand_in/stand_in_upstream.h
@@ -25,9 +25,9 @@
 };
 
 // A stand-in for a worker's upstream. Tasks are {"sleep_ms", "outcome":
-// "ok"|"fail", "token"}; the answer repeats the token. Every start is logged,
-// so that tests can compare results with this log. Must be used from one
-// thread.
+// "ok"|"fail"|"crash", "token"}; the answer repeats the token. A task that
+// crashes ends the process without notice. Every start is logged, so that tests
+// can compare results with this log. Must be used from one thread.
 //
 //   POST   /v1/tasks/ID          runs a task under Lease-Ms
 //   POST   /v1/tasks/ID/lease    renews the lease
@@ -57,6 +57,7 @@
     HttpResponder responder;
     std::string token;
     bool fails = false;
+    bool crashes = false;
     std::unique_ptr<boost::asio::steady_timer> completion;
     std::unique_ptr<boost::asio::steady_timer> lease;
   };
