agent: Handle a connection's events in their order

Cause: an agent's link posted the event of a new connection, while frames went to the core directly. The request for promises that an entry sends at once was handled before EntryConnected, and the core dropped its reply. Change: connections and frames are both dispatched, as at the entries.

--- a/services/agent/agent_links.cc
+++ b/services/agent/agent_links.cc
@@ -1,6 +1,6 @@
 #include "services/agent/agent_links.h"
 
-#include <boost/asio/post.hpp>
+#include <boost/asio/dispatch.hpp>
 #include <utility>
 
 #include "services/runtime/message_decoding.h"
@@ -26,7 +26,7 @@
   LinkHandlers handlers;
   handlers.up = [this](const Hello& other,
                        const FrameConnectionPointer& connection) {
-    asio::post(this->core, [this, other, connection] {
+    asio::dispatch(this->core, [this, other, connection] {
       this->OnUp(EntryId(other.id), connection);
     });
   };
@@ -39,7 +39,7 @@
   };
   handlers.down = [this](const Hello& other,
                          const FrameConnectionPointer& connection) {
-    asio::post(this->core, [this, other, connection] {
+    asio::dispatch(this->core, [this, other, connection] {
       this->OnDown(EntryId(other.id), connection);
     });
   };
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -1,5 +1,6 @@
 #include "services/agent/agent_server.h"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -101,7 +102,7 @@
                                               this->settings.table);
   this->links = std::make_unique<AgentLinks>(
       this->self, this->core_thread.First(), this->input_output, this->metrics,
-      [this](AgentEvent event) { this->Post(std::move(event)); });
+      [this](AgentEvent event) { this->Dispatch(std::move(event)); });
   BOOST_LEAF_AUTO(admin,
                   HttpServer::Create(this->settings.admin, this->input_output,
                                      [this](const HttpRequest& request,
@@ -146,6 +147,12 @@
              [this, posted = std::move(event)] { this->Handle(posted); });
 }
 
+void AgentServer::Dispatch(AgentEvent event) {
+  asio::dispatch(
+      this->core_thread.First(),
+      [this, received = std::move(event)] { this->Handle(received); });
+}
+
 void AgentServer::Handle(const AgentEvent& event) {
   const Timestamp now = WallClockNow();
   std::vector<AgentEffect> effects = this->core.Handle(event, now);
--- a/services/agent/agent_server.h
+++ b/services/agent/agent_server.h
@@ -40,6 +40,9 @@
 
   // Safe from any thread.
   void Post(AgentEvent event);
+  // Handles the event immediately on the core's thread, or posts it from any
+  // other, so that events of one connection keep their order.
+  void Dispatch(AgentEvent event);
   void HandleAdmin(const HttpRequest& request, const HttpResponder& responder);
   void HandleAnnouncement(const HttpRequest& request,
                           const HttpResponder& responder);
