entry_core: Ask an agent again that does not answer

Cause: a request for promises to an agent was repeated only after a new connection. Agents of the version before lose a request that arrives before the event of its connection, so a home of this version would wait for ever. Change: after 500 ms without an answer, the same bounded part is asked for again. AnAgentThatDoesNotAnswerIsAskedAgain fails without it (1 request in 2 s).

--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -7,6 +7,10 @@
 namespace dandelionspur {
 namespace {
 
+// Agents do not confirm what they have read. One that has not answered for this
+// long is asked again, for a part that is as small as the first.
+constexpr Duration kAgentReplyLimit = std::chrono::milliseconds(500);
+
 // Which part of its bucket's list each promise of a reply comes with. Only the
 // first and the last granted one can have less than the whole list.
 template <typename Promise>
@@ -236,6 +240,9 @@
     this->RequestFrom(entry, now);
   }
   for (const AgentId agent : this->agents.Connected()) {
+    const std::optional<Timestamp> sent = this->agent_requests.SentAt(agent);
+    const bool is_lost = sent && now - *sent > kAgentReplyLimit;
+    if (is_lost) this->agent_requests.Abandon(agent);
     this->RequestFrom(agent, now);
   }
 }
--- a/tests/entry_core/promise_requests_test.cc
+++ b/tests/entry_core/promise_requests_test.cc
@@ -215,6 +215,29 @@
                                          LossCase{"Confirmed", false, true, 1}),
                          [](const auto& tested) { return tested.param.name; });
 
+// Guards against jobs that wait for ever for an agent whose reply was lost
+// while its connection stayed open, as versions lose it that read a request
+// before the event of its connection.
+TEST_F(PromiseRequestsTest, AnAgentThatDoesNotAnswerIsAskedAgain) {
+  const AgentId agent(50);
+  std::size_t requests = 0;
+  const auto count = [&](const EntryEvent& event) {
+    for (const EntryEffect& effect : this->taker.Handle(event, this->now)) {
+      const auto* sent = std::get_if<SendToAgent>(&effect);
+      const bool asks = sent != nullptr && sent->to == agent &&
+                        std::holds_alternative<PromiseRequest>(sent->message);
+      if (asks) ++requests;
+    }
+  };
+  count(AgentConnected{agent});
+  for (int tick = 0; tick < 40; ++tick) {
+    this->now += std::chrono::milliseconds(50);
+    count(EntryTick{});
+  }
+  EXPECT_GE(requests, 3U);
+  EXPECT_LE(requests, 5U);
+}
+
 struct PartCase {
   const char* name;
   // Of each part, the key after which it begins and the one with which it ends;
