entry_core: Quarantine no group with most of the demand, and none beside one upstream

Two findings of a review of the new module. A group with most of the demand runs on nearly every upstream that is lost, whatever the cause, and would be blamed; it is not quarantined any more. And a quarantine went on with the upstreams that it had chosen when fewer than two were left, so that its jobs were refused although one could run them; it ends then.

--- a/libraries/entry_core/quarantine.cc
+++ b/libraries/entry_core/quarantine.cc
@@ -9,6 +9,10 @@
 namespace dandelionspur {
 namespace {
 
+// The largest share of the service's demand that a group may have to be
+// quarantined.
+constexpr double kLargestShare = 0.5;
+
 constexpr Duration kFirstRelease = std::chrono::seconds(6);
 constexpr Duration kLongestRelease = std::chrono::seconds(80);
 // A group that is blamed again within this time after its release has relapsed.
@@ -75,14 +79,19 @@
   double cores = 0;
 };
 
+bool MayQuarantine(const QuarantineLimits& limits, std::size_t upstreams) {
+  return limits.maximum_percent > 0 && upstreams > 1;
+}
+
 }  // namespace
 
 std::vector<QuarantineStep> Quarantine::Update(
     const std::vector<QuarantineUpstream>& upstreams, const GroupDemand& demand,
     const QuarantineLimits& limits, Timestamp now) {
-  std::vector<QuarantineStep> steps = this->Release(limits, now);
+  std::vector<QuarantineStep> steps =
+      this->Release(limits, upstreams.size(), now);
   std::vector<JobGroupId> begun;
-  if (limits.maximum_percent > 0 && upstreams.size() > 1) {
+  if (MayQuarantine(limits, upstreams.size())) {
     begun = this->Begin(upstreams.size(), demand, now);
   }
   const bool has_changed = !begun.empty() || !steps.empty();
@@ -104,8 +113,11 @@
   std::vector<JobGroupId> begun;
   for (const BlamedGroup& blamed : this->attribution.Blamed(upstreams, now)) {
     if (this->Contains(blamed.group)) continue;
-    // Without jobs of other groups there is nothing to protect.
-    if (demand.TotalCores() <= demand.CoresOf(blamed.group)) continue;
+    // A group with most of the demand runs on nearly every upstream, and so
+    // also on those that are lost for other causes. Setting it apart would harm
+    // more jobs than it protects.
+    const double own_demand = demand.CoresOf(blamed.group);
+    if (own_demand > demand.TotalCores() * kLargestShare) continue;
     Held& item = this->held[blamed.group];
     item.blame = blamed;
     item.release_after = kFirstRelease;
@@ -120,6 +132,7 @@
 }
 
 std::vector<QuarantineStep> Quarantine::Release(const QuarantineLimits& limits,
+                                                std::size_t upstreams,
                                                 Timestamp now) {
   std::erase_if(this->released, [&](const auto& item) {
     return item.second.at + kRelapseMemory < now;
@@ -128,7 +141,7 @@
   for (auto& [group, item] : this->held) {
     item.blame.latest =
         std::max(item.blame.latest, this->attribution.LatestLossOf(group));
-    const bool is_over = limits.maximum_percent == 0 ||
+    const bool is_over = !MayQuarantine(limits, upstreams) ||
                          now >= item.blame.latest + item.release_after;
     if (!is_over) continue;
     this->released[group] = {now, item.release_after};
@@ -146,7 +159,6 @@
 void Quarantine::ChooseUpstreams(
     const std::vector<QuarantineUpstream>& upstreams, const GroupDemand& demand,
     const QuarantineLimits& limits) {
-  if (upstreams.size() < 2) return;
   double others = demand.TotalCores();
   for (auto& [group, item] : this->held) {
     const double demanded = demand.CoresOf(group);
--- a/libraries/entry_core/quarantine.h
+++ b/libraries/entry_core/quarantine.h
@@ -102,10 +102,10 @@
   // Quarantines the groups to blame. Returns the new ones.
   std::vector<JobGroupId> Begin(std::size_t upstreams,
                                 const GroupDemand& demand, Timestamp now);
-  // Releases the groups without losses for long enough, or all of them if the
-  // limits rule out a quarantine.
+  // Releases the groups without losses for long enough, or all of them if no
+  // group may be quarantined any more.
   std::vector<QuarantineStep> Release(const QuarantineLimits& limits,
-                                      Timestamp now);
+                                      std::size_t upstreams, Timestamp now);
   // Chooses the upstreams of all quarantined groups.
   void ChooseUpstreams(const std::vector<QuarantineUpstream>& upstreams,
                        const GroupDemand& demand,
