--- a/tests/entry_core/deliberate_fault_test.cc
+++ b/tests/entry_core/deliberate_fault_test.cc
@@ -91,7 +91,7 @@
         FaultCase{"HideSightings", DeliberateFault::kHideSightings, 6000,
                   RerunPolicy::kAfterLease, false, FaultMix::kPartialCuts},
         FaultCase{"ReturnRelaysOfEndedHome",
-                  DeliberateFault::kReturnRelaysOfEndedHome, 1000,
+                  DeliberateFault::kReturnRelaysOfEndedHome, 22'000,
                   RerunPolicy::kAfterLease, false,
                   FaultMix::kCrashingUpstreams},
         FaultCase{"ForgetLosses", DeliberateFault::kForgetLosses, 1,
