--- a/libraries/entry_core/loss_attribution.cc
+++ b/libraries/entry_core/loss_attribution.cc
@@ -74,7 +74,8 @@
         return left.second < right.second;
       });
   if (strongest == counts.end()) return {};
-  const auto [group, highest] = *strongest;
+  const JobGroupId group = strongest->first;
+  const std::uint32_t highest = strongest->second;
   std::vector<const Loss*> explained = losses;
   std::erase_if(explained, [&](const Loss* loss) {
     return !IsSuspect(loss->suspects, group);
@@ -110,10 +111,10 @@
 }
 
 Timestamp LossAttribution::LatestLossOf(JobGroupId group) const {
-  for (auto loss = this->losses.rbegin(); loss != this->losses.rend(); ++loss) {
-    if (IsSuspect(loss->suspects, group)) return loss->at;
-  }
-  return {};
+  const auto found = std::find_if(
+      this->losses.rbegin(), this->losses.rend(),
+      [&](const Loss& loss) { return IsSuspect(loss.suspects, group); });
+  return found == this->losses.rend() ? Timestamp() : found->at;
 }
 
 void LossAttribution::Expire(Timestamp now) {
