http_server: Report how each connection of a caller ends

Each connection now reports why it ended and whether a request on it was unanswered or unread; an entry counts them by reason and logs those that cut a request. The line removed_from_view counts the requests in hand.

--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -210,11 +210,27 @@
 };
 BOOST_DESCRIBE_STRUCT(StopTimeReached, (), (connections, unanswered))
 
-// The other entries have removed this entry from the view.
+// The other entries have removed this entry from the view. Counts the open
+// connections of callers and the unanswered requests on them.
 struct RemovedFromViewLine {
   static constexpr const char* kName = "removed_from_view";
+  std::size_t connections = 0;
+  std::size_t unanswered = 0;
+};
+BOOST_DESCRIBE_STRUCT(RemovedFromViewLine, (), (connections, unanswered))
+
+// A connection of a caller has ended while a request on it was unanswered or
+// bytes were unread.
+struct CallerConnectionCut {
+  static constexpr const char* kName = "caller_connection_cut";
+  std::string reason;
+  bool unanswered = false;
+  bool unread = false;
+  // Since the last request on it was read; 0 if there was none.
+  Duration since_request{};
 };
-BOOST_DESCRIBE_STRUCT(RemovedFromViewLine, (), ())
+BOOST_DESCRIBE_STRUCT(CallerConnectionCut, (),
+                      (reason, unanswered, unread, since_request))
 
 // The program restarts in the same process, without its earlier state.
 struct ProcessRestarting {
--- a/libraries/network/http_server.cc
+++ b/libraries/network/http_server.cc
@@ -25,11 +25,13 @@
 class HttpServer::Listener
     : public std::enable_shared_from_this<HttpServer::Listener> {
  public:
-  Listener(ThreadGroup& group, HttpHandler callback)
+  Listener(ThreadGroup& group, HttpHandler callback,
+           HttpConnectionObserver observer)
       : threads(group),
         acceptor(group.First()),
         idle_timer(group.First()),
-        shared(std::make_shared<HttpServerState>(std::move(callback))) {}
+        shared(std::make_shared<HttpServerState>(std::move(callback),
+                                                 std::move(observer))) {}
 
   Result<void> Bind(const Endpoint& endpoint) {
     return BindAcceptor(this->acceptor, endpoint);
@@ -144,10 +146,11 @@
   std::size_t live_sessions = 0;
 };
 
-Result<std::unique_ptr<HttpServer>> HttpServer::Create(const Endpoint& endpoint,
-                                                       ThreadGroup& threads,
-                                                       HttpHandler handler) {
-  auto listener = std::make_shared<Listener>(threads, std::move(handler));
+Result<std::unique_ptr<HttpServer>> HttpServer::Create(
+    const Endpoint& endpoint, ThreadGroup& threads, HttpHandler handler,
+    HttpConnectionObserver observer) {
+  auto listener = std::make_shared<Listener>(threads, std::move(handler),
+                                             std::move(observer));
   BOOST_LEAF_CHECK(listener->Bind(endpoint));
   listener->Accept();
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(listener)));
--- a/libraries/network/http_server.h
+++ b/libraries/network/http_server.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "libraries/base/error.h"
+#include "libraries/network/http_connection_end.h"
 #include "libraries/network/http_messages.h"
 #include "libraries/network/thread_group.h"
 #include "libraries/protocol/view.h"
@@ -25,11 +26,11 @@
 // is answered with 400, 413 or 431 and not passed to the handler.
 class HttpServer {
  public:
-  // Fails if the endpoint can't be bound. `threads` must outlive the
-  // server.
-  static Result<std::unique_ptr<HttpServer>> Create(const Endpoint& endpoint,
-                                                    ThreadGroup& threads,
-                                                    HttpHandler handler);
+  // Fails if the endpoint can't be bound. `threads` must outlive the server,
+  // and what `observer` uses must outlive `threads`.
+  static Result<std::unique_ptr<HttpServer>> Create(
+      const Endpoint& endpoint, ThreadGroup& threads, HttpHandler handler,
+      HttpConnectionObserver observer = [](const HttpConnectionReport&) {});
 
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/libraries/network/http_server_state.h
+++ b/libraries/network/http_server_state.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <utility>
 
+#include "libraries/network/http_connection_end.h"
 #include "libraries/network/http_messages.h"
 
 namespace dandelionspur {
@@ -13,8 +14,10 @@
 // The state that the listener and all connections of a server share.
 class HttpServerState {
  public:
-  explicit HttpServerState(HttpHandler callback)
-      : handler(std::move(callback)) {}
+  HttpServerState(HttpHandler callback,
+                  HttpConnectionObserver connection_observer)
+      : handler(std::move(callback)),
+        observer(std::move(connection_observer)) {}
 
   // The listener and each connection hold a reference; the server is drained
   // when the last one is released.
@@ -24,6 +27,7 @@
   }
 
   const HttpHandler handler;
+  const HttpConnectionObserver observer;
   // Set when connections are to close after a response.
   std::atomic<bool> closing = false;
   // Set when connections are to close once idle.
--- a/libraries/network/http_session.cc
+++ b/libraries/network/http_session.cc
@@ -34,11 +34,22 @@
 }
 
 HttpSession::~HttpSession() {
+  this->shared->observer(this->Report());
   this->MarkAnswered();
   --this->shared->connections;
   this->shared->Release();
 }
 
+HttpConnectionReport HttpSession::Report() {
+  HttpConnectionReport report{
+      this->end, this->busy, this->HasUnhandledBytes(), {}};
+  if (this->request_read_at) {
+    report.since_request = std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now() - *this->request_read_at);
+  }
+  return report;
+}
+
 void HttpSession::CloseIfIdle() {
   asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
     boost::system::error_code ignored;
@@ -76,6 +87,7 @@
 void HttpSession::ReadNext() {
   this->PrepareParser();
   if (this->shared->draining && !this->HasUnhandledBytes()) {
+    this->end = HttpConnectionEnd::kAnswered;
     boost::system::error_code ignored;
     this->socket.close(ignored);
     return;
@@ -96,14 +108,22 @@
 
 void HttpSession::OnRead(boost::system::error_code error) {
   if (error == asio::error::operation_aborted) {
-    if (this->HasUnhandledBytes()) this->AwaitRequest();
+    if (this->HasUnhandledBytes()) {
+      this->AwaitRequest();
+    } else {
+      this->end = HttpConnectionEnd::kIdle;
+    }
     return;
   }
   const bool disconnected = error == http::error::end_of_stream ||
                             error == asio::error::connection_reset ||
                             error == http::error::partial_message;
-  if (disconnected) return;
+  if (disconnected) {
+    this->end = HttpConnectionEnd::kCallerClosed;
+    return;
+  }
   this->MarkUnanswered();
+  this->request_read_at = std::chrono::steady_clock::now();
   if (error) {
     HttpResponse refusal =
         MakeHttpResponse(StatusFor(error), "application/problem+json",
@@ -145,9 +165,14 @@
 }
 
 void HttpSession::OnWritten(boost::system::error_code error) {
+  if (error) {
+    this->end = HttpConnectionEnd::kWriteFailed;
+    return;
+  }
   this->MarkAnswered();
-  if (error) return;
+  this->parser.reset();
   if (this->response.need_eof()) {
+    this->end = HttpConnectionEnd::kAnswered;
     boost::system::error_code ignored;
     this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
     return;
--- a/libraries/network/http_session.h
+++ b/libraries/network/http_session.h
@@ -5,6 +5,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/system/error_code.hpp>
+#include <chrono>
 #include <memory>
 #include <optional>
 
@@ -42,6 +43,7 @@
   void Respond(HttpResponseFactory make);
   void Write(HttpResponse message);
   void OnWritten(boost::system::error_code error);
+  [[nodiscard]] HttpConnectionReport Report();
 
   boost::asio::ip::tcp::socket socket;
   std::shared_ptr<HttpServerState> shared;
@@ -54,6 +56,10 @@
   // Whether a request is being handled or its response written.
   bool busy = false;
   unsigned version = 11;
+  // Why the connection ends, once that is known.
+  HttpConnectionEnd end = HttpConnectionEnd::kServerEnded;
+  // When the last request was read; nothing before the first.
+  std::optional<std::chrono::steady_clock::time_point> request_read_at;
 };
 
 }  // namespace dandelionspur
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -172,6 +172,9 @@
                    this->settings.callers, this->input_output,
                    [this](const HttpRequest& request, HttpResponder responder) {
                      this->caller_routes->Handle(request, std::move(responder));
+                   },
+                   [this](const HttpConnectionReport& report) {
+                     this->OnCallerGone(report);
                    }));
   this->caller_server = std::move(callers);
   BOOST_LEAF_AUTO(admin,
@@ -450,7 +453,8 @@
 }
 
 void EntryServer::Apply(const RemovedFromView& /*effect*/) {
-  LogStateChange(RemovedFromViewLine{});
+  const HttpServerLoad load = this->caller_server->Load();
+  LogStateChange(RemovedFromViewLine{load.connections, load.unanswered});
   this->records->Flush([] { Lifetime::Finish(ExitCode::kRemoved); });
 }
 
@@ -553,6 +557,16 @@
           {"documents", documents}};
 }
 
+void EntryServer::OnCallerGone(const HttpConnectionReport& report) {
+  const std::string reason(EnumName(report.end));
+  this->metrics.Count("caller_connections_ended_total", "reason", reason);
+  if (!report.cuts_request()) return;
+  this->metrics.Count("caller_connections_cut_total", "reason", reason);
+  LogEvent(LogCategory::kFailure,
+           CallerConnectionCut{reason, report.unanswered, report.unread,
+                               report.since_request});
+}
+
 void EntryServer::HandleReadiness(const HttpResponder& responder) {
   asio::post(this->core_thread.First(), [this, responder] {
     responder(EncodeReadiness(this->core.IsReady()));
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -59,6 +59,8 @@
   // other thread. Must not be called while the core handles an event or while
   // its effects are applied.
   void Dispatch(EntryEvent event);
+  // Counts and logs how a caller's connection has ended. Safe from any thread.
+  void OnCallerGone(const HttpConnectionReport& report);
   void HandleReadiness(const HttpResponder& responder);
   void HandleAdmin(const HttpRequest& request, const HttpResponder& responder);
 
--- a/tests/network/http_server_drain_test.cc
+++ b/tests/network/http_server_drain_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
