--- a/tests/system/stop_test.py
+++ b/tests/system/stop_test.py
@@ -1,48 +1,12 @@
 """Graceful shutdown of entries while callers keep using open connections until the process has exited."""
 
-import json
 import signal
-import socket
 import threading
 import time
 import unittest
 
+from caller import Caller
 from cluster_case import PlatformCase
-import cluster as clusters
-
-
-class Caller:
-    """A caller's connection that carries one request at a time."""
-
-    def __init__(self, port):
-        self.socket = socket.create_connection((clusters.LOOPBACK, port), timeout=20)
-        self.received = b""
-
-    def send(self, job_id, spec="100"):
-        job = {"spec": spec, "best_effort": True, "steps": [{"count": 2, "cpu": 1000, "estimate_ms": 100}]}
-        body = json.dumps(job)
-        self.socket.sendall(
-            f"POST /jobs/{job_id} HTTP/1.1\r\nHost: {clusters.LOOPBACK}\r\nX-Deadline-Ms: 5000\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
-        )
-
-    def receive(self):
-        """The status of a complete answer, or None if the connection closed before one arrived."""
-        try:
-            while True:
-                head, separator, rest = self.received.partition(b"\r\n\r\n")
-                if separator:
-                    fields = dict(line.lower().split(": ", 1) for line in head.decode().split("\r\n")[1:])
-                    length = int(fields["content-length"])
-                    if len(rest) >= length:
-                        self.received = rest[length:]
-                        return int(head.split()[1])
-                part = self.socket.recv(65536)
-                if not part:
-                    return None
-                self.received += part
-        except ConnectionError:
-            return None
 
 
 class BusyProcessor:
