entry_core: Confirm no agents once the others have removed this entry

Cause: an entry that stops still confirms the heartbeats of agents when it is no member any more, so that its last jobs go on. That also held for one that the others had removed as lost. They no longer count it when they conclude that the runs of an agent are over, so an agent that only it hears could run on beside a second run of its task. Change: an entry that stands among the losses of the view confirms none. One that has left by itself does, as before. Result: removed_entry_test, which failed before, passes.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -686,10 +686,18 @@
 }
 
 bool EntryCore::MayRenewLeases() const {
-  if (!this->IsMember()) return this->draining;
+  if (!this->IsMember()) return this->draining && !this->WasRemoved();
   return this->contacts.HearsMostMembers(this->view(), this->current_time);
 }
 
+bool EntryCore::WasRemoved() const {
+  const std::vector<EntryLoss>& losses = this->view().losses;
+  return std::any_of(
+      losses.begin(), losses.end(), [this](const EntryLoss& loss) {
+        return loss.entry == this->settings.self;
+      });
+}
+
 void EntryCore::ContinueDrain() {
   if (!this->draining || this->drained_reported) return;
   const Duration elapsed = this->current_time - this->drain_began;
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -143,6 +143,9 @@
   // the leases of running tasks. It must be in contact with most living
   // members.
   [[nodiscard]] bool MayRenewLeases() const;
+  // Whether the other entries have taken this one for lost, so that it doesn't
+  // count among those that an agent may still hear.
+  [[nodiscard]] bool WasRemoved() const;
   void ContinueDrain();
   // Proposes a view without this entry once all other members have acknowledged
   // its keys.
