--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -692,10 +692,10 @@
 
 bool EntryCore::WasRemoved() const {
   const std::vector<EntryLoss>& losses = this->view().losses;
-  return std::any_of(
-      losses.begin(), losses.end(), [this](const EntryLoss& loss) {
-        return loss.entry == this->settings.self;
-      });
+  return std::any_of(losses.begin(), losses.end(),
+                     [this](const EntryLoss& loss) {
+                       return loss.entry == this->settings.self;
+                     });
 }
 
 void EntryCore::ContinueDrain() {
