daemon: Catch signals also while no server runs

Cause: an entry that begins anew ends its server and makes another one in the same process. The signals were caught only while a server ran, so a SIGTERM between the two killed the process with the requests that the new server had read; and the timer that ends a stop in any case outlived the server whose connections it counts. Change: the main thread's loop catches signals from the start on; one that comes between two servers stops the next at once. The timer belongs to the run of the server that asked for it.

--- a/services/runtime/daemon.cc
+++ b/services/runtime/daemon.cc
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
@@ -9,18 +10,12 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
-#include <memory>
 #include <random>
 #include <utility>
 
 namespace dandelionspur {
 namespace {
 
-boost::asio::io_context& MainContext() {
-  static boost::asio::io_context context(1);
-  return context;
-}
-
 std::atomic<int> exit_code{0};
 // Environment variable with the path of the settings file; --settings takes
 // precedence.
@@ -29,6 +24,95 @@
 // How often the settings file is checked for changes without a signal.
 constexpr std::chrono::seconds kReloadInterval{1};
 
+// The main thread's event loop. Catches signals from its creation on, also
+// while no server runs: the process of a server that begins anew must not miss
+// that it is to stop. All handlers run on the main thread, and use no server
+// but the one that runs.
+class MainLoop {
+ public:
+  static MainLoop& Instance() {
+    static MainLoop loop;
+    return loop;
+  }
+
+  void Run(const std::function<void()>& stop,
+           const std::function<void()>& reload) {
+    this->on_stop = stop;
+    this->on_reload = reload;
+    this->context.restart();
+    if (this->stop_requested) this->on_stop();
+    this->ScheduleReload();
+    const auto guard = boost::asio::make_work_guard(this->context);
+    this->context.run();
+    ++this->finished_runs;
+    this->reload_timer.cancel();
+    this->end_timer.cancel();
+    this->on_stop = nullptr;
+    this->on_reload = nullptr;
+  }
+
+  void End() { this->context.stop(); }
+
+  // Safe from any thread during Run().
+  void CallAfter(std::chrono::microseconds time, std::function<void()> call) {
+    boost::asio::post(
+        this->context, [this, time, run = this->finished_runs.load(),
+                        callback = std::move(call)] {
+          this->end_timer.expires_after(time);
+          this->end_timer.async_wait(
+              [this, run, callback](boost::system::error_code error) {
+                // The server of a run that has ended is gone.
+                if (!error && run == this->finished_runs) callback();
+              });
+        });
+  }
+
+ private:
+  MainLoop() {
+    this->AwaitStop();
+    this->AwaitHangup();
+  }
+
+  void AwaitStop() {
+    this->stops.async_wait([this](boost::system::error_code error, int) {
+      if (error) return;
+      this->stops.clear();
+      std::signal(SIGTERM, SIG_DFL);
+      std::signal(SIGINT, SIG_DFL);
+      this->stop_requested = true;
+      if (this->on_stop) this->on_stop();
+    });
+  }
+
+  void AwaitHangup() {
+    this->hangups.async_wait([this](boost::system::error_code error, int) {
+      if (error) return;
+      if (this->on_reload) this->on_reload();
+      this->AwaitHangup();
+    });
+  }
+
+  void ScheduleReload() {
+    this->reload_timer.expires_after(kReloadInterval);
+    this->reload_timer.async_wait([this](boost::system::error_code error) {
+      if (error || !this->on_reload) return;
+      this->on_reload();
+      this->ScheduleReload();
+    });
+  }
+
+  boost::asio::io_context context{1};
+  boost::asio::signal_set stops{this->context, SIGTERM, SIGINT};
+  boost::asio::signal_set hangups{this->context, SIGHUP};
+  boost::asio::steady_timer reload_timer{this->context};
+  boost::asio::steady_timer end_timer{this->context};
+  bool stop_requested = false;
+  // Of the server that runs; empty if none does.
+  std::function<void()> on_stop;
+  std::function<void()> on_reload;
+  std::atomic<std::uint64_t> finished_runs = 0;
+};
+
 }  // namespace
 
 DaemonCommand ParseDaemonCommand(const std::string& program,
@@ -76,52 +160,21 @@
   return (static_cast<std::uint64_t>(now.count()) << kRandomBits) | low;
 }
 
+void Lifetime::CatchSignals() { MainLoop::Instance(); }
+
 void Lifetime::Run(const std::function<void()>& stop,
                    const std::function<void()>& reload) {
-  MainContext().restart();
-  boost::asio::signal_set hangup(MainContext(), SIGHUP);
-  std::function<void()> wait_for_hangup = [&] {
-    hangup.async_wait([&](boost::system::error_code error, int) {
-      if (error) return;
-      reload();
-      wait_for_hangup();
-    });
-  };
-  wait_for_hangup();
-  boost::asio::steady_timer reload_timer(MainContext());
-  std::function<void()> schedule_reload = [&] {
-    reload_timer.expires_after(kReloadInterval);
-    reload_timer.async_wait([&](boost::system::error_code error) {
-      if (error) return;
-      reload();
-      schedule_reload();
-    });
-  };
-  schedule_reload();
-  boost::asio::signal_set signals(MainContext(), SIGTERM, SIGINT);
-  signals.async_wait([&](boost::system::error_code error, int) {
-    if (error) return;
-    signals.clear();
-    std::signal(SIGTERM, SIG_DFL);
-    std::signal(SIGINT, SIG_DFL);
-    stop();
-  });
-  const auto guard = boost::asio::make_work_guard(MainContext());
-  MainContext().run();
+  MainLoop::Instance().Run(stop, reload);
 }
 
 void Lifetime::Finish(ExitCode code) {
   exit_code = static_cast<int>(code);
-  MainContext().stop();
+  MainLoop::Instance().End();
 }
 
 void Lifetime::FinishAfter(std::chrono::microseconds time, ExitCode code,
                            std::function<void()> report) {
-  const auto timer =
-      std::make_shared<boost::asio::steady_timer>(MainContext(), time);
-  timer->async_wait([timer, code, before = std::move(report)](
-                        boost::system::error_code error) {
-    if (error) return;
+  MainLoop::Instance().CallAfter(time, [code, before = std::move(report)] {
     before();
     Finish(code);
   });
--- a/services/runtime/daemon.h
+++ b/services/runtime/daemon.h
@@ -37,6 +37,9 @@
 // Runs the main thread of a daemon: handles signals and returns an exit code.
 class Lifetime {
  public:
+  // Catches signals from now on. One that arrives while Run() isn't running
+  // takes effect at its next call.
+  static void CatchSignals();
   // Calls `stop` once on SIGTERM or SIGINT; a further such signal kills the
   // process. Calls `reload` on each SIGHUP and once a second, so that changed
   // settings are noticed without a signal. Returns when Finish() is called; may
@@ -47,7 +50,7 @@
   static void Finish(ExitCode code);
   // Calls `report` and Finish() after `time` unless Run() has returned by then.
   // Runs on the main thread, so that a server with blocked threads can't delay
-  // it.
+  // it. Safe from any thread during Run().
   static void FinishAfter(std::chrono::microseconds time, ExitCode code,
                           std::function<void()> report);
   static ExitCode Result();
--- a/services/runtime/run_daemon.h
+++ b/services/runtime/run_daemon.h
@@ -46,6 +46,7 @@
         BOOST_LEAF_AUTO(settings, parse(text, command.settings_path));
         if (command.check_only) return ExitCode::kSuccess;
         ConfigureLogging(settings.log);
+        Lifetime::CatchSignals();
         SettingsReloader<Settings> reloader(command.settings_path, parse, text);
         for (;;) {
           BOOST_LEAF_AUTO(server, Server::Create(settings));
