entry: Answer the callers of an entry that was removed from the view

What callers saw: a request gets neither an answer nor a refusal; the connection is closed. Cause: an entry that the others have taken out of the view (frozen, cut off, or late for longer than remove_after) wrote its records and destroyed its server, with every request in hand; and if SIGTERM came meanwhile, it began anew in spite of it. Class: an end of a server that waits for its records, but not for its callers. Change: the removal is a graceful shutdown of its own kind: no more connections are accepted, what has been read goes on at the members, the rest is refused, and callers that still wait a second before stop_within are told that their jobs may have run. Only then does the process begin anew, or end if it is to stop. Nothing is handed over, and the core isn't told to drain, so no agent is confirmed by it. That this is what the users' record shows is not known.

--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -117,11 +117,8 @@
           this->metrics.HistogramFor("stage_seconds", "stage", "own_delay")),
       core(CoreSettings(configured, own)),
       log(this->core, this->metrics),
-      shutdown(
-          this->core_thread.First(), this->core, own, this->waiting_callers,
-          [this] {
-            this->records->Flush([] { Lifetime::Finish(ExitCode::kSuccess); });
-          }),
+      shutdown(this->core_thread.First(), this->core, own,
+               this->waiting_callers, [this] { this->Exit(); }),
       tick_timer(this->core_thread.First()) {
   this->log.Follow(configured.log.jobs_followed_per_thousand);
 }
@@ -214,7 +211,8 @@
       *this->caller_server,
       ShutdownSchedule(SteadyClock::now(),
                        CoreSettings(this->settings, this->self).drain_accepts,
-                       this->settings.stop_within));
+                       this->settings.stop_within),
+      ShutdownCause::kStopped);
 }
 
 void EntryServer::Reconfigure(const EntrySettings& changed) {
@@ -455,7 +453,21 @@
 void EntryServer::Apply(const RemovedFromView& /*effect*/) {
   const HttpServerLoad load = this->caller_server->Load();
   LogStateChange(RemovedFromViewLine{load.connections, load.unanswered});
-  this->records->Flush([] { Lifetime::Finish(ExitCode::kRemoved); });
+  // The callers' jobs go on at the members of the view. New callers go to
+  // another entry, since this one isn't ready.
+  constexpr Duration kAcceptsNoLonger{};
+  this->shutdown.Begin(*this->caller_server,
+                       ShutdownSchedule(SteadyClock::now(), kAcceptsNoLonger,
+                                        this->settings.stop_within),
+                       ShutdownCause::kRemoved);
+}
+
+void EntryServer::Exit() {
+  this->records->Flush([this] {
+    // A process that is to stop doesn't begin anew.
+    Lifetime::Finish(this->drain_requested ? ExitCode::kSuccess
+                                           : ExitCode::kRemoved);
+  });
 }
 
 void EntryServer::Apply(const EntryDrained& /*effect*/) {
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -82,6 +82,9 @@
   [[nodiscard]] std::optional<Overload> CheckLoad(
       const JobSubmission& job) const;
   void Submit(JobSubmission job, AnswerCallback callback);
+  // Writes the records and ends the process, or the server of an entry that
+  // begins anew.
+  void Exit();
   void PublishServingState();
   [[nodiscard]] nlohmann::json Status() const;
   void SetMemoryGauges();
--- a/services/entry/graceful_shutdown.cc
+++ b/services/entry/graceful_shutdown.cc
@@ -28,10 +28,12 @@
       exit_process(std::move(exit)),
       timer(core_context) {}
 
-void GracefulShutdown::Begin(HttpServer& server,
-                             const ShutdownSchedule& times) {
+void GracefulShutdown::Begin(HttpServer& server, const ShutdownSchedule& times,
+                             ShutdownCause cause) {
+  if (this->claimed.exchange(true)) return;
   this->callers = &server;
   this->schedule = times;
+  this->shutdown_cause = cause;
   this->begun = true;
   this->callers->CloseAfterAnswers();
   asio::post(this->context, [this] { this->AwaitNextStep(); });
@@ -120,7 +122,9 @@
 }
 
 void GracefulShutdown::ExitIfDrained() {
-  if (this->core_is_drained && this->all_callers_answered) this->Exit();
+  const bool core_is_done =
+      this->core_is_drained || this->shutdown_cause == ShutdownCause::kRemoved;
+  if (core_is_done && this->all_callers_answered) this->Exit();
 }
 
 void GracefulShutdown::Exit() {
--- a/services/entry/graceful_shutdown.h
+++ b/services/entry/graceful_shutdown.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/describe.hpp>
 #include <functional>
 #include <optional>
 
@@ -14,6 +15,12 @@
 
 namespace dandelionspur {
 
+// What makes an entry end its server.
+// kStopped: the process is to stop. The core hands its buckets over.
+// kRemoved: the other entries have removed this one from the view. Nothing is
+// left to hand over.
+BOOST_DEFINE_ENUM_CLASS(ShutdownCause, kStopped, kRemoved)
+
 // Takes the steps of an entry's graceful shutdown. Used on the core's thread
 // only, except where noted.
 class GracefulShutdown {
@@ -25,9 +32,10 @@
   GracefulShutdown(const GracefulShutdown&) = delete;
   GracefulShutdown& operator=(const GracefulShutdown&) = delete;
 
-  // Begins the shutdown. Must be called once at most, from any thread. `server`
-  // serves the callers.
-  void Begin(HttpServer& server, const ShutdownSchedule& times);
+  // Begins the shutdown, from any thread. `server` serves the callers. Does
+  // nothing if the shutdown has begun for another cause.
+  void Begin(HttpServer& server, const ShutdownSchedule& times,
+             ShutdownCause cause);
   [[nodiscard]] bool has_begun() const { return this->begun; }
   // Whether a request that takes `time` can be answered before the process
   // ends.
@@ -54,9 +62,11 @@
   WaitingCallers& waiting_callers;
   std::function<void()> exit_process;
   boost::asio::steady_timer timer;
-  // Set before `begun`.
+  // Whether a call of Begin() goes on to set what follows, up to `begun`.
+  std::atomic<bool> claimed = false;
   HttpServer* callers = nullptr;
   std::optional<ShutdownSchedule> schedule;
+  ShutdownCause shutdown_cause = ShutdownCause::kStopped;
   std::atomic<bool> begun = false;
   bool core_is_drained = false;
   bool all_callers_answered = false;
