meta: Play the deployments that are in force in the regression runs

The set now names the five deployments in force.

Three new tests in regression_test.py; before the change they fail (one on the set, two since the plays were no functions of their own yet).

--- a/meta/regression.py
+++ b/meta/regression.py
@@ -12,24 +12,43 @@
 import pathlib
 import subprocess
 import sys
+import typing
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 JOURNAL = ROOT / "journal"
-# Below the directory DEPLOYMENTS. The oldest deployments are not in it: the large one has taken their place.
+# Below the directory DEPLOYMENTS. Deployments that aren't in force have no scores and are not in the set.
 REGRESSION_SET = [
-    "further/huon-festival.toml",
+    "sites/vlc-trek.toml",
+    "sites/vonglua-prod.toml",
     "grown/vlc-trek-grown.toml",
     "grown/vonglua-prod-grown.toml",
-    "further-grown/huon-festival-grown.toml",
     "large/vlc-trek-large.toml",
 ]
-# Played as small twins with --quick, since a full day takes minutes.
-LARGE = {"vlc-trek-large"}
+# Always played as small twins, and whole too without --quick, since a day of the whole fleet takes minutes.
+LARGE = {"large/vlc-trek-large.toml"}
 # Differences up to this one are noise, say the users.
 ALLOWED_FALL = 0.03
 CANNOT_RUN = 2
 
 
+class Play(typing.NamedTuple):
+    """One score of the regression set."""
+
+    deployment: str
+    small: bool
+
+
+def plays_of(quick):
+    """The plays of the regression set, in the order in which they are run."""
+    plays = []
+    for deployment in REGRESSION_SET:
+        if deployment not in LARGE or not quick:
+            plays.append(Play(deployment, small=False))
+        if deployment in LARGE:
+            plays.append(Play(deployment, small=True))
+    return plays
+
+
 def committed_entries():
     """The journal entries of the last commit, oldest first."""
     names = subprocess.run(
@@ -69,14 +88,20 @@
     return [day["name"] for day in entry.get("days") or [] if not day["gate"]]
 
 
-def play(bench, deployment, options):
-    """Runs one score and returns its journal entry, or None if the bench wrote none."""
-    present = set(JOURNAL.glob("*.json"))
+def command_of(bench, deployment, small, options):
+    """The command of one score."""
     command = [bench, "score", str(deployment), "--jobs", str(options.jobs), "--why", options.reason]
     if options.quick:
         command.append("--quick")
-    if options.quick and deployment.stem in LARGE:
+    if small:
         command.append("--small")
+    return command
+
+
+def play(bench, deployment, small, options):
+    """Runs one score and returns its journal entry, or None if the bench wrote none."""
+    present = set(JOURNAL.glob("*.json"))
+    command = command_of(bench, deployment, small, options)
     run = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
     written = sorted(set(JOURNAL.glob("*.json")) - present)
     if not written:
@@ -85,10 +110,10 @@
     return json.loads(written[-1].read_text())
 
 
-def report(deployment, before, played):
-    """Prints the table of one deployment. Returns whether it holds."""
+def report(name, before, played):
+    """Prints the table of one play. Returns whether it holds."""
     reference = f"{before['id']} ({before['head'][:8]})" if before else "none"
-    print(f"{deployment}: journal {played['id']}, compared with {reference}")
+    print(f"{name}: journal {played['id']}, compared with {reference}")
     holds = True
     for day, known, worth, fell in compare(before, played):
         print(f"  {day:12} {'-' if known is None else format(known, '6.3f'):>6} -> {worth:6.3f}{'  FELL' if fell else ''}")
@@ -102,7 +127,7 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--quick", action="store_true", help="only the light days; small twins of the large deployment")
+    parser.add_argument("--quick", action="store_true", help="only the light days; the large deployment only as small twins")
     parser.add_argument("--jobs", type=int, default=2, help="days that are played at the same time")
     parser.add_argument("--reason", default="regression set", help="a line for the journal")
     options = parser.parse_args()
@@ -114,11 +139,13 @@
         return CANNOT_RUN
     committed = committed_entries()
     fallen = []
-    for name in REGRESSION_SET:
-        played = play(os.path.abspath(bench), deployments / name, options)
+    plays = plays_of(options.quick)
+    for deployment, small in plays:
+        name = f"{deployment} (small twins)" if small else deployment
+        played = play(os.path.abspath(bench), deployments / deployment, small, options)
         if played is None or not report(name, latest_comparable(committed, played), played):
             fallen.append(name)
-    print(f"regression: {len(REGRESSION_SET) - len(fallen)} hold, {len(fallen)} fell or failed{': ' + ', '.join(fallen) if fallen else ''}")
+    print(f"regression: {len(plays) - len(fallen)} hold, {len(fallen)} fell or failed{': ' + ', '.join(fallen) if fallen else ''}")
     return 1 if fallen else 0
 
 
--- a/tests/meta/regression_test.py
+++ b/tests/meta/regression_test.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Tests how meta/regression.py compares a run with the journal."""
 
+import argparse
 import os
 import pathlib
 import subprocess
@@ -63,6 +64,43 @@
         self.assertTrue(regression.report("d", before, score("b", {"day": (0.8, True)})))
 
 
+class PlaysTest(unittest.TestCase):
+    # Guards against a deployment that is left out of the regression runs, and against one that is played although it isn't in force.
+    def test_deployments_of_the_set(self):
+        self.assertEqual(
+            set(regression.REGRESSION_SET),
+            {
+                "sites/vlc-trek.toml",
+                "sites/vonglua-prod.toml",
+                "grown/vlc-trek-grown.toml",
+                "grown/vonglua-prod-grown.toml",
+                "large/vlc-trek-large.toml",
+            },
+        )
+
+    # Guards against a large deployment that is played whole only, and against a quick run that takes hours.
+    def test_the_large_deployment_is_always_played_as_small_twins_too(self):
+        large = "large/vlc-trek-large.toml"
+        cases = [("all days", False, [(large, False), (large, True)]), ("quick", True, [(large, True)])]
+        for name, quick, expected in cases:
+            with self.subTest(name):
+                plays = [(play.deployment, play.small) for play in regression.plays_of(quick)]
+                self.assertEqual([play for play in plays if play[0] == large], expected)
+                others = [play for play in plays if play[0] != large]
+                self.assertEqual(others, [(name, False) for name in regression.REGRESSION_SET if name != large])
+
+    # Guards against a play of small twins whose command plays the whole fleet, or the other way round.
+    def test_command_of_a_play(self):
+        options = argparse.Namespace(quick=True, jobs=2, reason="a reason")
+        cases = [
+            ("whole", False, ["bench", "score", "x.toml", "--jobs", "2", "--why", "a reason", "--quick"]),
+            ("small twins", True, ["bench", "score", "x.toml", "--jobs", "2", "--why", "a reason", "--quick", "--small"]),
+        ]
+        for name, small, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(regression.command_of("bench", pathlib.Path("x.toml"), small, options), expected)
+
+
 class CommandTest(unittest.TestCase):
     # Guards against a run without the bench that looks like a success.
     def test_missing_bench_is_said(self):
