entry_core: Move the states of the buckets and their assignment out of Ownership

The view and its members (Membership), the states of the buckets (BucketState, BucketTable) and who should be home or witness of a bucket (BucketAssignment) are now classes of their own; the functions are moved, and Ownership passes calls on. The buckets that it examines are counted in two places and added.

--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -24,192 +24,39 @@
       peers(directory),
       contacts(agent_contacts),
       outbox(effects),
+      membership(configured),
       buckets(configured.bucket_count),
-      rankings(configured.bucket_count) {}
+      assignment(configured, this->membership, this->buckets, directory) {}
 
 Ownership::ViewChange Ownership::AdoptView(const View& view, Timestamp now) {
-  for (const BucketId id : this->ActiveBuckets()) {
+  for (const BucketId id : this->buckets.ActiveBuckets()) {
     // Judged by the view in which the promises were made.
-    this->AllStartsRecorded(this->Get(id), now);
+    this->AllStartsRecorded(this->buckets.Get(id), now);
   }
-  this->current_view = view;
-  this->RecordMembership();
+  this->membership.Adopt(view);
   ViewChange change;
   for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
     const BucketId id(i);
-    this->rankings[i] = view.Ranking(id);
-    if (this->Get(id).phase == OwnershipPhase::kNone) continue;
-    if (this->MayKeep(id)) {
+    if (this->buckets.Get(id).phase == OwnershipPhase::kNone) continue;
+    if (this->assignment.MayKeep(id)) {
       change.kept.push_back(id);
       continue;
     }
-    this->Release(id);
+    this->buckets.Release(id);
     change.released.push_back(id);
   }
   return change;
 }
 
-void Ownership::RecordMembership() {
-  std::map<EntryId, Epoch> since;
-  for (const ViewMember& member : this->current_view.members) {
-    const auto known = this->member_since.find(member.entry);
-    since[member.entry] = known == this->member_since.end()
-                              ? this->current_view.epoch
-                              : known->second;
-  }
-  this->member_since = std::move(since);
-  if (!this->member_since.contains(this->settings.self)) return;
-  // Members are listed in the order in which they joined.
-  const std::vector<ViewMember>& members = this->current_view.members;
-  for (std::size_t i = 1; i < members.size(); ++i) {
-    this->never_alone.insert(members[i].entry);
-  }
-}
-
-std::vector<BucketId> Ownership::ActiveBuckets() const {
-  std::vector<BucketId> active;
-  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
-    if (this->IsActive(BucketId(i))) active.emplace_back(i);
-  }
-  return active;
-}
-
-bool Ownership::MayKeep(BucketId id) const {
-  const std::vector<EntryId>& ranking = this->rankings[id.value()];
-  const bool stays_home = this->IsActive(id) && !ranking.empty() &&
-                          ranking.front() == this->settings.self &&
-                          !this->incomplete_buckets.contains(id);
-  if (!stays_home) return false;
-  const auto witnesses =
-      std::count_if(ranking.begin(), ranking.end(), [&](EntryId entry) {
-        return entry != this->settings.self && this->MayWitness(entry, id);
-      });
-  // If all entries that may be witnesses are lost while the table is down, new
-  // jobs stop although other members live.
-  constexpr std::ptrdiff_t kFewWitnesses = 3;
-  const auto others = static_cast<std::ptrdiff_t>(ranking.size()) - 1;
-  return witnesses > 0 && witnesses >= std::min(others, kFewWitnesses) &&
-         2 * witnesses >= others;
-}
-
-bool Ownership::MayWitness(EntryId entry, BucketId bucket) const {
-  const auto since = this->member_since.find(entry);
-  return since != this->member_since.end() &&
-         since->second <= this->Get(bucket).promised.epoch;
-}
-
-OwnershipPhase Ownership::Phase(BucketId bucket) const {
-  const Bucket& state = this->Get(bucket);
-  return state.own_ballot == state.promised ? state.phase
-                                            : OwnershipPhase::kNone;
-}
-
-Ballot Ownership::Promised(BucketId bucket) const {
-  return this->Get(bucket).promised;
-}
-
-std::vector<BucketBallot> Ownership::Promises() const {
-  std::vector<BucketBallot> result;
-  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
-    const Ballot& promised = this->buckets[i].promised;
-    if (!promised.IsNone()) result.push_back({BucketId(i), promised});
-  }
-  return result;
-}
-
-EntryId Ownership::ExpectedHome(BucketId bucket, Timestamp now) const {
-  // A ballot of an earlier view is in force only if its owner has kept the
-  // bucket, which it does only where it ranks first.
-  const Ballot& promised = this->Get(bucket).promised;
-  const bool current =
-      promised.epoch >= this->current_view.epoch && !promised.IsNone();
-  const auto acts = [&](EntryId entry) {
-    return entry == this->settings.self || !this->peers.IsSuspected(entry, now);
-  };
-  const bool is_member = this->current_view.Find(promised.entry) != nullptr;
-  if (current && is_member && acts(promised.entry)) return promised.entry;
-  for (const EntryId entry : this->rankings[bucket.value()]) {
-    if (acts(entry)) return entry;
-  }
-  return EntryId();
-}
-
-std::vector<BucketId> Ownership::TakeBucketsToCheck(Timestamp now) {
-  std::vector<EntryId> suspects = this->peers.Suspected(now);
-  const bool all = this->searched_epoch != this->current_view.epoch ||
-                   this->suspected != suspects;
-  this->searched_epoch = this->current_view.epoch;
-  this->suspected = std::move(suspects);
-  std::vector<BucketId> to_check;
-  if (all) {
-    for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
-      to_check.emplace_back(i);
-    }
-  } else {
-    to_check.assign(this->changed_buckets.begin(), this->changed_buckets.end());
-  }
-  this->changed_buckets.clear();
-  return to_check;
-}
-
-bool Ownership::IsVacant(BucketId bucket, Timestamp now) const {
-  if (this->Phase(bucket) != OwnershipPhase::kNone) return false;
-  if (this->Get(bucket).promised.epoch > this->current_view.epoch) return false;
-  return this->ExpectedHome(bucket, now) == this->settings.self;
-}
-
-void Ownership::AcquireVacant(Timestamp now) {
-  std::vector<BucketId> candidates = this->TakeBucketsToCheck(now);
-  if (this->current_view.Find(this->settings.self) == nullptr) return;
-  this->examined += candidates.size();
-  std::erase_if(candidates,
-                [&](BucketId id) { return !this->IsVacant(id, now); });
-  this->Acquire(candidates, now);
-}
-
-std::optional<EntryId> Ownership::WitnessFor(BucketId bucket,
-                                             const std::set<EntryId>& excluded,
-                                             Timestamp now) const {
-  for (const EntryId entry : this->rankings[bucket.value()]) {
-    if (entry == this->settings.self || excluded.contains(entry)) continue;
-    if (this->peers.IsSuspected(entry, now)) continue;
-    if (!this->MayWitness(entry, bucket)) continue;
-    if (this->peers.IsConnected(entry)) return entry;
-  }
-  return std::nullopt;
-}
-
-std::optional<EntryId> Ownership::OldestConnectedMember(Timestamp now) const {
-  std::optional<EntryId> oldest;
-  for (const auto& [entry, since] : this->member_since) {
-    if (entry == this->settings.self) continue;
-    if (this->peers.IsSuspected(entry, now)) continue;
-    if (!this->peers.IsConnected(entry)) continue;
-    if (oldest && this->member_since.at(*oldest) <= since) continue;
-    oldest = entry;
-  }
-  return oldest;
-}
-
-bool Ownership::Observe(const BucketBallot& seen) {
-  if (seen.bucket.value() >= this->buckets.size()) return false;
-  Bucket& bucket = this->Get(seen.bucket);
-  if (seen.ballot <= bucket.promised) return false;
-  bucket.promised = seen.ballot;
-  this->changed_buckets.insert(seen.bucket);
-  if (bucket.phase == OwnershipPhase::kNone) return false;
-  this->Release(seen.bucket);
-  return true;
-}
-
 void Ownership::Acquire(const std::vector<BucketId>& wanted, Timestamp now) {
   if (wanted.empty()) return;
   std::map<MoveReason, std::vector<BucketBallot>> begun;
   for (const BucketId id : wanted) {
-    const MoveReason reason = ReasonToMove(
-        this->Get(id).promised, this->current_view, this->peers, now);
+    const MoveReason reason =
+        ReasonToMove(this->buckets.Get(id).promised, this->membership.view(),
+                     this->peers, now);
     this->BeginAcquisition(id, now);
-    begun[reason].push_back({id, this->Get(id).own_ballot});
+    begun[reason].push_back({id, this->buckets.Get(id).own_ballot});
   }
   for (auto& [reason, ballots] : begun) {
     this->outbox.Add(OwnershipChanged{OwnershipPhase::kCollecting,
@@ -237,14 +84,15 @@
 
 std::set<EntryId> Ownership::EntriesToAsk() const {
   std::set<EntryId> entries;
-  for (const ViewMember& member : this->current_view.members) {
+  for (const ViewMember& member : this->membership.view().members) {
     entries.insert(member.entry);
   }
   for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
     const bool has_former_home =
-        this->buckets[i].former_home.has_value() &&
-        this->Phase(BucketId(i)) != OwnershipPhase::kNone;
-    if (has_former_home) entries.insert(*this->buckets[i].former_home);
+        this->buckets.Get(BucketId(i)).former_home.has_value() &&
+        this->buckets.Phase(BucketId(i)) != OwnershipPhase::kNone;
+    if (has_former_home)
+      entries.insert(*this->buckets.Get(BucketId(i)).former_home);
   }
   return entries;
 }
@@ -255,7 +103,7 @@
   constexpr std::size_t kLeast = 64;
   constexpr std::size_t kMost = 1024;
   const std::size_t responders =
-      this->current_view.members.size() + this->agents.all().size();
+      this->membership.view().members.size() + this->agents.all().size();
   return static_cast<std::uint32_t>(
       std::clamp(kListedInAllReplies / std::max<std::size_t>(responders, 1),
                  kLeast, kMost));
@@ -277,9 +125,9 @@
   std::vector<BucketBallot> missing;
   for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
     const BucketId id(i);
-    if (this->Phase(id) == OwnershipPhase::kNone) continue;
-    if (!this->NeedsPromiseOf(entry, this->Get(id))) continue;
-    missing.push_back({id, this->Get(id).own_ballot});
+    if (this->buckets.Phase(id) == OwnershipPhase::kNone) continue;
+    if (!this->NeedsPromiseOf(entry, this->buckets.Get(id))) continue;
+    missing.push_back({id, this->buckets.Get(id).own_ballot});
   }
   if (missing.empty()) return;
   this->outbox.ToPeer(entry,
@@ -292,9 +140,9 @@
   std::vector<BucketBallot> missing;
   for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
     const BucketId id(i);
-    if (this->Phase(id) == OwnershipPhase::kNone) continue;
+    if (this->buckets.Phase(id) == OwnershipPhase::kNone) continue;
     if (this->AgentPromised(id, agent)) continue;
-    missing.push_back({id, this->Get(id).own_ballot});
+    missing.push_back({id, this->buckets.Get(id).own_ballot});
   }
   if (missing.empty()) return;
   this->outbox.ToAgent(agent,
@@ -302,12 +150,13 @@
                                                   this->MaximumListed(), now));
 }
 
-bool Ownership::NeedsPromiseOf(EntryId entry, const Bucket& bucket) const {
+bool Ownership::NeedsPromiseOf(EntryId entry, const BucketState& bucket) const {
   if (entry == this->settings.self) return false;
   if (bucket.entry_promises.contains(entry)) return false;
-  const auto since = this->member_since.find(entry);
+  const auto since = this->membership.since().find(entry);
   // A former home that has left the view can still report its keys.
-  if (since == this->member_since.end()) return bucket.former_home == entry;
+  if (since == this->membership.since().end())
+    return bucket.former_home == entry;
   // A kept bucket needs no promise of an entry that has joined since.
   return since->second <= bucket.own_ballot.epoch;
 }
@@ -321,13 +170,13 @@
   std::size_t room = is_limited ? request.maximum_listed
                                 : std::numeric_limits<std::size_t>::max();
   for (const BucketBallot& asked : request.buckets) {
-    if (asked.bucket.value() >= this->buckets.size()) continue;
+    if (!this->buckets.Contains(asked.bucket)) continue;
     // A promise without the bucket's keys is worth nothing, and would stop the
     // present home too early.
     if (room == 0 || reply.part.resume_after) break;
-    const Ballot previous = this->Get(asked.bucket).promised;
-    if (this->Observe(asked)) lost.push_back(asked.bucket);
-    const Bucket& bucket = this->Get(asked.bucket);
+    const Ballot previous = this->buckets.Get(asked.bucket).promised;
+    if (this->buckets.Observe(asked)) lost.push_back(asked.bucket);
+    const BucketState& bucket = this->buckets.Get(asked.bucket);
     const bool granted =
         bucket.promised == asked.ballot && asked.ballot.entry == from;
     BucketPromise promise{
@@ -355,10 +204,10 @@
   const std::vector<PromisePart> parts = PartsOf(reply.buckets, reply.part);
   for (std::size_t i = 0; i < reply.buckets.size(); ++i) {
     const BucketPromise& promise = reply.buckets[i];
-    if (promise.bucket.value() >= this->buckets.size()) continue;
-    Bucket& bucket = this->Get(promise.bucket);
+    if (!this->buckets.Contains(promise.bucket)) continue;
+    BucketState& bucket = this->buckets.Get(promise.bucket);
     if (!promise.granted) {
-      if (this->Observe({promise.bucket, promise.ballot})) {
+      if (this->buckets.Observe({promise.bucket, promise.ballot})) {
         lost.push_back(promise.bucket);
       }
       continue;
@@ -385,17 +234,17 @@
 
 void Ownership::AddPromise(EntryId from, const BucketPromise& promise,
                            const PromisePart& part) {
-  Bucket& bucket = this->Get(promise.bucket);
+  BucketState& bucket = this->buckets.Get(promise.bucket);
   const PartUse use = this->entry_requests.Add(
       from, {{promise.bucket, promise.ballot}, part.after, part.resume_after});
   if (use == PartUse::kNone) return;
   // Only the first reply describes the state before the promise.
   bucket.prior_states.try_emplace(
-      from,
-      PriorState{promise.previous, promise.held, promise.knew_all_starts});
+      from, BucketState::PriorState{promise.previous, promise.held,
+                                    promise.knew_all_starts});
   if (use != PartUse::kCompletes) return;
   if (!bucket.entry_promises.insert(from).second) return;
-  this->promises_changed = true;
+  this->buckets.NotePromisesChanged();
 }
 
 std::vector<BucketId> Ownership::OnAgentPromiseReply(
@@ -405,9 +254,9 @@
   const std::vector<PromisePart> parts = PartsOf(reply.buckets, reply.part);
   for (std::size_t i = 0; i < reply.buckets.size(); ++i) {
     const AgentBucketPromise& promise = reply.buckets[i];
-    if (promise.bucket.value() >= this->buckets.size()) continue;
+    if (!this->buckets.Contains(promise.bucket)) continue;
     if (!promise.granted) {
-      if (this->Observe({promise.bucket, promise.ballot})) {
+      if (this->buckets.Observe({promise.bucket, promise.ballot})) {
         lost.push_back(promise.bucket);
       }
       continue;
@@ -422,7 +271,7 @@
     // The age of the key is not known if only the agent has recorded it. It may
     // be as old as the oldest key that the agent keeps.
     const KnownKey known{job.key, now - this->settings.duplicate_window};
-    this->Get(id).keys.AddReported(known, job.tasks, from, now);
+    this->buckets.Get(id).keys.AddReported(known, job.tasks, from, now);
   }
   this->agent_requests.End(from, reply.part.sequence);
   const KnownAgent* agent = this->agents.Find(from);
@@ -434,7 +283,7 @@
 
 bool Ownership::AddPromise(AgentId from, const AgentBucketPromise& promise,
                            const PromisePart& part) {
-  Bucket& bucket = this->Get(promise.bucket);
+  BucketState& bucket = this->buckets.Get(promise.bucket);
   const bool for_own_ballot = bucket.phase != OwnershipPhase::kNone &&
                               promise.ballot == bucket.own_ballot;
   // Only the first reply describes the starts before the promise.
@@ -443,7 +292,7 @@
       from, {{promise.bucket, promise.ballot}, part.after, part.resume_after});
   if (use == PartUse::kCompletes) {
     bucket.agent_promises.insert(from);
-    this->promises_changed = true;
+    this->buckets.NotePromisesChanged();
   }
   return use != PartUse::kNone;
 }
@@ -451,10 +300,10 @@
 Ownership::Activation Ownership::ActivateReady(Timestamp now) {
   Activation result;
   std::vector<BucketBallot> ballots;
-  const std::set<BucketId> waiting = this->incomplete_buckets;
-  const bool changed = std::exchange(this->promises_changed, false);
+  const std::set<BucketId> waiting = this->buckets.incomplete();
+  const bool changed = this->buckets.TakePromisesChanged();
   for (const BucketId id : waiting) {
-    Bucket& bucket = this->Get(id);
+    BucketState& bucket = this->buckets.Get(id);
     const bool is_active = bucket.phase == OwnershipPhase::kActive;
     const bool time_matters = !is_active && now >= this->ReplyDeadline(bucket);
     if (!changed && !time_matters) continue;
@@ -462,7 +311,7 @@
     if (is_active) {
       if (!this->IsFullyRecovered(id, bucket)) continue;
       bucket.fresh_after.reset();
-      this->incomplete_buckets.erase(id);
+      this->buckets.MarkComplete(id);
       result.fully_recovered.push_back(id);
       continue;
     }
@@ -470,7 +319,7 @@
     result.activated.push_back(id);
     ballots.push_back({id, bucket.own_ballot});
     if (bucket.fresh_after) continue;
-    this->incomplete_buckets.erase(id);
+    this->buckets.MarkComplete(id);
     result.fully_recovered.push_back(id);
   }
   if (!ballots.empty()) {
@@ -505,7 +354,7 @@
 }
 
 KeyStatus Ownership::StatusOf(const JobSubmission& job, Timestamp now) {
-  Bucket& bucket = this->Get(this->BucketOfKey(job.key));
+  BucketState& bucket = this->buckets.Get(this->BucketOfKey(job.key));
   if (const auto origin = bucket.keys.OriginOf(job.key)) {
     switch (*origin) {
       case KeyOrigin::kOwn:
@@ -528,7 +377,7 @@
   return younger ? KeyStatus::kFresh : KeyStatus::kIndeterminate;
 }
 
-bool Ownership::AllStartsRecorded(Bucket& bucket, Timestamp now) const {
+bool Ownership::AllStartsRecorded(BucketState& bucket, Timestamp now) const {
   // Once true, it stays true for this ballot: all later starts are made here.
   bucket.all_starts_recorded = bucket.all_starts_recorded ||
                                this->FormerHomeReportedAllStarts(bucket) ||
@@ -536,13 +385,13 @@
   return bucket.all_starts_recorded;
 }
 
-bool Ownership::FormerHomeReportedAllStarts(const Bucket& bucket) const {
+bool Ownership::FormerHomeReportedAllStarts(const BucketState& bucket) const {
   const auto has_reported = [&](EntryId entry) {
     return entry == this->settings.self ||
            bucket.entry_promises.contains(entry);
   };
   Ballot latest;
-  for (const ViewMember& member : this->current_view.members) {
+  for (const ViewMember& member : this->membership.view().members) {
     if (!has_reported(member.entry)) return false;
   }
   for (const auto& [entry, before] : bucket.prior_states) {
@@ -554,9 +403,12 @@
          former->second.knew_all_starts;
 }
 
-bool Ownership::PriorRunsResolved(const Bucket& bucket, Timestamp now) const {
+bool Ownership::PriorRunsResolved(const BucketState& bucket,
+                                  Timestamp now) const {
   // Only an entry that has joined recently can lack agents in its registry.
-  if (!this->synchronized && !this->HasOutlivedLeases(now)) return false;
+  if (!this->membership.IsSynchronized() &&
+      !this->membership.HasOutlivedLeases(now))
+    return false;
   return std::all_of(this->agents.all().begin(), this->agents.all().end(),
                      [&](const auto& item) {
                        return bucket.agent_promises.contains(item.first) ||
@@ -570,11 +422,11 @@
 }
 
 bool Ownership::RunsAreOver(const KnownAgent& agent, Timestamp now) const {
-  return this->contacts.RunsAreOver(agent, this->current_view, now);
+  return this->contacts.RunsAreOver(agent, this->membership.view(), now);
 }
 
-bool Ownership::HasRunsOfLostAgents(const Bucket& bucket, const JobKey& key,
-                                    Timestamp now) const {
+bool Ownership::HasRunsOfLostAgents(const BucketState& bucket,
+                                    const JobKey& key, Timestamp now) const {
   const std::vector<ReportedTask>& started = bucket.keys.ReportedTasks(key);
   return std::any_of(started.begin(), started.end(),
                      [&](const ReportedTask& task) {
@@ -584,7 +436,7 @@
                      });
 }
 
-Timestamp Ownership::FirstSeen(const Bucket& bucket,
+Timestamp Ownership::FirstSeen(const BucketState& bucket,
                                const JobSubmission& job) const {
   // An entry that has not promised may have seen the key earlier than the
   // record says, which then begins with a later submission of the key.
@@ -594,14 +446,14 @@
 
 HistoryState Ownership::HistoryOf(const JobSubmission& job,
                                   Timestamp now) const {
-  const Bucket& bucket = this->Get(this->BucketOfKey(job.key));
+  const BucketState& bucket = this->buckets.Get(this->BucketOfKey(job.key));
   if (job.rerun == RerunPolicy::kAfterLease) {
     const bool settled = this->PriorRunsResolved(bucket, now) &&
                          !this->HasRunsOfLostAgents(bucket, job.key, now);
     return settled ? HistoryState::kComplete : HistoryState::kIncomplete;
   }
   const Timestamp first_seen = this->FirstSeen(bucket, job);
-  if (!this->synchronized) return HistoryState::kIncomplete;
+  if (!this->membership.IsSynchronized()) return HistoryState::kIncomplete;
   HistoryState state = HistoryState::kComplete;
   for (const auto& [agent, known] : this->agents.all()) {
     if (bucket.agent_promises.contains(agent)) continue;
@@ -623,23 +475,24 @@
 }
 
 bool Ownership::AgentPromised(BucketId bucket, AgentId agent) const {
-  return this->Get(bucket).agent_promises.contains(agent);
+  return this->buckets.Get(bucket).agent_promises.contains(agent);
 }
 
 std::vector<KnownKey> Ownership::KeysOf(BucketId bucket) const {
-  return this->Get(bucket).keys.Sorted();
+  return this->buckets.Get(bucket).keys.Sorted();
 }
 
 std::size_t Ownership::KnownKeyCount() const {
   std::size_t count = 0;
-  for (const Bucket& bucket : this->buckets) count += bucket.keys.size();
+  for (const BucketState& bucket : this->buckets.all())
+    count += bucket.keys.size();
   return count;
 }
 
 std::vector<EntryId> Ownership::UnreplicatedLosses(BucketId bucket) const {
   std::vector<EntryId> unreplicated;
-  for (const EntryLoss& loss : this->current_view.losses) {
-    if (!this->Get(bucket).replicated_losses.contains(loss.entry)) {
+  for (const EntryLoss& loss : this->membership.view().losses) {
+    if (!this->buckets.Get(bucket).replicated_losses.contains(loss.entry)) {
       unreplicated.push_back(loss.entry);
     }
   }
@@ -647,21 +500,21 @@
 }
 
 void Ownership::MarkReReplicated(BucketId bucket, EntryId lost) {
-  if (bucket.value() >= this->buckets.size()) return;
-  this->Get(bucket).replicated_losses.insert(lost);
-  this->promises_changed = true;
+  if (!this->buckets.Contains(bucket)) return;
+  this->buckets.Get(bucket).replicated_losses.insert(lost);
+  this->buckets.NotePromisesChanged();
 }
 
 void Ownership::Expire(Timestamp horizon) {
   // Lost agents are removed from the registry at the same time.
-  this->promises_changed = true;
-  for (Bucket& bucket : this->buckets) bucket.keys.Expire(horizon);
+  this->buckets.NotePromisesChanged();
+  for (BucketState& bucket : this->buckets.all()) bucket.keys.Expire(horizon);
 }
 
 void Ownership::BeginAcquisition(BucketId id, Timestamp now) {
-  Bucket& bucket = this->Get(id);
-  this->incomplete_buckets.insert(id);
-  this->promises_changed = true;
+  BucketState& bucket = this->buckets.Get(id);
+  this->buckets.MarkIncomplete(id);
+  this->buckets.NotePromisesChanged();
   const Ballot previous = bucket.promised;
   bucket.prior_states.clear();
   bucket.prior_states[this->settings.self] = {previous, bucket.held,
@@ -670,12 +523,12 @@
   bucket.former_home.reset();
   const bool other_was_home =
       !previous.IsNone() && previous.entry != this->settings.self;
-  if (other_was_home && !this->MayHaveBeenAlone(previous.entry)) {
+  if (other_was_home && !this->membership.MayHaveBeenAlone(previous.entry)) {
     bucket.former_home = previous.entry;
   }
-  bucket.own_ballot.epoch = this->current_view.epoch;
+  bucket.own_ballot.epoch = this->membership.view().epoch;
   bucket.own_ballot.round =
-      previous.epoch == this->current_view.epoch ? previous.round + 1 : 0;
+      previous.epoch == this->membership.view().epoch ? previous.round + 1 : 0;
   bucket.own_ballot.entry = this->settings.self;
   bucket.promised = bucket.own_ballot;
   bucket.phase = OwnershipPhase::kCollecting;
@@ -686,26 +539,10 @@
   bucket.keys.BeginBallot();
 }
 
-bool Ownership::MayHaveBeenAlone(EntryId entry) const {
-  const std::vector<ViewMember>& members = this->current_view.members;
-  const bool is_oldest = !members.empty() && members.front().entry == entry;
-  return is_oldest || !this->never_alone.contains(entry);
-}
-
-void Ownership::Release(BucketId id) {
-  Bucket& bucket = this->Get(id);
-  this->incomplete_buckets.erase(id);
-  this->changed_buckets.insert(id);
-  bucket.phase = OwnershipPhase::kNone;
-  bucket.keys.ClearReported();
-  bucket.entry_promises.clear();
-  bucket.agent_promises.clear();
-}
-
 std::set<EntryId> Ownership::RequiredEntries(BucketId id,
-                                             const Bucket& bucket) const {
+                                             const BucketState& bucket) const {
   std::set<EntryId> required;
-  for (const ViewMember& member : this->current_view.members) {
+  for (const ViewMember& member : this->membership.view().members) {
     required.insert(member.entry);
   }
   for (const EntryId lost : this->UnreplicatedLosses(id)) required.insert(lost);
@@ -714,15 +551,16 @@
   return required;
 }
 
-bool Ownership::HasAllEntryPromises(BucketId id, const Bucket& bucket) const {
+bool Ownership::HasAllEntryPromises(BucketId id,
+                                    const BucketState& bucket) const {
   const std::set<EntryId> required = this->RequiredEntries(id, bucket);
   return std::includes(bucket.entry_promises.begin(),
                        bucket.entry_promises.end(), required.begin(),
                        required.end());
 }
 
-bool Ownership::HasAllAgentPromises(const Bucket& bucket) const {
-  if (!this->synchronized) return false;
+bool Ownership::HasAllAgentPromises(const BucketState& bucket) const {
+  if (!this->membership.IsSynchronized()) return false;
   return std::all_of(this->agents.all().begin(), this->agents.all().end(),
                      [&](const auto& item) {
                        return bucket.agent_promises.contains(item.first);
@@ -730,7 +568,7 @@
 }
 
 std::optional<Timestamp> Ownership::EntriesDeadSince(
-    BucketId id, const Bucket& bucket) const {
+    BucketId id, const BucketState& bucket) const {
   Timestamp latest = Timestamp::min();
   for (const EntryId entry : this->RequiredEntries(id, bucket)) {
     if (bucket.entry_promises.contains(entry)) continue;
@@ -742,8 +580,8 @@
 }
 
 std::optional<Timestamp> Ownership::AgentsDeadSince(
-    const Bucket& bucket) const {
-  if (!this->synchronized) return std::nullopt;
+    const BucketState& bucket) const {
+  if (!this->membership.IsSynchronized()) return std::nullopt;
   Timestamp latest = Timestamp::min();
   for (const auto& [agent, known] : this->agents.all()) {
     if (bucket.agent_promises.contains(agent)) continue;
@@ -754,7 +592,7 @@
 }
 
 std::optional<Timestamp> Ownership::DeadSince(EntryId entry) const {
-  for (const EntryLoss& loss : this->current_view.losses) {
+  for (const EntryLoss& loss : this->membership.view().losses) {
     if (loss.entry == entry && loss.proof == LossProof::kProvenDead) {
       return loss.lost_at;
     }
@@ -762,12 +600,12 @@
   return this->peers.DeadSince(entry);
 }
 
-bool Ownership::IsFullyRecovered(BucketId id, const Bucket& bucket) const {
+bool Ownership::IsFullyRecovered(BucketId id, const BucketState& bucket) const {
   return this->HasAllEntryPromises(id, bucket) ||
          this->HasAllAgentPromises(bucket);
 }
 
-bool Ownership::TryActivate(BucketId id, Bucket& bucket, Timestamp now) {
+bool Ownership::TryActivate(BucketId id, BucketState& bucket, Timestamp now) {
   if (!this->IsFullyRecovered(id, bucket)) {
     if (now < this->ReplyDeadline(bucket)) return false;
     const std::optional<Timestamp> entries = this->EntriesDeadSince(id, bucket);
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -9,9 +9,13 @@
 
 #include "libraries/entry_core/agent_contacts.h"
 #include "libraries/entry_core/agent_registry.h"
+#include "libraries/entry_core/bucket_assignment.h"
+#include "libraries/entry_core/bucket_state.h"
+#include "libraries/entry_core/bucket_table.h"
 #include "libraries/entry_core/entry_core_settings.h"
 #include "libraries/entry_core/entry_outbox.h"
 #include "libraries/entry_core/key_records.h"
+#include "libraries/entry_core/membership.h"
 #include "libraries/entry_core/peer_directory.h"
 #include "libraries/entry_core/promise_requests.h"
 #include "libraries/protocol/entry_messages.h"
@@ -57,8 +61,11 @@
   Ownership(const EntryCoreSettings& configured, const AgentRegistry& registry,
             const PeerDirectory& directory, const AgentContacts& agent_contacts,
             EntryOutbox& effects);
+  // Its parts refer to each other.
+  Ownership(const Ownership&) = delete;
+  Ownership& operator=(const Ownership&) = delete;
 
-  [[nodiscard]] const View& view() const { return this->current_view; }
+  [[nodiscard]] const View& view() const { return this->membership.view(); }
   struct ViewChange {
     // Buckets that this entry still owns under the same ballot.
     std::vector<BucketId> kept;
@@ -70,54 +77,71 @@
   // was acquired may be witnesses under it. Releases all other buckets.
   ViewChange AdoptView(const View& view, Timestamp now);
   void MarkSynchronized() {
-    this->synchronized = true;
-    this->promises_changed = true;
+    this->membership.MarkSynchronized();
+    this->buckets.NotePromisesChanged();
+  }
+  [[nodiscard]] bool IsSynchronized() const {
+    return this->membership.IsSynchronized();
   }
-  [[nodiscard]] bool IsSynchronized() const { return this->synchronized; }
   // Records that this entry became a member of the view at `now`.
-  void NoteJoined(Timestamp now) { this->joined_at = now; }
+  void NoteJoined(Timestamp now) { this->membership.NoteJoined(now); }
   // Whether this entry has been a member for so long that all leases from
   // before have expired, also those of agents that no entry has reported.
   [[nodiscard]] bool HasOutlivedLeases(Timestamp now) const {
-    return this->joined_at &&
-           now >= *this->joined_at + this->settings.lease_over_after;
+    return this->membership.HasOutlivedLeases(now);
   }
 
   [[nodiscard]] BucketId BucketOfKey(const JobKey& key) const {
     return BucketOf(key, this->settings.bucket_count);
   }
-  [[nodiscard]] OwnershipPhase Phase(BucketId bucket) const;
+  [[nodiscard]] OwnershipPhase Phase(BucketId bucket) const {
+    return this->buckets.Phase(bucket);
+  }
   [[nodiscard]] bool IsActive(BucketId bucket) const {
     return this->Phase(bucket) == OwnershipPhase::kActive;
   }
-  [[nodiscard]] Ballot Promised(BucketId bucket) const;
-  [[nodiscard]] std::vector<BucketBallot> Promises() const;
+  [[nodiscard]] Ballot Promised(BucketId bucket) const {
+    return this->buckets.Get(bucket).promised;
+  }
+  [[nodiscard]] std::vector<BucketBallot> Promises() const {
+    return this->buckets.Promises();
+  }
   // The entry that should act as home of `bucket`: the owner of the promised
   // ballot or, if that entry is not eligible, the highest-ranked member that is
   // not suspected. An empty id if there is none.
-  [[nodiscard]] EntryId ExpectedHome(BucketId bucket, Timestamp now) const;
+  [[nodiscard]] EntryId ExpectedHome(BucketId bucket, Timestamp now) const {
+    return this->assignment.ExpectedHome(bucket, now);
+  }
   // Whether the entry is a member of the view and was one in the view that the
   // promised ballot of the bucket names. A taker may not ask a later member.
-  [[nodiscard]] bool MayWitness(EntryId entry, BucketId bucket) const;
+  [[nodiscard]] bool MayWitness(EntryId entry, BucketId bucket) const {
+    return this->assignment.MayWitness(entry, bucket);
+  }
   // The members of the view, the one that should be home of `bucket` first.
   [[nodiscard]] const std::vector<EntryId>& MembersByRank(
       BucketId bucket) const {
-    return this->rankings[bucket.value()];
+    return this->membership.Ranking(bucket);
   }
   // The highest-ranked other member that is connected and not suspected, as
   // witness for keys of `bucket`; not one of `excluded`.
   [[nodiscard]] std::optional<EntryId> WitnessFor(
-      BucketId bucket, const std::set<EntryId>& excluded, Timestamp now) const;
+      BucketId bucket, const std::set<EntryId>& excluded, Timestamp now) const {
+    return this->assignment.WitnessFor(bucket, excluded, now);
+  }
   // The other member that joined first, of those connected and not suspected.
   [[nodiscard]] std::optional<EntryId> OldestConnectedMember(
-      Timestamp now) const;
+      Timestamp now) const {
+    return this->assignment.OldestConnectedMember(now);
+  }
 
   // Promises a ballot seen in a message if it is higher than the promised one.
   // Returns whether this entry thereby stops owning or acquiring the bucket.
-  bool Observe(const BucketBallot& seen);
+  bool Observe(const BucketBallot& seen) { return this->buckets.Observe(seen); }
   // Begins to acquire the buckets that this entry should be home of. Examines
   // only buckets whose expected home may have changed since the last call.
-  void AcquireVacant(Timestamp now);
+  void AcquireVacant(Timestamp now) {
+    this->Acquire(this->assignment.TakeVacant(now), now);
+  }
   // Begins to acquire buckets from other homes that act.
   void TakeBack(const std::vector<BucketId>& wanted, Timestamp now) {
     this->Acquire(wanted, now);
@@ -154,7 +178,7 @@
   // How many times AcquireVacant and ActivateReady have examined a bucket; a
   // measure of the cost of events.
   [[nodiscard]] std::uint64_t buckets_examined() const {
-    return this->examined;
+    return this->assignment.buckets_examined() + this->examined;
   }
 
   // Whether no task that the agent has started can still be running.
@@ -194,50 +218,14 @@
   void Expire(Timestamp horizon);
 
  private:
-  // The state of an entry immediately before it made a promise.
-  struct PriorState {
-    Ballot promised;
-    Ballot held;
-    bool knew_all_starts = false;
-  };
-  struct Bucket {
-    Ballot promised;
-    Ballot own_ballot;
-    // The last ballot under which this entry acted as home.
-    Ballot held;
-    // Whether every key that any home has started is recorded here.
-    bool all_starts_recorded = false;
-    // Also of entries whose keys have not all arrived yet.
-    std::map<EntryId, PriorState> prior_states;
-    OwnershipPhase phase = OwnershipPhase::kNone;
-    // The previous home. Its promise is not required, since every key that it
-    // has recorded is recorded by another entry as well.
-    std::optional<EntryId> former_home;
-    Timestamp begun_at;
-    std::set<EntryId> entry_promises;
-    std::set<AgentId> agent_promises;
-    // If set, keys that are not recorded are fresh only if created after this
-    // time.
-    std::optional<Timestamp> fresh_after;
-    std::set<EntryId> replicated_losses;
-    KeyRecords keys;
-  };
-
-  Bucket& Get(BucketId bucket) { return this->buckets[bucket.value()]; }
-  [[nodiscard]] const Bucket& Get(BucketId bucket) const {
-    return this->buckets[bucket.value()];
-  }
   [[nodiscard]] KeyRecords& RecordsOf(const JobKey& key) {
-    return this->Get(this->BucketOfKey(key)).keys;
+    return this->buckets.Get(this->BucketOfKey(key)).keys;
   }
   [[nodiscard]] const KeyRecords& RecordsOf(const JobKey& key) const {
-    return this->Get(this->BucketOfKey(key)).keys;
+    return this->buckets.Get(this->BucketOfKey(key)).keys;
   }
-  void RecordMembership();
-  [[nodiscard]] std::vector<BucketId> ActiveBuckets() const;
-  // Whether the ballot of the bucket stays in force in the current view.
-  [[nodiscard]] bool MayKeep(BucketId id) const;
-  [[nodiscard]] bool NeedsPromiseOf(EntryId entry, const Bucket& bucket) const;
+  [[nodiscard]] bool NeedsPromiseOf(EntryId entry,
+                                    const BucketState& bucket) const;
   // Requests the missing promises from an entry, unless an earlier request is
   // under way.
   void RequestFrom(EntryId entry, Timestamp now);
@@ -254,54 +242,47 @@
   bool AddPromise(AgentId from, const AgentBucketPromise& promise,
                   const PromisePart& part);
   void TrackNewKey(const KnownKey& known, KeyNovelty novelty);
-  // Returns the buckets whose expected home may have changed since the last
-  // call, and clears the list of changes.
-  std::vector<BucketId> TakeBucketsToCheck(Timestamp now);
-  [[nodiscard]] bool IsVacant(BucketId bucket, Timestamp now) const;
   void Acquire(const std::vector<BucketId>& wanted, Timestamp now);
   void BeginAcquisition(BucketId id, Timestamp now);
-  // Whether the view may have had no member but `entry`, which may be lost by
-  // now, for some time. Keys that other entries handed over to it then are
-  // recorded nowhere else.
-  [[nodiscard]] bool MayHaveBeenAlone(EntryId entry) const;
-  void Release(BucketId id);
-  [[nodiscard]] std::set<EntryId> RequiredEntries(BucketId id,
-                                                  const Bucket& bucket) const;
+  [[nodiscard]] std::set<EntryId> RequiredEntries(
+      BucketId id, const BucketState& bucket) const;
   [[nodiscard]] bool HasAllEntryPromises(BucketId id,
-                                         const Bucket& bucket) const;
-  [[nodiscard]] bool HasAllAgentPromises(const Bucket& bucket) const;
+                                         const BucketState& bucket) const;
+  [[nodiscard]] bool HasAllAgentPromises(const BucketState& bucket) const;
   // EntriesDeadSince and AgentsDeadSince return the time at which the last of
   // those without a promise was proven dead, or nothing if one may be alive.
   // Keys created later can't have been started elsewhere.
   [[nodiscard]] std::optional<Timestamp> EntriesDeadSince(
-      BucketId id, const Bucket& bucket) const;
+      BucketId id, const BucketState& bucket) const;
   [[nodiscard]] std::optional<Timestamp> AgentsDeadSince(
-      const Bucket& bucket) const;
+      const BucketState& bucket) const;
   [[nodiscard]] std::optional<Timestamp> DeadSince(EntryId entry) const;
   // Whether every key that a former home may have started is recorded, or all
   // earlier runs are resolved. Keeps a positive result in the bucket.
-  bool AllStartsRecorded(Bucket& bucket, Timestamp now) const;
-  [[nodiscard]] bool FormerHomeReportedAllStarts(const Bucket& bucket) const;
+  bool AllStartsRecorded(BucketState& bucket, Timestamp now) const;
+  [[nodiscard]] bool FormerHomeReportedAllStarts(
+      const BucketState& bucket) const;
   // Whether every run that another home has started in this bucket has ended or
   // was reported with an agent's promise.
-  [[nodiscard]] bool PriorRunsResolved(const Bucket& bucket,
+  [[nodiscard]] bool PriorRunsResolved(const BucketState& bucket,
                                        Timestamp now) const;
   // As above, for an agent in the registry.
   [[nodiscard]] bool RunsAreOver(const KnownAgent& agent, Timestamp now) const;
   // When an entry first saw the job's key, or an earlier time if that is not
   // known.
-  [[nodiscard]] Timestamp FirstSeen(const Bucket& bucket,
+  [[nodiscard]] Timestamp FirstSeen(const BucketState& bucket,
                                     const JobSubmission& job) const;
   // Whether a recorded task of the key may still be running on a lost agent,
   // which can't be queried.
-  [[nodiscard]] bool HasRunsOfLostAgents(const Bucket& bucket,
+  [[nodiscard]] bool HasRunsOfLostAgents(const BucketState& bucket,
                                          const JobKey& key,
                                          Timestamp now) const;
-  [[nodiscard]] bool IsFullyRecovered(BucketId id, const Bucket& bucket) const;
-  bool TryActivate(BucketId id, Bucket& bucket, Timestamp now);
+  [[nodiscard]] bool IsFullyRecovered(BucketId id,
+                                      const BucketState& bucket) const;
+  bool TryActivate(BucketId id, BucketState& bucket, Timestamp now);
   // Until this time an acquisition waits for entries and agents that may still
   // reply: a home that activates without them must refuse older keys.
-  [[nodiscard]] Timestamp ReplyDeadline(const Bucket& bucket) const {
+  [[nodiscard]] Timestamp ReplyDeadline(const BucketState& bucket) const {
     return bucket.begun_at + 2 * this->settings.repeat_interval;
   }
 
@@ -310,29 +291,9 @@
   const PeerDirectory& peers;
   const AgentContacts& contacts;
   EntryOutbox& outbox;
-  View current_view;
-  // The epoch in which this entry first saw each member of the current view.
-  std::map<EntryId, Epoch> member_since;
-  // The entries that were in a view together with an older member and with this
-  // entry. The older member was there before, and this one has been since.
-  std::set<EntryId> never_alone;
-  bool synchronized = false;
-  std::optional<Timestamp> joined_at;
-  std::vector<Bucket> buckets;
-  // Per bucket, the members of the current view in rendezvous order.
-  std::vector<std::vector<EntryId>> rankings;
-  // The view's epoch and the suspected entries at the latest search for vacant
-  // buckets.
-  Epoch searched_epoch;
-  std::vector<EntryId> suspected;
-  // Buckets released or promised to other entries since the latest search.
-  std::set<BucketId> changed_buckets;
-  // Buckets that are being acquired, or that were activated without all
-  // required promises.
-  std::set<BucketId> incomplete_buckets;
-  // Whether a condition for activation or full recovery has changed since the
-  // last call of ActivateReady.
-  bool promises_changed = false;
+  Membership membership;
+  BucketTable buckets;
+  BucketAssignment assignment;
   PromiseRequests<EntryId> entry_requests;
   PromiseRequests<AgentId> agent_requests;
   std::uint64_t examined = 0;
