entry_core: Move requests for promises and replies to them out of Ownership

Asking entries and agents for promises and recording what they promise is PromiseCollector, replying to other entries is PromiseResponder.

--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -1,19 +1,11 @@
 #include "libraries/entry_core/ownership.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "libraries/entry_core/move_reason.h"
 
 namespace dandelionspur {
-namespace {
-
-// Agents do not confirm what they have read. One that has not answered for this
-// long is asked again, for a part that is as small as the first.
-constexpr Duration kAgentReplyLimit = std::chrono::milliseconds(500);
-
-}  // namespace
 
 Ownership::Ownership(const EntryCoreSettings& configured,
                      const AgentRegistry& registry,
@@ -26,7 +18,10 @@
       outbox(effects),
       membership(configured),
       buckets(configured.bucket_count),
-      assignment(configured, this->membership, this->buckets, directory) {}
+      assignment(configured, this->membership, this->buckets, directory),
+      collector(configured, this->membership, this->buckets, registry,
+                directory, effects),
+      responder(this->buckets, effects) {}
 
 Ownership::ViewChange Ownership::AdoptView(const View& view, Timestamp now) {
   for (const BucketId id : this->buckets.ActiveBuckets()) {
@@ -62,239 +57,7 @@
     this->outbox.Add(OwnershipChanged{OwnershipPhase::kCollecting,
                                       std::move(ballots), reason});
   }
-  this->RequestMissing(now);
-}
-
-void Ownership::RequestMissing(Timestamp now) {
-  for (const EntryId entry : this->EntriesToAsk()) {
-    // Messages between two processes arrive in order: the entry has answered
-    // the request before it confirmed a later heartbeat.
-    const std::optional<Timestamp> sent = this->entry_requests.SentAt(entry);
-    const bool is_lost = sent && this->peers.ConfirmedAt(entry) > *sent;
-    if (is_lost) this->entry_requests.Abandon(entry);
-    this->RequestFrom(entry, now);
-  }
-  for (const AgentId agent : this->agents.Connected()) {
-    const std::optional<Timestamp> sent = this->agent_requests.SentAt(agent);
-    const bool is_lost = sent && now - *sent > kAgentReplyLimit;
-    if (is_lost) this->agent_requests.Abandon(agent);
-    this->RequestFrom(agent, now);
-  }
-}
-
-std::set<EntryId> Ownership::EntriesToAsk() const {
-  std::set<EntryId> entries;
-  for (const ViewMember& member : this->membership.view().members) {
-    entries.insert(member.entry);
-  }
-  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
-    const bool has_former_home =
-        this->buckets.Get(BucketId(i)).former_home.has_value() &&
-        this->buckets.Phase(BucketId(i)) != OwnershipPhase::kNone;
-    if (has_former_home)
-      entries.insert(*this->buckets.Get(BucketId(i)).former_home);
-  }
-  return entries;
-}
-
-std::uint32_t Ownership::MaximumListed() const {
-  // About 120 kB, which is 40 ms of a link of 25 Mbit/s.
-  constexpr std::size_t kListedInAllReplies = 4096;
-  constexpr std::size_t kLeast = 64;
-  constexpr std::size_t kMost = 1024;
-  const std::size_t responders =
-      this->membership.view().members.size() + this->agents.all().size();
-  return static_cast<std::uint32_t>(
-      std::clamp(kListedInAllReplies / std::max<std::size_t>(responders, 1),
-                 kLeast, kMost));
-}
-
-void Ownership::ResumeFrom(EntryId entry, Timestamp now) {
-  this->entry_requests.Abandon(entry);
-  this->RequestFrom(entry, now);
-}
-
-void Ownership::ResumeFrom(AgentId agent, Timestamp now) {
-  this->agent_requests.Abandon(agent);
-  this->RequestFrom(agent, now);
-}
-
-void Ownership::RequestFrom(EntryId entry, Timestamp now) {
-  if (!this->peers.IsConnected(entry)) return;
-  if (this->entry_requests.IsUnderWay(entry)) return;
-  std::vector<BucketBallot> missing;
-  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
-    const BucketId id(i);
-    if (this->buckets.Phase(id) == OwnershipPhase::kNone) continue;
-    if (!this->NeedsPromiseOf(entry, this->buckets.Get(id))) continue;
-    missing.push_back({id, this->buckets.Get(id).own_ballot});
-  }
-  if (missing.empty()) return;
-  this->outbox.ToPeer(entry,
-                      this->entry_requests.Begin(entry, std::move(missing),
-                                                 this->MaximumListed(), now));
-}
-
-void Ownership::RequestFrom(AgentId agent, Timestamp now) {
-  if (this->agent_requests.IsUnderWay(agent)) return;
-  std::vector<BucketBallot> missing;
-  for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
-    const BucketId id(i);
-    if (this->buckets.Phase(id) == OwnershipPhase::kNone) continue;
-    if (this->AgentPromised(id, agent)) continue;
-    missing.push_back({id, this->buckets.Get(id).own_ballot});
-  }
-  if (missing.empty()) return;
-  this->outbox.ToAgent(agent,
-                       this->agent_requests.Begin(agent, std::move(missing),
-                                                  this->MaximumListed(), now));
-}
-
-bool Ownership::NeedsPromiseOf(EntryId entry, const BucketState& bucket) const {
-  if (entry == this->settings.self) return false;
-  if (bucket.entry_promises.contains(entry)) return false;
-  const auto since = this->membership.since().find(entry);
-  // A former home that has left the view can still report its keys.
-  if (since == this->membership.since().end())
-    return bucket.former_home == entry;
-  // A kept bucket needs no promise of an entry that has joined since.
-  return since->second <= bucket.own_ballot.epoch;
-}
-
-std::vector<BucketId> Ownership::OnPromiseRequest(
-    EntryId from, const PromiseRequest& request) {
-  std::vector<BucketId> lost;
-  PromiseReply reply;
-  reply.part.sequence = request.sequence;
-  const bool is_limited = request.maximum_listed > 0;
-  std::size_t room = is_limited ? request.maximum_listed
-                                : std::numeric_limits<std::size_t>::max();
-  for (const BucketBallot& asked : request.buckets) {
-    if (!this->buckets.Contains(asked.bucket)) continue;
-    // A promise without the bucket's keys is worth nothing, and would stop the
-    // present home too early.
-    if (room == 0 || reply.part.resume_after) break;
-    const Ballot previous = this->buckets.Get(asked.bucket).promised;
-    if (this->buckets.Observe(asked)) lost.push_back(asked.bucket);
-    const BucketState& bucket = this->buckets.Get(asked.bucket);
-    const bool granted =
-        bucket.promised == asked.ballot && asked.ballot.entry == from;
-    BucketPromise promise{
-        asked.bucket, bucket.promised,           granted, {}, previous,
-        bucket.held,  bucket.all_starts_recorded};
-    if (granted) {
-      const bool continues = asked.bucket == request.buckets.front().bucket;
-      if (continues) reply.part.after = request.after;
-      KeyList list =
-          bucket.keys.ListAfter(continues ? request.after : std::nullopt, room);
-      room -= list.keys.size();
-      promise.known = std::move(list.keys);
-      if (!list.is_complete) reply.part.resume_after = promise.known.back().key;
-    }
-    reply.buckets.push_back(std::move(promise));
-  }
-  this->outbox.ToPeer(from, std::move(reply));
-  return lost;
-}
-
-std::vector<BucketId> Ownership::OnPromiseReply(EntryId from,
-                                                const PromiseReply& reply,
-                                                Timestamp now) {
-  std::vector<BucketId> lost;
-  const std::vector<PromisePart> parts = PartsOf(reply.buckets, reply.part);
-  for (std::size_t i = 0; i < reply.buckets.size(); ++i) {
-    const BucketPromise& promise = reply.buckets[i];
-    if (!this->buckets.Contains(promise.bucket)) continue;
-    BucketState& bucket = this->buckets.Get(promise.bucket);
-    if (!promise.granted) {
-      if (this->buckets.Observe({promise.bucket, promise.ballot})) {
-        lost.push_back(promise.bucket);
-      }
-      continue;
-    }
-    const bool for_own_ballot = bucket.phase != OwnershipPhase::kNone &&
-                                promise.ballot == bucket.own_ballot;
-    if (!for_own_ballot) continue;
-    this->AddPromise(from, promise, parts[i]);
-    // Keys that this entry received under its own ballot keep their origin; any
-    // other key may have been started by a former home.
-    const RecordedKeys recorded = bucket.phase == OwnershipPhase::kCollecting
-                                      ? RecordedKeys::kBecomeInherited
-                                      : RecordedKeys::kKeepOrigin;
-    for (const KnownKey& known : promise.known) {
-      bucket.keys.MergePromised(known, recorded, now);
-    }
-  }
-  this->entry_requests.End(from, reply.part.sequence);
-  // An entry that can promise none of the buckets would be asked again and
-  // again without a pause.
-  if (!reply.buckets.empty()) this->RequestFrom(from, now);
-  return lost;
-}
-
-void Ownership::AddPromise(EntryId from, const BucketPromise& promise,
-                           const PromisePart& part) {
-  BucketState& bucket = this->buckets.Get(promise.bucket);
-  const PartUse use = this->entry_requests.Add(
-      from, {{promise.bucket, promise.ballot}, part.after, part.resume_after});
-  if (use == PartUse::kNone) return;
-  // Only the first reply describes the state before the promise.
-  bucket.prior_states.try_emplace(
-      from, BucketState::PriorState{promise.previous, promise.held,
-                                    promise.knew_all_starts});
-  if (use != PartUse::kCompletes) return;
-  if (!bucket.entry_promises.insert(from).second) return;
-  this->buckets.NotePromisesChanged();
-}
-
-std::vector<BucketId> Ownership::OnAgentPromiseReply(
-    AgentId from, const AgentPromiseReply& reply, Timestamp now) {
-  std::vector<BucketId> lost;
-  std::set<BucketId> accepted;
-  const std::vector<PromisePart> parts = PartsOf(reply.buckets, reply.part);
-  for (std::size_t i = 0; i < reply.buckets.size(); ++i) {
-    const AgentBucketPromise& promise = reply.buckets[i];
-    if (!this->buckets.Contains(promise.bucket)) continue;
-    if (!promise.granted) {
-      if (this->buckets.Observe({promise.bucket, promise.ballot})) {
-        lost.push_back(promise.bucket);
-      }
-      continue;
-    }
-    if (this->AddPromise(from, promise, parts[i])) {
-      accepted.insert(promise.bucket);
-    }
-  }
-  for (const StartedJob& job : reply.started) {
-    const BucketId id = this->BucketOfKey(job.key);
-    if (!accepted.contains(id)) continue;
-    // The age of the key is not known if only the agent has recorded it. It may
-    // be as old as the oldest key that the agent keeps.
-    const KnownKey known{job.key, now - this->settings.duplicate_window};
-    this->buckets.Get(id).keys.AddReported(known, job.tasks, from, now);
-  }
-  this->agent_requests.End(from, reply.part.sequence);
-  const KnownAgent* agent = this->agents.Find(from);
-  const bool may_ask = agent != nullptr && agent->connected;
-  // As with entries, one that can promise nothing is not asked without a pause.
-  if (may_ask && !reply.buckets.empty()) this->RequestFrom(from, now);
-  return lost;
-}
-
-bool Ownership::AddPromise(AgentId from, const AgentBucketPromise& promise,
-                           const PromisePart& part) {
-  BucketState& bucket = this->buckets.Get(promise.bucket);
-  const bool for_own_ballot = bucket.phase != OwnershipPhase::kNone &&
-                              promise.ballot == bucket.own_ballot;
-  // Only the first reply describes the starts before the promise.
-  if (!for_own_ballot || bucket.agent_promises.contains(from)) return false;
-  const PartUse use = this->agent_requests.Add(
-      from, {{promise.bucket, promise.ballot}, part.after, part.resume_after});
-  if (use == PartUse::kCompletes) {
-    bucket.agent_promises.insert(from);
-    this->buckets.NotePromisesChanged();
-  }
-  return use != PartUse::kNone;
+  this->collector.RequestMissing(now);
 }
 
 Ownership::Activation Ownership::ActivateReady(Timestamp now) {
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -17,7 +17,8 @@
 #include "libraries/entry_core/key_records.h"
 #include "libraries/entry_core/membership.h"
 #include "libraries/entry_core/peer_directory.h"
-#include "libraries/entry_core/promise_requests.h"
+#include "libraries/entry_core/promise_collector.h"
+#include "libraries/entry_core/promise_responder.h"
 #include "libraries/protocol/entry_messages.h"
 
 namespace dandelionspur {
@@ -149,25 +150,37 @@
   // Asks entries and agents for missing promises: those that have answered the
   // latest request, and those whose answer to it is lost for certain. Call it
   // periodically.
-  void RequestMissing(Timestamp now);
+  void RequestMissing(Timestamp now) { this->collector.RequestMissing(now); }
   // Replies to another entry's promise request. Returns the buckets that this
   // entry loses by promising.
   std::vector<BucketId> OnPromiseRequest(EntryId from,
-                                         const PromiseRequest& request);
+                                         const PromiseRequest& request) {
+    return this->responder.OnPromiseRequest(from, request);
+  }
   // OnPromiseReply and OnAgentPromiseReply return the buckets lost to a higher
   // ballot.
   std::vector<BucketId> OnPromiseReply(EntryId from, const PromiseReply& reply,
-                                       Timestamp now);
+                                       Timestamp now) {
+    return this->collector.OnPromiseReply(from, reply, now);
+  }
   std::vector<BucketId> OnAgentPromiseReply(AgentId from,
                                             const AgentPromiseReply& reply,
-                                            Timestamp now);
+                                            Timestamp now) {
+    return this->collector.OnAgentPromiseReply(from, reply, now);
+  }
   // Requests the missing promises from an entry to or from which there is a new
   // connection. A request or reply on the earlier one may be lost.
-  void ResumeFrom(EntryId entry, Timestamp now);
+  void ResumeFrom(EntryId entry, Timestamp now) {
+    this->collector.ResumeFrom(entry, now);
+  }
   // The same for an agent that has connected.
-  void ResumeFrom(AgentId agent, Timestamp now);
+  void ResumeFrom(AgentId agent, Timestamp now) {
+    this->collector.ResumeFrom(agent, now);
+  }
   // Requests the missing promises from an agent that has become ready.
-  void RequestFrom(AgentId agent, Timestamp now);
+  void RequestFrom(AgentId agent, Timestamp now) {
+    this->collector.RequestFrom(agent, now);
+  }
   struct Activation {
     std::vector<BucketId> activated;
     // Buckets of which every started key is recorded from now on.
@@ -224,23 +237,6 @@
   [[nodiscard]] const KeyRecords& RecordsOf(const JobKey& key) const {
     return this->buckets.Get(this->BucketOfKey(key)).keys;
   }
-  [[nodiscard]] bool NeedsPromiseOf(EntryId entry,
-                                    const BucketState& bucket) const;
-  // Requests the missing promises from an entry, unless an earlier request is
-  // under way.
-  void RequestFrom(EntryId entry, Timestamp now);
-  // The members, and the former homes that have left the view.
-  [[nodiscard]] std::set<EntryId> EntriesToAsk() const;
-  // How much a responder may list in one reply. All replies together must not
-  // delay heartbeats on this entry's link.
-  [[nodiscard]] std::uint32_t MaximumListed() const;
-  // Records an entry's state before it made its promise, and the promise once
-  // all keys of the bucket have arrived.
-  void AddPromise(EntryId from, const BucketPromise& promise,
-                  const PromisePart& part);
-  // Returns whether the started tasks listed for the bucket are new.
-  bool AddPromise(AgentId from, const AgentBucketPromise& promise,
-                  const PromisePart& part);
   void TrackNewKey(const KnownKey& known, KeyNovelty novelty);
   void Acquire(const std::vector<BucketId>& wanted, Timestamp now);
   void BeginAcquisition(BucketId id, Timestamp now);
@@ -294,8 +290,8 @@
   Membership membership;
   BucketTable buckets;
   BucketAssignment assignment;
-  PromiseRequests<EntryId> entry_requests;
-  PromiseRequests<AgentId> agent_requests;
+  PromiseCollector collector;
+  PromiseResponder responder;
   std::uint64_t examined = 0;
   bool tracks_new_keys = false;
   std::map<BucketId, std::vector<KnownKey>> new_keys;
