entry_core: Move activation of buckets and the history of keys out of Ownership

When promises suffice to act as home is BucketActivator; what can be told of the tasks that other homes have started for a key is KeyHistory, with the enums KeyStatus and HistoryState.

--- /dev/null
+++ b/libraries/entry_core/key_history.h
@@ -0,0 +1,90 @@
+#ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_KEY_HISTORY_H_
+#define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_KEY_HISTORY_H_
+
+#include "libraries/entry_core/agent_contacts.h"
+#include "libraries/entry_core/agent_registry.h"
+#include "libraries/entry_core/bucket_state.h"
+#include "libraries/entry_core/bucket_table.h"
+#include "libraries/entry_core/entry_core_settings.h"
+#include "libraries/entry_core/membership.h"
+#include "libraries/protocol/entry_messages.h"
+
+namespace dandelionspur {
+
+// How a key stands with the home, the entry that owns the bucket of the key.
+// Decides whether the home may start tasks of the key.
+enum class KeyStatus {
+  // Never started under any other ballot.
+  kFresh,
+  // Inherited: received from the bucket's former home or from other entries,
+  // from before this ballot. The tasks that agents have started must be
+  // collected before any further start.
+  kInherited,
+  // Has its final answer under this ballot.
+  kClosed,
+  // Whether it was started can't be determined: an entry or agent that may
+  // have recorded the start is lost or unresponsive.
+  kIndeterminate,
+  // Tasks that a lost or unreachable process started for it may still be
+  // running.
+  kUnsettled,
+};
+
+// How complete the agents' promises are regarding the tasks started for an
+// inherited key.
+enum class HistoryState {
+  // At least one agent has not promised yet.
+  kIncomplete,
+  // Every agent that might have started a task of the key has promised.
+  kComplete,
+  // An agent that might have started a task of the key is lost.
+  kLost,
+};
+
+// What this entry can tell about the tasks that other homes may have started
+// for a key, judged by the promises of its bucket and the contacts with agents.
+class KeyHistory {
+ public:
+  KeyHistory(const EntryCoreSettings& configured,
+             const Membership& current_membership, BucketTable& bucket_table,
+             const AgentRegistry& registry,
+             const AgentContacts& agent_contacts);
+
+  [[nodiscard]] KeyStatus StatusOf(const JobSubmission& job, Timestamp now);
+  [[nodiscard]] HistoryState HistoryOf(const JobSubmission& job,
+                                       Timestamp now) const;
+  // Whether every key that a former home may have started is recorded, or all
+  // earlier runs are resolved. Keeps a positive result in the bucket.
+  bool AllStartsRecorded(BucketState& bucket, Timestamp now) const;
+  // Whether no task that the agent has started can still be running.
+  [[nodiscard]] bool RunsAreOver(AgentId agent, Timestamp now) const;
+
+ private:
+  [[nodiscard]] bool FormerHomeReportedAllStarts(
+      const BucketState& bucket) const;
+  // Whether every run that another home has started in this bucket has ended or
+  // was reported with an agent's promise.
+  [[nodiscard]] bool PriorRunsResolved(const BucketState& bucket,
+                                       Timestamp now) const;
+  // The same for an agent in the registry.
+  [[nodiscard]] bool RunsAreOver(const KnownAgent& agent, Timestamp now) const;
+  // When an entry first saw the job's key, or an earlier time if that is not
+  // known.
+  [[nodiscard]] Timestamp FirstSeen(const BucketState& bucket,
+                                    const JobSubmission& job) const;
+  // Whether a recorded task of the key may still be running on a lost agent,
+  // which can't be queried.
+  [[nodiscard]] bool HasRunsOfLostAgents(const BucketState& bucket,
+                                         const JobKey& key,
+                                         Timestamp now) const;
+
+  EntryCoreSettings settings;
+  const Membership& membership;
+  BucketTable& buckets;
+  const AgentRegistry& agents;
+  const AgentContacts& contacts;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_ENTRY_CORE_KEY_HISTORY_H_
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -9,11 +9,12 @@
 
 #include "libraries/entry_core/agent_contacts.h"
 #include "libraries/entry_core/agent_registry.h"
+#include "libraries/entry_core/bucket_activator.h"
 #include "libraries/entry_core/bucket_assignment.h"
-#include "libraries/entry_core/bucket_state.h"
 #include "libraries/entry_core/bucket_table.h"
 #include "libraries/entry_core/entry_core_settings.h"
 #include "libraries/entry_core/entry_outbox.h"
+#include "libraries/entry_core/key_history.h"
 #include "libraries/entry_core/key_records.h"
 #include "libraries/entry_core/membership.h"
 #include "libraries/entry_core/peer_directory.h"
@@ -23,36 +24,6 @@
 
 namespace dandelionspur {
 
-// How a key stands with the home, the entry that owns the bucket of the key.
-// Decides whether the home may start tasks of the key.
-enum class KeyStatus {
-  // Never started under any other ballot.
-  kFresh,
-  // Inherited: received from the bucket's former home or from other entries,
-  // from before this ballot. The tasks that agents have started must be
-  // collected before any further start.
-  kInherited,
-  // Has its final answer under this ballot.
-  kClosed,
-  // Whether it was started can't be determined: an entry or agent that may
-  // have recorded the start is lost or unresponsive.
-  kIndeterminate,
-  // Tasks that a lost or unreachable process started for it may still be
-  // running.
-  kUnsettled,
-};
-
-// How complete the agents' promises are regarding the tasks started for an
-// inherited key.
-enum class HistoryState {
-  // At least one agent has not promised yet.
-  kIncomplete,
-  // Every agent that might have started a task of the key has promised.
-  kComplete,
-  // An agent that might have started a task of the key is lost.
-  kLost,
-};
-
 // This entry's part in the ballot protocol that assigns each bucket a home: the
 // ballots that it has promised, the keys that it has witnessed, and its own
 // acquisitions of buckets. docs/design/at-most-once.md has the safety
@@ -181,21 +152,22 @@
   void RequestFrom(AgentId agent, Timestamp now) {
     this->collector.RequestFrom(agent, now);
   }
-  struct Activation {
-    std::vector<BucketId> activated;
-    // Buckets of which every started key is recorded from now on.
-    std::vector<BucketId> fully_recovered;
-  };
+  using Activation = BucketActivator::Activation;
   // Activates the buckets with enough promises.
-  Activation ActivateReady(Timestamp now);
+  Activation ActivateReady(Timestamp now) {
+    return this->activator.ActivateReady(now);
+  }
   // How many times AcquireVacant and ActivateReady have examined a bucket; a
   // measure of the cost of events.
   [[nodiscard]] std::uint64_t buckets_examined() const {
-    return this->assignment.buckets_examined() + this->examined;
+    return this->assignment.buckets_examined() +
+           this->activator.buckets_examined();
   }
 
   // Whether no task that the agent has started can still be running.
-  [[nodiscard]] bool RunsAreOver(AgentId agent, Timestamp now) const;
+  [[nodiscard]] bool RunsAreOver(AgentId agent, Timestamp now) const {
+    return this->history.RunsAreOver(agent, now);
+  }
 
   // Records a key that this entry handles as home, or as witness.
   void Remember(const KnownKey& known, Timestamp now);
@@ -213,9 +185,13 @@
   // Treats a key that may run again as inherited; `started` are its tasks that
   // have been started and have not completed.
   void Reopen(const JobKey& key, std::vector<ReportedTask> started);
-  [[nodiscard]] KeyStatus StatusOf(const JobSubmission& job, Timestamp now);
+  [[nodiscard]] KeyStatus StatusOf(const JobSubmission& job, Timestamp now) {
+    return this->history.StatusOf(job, now);
+  }
   [[nodiscard]] HistoryState HistoryOf(const JobSubmission& job,
-                                       Timestamp now) const;
+                                       Timestamp now) const {
+    return this->history.HistoryOf(job, now);
+  }
   [[nodiscard]] std::vector<ReportedTask> ReportedTasks(
       const JobKey& key) const;
   [[nodiscard]] bool AgentPromised(BucketId bucket, AgentId agent) const;
@@ -224,7 +200,9 @@
 
   // The lost entries that may have witnessed a key of `bucket` that is not yet
   // re-replicated to the remaining members.
-  [[nodiscard]] std::vector<EntryId> UnreplicatedLosses(BucketId bucket) const;
+  [[nodiscard]] std::vector<EntryId> UnreplicatedLosses(BucketId bucket) const {
+    return this->activator.UnreplicatedLosses(bucket);
+  }
   void MarkReReplicated(BucketId bucket, EntryId lost);
 
   // Removes keys that were last recorded before `horizon`.
@@ -240,59 +218,17 @@
   void TrackNewKey(const KnownKey& known, KeyNovelty novelty);
   void Acquire(const std::vector<BucketId>& wanted, Timestamp now);
   void BeginAcquisition(BucketId id, Timestamp now);
-  [[nodiscard]] std::set<EntryId> RequiredEntries(
-      BucketId id, const BucketState& bucket) const;
-  [[nodiscard]] bool HasAllEntryPromises(BucketId id,
-                                         const BucketState& bucket) const;
-  [[nodiscard]] bool HasAllAgentPromises(const BucketState& bucket) const;
-  // EntriesDeadSince and AgentsDeadSince return the time at which the last of
-  // those without a promise was proven dead, or nothing if one may be alive.
-  // Keys created later can't have been started elsewhere.
-  [[nodiscard]] std::optional<Timestamp> EntriesDeadSince(
-      BucketId id, const BucketState& bucket) const;
-  [[nodiscard]] std::optional<Timestamp> AgentsDeadSince(
-      const BucketState& bucket) const;
-  [[nodiscard]] std::optional<Timestamp> DeadSince(EntryId entry) const;
-  // Whether every key that a former home may have started is recorded, or all
-  // earlier runs are resolved. Keeps a positive result in the bucket.
-  bool AllStartsRecorded(BucketState& bucket, Timestamp now) const;
-  [[nodiscard]] bool FormerHomeReportedAllStarts(
-      const BucketState& bucket) const;
-  // Whether every run that another home has started in this bucket has ended or
-  // was reported with an agent's promise.
-  [[nodiscard]] bool PriorRunsResolved(const BucketState& bucket,
-                                       Timestamp now) const;
-  // As above, for an agent in the registry.
-  [[nodiscard]] bool RunsAreOver(const KnownAgent& agent, Timestamp now) const;
-  // When an entry first saw the job's key, or an earlier time if that is not
-  // known.
-  [[nodiscard]] Timestamp FirstSeen(const BucketState& bucket,
-                                    const JobSubmission& job) const;
-  // Whether a recorded task of the key may still be running on a lost agent,
-  // which can't be queried.
-  [[nodiscard]] bool HasRunsOfLostAgents(const BucketState& bucket,
-                                         const JobKey& key,
-                                         Timestamp now) const;
-  [[nodiscard]] bool IsFullyRecovered(BucketId id,
-                                      const BucketState& bucket) const;
-  bool TryActivate(BucketId id, BucketState& bucket, Timestamp now);
-  // Until this time an acquisition waits for entries and agents that may still
-  // reply: a home that activates without them must refuse older keys.
-  [[nodiscard]] Timestamp ReplyDeadline(const BucketState& bucket) const {
-    return bucket.begun_at + 2 * this->settings.repeat_interval;
-  }
 
   EntryCoreSettings settings;
-  const AgentRegistry& agents;
   const PeerDirectory& peers;
-  const AgentContacts& contacts;
   EntryOutbox& outbox;
   Membership membership;
   BucketTable buckets;
   BucketAssignment assignment;
   PromiseCollector collector;
   PromiseResponder responder;
-  std::uint64_t examined = 0;
+  BucketActivator activator;
+  KeyHistory history;
   bool tracks_new_keys = false;
   std::map<BucketId, std::vector<KnownKey>> new_keys;
 };
