--- a/libraries/entry_core/key_history.cc
+++ b/libraries/entry_core/key_history.cc
@@ -71,8 +71,9 @@
                                    Timestamp now) const {
   // Only an entry that has joined recently can lack agents in its registry.
   if (!this->membership.IsSynchronized() &&
-      !this->membership.HasOutlivedLeases(now))
+      !this->membership.HasOutlivedLeases(now)) {
     return false;
+  }
   return std::all_of(this->agents.all().begin(), this->agents.all().end(),
                      [&](const auto& item) {
                        return bucket.agent_promises.contains(item.first) ||
--- a/libraries/entry_core/promise_collector.cc
+++ b/libraries/entry_core/promise_collector.cc
@@ -53,8 +53,9 @@
     const bool has_former_home =
         this->buckets.Get(BucketId(i)).former_home.has_value() &&
         this->buckets.Phase(BucketId(i)) != OwnershipPhase::kNone;
-    if (has_former_home)
+    if (has_former_home) {
       entries.insert(*this->buckets.Get(BucketId(i)).former_home);
+    }
   }
   return entries;
 }
@@ -118,8 +119,9 @@
   if (bucket.entry_promises.contains(entry)) return false;
   const auto since = this->membership.since().find(entry);
   // A former home that has left the view can still report its keys.
-  if (since == this->membership.since().end())
+  if (since == this->membership.since().end()) {
     return bucket.former_home == entry;
+  }
   // A kept bucket needs no promise of an entry that has joined since.
   return since->second <= bucket.own_ballot.epoch;
 }
