--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -9,45 +9,21 @@
 
 #include "libraries/entry_core/agent_contacts.h"
 #include "libraries/entry_core/agent_registry.h"
+#include "libraries/entry_core/bucket_activator.h"
+#include "libraries/entry_core/bucket_assignment.h"
+#include "libraries/entry_core/bucket_table.h"
 #include "libraries/entry_core/entry_core_settings.h"
 #include "libraries/entry_core/entry_outbox.h"
+#include "libraries/entry_core/key_history.h"
 #include "libraries/entry_core/key_records.h"
+#include "libraries/entry_core/membership.h"
 #include "libraries/entry_core/peer_directory.h"
-#include "libraries/entry_core/promise_requests.h"
+#include "libraries/entry_core/promise_collector.h"
+#include "libraries/entry_core/promise_responder.h"
 #include "libraries/protocol/entry_messages.h"
 
 namespace dandelionspur {
 
-// How a key stands with the home, the entry that owns the bucket of the key.
-// Decides whether the home may start tasks of the key.
-enum class KeyStatus {
-  // Never started under any other ballot.
-  kFresh,
-  // Inherited: received from the bucket's former home or from other entries,
-  // from before this ballot. The tasks that agents have started must be
-  // collected before any further start.
-  kInherited,
-  // Has its final answer under this ballot.
-  kClosed,
-  // Whether it was started can't be determined: an entry or agent that may
-  // have recorded the start is lost or unresponsive.
-  kIndeterminate,
-  // Tasks that a lost or unreachable process started for it may still be
-  // running.
-  kUnsettled,
-};
-
-// How complete the agents' promises are regarding the tasks started for an
-// inherited key.
-enum class HistoryState {
-  // At least one agent has not promised yet.
-  kIncomplete,
-  // Every agent that might have started a task of the key has promised.
-  kComplete,
-  // An agent that might have started a task of the key is lost.
-  kLost,
-};
-
 // This entry's part in the ballot protocol that assigns each bucket a home: the
 // ballots that it has promised, the keys that it has witnessed, and its own
 // acquisitions of buckets. docs/design/at-most-once.md has the safety
@@ -57,8 +33,11 @@
   Ownership(const EntryCoreSettings& configured, const AgentRegistry& registry,
             const PeerDirectory& directory, const AgentContacts& agent_contacts,
             EntryOutbox& effects);
+  // Its parts refer to each other.
+  Ownership(const Ownership&) = delete;
+  Ownership& operator=(const Ownership&) = delete;
 
-  [[nodiscard]] const View& view() const { return this->current_view; }
+  [[nodiscard]] const View& view() const { return this->membership.view(); }
   struct ViewChange {
     // Buckets that this entry still owns under the same ballot.
     std::vector<BucketId> kept;
@@ -70,54 +49,71 @@
   // was acquired may be witnesses under it. Releases all other buckets.
   ViewChange AdoptView(const View& view, Timestamp now);
   void MarkSynchronized() {
-    this->synchronized = true;
-    this->promises_changed = true;
+    this->membership.MarkSynchronized();
+    this->buckets.NotePromisesChanged();
+  }
+  [[nodiscard]] bool IsSynchronized() const {
+    return this->membership.IsSynchronized();
   }
-  [[nodiscard]] bool IsSynchronized() const { return this->synchronized; }
   // Records that this entry became a member of the view at `now`.
-  void NoteJoined(Timestamp now) { this->joined_at = now; }
+  void NoteJoined(Timestamp now) { this->membership.NoteJoined(now); }
   // Whether this entry has been a member for so long that all leases from
   // before have expired, also those of agents that no entry has reported.
   [[nodiscard]] bool HasOutlivedLeases(Timestamp now) const {
-    return this->joined_at &&
-           now >= *this->joined_at + this->settings.lease_over_after;
+    return this->membership.HasOutlivedLeases(now);
   }
 
   [[nodiscard]] BucketId BucketOfKey(const JobKey& key) const {
     return BucketOf(key, this->settings.bucket_count);
   }
-  [[nodiscard]] OwnershipPhase Phase(BucketId bucket) const;
+  [[nodiscard]] OwnershipPhase Phase(BucketId bucket) const {
+    return this->buckets.Phase(bucket);
+  }
   [[nodiscard]] bool IsActive(BucketId bucket) const {
     return this->Phase(bucket) == OwnershipPhase::kActive;
   }
-  [[nodiscard]] Ballot Promised(BucketId bucket) const;
-  [[nodiscard]] std::vector<BucketBallot> Promises() const;
+  [[nodiscard]] Ballot Promised(BucketId bucket) const {
+    return this->buckets.Get(bucket).promised;
+  }
+  [[nodiscard]] std::vector<BucketBallot> Promises() const {
+    return this->buckets.Promises();
+  }
   // The entry that should act as home of `bucket`: the owner of the promised
   // ballot or, if that entry is not eligible, the highest-ranked member that is
   // not suspected. An empty id if there is none.
-  [[nodiscard]] EntryId ExpectedHome(BucketId bucket, Timestamp now) const;
+  [[nodiscard]] EntryId ExpectedHome(BucketId bucket, Timestamp now) const {
+    return this->assignment.ExpectedHome(bucket, now);
+  }
   // Whether the entry is a member of the view and was one in the view that the
   // promised ballot of the bucket names. A taker may not ask a later member.
-  [[nodiscard]] bool MayWitness(EntryId entry, BucketId bucket) const;
+  [[nodiscard]] bool MayWitness(EntryId entry, BucketId bucket) const {
+    return this->assignment.MayWitness(entry, bucket);
+  }
   // The members of the view, the one that should be home of `bucket` first.
   [[nodiscard]] const std::vector<EntryId>& MembersByRank(
       BucketId bucket) const {
-    return this->rankings[bucket.value()];
+    return this->membership.Ranking(bucket);
   }
   // The highest-ranked other member that is connected and not suspected, as
   // witness for keys of `bucket`; not one of `excluded`.
   [[nodiscard]] std::optional<EntryId> WitnessFor(
-      BucketId bucket, const std::set<EntryId>& excluded, Timestamp now) const;
+      BucketId bucket, const std::set<EntryId>& excluded, Timestamp now) const {
+    return this->assignment.WitnessFor(bucket, excluded, now);
+  }
   // The other member that joined first, of those connected and not suspected.
   [[nodiscard]] std::optional<EntryId> OldestConnectedMember(
-      Timestamp now) const;
+      Timestamp now) const {
+    return this->assignment.OldestConnectedMember(now);
+  }
 
   // Promises a ballot seen in a message if it is higher than the promised one.
   // Returns whether this entry thereby stops owning or acquiring the bucket.
-  bool Observe(const BucketBallot& seen);
+  bool Observe(const BucketBallot& seen) { return this->buckets.Observe(seen); }
   // Begins to acquire the buckets that this entry should be home of. Examines
   // only buckets whose expected home may have changed since the last call.
-  void AcquireVacant(Timestamp now);
+  void AcquireVacant(Timestamp now) {
+    this->Acquire(this->assignment.TakeVacant(now), now);
+  }
   // Begins to acquire buckets from other homes that act.
   void TakeBack(const std::vector<BucketId>& wanted, Timestamp now) {
     this->Acquire(wanted, now);
@@ -125,40 +121,53 @@
   // Asks entries and agents for missing promises: those that have answered the
   // latest request, and those whose answer to it is lost for certain. Call it
   // periodically.
-  void RequestMissing(Timestamp now);
+  void RequestMissing(Timestamp now) { this->collector.RequestMissing(now); }
   // Replies to another entry's promise request. Returns the buckets that this
   // entry loses by promising.
   std::vector<BucketId> OnPromiseRequest(EntryId from,
-                                         const PromiseRequest& request);
+                                         const PromiseRequest& request) {
+    return this->responder.OnPromiseRequest(from, request);
+  }
   // OnPromiseReply and OnAgentPromiseReply return the buckets lost to a higher
   // ballot.
   std::vector<BucketId> OnPromiseReply(EntryId from, const PromiseReply& reply,
-                                       Timestamp now);
+                                       Timestamp now) {
+    return this->collector.OnPromiseReply(from, reply, now);
+  }
   std::vector<BucketId> OnAgentPromiseReply(AgentId from,
                                             const AgentPromiseReply& reply,
-                                            Timestamp now);
+                                            Timestamp now) {
+    return this->collector.OnAgentPromiseReply(from, reply, now);
+  }
   // Requests the missing promises from an entry to or from which there is a new
   // connection. A request or reply on the earlier one may be lost.
-  void ResumeFrom(EntryId entry, Timestamp now);
+  void ResumeFrom(EntryId entry, Timestamp now) {
+    this->collector.ResumeFrom(entry, now);
+  }
   // The same for an agent that has connected.
-  void ResumeFrom(AgentId agent, Timestamp now);
+  void ResumeFrom(AgentId agent, Timestamp now) {
+    this->collector.ResumeFrom(agent, now);
+  }
   // Requests the missing promises from an agent that has become ready.
-  void RequestFrom(AgentId agent, Timestamp now);
-  struct Activation {
-    std::vector<BucketId> activated;
-    // Buckets of which every started key is recorded from now on.
-    std::vector<BucketId> fully_recovered;
-  };
+  void RequestFrom(AgentId agent, Timestamp now) {
+    this->collector.RequestFrom(agent, now);
+  }
+  using Activation = BucketActivator::Activation;
   // Activates the buckets with enough promises.
-  Activation ActivateReady(Timestamp now);
+  Activation ActivateReady(Timestamp now) {
+    return this->activator.ActivateReady(now);
+  }
   // How many times AcquireVacant and ActivateReady have examined a bucket; a
   // measure of the cost of events.
   [[nodiscard]] std::uint64_t buckets_examined() const {
-    return this->examined;
+    return this->assignment.buckets_examined() +
+           this->activator.buckets_examined();
   }
 
   // Whether no task that the agent has started can still be running.
-  [[nodiscard]] bool RunsAreOver(AgentId agent, Timestamp now) const;
+  [[nodiscard]] bool RunsAreOver(AgentId agent, Timestamp now) const {
+    return this->history.RunsAreOver(agent, now);
+  }
 
   // Records a key that this entry handles as home, or as witness.
   void Remember(const KnownKey& known, Timestamp now);
@@ -176,9 +185,13 @@
   // Treats a key that may run again as inherited; `started` are its tasks that
   // have been started and have not completed.
   void Reopen(const JobKey& key, std::vector<ReportedTask> started);
-  [[nodiscard]] KeyStatus StatusOf(const JobSubmission& job, Timestamp now);
+  [[nodiscard]] KeyStatus StatusOf(const JobSubmission& job, Timestamp now) {
+    return this->history.StatusOf(job, now);
+  }
   [[nodiscard]] HistoryState HistoryOf(const JobSubmission& job,
-                                       Timestamp now) const;
+                                       Timestamp now) const {
+    return this->history.HistoryOf(job, now);
+  }
   [[nodiscard]] std::vector<ReportedTask> ReportedTasks(
       const JobKey& key) const;
   [[nodiscard]] bool AgentPromised(BucketId bucket, AgentId agent) const;
@@ -187,155 +200,35 @@
 
   // The lost entries that may have witnessed a key of `bucket` that is not yet
   // re-replicated to the remaining members.
-  [[nodiscard]] std::vector<EntryId> UnreplicatedLosses(BucketId bucket) const;
+  [[nodiscard]] std::vector<EntryId> UnreplicatedLosses(BucketId bucket) const {
+    return this->activator.UnreplicatedLosses(bucket);
+  }
   void MarkReReplicated(BucketId bucket, EntryId lost);
 
   // Removes keys that were last recorded before `horizon`.
   void Expire(Timestamp horizon);
 
  private:
-  // The state of an entry immediately before it made a promise.
-  struct PriorState {
-    Ballot promised;
-    Ballot held;
-    bool knew_all_starts = false;
-  };
-  struct Bucket {
-    Ballot promised;
-    Ballot own_ballot;
-    // The last ballot under which this entry acted as home.
-    Ballot held;
-    // Whether every key that any home has started is recorded here.
-    bool all_starts_recorded = false;
-    // Also of entries whose keys have not all arrived yet.
-    std::map<EntryId, PriorState> prior_states;
-    OwnershipPhase phase = OwnershipPhase::kNone;
-    // The previous home. Its promise is not required, since every key that it
-    // has recorded is recorded by another entry as well.
-    std::optional<EntryId> former_home;
-    Timestamp begun_at;
-    std::set<EntryId> entry_promises;
-    std::set<AgentId> agent_promises;
-    // If set, keys that are not recorded are fresh only if created after this
-    // time.
-    std::optional<Timestamp> fresh_after;
-    std::set<EntryId> replicated_losses;
-    KeyRecords keys;
-  };
-
-  Bucket& Get(BucketId bucket) { return this->buckets[bucket.value()]; }
-  [[nodiscard]] const Bucket& Get(BucketId bucket) const {
-    return this->buckets[bucket.value()];
-  }
   [[nodiscard]] KeyRecords& RecordsOf(const JobKey& key) {
-    return this->Get(this->BucketOfKey(key)).keys;
+    return this->buckets.Get(this->BucketOfKey(key)).keys;
   }
   [[nodiscard]] const KeyRecords& RecordsOf(const JobKey& key) const {
-    return this->Get(this->BucketOfKey(key)).keys;
+    return this->buckets.Get(this->BucketOfKey(key)).keys;
   }
-  void RecordMembership();
-  [[nodiscard]] std::vector<BucketId> ActiveBuckets() const;
-  // Whether the ballot of the bucket stays in force in the current view.
-  [[nodiscard]] bool MayKeep(BucketId id) const;
-  [[nodiscard]] bool NeedsPromiseOf(EntryId entry, const Bucket& bucket) const;
-  // Requests the missing promises from an entry, unless an earlier request is
-  // under way.
-  void RequestFrom(EntryId entry, Timestamp now);
-  // The members, and the former homes that have left the view.
-  [[nodiscard]] std::set<EntryId> EntriesToAsk() const;
-  // How much a responder may list in one reply. All replies together must not
-  // delay heartbeats on this entry's link.
-  [[nodiscard]] std::uint32_t MaximumListed() const;
-  // Records an entry's state before it made its promise, and the promise once
-  // all keys of the bucket have arrived.
-  void AddPromise(EntryId from, const BucketPromise& promise,
-                  const PromisePart& part);
-  // Returns whether the started tasks listed for the bucket are new.
-  bool AddPromise(AgentId from, const AgentBucketPromise& promise,
-                  const PromisePart& part);
   void TrackNewKey(const KnownKey& known, KeyNovelty novelty);
-  // Returns the buckets whose expected home may have changed since the last
-  // call, and clears the list of changes.
-  std::vector<BucketId> TakeBucketsToCheck(Timestamp now);
-  [[nodiscard]] bool IsVacant(BucketId bucket, Timestamp now) const;
   void Acquire(const std::vector<BucketId>& wanted, Timestamp now);
   void BeginAcquisition(BucketId id, Timestamp now);
-  // Whether the view may have had no member but `entry`, which may be lost by
-  // now, for some time. Keys that other entries handed over to it then are
-  // recorded nowhere else.
-  [[nodiscard]] bool MayHaveBeenAlone(EntryId entry) const;
-  void Release(BucketId id);
-  [[nodiscard]] std::set<EntryId> RequiredEntries(BucketId id,
-                                                  const Bucket& bucket) const;
-  [[nodiscard]] bool HasAllEntryPromises(BucketId id,
-                                         const Bucket& bucket) const;
-  [[nodiscard]] bool HasAllAgentPromises(const Bucket& bucket) const;
-  // EntriesDeadSince and AgentsDeadSince return the time at which the last of
-  // those without a promise was proven dead, or nothing if one may be alive.
-  // Keys created later can't have been started elsewhere.
-  [[nodiscard]] std::optional<Timestamp> EntriesDeadSince(
-      BucketId id, const Bucket& bucket) const;
-  [[nodiscard]] std::optional<Timestamp> AgentsDeadSince(
-      const Bucket& bucket) const;
-  [[nodiscard]] std::optional<Timestamp> DeadSince(EntryId entry) const;
-  // Whether every key that a former home may have started is recorded, or all
-  // earlier runs are resolved. Keeps a positive result in the bucket.
-  bool AllStartsRecorded(Bucket& bucket, Timestamp now) const;
-  [[nodiscard]] bool FormerHomeReportedAllStarts(const Bucket& bucket) const;
-  // Whether every run that another home has started in this bucket has ended or
-  // was reported with an agent's promise.
-  [[nodiscard]] bool PriorRunsResolved(const Bucket& bucket,
-                                       Timestamp now) const;
-  // As above, for an agent in the registry.
-  [[nodiscard]] bool RunsAreOver(const KnownAgent& agent, Timestamp now) const;
-  // When an entry first saw the job's key, or an earlier time if that is not
-  // known.
-  [[nodiscard]] Timestamp FirstSeen(const Bucket& bucket,
-                                    const JobSubmission& job) const;
-  // Whether a recorded task of the key may still be running on a lost agent,
-  // which can't be queried.
-  [[nodiscard]] bool HasRunsOfLostAgents(const Bucket& bucket,
-                                         const JobKey& key,
-                                         Timestamp now) const;
-  [[nodiscard]] bool IsFullyRecovered(BucketId id, const Bucket& bucket) const;
-  bool TryActivate(BucketId id, Bucket& bucket, Timestamp now);
-  // Until this time an acquisition waits for entries and agents that may still
-  // reply: a home that activates without them must refuse older keys.
-  [[nodiscard]] Timestamp ReplyDeadline(const Bucket& bucket) const {
-    return bucket.begun_at + 2 * this->settings.repeat_interval;
-  }
 
   EntryCoreSettings settings;
-  const AgentRegistry& agents;
   const PeerDirectory& peers;
-  const AgentContacts& contacts;
   EntryOutbox& outbox;
-  View current_view;
-  // The epoch in which this entry first saw each member of the current view.
-  std::map<EntryId, Epoch> member_since;
-  // The entries that were in a view together with an older member and with this
-  // entry. The older member was there before, and this one has been since.
-  std::set<EntryId> never_alone;
-  bool synchronized = false;
-  std::optional<Timestamp> joined_at;
-  std::vector<Bucket> buckets;
-  // Per bucket, the members of the current view in rendezvous order.
-  std::vector<std::vector<EntryId>> rankings;
-  // The view's epoch and the suspected entries at the latest search for vacant
-  // buckets.
-  Epoch searched_epoch;
-  std::vector<EntryId> suspected;
-  // Buckets released or promised to other entries since the latest search.
-  std::set<BucketId> changed_buckets;
-  // Buckets that are being acquired, or that were activated without all
-  // required promises.
-  std::set<BucketId> incomplete_buckets;
-  // Whether a condition for activation or full recovery has changed since the
-  // last call of ActivateReady.
-  bool promises_changed = false;
-  PromiseRequests<EntryId> entry_requests;
-  PromiseRequests<AgentId> agent_requests;
-  std::uint64_t examined = 0;
+  Membership membership;
+  BucketTable buckets;
+  BucketAssignment assignment;
+  PromiseCollector collector;
+  PromiseResponder responder;
+  BucketActivator activator;
+  KeyHistory history;
   bool tracks_new_keys = false;
   std::map<BucketId, std::vector<KnownKey>> new_keys;
 };
