entry: Serve the newest call first while behind, and refuse late ones

Cause: an entry of 0.09 core that was stopped three times for 1.2 s handles its messages in time again within 250 ms, but serves the calls that waited in the order of their arrival, each as late as the first (1.4 s at 1 s after the last stop). The spare time of a small entry works off such a queue in 5 s only.

Change: calls wait in a CallQueue, in the server as in the simulation: oldest first while the entry keeps up, newest first while they wait for more than 100 ms; what can't be served in time is refused unstarted, with a Retry-After that differs from call to call; once the queue has lasted for 1 s, after a shorter wait. The server handles one call a turn, and the messages in between. The time that a job waited counts against its caller's deadline now, in the server, too. Calls with the key of a cancellation or a question go before it.

--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -2,6 +2,7 @@
 
 #include <malloc.h>
 
+#include <algorithm>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/mp11.hpp>
@@ -115,6 +116,8 @@
       peer_queues(configured.link_bytes_per_second),
       work_delays(
           this->metrics.HistogramFor("stage_seconds", "stage", "own_delay")),
+      call_waits(
+          this->metrics.HistogramFor("stage_seconds", "stage", "call_wait")),
       core(CoreSettings(configured, own)),
       log(this->core, this->metrics),
       shutdown(
@@ -148,16 +151,22 @@
       std::make_unique<DocumentRoutes>(this->serving, *this->table);
   CoreInterface core_interface;
   core_interface.submit = [this](JobSubmission job, AnswerCallback callback) {
+    asio::post(
+        this->core_thread.First(),
+        [this, submission = std::move(job), done = std::move(callback),
+         arrived = SteadyClock::now(), read_at = WallClockNow()]() mutable {
+          this->RecordQueueDelay(arrived);
+          this->Enqueue(std::move(submission), std::move(done), read_at);
+        });
+  };
+  core_interface.cancel = [this](const JobKey& key) {
     asio::post(this->core_thread.First(),
-               [this, submission = std::move(job), done = std::move(callback),
-                arrived = SteadyClock::now()]() mutable {
+               [this, key, arrived = SteadyClock::now()] {
                  this->RecordQueueDelay(arrived);
-                 this->Submit(std::move(submission), std::move(done));
+                 this->SubmitWaiting(key);
+                 this->Handle(CallerCancelled{key});
                });
   };
-  core_interface.cancel = [this](const JobKey& key) {
-    this->Post(CallerCancelled{key});
-  };
   this->caller_routes = std::make_unique<CallerRoutes>(
       this->serving, std::move(core_interface), this->metrics);
   BOOST_LEAF_AUTO(
@@ -265,6 +274,57 @@
       [this, received = std::move(event)] { this->Handle(received); });
 }
 
+void EntryServer::Enqueue(JobSubmission job, AnswerCallback callback,
+                          Timestamp arrived) {
+  if (job.kind != SubmissionKind::kRun) {
+    this->SubmitWaiting(job.key);
+    this->Submit(std::move(job), std::move(callback));
+    return;
+  }
+  const Duration slack = job.Slack();
+  this->calls.Push({std::move(job), std::move(callback)}, slack, arrived);
+  this->ScheduleCallTurn();
+}
+
+void EntryServer::ScheduleCallTurn() {
+  if (this->call_turn_is_posted || this->calls.empty()) return;
+  this->call_turn_is_posted = true;
+  asio::post(this->core_thread.First(), [this, posted = SteadyClock::now()] {
+    this->RecordQueueDelay(posted);
+    this->call_turn_is_posted = false;
+    this->TakeCallTurn();
+    this->ScheduleCallTurn();
+  });
+}
+
+void EntryServer::TakeCallTurn() {
+  CallQueue<Call>::Turn turn = this->calls.Take(WallClockNow());
+  for (const CallQueue<Call>::Refused& late : turn.refused) {
+    this->RefuseLate(late);
+  }
+  if (turn.next) this->SubmitDue(std::move(*turn.next));
+}
+
+void EntryServer::SubmitWaiting(const JobKey& key) {
+  std::vector<CallQueue<Call>::Due> waiting = this->calls.TakeMatching(
+      [&](const Call& call) { return call.job.key == key; }, WallClockNow());
+  for (CallQueue<Call>::Due& due : waiting) this->SubmitDue(std::move(due));
+}
+
+void EntryServer::RefuseLate(const CallQueue<Call>::Refused& late) {
+  this->call_waits.Observe(std::chrono::duration<double>(late.waited).count());
+  const Overload overload{ScarceResource::kDelay, late.retry_after};
+  late.call.callback(this->RefuseOverload(late.call.job, overload));
+}
+
+void EntryServer::SubmitDue(CallQueue<Call>::Due due) {
+  this->call_waits.Observe(std::chrono::duration<double>(due.waited).count());
+  JobSubmission& job = due.call.job;
+  // The caller's time has passed while the job waited here.
+  job.time_allowed = std::max(Duration(), job.time_allowed - due.waited);
+  this->Submit(std::move(job), std::move(due.call.callback));
+}
+
 void EntryServer::Submit(JobSubmission job, AnswerCallback callback) {
   this->shutdown.TakeDueSteps();
   const bool is_new = job.kind == SubmissionKind::kRun;
@@ -468,6 +528,7 @@
                     static_cast<double>(this->core.jobs_at_home()));
   this->metrics.Set("jobs_relayed",
                     static_cast<double>(this->core.jobs_relayed()));
+  this->metrics.Set("calls_waiting", static_cast<double>(this->calls.size()));
   this->metrics.Set("known_keys",
                     static_cast<double>(this->core.buckets().KnownKeyCount()));
   this->metrics.Set("ready", this->core.IsReady() ? 1 : 0);
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -10,6 +10,7 @@
 
 #include "libraries/configuration/settings.h"
 #include "libraries/decision_log/entry_decision_log.h"
+#include "libraries/entry_core/call_queue.h"
 #include "libraries/entry_core/entry_core.h"
 #include "libraries/telemetry/event_loop_delay.h"
 #include "services/entry/caller_routes.h"
@@ -45,6 +46,11 @@
 
  private:
   using SteadyClock = std::chrono::steady_clock;
+  // A caller's job that waits for its turn.
+  struct Call {
+    JobSubmission job;
+    AnswerCallback callback;
+  };
 
   explicit EntryServer(const EntrySettings& configured, EntryId self);
   Result<void> Listen();
@@ -79,6 +85,18 @@
   // Why no new job with this submission may be taken in, or nothing.
   [[nodiscard]] std::optional<Overload> CheckLoad(
       const JobSubmission& job) const;
+  // Lets a new job wait for its turn. Anything else is submitted immediately,
+  // after the calls that wait with the same key.
+  void Enqueue(JobSubmission job, AnswerCallback callback, Timestamp arrived);
+  // Posts a turn unless there is one. Between two turns all messages that have
+  // arrived are handled, since the work in progress depends on them.
+  void ScheduleCallTurn();
+  void TakeCallTurn();
+  // Submits all calls that wait with this key.
+  void SubmitWaiting(const JobKey& key);
+  void SubmitDue(CallQueue<Call>::Due due);
+  // Refuses a call that has waited too long.
+  void RefuseLate(const CallQueue<Call>::Refused& late);
   void Submit(JobSubmission job, AnswerCallback callback);
   void PublishServingState();
   [[nodiscard]] nlohmann::json Status() const;
@@ -118,10 +136,13 @@
   PeerQueues peer_queues;
   SteadyClock::time_point next_link_check;
   prometheus::Histogram& work_delays;
+  prometheus::Histogram& call_waits;
   PublishedServingState serving;
   ServingState next_serving_state;
   EntryCore core;
   EntryDecisionLog log;
+  CallQueue<Call> calls;
+  bool call_turn_is_posted = false;
   WaitingCallers waiting_callers;
   GracefulShutdown shutdown;
   std::unique_ptr<EntryLinks> links;
--- a/tests/support/budgeted_cluster.cc
+++ b/tests/support/budgeted_cluster.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <numeric>
+#include <utility>
 
 #include "tests/support/simulated_workload.h"
 
@@ -132,7 +133,11 @@
   for (; this->due_jobs >= kThousand; this->due_jobs -= kThousand) {
     // Callers know nothing of the entries' state.
     Entry& entry = this->entries[this->key_count % this->entries.size()];
-    entry.calls.push_back({this->key_count++, this->clock.Now()});
+    JobSubmission job = JobOf(this->key_count++, this->options);
+    job.time_allowed = kCallerDeadline;
+    const Duration slack = job.Slack();
+    entry.calls.Push({std::move(job), this->clock.Now()}, slack,
+                     this->clock.Now());
   }
 }
 
@@ -157,16 +162,17 @@
 }
 
 Duration BudgetedCluster::HandleCall(Entry& entry) {
-  if (entry.calls.empty()) return {};
-  const WaitingCall call = entry.calls.front();
-  entry.calls.pop_front();
-  JobSubmission job = JobOf(call.key, this->options);
-  job.time_allowed = kCallerDeadline - (this->clock.Now() - call.arrived);
-  // The entry refuses at the door what is too late already.
-  if (job.time_allowed <= Duration()) return kEventCost;
+  CallQueue<Call>::Turn turn = entry.calls.Take(this->clock.Now());
+  // The entry refuses at the door what can't be served in time.
+  const Duration cost =
+      kEventCost * static_cast<std::int64_t>(turn.refused.size());
+  if (!turn.next) return cost;
+  JobSubmission& job = turn.next->call.job;
+  job.time_allowed -= turn.next->waited;
   const RequestId request = this->oracle.RecordSubmission(entry.node, job.key);
-  this->pending.push_back({request, call.arrived});
-  return CostOf(kCallCost, this->processes.HandleEntry(
+  this->pending.push_back({request, turn.next->call.arrived});
+  return cost +
+         CostOf(kCallCost, this->processes.HandleEntry(
                                entry.node, CallerSubmitted{request, job}));
 }
 
--- a/tests/support/budgeted_cluster.h
+++ b/tests/support/budgeted_cluster.h
@@ -2,11 +2,11 @@
 #define DANDELIONSPUR_TESTS_SUPPORT_BUDGETED_CLUSTER_H_
 
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "libraries/entry_core/call_queue.h"
 #include "tests/support/fault_injector.h"
 #include "tests/support/processor_budget.h"
 #include "tests/support/simulated_clock.h"
@@ -66,14 +66,15 @@
   [[nodiscard]] std::string Log() const { return this->log.Text(); }
 
  private:
-  struct WaitingCall {
-    std::uint32_t key = 0;
+  // A job that its caller has sent to an entry.
+  struct Call {
+    JobSubmission job;
     Timestamp arrived;
   };
   struct Entry {
     NodeId node = 0;
     ProcessorBudget budget;
-    std::deque<WaitingCall> calls;
+    CallQueue<Call> calls;
     Timestamp tick_due;
     std::uint32_t ticks = 0;
     // The sender of the message that was read last.
