tests: Stop other entries, halve speeds and burst in collapse_test

More cases with the same check and bounds: stops in turn of a large, a medium and of both small entries, entries of half speed in turn, and bursts of three times the jobs, and of twice the jobs while an entry is frozen.

--- a/tests/entry_core/collapse_test.cc
+++ b/tests/entry_core/collapse_test.cc
@@ -14,7 +14,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// One entry gets a part of its processor for some time.
+constexpr std::uint32_t kJobsPerSecond = 700;
+constexpr std::uint32_t kFullSpeed = 100;
+
+// For some time one entry gets a part of its processor, or callers submit more
+// jobs.
 struct Disturbance {
   std::uint32_t slot = 0;
   // 0: the entry is frozen.
@@ -22,6 +26,7 @@
   Duration lasts{};
   // Until the next one.
   Duration pause{};
+  std::uint32_t jobs_per_second = kJobsPerSecond;
 };
 
 struct CollapseCase {
@@ -50,7 +55,9 @@
   void Disturb() {
     for (const Disturbance& disturbance : GetParam().disturbances) {
       this->cluster.SetSpeed(disturbance.slot, disturbance.percent);
+      this->cluster.SetRate(disturbance.jobs_per_second);
       this->cluster.Run(disturbance.lasts);
+      this->cluster.SetRate(kJobsPerSecond);
       this->cluster.SetSpeed(disturbance.slot, kFullSpeed);
       this->cluster.Run(disturbance.pause);
     }
@@ -68,9 +75,6 @@
     return found;
   }
 
-  static constexpr std::uint32_t kJobsPerSecond = 700;
-  static constexpr std::uint32_t kFullSpeed = 100;
-
   BudgetedCluster cluster;
 };
 
@@ -112,6 +116,26 @@
                      {{6, 0, milliseconds(1200), milliseconds(100)},
                       {6, 0, milliseconds(1200), milliseconds(100)},
                       {6, 0, milliseconds(1200), milliseconds(100)}}},
+        CollapseCase{"StopsAndRunsOfALargeEntry",
+                     {{0, 0, milliseconds(1200), milliseconds(100)},
+                      {0, 0, milliseconds(1200), milliseconds(100)},
+                      {0, 0, milliseconds(1200), milliseconds(100)}}},
+        CollapseCase{"StopsAndRunsOfAMediumEntry",
+                     {{3, 0, milliseconds(1200), milliseconds(100)},
+                      {3, 0, milliseconds(1200), milliseconds(100)},
+                      {3, 0, milliseconds(1200), milliseconds(100)}}},
+        CollapseCase{"StopsAndRunsOfBothSmallEntries",
+                     {{6, 0, milliseconds(1200), milliseconds(100)},
+                      {7, 0, milliseconds(1200), milliseconds(100)},
+                      {6, 0, milliseconds(1200), milliseconds(100)},
+                      {7, 0, milliseconds(1200), milliseconds(100)}}},
+        CollapseCase{"HalfSpeedInTurn",
+                     {{6, 50, seconds(3), Duration()},
+                      {2, 50, seconds(3), Duration()},
+                      {0, 50, seconds(3), Duration()}}},
+        CollapseCase{"Burst", {{0, kFullSpeed, seconds(2), Duration(), 2100}}},
+        CollapseCase{"BurstWhileOneIsFrozen",
+                     {{2, 0, seconds(2), Duration(), 1400}}},
         CollapseCase{"TwoSlowInTurn",
                      {{0, 10, seconds(4), Duration()},
                       {1, 10, seconds(4), Duration()}}}),
--- a/tests/support/budgeted_cluster.h
+++ b/tests/support/budgeted_cluster.h
@@ -35,7 +35,7 @@
 
 // A deterministic simulation of a cluster whose entries have a limited
 // processor: each event costs them time, and what they have no time for waits
-// in their sockets. Callers submit jobs at a constant rate. Nothing else is
+// in their sockets. Callers submit jobs at a steady rate. Nothing else is
 // limited or fails.
 class BudgetedCluster {
  public:
@@ -49,6 +49,8 @@
   // The entry in the slot gets this share of its processor from now on; 0
   // freezes it.
   void SetSpeed(std::uint32_t slot, std::uint32_t percent);
+  // Callers submit this many jobs a second from now on.
+  void SetRate(std::uint32_t rate) { this->jobs_per_second = rate; }
 
   // How late the entry's timer is, and so its handling of events.
   [[nodiscard]] Duration LagOf(std::uint32_t slot) const;
