--- a/tests/support/budgeted_cluster.h
+++ b/tests/support/budgeted_cluster.h
@@ -2,11 +2,11 @@
 #define DANDELIONSPUR_TESTS_SUPPORT_BUDGETED_CLUSTER_H_
 
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "libraries/entry_core/call_queue.h"
 #include "tests/support/fault_injector.h"
 #include "tests/support/processor_budget.h"
 #include "tests/support/simulated_clock.h"
@@ -35,7 +35,7 @@
 
 // A deterministic simulation of a cluster whose entries have a limited
 // processor: each event costs them time, and what they have no time for waits
-// in their sockets. Callers submit jobs at a constant rate. Nothing else is
+// in their sockets. Callers submit jobs at a steady rate. Nothing else is
 // limited or fails.
 class BudgetedCluster {
  public:
@@ -49,6 +49,8 @@
   // The entry in the slot gets this share of its processor from now on; 0
   // freezes it.
   void SetSpeed(std::uint32_t slot, std::uint32_t percent);
+  // Callers submit this many jobs a second from now on.
+  void SetRate(std::uint32_t rate) { this->jobs_per_second = rate; }
 
   // How late the entry's timer is, and so its handling of events.
   [[nodiscard]] Duration LagOf(std::uint32_t slot) const;
@@ -66,14 +68,15 @@
   [[nodiscard]] std::string Log() const { return this->log.Text(); }
 
  private:
-  struct WaitingCall {
-    std::uint32_t key = 0;
+  // A job that its caller has sent to an entry.
+  struct Call {
+    JobSubmission job;
     Timestamp arrived;
   };
   struct Entry {
     NodeId node = 0;
     ProcessorBudget budget;
-    std::deque<WaitingCall> calls;
+    CallQueue<Call> calls;
     Timestamp tick_due;
     std::uint32_t ticks = 0;
     // The sender of the message that was read last.
