entry: Leave no call waiting for its turn when a stop answers its callers

Since calls wait for their turn in a queue of the entry's own, one that is behind when it stops could reach the end of the stop with calls that nobody has looked at. From the moment at which callers are answered, one turn takes all of them, and each is refused.

--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -299,6 +299,12 @@
 }
 
 void EntryServer::TakeCallTurn() {
+  this->shutdown.TakeDueSteps();
+  // Too late for any job: nothing may wait when the process ends.
+  if (!this->shutdown.CanAnswerWithin(Duration())) {
+    this->SubmitAllWaiting();
+    return;
+  }
   CallQueue<Call>::Turn turn = this->calls.Take(WallClockNow());
   for (const CallQueue<Call>::Refused& late : turn.refused) {
     this->RefuseLate(late);
@@ -307,8 +313,17 @@
 }
 
 void EntryServer::SubmitWaiting(const JobKey& key) {
-  std::vector<CallQueue<Call>::Due> waiting = this->calls.TakeMatching(
-      [&](const Call& call) { return call.job.key == key; }, WallClockNow());
+  this->SubmitMatching([&](const Call& call) { return call.job.key == key; });
+}
+
+void EntryServer::SubmitAllWaiting() {
+  this->SubmitMatching([](const Call&) { return true; });
+}
+
+void EntryServer::SubmitMatching(
+    const std::function<bool(const Call&)>& matches) {
+  std::vector<CallQueue<Call>::Due> waiting =
+      this->calls.TakeMatching(matches, WallClockNow());
   for (CallQueue<Call>::Due& due : waiting) this->SubmitDue(std::move(due));
 }
 
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -96,6 +97,9 @@
   void TakeCallTurn();
   // Submits all calls that wait with this key.
   void SubmitWaiting(const JobKey& key);
+  // Submits all calls that wait, also those that will be refused.
+  void SubmitAllWaiting();
+  void SubmitMatching(const std::function<bool(const Call&)>& matches);
   void SubmitDue(CallQueue<Call>::Due due);
   // Refuses a call that has waited too long.
   void RefuseLate(const CallQueue<Call>::Refused& late);
