daemon: Make no further server for a process that is to stop

Cause, found by the review of the incident: a signal that comes after an entry has decided to begin anew took effect only in the next server, which had by then begun to listen and to join, and had the whole time of a stop from there on. Change: before a further server is made, signals that wait are taken. daemon_test covers both ways.

--- a/services/runtime/daemon.cc
+++ b/services/runtime/daemon.cc
@@ -51,6 +51,13 @@
     this->on_reload = nullptr;
   }
 
+  // Whether a signal to stop has come, also one that no run has handled yet.
+  bool IsStopRequested() {
+    this->context.restart();
+    this->context.poll();
+    return this->stop_requested;
+  }
+
   void End() { this->context.stop(); }
 
   // Safe from any thread during Run().
@@ -167,6 +174,10 @@
   MainLoop::Instance().Run(stop, reload);
 }
 
+bool Lifetime::IsStopRequested() {
+  return MainLoop::Instance().IsStopRequested();
+}
+
 void Lifetime::Finish(ExitCode code) {
   exit_code = static_cast<int>(code);
   MainLoop::Instance().End();
--- a/services/runtime/daemon.h
+++ b/services/runtime/daemon.h
@@ -46,6 +46,8 @@
   // be called again after that.
   static void Run(const std::function<void()>& stop,
                   const std::function<void()>& reload);
+  // Whether SIGTERM or SIGINT has come. Must not be called during Run().
+  static bool IsStopRequested();
   // Makes Run() return. Safe from any thread.
   static void Finish(ExitCode code);
   // Calls `report` and Finish() after `time` unless Run() has returned by then.
--- a/services/runtime/run_daemon.h
+++ b/services/runtime/run_daemon.h
@@ -63,6 +63,7 @@
           if (Lifetime::Result() != ExitCode::kRemoved) {
             return Lifetime::Result();
           }
+          if (Lifetime::IsStopRequested()) return ExitCode::kSuccess;
           LogStateChange(ProcessRestarting{});
         }
       },
--- a/tests/services/daemon_test.cc
+++ b/tests/services/daemon_test.cc
@@ -15,7 +15,9 @@
                         [] {});
   Lifetime::Run([] {}, [] {});
   ASSERT_EQ(Lifetime::Result(), ExitCode::kRemoved);
+  EXPECT_FALSE(Lifetime::IsStopRequested());
   ASSERT_EQ(std::raise(SIGTERM), 0);
+  EXPECT_TRUE(Lifetime::IsStopRequested());
   bool stopped = false;
   Lifetime::Run(
       [&] {
