--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -10,7 +10,6 @@
 #include <utility>
 
 #include "libraries/base/enum_name.h"
-#include "libraries/configuration/stored_document.h"
 #include "libraries/entry_core/submission_validator.h"
 #include "libraries/telemetry/log.h"
 #include "platform/job_calls.h"
@@ -401,13 +400,7 @@
   const VersionedDocument& document = effect.document;
   LogStateChange(
       DocumentAdopted{document.service.value(), document.version.value()});
-  const std::optional<ServiceDocument> parsed = ParseStoredDocument(document);
-  if (!parsed) return;
-  this->next_serving_state.documents[document.service] = {*parsed, document};
-  this->next_serving_state.routes = RouteTable();
-  for (const auto& [service, served] : this->next_serving_state.documents) {
-    this->next_serving_state.routes.Add(service, served.parsed.routes);
-  }
+  if (!this->next_serving_state.Adopt(document)) return;
   this->PublishServingState();
 }
 
--- a/services/entry/serving_state.h
+++ b/services/entry/serving_state.h
@@ -22,6 +22,10 @@
   View view;
   std::map<ServiceName, ServedDocument> documents;
   RouteTable routes;
+
+  // Takes over a document that has come into force. Returns false, without any
+  // change, if it doesn't parse.
+  bool Adopt(const VersionedDocument& document);
 };
 
 using PublishedServingState = RcuValue<ServingState>;
