configuration: Read long lists of routes in one pass

Reading a configuration made a value tree of each route, a second one for the document of its service, and wrote and parsed that; ObjectReader allocated several strings a field. Boost.JSON now reads the list of routes straight into routes, and the documents are written as text. Whatever that pass finds odd, it leaves to the reader that words problems, so that refusals read as before. Both share the list of fields. The form of the text that is stored is unchanged.

--- a/libraries/configuration/service_document.cc
+++ b/libraries/configuration/service_document.cc
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 
+#include "libraries/configuration/long_list.h"
 #include "libraries/configuration/object_reader.h"
+#include "libraries/configuration/plain_object.h"
+#include "libraries/configuration/route_limits.h"
 #include "libraries/protocol/job.h"
 
 namespace dandelionspur {
@@ -17,10 +20,6 @@
 constexpr IntegerRange kPercentRange{0, 100};
 constexpr IntegerRange kWeightRange{1, 1'000};
 constexpr IntegerRange kRunningRange{1, 1'000'000};
-constexpr IntegerRange kPriorityRange{0, 1'000'000};
-constexpr IntegerRange kAttemptsRange{1, 1'000};
-constexpr IntegerRange kObjectivePercentRange{0, 100'000};
-constexpr IntegerRange kObjectiveLatencyRangeMilliseconds{0, 3'600'000};
 
 constexpr std::int64_t kDefaultQueuedTasks = 20'000;
 constexpr std::int64_t kDefaultRetryPercent = 10;
@@ -41,23 +40,28 @@
   return client_account;
 }
 
+template <ReadsFields Reader>
+Route ReadRoute(Reader& reader) {
+  Route route;
+  route.host = reader.Text("host");
+  route.path_prefix = reader.Text("path_prefix");
+  route.timeout = reader.MillisecondsOr(
+      "timeout_ms", kRouteTimeoutRangeMilliseconds, kDefaultRouteTimeout);
+  route.priority = static_cast<std::uint32_t>(
+      reader.IntegerOr("priority", kRoutePriorityRange, 0));
+  route.maximum_attempts = static_cast<std::uint32_t>(
+      reader.IntegerOr("maximum_attempts", kRouteAttemptsRange, 1));
+  route.objective_percent = static_cast<std::uint32_t>(
+      reader.IntegerOr("objective_percent", kObjectivePercentRange, 0));
+  route.objective_latency = reader.MillisecondsOr(
+      "objective_latency_ms", kObjectiveLatencyRangeMilliseconds, Duration());
+  return route;
+}
+
 void ReadRoutes(ObjectReader& reader, ServiceDocument& document) {
   if (!reader.Has("routes")) return;
   for (ObjectReader& nested : reader.Objects("routes")) {
-    Route route;
-    route.host = nested.Text("host");
-    route.path_prefix = nested.Text("path_prefix");
-    route.timeout = nested.MillisecondsOr(
-        "timeout_ms", kDeadlineRangeMilliseconds, kDefaultRouteTimeout);
-    route.priority = static_cast<std::uint32_t>(
-        nested.IntegerOr("priority", kPriorityRange, 0));
-    route.maximum_attempts = static_cast<std::uint32_t>(
-        nested.IntegerOr("maximum_attempts", kAttemptsRange, 1));
-    route.objective_percent = static_cast<std::uint32_t>(
-        nested.IntegerOr("objective_percent", kObjectivePercentRange, 0));
-    route.objective_latency = nested.MillisecondsOr(
-        "objective_latency_ms", kObjectiveLatencyRangeMilliseconds, Duration());
-    document.routes.push_back(std::move(route));
+    document.routes.push_back(ReadRoute(nested));
     reader.FinishNested(nested);
   }
 }
@@ -79,10 +83,8 @@
   }
 }
 
-}  // namespace
-
-Result<ServiceDocument> ParseServiceDocument(const std::string& text,
-                                             const std::string& source) {
+Result<ServiceDocument> ParseWholeDocument(const std::string& text,
+                                           const std::string& source) {
   BOOST_LEAF_AUTO(json, ParseJsonWithComments(text, source));
   ObjectReader reader(source, "", json);
   ServiceDocument document;
@@ -133,4 +135,17 @@
   return document;
 }
 
+}  // namespace
+
+Result<ServiceDocument> ParseServiceDocument(const std::string& text,
+                                             const std::string& source) {
+  std::optional<LongList<Route>> routes = ReadLongList<Route>(
+      text, JsonComments::kIgnored, UnknownFields::kRefused, "routes",
+      [](PlainObject& reader) { return ReadRoute(reader); });
+  if (!routes) return ParseWholeDocument(text, source);
+  BOOST_LEAF_AUTO(document, ParseWholeDocument(routes->rest, source));
+  document.routes = std::move(routes->items);
+  return document;
+}
+
 }  // namespace dandelionspur
