configuration: Keep the cost of a lookup the same at any number of routes

The standard map scans up to 20 entries without hashing and follows nodes beyond, so a lookup among 5,000 routes took 1.3 times that among 10. Boost's flat map and a flat set of lengths do the same work at every size.

--- a/libraries/configuration/host_routes.h
+++ b/libraries/configuration/host_routes.h
@@ -1,13 +1,14 @@
 #ifndef DANDELIONSPUR_LIBRARIES_CONFIGURATION_HOST_ROUTES_H_
 #define DANDELIONSPUR_LIBRARIES_CONFIGURATION_HOST_ROUTES_H_
 
+#include <boost/container/flat_set.hpp>
+#include <boost/unordered/unordered_flat_map.hpp>
 #include <cstddef>
 #include <functional>
-#include <set>
 #include <string_view>
-#include <unordered_map>
 
 #include "libraries/configuration/service_document.h"
+#include "libraries/configuration/text_hash.h"
 
 namespace dandelionspur {
 
@@ -29,9 +30,9 @@
   [[nodiscard]] bool IsEmpty() const { return this->targets.empty(); }
 
  private:
-  std::unordered_map<std::string_view, Target> targets;
+  boost::unordered_flat_map<std::string_view, Target, TextHash> targets;
   // The lengths of all prefixes, the longest first.
-  std::set<std::size_t, std::greater<>> lengths;
+  boost::container::flat_set<std::size_t, std::greater<>> lengths;
 };
 
 }  // namespace dandelionspur
--- a/libraries/configuration/route_table.h
+++ b/libraries/configuration/route_table.h
@@ -1,16 +1,17 @@
 #ifndef DANDELIONSPUR_LIBRARIES_CONFIGURATION_ROUTE_TABLE_H_
 #define DANDELIONSPUR_LIBRARIES_CONFIGURATION_ROUTE_TABLE_H_
 
+#include <boost/unordered/unordered_flat_map.hpp>
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 
 #include "libraries/configuration/host_routes.h"
 #include "libraries/configuration/service_document.h"
+#include "libraries/configuration/text_hash.h"
 
 namespace dandelionspur {
 
@@ -44,17 +45,12 @@
     std::shared_ptr<const ServiceDocument> document;
     std::map<std::string_view, std::vector<const Route*>> hosts;
   };
-  // Hashes the text of any kind of string.
-  struct TextHash : std::hash<std::string_view> {
-    using is_transparent = void;
-  };
-
   void BuildHost(const std::string& host);
 
   std::map<ServiceName, std::shared_ptr<const ServiceRoutes>> services;
   // The routes that these refer to belong to `services`.
-  std::unordered_map<std::string, std::shared_ptr<const HostRoutes>, TextHash,
-                     std::equal_to<>>
+  boost::unordered_flat_map<std::string, std::shared_ptr<const HostRoutes>,
+                            TextHash, std::equal_to<>>
       hosts;
 };
 
