entry: Read only the newest version of the configuration that the table shows

Of several versions of the operators' row in one answer each was decoded, and its documents were posted to the core, though each holds the whole configuration. Only the newest is read now. A version older than one that was read is left out, too: its services replaced those known, so that a service that it lacked kept its routes when a later version removed it. Both are counted in configurations_skipped_total{reason}; the time to decode is in stage_seconds.

New tests, both failed before: OnlyTheNewestVersionOfAnAnswerIsRead, AnOlderVersionDoesNotHideAServiceThatIsRemovedLater. The stand-in of the table in table_watcher_test can now answer with changes, too.

--- a/services/entry/table_watcher.cc
+++ b/services/entry/table_watcher.cc
@@ -15,6 +15,7 @@
 namespace {
 
 namespace asio = boost::asio;
+using SteadyClock = std::chrono::steady_clock;
 
 // How long the table service may hold a long poll open without changes.
 constexpr Duration kFeedPollTimeout = std::chrono::seconds(1);
@@ -75,6 +76,12 @@
       context(thread),
       metrics(counters),
       sink(std::move(events)),
+      overtaken_configurations(counters.CounterFor(
+          "configurations_skipped_total", "reason", "overtaken")),
+      older_configurations(counters.CounterFor("configurations_skipped_total",
+                                               "reason", "older")),
+      decode_times(counters.HistogramFor("stage_seconds", "stage",
+                                         "configuration_decode")),
       table(thread, configured.table),
       own_feed(TableName::kOwn, thread),
       operator_feed(TableName::kOperators, thread),
@@ -176,26 +183,46 @@
 }
 
 void TableWatcher::OnOperatorRows(const std::vector<Row>& rows) {
+  const Row* newest = nullptr;
   for (const Row& row : rows) {
     if (row.key != kConfigurationRow) continue;
-    const std::vector<VersionedDocument> documents =
-        OrElse([&] { return DecodeConfiguration(row.value); },
-               [this](const std::string& problem) {
-                 this->ReportUnreadable("operators", problem);
-                 return std::vector<VersionedDocument>();
-               });
-    if (documents.empty()) continue;
-    std::set<ServiceName> dropped = std::move(this->configured_services);
-    this->configured_services.clear();
-    for (const VersionedDocument& document : documents) {
-      dropped.erase(document.service);
-      this->configured_services.insert(document.service);
-      this->sink(DocumentRead{document});
-    }
-    for (const ServiceName& service : dropped) {
-      this->sink(DocumentRead{
-          DocumentWithoutRoutes(service, documents.front().version)});
-    }
+    // Each version of the row holds the whole configuration, so one that was
+    // overtaken before it was read tells nothing.
+    if (newest != nullptr) this->overtaken_configurations.Increment();
+    const bool is_newer = newest == nullptr || row.version >= newest->version;
+    if (is_newer) newest = &row;
+  }
+  if (newest != nullptr) this->OnConfigurationRow(*newest);
+}
+
+void TableWatcher::OnConfigurationRow(const Row& row) {
+  const auto began = SteadyClock::now();
+  const std::vector<VersionedDocument> documents =
+      OrElse([&] { return DecodeConfiguration(row.value); },
+             [this](const std::string& problem) {
+               this->ReportUnreadable("operators", problem);
+               return std::vector<VersionedDocument>();
+             });
+  this->decode_times.Observe(
+      std::chrono::duration<double>(SteadyClock::now() - began).count());
+  if (documents.empty()) return;
+  const DocumentVersion version = documents.front().version;
+  if (version < this->newest_configuration) {
+    // Its services must not replace those known by now, or one that is removed
+    // later would keep its routes.
+    this->older_configurations.Increment();
+    return;
+  }
+  this->newest_configuration = version;
+  std::set<ServiceName> dropped = std::move(this->configured_services);
+  this->configured_services.clear();
+  for (const VersionedDocument& document : documents) {
+    dropped.erase(document.service);
+    this->configured_services.insert(document.service);
+    this->sink(DocumentRead{document});
+  }
+  for (const ServiceName& service : dropped) {
+    this->sink(DocumentRead{DocumentWithoutRoutes(service, version)});
   }
 }
 
--- a/services/entry/table_watcher.h
+++ b/services/entry/table_watcher.h
@@ -84,6 +84,7 @@
   void ReportUnreadable(std::string_view kind, const std::string& problem);
   void OnOwnRows(const std::vector<Row>& rows);
   void OnOperatorRows(const std::vector<Row>& rows);
+  void OnConfigurationRow(const Row& row);
   void OnDocumentRow(const Row& row);
   void OnJoinRow(const Row& row);
   // Reads the view after a write of it, to adopt what the table holds now.
@@ -112,10 +113,15 @@
   boost::asio::io_context& context;
   Metrics& metrics;
   EntryEventSink sink;
+  // Versions of the operators' configuration that were not put in force.
+  prometheus::Counter& overtaken_configurations;
+  prometheus::Counter& older_configurations;
+  prometheus::Histogram& decode_times;
   TableClient table;
   Feed own_feed;
   Feed operator_feed;
-  // The services named in the latest configuration of the operators.
+  // The latest version of the operators' configuration, and its services.
+  DocumentVersion newest_configuration;
   std::set<ServiceName> configured_services;
   RowVersion view_version;
   View view;
--- a/tests/services/table_watcher_test.cc
+++ b/tests/services/table_watcher_test.cc
@@ -75,6 +75,16 @@
            std::string::npos;
   }
 
+  [[nodiscard]] bool Skipped(const std::string& reason, int count) const {
+    return this->metrics.SerializeToText().find(
+               "configurations_skipped_total{reason=\"" + reason + "\"} " +
+               std::to_string(count) + "\n") != std::string::npos;
+  }
+
+  // The operators' rows that change after those that Read was given, one list
+  // an answer.
+  std::vector<json> operator_changes;
+  std::vector<VersionedDocument> documents;
   std::vector<std::string> services;
   std::vector<Epoch> epochs;
 
@@ -91,16 +101,23 @@
       responder(MakeHttpResponse(kConflict, "application/json", "{}"));
       return;
     }
-    // No changes follow.
-    if (target.starts_with("/-/rows-feed")) return;
     const std::string table =
         target.find("table=op") != std::string::npos ? "op" : "dandelionspur";
+    if (target.starts_with("/-/rows-feed")) {
+      const bool has_changes =
+          table == "op" && this->next_change < this->operator_changes.size();
+      if (!has_changes) return;
+      const json& rows = this->operator_changes[this->next_change++];
+      responder(MakeHttpResponse(kOk, "application/json", Answer(rows)));
+      return;
+    }
     responder(MakeHttpResponse(kOk, "application/json", this->answers[table]));
   }
 
   void Note(const EntryEvent& event) {
     if (const auto* read = std::get_if<DocumentRead>(&event)) {
       this->services.push_back(read->document.service.value());
+      this->documents.push_back(read->document);
     }
     if (const auto* read = std::get_if<ViewRead>(&event)) {
       this->epochs.push_back(read->view.epoch);
@@ -111,10 +128,52 @@
   asio::io_context context{1};
   Metrics metrics;
   std::map<std::string, std::string> answers;
+  std::size_t next_change = 0;
   std::unique_ptr<HttpServer> server;
   std::unique_ptr<TableWatcher> watcher;
 };
 
+// A version of the operators' row that names these services.
+json ConfigurationRow(std::uint64_t version,
+                      const std::vector<std::string>& services) {
+  json list = json::array();
+  for (const std::string& service : services) {
+    list.push_back({{"name", service}});
+  }
+  json row = WireRow(
+      "config",
+      json{{"version", version}, {"services", list}, {"routes", json::array()}}
+          .dump());
+  row["schema_version"] = version;
+  return row;
+}
+
+// Guards against an entry that falls further behind the faster the
+// configuration changes, because it reads versions that were overtaken.
+TEST_F(TableWatcherTest, OnlyTheNewestVersionOfAnAnswerIsRead) {
+  this->Read(json::array(),
+             {ConfigurationRow(3, {"s"}), ConfigurationRow(9, {"s"}),
+              WireRow("other", ""), ConfigurationRow(5, {"s"})});
+  ASSERT_EQ(this->documents.size(), 1U);
+  EXPECT_EQ(this->documents[0].version, DocumentVersion(9));
+  EXPECT_TRUE(this->Skipped("overtaken", 2));
+  EXPECT_TRUE(this->Skipped("older", 0));
+}
+
+// Guards against a removed service that keeps its routes, because a store that
+// was behind showed a configuration from before the service was added.
+TEST_F(TableWatcherTest, AnOlderVersionDoesNotHideAServiceThatIsRemovedLater) {
+  this->operator_changes = {json::array({ConfigurationRow(7, {"old"})}),
+                            json::array({ConfigurationRow(9, {"old"})})};
+  this->Read(json::array(),
+             json::array({ConfigurationRow(8, {"added", "old"})}));
+  EXPECT_EQ(this->services,
+            (std::vector<std::string>{"added", "old", "old", "added"}));
+  ASSERT_FALSE(this->documents.empty());
+  EXPECT_EQ(this->documents.back().version, DocumentVersion(9));
+  EXPECT_TRUE(this->Skipped("older", 1));
+}
+
 struct OddRowCase {
   const char* name;
   // The JSON text of the odd row.
