--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -40,6 +40,89 @@
       [](const std::string&) { return false; });
 }
 
+struct OddConfigurationCase {
+  const char* name;
+  std::string text;
+};
+
+class OddConfigurationTextTest
+    : public testing::TestWithParam<OddConfigurationCase> {};
+
+// Guards against a configuration that is taken in parts, or whose fault nobody
+// can read in the log.
+TEST_P(OddConfigurationTextTest, IsRefusedAsAWholeWithOneBoundedLine) {
+  constexpr std::size_t kMaximumLine = 310;
+  const std::string problem = OrElse(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(DecodeConfiguration(this->GetParam().text));
+        return std::string();
+      },
+      [](const std::string& message) { return message; });
+  EXPECT_TRUE(problem.starts_with("configuration: ")) << problem;
+  EXPECT_LE(problem.size(), kMaximumLine);
+  EXPECT_EQ(problem.find('\n'), std::string::npos);
+}
+
+std::string ConfigurationText(const std::string& routes) {
+  return R"({"version":7,"services":[{"name":"s"},{"name":"t"}],"routes":[)"
+         R"({"service":"s","host":"h","path_prefix":"/p/"})" +
+         routes + "]}";
+}
+
+// A second route, with fields beside its service, host and prefix.
+std::string RouteWith(const std::string& fields) {
+  return ConfigurationText(
+      R"(,{"service":"s","host":"h","path_prefix":"/q/",)" + fields + "}");
+}
+
+std::string LargeConfiguration() {
+  constexpr std::size_t kSpaces = 5'000'000;
+  return ConfigurationText(std::string(kSpaces, ' '));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Texts, OddConfigurationTextTest,
+    testing::Values(
+        OddConfigurationCase{"Empty", ""},
+        OddConfigurationCase{"Nested", Nested(kLevels)},
+        OddConfigurationCase{"NestedField",
+                             RouteWith("\"x\":" + Nested(5'000))},
+        OddConfigurationCase{"SameRouteTwice",
+                             ConfigurationText(R"(,{"service":"s","host":"h",)"
+                                               R"("path_prefix":"/p/"})")},
+        OddConfigurationCase{"SamePrefixOfTwoServices",
+                             ConfigurationText(R"(,{"service":"t","host":"h",)"
+                                               R"("path_prefix":"/p/"})")},
+        OddConfigurationCase{"UnknownService",
+                             ConfigurationText(R"(,{"service":"u","host":"h",)"
+                                               R"("path_prefix":"/q/"})")},
+        OddConfigurationCase{
+            "LongUnknownService",
+            ConfigurationText(R"(,{"service":")" + std::string(5'000, 'u') +
+                              R"(\n","host":"h","path_prefix":"/q/"})")},
+        OddConfigurationCase{"TimeoutOfZero", RouteWith(R"("timeout_ms":0)")},
+        OddConfigurationCase{"NegativeTimeout",
+                             RouteWith(R"("timeout_ms":-1)")},
+        OddConfigurationCase{"TimeoutBeyond64Bits",
+                             RouteWith(R"("timeout_ms":18446744073709551616)")},
+        OddConfigurationCase{"TimeoutBeyond63Bits",
+                             RouteWith(R"("timeout_ms":9223372036854775808)")},
+        OddConfigurationCase{"LongTimeout",
+                             RouteWith(R"("timeout_ms":3600001)")},
+        OddConfigurationCase{"TimeoutIsText", RouteWith(R"("timeout_ms":"7")")},
+        OddConfigurationCase{"NoAttempts", RouteWith(R"("max_attempts":0)")},
+        OddConfigurationCase{"HostIsNumber", RouteWith(R"("host":7)")},
+        OddConfigurationCase{"RoutesAreObject",
+                             R"({"version":7,"services":[],"routes":{}})"},
+        OddConfigurationCase{"RouteIsText", ConfigurationText(R"(,"r")")},
+        OddConfigurationCase{
+            "VersionBeyond64Bits",
+            R"({"version":18446744073709551616,"services":[],"routes":[]})"},
+        OddConfigurationCase{"CutOff",
+                             RouteWith(R"("priority":2)").substr(0, 100)},
+        OddConfigurationCase{"LargerThanAnyRow", LargeConfiguration()}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
 struct OddFieldCase {
   const char* name;
   std::string text;
--- a/tests/services/table_watcher_test.cc
+++ b/tests/services/table_watcher_test.cc
@@ -174,6 +174,22 @@
   EXPECT_TRUE(this->Skipped("older", 1));
 }
 
+// Guards against an entry that drops the version in force, or doesn't follow
+// the configuration any more, because one version of it is odd.
+TEST_F(TableWatcherTest, AnOddVersionLeavesTheOneInForce) {
+  json odd =
+      WireRow("config", R"({"version":9,"services":[{"name":"s"}],"routes":[)"
+                        R"({"service":"s","host":"h","path_prefix":"/",)"
+                        R"("timeout_ms":0}]})");
+  this->operator_changes = {json::array({odd}),
+                            json::array({ConfigurationRow(10, {"s"})})};
+  this->Read(json::array(), json::array({ConfigurationRow(8, {"s"})}));
+  ASSERT_EQ(this->documents.size(), 2U);
+  EXPECT_EQ(this->documents[0].version, DocumentVersion(8));
+  EXPECT_EQ(this->documents[1].version, DocumentVersion(10));
+  EXPECT_TRUE(this->Counted("operators"));
+}
+
 struct OddRowCase {
   const char* name;
   // The JSON text of the odd row.
