entry: Show from outside which configuration is in force and since when

Nothing told an entry that follows the configuration late from one that doesn't. New: the gauges configuration_version and configuration_lag_seconds, the time to put a document in force in stage_seconds{stage="configuration_publish"}, and in the line document_in_force the size, the number of routes and the age since the table showed it.

--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -136,8 +136,13 @@
   static constexpr const char* kName = "document_in_force";
   std::string service;
   std::uint64_t version = 0;
+  std::uint64_t bytes = 0;
+  std::uint64_t routes = 0;
+  // Since the table showed it; 0 if another entry sent it before.
+  Duration age_ms{};
 };
-BOOST_DESCRIBE_STRUCT(DocumentAdopted, (), (service, version))
+BOOST_DESCRIBE_STRUCT(DocumentAdopted, (),
+                      (service, version, bytes, routes, age_ms))
 
 // The entry's ownership phase has changed for this number of buckets. `held`:
 // the buckets that it now holds or acquires; `by_rank`: those for which it
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -112,6 +112,8 @@
       agent_messages(this->metrics, "messages_from_agents_total"),
       load_guard(configured.memory_bytes),
       peer_queues(configured.link_bytes_per_second),
+      publish_times(this->metrics.HistogramFor("stage_seconds", "stage",
+                                               "configuration_publish")),
       work_delays(
           this->metrics.HistogramFor("stage_seconds", "stage", "own_delay")),
       core(CoreSettings(configured, own)),
@@ -132,6 +134,10 @@
 
 Result<void> EntryServer::Listen() {
   const EntryEventSink sink = [this](EntryEvent event) {
+    if (const auto* read = std::get_if<DocumentRead>(&event)) {
+      this->configuration_age.NoteRead(
+          read->document.service, read->document.version, SteadyClock::now());
+    }
     this->Post(std::move(event));
   };
   const ViewMember member{this->self, this->settings.peers,
@@ -398,10 +404,17 @@
 
 void EntryServer::Apply(const DocumentInForce& effect) {
   const VersionedDocument& document = effect.document;
-  LogStateChange(
-      DocumentAdopted{document.service.value(), document.version.value()});
-  if (!this->next_serving_state.Adopt(document)) return;
-  this->PublishServingState();
+  const auto began = SteadyClock::now();
+  const bool is_served = this->next_serving_state.Adopt(document);
+  if (is_served) this->PublishServingState();
+  const auto now = SteadyClock::now();
+  this->publish_times.Observe(
+      std::chrono::duration<double>(now - began).count());
+  LogStateChange(DocumentAdopted{
+      document.service.value(), document.version.value(), document.text.size(),
+      this->next_serving_state.RoutesOf(document.service),
+      this->configuration_age.NoteInForce(document.service, document.version,
+                                          now)});
 }
 
 void EntryServer::Apply(const RetryCounted& effect) {
@@ -464,6 +477,13 @@
   this->metrics.Set("known_keys",
                     static_cast<double>(this->core.buckets().KnownKeyCount()));
   this->metrics.Set("ready", this->core.IsReady() ? 1 : 0);
+  this->metrics.Set(
+      "configuration_version",
+      static_cast<double>(this->configuration_age.NewestInForce().value()));
+  this->metrics.Set("configuration_lag_seconds",
+                    std::chrono::duration<double>(
+                        this->configuration_age.Lag(SteadyClock::now()))
+                        .count());
   const HttpServerLoad callers = this->caller_server->Load();
   this->metrics.Set("caller_connections",
                     static_cast<double>(callers.connections));
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -13,6 +13,7 @@
 #include "libraries/entry_core/entry_core.h"
 #include "libraries/telemetry/event_loop_delay.h"
 #include "services/entry/caller_routes.h"
+#include "services/entry/configuration_age.h"
 #include "services/entry/document_routes.h"
 #include "services/entry/entry_links.h"
 #include "services/entry/graceful_shutdown.h"
@@ -117,9 +118,11 @@
   LoadGuard load_guard;
   PeerQueues peer_queues;
   SteadyClock::time_point next_link_check;
+  prometheus::Histogram& publish_times;
   prometheus::Histogram& work_delays;
   PublishedServingState serving;
   ServingState next_serving_state;
+  ConfigurationAge configuration_age;
   EntryCore core;
   EntryDecisionLog log;
   WaitingCallers waiting_callers;
--- a/services/entry/serving_state.cc
+++ b/services/entry/serving_state.cc
@@ -26,4 +26,10 @@
   return true;
 }
 
+std::size_t ServingState::RoutesOf(const ServiceName& service) const {
+  const auto found = this->documents.find(service);
+  return found == this->documents.end() ? 0
+                                        : found->second->parsed->routes.size();
+}
+
 }  // namespace dandelionspur
--- a/services/entry/serving_state.h
+++ b/services/entry/serving_state.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONSPUR_SERVICES_ENTRY_SERVING_STATE_H_
 #define DANDELIONSPUR_SERVICES_ENTRY_SERVING_STATE_H_
 
+#include <cstddef>
 #include <map>
 #include <memory>
 
@@ -29,6 +30,7 @@
   // text in force costs no parsing. Returns false, without any change, if the
   // text doesn't parse.
   bool Adopt(const VersionedDocument& document);
+  [[nodiscard]] std::size_t RoutesOf(const ServiceName& service) const;
 };
 
 using PublishedServingState = RcuValue<ServingState>;
