entry_core: Name versions instead of sending documents to all

Each entry sent the whole document to each connected member at each adoption, though all of them read the table: n (n - 1) s bytes a change.

DocumentsInForce now owns the documents. At each round of heartbeats an entry names the versions that it has to one other, in turn. An entry that stays behind what it was named waits for its own read of the table, then asks one neighbour at a time, in a heartbeat, and gets what it lacks as DocumentPush. The heartbeat's new member is appended, so earlier versions skip it; peers whose heartbeats lack it are still sent each document.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "libraries/configuration/stored_document.h"
-
 namespace dandelionspur {
 namespace {
 
@@ -29,8 +27,9 @@
       relays(this->settings, this->ownership, this->peers, this->home,
              this->outbox),
       hand_over(this->settings, this->ownership, this->peers, this->outbox),
-      bucket_return(this->settings, this->peers, this->health,
-                    this->ownership) {}
+      bucket_return(this->settings, this->peers, this->health, this->ownership),
+      documents_in_force(this->settings, this->peers, this->home,
+                         this->outbox) {}
 
 std::vector<EntryEffect> EntryCore::Handle(const EntryEvent& event,
                                            Timestamp now) {
@@ -54,7 +53,7 @@
       this->ownership.IsSynchronized() ||
       this->ownership.HasOutlivedLeases(this->current_time);
   return !this->draining && this->IsMember() && has_all_agents && has_agent &&
-         !this->documents_in_force.empty();
+         !this->documents_in_force.all().empty();
 }
 
 MemoryUse EntryCore::ComputeMemoryUse() const {
@@ -106,6 +105,7 @@
 
 void EntryCore::On(const PeerConnected& event) {
   this->peers.Connected(event.peer, this->current_time);
+  this->documents_in_force.OnLinkChange(event.peer);
   this->SendState(event.peer);
   this->ownership.ResumeFrom(event.peer, this->current_time);
   this->hand_over.ResumeTo(event.peer);
@@ -113,6 +113,7 @@
 
 void EntryCore::On(const PeerDisconnected& event) {
   this->peers.Disconnected(event.peer, this->current_time);
+  this->documents_in_force.OnLinkChange(event.peer);
   this->relays.ResubmitRelaysTo(event.peer);
 }
 
@@ -189,7 +190,7 @@
 void EntryCore::On(const ViewRead& event) { this->AdoptView(event.view); }
 
 void EntryCore::On(const DocumentRead& event) {
-  this->AdoptDocument(event.document);
+  this->documents_in_force.OnRead(event.document, this->current_time);
 }
 
 void EntryCore::On(const DrainRequested& /*event*/) {
@@ -368,14 +369,13 @@
   }
 }
 
-void EntryCore::OnPeer(EntryId /*from*/, const DocumentPush& message) {
-  for (const VersionedDocument& document : message.documents) {
-    this->AdoptDocument(document);
-  }
+void EntryCore::OnPeer(EntryId from, const DocumentPush& message) {
+  this->documents_in_force.OnPush(from, message, this->current_time);
 }
 
 void EntryCore::OnPeer(EntryId from, const PeerHeartbeat& message) {
   this->SendViewIfOutdated(from, message.epoch);
+  this->documents_in_force.OnHeartbeat(from, message);
   for (const AgentSummary& lost :
        this->contacts.OnHeartbeat(from, message, this->current_time)) {
     this->MarkAgentLost(
@@ -552,20 +552,6 @@
   this->outbox.ToPeer(peer, PeerState{this->view(), false, {}, {}});
 }
 
-void EntryCore::AdoptDocument(const VersionedDocument& document) {
-  VersionedDocument& current = this->documents_in_force[document.service];
-  if (document.version <= current.version) return;
-  const std::optional<ServiceDocument> parsed = ParseStoredDocument(document);
-  if (!parsed) return;
-  current = document;
-  this->home.ApplyDocument(*parsed);
-  this->outbox.Add(DocumentInForce{document});
-  for (const ViewMember& member : this->view().members) {
-    if (!this->peers.IsConnected(member.entry)) continue;
-    this->outbox.ToPeer(member.entry, DocumentPush{{document}});
-  }
-}
-
 PeerState EntryCore::StateForPeers() const {
   return PeerState{this->view(), this->ownership.IsSynchronized(),
                    this->registry.Summaries(), this->ownership.Promises()};
@@ -574,13 +560,6 @@
 void EntryCore::SendState(EntryId peer) {
   if (peer == this->settings.self || !this->peers.IsConnected(peer)) return;
   this->outbox.ToPeer(peer, this->StateForPeers());
-  DocumentPush documents;
-  for (const auto& [service, document] : this->documents_in_force) {
-    documents.documents.push_back(document);
-  }
-  if (!documents.documents.empty()) {
-    this->outbox.ToPeer(peer, std::move(documents));
-  }
 }
 
 void EntryCore::AdvanceState() {
@@ -677,11 +656,14 @@
 }
 
 void EntryCore::SendHeartbeats() {
+  this->documents_in_force.BeginRound(this->current_time);
   // Also to former members: they still relay their callers' jobs, to members
   // that they hear.
   for (const EntryId peer : this->peers.Connected()) {
-    this->outbox.ToPeer(peer, this->contacts.HeartbeatFor(peer, this->view(),
-                                                          this->current_time));
+    PeerHeartbeat heartbeat =
+        this->contacts.HeartbeatFor(peer, this->view(), this->current_time);
+    heartbeat.documents = this->documents_in_force.NewsFor(peer);
+    this->outbox.ToPeer(peer, std::move(heartbeat));
   }
 }
 
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -7,6 +7,7 @@
 
 #include "libraries/entry_core/agent_contacts.h"
 #include "libraries/entry_core/agent_registry.h"
+#include "libraries/entry_core/documents_in_force.h"
 #include "libraries/entry_core/entry_core_settings.h"
 #include "libraries/entry_core/entry_events.h"
 #include "libraries/entry_core/entry_outbox.h"
@@ -67,7 +68,7 @@
   [[nodiscard]] std::size_t jobs_relayed() const { return this->relays.size(); }
   [[nodiscard]] const std::map<ServiceName, VersionedDocument>& documents()
       const {
-    return this->documents_in_force;
+    return this->documents_in_force.all();
   }
 
  private:
@@ -126,7 +127,6 @@
   // elsewhere, and reports an earlier one.
   void SendViewIfOutdated(EntryId peer, Epoch epoch);
   void SendViewIfOutdated(KnownAgent& agent, Epoch epoch);
-  void AdoptDocument(const VersionedDocument& document);
   [[nodiscard]] PeerState StateForPeers() const;
   void SendState(EntryId peer);
   // Runs after every event: acquires vacant buckets, activates those with
@@ -163,7 +163,7 @@
   RelayTable relays;
   KeyHandOver hand_over;
   BucketReturn bucket_return;
-  std::map<ServiceName, VersionedDocument> documents_in_force;
+  DocumentsInForce documents_in_force;
   std::map<AgentId, Timestamp> disconnected_agents;
   Timestamp current_time;
   Timestamp next_repeat;
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -237,12 +237,43 @@
 };
 BOOST_DESCRIBE_STRUCT(VersionedDocument, (), (service, version, text))
 
+// Answers a request for documents. An earlier version sends it at each change,
+// and all documents when a connection opens.
 struct DocumentPush {
   static constexpr const char* kName = "document_push";
   std::vector<VersionedDocument> documents;
 };
 BOOST_DESCRIBE_STRUCT(DocumentPush, (), (documents))
 
+// Stands for the versions of all documents that are in force at an entry. Equal
+// for equal versions; of two entries, the one with the lower total lacks some.
+struct DocumentSummary {
+  // The sum of the versions, or the largest number if it is larger.
+  std::uint64_t version_total = 0;
+  // CRC-32 of the encoded versions.
+  std::uint32_t checksum = 0;
+  bool operator==(const DocumentSummary&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(DocumentSummary, (), (version_total, checksum))
+
+struct KnownDocument {
+  ServiceName service;
+  DocumentVersion version;
+};
+BOOST_DESCRIBE_STRUCT(KnownDocument, (), (service, version))
+
+// What a heartbeat says of the documents.
+struct DocumentNews {
+  static constexpr std::size_t kRequiredMembers = 2;
+  // Of the documents that are in force at the sender. Not set in most
+  // heartbeats.
+  std::optional<DocumentSummary> summary;
+  // If set, asks the receiver for each of its documents that is newer than the
+  // listed version or not listed.
+  std::optional<std::vector<KnownDocument>> request;
+};
+BOOST_DESCRIBE_STRUCT(DocumentNews, (), (summary, request))
+
 // The newest heartbeat of an agent that the sender has received directly or
 // from another entry.
 struct AgentContact {
@@ -289,10 +320,12 @@
   std::vector<EntryId> missing_entries;
   // The requested agents that the sender knows to be lost.
   std::vector<AgentSummary> lost_agents;
+  // Not set by versions that don't ask for documents.
+  std::optional<DocumentNews> documents;
 };
 BOOST_DESCRIBE_STRUCT(PeerHeartbeat, (),
                       (epoch, sent_at, peers, sightings, coverage,
-                       missing_agents, missing_entries, lost_agents))
+                       missing_agents, missing_entries, lost_agents, documents))
 
 using PeerMessage =
     std::variant<PeerState, PromiseRequest, PromiseReply, WitnessRequest,
