--- a/tests/support/entry_mesh.cc
+++ b/tests/support/entry_mesh.cc
@@ -42,7 +42,7 @@
   ViewMember member;
   member.entry = settings.self;
   member.peer_endpoint.port = static_cast<std::uint16_t>(joined + 1);
-  this->view = WithMember(this->view, member, this->now);
+  this->view = WithMember(this->view, member, this->time);
   for (std::size_t i = 0; i <= joined; ++i) {
     this->Handle(i, ViewRead{this->view});
   }
@@ -55,9 +55,9 @@
 }
 
 void EntryMesh::Advance(Duration span) {
-  const Timestamp end = this->now + span;
-  while (this->now < end) {
-    this->now += kTick;
+  const Timestamp end = this->time + span;
+  while (this->time < end) {
+    this->time += kTick;
     ++this->ticks;
     for (std::size_t i = 0; i < this->entries.size(); ++i) {
       if ((this->ticks + i) % kTicksPerRead == 0) this->ReadTable(i);
@@ -84,16 +84,20 @@
 }
 
 DocumentVersion EntryMesh::VersionAt(std::size_t entry) const {
+  return this->DocumentAt(entry).version;
+}
+
+VersionedDocument EntryMesh::DocumentAt(std::size_t entry) const {
   const auto& documents = this->entries[entry].core->documents();
   const auto found = documents.find(ServiceName("s"));
-  return found == documents.end() ? DocumentVersion() : found->second.version;
+  return found == documents.end() ? VersionedDocument() : found->second;
 }
 
 void EntryMesh::Handle(std::size_t entry, const EntryEvent& event) {
   if (this->entries[entry].lost) return;
   const EntryId self = this->IdOf(entry);
   for (const EntryEffect& effect :
-       this->entries[entry].core->Handle(event, this->now)) {
+       this->entries[entry].core->Handle(event, this->time)) {
     const auto* sent = std::get_if<SendToPeer>(&effect);
     if (sent == nullptr) continue;
     this->sent_bytes += WireCodec::ToMessagePack(sent->message).size();
--- a/tests/support/entry_mesh.h
+++ b/tests/support/entry_mesh.h
@@ -48,6 +48,9 @@
   }
   // The version that is in force at the entry, or 0.
   [[nodiscard]] DocumentVersion VersionAt(std::size_t entry) const;
+  // The document that is in force at the entry, if there is one.
+  [[nodiscard]] VersionedDocument DocumentAt(std::size_t entry) const;
+  [[nodiscard]] Timestamp now() const { return this->time; }
   // The encoded size of all messages that the entries have sent each other.
   [[nodiscard]] std::uint64_t bytes_sent() const { return this->sent_bytes; }
 
@@ -72,7 +75,7 @@
   VersionedDocument document;
   std::deque<Message> in_flight;
   std::function<void(EntryId, const SendToPeer&)> observer;
-  Timestamp now{std::chrono::seconds(1'000)};
+  Timestamp time{std::chrono::seconds(1'000)};
   std::uint32_t ticks = 0;
   std::uint64_t sent_bytes = 0;
 };
