entry_core: Let an entry that is behind decline buckets of silent homes

Cause: the next in rank for a bucket of a silent home is asked whether it keeps up or not. One that is heard, but has no time to acquire the bucket, leaves it without a living home.

Change: heartbeats say whether the sender has failed to keep up within the last second (LocalHealth), and the others, and the sender itself, go on to the next in rank. A present home keeps its buckets, also in a new view; if all decline, the first in rank acts. The flag is an appended member, one byte.

Measured: the new SlowTakerTest fails before (6 buckets without a living home 3 s after their home froze) and passes.

--- a/libraries/entry_core/agent_contacts.cc
+++ b/libraries/entry_core/agent_contacts.cc
@@ -20,6 +20,7 @@
   PeerHeartbeat heartbeat;
   heartbeat.epoch = view.epoch;
   heartbeat.sent_at = now;
+  heartbeat.declines_buckets = this->peers.Declines(this->settings.self);
   if (this->peers.Asks(peer)) {
     this->AddRequestedContacts(peer, now, heartbeat);
   } else {
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -211,6 +211,8 @@
     this->next_repeat = now + this->settings.repeat_interval;
     this->ownership.RequestMissing(now);
     this->health.NoteDelay(this->peers.TypicalInboundDelay(), now);
+    this->peers.NoteDeclines(this->settings.self,
+                             DeclinesBuckets(this->health.KeptUpFor(now)));
     if (!this->draining) this->bucket_return.Advance(now);
     this->home.RepeatRequests(now);
     this->hand_over.ReplaceUnreachable(now);
--- a/libraries/entry_core/home_assignment.cc
+++ b/libraries/entry_core/home_assignment.cc
@@ -4,11 +4,17 @@
 #include <chrono>
 
 namespace dandelionspur {
+namespace {
+
+// Longer than the interval of heartbeats and the delivery of a view, so that
+// an entry that has only just come back is not loaded at once.
+constexpr Duration kSteady = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+bool DeclinesBuckets(Duration kept_up_for) { return kept_up_for < kSteady; }
 
 std::size_t BucketsToTakeBack(const ReturnConditions& conditions) {
-  // Longer than the interval of heartbeats and the delivery of a view, so that
-  // an entry that has only just come back is not loaded at once.
-  constexpr Duration kSteady = std::chrono::milliseconds(1000);
   // All buckets return within this many steps.
   constexpr std::size_t kSteps = 8;
   const bool is_steady = conditions.kept_up_for >= kSteady &&
--- a/libraries/entry_core/home_assignment.h
+++ b/libraries/entry_core/home_assignment.h
@@ -31,6 +31,10 @@
 // and the jobs of the bucket wait with it.
 [[nodiscard]] std::size_t BucketsToTakeBack(const ReturnConditions& conditions);
 
+// Whether an entry that has kept up with its events for this time declines the
+// buckets of silent homes, so that the next in rank takes them.
+[[nodiscard]] bool DeclinesBuckets(Duration kept_up_for);
+
 // The buckets of one entry.
 struct BucketShare {
   // Those that it is home of or acquires.
--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -128,16 +128,23 @@
   };
   const bool is_member = this->current_view.Find(promised.entry) != nullptr;
   if (current && is_member && acts(promised.entry)) return promised.entry;
+  // If all decline, one of them must act.
+  EntryId first;
   for (const EntryId entry : this->rankings[bucket.value()]) {
-    if (acts(entry)) return entry;
+    if (!acts(entry)) continue;
+    const bool takes = entry == promised.entry || !this->peers.Declines(entry);
+    if (takes) return entry;
+    if (first == EntryId()) first = entry;
   }
-  return EntryId();
+  return first;
 }
 
 std::vector<BucketId> Ownership::TakeBucketsToCheck(Timestamp now) {
   std::vector<EntryId> suspects = this->peers.Suspected(now);
   const bool all = this->searched_epoch != this->current_view.epoch ||
-                   this->suspected != suspects;
+                   this->suspected != suspects ||
+                   this->searched_declines != this->peers.DeclineChanges();
+  this->searched_declines = this->peers.DeclineChanges();
   this->searched_epoch = this->current_view.epoch;
   this->suspected = std::move(suspects);
   std::vector<BucketId> to_check;
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -324,6 +324,7 @@
   // The view's epoch and the suspected entries at the latest search for vacant
   // buckets.
   Epoch searched_epoch;
+  std::uint64_t searched_declines = 0;
   std::vector<EntryId> suspected;
   // Buckets released or promised to other entries since the latest search.
   std::set<BucketId> changed_buckets;
--- a/libraries/entry_core/peer_directory.h
+++ b/libraries/entry_core/peer_directory.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -100,6 +101,7 @@
     const Duration offset = now - heartbeat.sent_at;
     known.least_offset = std::min(known.least_offset, offset);
     known.heartbeat_delay = offset - known.least_offset;
+    this->NoteDeclines(peer, heartbeat.declines_buckets);
     known.asks = heartbeat.coverage.has_value();
     known.asked_agents = heartbeat.missing_agents;
     known.asked_entries = heartbeat.missing_entries;
@@ -111,6 +113,19 @@
       known.listed.insert(sighting.agent);
     }
   }
+  // Records whether an entry, which may be this one, declines further buckets.
+  void NoteDeclines(EntryId entry, bool declines) {
+    const bool has_changed = declines ? this->declining.insert(entry).second
+                                      : this->declining.erase(entry) > 0;
+    if (has_changed) ++this->decline_changes;
+  }
+  [[nodiscard]] bool Declines(EntryId entry) const {
+    return this->declining.contains(entry);
+  }
+  // How many times an entry has begun or ceased to decline.
+  [[nodiscard]] std::uint64_t DeclineChanges() const {
+    return this->decline_changes;
+  }
   // Whether the peer asks about the agents and entries that it does not hear.
   // Otherwise it must be sent all contacts.
   [[nodiscard]] bool Asks(EntryId peer) const {
@@ -294,6 +309,8 @@
 
   Duration suspect_after;
   std::map<EntryId, Peer> peers;
+  std::set<EntryId> declining;
+  std::uint64_t decline_changes = 0;
 };
 
 }  // namespace dandelionspur
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -289,10 +289,14 @@
   std::vector<EntryId> missing_entries;
   // The requested agents that the sender knows to be lost.
   std::vector<AgentSummary> lost_agents;
+  // The sender is behind with its events and shouldn't be home of buckets that
+  // it isn't home of.
+  bool declines_buckets = false;
 };
 BOOST_DESCRIBE_STRUCT(PeerHeartbeat, (),
                       (epoch, sent_at, peers, sightings, coverage,
-                       missing_agents, missing_entries, lost_agents))
+                       missing_agents, missing_entries, lost_agents,
+                       declines_buckets))
 
 using PeerMessage =
     std::variant<PeerState, PromiseRequest, PromiseReply, WitnessRequest,
--- a/tests/entry_core/collapse_test.cc
+++ b/tests/entry_core/collapse_test.cc
@@ -99,6 +99,25 @@
   EXPECT_LE(after.LongWait(), 2 * calm.LongWait() + kMoreWait);
 }
 
+// Guards against buckets of a silent home that nobody takes, since the next in
+// rank is heard but too far behind to acquire them.
+TEST(SlowTakerTest, TheNextInRankTakesTheBucketsOfASilentHome) {
+  constexpr std::uint32_t kSlow = 6;
+  constexpr std::uint32_t kSilent = 0;
+  BudgetedCluster cluster(Fleet(), kJobsPerSecond);
+  cluster.Run(seconds(2));
+  cluster.SetSpeed(kSlow, 10);
+  cluster.Run(seconds(2));
+  cluster.SetSpeed(kSilent, 0);
+  cluster.Run(seconds(3));
+  std::vector<std::uint32_t> not_taken;
+  for (std::uint32_t i = 0; i < Fleet().buckets; ++i) {
+    if (cluster.HomeOf(BucketId(i)) == kSilent) not_taken.push_back(i);
+  }
+  EXPECT_EQ(not_taken, std::vector<std::uint32_t>());
+  ASSERT_FALSE(cluster.violation()) << *cluster.violation();
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Disturbances, CollapseTest,
     testing::Values(
