--- a/libraries/entry_core/bucket_assignment.cc
+++ b/libraries/entry_core/bucket_assignment.cc
@@ -44,16 +44,23 @@
   const bool is_member =
       this->membership.view().Find(promised.entry) != nullptr;
   if (current && is_member && acts(promised.entry)) return promised.entry;
+  // If all decline, one of them must act.
+  EntryId first;
   for (const EntryId entry : this->membership.Ranking(bucket)) {
-    if (acts(entry)) return entry;
+    if (!acts(entry)) continue;
+    const bool takes = entry == promised.entry || !this->peers.Declines(entry);
+    if (takes) return entry;
+    if (first == EntryId()) first = entry;
   }
-  return EntryId();
+  return first;
 }
 
 std::vector<BucketId> BucketAssignment::TakeBucketsToCheck(Timestamp now) {
   std::vector<EntryId> suspects = this->peers.Suspected(now);
   const bool all = this->searched_epoch != this->membership.view().epoch ||
-                   this->suspected != suspects;
+                   this->suspected != suspects ||
+                   this->searched_declines != this->peers.DeclineChanges();
+  this->searched_declines = this->peers.DeclineChanges();
   this->searched_epoch = this->membership.view().epoch;
   this->suspected = std::move(suspects);
   const std::set<BucketId> changed = this->buckets.TakeChanged();
--- a/libraries/entry_core/bucket_assignment.h
+++ b/libraries/entry_core/bucket_assignment.h
@@ -24,7 +24,8 @@
 
   // The entry that should act as home of `bucket`: the owner of the promised
   // ballot or, if that entry is not eligible, the highest-ranked member that is
-  // not suspected. An empty id if there is none.
+  // not suspected and doesn't decline; if all decline, the first of these. An
+  // empty id if all are suspected.
   [[nodiscard]] EntryId ExpectedHome(BucketId bucket, Timestamp now) const;
   // The buckets that this entry should acquire. Examines only buckets whose
   // expected home may have changed since the last call.
@@ -59,6 +60,7 @@
   // The view's epoch and the suspected entries at the latest search for vacant
   // buckets.
   Epoch searched_epoch;
+  std::uint64_t searched_declines = 0;
   std::vector<EntryId> suspected;
   std::uint64_t examined = 0;
 };
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -322,10 +322,14 @@
   std::vector<AgentSummary> lost_agents;
   // Not set by versions that don't ask for documents.
   std::optional<DocumentNews> documents;
+  // The sender is behind with its events and shouldn't be home of buckets that
+  // it isn't home of.
+  bool declines_buckets = false;
 };
 BOOST_DESCRIBE_STRUCT(PeerHeartbeat, (),
                       (epoch, sent_at, peers, sightings, coverage,
-                       missing_agents, missing_entries, lost_agents, documents))
+                       missing_agents, missing_entries, lost_agents, documents,
+                       declines_buckets))
 
 using PeerMessage =
     std::variant<PeerState, PromiseRequest, PromiseReply, WitnessRequest,
