--- a/review/common/server.py
+++ b/review/common/server.py
@@ -7,7 +7,7 @@
 
 class Server:
     """`handle` gets (method, target, headers, body) and returns (status, dictionary or bytes), or None to give no
-    answer and to close the connection."""
+    answer on this connection any more."""
 
     def __init__(self, port, handle):
         self.port = port
@@ -67,6 +67,9 @@
                 body = reader.read(int(headers.get("content-length", 0)))
                 answer = self.handle(method, target, headers, body)
                 if answer is None:
+                    # The connection delivers nothing further until the other side closes it.
+                    while reader.read1(4096):
+                        pass
                     return
                 status, content = answer
                 if not isinstance(content, bytes):
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -14,6 +14,11 @@
 LISTED_ENDS = 500
 
 
+def _duration_ms(spec):
+    first = spec.split()[:1]
+    return int(first[0]) if first and first[0].isdecimal() and first[0].isascii() else 0
+
+
 class Run:
     def __init__(self, worker, task, number, spec, started):
         self.worker = worker
@@ -164,7 +169,7 @@
         self._extend(order)
         self.highest_runs[task] = number
         run = Run(self.index, task, number, order["spec"], self.record.now())
-        run.due = time.monotonic() + int(order["spec"].split()[0]) / 1000
+        run.due = time.monotonic() + _duration_ms(order["spec"]) / 1000
         self.running[task] = run
         self.all_runs.append(run)
         self.record.line(f"worker-{self.index}: {task} run {number} started, spec {order['spec']}")
