--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -120,9 +120,9 @@
 
 
 class Deployment:
-    """A store, entries, and workers with an agent each."""
+    """A store, entries, and workers with an agent each. Spare entries have settings but don't run at first."""
 
-    def __init__(self, record, entries=3, workers=3, worker_options=None):
+    def __init__(self, record, entries=3, workers=3, spare_entries=0, worker_options=None):
         self.record = record
         self.temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = self.temporary.name
@@ -144,7 +144,8 @@
                 "memory_mb": 260,
                 "link_mbps": 1000.0,
                 "recording": {"spool_bytes": 8388608, "write_interval_ms": 10000},
-            }) for i in range(entries)]
+            }) for i in range(entries + spare_entries)]
+        self.first_entries = entries
         self.agents = [
             Daemon(self, "agent", f"agent-{i}", {
                 "data_centre": f"zone-{i % entries}",
@@ -167,7 +168,7 @@
         try:
             self.store.start()
             self.write_configuration([PREFIX])
-            for daemon in self.entries + self.agents:
+            for daemon in self.entries[:self.first_entries] + self.agents:
                 daemon.start()
             for worker in self.workers:
                 worker.start()
@@ -225,12 +226,12 @@
 
     def wait_ready(self):
         def ready():
-            statuses = [self.status(i) for i in range(len(self.entries))]
+            statuses = [self.status(i) for i in range(self.first_entries)]
             if any(status is None or not status["ready"] for status in statuses):
                 return False
             agents = lambda status: sum(a["ready"] and a["connected"] for a in status["agents"])
             return (all(agents(status) == len(self.agents) for status in statuses) and
-                    all(len(status["members"]) == len(self.entries) for status in statuses) and
+                    all(len(status["members"]) == self.first_entries for status in statuses) and
                     sum(status["buckets_active"] for status in statuses) == statuses[0]["buckets"])
         self.wait_for(ready, "the deployment to be ready")
         self.record.line("all entries are ready")
