upstream_session: Split the orders, tasks and reports off the session

Beside the decisions of the session it held the fencing tokens, the upstream's clock, the leases, the list requests, the table of tasks and what the owner had been told.

Change: each of these is a class of its own file: UpstreamOrders (with FencingTokens, UpstreamClock and ListRequests), UpstreamTasks, ResponseTracker and SessionReporter; the effects stand in session_effects.h. No change of behaviour is intended. An overdue list request raises the token once, as before: after the raise no other request can be under the present token.

--- a/libraries/upstream_session/leased_upstream.cc
+++ b/libraries/upstream_session/leased_upstream.cc
@@ -1,19 +1,12 @@
 #include "libraries/upstream_session/leased_upstream.h"
 
-#include <algorithm>
-#include <utility>
+#include <cstdint>
 
 namespace dandelionspur {
 namespace {
 
-// The upstream answers a list request within milliseconds of its poll timeout.
-// If the answer takes this much longer than the timeout, it counts as lost, and
-// a new list is requested.
-constexpr Duration kListAnswerMargin = std::chrono::milliseconds(60);
-// Without an answer for this long, the upstream counts as unresponsive: the
-// agent accepts no new tasks for it, and does not renew the lease, so that the
-// running tasks must stop when it expires.
-constexpr Duration kUnresponsiveAfter = std::chrono::milliseconds(600);
+using Phase = UpstreamTask::Phase;
+
 // An unanswered list request is forgotten once its answer is this much overdue.
 constexpr Duration kListForgottenAfter = std::chrono::milliseconds(1800);
 // Delay before the next request after a failed list request.
@@ -21,31 +14,22 @@
 constexpr Duration kStopRetryInterval = std::chrono::milliseconds(150);
 // Start orders that are sent for one run before it counts as refused.
 constexpr std::uint32_t kMaximumOrders = 20;
-// A refused token is raised by this much, since the upstream does not report
-// the highest token that it has seen.
-constexpr std::uint64_t kTokenIncrement = 1000;
-// Number of task names whose latest run number is stored.
-constexpr std::size_t kMaximumRememberedRuns = 20'000;
 
-// Whether the order has certainly not left this process.
-bool IsUndelivered(OrderOutcome outcome) {
-  return outcome == OrderOutcome::kNotSent ||
-         outcome == OrderOutcome::kConnectionRefused;
+// Whether another incarnation has answered than the session is with. An answer
+// or a heartbeat without a start time does not tell.
+bool IsFromOther(const ListAnswer& list, const UpstreamIncarnation& present) {
+  return list.started_milliseconds != 0 && present.started_milliseconds != 0 &&
+         list.started_milliseconds != present.started_milliseconds;
 }
 
 }  // namespace
 
-bool LeasedUpstream::PendingList::IsOverdue(SteadyTime now) const {
-  return now > this->sent_at + this->poll_timeout + kListAnswerMargin;
-}
-
 LeasedUpstream::LeasedUpstream(const LeasedUpstreamSettings& configured)
     : settings(configured),
-      token(configured.first_token),
-      leases(MaximumLeaseRunTime(configured.maximum_lease)) {}
+      orders(configured.first_token, configured.maximum_lease) {}
 
 std::vector<SessionEffect> LeasedUpstream::TakeEffects() {
-  return std::exchange(this->effects, {});
+  return this->reporter.Take();
 }
 
 void LeasedUpstream::OnHeartbeat(const UpstreamHeartbeat& heartbeat,
@@ -70,18 +54,16 @@
   const bool returned = heartbeat.state == UpstreamState::kReady &&
                         this->upstream->state == UpstreamState::kLeaving;
   this->upstream = heartbeat;
-  this->clock = heartbeat.clock;
-  this->clock_read_at = now;
+  this->orders.SetClock(heartbeat.clock, now);
   if (heartbeat.state == UpstreamState::kLeaving) {
-    if (!this->leaving_reported) this->effects.emplace_back(UpstreamLeaving{});
-    this->leaving_reported = true;
+    this->reporter.ReportLeaving();
     return;
   }
   if (!this->unknown_runs_stopped || !(changed || returned)) return;
-  const UpstreamContact contact_before = this->contact;
-  this->Announce();
+  const UpstreamContact contact_before = this->reporter.contact();
+  this->reporter.Announce(heartbeat);
   // A heartbeat is no answer to a call.
-  this->SetContact(contact_before);
+  this->reporter.SetContact(contact_before);
 }
 
 void LeasedUpstream::OnOtherIncarnation(const UpstreamHeartbeat& heartbeat,
@@ -108,19 +90,17 @@
   if (this->successor->IsProbeDue(now)) this->ProbeSuccessor(now);
   if (!this->successor->is_alive()) return;
   const bool is_idle = this->tasks.empty();
-  const bool is_preferred = this->contact == UpstreamContact::kSilent ||
-                            this->successor->IsPreferredTo(*this->upstream);
+  const bool is_preferred =
+      this->reporter.contact() == UpstreamContact::kSilent ||
+      this->successor->IsPreferredTo(*this->upstream);
   const bool ended = this->successor->ProvesEndOf(*this->upstream);
   if (ended || (is_idle && is_preferred)) this->ReplaceUpstream(now);
 }
 
 void LeasedUpstream::ProbeSuccessor(SteadyTime now) {
-  const ListNumber number(++this->last_list_number);
-  ListOrder order;
-  order.token = this->token;
-  this->successor->OnProbeSent(number, now);
-  this->effects.emplace_back(
-      SendList{this->successor->heartbeat(), number, order});
+  const SendList probe = this->orders.Probe(this->successor->heartbeat());
+  this->successor->OnProbeSent(probe.number, now);
+  this->reporter.Add(probe);
 }
 
 void LeasedUpstream::ReplaceUpstream(SteadyTime now) {
@@ -131,40 +111,18 @@
 }
 
 void LeasedUpstream::Adopt(const UpstreamHeartbeat& heartbeat, SteadyTime now) {
-  // Orders to earlier incarnations have no effect on this one once it has
-  // received the higher token.
-  this->RaiseToken();
-  this->first_own_token = this->token;
-  for (auto& [name, task] : this->tasks) task.phase = Phase::kOrphaned;
+  this->orders.BeginIncarnation(heartbeat.clock, now);
+  this->tasks.BeginIncarnation();
+  this->reporter.BeginIncarnation();
   this->successor.reset();
   this->upstream = heartbeat;
-  this->clock = heartbeat.clock;
-  this->clock_read_at = now;
-  this->acknowledged = CompletionNumber();
-  this->lists.clear();
-  this->failure.reset();
+  this->responses = ResponseTracker();
+  this->responses.RestartSilence(now);
   this->unknown_runs_stopped = false;
-  this->leaving_reported = false;
   this->departure_noticed = false;
-  this->last_answer = now;
   this->RequestList(Duration(), now);
 }
 
-void LeasedUpstream::Announce() {
-  const UpstreamHeartbeat& heartbeat = *this->upstream;
-  AgentDescription description;
-  description.service = heartbeat.service;
-  description.upstream = heartbeat.incarnation.id;
-  description.capacity = heartbeat.capacity;
-  if (!heartbeat.labels.empty()) description.rack = heartbeat.labels.back();
-  this->contact = UpstreamContact::kAnswering;
-  this->leaving_reported = false;
-  this->effects.emplace_back(UpstreamAnnounced{description});
-  if (heartbeat.state != UpstreamState::kLeaving) return;
-  this->leaving_reported = true;
-  this->effects.emplace_back(UpstreamLeaving{});
-}
-
 void LeasedUpstream::OnGone(const UpstreamGone& gone, SteadyTime now) {
   const bool same_id =
       this->upstream && this->upstream->incarnation.id == gone.incarnation.id;
@@ -174,20 +132,20 @@
     // An earlier incarnation may have sent the notice, so the upstream is asked
     // whether it still answers.
     this->departure_noticed = true;
-    this->failure = this->failure.value_or(this->FailureAt(now));
+    this->responses.RecordFailure(this->orders.next_list(), now);
     this->RequestList(Duration(), now);
   } else {
-    this->effects.emplace_back(ForeignDeparture{gone.incarnation});
+    this->reporter.Add(ForeignDeparture{gone.incarnation});
   }
 }
 
 void LeasedUpstream::EndSession(SteadyTime now) {
   this->ReportEnd(SessionEndEvidence::kDepartureNotice);
   this->CompleteAll(UpstreamResult::kBroken, now);
-  this->lists.clear();
+  this->orders.ForgetLists();
   this->unknown_runs_stopped = false;
   this->successor.reset();
-  this->SetContact(UpstreamContact::kSilent);
+  this->reporter.SetContact(UpstreamContact::kSilent);
   this->upstream.reset();
 }
 
@@ -195,113 +153,100 @@
   const std::string name =
       UpstreamTaskName(wanted.job_name, wanted.task.task.value());
   if (!this->upstream || !this->unknown_runs_stopped ||
-      this->tasks.contains(name)) {
-    this->effects.emplace_back(UpstreamTaskCompleted{
-        wanted.task, UpstreamResult::kNotSent, Payload(), Duration()});
+      this->tasks.Contains(name)) {
+    this->reporter.ReportCompletion(wanted.task, UpstreamResult::kNotSent,
+                                    Duration());
     return;
   }
   if (this->renewal == LeaseRenewal::kSuspended) {
-    this->effects.emplace_back(UpstreamTaskCompleted{
-        wanted.task, UpstreamResult::kNoContact, Payload(), Duration()});
+    this->reporter.ReportCompletion(wanted.task, UpstreamResult::kNoContact,
+                                    Duration());
     return;
   }
-  this->SupersedeOverdueLists(now);
-  // Without tasks no lists are requested, so an old `last_answer` does not mean
-  // that the upstream is unresponsive.
-  if (this->tasks.empty()) this->last_answer = now;
-  Task task;
-  task.id = wanted.task;
-  task.run = {name, this->NextRun(name)};
-  task.body = wanted.body;
-  task.started_at = now;
-  this->task_names[wanted.task] = name;
-  Task& inserted = this->tasks.emplace(name, std::move(task)).first->second;
-  this->SendOrder(inserted, now);
+  this->orders.SupersedeOverdueLists(now);
+  // Without tasks no lists are requested, so an old answer does not mean that
+  // the upstream is unresponsive.
+  if (this->tasks.empty()) this->responses.RestartSilence(now);
+  this->OrderStart(this->tasks.Add(name, wanted, now), now);
   this->RequestListIfDue(now);
 }
 
 void LeasedUpstream::Stop(const TaskId& task, SteadyTime now) {
-  const auto name = this->task_names.find(task);
-  if (name == this->task_names.end()) return;
-  Task& stopped = this->tasks.at(name->second);
-  stopped.stopping = true;
-  this->SendStopOrder(stopped, now);
+  UpstreamTask* const stopped = this->tasks.Find(task);
+  if (stopped == nullptr) return;
+  stopped->stopping = true;
+  this->OrderStop(*stopped, now);
 }
 
-void LeasedUpstream::SendOrder(Task& task, SteadyTime now) {
-  ++task.orders;
-  task.phase = Phase::kOrdered;
-  task.token = this->token;
-  task.lease = this->leases.Add(now);
-  const StartOrder order{task.run, task.body.bytes(), this->LeaseUntil(now),
-                         this->token};
-  this->effects.emplace_back(SendStart{*this->upstream, order});
+void LeasedUpstream::OrderStart(UpstreamTask& task, SteadyTime now) {
+  this->reporter.Add(this->orders.Start(*this->upstream, task, now));
 }
 
-void LeasedUpstream::SendStopOrder(Task& task, SteadyTime now) {
+void LeasedUpstream::OrderStop(UpstreamTask& task, SteadyTime now) {
   task.next_stop = now + kStopRetryInterval;
-  this->effects.emplace_back(
-      SendStop{*this->upstream, StopOrder{task.run, this->token}});
+  this->reporter.Add(this->orders.Stop(*this->upstream, task.run));
 }
 
 void LeasedUpstream::OnStartAnswer(const StartOrder& order,
                                    const OrderAnswer& answer, SteadyTime now) {
-  if (order.token < this->first_own_token) return;
-  this->UpdateClock(answer, now);
-  Task* task = this->Find(order.run);
+  if (!this->orders.IsOfIncarnation(order.token)) return;
+  this->orders.UpdateClock(answer, now);
+  UpstreamTask* const task = this->tasks.Find(order.run);
   const bool expected = task != nullptr && task->phase == Phase::kOrdered &&
                         task->token == order.token;
   if (!expected) return;
-  if (IsUndelivered(answer.outcome)) this->leases.Withdraw(task->lease);
+  this->orders.OnLeaseAnswer(task->lease, answer);
   const std::string name = order.run.task;
   const bool may_repeat = task->orders < kMaximumOrders;
   switch (answer.outcome) {
     case OrderOutcome::kDone:
       this->RecordAnswer(now);
       task->phase = Phase::kRunning;
-      task->listed_from = ListNumber(this->last_list_number + 1);
+      task->listed_from = this->orders.next_list();
       return;
     case OrderOutcome::kFenced:
-      this->ReplaceToken(order.token);
+      this->orders.ReplaceToken(order.token);
       break;
     case OrderOutcome::kStaleRunNumber:
-      task->run.run = this->NextRun(name);
+      task->run.run = this->tasks.NextRun(name);
       break;
     case OrderOutcome::kLeaseExpired:
       break;
     case OrderOutcome::kNoCapacity:
-      this->Complete(name, UpstreamResult::kNoRoom, now);
+      this->Complete({name, UpstreamResult::kNoRoom}, now);
       return;
     case OrderOutcome::kUnknown:
       task->phase = Phase::kUnconfirmed;
-      this->RaiseToken();
-      this->failure = this->failure.value_or(this->FailureAt(now));
+      this->orders.Supersede();
+      this->responses.RecordFailure(this->orders.next_list(), now);
       this->RequestList(Duration(), now);
       return;
     case OrderOutcome::kNotSent:
     case OrderOutcome::kConnectionRefused:
     case OrderOutcome::kOtherIncarnation:
       this->RecordFailure(now);
-      this->Complete(name, UpstreamResult::kNotSent, now);
+      this->Complete({name, UpstreamResult::kNotSent}, now);
       return;
     case OrderOutcome::kRefused:
-      this->Complete(name, UpstreamResult::kNotSent, now);
+      this->Complete({name, UpstreamResult::kNotSent}, now);
       return;
   }
   if (this->renewal == LeaseRenewal::kSuspended) {
-    this->Complete(name, UpstreamResult::kNoContact, now);
+    this->Complete({name, UpstreamResult::kNoContact}, now);
   } else if (may_repeat && !task->stopping) {
-    this->SendOrder(*task, now);
+    this->OrderStart(*task, now);
   } else {
-    this->Complete(name, UpstreamResult::kNotSent, now);
+    this->Complete({name, UpstreamResult::kNotSent}, now);
   }
 }
 
 void LeasedUpstream::OnStopAnswer(const StopOrder& order,
                                   const OrderAnswer& answer, SteadyTime now) {
-  if (order.token < this->first_own_token) return;
-  this->UpdateClock(answer, now);
-  if (answer.outcome == OrderOutcome::kFenced) this->ReplaceToken(order.token);
+  if (!this->orders.IsOfIncarnation(order.token)) return;
+  this->orders.UpdateClock(answer, now);
+  if (answer.outcome == OrderOutcome::kFenced) {
+    this->orders.ReplaceToken(order.token);
+  }
   // The completion arrives with a list; until then the stop order is repeated.
 }
 
@@ -311,25 +256,15 @@
     this->OnProbeAnswer(list, now);
     return;
   }
-  const auto found = this->lists.find(number);
-  if (found == this->lists.end()) return;
-  const PendingList request = found->second;
-  this->lists.erase(found);
-  this->UpdateClock(list.answer, now);
-  const bool grants_nothing =
-      request.lease && IsUndelivered(list.answer.outcome);
-  if (grants_nothing) this->leases.Withdraw(*request.lease);
-  if (list.answer.outcome == OrderOutcome::kUnknown) this->Supersede(request);
+  const std::optional<ListRequest> request =
+      this->orders.OnListAnswer(number, list.answer, now);
+  if (!request) return;
   if (list.answer.outcome == OrderOutcome::kFenced) {
-    this->ReplaceToken(request.token);
     this->RequestList(Duration(), now);
     return;
   }
   const bool restarted =
-      list.started_milliseconds != 0 && this->upstream &&
-      this->upstream->incarnation.started_milliseconds != 0 &&
-      list.started_milliseconds !=
-          this->upstream->incarnation.started_milliseconds;
+      this->upstream && IsFromOther(list, this->upstream->incarnation);
   if (this->IsContactBroken(number, list.answer.outcome)) {
     this->ReportContactBroken(now);
   }
@@ -339,13 +274,13 @@
     return;
   }
   this->RecordAnswer(now);
-  this->ProcessCompletions(list, now);
-  this->Reconcile(number, request, list, now);
+  this->Complete(this->tasks.TakeCompletions(list), now);
+  this->Complete(this->tasks.Reconcile(number, request->token, list), now);
   const bool none_found = this->StopUnknownRuns(list);
   if (!this->unknown_runs_stopped) {
     if (none_found) {
       this->unknown_runs_stopped = true;
-      this->Announce();
+      this->reporter.Announce(*this->upstream);
     } else {
       this->next_list = now + kListRetryDelay;
     }
@@ -355,9 +290,7 @@
 }
 
 void LeasedUpstream::OnProbeAnswer(const ListAnswer& list, SteadyTime now) {
-  if (list.answer.outcome == OrderOutcome::kFenced) {
-    this->ReplaceToken(this->token);
-  }
+  this->orders.OnProbeAnswer(list.answer);
   this->successor->OnProbeAnswer(list, this->upstream->incarnation, now);
   const bool other_answered =
       list.answer.outcome == OrderOutcome::kOtherIncarnation ||
@@ -369,84 +302,32 @@
   this->FollowSuccessor(now);
 }
 
-void LeasedUpstream::ProcessCompletions(const ListAnswer& list,
-                                        SteadyTime now) {
-  for (const CompletedRun& item : list.completed) {
-    if (item.number <= this->acknowledged) continue;
-    this->acknowledged = item.number;
-    if (this->Find(item.run) == nullptr) continue;
-    UpstreamResult result = UpstreamResult::kBroken;
-    if (item.outcome == RunOutcome::kDone) result = UpstreamResult::kSucceeded;
-    if (item.outcome == RunOutcome::kFailed) result = UpstreamResult::kFailed;
-    this->Complete(item.run.task, result, now);
-  }
-}
-
-void LeasedUpstream::Reconcile(ListNumber number, const PendingList& request,
-                               const ListAnswer& list, SteadyTime now) {
-  // The list of completions may be cut off, so a run that is not listed may
-  // have completed normally.
-  if (list.completed.size() >= kMaximumListedCompletions) return;
-  const std::set<TaskRun> running(list.running.begin(), list.running.end());
-  std::vector<std::string> disappeared;
-  std::vector<std::string> never_started;
-  for (auto& [name, task] : this->tasks) {
-    const bool listed = running.contains(task.run);
-    const bool unresolved =
-        task.phase == Phase::kUnconfirmed || task.phase == Phase::kOrphaned;
-    if (unresolved && request.token > task.token) {
-      if (listed) {
-        task.phase = Phase::kRunning;
-        task.listed_from = number;
-      } else if (task.phase == Phase::kOrphaned) {
-        disappeared.push_back(name);
-      } else {
-        never_started.push_back(name);
-      }
-    } else if (task.phase == Phase::kRunning && !listed &&
-               number >= task.listed_from) {
-      disappeared.push_back(name);
-    }
-  }
-  for (const std::string& name : never_started) {
-    this->Complete(name, UpstreamResult::kUnanswered, now);
-  }
-  for (const std::string& name : disappeared) {
-    this->Complete(name, UpstreamResult::kBroken, now);
-  }
-}
-
 bool LeasedUpstream::StopUnknownRuns(const ListAnswer& list) {
   bool none_found = true;
   for (const TaskRun& run : list.running) {
-    const auto found = this->tasks.find(run.task);
-    if (found != this->tasks.end() && found->second.run.run >= run.run) {
-      continue;
-    }
+    if (this->tasks.IsKnown(run)) continue;
     none_found = false;
-    this->effects.emplace_back(
-        SendStop{*this->upstream, StopOrder{run, this->token}});
+    this->reporter.Add(this->orders.Stop(*this->upstream, run));
   }
   return none_found;
 }
 
 void LeasedUpstream::Tick(SteadyTime now) {
   if (!this->upstream) return;
-  this->SupersedeOverdueLists(now);
-  // Removes requests whose answers are no longer expected.
-  const Duration answer_limit =
-      this->settings.list_poll_timeout + kListForgottenAfter;
-  std::erase_if(this->lists, [&](const auto& item) {
-    return now - item.second.sent_at > answer_limit;
-  });
-  for (auto& [name, task] : this->tasks) {
-    if (task.stopping && now >= task.next_stop) this->SendStopOrder(task, now);
+  this->orders.SupersedeOverdueLists(now);
+  this->orders.ForgetListsOlderThan(
+      this->settings.list_poll_timeout + kListForgottenAfter, now);
+  for (UpstreamTask* const task : this->tasks.DueStops(now)) {
+    this->OrderStop(*task, now);
   }
-  const bool unresponsive = now - this->last_answer > kUnresponsiveAfter;
+  const bool unresponsive = this->responses.IsUnresponsive(now);
   const bool needs_list = !this->tasks.empty() || !this->unknown_runs_stopped;
-  if (needs_list && unresponsive) this->SetContact(UpstreamContact::kSilent);
-  if (!this->tasks.empty() && unresponsive && this->leases.AllExpired(now)) {
-    this->RaiseToken();
+  if (needs_list && unresponsive) {
+    this->reporter.SetContact(UpstreamContact::kSilent);
+  }
+  if (!this->tasks.empty() && unresponsive &&
+      this->orders.AllLeasesExpired(now)) {
+    this->orders.Supersede();
     // While renewal is suspended, the leases expire because this process was
     // frozen or cut off, which says nothing about the upstream.
     const bool renews = this->renewal == LeaseRenewal::kAllowed;
@@ -458,7 +339,7 @@
   }
   this->FollowSuccessor(now);
   const bool departed = this->departure_noticed && this->tasks.empty() &&
-                        this->contact == UpstreamContact::kSilent;
+                        this->reporter.contact() == UpstreamContact::kSilent;
   if (departed) {
     this->EndSession(now);
     return;
@@ -467,75 +348,51 @@
 }
 
 void LeasedUpstream::RequestListIfDue(SteadyTime now) {
-  const bool unresponsive = this->contact == UpstreamContact::kSilent;
+  const bool unresponsive =
+      this->reporter.contact() == UpstreamContact::kSilent;
   // While another incarnation may have replaced this one, an answer shows that
   // it has not.
   const bool needs_list = !this->tasks.empty() || !this->unknown_runs_stopped ||
                           unresponsive || this->successor.has_value();
   if (!this->upstream || !needs_list) return;
-  if (now < this->next_list || this->IsListPending(now)) return;
+  const ListRequests& lists = this->orders.unanswered_lists();
+  if (now < this->next_list || lists.HasTimelyRequest(now)) return;
   // While the answer to an earlier request is overdue, the next request asks
   // for an immediate answer, since completions may have been missed.
   const bool long_poll =
-      this->unknown_runs_stopped && !unresponsive && this->lists.empty();
+      this->unknown_runs_stopped && !unresponsive && lists.empty();
   this->RequestList(long_poll ? this->settings.list_poll_timeout : Duration(),
                     now);
 }
 
-bool LeasedUpstream::IsListPending(SteadyTime now) const {
-  return std::any_of(
-      this->lists.begin(), this->lists.end(),
-      [&](const auto& item) { return !item.second.IsOverdue(now); });
-}
-
-void LeasedUpstream::SupersedeOverdueLists(SteadyTime now) {
-  for (const auto& [number, list] : this->lists) {
-    if (list.IsOverdue(now)) this->Supersede(list);
-  }
-}
-
-void LeasedUpstream::Supersede(const PendingList& unanswered) {
-  const bool may_extend = unanswered.lease.has_value();
-  if (may_extend && unanswered.token == this->token) this->RaiseToken();
-}
-
 void LeasedUpstream::RequestList(Duration poll_timeout, SteadyTime now) {
-  const ListNumber number(++this->last_list_number);
-  PendingList pending{this->token, now, poll_timeout, std::nullopt};
-  ListOrder order;
-  order.token = this->token;
-  order.acknowledged = this->acknowledged;
-  order.poll_timeout = poll_timeout;
   // Runs that this session did not start must stop.
   const bool renews = !this->tasks.empty() && this->unknown_runs_stopped &&
                       this->renewal == LeaseRenewal::kAllowed &&
-                      this->contact == UpstreamContact::kAnswering &&
-                      now - this->last_answer <= kUnresponsiveAfter;
-  if (renews) {
-    pending.lease = this->leases.Add(now);
-    order.lease_until = this->LeaseUntil(now);
-  }
-  this->lists.emplace(number, pending);
-  this->effects.emplace_back(SendList{*this->upstream, number, order});
+                      this->reporter.contact() == UpstreamContact::kAnswering &&
+                      !this->responses.IsUnresponsive(now);
+  this->reporter.Add(this->orders.List(
+      *this->upstream, this->tasks.acknowledged(), poll_timeout,
+      renews ? LeaseRenewal::kAllowed : LeaseRenewal::kSuspended, now));
 }
 
-void LeasedUpstream::Complete(const std::string& name, UpstreamResult result,
-                              SteadyTime now) {
-  const auto found = this->tasks.find(name);
-  if (found == this->tasks.end()) return;
-  const Task task = std::move(found->second);
-  this->tasks.erase(found);
-  this->task_names.erase(task.id);
+void LeasedUpstream::Complete(const EndedTask& ended, SteadyTime now) {
+  const std::optional<UpstreamTask> task = this->tasks.Remove(ended.name);
+  if (!task) return;
   const auto elapsed =
-      std::chrono::duration_cast<Duration>(now - task.started_at);
-  this->effects.emplace_back(
-      UpstreamTaskCompleted{task.id, result, Payload(), elapsed});
+      std::chrono::duration_cast<Duration>(now - task->started_at);
+  this->reporter.ReportCompletion(task->id, ended.result, elapsed);
+}
+
+void LeasedUpstream::Complete(const std::vector<EndedTask>& ended,
+                              SteadyTime now) {
+  for (const EndedTask& task : ended) this->Complete(task, now);
 }
 
 void LeasedUpstream::CompleteAll(UpstreamResult result, SteadyTime now) {
-  std::vector<std::string> all;
-  for (const auto& [name, task] : this->tasks) all.push_back(name);
-  for (const std::string& name : all) this->Complete(name, result, now);
+  for (const std::string& name : this->tasks.Names()) {
+    this->Complete({name, result}, now);
+  }
 }
 
 bool LeasedUpstream::IsEndPlanned() const {
@@ -545,103 +402,43 @@
 
 void LeasedUpstream::ReportLoss(LossEvidence evidence) {
   if (this->tasks.empty()) return;
-  this->effects.emplace_back(
-      UpstreamLost{this->upstream->incarnation.id, evidence});
+  this->reporter.Add(UpstreamLost{this->upstream->incarnation.id, evidence});
 }
 
 void LeasedUpstream::ReportEnd(SessionEndEvidence evidence) {
-  this->effects.emplace_back(
+  this->reporter.Add(
       SessionEnded{this->upstream->incarnation, evidence, this->tasks.size()});
 }
 
-Duration LeasedUpstream::LeaseUntil(SteadyTime now) const {
-  return this->UpstreamClock(now) + this->settings.maximum_lease;
-}
-
-void LeasedUpstream::ReplaceToken(FencingToken refused) {
-  // The token has been raised already if another order under the same token was
-  // refused before.
-  if (refused != this->token) return;
-  this->token = FencingToken(this->token.value() + kTokenIncrement);
-}
-
-void LeasedUpstream::RaiseToken() {
-  this->token = FencingToken(this->token.value() + 1);
-}
-
-void LeasedUpstream::UpdateClock(const OrderAnswer& answer, SteadyTime now) {
-  if (!answer.clock) return;
-  // A delayed answer carries an old time and must not set the clock back.
-  if (*answer.clock < this->UpstreamClock(now) - this->settings.maximum_lease) {
-    return;
-  }
-  this->clock = *answer.clock;
-  this->clock_read_at = now;
-}
-
 void LeasedUpstream::RecordAnswer(SteadyTime now) {
-  this->last_answer = now;
-  this->failure.reset();
-  if (this->unknown_runs_stopped) this->SetContact(UpstreamContact::kAnswering);
-}
-
-LeasedUpstream::Failure LeasedUpstream::FailureAt(SteadyTime now) const {
-  return {now, ListNumber(this->last_list_number + 1)};
+  this->responses.RecordAnswer(now);
+  if (this->unknown_runs_stopped) {
+    this->reporter.SetContact(UpstreamContact::kAnswering);
+  }
 }
 
 void LeasedUpstream::RecordFailure(SteadyTime now) {
-  if (!this->failure) {
-    this->failure = this->FailureAt(now);
-    this->RequestList(Duration(), now);
-  }
-  if (now - this->last_answer > kUnresponsiveAfter) {
-    this->SetContact(UpstreamContact::kSilent);
+  const bool is_first =
+      this->responses.RecordFailure(this->orders.next_list(), now);
+  if (is_first) this->RequestList(Duration(), now);
+  if (this->responses.IsUnresponsive(now)) {
+    this->reporter.SetContact(UpstreamContact::kSilent);
   }
 }
 
 bool LeasedUpstream::IsContactBroken(ListNumber number,
                                      OrderOutcome outcome) const {
-  return outcome == OrderOutcome::kConnectionRefused && this->failure &&
-         number >= this->failure->next_list &&
-         this->contact == UpstreamContact::kAnswering;
+  return outcome == OrderOutcome::kConnectionRefused &&
+         this->responses.IsAfterFailure(number) &&
+         this->reporter.contact() == UpstreamContact::kAnswering;
 }
 
 void LeasedUpstream::ReportContactBroken(SteadyTime now) {
   if (!this->IsEndPlanned() && !this->tasks.empty()) {
-    const auto age =
-        std::chrono::duration_cast<Duration>(now - this->failure->failed_at);
-    this->effects.emplace_back(
-        UpstreamContactBroken{this->upstream->incarnation.id, age});
-  }
-  this->SetContact(UpstreamContact::kSilent);
-}
-
-void LeasedUpstream::SetContact(UpstreamContact wanted) {
-  if (wanted == this->contact) return;
-  this->contact = wanted;
-  this->effects.emplace_back(UpstreamContactChanged{wanted});
-}
-
-Duration LeasedUpstream::UpstreamClock(SteadyTime now) const {
-  return this->clock +
-         std::chrono::duration_cast<Duration>(now - this->clock_read_at);
-}
-
-LeasedUpstream::Task* LeasedUpstream::Find(const TaskRun& run) {
-  const auto found = this->tasks.find(run.task);
-  const bool same = found != this->tasks.end() && found->second.run == run;
-  return same ? &found->second : nullptr;
-}
-
-RunNumber LeasedUpstream::NextRun(const std::string& name) {
-  // After this, the first order for a known task may be refused because of its
-  // low run number, and is then sent again with the next one.
-  if (this->last_runs.size() >= kMaximumRememberedRuns) {
-    this->last_runs.clear();
+    this->reporter.Add(UpstreamContactBroken{this->upstream->incarnation.id,
+                                             this->responses.FailureAge(now)});
   }
-  RunNumber& last = this->last_runs[name];
-  last = RunNumber(last.value() + 1);
-  return last;
+  this->reporter.SetContact(UpstreamContact::kSilent);
 }
 
 }  // namespace dandelionspur
