protocol: Name the HTTP status codes once

Cause: each file that answers HTTP defined the same status codes for itself.

Change: libraries/protocol/http_status.h names them; the document routes, the operators' command and both stand-ins use it. caller_routes, agent_server, platform/ and libraries/network still have their own, as they are being worked on.

--- a/services/entry/document_routes.cc
+++ b/services/entry/document_routes.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "libraries/protocol/http_status.h"
 #include "services/runtime/admin_routes.h"
 
 namespace dandelionspur {
@@ -11,12 +12,6 @@
 
 namespace http = boost::beast::http;
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kConflict = 409;
-constexpr unsigned kUnavailable = 503;
-
 std::optional<std::uint64_t> ParseNumber(const std::string& text) {
   std::uint64_t number = 0;
   const char* end = text.data() + text.size();
@@ -44,13 +39,13 @@
   const nlohmann::json version = {{"version", result.version.value()}};
   switch (result.state) {
     case DocumentWriteState::kWritten:
-      return JsonResponse(kOk, version);
+      return JsonResponse(http_status::kOk, version);
     case DocumentWriteState::kConflict:
-      return JsonResponse(kConflict, version);
+      return JsonResponse(http_status::kConflict, version);
     case DocumentWriteState::kUnavailable:
       break;
   }
-  return ProblemResponse(kUnavailable,
+  return ProblemResponse(http_status::kServiceUnavailable,
                          "the table service does not answer; repeat the "
                          "change with the same change id");
 }
@@ -73,7 +68,7 @@
   } else if (parts.size() == 2 && parts[1] == "history" && is_get) {
     this->History(ServiceName(parts[0]), responder);
   } else {
-    responder(ProblemResponse(kNotFound, "no such path"));
+    responder(ProblemResponse(http_status::kNotFound, "no such path"));
   }
 }
 
@@ -85,7 +80,7 @@
                       {"version", document->source.version.value()}});
     }
   });
-  responder(JsonResponse(kOk, list));
+  responder(JsonResponse(http_status::kOk, list));
 }
 
 void DocumentRoutes::Get(const ServiceName& service,
@@ -96,11 +91,12 @@
     if (document != state.documents.end()) found = document->second->source;
   });
   if (!found) {
-    responder(ProblemResponse(kNotFound, "no document names this service"));
+    responder(ProblemResponse(http_status::kNotFound,
+                              "no document names this service"));
     return;
   }
-  responder(JsonResponse(
-      kOk, {{"version", found->version.value()}, {"text", found->text}}));
+  responder(JsonResponse(http_status::kOk, {{"version", found->version.value()},
+                                            {"text", found->text}}));
 }
 
 void DocumentRoutes::Put(const ServiceName& service, const HttpRequest& request,
@@ -111,14 +107,14 @@
   const std::optional<std::uint64_t> base =
       ParseNumber(QueryValue(target, "base_version"));
   if (change_id.empty() || !base) {
-    responder(ProblemResponse(kBadRequest,
+    responder(ProblemResponse(http_status::kBadRequest,
                               "change_id and base_version are required"));
     return;
   }
   const std::optional<std::string> problem =
       DocumentProblem(service, request.body());
   if (problem) {
-    responder(ProblemResponse(kBadRequest, *problem));
+    responder(ProblemResponse(http_status::kBadRequest, *problem));
     return;
   }
   this->table.WriteDocument(service, DocumentVersion(*base), change_id,
@@ -134,7 +130,7 @@
       service,
       [responder](const std::optional<std::vector<StoredDocument>>& history) {
         if (!history) {
-          responder(ProblemResponse(kUnavailable,
+          responder(ProblemResponse(http_status::kServiceUnavailable,
                                     "the table service does not answer"));
           return;
         }
@@ -144,7 +140,7 @@
                           {"change_id", stored.change_id},
                           {"text", stored.document.text}});
         }
-        responder(JsonResponse(kOk, list));
+        responder(JsonResponse(http_status::kOk, list));
       });
 }
 
--- a/utilities/dandelionspur/commands.cc
+++ b/utilities/dandelionspur/commands.cc
@@ -8,6 +8,7 @@
 
 #include "libraries/configuration/object_reader.h"
 #include "libraries/configuration/service_document.h"
+#include "libraries/protocol/http_status.h"
 #include "utilities/dandelionspur/line_diff.h"
 
 namespace dandelionspur {
@@ -15,11 +16,6 @@
 
 namespace http = boost::beast::http;
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kAccepted = 202;
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kConflictStatus = 409;
 constexpr std::chrono::milliseconds kPollInterval{50};
 
 std::string ServicePath(const std::string& service, const std::string& rest) {
@@ -130,23 +126,24 @@
         this->client.Send(this->options.entry, http::verb::get,
                           ServicePath(service, "document"), "");
     if (current.status == 0) return this->ReportUnavailable(current);
-    if (current.status == kOk) base = current.json.value("version", base);
+    if (current.status == http_status::kOk)
+      base = current.json.value("version", base);
   }
   const std::string query = "document?base_version=" + std::to_string(base) +
                             "&change_id=" + this->options.change_id;
   const AdminReply reply = this->client.Send(
       this->options.entry, http::verb::put, ServicePath(service, query), text);
-  if (reply.status == kBadRequest) {
+  if (reply.status == http_status::kBadRequest) {
     std::cerr << reply.json.value("detail", "refused") << "\n";
     return CommandExit::kBadDocument;
   }
-  if (reply.status == kConflictStatus) {
+  if (reply.status == http_status::kConflict) {
     std::cerr << "conflicting change: version "
               << reply.json.value("version", std::uint64_t{0})
               << " is in force; apply the change to that version\n";
     return CommandExit::kConflict;
   }
-  if (reply.status != kOk) return this->ReportUnavailable(reply);
+  if (reply.status != http_status::kOk) return this->ReportUnavailable(reply);
   const auto version = reply.json.value("version", std::uint64_t{0});
   if (this->options.wait == WaitMode::kUntilInForce) {
     return this->WaitUntilInForce(service, version);
@@ -191,11 +188,11 @@
   const AdminReply reply =
       this->client.Send(this->options.entry, http::verb::get,
                         ServicePath(service, "document"), "");
-  if (reply.status == kNotFound) {
+  if (reply.status == http_status::kNotFound) {
     std::cerr << "no document for service " << service << "\n";
     return CommandExit::kFailure;
   }
-  if (reply.status != kOk) return this->ReportUnavailable(reply);
+  if (reply.status != http_status::kOk) return this->ReportUnavailable(reply);
   this->Print(reply.json, "// version " +
                               std::to_string(reply.json.value(
                                   "version", std::uint64_t{0})) +
@@ -207,7 +204,7 @@
   const AdminReply reply =
       this->client.Send(this->options.entry, http::verb::get,
                         ServicePath(service, "history"), "");
-  if (reply.status != kOk) return this->ReportUnavailable(reply);
+  if (reply.status != http_status::kOk) return this->ReportUnavailable(reply);
   std::string lines;
   for (const nlohmann::json& item : reply.json) {
     lines += "version " +
@@ -223,7 +220,7 @@
   const AdminReply reply =
       this->client.Send(this->options.entry, http::verb::get,
                         ServicePath(service, "history"), "");
-  if (reply.status != kOk) return this->ReportUnavailable(reply);
+  if (reply.status != http_status::kOk) return this->ReportUnavailable(reply);
   std::optional<std::string> old_text;
   std::optional<std::string> new_text;
   for (const nlohmann::json& item : reply.json) {
@@ -244,7 +241,7 @@
 CommandExit Commands::Status() {
   const AdminReply reply =
       this->client.Send(this->options.entry, http::verb::get, "/v1/status", "");
-  if (reply.status != kOk) return this->ReportUnavailable(reply);
+  if (reply.status != http_status::kOk) return this->ReportUnavailable(reply);
   std::ostringstream text_output;
   const nlohmann::json& status = reply.json;
   text_output << "entry " << status.value("entry", "") << ": "
@@ -284,7 +281,8 @@
         BOOST_LEAF_AUTO(endpoint, ParseEndpoint(process));
         const AdminReply reply =
             this->client.Send(endpoint, http::verb::post, "/v1/drain", "");
-        if (reply.status != kAccepted) return this->ReportUnavailable(reply);
+        if (reply.status != http_status::kAccepted)
+          return this->ReportUnavailable(reply);
         // The process exits once it has drained; its admin port then refuses
         // connections.
         const auto started_at = std::chrono::steady_clock::now();
--- a/utilities/dandelionspur/operator_client.cc
+++ b/utilities/dandelionspur/operator_client.cc
@@ -3,6 +3,7 @@
 #include <optional>
 #include <utility>
 
+#include "libraries/protocol/http_status.h"
 #include "platform/table_client.h"
 
 namespace dandelionspur {
@@ -11,7 +12,6 @@
 namespace http = boost::beast::http;
 
 constexpr Duration kTimeout = std::chrono::seconds(10);
-constexpr unsigned kOk = 200;
 
 }  // namespace
 
@@ -62,7 +62,7 @@
   for (const Endpoint& process : this->LiveProcesses(entry)) {
     const AdminReply pending_segments =
         this->Send(process, http::verb::get, "/v1/records", "");
-    if (pending_segments.status != kOk) continue;
+    if (pending_segments.status != http_status::kOk) continue;
     BOOST_LEAF_CHECK(
         archive.AddSegments(pending_segments.body, EndpointText(process)));
   }
--- a/utilities/table_stand_in/table_store.cc
+++ b/utilities/table_stand_in/table_store.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <set>
 
+#include "libraries/protocol/http_status.h"
 #include "platform/base64.h"
 #include "services/runtime/admin_routes.h"
 
@@ -13,15 +14,6 @@
 namespace http = boost::beast::http;
 using nlohmann::json;
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kForbidden = 403;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kGone = 410;
-constexpr unsigned kPreconditionFailed = 412;
-constexpr unsigned kTooManyRequests = 429;
-constexpr unsigned kUnavailable = 503;
-
 // Decodes percent-encoded bytes (%XX).
 std::string PercentDecode(std::string_view text) {
   constexpr int kHexadecimal = 16;
@@ -66,9 +58,11 @@
   } else if (target == "/statistics") {
     responder(this->Statistics());
   } else if (this->faults.down) {
-    responder(ProblemResponse(kUnavailable, "down by request"));
+    responder(
+        ProblemResponse(http_status::kServiceUnavailable, "down by request"));
   } else if (this->faults.busy) {
-    responder(ProblemResponse(kTooManyRequests, "busy by request"));
+    responder(
+        ProblemResponse(http_status::kTooManyRequests, "busy by request"));
   } else if (this->faults.delay_milliseconds > 0) {
     auto timer = std::make_shared<boost::asio::steady_timer>(
         this->context,
@@ -96,7 +90,7 @@
   } else if (target.starts_with("/-/blob-")) {
     this->ServeObject(request, responder);
   } else {
-    responder(ProblemResponse(kNotFound, "no such path"));
+    responder(ProblemResponse(http_status::kNotFound, "no such path"));
   }
 }
 
@@ -105,7 +99,7 @@
   ++this->writes;
   const json transaction = json::parse(request.body(), nullptr, false);
   if (!transaction.is_object()) {
-    responder(ProblemResponse(kBadRequest, "not an object"));
+    responder(ProblemResponse(http_status::kBadRequest, "not an object"));
     return;
   }
   if (this->faults.late_writes > 0) {
@@ -120,7 +114,8 @@
     return;
   }
   HttpResponse answer = this->Apply(transaction);
-  if (answer.result_int() == kOk && this->faults.lose_answers > 0) {
+  if (answer.result_int() == http_status::kOk &&
+      this->faults.lose_answers > 0) {
     --this->faults.lose_answers;
     return;
   }
@@ -146,12 +141,13 @@
   }
   if (!conditions_hold) {
     return JsonResponse(
-        kPreconditionFailed,
+        http_status::kPreconditionFailed,
         {{"rows", current}, {"schema_version", this->revision}});
   }
   for (const json& row : transaction.value("writes", json())) {
     if (row.value("table", "") == "op") {
-      return ProblemResponse(kForbidden, "a table of the operators");
+      return ProblemResponse(http_status::kForbidden,
+                             "a table of the operators");
     }
   }
   ++this->revision;
@@ -162,7 +158,7 @@
     this->Remove(name_of(row));
   }
   this->AnswerFeeds();
-  return JsonResponse(kOk, {{"schema_version", this->revision}});
+  return JsonResponse(http_status::kOk, {{"schema_version", this->revision}});
 }
 
 void TableStore::Write(const RowName& name, const std::string& value) {
@@ -192,9 +188,9 @@
 }
 
 HttpResponse TableStore::RowsAnswer(json found) const {
-  return JsonResponse(kOk, {{"rows", std::move(found)},
-                            {"has_more", false},
-                            {"schema_version", this->revision}});
+  return JsonResponse(http_status::kOk, {{"rows", std::move(found)},
+                                         {"has_more", false},
+                                         {"schema_version", this->revision}});
 }
 
 HttpResponse TableStore::ReadRows(std::string_view target) const {
@@ -232,7 +228,7 @@
   const std::string table = Query(target, "table");
   const std::uint64_t after = QueryNumber(target, "after");
   if (after < this->history_start) {
-    responder(ProblemResponse(kGone, "the history is gone"));
+    responder(ProblemResponse(http_status::kGone, "the history is gone"));
     return;
   }
   const bool has_changes = std::any_of(
@@ -282,21 +278,22 @@
   if (target.starts_with("/-/blob-put/")) {
     ++this->object_writes;
     this->objects[id] = request.body();
-    responder(JsonResponse(kOk, {{"id", id}}));
+    responder(JsonResponse(http_status::kOk, {{"id", id}}));
     return;
   }
   if (target.starts_with("/-/blob-drop/")) {
     this->objects.erase(id);
-    responder(JsonResponse(kOk, {{"id", id}}));
+    responder(JsonResponse(http_status::kOk, {{"id", id}}));
     return;
   }
   ++this->reads;
   const auto found = this->objects.find(id);
   if (found == this->objects.end()) {
-    responder(ProblemResponse(kNotFound, "no such object"));
+    responder(ProblemResponse(http_status::kNotFound, "no such object"));
     return;
   }
-  responder(MakeHttpResponse(kOk, "application/octet-stream", found->second));
+  responder(MakeHttpResponse(http_status::kOk, "application/octet-stream",
+                             found->second));
 }
 
 HttpResponse TableStore::ListObjects(std::string_view target) const {
@@ -306,12 +303,14 @@
   for (const auto& [name, bytes] : this->objects) {
     if (name.starts_with(prefix) && name > after) names.push_back(name);
   }
-  return JsonResponse(kOk, {{"names", names}, {"has_more", false}});
+  return JsonResponse(http_status::kOk,
+                      {{"names", names}, {"has_more", false}});
 }
 
 HttpResponse TableStore::SetFaults(const std::string& body) {
   const json wire = json::parse(body, nullptr, false);
-  if (!wire.is_object()) return ProblemResponse(kBadRequest, "not an object");
+  if (!wire.is_object())
+    return ProblemResponse(http_status::kBadRequest, "not an object");
   this->faults.down = wire.value("down", false);
   this->faults.busy = wire.value("busy", false);
   this->faults.lose_answers = wire.value("lose_answers", 0U);
@@ -322,24 +321,25 @@
     this->history.clear();
     this->history_start = ++this->revision;
   }
-  return JsonResponse(kOk, {{"faults", "set"}});
+  return JsonResponse(http_status::kOk, {{"faults", "set"}});
 }
 
 HttpResponse TableStore::WriteOperatorRow(const std::string& body) {
   const json row = json::parse(body, nullptr, false);
-  if (!row.is_object()) return ProblemResponse(kBadRequest, "not an object");
+  if (!row.is_object())
+    return ProblemResponse(http_status::kBadRequest, "not an object");
   ++this->revision;
   this->Write({"op", "", row.value("key", "")},
               EncodeBase64(row.value("value", "")));
   this->AnswerFeeds();
-  return JsonResponse(kOk, {{"schema_version", this->revision}});
+  return JsonResponse(http_status::kOk, {{"schema_version", this->revision}});
 }
 
 HttpResponse TableStore::Statistics() const {
-  return JsonResponse(kOk, {{"reads", this->reads},
-                            {"writes", this->writes},
-                            {"object_writes", this->object_writes},
-                            {"objects", this->objects.size()}});
+  return JsonResponse(http_status::kOk, {{"reads", this->reads},
+                                         {"writes", this->writes},
+                                         {"object_writes", this->object_writes},
+                                         {"objects", this->objects.size()}});
 }
 
 }  // namespace dandelionspur
--- a/utilities/upstream_stand_in/platform_worker.cc
+++ b/utilities/upstream_stand_in/platform_worker.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "libraries/base/time.h"
+#include "libraries/protocol/http_status.h"
 #include "services/runtime/admin_routes.h"
 #include "utilities/upstream_stand_in/crash.h"
 
@@ -14,11 +15,6 @@
 namespace http = boost::beast::http;
 using nlohmann::json;
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kConflict = 409;
-constexpr unsigned kMisdirected = 421;
 constexpr Duration kAnnounceTimeout = std::chrono::milliseconds(500);
 
 std::int64_t WallMicroseconds() {
@@ -78,11 +74,11 @@
     responder(this->Runs());
   } else if (target == "/faults") {
     this->SetFaults(request.body());
-    responder(JsonResponse(kOk, {{"faults", "set"}}));
+    responder(JsonResponse(http_status::kOk, {{"faults", "set"}}));
   } else if (target.starts_with("/-/")) {
     this->Order(request, responder);
   } else {
-    responder(ProblemResponse(kNotFound, "no such path"));
+    responder(ProblemResponse(http_status::kNotFound, "no such path"));
   }
 }
 
@@ -92,11 +88,11 @@
                                 request.target().size());
   const json order = json::parse(request.body(), nullptr, false);
   if (!order.is_object()) {
-    responder(ProblemResponse(kBadRequest, "not an object"));
+    responder(ProblemResponse(http_status::kBadRequest, "not an object"));
     return;
   }
   if (request["X-Expect-Instance"] != this->options.id) {
-    responder(JsonResponse(kMisdirected, {}));
+    responder(JsonResponse(http_status::kMisdirectedRequest, {}));
     return;
   }
   if (target == "/-/hold") {
@@ -135,7 +131,8 @@
   if (found != this->running.end() && found->second.number <= run) {
     this->EndRun(task, "stopped");
   }
-  return JsonResponse(kOk, {{"clock_ms", this->ClockMilliseconds()}});
+  return JsonResponse(http_status::kOk,
+                      {{"clock_ms", this->ClockMilliseconds()}});
 }
 
 HttpResponse PlatformWorker::StartRun(const json& order) {
@@ -144,7 +141,7 @@
   const json accepted = {{"clock_ms", this->ClockMilliseconds()}};
   const auto current = this->running.find(task);
   if (current != this->running.end() && current->second.number == number) {
-    return JsonResponse(kOk, accepted);
+    return JsonResponse(http_status::kOk, accepted);
   }
   const auto highest = this->highest_runs.find(task);
   if (highest != this->highest_runs.end() && number <= highest->second) {
@@ -161,7 +158,7 @@
   run.task = task;
   run.number = number;
   run.from_microseconds = WallMicroseconds();
-  if (this->hangs) return JsonResponse(kOk, accepted);
+  if (this->hangs) return JsonResponse(http_status::kOk, accepted);
   const bool fail = this->fails || spec.ends_with("fail");
   const bool crash = spec.ends_with("crash");
   run.completion = std::make_unique<boost::asio::steady_timer>(
@@ -173,7 +170,7 @@
         if (crash) Crash();
         this->EndRun(task, fail ? "failed" : "done");
       });
-  return JsonResponse(kOk, accepted);
+  return JsonResponse(http_status::kOk, accepted);
 }
 
 void PlatformWorker::List(const json& order, const HttpResponder& responder) {
@@ -220,10 +217,11 @@
     finished.push_back({completion.number, completion.task, completion.run,
                         completion.outcome, ""});
   }
-  return JsonResponse(kOk, {{"clock_ms", this->ClockMilliseconds()},
-                            {"born", this->started_milliseconds},
-                            {"running", runs},
-                            {"finished", finished}});
+  return JsonResponse(http_status::kOk,
+                      {{"clock_ms", this->ClockMilliseconds()},
+                       {"born", this->started_milliseconds},
+                       {"running", runs},
+                       {"finished", finished}});
 }
 
 void PlatformWorker::AnswerLists() {
@@ -272,7 +270,8 @@
 
 HttpResponse PlatformWorker::Refuse(const char* reason) const {
   return JsonResponse(
-      kConflict, {{"clock_ms", this->ClockMilliseconds()}, {"reason", reason}});
+      http_status::kConflict,
+      {{"clock_ms", this->ClockMilliseconds()}, {"reason", reason}});
 }
 
 HttpResponse PlatformWorker::Runs() const {
@@ -289,7 +288,7 @@
     add({task, run.number, run.from_microseconds, WallMicroseconds(),
          "running"});
   }
-  return JsonResponse(kOk, {{"runs", runs}});
+  return JsonResponse(http_status::kOk, {{"runs", runs}});
 }
 
 void PlatformWorker::SetFaults(const std::string& body) {
--- a/utilities/upstream_stand_in/stand_in_upstream.cc
+++ b/utilities/upstream_stand_in/stand_in_upstream.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "libraries/protocol/http_status.h"
 #include "services/runtime/admin_routes.h"
 #include "utilities/upstream_stand_in/crash.h"
 
@@ -13,10 +14,6 @@
 
 namespace http = boost::beast::http;
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kFailed = 500;
-constexpr unsigned kStopped = 503;
 constexpr Duration kAnnounceTimeout = std::chrono::seconds(1);
 constexpr std::chrono::milliseconds kAnnounceInterval{500};
 constexpr std::chrono::seconds kUsageSampleInterval{1};
@@ -67,27 +64,29 @@
   if (is_task && parts.size() == 3 && request.method() == http::verb::post) {
     this->StartTask(parts[2], request, responder);
   } else if (is_task && request.method() == http::verb::delete_) {
-    this->EndTask(parts[2], kStopped, "stopped");
-    responder(JsonResponse(kOk, {{"stopped", parts[2]}}));
+    this->EndTask(parts[2], http_status::kServiceUnavailable, "stopped");
+    responder(JsonResponse(http_status::kOk, {{"stopped", parts[2]}}));
   } else if (is_task && path == "lease") {
     this->ArmLease(parts[2], request);
-    responder(JsonResponse(kOk, {{"renewed", parts[2]}}));
+    responder(JsonResponse(http_status::kOk, {{"renewed", parts[2]}}));
   } else if (is_task && path == "checkpoint") {
     ++this->checkpoints;
-    responder(JsonResponse(kOk, {{"checkpoints", this->checkpoints}}));
+    responder(
+        JsonResponse(http_status::kOk, {{"checkpoints", this->checkpoints}}));
   } else if (path == "starts") {
     nlohmann::json list = nlohmann::json::array();
     for (const LoggedStart& start : this->starts) {
       list.push_back({{"task", start.task}, {"at_us", start.at_microseconds}});
     }
-    responder(JsonResponse(kOk, {{"starts", list}}));
+    responder(JsonResponse(http_status::kOk, {{"starts", list}}));
   } else if (path == "usage") {
-    responder(JsonResponse(kOk, {{"running", this->reported_usage}}));
+    responder(
+        JsonResponse(http_status::kOk, {{"running", this->reported_usage}}));
   } else if (path == "faults") {
     this->SetFaults(request.body());
-    responder(JsonResponse(kOk, {{"faults", "set"}}));
+    responder(JsonResponse(http_status::kOk, {{"faults", "set"}}));
   } else {
-    responder(ProblemResponse(kNotFound, "no such path"));
+    responder(ProblemResponse(http_status::kNotFound, "no such path"));
   }
 }
 
@@ -109,7 +108,7 @@
     task.crashes = body.value("outcome", "ok") == "crash";
   }
   if (this->mode == Mode::kFailEverything) {
-    this->EndTask(id, kFailed, "failed by request");
+    this->EndTask(id, http_status::kInternalServerError, "failed by request");
     return;
   }
   this->ArmLease(id, request);
@@ -125,7 +124,9 @@
     const RunningTask& done = this->running.at(id);
     if (done.crashes) Crash();
     const nlohmann::json result = {{"task", id}, {"token", done.token}};
-    this->EndTask(id, done.fails ? kFailed : kOk, result.dump());
+    this->EndTask(
+        id, done.fails ? http_status::kInternalServerError : http_status::kOk,
+        result.dump());
   });
 }
 
@@ -137,7 +138,9 @@
   found->second.lease = std::make_unique<boost::asio::steady_timer>(
       this->context, std::chrono::milliseconds(lease));
   found->second.lease->async_wait([this, id](boost::system::error_code error) {
-    if (!error) this->EndTask(id, kStopped, "the lease has lapsed");
+    if (!error)
+      this->EndTask(id, http_status::kServiceUnavailable,
+                    "the lease has lapsed");
   });
 }
 
