entry: Split intake, load, gauges, status and admin routes off the server

Beside the wiring it held the queue of callers' jobs and their refusals, the measurement of the load, the gauges, the status and the admin routes.

Change: JobIntake, LoadMonitor, EntryGauges, EntryStatus and EntryAdminRoutes are classes of their own files that get their dependencies through the constructor; DeriveCoreSettings() and AllocatedBytes() stand in files of their own. Listen() is split into its steps. No change of behaviour is intended; the gauges of one reading are set in another order.

--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -1,20 +1,16 @@
 #include "services/entry/entry_server.h"
 
-#include <malloc.h>
-
-#include <algorithm>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/mp11.hpp>
-#include <future>
-#include <nlohmann/json.hpp>
+#include <string>
 #include <utility>
+#include <variant>
+#include <vector>
 
 #include "libraries/base/enum_name.h"
-#include "libraries/entry_core/submission_validator.h"
 #include "libraries/telemetry/log.h"
 #include "platform/job_calls.h"
-#include "services/runtime/admin_routes.h"
+#include "services/entry/core_settings.h"
 #include "services/runtime/daemon.h"
 #include "services/runtime/settings_reloader.h"
 
@@ -22,74 +18,11 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 
 constexpr std::chrono::milliseconds kTickInterval{50};
-// Callers are notified of a graceful shutdown with some delay.
-constexpr std::chrono::milliseconds kDrainNoticeDelay{100};
-// Time to hand over the buckets after the last caller was accepted. Buckets
-// that were not handed over by then are left for other entries to take over.
-constexpr std::chrono::milliseconds kMaximumHandOverTime{2400};
-// Margins before the process would be killed, for the last steps of the core's
-// hand-over and for the exit itself, which take longer on a busy processor.
-constexpr std::chrono::milliseconds kShutdownMargin{700};
+// Margin before the process would be killed, for the exit itself, which takes
+// longer on a busy processor.
 constexpr std::chrono::milliseconds kExitMargin{250};
-constexpr std::chrono::seconds kLinkInterval{1};
-// Above this share of the link's rate, in percent, the link counts as full.
-constexpr std::uint64_t kFullLinkPercent = 80;
-constexpr unsigned kOk = 200;
-constexpr unsigned kAccepted = 202;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kUnavailable = 503;
-
-// The bytes that this process has allocated and not freed. Memory that the
-// allocator keeps for later is left out, since it can be used again.
-std::uint64_t AllocatedBytes() {
-  const struct mallinfo2 usage = mallinfo2();
-  return usage.uordblks + usage.hblkhd;
-}
-
-const char* DetailOf(ScarceResource resource) {
-  switch (resource) {
-    case ScarceResource::kLink:
-      return "the link of this entry is full";
-    case ScarceResource::kMemory:
-      return "the memory of this entry is full";
-    case ScarceResource::kDelay:
-      return "this entry is behind with its work";
-    case ScarceResource::kPeer:
-      return "the connection to the job's home is full";
-  }
-  return "";
-}
-
-// A small instance keeps fewer answers. `memory_bytes` may be 0: not limited.
-std::uint64_t MaximumAnswerBytes(std::uint64_t usual,
-                                 std::uint64_t memory_bytes) {
-  // One part of the memory in this many.
-  constexpr std::uint64_t kAnswerShare = 16;
-  if (memory_bytes == 0) return usual;
-  return std::min(usual, memory_bytes / kAnswerShare);
-}
-
-EntryCoreSettings CoreSettings(const EntrySettings& settings, EntryId self) {
-  EntryCoreSettings core;
-  core.self = self;
-  core.bucket_count = settings.bucket_count;
-  core.duplicate_window = settings.duplicate_window;
-  core.suspect_after = settings.suspect_after;
-  core.remove_after = settings.remove_after;
-  core.lease_over_after = LeaseOverAfter(settings.lease);
-  core.drain_accepts = settings.drain_accepts + kDrainNoticeDelay;
-  core.drain_limit = std::min(core.drain_accepts + kMaximumHandOverTime,
-                              settings.stop_within - kShutdownMargin);
-  core.maximum_answer_bytes =
-      MaximumAnswerBytes(core.maximum_answer_bytes, settings.memory_bytes);
-  core.placement_seed = self.value();
-  core.link_bytes_per_second =
-      LinkPacer::RateFor(settings.link_bytes_per_second);
-  return core;
-}
 
 }  // namespace
 
@@ -111,16 +44,11 @@
       retries(this->metrics, "retries_total"),
       refusals(this->metrics, "refusals_decided_total"),
       agent_messages(this->metrics, "messages_from_agents_total"),
-      load_guard(configured.memory_bytes),
-      peer_queues(configured.link_bytes_per_second),
       publish_times(this->metrics.HistogramFor("stage_seconds", "stage",
                                                "configuration_publish")),
-      work_delays(
-          this->metrics.HistogramFor("stage_seconds", "stage", "own_delay")),
-      call_waits(
-          this->metrics.HistogramFor("stage_seconds", "stage", "call_wait")),
-      core(CoreSettings(configured, own)),
+      core(DeriveCoreSettings(configured, own)),
       log(this->core, this->metrics),
+      status(this->core, own, configured.bucket_count),
       shutdown(this->core_thread.First(), this->core, own,
                this->waiting_callers, [this] { this->Exit(); }),
       tick_timer(this->core_thread.First()) {
@@ -133,6 +61,18 @@
 }
 
 Result<void> EntryServer::Listen() {
+  this->CreateTable();
+  BOOST_LEAF_CHECK(this->CreateLinks());
+  BOOST_LEAF_CHECK(this->ListenToCallers());
+  BOOST_LEAF_CHECK(this->ListenToOperators());
+  if (this->settings.readiness) BOOST_LEAF_CHECK(this->ListenToProbes());
+  asio::post(this->core_thread.First(), [this] { this->ScheduleTick(); });
+  this->table->Start();
+  LogStateChange(ProcessStarted{this->self.value(), DANDELIONSPUR_VERSION});
+  return {};
+}
+
+void EntryServer::CreateTable() {
   const EntryEventSink sink = [this](EntryEvent event) {
     if (const auto* read = std::get_if<DocumentRead>(&event)) {
       this->configuration_age.NoteRead(
@@ -145,32 +85,13 @@
                           this->settings.millicores};
   this->records = std::make_unique<RecordUploader<EntryCore>>(
       this->input_output.First(), this->settings.table, ProcessRole::kEntry,
-      this->self.value(), CoreSettings(this->settings, this->self),
+      this->self.value(), DeriveCoreSettings(this->settings, this->self),
       this->settings.recording, this->metrics);
   this->table = std::make_unique<TableWatcher>(
       this->settings, member, this->input_output.Next(), this->metrics, sink);
-  this->document_routes =
-      std::make_unique<DocumentRoutes>(this->serving, *this->table);
-  CoreInterface core_interface;
-  core_interface.submit = [this](JobSubmission job, AnswerCallback callback) {
-    asio::post(
-        this->core_thread.First(),
-        [this, submission = std::move(job), done = std::move(callback),
-         arrived = SteadyClock::now(), read_at = WallClockNow()]() mutable {
-          this->RecordQueueDelay(arrived);
-          this->Enqueue(std::move(submission), std::move(done), read_at);
-        });
-  };
-  core_interface.cancel = [this](const JobKey& key) {
-    asio::post(this->core_thread.First(),
-               [this, key, arrived = SteadyClock::now()] {
-                 this->RecordQueueDelay(arrived);
-                 this->SubmitWaiting(key);
-                 this->Handle(CallerCancelled{key});
-               });
-  };
-  this->caller_routes = std::make_unique<CallerRoutes>(
-      this->serving, std::move(core_interface), this->metrics);
+}
+
+Result<void> EntryServer::CreateLinks() {
   BOOST_LEAF_AUTO(
       bound_links,
       EntryLinks::Create(
@@ -178,6 +99,25 @@
           this->input_output, this->metrics,
           [this](EntryEvent event) { this->Dispatch(std::move(event)); }));
   this->links = std::move(bound_links);
+  this->load_monitor = std::make_unique<LoadMonitor>(
+      this->settings, this->core, *this->links, this->metrics);
+  return {};
+}
+
+Result<void> EntryServer::ListenToCallers() {
+  this->intake = std::make_unique<JobIntake>(
+      this->core_thread.First(), *this->load_monitor, this->shutdown,
+      this->waiting_callers, this->refusals, this->metrics,
+      [this](const EntryEvent& event) { this->Handle(event); });
+  CoreInterface core_interface;
+  core_interface.submit = [this](JobSubmission job, AnswerCallback callback) {
+    this->intake->Submit(std::move(job), std::move(callback));
+  };
+  core_interface.cancel = [this](const JobKey& key) {
+    this->intake->Cancel(key);
+  };
+  this->caller_routes = std::make_unique<CallerRoutes>(
+      this->serving, std::move(core_interface), this->metrics);
   BOOST_LEAF_AUTO(
       callers, HttpServer::Create(
                    this->settings.callers, this->input_output,
@@ -188,26 +128,37 @@
                      this->OnCallerGone(report);
                    }));
   this->caller_server = std::move(callers);
-  BOOST_LEAF_AUTO(admin,
-                  HttpServer::Create(this->settings.admin, this->input_output,
-                                     [this](const HttpRequest& request,
-                                            const HttpResponder& responder) {
-                                       this->HandleAdmin(request, responder);
-                                     }));
+  return {};
+}
+
+Result<void> EntryServer::ListenToOperators() {
+  this->gauges = std::make_unique<EntryGauges>(
+      this->core, *this->intake, *this->links, *this->caller_server,
+      this->configuration_age, this->metrics);
+  this->document_routes =
+      std::make_unique<DocumentRoutes>(this->serving, *this->table);
+  this->admin_routes = std::make_unique<EntryAdminRoutes>(
+      this->core_thread.First(), this->core, this->status, *this->gauges,
+      this->metrics, *this->document_routes, *this->records,
+      [this] { this->Drain(); });
+  BOOST_LEAF_AUTO(admin, HttpServer::Create(
+                             this->settings.admin, this->input_output,
+                             [this](const HttpRequest& request,
+                                    const HttpResponder& responder) {
+                               this->admin_routes->Handle(request, responder);
+                             }));
   this->admin_server = std::move(admin);
-  if (this->settings.readiness) {
-    BOOST_LEAF_AUTO(
-        readiness,
-        HttpServer::Create(
-            *this->settings.readiness, this->input_output,
-            [this](const HttpRequest&, const HttpResponder& responder) {
-              this->HandleReadiness(responder);
-            }));
-    this->readiness_server = std::move(readiness);
-  }
-  asio::post(this->core_thread.First(), [this] { this->ScheduleTick(); });
-  this->table->Start();
-  LogStateChange(ProcessStarted{this->self.value(), DANDELIONSPUR_VERSION});
+  return {};
+}
+
+Result<void> EntryServer::ListenToProbes() {
+  BOOST_LEAF_AUTO(readiness, HttpServer::Create(
+                                 *this->settings.readiness, this->input_output,
+                                 [this](const HttpRequest&,
+                                        const HttpResponder& responder) {
+                                   this->HandleReadiness(responder);
+                                 }));
+  this->readiness_server = std::move(readiness);
   return {};
 }
 
@@ -223,9 +174,10 @@
   this->Post(DrainRequested{});
   this->shutdown.Begin(
       *this->caller_server,
-      ShutdownSchedule(SteadyClock::now(),
-                       CoreSettings(this->settings, this->self).drain_accepts,
-                       this->settings.stop_within),
+      ShutdownSchedule(
+          SteadyClock::now(),
+          DeriveCoreSettings(this->settings, this->self).drain_accepts,
+          this->settings.stop_within),
       ShutdownCause::kStopped);
 }
 
@@ -239,143 +191,20 @@
   this->records->Reconfigure(changed.table, changed.recording);
 }
 
-JobAnswer EntryServer::Refuse(const std::string& job) {
-  this->refusals.Count(Reason::kDraining);
-  LogEvent(LogCategory::kFailure, RequestRejected{job, "", Reason::kDraining,
-                                                  "the entry is stopping"});
-  // The request was not passed to the core or to another entry, so the tasks
-  // certainly have not run.
-  return SubmissionValidator::Reject(Reason::kDraining, "").answer;
-}
-
-JobAnswer EntryServer::RefuseOverload(const JobSubmission& job,
-                                      const Overload& overload) {
-  this->refusals.Count(Reason::kQueueFull);
-  this->metrics.Count("overload_refusals_total", "resource",
-                      EnumName(overload.resource));
-  LogEvent(LogCategory::kFailure,
-           RequestRejected{job.name, job.service.value(), Reason::kQueueFull,
-                           DetailOf(overload.resource)});
-  JobAnswer answer = SubmissionValidator::Reject(Reason::kQueueFull, "").answer;
-  answer.retry_after = overload.retry_after;
-  return answer;
-}
-
 void EntryServer::Post(EntryEvent event) {
   asio::post(this->core_thread.First(),
              [this, posted = std::move(event), arrived = SteadyClock::now()] {
-               this->RecordQueueDelay(arrived);
+               this->load_monitor->RecordQueueDelay(arrived);
                this->Handle(posted);
              });
 }
 
-void EntryServer::RecordQueueDelay(SteadyClock::time_point arrived) {
-  this->work_delay.RecordWait(
-      std::chrono::duration_cast<Duration>(SteadyClock::now() - arrived));
-}
-
 void EntryServer::Dispatch(EntryEvent event) {
   asio::dispatch(
       this->core_thread.First(),
       [this, received = std::move(event)] { this->Handle(received); });
 }
 
-void EntryServer::Enqueue(JobSubmission job, AnswerCallback callback,
-                          Timestamp arrived) {
-  if (job.kind != SubmissionKind::kRun) {
-    this->SubmitWaiting(job.key);
-    this->Submit(std::move(job), std::move(callback));
-    return;
-  }
-  const Duration slack = job.Slack();
-  this->calls.Push({std::move(job), std::move(callback)}, slack, arrived);
-  this->ScheduleCallTurn();
-}
-
-void EntryServer::ScheduleCallTurn() {
-  if (this->call_turn_is_posted || this->calls.empty()) return;
-  this->call_turn_is_posted = true;
-  asio::post(this->core_thread.First(), [this, posted = SteadyClock::now()] {
-    this->RecordQueueDelay(posted);
-    this->call_turn_is_posted = false;
-    this->TakeCallTurn();
-    this->ScheduleCallTurn();
-  });
-}
-
-void EntryServer::TakeCallTurn() {
-  this->shutdown.TakeDueSteps();
-  // Too late for any job: nothing may wait when the process ends.
-  if (!this->shutdown.CanAnswerWithin(Duration())) {
-    this->SubmitAllWaiting();
-    return;
-  }
-  CallQueue<Call>::Turn turn = this->calls.Take(WallClockNow());
-  for (const CallQueue<Call>::Refused& late : turn.refused) {
-    this->RefuseLate(late);
-  }
-  if (turn.next) this->SubmitDue(std::move(*turn.next));
-}
-
-void EntryServer::SubmitWaiting(const JobKey& key) {
-  this->SubmitMatching([&](const Call& call) { return call.job.key == key; });
-}
-
-void EntryServer::SubmitAllWaiting() {
-  this->SubmitMatching([](const Call&) { return true; });
-}
-
-void EntryServer::SubmitMatching(
-    const std::function<bool(const Call&)>& matches) {
-  std::vector<CallQueue<Call>::Due> waiting =
-      this->calls.TakeMatching(matches, WallClockNow());
-  for (CallQueue<Call>::Due& due : waiting) this->SubmitDue(std::move(due));
-}
-
-void EntryServer::RefuseLate(const CallQueue<Call>::Refused& late) {
-  this->call_waits.Observe(std::chrono::duration<double>(late.waited).count());
-  const Overload overload{ScarceResource::kDelay, late.retry_after};
-  late.call.callback(this->RefuseOverload(late.call.job, overload));
-}
-
-void EntryServer::SubmitDue(CallQueue<Call>::Due due) {
-  this->call_waits.Observe(std::chrono::duration<double>(due.waited).count());
-  JobSubmission& job = due.call.job;
-  // The caller's time has passed while the job waited here.
-  job.time_allowed = std::max(Duration(), job.time_allowed - due.waited);
-  this->Submit(std::move(job), std::move(due.call.callback));
-}
-
-void EntryServer::Submit(JobSubmission job, AnswerCallback callback) {
-  this->shutdown.TakeDueSteps();
-  const bool is_new = job.kind == SubmissionKind::kRun;
-  // A process that is behind with its work when it stops takes in no more.
-  const bool must_refuse =
-      is_new && this->shutdown.has_begun() && this->load_guard.IsBehind();
-  if (must_refuse || !this->shutdown.CanAnswerWithin(job.objective)) {
-    callback(is_new ? this->Refuse(job.name)
-                    : JobAnswer::MayHaveRun(Reason::kHomeUnreachable));
-    return;
-  }
-  const std::optional<Overload> overload = this->CheckLoad(job);
-  if (is_new && overload) {
-    callback(this->RefuseOverload(job, *overload));
-    return;
-  }
-  const RequestId request = this->waiting_callers.Add(job, std::move(callback));
-  this->Handle(CallerSubmitted{request, std::move(job)});
-}
-
-std::optional<Overload> EntryServer::CheckLoad(const JobSubmission& job) const {
-  const std::optional<Overload> overload =
-      this->load_guard.Check({this->links->pacer().Delay(), job.Slack()});
-  if (overload) return overload;
-  const std::optional<EntryId> home =
-      this->core.OtherHomeOf(job.key, WallClockNow());
-  if (!home || !this->peer_queues.IsFull(*home)) return std::nullopt;
-  return Overload{ScarceResource::kPeer, PeerQueues::TimeToDrain()};
-}
-
 void EntryServer::Handle(const EntryEvent& event) {
   this->shutdown.TakeDueSteps();
   const Timestamp now = WallClockNow();
@@ -397,63 +226,15 @@
   this->tick_timer.expires_after(kTickInterval);
   this->tick_timer.async_wait([this](boost::system::error_code error) {
     if (error) return;
-    this->ObserveDelay(std::chrono::duration_cast<Duration>(
+    this->load_monitor->ObserveDelay(std::chrono::duration_cast<Duration>(
         SteadyClock::now() - this->tick_timer.expiry()));
     this->Handle(EntryTick{this->links->pacer().backlog()});
-    this->ObserveMemory(SteadyClock::now());
-    this->ObservePeerQueues();
-    this->ObserveLink(SteadyClock::now());
+    this->load_monitor->ObserveResources();
     FlushLog();
     this->ScheduleTick();
   });
 }
 
-void EntryServer::ObserveMemory(SteadyClock::time_point now) {
-  this->load_guard.NoteMemory(AllocatedBytes(), now);
-}
-
-void EntryServer::ObservePeerQueues() {
-  const std::vector<QueueChange> changes =
-      this->peer_queues.Note(this->links->UnsentToPeers());
-  for (const QueueChange& change : changes) {
-    if (change.state == QueueState::kFull) {
-      LogStateChange(PeerQueueFull{change.peer, change.unsent_bytes});
-    } else {
-      LogStateChange(PeerQueueDrained{change.peer, change.unsent_bytes});
-    }
-  }
-}
-
-void EntryServer::ObserveLink(SteadyClock::time_point now) {
-  if (now < this->next_link_check) return;
-  this->next_link_check = now + kLinkInterval;
-  constexpr std::uint64_t kPercent = 100;
-  const std::uint64_t limit = this->settings.link_bytes_per_second;
-  const ByteUse use = this->links->TakeByteUse();
-  const std::size_t unsent = this->links->unsent_bytes();
-  const bool is_full =
-      limit > 0 && (use.bytes + unsent) * kPercent > limit * kFullLinkPercent;
-  if (!is_full) return;
-  LogStateChange(
-      LinkFull{use.bytes, limit, use.largest_kind, use.largest_bytes, unsent});
-}
-
-void EntryServer::ObserveDelay(Duration tick_lateness) {
-  const Duration own_delay = this->work_delay.EndInterval(tick_lateness);
-  this->load_guard.NoteDelay(
-      std::max(own_delay, this->core.typical_inbound_delay()),
-      SteadyClock::now());
-  const Duration delay = std::max(own_delay, this->core.inbound_delay());
-  this->work_delays.Observe(std::chrono::duration<double>(delay).count());
-  const std::optional<LagChange> change = this->pace.Observe(delay);
-  if (!change) return;
-  if (change->state == LagState::kLagging) {
-    LogStateChange(EntryFellBehind{change->delay});
-  } else {
-    LogStateChange(EntryCaughtUp{change->longest});
-  }
-}
-
 void EntryServer::Apply(AnswerCaller& effect) {
   this->waiting_callers.Answer(effect.request, effect.answer);
 }
@@ -560,104 +341,6 @@
   this->serving.Publish(this->next_serving_state);
 }
 
-void EntryServer::UpdateGauges() {
-  this->metrics.Set("jobs_at_home",
-                    static_cast<double>(this->core.jobs_at_home()));
-  this->metrics.Set("jobs_relayed",
-                    static_cast<double>(this->core.jobs_relayed()));
-  this->metrics.Set("calls_waiting", static_cast<double>(this->calls.size()));
-  this->metrics.Set("known_keys",
-                    static_cast<double>(this->core.buckets().KnownKeyCount()));
-  this->metrics.Set("ready", this->core.IsReady() ? 1 : 0);
-  this->metrics.Set(
-      "configuration_version",
-      static_cast<double>(this->configuration_age.NewestInForce().value()));
-  this->metrics.Set("configuration_lag_seconds",
-                    std::chrono::duration<double>(
-                        this->configuration_age.Lag(SteadyClock::now()))
-                        .count());
-  const HttpServerLoad callers = this->caller_server->Load();
-  this->metrics.Set("caller_connections",
-                    static_cast<double>(callers.connections));
-  this->metrics.Set("caller_requests_unanswered",
-                    static_cast<double>(callers.unanswered));
-  const Timestamp now = WallClockNow();
-  Duration oldest_report{};
-  for (const auto& [id, agent] : this->core.agents().all()) {
-    if (!agent.connected || agent.lost_at) continue;
-    oldest_report = std::max(oldest_report, now - agent.last_heard);
-  }
-  this->metrics.Set("oldest_agent_report_seconds",
-                    std::chrono::duration<double>(oldest_report).count());
-  this->metrics.Set("send_backlog_bytes",
-                    static_cast<double>(this->links->pacer().backlog()));
-  this->metrics.Set("allocated_bytes", static_cast<double>(AllocatedBytes()));
-  this->metrics.Set("unsent_bytes",
-                    static_cast<double>(this->links->unsent_bytes()));
-  this->SetMemoryGauges();
-  SetLogGauges(this->metrics);
-}
-
-void EntryServer::SetMemoryGauges() {
-  const MemoryUse use = this->core.ComputeMemoryUse();
-  boost::mp11::mp_for_each<boost::describe::describe_members<
-      MemoryUse, boost::describe::mod_public>>([&](auto member) {
-    this->metrics.Set("held_bytes", "kind", member.name,
-                      static_cast<double>(use.*member.pointer));
-  });
-  std::uint64_t longest_queue = 0;
-  for (const auto& [peer, unsent] : this->links->UnsentToPeers()) {
-    longest_queue = std::max(longest_queue, unsent);
-  }
-  this->metrics.Set("longest_peer_queue_bytes",
-                    static_cast<double>(longest_queue));
-}
-
-nlohmann::json EntryServer::Status() const {
-  std::uint32_t active = 0;
-  for (std::uint32_t i = 0; i < this->settings.bucket_count; ++i) {
-    if (this->core.buckets().IsActive(BucketId(i))) ++active;
-  }
-  nlohmann::json members = nlohmann::json::array();
-  for (const ViewMember& member : this->core.view().members) {
-    members.push_back({{"entry", std::to_string(member.entry.value())},
-                       {"data_centre", member.data_centre.value()},
-                       {"admin", EndpointText(member.admin_endpoint)}});
-  }
-  nlohmann::json agents = nlohmann::json::array();
-  for (const auto& [id, agent] : this->core.agents().all()) {
-    if (!agent.description) continue;
-    const Endpoint& admin = agent.description->admin_endpoint;
-    agents.push_back(
-        {{"agent", std::to_string(id.value())},
-         {"service", agent.description->service.value()},
-         {"upstream", agent.description->upstream},
-         {"admin", EndpointText(admin)},
-         {"cores", agent.description->capacity.millicores / kMillicoresPerCore},
-         {"connected", agent.connected},
-         {"ready", agent.ready},
-         {"leaving", agent.leaving},
-         {"lost", agent.lost_at.has_value()},
-         {"running", agent.running},
-         {"millicores_in_use", agent.load.running.millicores},
-         {"slowness", agent.slowness}});
-  }
-  nlohmann::json documents = nlohmann::json::object();
-  for (const auto& [service, document] : this->core.documents()) {
-    documents[service.value()] = document.version.value();
-  }
-  return {{"entry", std::to_string(this->self.value())},
-          {"ready", this->core.IsReady()},
-          {"epoch", this->core.view().epoch.value()},
-          {"buckets_active", active},
-          {"buckets", this->settings.bucket_count},
-          {"jobs_at_home", this->core.jobs_at_home()},
-          {"jobs_relayed", this->core.jobs_relayed()},
-          {"members", members},
-          {"agents", agents},
-          {"documents", documents}};
-}
-
 void EntryServer::OnCallerGone(const HttpConnectionReport& report) {
   const std::string reason(EnumName(report.end));
   this->metrics.Count("caller_connections_ended_total", "reason", reason);
@@ -674,41 +357,4 @@
   });
 }
 
-void EntryServer::HandleAdmin(const HttpRequest& request,
-                              const HttpResponder& responder) {
-  const std::vector<std::string> parts =
-      PathParts({request.target().data(), request.target().size()});
-  const std::string path = parts.empty() ? "" : parts.back();
-  if (parts.size() >= 2 && parts[0] == "v1" && parts[1] == "services") {
-    this->document_routes->Handle({parts.begin() + 2, parts.end()}, request,
-                                  responder);
-  } else if (path == "healthz") {
-    responder(JsonResponse(kOk, {{"healthy", true}}));
-  } else if (path == "metrics") {
-    asio::post(this->core_thread.First(), [this, responder] {
-      this->UpdateGauges();
-      responder(MetricsResponse(this->metrics));
-    });
-  } else if (path == "readyz") {
-    asio::post(this->core_thread.First(), [this, responder] {
-      const bool ready = this->core.IsReady();
-      responder(JsonResponse(ready ? kOk : kUnavailable, {{"ready", ready}}));
-    });
-  } else if (path == "status") {
-    asio::post(this->core_thread.First(), [this, responder] {
-      responder(JsonResponse(kOk, this->Status()));
-    });
-  } else if (path == "records") {
-    this->records->ReadUnsent(
-        [responder](const std::vector<FinishedSegment>& unsent) {
-          responder(SegmentsResponse(unsent));
-        });
-  } else if (path == "drain" && request.method() == http::verb::post) {
-    this->Drain();
-    responder(JsonResponse(kAccepted, {{"draining", true}}));
-  } else {
-    responder(ProblemResponse(kNotFound, "no such path"));
-  }
-}
-
 }  // namespace dandelionspur
