agent: Read the view while no entry confirms, whoever is connected

An agent read the view from the table only while no entry was connected, and a connection to an instance that was lost for good counted as one. After the restart of the other entries no agent found them. An agent now reads it, at 1.0 to 1.5 s by its id, while no entry has confirmed its heartbeats within the contact limit. An entry that has left the view is no longer dialed once its connection closes.

--- a/services/agent/agent_links.cc
+++ b/services/agent/agent_links.cc
@@ -52,8 +52,10 @@
 
 void AgentLinks::ConnectToMembers(const View& view) {
   const Hello own{ProcessRole::kAgent, this->self.value()};
+  this->members.clear();
   for (const ViewMember& member : view.members) {
     const EntryId entry = member.entry;
+    this->members.insert(entry);
     if (this->dialers.contains(entry)) continue;
     const Hello expected{ProcessRole::kEntry, entry.value()};
     const auto dialer =
@@ -62,11 +64,13 @@
     this->dialers.emplace(entry, dialer);
     dialer->Start();
   }
-  // An entry that has left the view may still pass on answers, so its open
-  // connection is kept until it closes, and is not dialed again after that.
+  this->StopObsoleteDialers();
+}
+
+void AgentLinks::StopObsoleteDialers() {
   std::erase_if(this->dialers, [&](const auto& item) {
-    const bool is_obsolete =
-        view.Find(item.first) == nullptr && !this->entries.contains(item.first);
+    const bool is_obsolete = !this->members.contains(item.first) &&
+                             !this->entries.contains(item.first);
     if (is_obsolete) item.second->Stop();
     return is_obsolete;
   });
@@ -91,6 +95,7 @@
   const auto found = this->entries.find(entry);
   if (found == this->entries.end() || found->second != connection) return;
   this->entries.erase(found);
+  this->StopObsoleteDialers();
   this->sink(EntryDisconnected{entry});
 }
 
--- a/services/agent/agent_links.h
+++ b/services/agent/agent_links.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 #include "libraries/agent_core/agent_events.h"
 #include "libraries/network/link.h"
@@ -24,12 +25,14 @@
 
   void ConnectToMembers(const View& view);
   void Send(EntryId to, AgentMessage message);
-  [[nodiscard]] bool AnyConnected() const { return !this->entries.empty(); }
 
  private:
   [[nodiscard]] LinkHandlers Handlers();
   void OnUp(EntryId entry, const FrameConnectionPointer& connection);
   void OnDown(EntryId entry, const FrameConnectionPointer& connection);
+  // Ends the attempts to connect to entries that have left the view. One may
+  // still pass on answers, so its open connection is kept until it closes.
+  void StopObsoleteDialers();
 
   AgentId self;
   boost::asio::io_context& core;
@@ -37,6 +40,7 @@
   Metrics& metrics;
   AgentEventSink sink;
   MessageCounters<AgentMessage> messages;
+  std::set<EntryId> members;
   std::map<EntryId, std::shared_ptr<LinkDialer>> dialers;
   std::map<EntryId, FrameConnectionPointer> entries;
 };
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -21,6 +21,9 @@
 
 constexpr std::chrono::milliseconds kTickInterval{50};
 constexpr Duration kViewReadInterval = std::chrono::seconds(1);
+// The agents' readings are spread over this time, so that they don't all meet
+// at the table when the entries are lost.
+constexpr Duration kViewReadSpread = std::chrono::milliseconds(500);
 constexpr IntegerRange kSlotRange{1, 1024};
 constexpr unsigned kOk = 200;
 constexpr unsigned kAccepted = 202;
@@ -177,10 +180,10 @@
   this->view_timer.expires_after(delay);
   this->view_timer.async_wait([this](boost::system::error_code error) {
     if (error) return;
-    // Connected entries send newer views, so the table is read only while no
-    // entry is connected.
-    if (this->links->AnyConnected()) {
-      this->ScheduleViewRead(kViewReadInterval);
+    // Entries that confirm heartbeats send newer views. An open connection
+    // alone shows nothing: the entry at its other end may be gone.
+    if (this->core.RenewalAt(WallClockNow()) == LeaseRenewal::kAllowed) {
+      this->ScheduleViewRead(this->ViewReadInterval());
       return;
     }
     this->table->ReadRow(kViewRow, [this](const std::optional<Row>& row) {
@@ -194,11 +197,16 @@
           LogStateChange(ConfigurationUnreadable{"row " + row->key});
         }
       }
-      this->ScheduleViewRead(kViewReadInterval);
+      this->ScheduleViewRead(this->ViewReadInterval());
     });
   });
 }
 
+Duration AgentServer::ViewReadInterval() const {
+  const auto spread = static_cast<std::uint64_t>(kViewReadSpread.count());
+  return kViewReadInterval + Duration(this->self.value() % spread);
+}
+
 void AgentServer::SetUpstream(const AgentDescription& description,
                               const Endpoint& endpoint) {
   if (endpoint != this->upstream_endpoint) {
--- a/services/agent/agent_server.h
+++ b/services/agent/agent_server.h
@@ -51,6 +51,7 @@
   void Handle(const AgentEvent& event);
   void ScheduleTick();
   void ScheduleViewRead(Duration delay);
+  [[nodiscard]] Duration ViewReadInterval() const;
   // Adds this agent's id and admin endpoint to announcements of the upstream.
   void OnUpstreamEvent(AgentEvent event);
   void SetUpstream(const AgentDescription& description,
