entry_core: Take no empty list of agents for proof, no old view for the latest

Members are sent the view until they are known to have it (ViewSpread). An entry that joins concludes from its list of agents only once each member has told its own, or can't have confirmed one for a lease. An entry whose reading of the view is older than 6 s counts dead members as not heard, and an entry that may have left confirms only while most members hear it. None of them starts tasks either.

--- a/libraries/entry_core/agent_contacts.cc
+++ b/libraries/entry_core/agent_contacts.cc
@@ -137,25 +137,70 @@
         if (member.entry == this->settings.self) return true;
         // The member would have reported a contact that renewed a lease.
         if (this->peers.SightingsUpTo(member.entry) >= over_at) return true;
-        const bool is_dead = this->peers.DeadSince(member.entry).has_value();
-        return (hears_most || is_dead) &&
-               now >=
-                   this->peers.MayConfirmAgentsUntil(member.entry) + lease_over;
+        return this->HasLongStoppedConfirming(member.entry, hears_most, now);
       });
 }
 
+bool AgentContacts::HasLongStoppedConfirming(EntryId member,
+                                             bool hears_most_members,
+                                             Timestamp now) const {
+  const bool is_dead = this->peers.DeadSince(member).has_value();
+  return (hears_most_members || is_dead) &&
+         now >= this->peers.MayConfirmAgentsUntil(member) +
+                    this->settings.lease_over_after;
+}
+
+bool AgentContacts::UnknownRunsAreOver(const Membership& membership,
+                                       Timestamp now) const {
+  const std::optional<Timestamp> before = membership.LatestUnknownContact();
+  if (!before) return false;
+  // An entry that had left the view relies on the lost members that it hears.
+  const Timestamp over_at =
+      *before + kContactLimit + this->settings.lease_over_after;
+  if (now < over_at) return false;
+  const View& view = membership.view();
+  const bool hears_most = this->HearsMostMembers(view, now);
+  return std::all_of(
+      view.members.begin(), view.members.end(), [&](const ViewMember& member) {
+        return member.entry == this->settings.self ||
+               membership.HasToldAgents(member.entry) ||
+               this->HasLongStoppedConfirming(member.entry, hears_most, now);
+      });
+}
+
+bool AgentContacts::IsViewTrusted(Timestamp now) const {
+  return !this->view_current_at ||
+         now <= *this->view_current_at + kViewTrustedFor;
+}
+
 bool AgentContacts::HearsMostMembers(const View& view, Timestamp now) const {
+  const bool dead_are_gone = this->IsViewTrusted(now);
   std::size_t heard = 1;
   std::size_t living = 1;
   for (const ViewMember& member : view.members) {
     if (member.entry == this->settings.self) continue;
-    if (this->peers.DeadSince(member.entry)) continue;
+    if (dead_are_gone && this->peers.DeadSince(member.entry)) continue;
     ++living;
     if (this->peers.IsConfirming(member.entry, now)) ++heard;
   }
   return 2 * heard > living;
 }
 
+bool AgentContacts::IsHeardByMostMembers(const View& view,
+                                         Timestamp now) const {
+  std::size_t heard = 0;
+  std::size_t living = 0;
+  for (const ViewMember& member : view.members) {
+    if (member.entry == this->settings.self) continue;
+    if (this->peers.DeadSince(member.entry)) continue;
+    ++living;
+    if (this->peers.HasConfirmedWithin(kContactLimit, member.entry, now)) {
+      ++heard;
+    }
+  }
+  return 2 * heard > living;
+}
+
 bool AgentContacts::IsMissing(const KnownAgent& agent, Timestamp now) const {
   if (agent.lost_at) return false;
   return !agent.connected || now - agent.last_heard > kMissingAfter;
--- a/libraries/entry_core/agent_contacts.h
+++ b/libraries/entry_core/agent_contacts.h
@@ -1,11 +1,13 @@
 #ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_AGENT_CONTACTS_H_
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_AGENT_CONTACTS_H_
 
+#include <optional>
 #include <set>
 #include <vector>
 
 #include "libraries/entry_core/agent_registry.h"
 #include "libraries/entry_core/entry_core_settings.h"
+#include "libraries/entry_core/membership.h"
 #include "libraries/entry_core/peer_directory.h"
 #include "libraries/protocol/entry_messages.h"
 
@@ -36,10 +38,25 @@
   [[nodiscard]] bool RunsAreOver(const KnownAgent& agent, const View& view,
                                  Timestamp now) const;
 
+  // Whether no agent that is missing in the registry can be running tasks: each
+  // other member has told this entry its agents since this entry is a member,
+  // or has had no contact with any agent for `lease_over_after`. An empty
+  // registry alone says nothing.
+  [[nodiscard]] bool UnknownRunsAreOver(const Membership& membership,
+                                        Timestamp now) const;
+  // Records that no later view than the one in force was in the table at `at`.
+  void NoteViewCurrent(Timestamp at) { this->view_current_at = at; }
   // Whether most living members of the view have recently confirmed heartbeats
   // of this entry. At least one of these then also hears any other entry for
-  // which the same holds.
+  // which the same holds. Dead members count as living ones that are not heard
+  // unless the view was read recently, since others may have replaced them.
   [[nodiscard]] bool HearsMostMembers(const View& view, Timestamp now) const;
+  // The same for an entry that has left the view, or may have, and still serves
+  // the jobs that it has: whether most other living members have confirmed its
+  // heartbeats within the contact limit. Entries that join learn of its agents
+  // from them alone.
+  [[nodiscard]] bool IsHeardByMostMembers(const View& view,
+                                          Timestamp now) const;
 
  private:
   // Whether this entry relies on others to tell it about contacts of the agent.
@@ -60,10 +77,18 @@
   void AddRequests(EntryId peer, const View& view, Timestamp now,
                    PeerHeartbeat& heartbeat) const;
   [[nodiscard]] PeerContact ContactOf(EntryId peer, Timestamp now) const;
+  // Whether a member that is silent can't have had contact with any agent
+  // within the last `lease_over_after`.
+  [[nodiscard]] bool HasLongStoppedConfirming(EntryId member,
+                                              bool hears_most_members,
+                                              Timestamp now) const;
+  [[nodiscard]] bool IsViewTrusted(Timestamp now) const;
 
   EntryCoreSettings settings;
   AgentRegistry& agents;
   PeerDirectory& peers;
+  // Not set by versions and stand-ins that don't tell the age of the view.
+  std::optional<Timestamp> view_current_at;
 };
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -9,9 +9,6 @@
 // An agent is sent a new view by this many entries, so that it learns of it if
 // some of them are lost.
 constexpr std::size_t kViewSenders = 3;
-// Peers and agents that still have an earlier view after this time are sent the
-// current one, once in each such interval.
-constexpr Duration kViewPatience = std::chrono::milliseconds(400);
 
 }  // namespace
 
@@ -19,6 +16,7 @@
     : settings(configured),
       peers(configured.suspect_after),
       contacts(this->settings, this->registry, this->peers),
+      view_spread(configured.self, this->peers),
       ownership(this->settings, this->registry, this->peers, this->contacts,
                 this->outbox),
       confirmer(this->settings, this->ownership, this->registry, this->outbox),
@@ -38,6 +36,7 @@
   const Duration away = this->health.NoteEvent(now);
   this->peers.ExcuseSilence(away, now);
   this->registry.ExcuseSilence(away, now);
+  if (away != Duration()) this->may_start = this->MayRenewLeases();
   std::visit([this](const auto& alternative) { this->On(alternative); }, event);
   this->AdvanceState();
   return this->outbox.Take();
@@ -49,10 +48,8 @@
                   [](const auto& item) {
                     return item.second.connected && item.second.ready;
                   });
-  const bool has_all_agents =
-      this->ownership.IsSynchronized() ||
-      this->ownership.HasOutlivedLeases(this->current_time);
-  return !this->draining && this->IsMember() && has_all_agents && has_agent &&
+  return !this->draining && this->IsMember() && has_agent &&
+         this->ownership.KnowsAllRunningAgents(this->current_time) &&
          !this->documents_in_force.all().empty();
 }
 
@@ -204,6 +201,8 @@
 
 void EntryCore::On(const EntryTick& event) {
   const Timestamp now = this->current_time;
+  if (event.view_age) this->contacts.NoteViewCurrent(now - *event.view_age);
+  this->may_start = this->MayRenewLeases();
   this->home.NoteSendBacklog(event.send_backlog, now);
   this->home.Tick(now);
   this->relays.Tick(now);
@@ -239,14 +238,15 @@
         summary.ended_idle ? AgentRuns::kEnded : AgentRuns::kMayContinue,
         DeathEvidence::kToldByEntry);
   }
+  this->peers.NoteEpoch(from, message.view.epoch, this->current_time);
   this->AdoptView(message.view);
   this->Observe(message.promises);
   const bool state_covers_membership =
-      message.view.epoch >= this->joined_epoch &&
-      this->view().Find(from) != nullptr;
-  if (message.synchronized && state_covers_membership && this->IsMember()) {
-    this->ownership.MarkSynchronized();
-  }
+      message.view.Find(this->settings.self) != nullptr &&
+      this->view().Find(from) != nullptr && this->IsMember();
+  if (message.view_only || !state_covers_membership) return;
+  this->ownership.NoteAgentsTold(from);
+  if (message.synchronized) this->ownership.MarkSynchronized();
 }
 
 void EntryCore::OnPeer(EntryId from, const PromiseRequest& message) {
@@ -376,7 +376,7 @@
 }
 
 void EntryCore::OnPeer(EntryId from, const PeerHeartbeat& message) {
-  this->SendViewIfOutdated(from, message.epoch);
+  this->peers.NoteEpoch(from, message.epoch, this->current_time);
   this->documents_in_force.OnHeartbeat(from, message);
   for (const AgentSummary& lost :
        this->contacts.OnHeartbeat(from, message, this->current_time)) {
@@ -477,8 +477,8 @@
   const View former = this->view();
   const Ownership::ViewChange change =
       this->ownership.AdoptView(view, this->current_time);
-  this->view_adopted = this->current_time;
-  this->next_view.clear();
+  this->view_spread.OnAdopted(this->current_time);
+  this->NoteUntoldDepartures(former);
   this->ResubmitJobs(change.released);
   this->hand_over.OnViewChange(this->current_time);
   this->hand_over.ReReplicate(change.kept, this->current_time);
@@ -486,6 +486,7 @@
     if (member.entry == this->settings.self) continue;
     this->peers.TrackMember(member.entry, this->current_time);
   }
+  this->peers.NoteViewInForce(view.epoch, this->current_time);
   this->outbox.Add(ViewInForce{view});
   if (!this->IsMember()) {
     const bool unexpected = this->member_since && !this->draining;
@@ -498,7 +499,6 @@
   if (!this->member_since) {
     this->member_since = this->current_time;
     this->ownership.NoteJoined(this->current_time);
-    this->joined_epoch = view.epoch;
     // No agent can be ready that a member of the first view has not
     // acknowledged.
     const bool first_ever = view.epoch == Epoch(1) && view.losses.empty();
@@ -511,6 +511,17 @@
   this->SendViewToAgents();
 }
 
+void EntryCore::NoteUntoldDepartures(const View& former) {
+  for (const ViewMember& member : former.members) {
+    const bool matters = member.entry != this->settings.self &&
+                         this->view().Find(member.entry) == nullptr &&
+                         !this->ownership.HasToldAgents(member.entry);
+    if (!matters) continue;
+    this->ownership.NoteLeftUntold(
+        this->peers.DeadSince(member.entry).value_or(this->current_time));
+  }
+}
+
 void EntryCore::SendViewToAgents() {
   // An agent without an upstream does not register, but takers need its promise
   // as well, so it must connect to entries that join.
@@ -538,25 +549,23 @@
 void EntryCore::SendViewIfOutdated(KnownAgent& agent, Epoch epoch) {
   const bool is_outdated = epoch < this->view().epoch;
   const bool had_time =
-      this->current_time >= this->view_adopted + kViewPatience &&
+      this->current_time >= this->view_spread.adopted_at() + kViewPatience &&
       this->current_time >= agent.next_view;
   if (is_outdated && had_time) this->SendView(agent);
 }
 
-void EntryCore::SendViewIfOutdated(EntryId peer, Epoch epoch) {
-  if (epoch >= this->view().epoch) return;
-  Timestamp& next = this->next_view[peer];
-  const Timestamp now = this->current_time;
-  if (now < this->view_adopted + kViewPatience || now < next) return;
-  next = now + kViewPatience;
-  // The peer may be unable to reach the table. It has the rest of the state
-  // since it connected.
-  this->outbox.ToPeer(peer, PeerState{this->view(), false, {}, {}});
+void EntryCore::SendViewToOutdatedPeers() {
+  for (const EntryId peer :
+       this->view_spread.TakeOutdated(this->view(), this->current_time)) {
+    // It has the rest of the state since it connected.
+    this->outbox.ToPeer(peer, PeerState{this->view(), false, {}, {}, true});
+  }
 }
 
 PeerState EntryCore::StateForPeers() const {
   return PeerState{this->view(), this->ownership.IsSynchronized(),
-                   this->registry.Summaries(), this->ownership.Promises()};
+                   this->registry.Summaries(), this->ownership.Promises(),
+                   false};
 }
 
 void EntryCore::SendState(EntryId peer) {
@@ -570,7 +579,9 @@
   const Ownership::Activation activation = this->ownership.ActivateReady(now);
   this->relays.OnActivated(activation.activated, now);
   this->hand_over.ReReplicate(activation.fully_recovered, now);
-  this->home.Dispatch(now);
+  // The others may count the leases as over by now that this entry's starts
+  // would give.
+  if (this->may_start) this->home.Dispatch(now);
 }
 
 void EntryCore::ResubmitJobs(const std::vector<BucketId>& lost) {
@@ -658,6 +669,7 @@
 }
 
 void EntryCore::SendHeartbeats() {
+  this->SendViewToOutdatedPeers();
   this->documents_in_force.BeginRound(this->current_time);
   // Also to former members: they still relay their callers' jobs, to members
   // that they hear.
@@ -670,7 +682,12 @@
 }
 
 bool EntryCore::MayRenewLeases() const {
-  if (!this->IsMember()) return this->draining && !this->WasRemoved();
+  // The view may lack this entry as soon as it has proposed that.
+  if (!this->IsMember() || this->departure_proposed) {
+    return this->draining && !this->WasRemoved() &&
+           this->contacts.IsHeardByMostMembers(this->view(),
+                                               this->current_time);
+  }
   return this->contacts.HearsMostMembers(this->view(), this->current_time);
 }
 
@@ -706,6 +723,7 @@
   if (alone || !this->hand_over.DepartureComplete()) return;
   if (this->current_time < this->next_departure) return;
   this->next_departure = this->current_time + this->settings.repeat_interval;
+  this->departure_proposed = true;
   this->outbox.Add(
       ProposeView{WithoutMember(this->view(), this->settings.self)});
 }
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -20,6 +20,7 @@
 #include "libraries/entry_core/peer_directory.h"
 #include "libraries/entry_core/refusal_confirmer.h"
 #include "libraries/entry_core/relay_table.h"
+#include "libraries/entry_core/view_spread.h"
 
 namespace dandelionspur {
 
@@ -120,12 +121,15 @@
   // the current time.
   void AcceptRelay(EntryId from, const Relay& message);
   void AdoptView(const View& view);
+  // Accounts for the members of `former` that have left without having told
+  // this entry their agents.
+  void NoteUntoldDepartures(const View& former);
   // Sends the view to the agents that learn of it from this entry.
   void SendViewToAgents();
   void SendView(KnownAgent& agent);
-  // Sends the view to a peer or agent that has had time to learn of it from
-  // elsewhere, and reports an earlier one.
-  void SendViewIfOutdated(EntryId peer, Epoch epoch);
+  // Sends the view to those that have had time to learn of it from elsewhere,
+  // and are not known to have it.
+  void SendViewToOutdatedPeers();
   void SendViewIfOutdated(KnownAgent& agent, Epoch epoch);
   [[nodiscard]] PeerState StateForPeers() const;
   void SendState(EntryId peer);
@@ -160,6 +164,7 @@
   LocalHealth health;
   PeerDirectory peers;
   AgentContacts contacts;
+  ViewSpread view_spread;
   Ownership ownership;
   RefusalConfirmer confirmer;
   HomeJobs home;
@@ -174,15 +179,14 @@
   // When this entry first became a member. Only other members can report keys
   // and losses from before that time.
   std::optional<Timestamp> member_since;
-  Epoch joined_epoch;
-  // When the current view was adopted, and when each peer may be sent it again.
-  Timestamp view_adopted;
-  std::map<EntryId, Timestamp> next_view;
   // Peers from which no message has arrived since they reconnected.
   std::set<EntryId> renewed_links;
+  // Whether this entry may start tasks: what MayRenewLeases returned last.
+  bool may_start = true;
   bool draining = false;
   Timestamp drain_began;
   Timestamp next_departure;
+  bool departure_proposed = false;
   bool drained_reported = false;
   bool removal_reported = false;
 };
--- a/libraries/entry_core/entry_events.h
+++ b/libraries/entry_core/entry_events.h
@@ -3,6 +3,7 @@
 
 #include <boost/describe.hpp>
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -118,8 +119,11 @@
   static constexpr std::size_t kRequiredMembers = 0;
   // Bytes of starts and relays that wait for the link.
   std::uint64_t send_backlog = 0;
+  // How long ago the latest reading of the view began that this entry has
+  // finished. Not set if that is not known.
+  std::optional<Duration> view_age;
 };
-BOOST_DESCRIBE_STRUCT(EntryTick, (), (send_backlog))
+BOOST_DESCRIBE_STRUCT(EntryTick, (), (send_backlog, view_age))
 
 using EntryEvent =
     std::variant<CallerSubmitted, CallerCancelled, PeerConnected,
--- a/libraries/entry_core/key_history.cc
+++ b/libraries/entry_core/key_history.cc
@@ -67,13 +67,14 @@
          former->second.knew_all_starts;
 }
 
+bool KeyHistory::KnowsAllRunningAgents(Timestamp now) const {
+  return this->membership.IsSynchronized() ||
+         this->contacts.UnknownRunsAreOver(this->membership, now);
+}
+
 bool KeyHistory::PriorRunsResolved(const BucketState& bucket,
                                    Timestamp now) const {
-  // Only an entry that has joined recently can lack agents in its registry.
-  if (!this->membership.IsSynchronized() &&
-      !this->membership.HasOutlivedLeases(now)) {
-    return false;
-  }
+  if (!this->KnowsAllRunningAgents(now)) return false;
   return std::all_of(this->agents.all().begin(), this->agents.all().end(),
                      [&](const auto& item) {
                        return bucket.agent_promises.contains(item.first) ||
--- a/libraries/entry_core/key_history.h
+++ b/libraries/entry_core/key_history.h
@@ -56,6 +56,9 @@
   // Whether every key that a former home may have started is recorded, or all
   // earlier runs are resolved. Keeps a positive result in the bucket.
   bool AllStartsRecorded(BucketState& bucket, Timestamp now) const;
+  // Whether no agent that this entry does not know can be running tasks. Only
+  // an entry that has joined recently can lack agents.
+  [[nodiscard]] bool KnowsAllRunningAgents(Timestamp now) const;
   // Whether no task that the agent has started can still be running.
   [[nodiscard]] bool RunsAreOver(AgentId agent, Timestamp now) const;
 
--- a/libraries/entry_core/membership.h
+++ b/libraries/entry_core/membership.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_MEMBERSHIP_H_
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_MEMBERSHIP_H_
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -40,12 +41,24 @@
   void MarkSynchronized() { this->synchronized = true; }
   [[nodiscard]] bool IsSynchronized() const { return this->synchronized; }
   // Records that this entry became a member of the view at `now`.
-  void NoteJoined(Timestamp now) { this->joined_at = now; }
-  // Whether this entry has been a member for so long that all leases from
-  // before have expired, also those of agents that no entry has reported.
-  [[nodiscard]] bool HasOutlivedLeases(Timestamp now) const {
-    return this->joined_at &&
-           now >= *this->joined_at + this->settings.lease_over_after;
+  void NoteJoined(Timestamp now) { this->unknown_contact = now; }
+  // Records that a member has told this entry, as a member, all agents that it
+  // knows.
+  void NoteAgentsTold(EntryId member) { this->told.insert(member); }
+  [[nodiscard]] bool HasToldAgents(EntryId member) const {
+    return this->told.contains(member);
+  }
+  // Records that a member left the view without having told its agents, and
+  // that it may have had contact with them until `until`.
+  void NoteLeftUntold(Timestamp until) {
+    if (!this->unknown_contact) return;
+    this->unknown_contact = std::max(*this->unknown_contact, until);
+  }
+  // The latest time at which an entry that is no member any more may have had
+  // contact with an agent that this entry doesn't know. Not set while this
+  // entry has not been a member.
+  [[nodiscard]] std::optional<Timestamp> LatestUnknownContact() const {
+    return this->unknown_contact;
   }
 
  private:
@@ -60,7 +73,8 @@
   // Per bucket, the members of the current view in rendezvous order.
   std::vector<std::vector<EntryId>> rankings;
   bool synchronized = false;
-  std::optional<Timestamp> joined_at;
+  std::set<EntryId> told;
+  std::optional<Timestamp> unknown_contact;
 };
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -57,10 +57,18 @@
   }
   // Records that this entry became a member of the view at `now`.
   void NoteJoined(Timestamp now) { this->membership.NoteJoined(now); }
-  // Whether this entry has been a member for so long that all leases from
-  // before have expired, also those of agents that no entry has reported.
-  [[nodiscard]] bool HasOutlivedLeases(Timestamp now) const {
-    return this->membership.HasOutlivedLeases(now);
+  void NoteAgentsTold(EntryId member) {
+    this->membership.NoteAgentsTold(member);
+  }
+  void NoteLeftUntold(Timestamp until) {
+    this->membership.NoteLeftUntold(until);
+  }
+  [[nodiscard]] bool HasToldAgents(EntryId member) const {
+    return this->membership.HasToldAgents(member);
+  }
+  // Whether no agent that this entry does not know can be running tasks.
+  [[nodiscard]] bool KnowsAllRunningAgents(Timestamp now) const {
+    return this->history.KnowsAllRunningAgents(now);
   }
 
   [[nodiscard]] BucketId BucketOfKey(const JobKey& key) const {
--- a/libraries/entry_core/peer_directory.h
+++ b/libraries/entry_core/peer_directory.h
@@ -15,6 +15,12 @@
 
 namespace dandelionspur {
 
+// How long after an entry has read its view from the table it counts the
+// members that it knows to be dead as gone. Others may have joined in their
+// place since, which it can't hear of while it reaches neither the table nor
+// them.
+inline constexpr Duration kViewTrustedFor = std::chrono::seconds(6);
+
 // Liveness of the other entries. Suspicion decides only which entry acts as
 // home and never affects safety: a false suspicion costs a change of home.
 class PeerDirectory {
@@ -50,6 +56,26 @@
     known.refuses_connections = false;
     known.last_heard = now;
   }
+  // Records that a view came into force at this entry.
+  void NoteViewInForce(Epoch epoch, Timestamp now) {
+    this->epoch_in_force = epoch;
+    for (auto& [id, peer] : this->peers) {
+      if (peer.epoch >= epoch || peer.lacks_view_since) continue;
+      peer.lacks_view_since = now;
+    }
+  }
+  // Records that the peer had the view of this epoch when it sent a message.
+  void NoteEpoch(EntryId peer, Epoch epoch, Timestamp now) {
+    Peer& known = this->Get(peer, now);
+    known.epoch = std::max(known.epoch, epoch);
+    if (known.epoch >= this->epoch_in_force) known.lacks_view_since.reset();
+  }
+  // The epoch of the latest view that the peer is known to have; 0 if it has
+  // not told.
+  [[nodiscard]] Epoch KnownEpoch(EntryId peer) const {
+    const auto found = this->peers.find(peer);
+    return found == this->peers.end() ? Epoch() : found->second.epoch;
+  }
   // Adds a peer if it is not in the directory; its suspicion timer starts at
   // `now`.
   void TrackMember(EntryId peer, Timestamp now) { this->Get(peer, now); }
@@ -242,20 +268,29 @@
   // Receiving messages from the peer is not enough: the link from this entry to
   // the peer may be broken.
   [[nodiscard]] bool IsConfirming(EntryId peer, Timestamp now) const {
+    return this->HasConfirmedWithin(this->suspect_after, peer, now);
+  }
+  [[nodiscard]] bool HasConfirmedWithin(Duration limit, EntryId peer,
+                                        Timestamp now) const {
     const auto found = this->peers.find(peer);
     return found != this->peers.end() && !found->second.dead_since &&
-           now - found->second.confirmed <= this->suspect_after;
+           now - found->second.confirmed <= limit;
   }
   // The latest time at which the peer can have confirmed a heartbeat of an
   // agent without this entry having received that sighting. An entry stops
   // confirming when most others have not confirmed its own heartbeats for the
-  // time after which an entry is suspected.
+  // time after which an entry is suspected. One that has an earlier view than
+  // this entry may take dead members for all others until it no longer trusts
+  // that view.
   [[nodiscard]] Timestamp MayConfirmAgentsUntil(EntryId peer) const {
     const auto found = this->peers.find(peer);
     if (found == this->peers.end()) return Timestamp();
     const Peer& known = found->second;
-    return known.dead_since.value_or(known.sightings_received_up_to +
-                                     this->suspect_after);
+    if (known.dead_since) return *known.dead_since;
+    const Timestamp in_contact =
+        known.sightings_received_up_to + this->suspect_after;
+    if (!known.lacks_view_since) return in_contact;
+    return std::max(in_contact, *known.lacks_view_since + kViewTrustedFor);
   }
   [[nodiscard]] Duration TimeSinceLastMessage(EntryId peer,
                                               Timestamp now) const {
@@ -276,6 +311,10 @@
     // When this entry sent its latest heartbeat that the peer has confirmed.
     Timestamp confirmed;
     Timestamp sightings_received_up_to;
+    // The latest view that the peer is known to have, and when the first one
+    // came into force here that it is not known to have.
+    Epoch epoch;
+    std::optional<Timestamp> lacks_view_since;
     // Least age of a heartbeat on arrival; includes the offset of the clocks.
     Duration least_offset = Duration::max();
     // By how much the latest heartbeat's age exceeds `least_offset`.
@@ -304,10 +343,12 @@
     // Covers contacts that the peer had before it was added here:
     // MayConfirmAgentsUntil then counts from `now`.
     fresh.sightings_received_up_to = now;
+    fresh.lacks_view_since = now;
     return this->peers.try_emplace(peer, fresh).first->second;
   }
 
   Duration suspect_after;
+  Epoch epoch_in_force;
   std::map<EntryId, Peer> peers;
   std::set<EntryId> declining;
   std::uint64_t decline_changes = 0;
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -37,13 +37,17 @@
 // the state that a new entry needs before it may make any decision.
 struct PeerState {
   static constexpr const char* kName = "peer_state";
+  static constexpr std::size_t kRequiredMembers = 4;
   View view;
   // Whether the sender has recorded every agent that any entry uses.
   bool synchronized = false;
   std::vector<AgentSummary> agents;
   std::vector<BucketBallot> promises;
+  // Carries nothing but the view.
+  bool view_only = false;
 };
-BOOST_DESCRIBE_STRUCT(PeerState, (), (view, synchronized, agents, promises))
+BOOST_DESCRIBE_STRUCT(PeerState, (),
+                      (view, synchronized, agents, promises, view_only))
 
 // Asks for a promise to refuse all requests under lower ballots.
 struct PromiseRequest {
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -399,7 +399,8 @@
     if (error) return;
     this->ObserveDelay(std::chrono::duration_cast<Duration>(
         SteadyClock::now() - this->tick_timer.expiry()));
-    this->Handle(EntryTick{this->links->pacer().backlog()});
+    this->Handle(EntryTick{this->links->pacer().backlog(),
+                           this->table->ViewAge(WallClockNow())});
     this->ObserveMemory(SteadyClock::now());
     this->ObservePeerQueues();
     this->ObserveLink(SteadyClock::now());
--- a/services/entry/table_watcher.cc
+++ b/services/entry/table_watcher.cc
@@ -110,10 +110,23 @@
   });
 }
 
+void TableWatcher::NoteViewRead(Timestamp began) {
+  this->view_read_began = began;
+  const std::chrono::duration<double> since_epoch = began.time_since_epoch();
+  this->metrics.Set("view_read_time_seconds", since_epoch.count());
+}
+
+std::optional<Duration> TableWatcher::ViewAge(Timestamp now) const {
+  const Timestamp began = this->view_read_began;
+  if (began == Timestamp()) return std::nullopt;
+  return now - began;
+}
+
 void TableWatcher::Follow(Feed& feed) {
   this->table.ReadChanges(
       feed.table, feed.revision, kFeedPollTimeout,
-      [this, &feed](const std::optional<RowChanges>& changes) {
+      [this, &feed,
+       began = WallClockNow()](const std::optional<RowChanges>& changes) {
         this->UpdateReachability(changes.has_value());
         if (!changes) {
           this->ScheduleFollow(feed);
@@ -125,6 +138,7 @@
         }
         if (feed.table == TableName::kOwn) {
           this->OnOwnRows(changes->rows);
+          this->NoteViewRead(began);
         } else {
           this->OnOperatorRows(changes->rows);
         }
--- a/services/entry/table_watcher.h
+++ b/services/entry/table_watcher.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONSPUR_SERVICES_ENTRY_TABLE_WATCHER_H_
 #define DANDELIONSPUR_SERVICES_ENTRY_TABLE_WATCHER_H_
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -54,6 +55,9 @@
   void SetEndpoint(const Endpoint& endpoint);
   // Writes `view` if the table still holds the view of the preceding epoch.
   void Propose(const View& view);
+  // How long ago the latest finished reading of the view began; not set before
+  // the first one.
+  [[nodiscard]] std::optional<Duration> ViewAge(Timestamp now) const;
   // Stops adding this entry to views that lack it.
   void StopJoining();
   // Writes the next version of a document if the table holds version `base`. If
@@ -79,6 +83,8 @@
   void Follow(Feed& feed);
   void ScheduleFollow(Feed& feed);
   void UpdateReachability(bool answered);
+  // Records that a reading of the view that began at `began` has finished.
+  void NoteViewRead(Timestamp began);
   // Counts and logs something that another process wrote and that can't be
   // read. `kind` is the counter's label.
   void ReportUnreadable(std::string_view kind, const std::string& problem);
@@ -131,6 +137,8 @@
   bool admission_scheduled = false;
   boost::asio::steady_timer admission_timer;
   bool reachable = true;
+  // When the latest finished reading of the view began.
+  std::atomic<Timestamp> view_read_began{Timestamp()};
 };
 
 }  // namespace dandelionspur
--- a/tests/entry_core/removed_entry_test.cc
+++ b/tests/entry_core/removed_entry_test.cc
@@ -17,6 +17,8 @@
   std::string name;
   // In the view that lacks the entry.
   std::vector<EntryLoss> losses;
+  // Whether the member of that view confirms the entry's heartbeats.
+  bool is_heard = true;
   bool may_renew_leases = false;
 };
 
@@ -33,7 +35,8 @@
 // Guards against two runs of one task: an entry that the others have removed
 // counts for nobody any more, so it must not extend the leases of agents that
 // the others take for lost, also if it is being stopped. One that has left by
-// itself still serves the jobs that it has.
+// itself still serves the jobs that it has, while the members hear it: those
+// that replace lost members learn of its agents from nobody else.
 TEST_P(DepartureTest, DecidesWhetherAgentsAreConfirmed) {
   EntryHarness entry(/*agent_count=*/1, /*slots=*/1);
   View view;
@@ -43,6 +46,14 @@
   entry.Handle(DrainRequested{});
   entry.Handle(ViewRead{view});
   entry.Advance(seconds(1));
+  if (GetParam().is_heard) {
+    PeerHeartbeat heartbeat;
+    heartbeat.epoch = view.epoch;
+    heartbeat.sent_at = entry.now();
+    heartbeat.coverage = ContactCoverage::kRequested;
+    heartbeat.peers = {{EntryId(1), entry.now(), Duration()}};
+    entry.Handle(PeerMessageReceived{EntryId(77), heartbeat});
+  }
   const std::vector<EntryEffect> effects =
       entry.SendHeartbeat(entry.Agent(0), entry.Load(0, 0));
   EXPECT_EQ(HasReplyToAgent(effects), GetParam().may_renew_leases);
@@ -51,12 +62,15 @@
 INSTANTIATE_TEST_SUITE_P(
     Departures, DepartureTest,
     testing::Values(
-        DepartureCase{"LeftByItself", {}, true},
+        DepartureCase{"LeftByItself", {}, true, true},
+        DepartureCase{"LeftByItselfAndIsHeardByNobody", {}, false, false},
         DepartureCase{"RemovedAsLost",
                       {{EntryId(1), Timestamp(), LossProof::kSilent}},
+                      true,
                       false},
         DepartureCase{"AnotherWasLost",
                       {{EntryId(5), Timestamp(), LossProof::kSilent}},
+                      true,
                       true}),
     [](const auto& tested) { return tested.param.name; });
 
