tests: Cut single entries off from the table in the fuzzer

The simulated cluster connected two entries in both directions at once, so an entry with an outdated view always heard of the new ones; real entries send on the connection that they dial. The mix kTableCuts dials as they do, cuts one entry off from the table, and perhaps from the others, and restarts the rest.

--- a/tests/entry_core/protocol_fuzz_main.cc
+++ b/tests/entry_core/protocol_fuzz_main.cc
@@ -81,6 +81,8 @@
       "partial-cuts", "also cut single links for long")(
       "refusing-cuts",
       "also cut links for long, with attempts to connect refused")(
+      "table-cuts",
+      "also cut one entry off from the table in a restart of all")(
       "crashing-upstreams", "some tasks crash upstreams; capacities change")(
       "leases", "jobs may run again after their lease has expired")(
       "log", "print the events of every run")(
@@ -110,6 +112,9 @@
   if (parsed.count("refusing-cuts") > 0) {
     options.simulation.fault_mix = dandelionspur::FaultMix::kRefusingCuts;
   }
+  if (parsed.count("table-cuts") > 0) {
+    options.simulation.fault_mix = dandelionspur::FaultMix::kTableCuts;
+  }
   if (parsed.count("crashing-upstreams") > 0) {
     options.simulation.fault_mix = dandelionspur::FaultMix::kCrashingUpstreams;
   }
--- a/tests/entry_core/protocol_fuzz_test.cc
+++ b/tests/entry_core/protocol_fuzz_test.cc
@@ -83,6 +83,10 @@
                                 FaultMix::kRefusingCuts},
                     ClusterCase{"RefusingCutsAtMostOnce", 3, 3,
                                 RerunPolicy::kNever, FaultMix::kRefusingCuts},
+                    // Guards against two homes side by side after a restart of
+                    // all entries but one, which can't read the table.
+                    ClusterCase{"TableCuts", 3, 3, RerunPolicy::kAfterLease,
+                                FaultMix::kTableCuts},
                     ClusterCase{"CrashingUpstreams", 3, 3,
                                 RerunPolicy::kAfterLease,
                                 FaultMix::kCrashingUpstreams}),
--- a/tests/support/simulated_cluster.cc
+++ b/tests/support/simulated_cluster.cc
@@ -16,6 +16,11 @@
 // 2.5 s, which is longer than the leases of an agent that nobody hears can
 // last.
 constexpr int kPartialCutTicks = 50;
+// 9 s, which is longer than an entry that is cut off trusts its view and the
+// leases that it has confirmed can last.
+constexpr int kTableCutTicks = 180;
+constexpr int kRestartTicks = 6;
+constexpr int kTicksPerFinish = 30;
 constexpr Duration kTaskTime = std::chrono::milliseconds(100);
 
 NodeId Pick(const std::vector<NodeId>& nodes, std::uint32_t choice) {
@@ -163,6 +168,10 @@
   if (this->options.fault_mix == FaultMix::kGeneral) {
     return this->DeliverOutOfOrder(choice);
   }
+  if (this->options.fault_mix == FaultMix::kTableCuts) {
+    if (choice % 4 == 0) return this->CutFromTable(choice / 4);
+    return this->DeliverOutOfOrder(choice / 4);
+  }
   const bool refuses = this->options.fault_mix == FaultMix::kRefusingCuts;
   if (choice % 2 == 0 && refuses) return this->CutWithRefusals(choice / 2);
   if (choice % 2 == 0) return this->CutPartially(choice / 2);
@@ -201,6 +210,49 @@
   this->CutForLong(node, others);
 }
 
+void SimulatedCluster::CutFromTable(std::uint32_t choice) {
+  const std::vector<NodeId> alive = this->processes.AliveEntries();
+  if (alive.size() < 2 || !this->table.IsUp()) return;
+  this->ThawAll();
+  const NodeId cut = Pick(alive, choice);
+  const bool is_isolated = (choice / 8) % 2 == 0;
+  this->log.Append("entry " + std::to_string(cut) + " is cut off from the " +
+                   (is_isolated ? "table and all entries" : "table"));
+  this->processes.CutFromTable(cut);
+  for (const NodeId entry : alive) {
+    if (entry != cut) this->processes.TerminateEntry(entry);
+  }
+  for (int i = 0; i < kTableCutTicks && !this->violation(); ++i) {
+    if (i == kRestartTicks) this->RestartAll();
+    this->PassCutTick(cut, is_isolated);
+    const bool polls = i % kTicksPerPoll == 0;
+    if (polls) this->PollByAll();
+    if (polls) this->Submit(choice / 16 + static_cast<std::uint32_t>(i));
+    if (i % kTicksPerFinish == 0) this->FinishTask(choice / 32);
+  }
+  this->processes.RestoreTable();
+  this->ReconnectEntry(cut);
+}
+
+void SimulatedCluster::PassCutTick(NodeId cut, bool is_isolated) {
+  for (const NodeId other : this->processes.AliveEntries()) {
+    if (is_isolated && other != cut) this->processes.Disconnect(cut, other);
+  }
+  this->DeliverAll();
+  this->AdvanceTime(kTick);
+}
+
+void SimulatedCluster::PollByAll() {
+  for (const NodeId entry : this->processes.AliveEntries()) {
+    this->processes.ReadTable(entry);
+    this->processes.RejoinView(entry);
+  }
+  for (const NodeId agent : this->processes.AliveAgents()) {
+    if (this->processes.RenewalOf(agent) == LeaseRenewal::kAllowed) continue;
+    this->processes.ReadView(agent);
+  }
+}
+
 void SimulatedCluster::CutForLong(NodeId node,
                                   const std::vector<NodeId>& others) {
   this->ThawAll();
@@ -325,7 +377,7 @@
   this->ExpireLeases();
   for (const NodeId entry : this->processes.AliveEntries()) {
     if (this->processes.IsFrozen(entry)) continue;
-    this->processes.HandleEntry(entry, EntryTick{});
+    this->processes.Tick(entry);
   }
   for (const NodeId agent : this->processes.AliveAgents()) {
     if (this->processes.IsFrozen(agent)) continue;
--- a/tests/support/simulated_cluster.h
+++ b/tests/support/simulated_cluster.h
@@ -80,6 +80,12 @@
   // As above, but the cut refuses connections, and may also separate an agent
   // from all entries or an entry from another one.
   void CutWithRefusals(std::uint32_t choice);
+  // Cuts one entry off from the table, and perhaps from all other entries,
+  // while these are restarted and join again. Its agents can be reached by all.
+  void CutFromTable(std::uint32_t choice);
+  void PassCutTick(NodeId cut, bool is_isolated);
+  // All entries read the table, and the agents that no entry confirms.
+  void PollByAll();
   // Keeps the links from `node` to `others` cut for that long.
   void CutForLong(NodeId node, const std::vector<NodeId>& others);
   void Submit(std::uint32_t choice);
--- a/tests/support/simulated_processes.cc
+++ b/tests/support/simulated_processes.cc
@@ -185,16 +185,33 @@
 
 void SimulatedProcesses::RejoinView(NodeId entry) {
   const Entry& process = this->entries.at(entry);
-  if (!process.alive || process.draining) return;
+  const bool is_cut = this->cut_from_table.contains(entry);
+  if (!process.alive || process.draining || is_cut) return;
   if (process.core->view().Find(EntryId(entry)) != nullptr) return;
   this->JoinView(entry);
 }
 
 void SimulatedProcesses::ReadTable(NodeId entry) {
+  if (this->cut_from_table.contains(entry)) return;
+  Entry& reader = this->entries.at(entry);
+  if (!reader.frozen) reader.view_read_at = this->clock.Now();
   this->HandleEntry(entry, ViewRead{this->table.view()});
   this->HandleEntry(entry, DocumentRead{this->table.Document()});
 }
 
+void SimulatedProcesses::ReadView(NodeId agent) {
+  this->HandleAgent(agent, AgentViewRead{this->table.view()});
+}
+
+void SimulatedProcesses::Tick(NodeId entry) {
+  EntryTick tick;
+  const Timestamp read_at = this->entries.at(entry).view_read_at;
+  const bool tells_age =
+      this->options.fault_mix == FaultMix::kTableCuts && read_at != Timestamp();
+  if (tells_age) tick.view_age = this->clock.Now() - read_at;
+  this->HandleEntry(entry, tick);
+}
+
 void SimulatedProcesses::TerminateEntry(NodeId id) {
   Entry& entry = this->entries.at(id);
   this->log.Append("entry " + std::to_string(id) + " ends");
@@ -316,6 +333,14 @@
 void SimulatedProcesses::NotifyConnectionChange(NodeId node, NodeId other,
                                                 LinkChange change) {
   if (!this->IsAlive(node)) return;
+  if (this->NeedsDialing(node, other)) {
+    if (change == LinkChange::kConnected) {
+      this->DialIfMember(node, other);
+    } else if (this->dialed.erase({node, other}) > 0) {
+      this->HandleEntry(node, PeerLinkEvent(EntryId(other), change));
+    }
+    return;
+  }
   if (!this->IsEntry(node)) {
     this->HandleAgent(node, EntryLinkEvent(EntryId(other), change));
   } else if (this->IsEntry(other)) {
@@ -325,6 +350,20 @@
   }
 }
 
+bool SimulatedProcesses::NeedsDialing(NodeId node, NodeId other) const {
+  return this->options.fault_mix == FaultMix::kTableCuts &&
+         this->IsEntry(node) && this->IsEntry(other);
+}
+
+void SimulatedProcesses::DialIfMember(NodeId entry, NodeId other) {
+  const bool dials =
+      this->network.IsConnected(entry, other) &&
+      this->entries.at(entry).core->view().Find(EntryId(other)) != nullptr;
+  if (!dials || !this->dialed.insert({entry, other}).second) return;
+  this->HandleEntry(entry,
+                    PeerLinkEvent(EntryId(other), LinkChange::kConnected));
+}
+
 bool SimulatedProcesses::IsAlive(NodeId node) const {
   const auto entry = this->entries.find(node);
   if (entry != this->entries.end()) return entry->second.alive;
@@ -380,6 +419,9 @@
 void SimulatedProcesses::Send(NodeId from, NodeId to,
                               SimulatedMessage message) {
   if (!this->network.IsConnected(from, to)) return;
+  if (this->NeedsDialing(from, to) && !this->dialed.contains({from, to})) {
+    return;
+  }
   const FaultInjector::Outcome outcome =
       this->faults.AlterMessage(from, to, message);
   if (outcome == FaultInjector::Outcome::kDrop) return;
@@ -464,6 +506,7 @@
 }
 
 void SimulatedProcesses::Apply(NodeId from, const ProposeView& proposal) {
+  if (this->cut_from_table.contains(from)) return;
   const auto result = this->table.Propose(proposal.view);
   if (result == SimulatedTable::ProposalResult::kRejected) return;
   this->log.Append("view " + std::to_string(this->table.view().epoch.value()) +
@@ -474,6 +517,8 @@
   for (const ViewMember& member : in_force.view.members) {
     if (member.entry.value() == from) continue;
     this->Connect(from, member.entry.value());
+    if (!this->NeedsDialing(from, member.entry.value())) continue;
+    this->DialIfMember(from, member.entry.value());
   }
 }
 
--- a/tests/support/simulated_processes.h
+++ b/tests/support/simulated_processes.h
@@ -5,7 +5,9 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "libraries/agent_core/agent_core.h"
@@ -59,6 +61,13 @@
   void AnnounceUpstream(NodeId agent);
   // Has the entry read the view and the document from the table.
   void ReadTable(NodeId entry);
+  // The entry reads and writes nothing in the table until RestoreTable.
+  void CutFromTable(NodeId entry) { this->cut_from_table.insert(entry); }
+  void RestoreTable() { this->cut_from_table.clear(); }
+  // Has the agent read the view from the table.
+  void ReadView(NodeId agent);
+  // A timer of the entry is due.
+  void Tick(NodeId entry);
   // Adds the entry to the view again if it has been removed from it.
   void RejoinView(NodeId entry);
 
@@ -113,6 +122,7 @@
     bool draining = false;
     std::deque<EntryEvent> deferred;
     DocumentVersion highest_document;
+    Timestamp view_read_at;
     std::vector<RecordedEntryStep> steps;
   };
   struct Agent {
@@ -138,6 +148,11 @@
   void ThawEntry(NodeId id);
   void ThawAgent(NodeId id);
   void NotifyConnectionChange(NodeId node, NodeId other, LinkChange change);
+  // Whether the entry may send to the other one only on a connection that it
+  // has dialed itself.
+  [[nodiscard]] bool NeedsDialing(NodeId node, NodeId other) const;
+  // The entry learns of its connection to the other one if it dials it.
+  void DialIfMember(NodeId entry, NodeId other);
   void Send(NodeId from, NodeId to, SimulatedMessage message);
 
   // Carry out an effect of the process `from`.
@@ -170,6 +185,9 @@
   std::map<NodeId, Entry> entries;
   std::map<NodeId, Agent> agents;
   BucketHomes bucket_homes;
+  std::set<NodeId> cut_from_table;
+  // The connections between entries, each from the one that has dialed it.
+  std::set<std::pair<NodeId, NodeId>> dialed;
   NodeId last_node = 0;
 };
 
--- a/tests/support/simulation_options.h
+++ b/tests/support/simulation_options.h
@@ -69,12 +69,16 @@
 // kRefusingCuts: as kPartialCuts, but also between two entries, and between one
 // agent and all entries; attempts to connect through the cut are refused, as if
 // the process had ended.
+// kTableCuts: one entry is cut off from the table, and perhaps from the other
+// entries, while all others are restarted. An entry sends to another one only
+// on the connection that it has dialed itself, as a member of its view.
 // kCrashingUpstreams: some tasks crash the upstreams that run them, capacities
 // change, and entries end; messages are delivered soon, and agents live on.
 enum class FaultMix {
   kGeneral,
   kPartialCuts,
   kRefusingCuts,
+  kTableCuts,
   kCrashingUpstreams
 };
 
