--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -228,7 +228,8 @@
     if (error) return;
     this->load_monitor->ObserveDelay(std::chrono::duration_cast<Duration>(
         SteadyClock::now() - this->tick_timer.expiry()));
-    this->Handle(EntryTick{this->links->pacer().backlog()});
+    this->Handle(EntryTick{this->links->pacer().backlog(),
+                           this->table->ViewAge(WallClockNow())});
     this->load_monitor->ObserveResources();
     FlushLog();
     this->ScheduleTick();
