network: Let the kernel close connections whose other end is silent

Connections may go silent for good without a reset while new ones work. Nothing noticed: sockets set TCP_NODELAY only, and no connection between processes of the dispatcher had a time-out.

--- a/libraries/network/frame_connection.cc
+++ b/libraries/network/frame_connection.cc
@@ -5,6 +5,8 @@
 #include <span>
 #include <utility>
 
+#include "libraries/network/socket_liveness.h"
+
 namespace dandelionspur {
 namespace {
 
@@ -15,8 +17,7 @@
 
 std::shared_ptr<FrameConnection> FrameConnection::Create(
     boost::asio::ip::tcp::socket socket) {
-  boost::system::error_code ignored;
-  socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  PrepareSocket(socket, kInternalLiveness);
   return std::shared_ptr<FrameConnection>(
       new FrameConnection(std::move(socket)));
 }
--- a/libraries/network/http_client.cc
+++ b/libraries/network/http_client.cc
@@ -8,6 +8,8 @@
 #include <optional>
 #include <utility>
 
+#include "libraries/network/socket_liveness.h"
+
 namespace dandelionspur {
 namespace {
 
@@ -66,8 +68,7 @@
                                         : HttpProgress::kNotSent);
             return;
           }
-          boost::system::error_code ignored;
-          self->stream.socket().set_option(Tcp::no_delay(true), ignored);
+          PrepareSocket(self->stream.socket(), kInternalLiveness);
           self->connected = true;
           self->Write();
         });
--- a/libraries/network/http_server.cc
+++ b/libraries/network/http_server.cc
@@ -9,6 +9,7 @@
 
 #include "libraries/network/bind_acceptor.h"
 #include "libraries/network/http_session.h"
+#include "libraries/network/socket_liveness.h"
 
 namespace dandelionspur {
 namespace {
@@ -92,8 +93,7 @@
  private:
   // The functions below run on the acceptor's thread.
   void Serve(Tcp::socket socket) {
-    boost::system::error_code ignored;
-    socket.set_option(Tcp::no_delay(true), ignored);
+    PrepareSocket(socket, kCallerLiveness);
     const auto executor = socket.get_executor();
     const auto session =
         std::make_shared<HttpSession>(std::move(socket), this->shared);
