network: Replace links on which a live process is silent

Callers saw 502 and 504 for good once connections between entries and agents had gone silent: a link counted as open as long as no reset came, and nothing was expected to arrive on it.

A dialer now expects an answer to what it sends: the acceptor answers received bytes with an empty frame if it has sent nothing for 250 ms (only to dialers whose Hello says that they read it). If an answer is overdue (0.55 to 0.7 s, spread over links), the dialer opens a second connection. Only if the process says Hello there and remains silent on the link is the link replaced: a frozen or overloaded process answers on neither or on both, and what this process was late to read has been read by then. The acceptor learns of the second connection only when the decision is made. Connecting and the wait for a Hello are bounded too, and attempts to redial are spread.

Work in flight takes the path of a reset: `down` and then `up`. Line link_silent and links_closed_silent_total tell of each such link.

--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -7,6 +7,7 @@
 
 #include "libraries/agent_core/agent_events.h"
 #include "libraries/entry_core/entry_events.h"
+#include "libraries/protocol/hello.h"
 
 // The log events, one struct each. `kName` and the members are written to the
 // log under these names and in this order. `job` is the id that the caller gave
@@ -189,6 +190,20 @@
                       (bytes, link_bytes_per_second, largest_kind,
                        largest_bytes, unsent_bytes))
 
+// A link was closed because the other process was silent on it.
+struct LinkSilent {
+  static constexpr const char* kName = "link_silent";
+  ProcessRole peer_role = ProcessRole::kEntry;
+  // Entry or agent id of the other process.
+  std::uint64_t peer = 0;
+  // Since the last byte from the other process.
+  Duration unheard_ms{};
+  // Passed to the connection since then: what was sent may be lost.
+  std::uint64_t unanswered_bytes = 0;
+};
+BOOST_DESCRIBE_STRUCT(LinkSilent, (),
+                      (peer_role, peer, unheard_ms, unanswered_bytes))
+
 // The messages that wait for the connection to an entry are too many for
 // further relays: new jobs that it is the home of are refused.
 struct PeerQueueFull {
--- a/libraries/network/frame_connection.cc
+++ b/libraries/network/frame_connection.cc
@@ -23,7 +23,7 @@
 }
 
 FrameConnection::FrameConnection(boost::asio::ip::tcp::socket connected)
-    : socket(std::move(connected)) {}
+    : socket(std::move(connected)), answers(AnswerWatch::Clock::now()) {}
 
 void FrameConnection::Start(Handlers callbacks) {
   this->handlers = std::move(callbacks);
@@ -50,11 +50,10 @@
                                         std::size_t received) {
         if (self->ended) return;
         if (error) {
-          const bool truncated = self->incoming.HasPartialFrame();
-          self->End(truncated ? std::optional(FrameError::kTruncated)
-                              : std::nullopt);
+          self->EndAfter(error);
           return;
         }
+        self->NoteReceived();
         self->incoming.Add(received);
         if (self->DeliverFrames()) self->Receive();
       });
@@ -80,6 +79,7 @@
       [self = this->shared_from_this()](boost::system::error_code error,
                                         std::size_t /*sent*/) {
         if (error) {
+          self->kernel_timeout = error == boost::asio::error::timed_out;
           self->End(std::nullopt);
           return;
         }
@@ -92,6 +92,41 @@
       });
 }
 
+bool FrameConnection::IsSilent() {
+  const auto now = AnswerWatch::Clock::now();
+  if (!this->answer_limit ||
+      !this->answers.IsOverdue(*this->answer_limit, now)) {
+    return false;
+  }
+  // A process that was late or frozen hasn't read yet what has arrived.
+  boost::system::error_code error;
+  return this->socket.available(error) == 0;
+}
+
+void FrameConnection::NoteSent(std::size_t bytes) {
+  this->unsent += bytes;
+  const auto now = AnswerWatch::Clock::now();
+  const bool overdue =
+      this->answer_limit && this->answers.IsOverdue(*this->answer_limit, now);
+  this->answers.NoteSent(bytes, now);
+  if (overdue && this->handlers.unanswered) this->handlers.unanswered();
+}
+
+void FrameConnection::NoteReceived() {
+  const auto now = AnswerWatch::Clock::now();
+  this->answers.NoteReceived(now);
+  const bool due = this->answer_interval &&
+                   this->answers.SinceSent(now) >= *this->answer_interval;
+  if (due) this->Send("");
+}
+
+void FrameConnection::EndAfter(const boost::system::error_code& error) {
+  this->kernel_timeout = error == boost::asio::error::timed_out;
+  const bool truncated =
+      !this->kernel_timeout && this->incoming.HasPartialFrame();
+  this->End(truncated ? std::optional(FrameError::kTruncated) : std::nullopt);
+}
+
 void FrameConnection::End(std::optional<FrameError> error) {
   if (this->ended) return;
   this->ended = true;
--- a/libraries/network/frame_connection.h
+++ b/libraries/network/frame_connection.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <utility>
 
+#include "libraries/network/answer_watch.h"
 #include "libraries/protocol/frame.h"
 #include "libraries/protocol/frame_decoder.h"
 
@@ -30,6 +31,9 @@
     // Called once. `error` is set if the connection closed because the
     // received bytes were invalid or ended within a frame.
     std::function<void(std::optional<FrameError> error)> closed;
+    // May be empty. Called when a frame is sent although the answer that
+    // ExpectAnswers() asks for is overdue.
+    std::function<void()> unanswered;
   };
 
   static std::shared_ptr<FrameConnection> Create(
@@ -51,12 +55,28 @@
           if (self->ended) return;
           const std::size_t before = self->outgoing.size();
           AppendFrame(self->outgoing, append);
-          self->unsent += self->outgoing.size() - before;
+          self->NoteSent(self->outgoing.size() - before);
           if (self->writing.empty()) self->WriteNext();
         });
   }
   // No frame is delivered after this call.
   void Close();
+
+  // The functions below must be called on the connection's thread.
+  // From now on, sends an empty frame when bytes are received and nothing has
+  // been sent for `interval`.
+  void AnswerEvery(Duration interval) { this->answer_interval = interval; }
+  // From now on, the other end is silent if it leaves sent bytes without any
+  // answer for longer than `limit`.
+  void ExpectAnswers(Duration limit) { this->answer_limit = limit; }
+  [[nodiscard]] bool IsSilent();
+  // Whether the kernel closed the connection because the other end acknowledged
+  // nothing.
+  [[nodiscard]] bool timed_out() const { return this->kernel_timeout; }
+  [[nodiscard]] LinkSilence silence() const {
+    return this->answers.Silence(AnswerWatch::Clock::now());
+  }
+
   // The bytes passed to Send that the socket has not taken yet. May be called
   // from any thread.
   [[nodiscard]] std::size_t unsent_bytes() const { return this->unsent; }
@@ -68,6 +88,9 @@
   // connection stays open.
   bool DeliverFrames();
   void WriteNext();
+  void NoteSent(std::size_t bytes);
+  void NoteReceived();
+  void EndAfter(const boost::system::error_code& error);
   void End(std::optional<FrameError> error);
 
   boost::asio::ip::tcp::socket socket;
@@ -78,6 +101,10 @@
   std::string writing;
   std::atomic<std::size_t> unsent{0};
   std::atomic<bool> closing{false};
+  AnswerWatch answers;
+  std::optional<Duration> answer_interval;
+  std::optional<Duration> answer_limit;
+  bool kernel_timeout = false;
   bool ended = false;
 };
 
--- a/libraries/network/link.cc
+++ b/libraries/network/link.cc
@@ -1,10 +1,13 @@
 #include "libraries/network/link.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
+#include <random>
 #include <utility>
 
 #include "libraries/network/bind_acceptor.h"
+#include "libraries/network/link_liveness.h"
 #include "libraries/protocol/codec.h"
 
 namespace dandelionspur {
@@ -13,7 +16,8 @@
 namespace asio = boost::asio;
 using Tcp = asio::ip::tcp;
 
-constexpr std::chrono::milliseconds kRedialInterval{100};
+constexpr Duration kRedialInterval = std::chrono::milliseconds(100);
+constexpr Duration kRedialSpread = std::chrono::milliseconds(50);
 
 std::optional<Hello> DecodeHello(std::string_view body) {
   return OrElse(
@@ -24,32 +28,51 @@
       [](const std::string&) { return std::optional<Hello>(); });
 }
 
-// Starts an accepted or dialed connection: sends `own`, expects a Hello as the
-// first frame and passes later frames to `handlers`. Closes the connection if
-// `admit` rejects the Hello; calls `ended` when the connection has closed.
-void StartLink(const FrameConnectionPointer& connection, const Hello& own,
-               const LinkHandlers& handlers,
-               const std::function<bool(const Hello&)>& admit,
-               const std::function<void()>& ended) {
+Hello WithAnswers(Hello own) {
+  own.answers = true;
+  return own;
+}
+
+Duration RandomUpTo(Duration limit) {
+  thread_local std::minstd_rand engine{std::random_device{}()};
+  std::uniform_int_distribution<Duration::rep> distribution(0, limit.count());
+  return Duration(distribution(engine));
+}
+
+void ReportTimeout(const FrameConnection& closed, const Hello& other,
+                   const LinkHandlers& handlers) {
+  if (closed.timed_out() && handlers.silent) {
+    handlers.silent(other, closed.silence());
+  }
+}
+
+// Passes a frame of an open link on, unless it is an answer.
+bool DeliverFrame(const Hello& other, std::string_view body,
+                  const LinkHandlers& handlers) {
+  if (body.empty()) return other.answers;
+  return handlers.frame(other, body);
+}
+
+// Starts an accepted connection: sends `own`, expects a Hello as the first
+// frame and passes later frames to `handlers`.
+void StartAcceptedLink(const FrameConnectionPointer& connection,
+                       const Hello& own, const LinkHandlers& handlers) {
   connection->Send(WireCodec::ToMessagePack(own));
   const auto other = std::make_shared<std::optional<Hello>>();
   FrameConnection::Handlers callbacks;
   callbacks.frame = [=](std::string_view body) {
-    if (*other) return handlers.frame(**other, body);
-    const std::optional<Hello> hello = DecodeHello(body);
-    if (!hello) return false;
-    if (!admit(*hello)) {
-      connection->Close();
-      return true;
-    }
-    *other = hello;
-    handlers.up(*hello, connection);
+    if (*other) return DeliverFrame(**other, body, handlers);
+    *other = DecodeHello(body);
+    if (!*other) return false;
+    if ((*other)->answers) connection->AnswerEvery(kAnswerInterval);
+    handlers.up(**other, connection);
     return true;
   };
   callbacks.closed = [=](std::optional<FrameError> error) {
     if (error && handlers.frame_error) handlers.frame_error(*error);
-    if (*other) handlers.down(**other, connection);
-    ended();
+    if (!*other) return;
+    ReportTimeout(*connection, **other, handlers);
+    handlers.down(**other, connection);
   };
   connection->Start(std::move(callbacks));
 }
@@ -62,7 +85,7 @@
   Acceptor(ThreadGroup& group, Hello own, LinkHandlers callbacks)
       : threads(group),
         acceptor(group.First()),
-        own_hello(own),
+        own_hello(WithAnswers(own)),
         handlers(std::move(callbacks)) {}
 
   Result<void> Bind(const Endpoint& endpoint) {
@@ -80,9 +103,7 @@
             const FrameConnectionPointer connection =
                 FrameConnection::Create(std::move(socket));
             asio::post(executor, [self, connection] {
-              StartLink(
-                  connection, self->own_hello, self->handlers,
-                  [](const Hello&) { return true; }, [] {});
+              StartAcceptedLink(connection, self->own_hello, self->handlers);
             });
           }
           self->Accept();
@@ -130,7 +151,7 @@
                        Hello own, Hello expected, LinkHandlers callbacks)
     : context(executor),
       target(endpoint),
-      own_hello(own),
+      own_hello(WithAnswers(own)),
       expected_hello(expected),
       handlers(std::move(callbacks)),
       timer(executor) {}
@@ -144,6 +165,7 @@
   asio::post(this->context, [self = this->shared_from_this()] {
     self->stopped = true;
     self->timer.cancel();
+    self->AbandonAttempt();
     if (self->connection) self->connection->Close();
   });
 }
@@ -151,25 +173,53 @@
 void LinkDialer::Dial() {
   // An endpoint from another process may be invalid, and stays so.
   if (this->stopped || !IsReachable(this->target)) return;
-  auto socket = std::make_shared<Tcp::socket>(this->context);
-  socket->async_connect(ToTcpEndpoint(this->target),
-                        [self = this->shared_from_this(),
-                         socket](boost::system::error_code error) {
-                          if (self->stopped) return;
-                          if (error == asio::error::connection_refused) {
-                            self->ReportRefusal();
-                          }
-                          if (error) {
-                            self->RedialLater();
-                            return;
-                          }
-                          self->OnConnected(std::move(*socket));
-                        });
+  this->connecting = std::make_shared<Tcp::socket>(this->context);
+  this->LimitAttempt(kConnectLimit);
+  this->connecting->async_connect(
+      ToTcpEndpoint(this->target),
+      [self = this->shared_from_this(),
+       socket = this->connecting](boost::system::error_code error) {
+        if (self->stopped || self->connecting != socket) return;
+        self->connecting.reset();
+        if (error == asio::error::connection_refused) self->ReportRefusal();
+        if (error) {
+          self->RedialLater();
+          return;
+        }
+        self->OnConnected(std::move(*socket));
+      });
+}
+
+void LinkDialer::LimitAttempt(Duration limit) {
+  this->timer.expires_after(limit);
+  this->timer.async_wait(
+      [self = this->shared_from_this()](boost::system::error_code error) {
+        if (error || self->stopped) return;
+        self->AbandonAttempt();
+        self->RedialLater();
+      });
+}
+
+void LinkDialer::AbandonAttempt() {
+  // The handlers of an abandoned attempt find that it is no longer the current
+  // one.
+  if (this->connecting) {
+    boost::system::error_code ignored;
+    this->connecting->close(ignored);
+    this->connecting.reset();
+  }
+  if (!this->attempt) return;
+  this->attempt->Close();
+  this->attempt.reset();
 }
 
 void LinkDialer::RedialLater() {
-  if (this->stopped) return;
-  this->timer.expires_after(kRedialInterval);
+  // An open link that remains silent causes the next attempt.
+  if (this->stopped || this->connection) {
+    this->timer.cancel();
+    return;
+  }
+  this->timer.expires_after(kRedialInterval + RandomUpTo(kRedialSpread));
   this->timer.async_wait(
       [self = this->shared_from_this()](boost::system::error_code error) {
         if (!error) self->Dial();
@@ -177,22 +227,117 @@
 }
 
 void LinkDialer::OnConnected(Tcp::socket socket) {
-  this->connection = FrameConnection::Create(std::move(socket));
-  StartLink(
-      this->connection, this->own_hello, this->handlers,
-      [self = this->shared_from_this()](const Hello& other) {
-        if (other.id == self->expected_hello.id) {
-          self->refusal_reported = false;
-          return true;
-        }
-        self->ReportReplacement();
-        self->stopped = true;
-        return false;
-      },
-      [self = this->shared_from_this()] {
-        self->connection.reset();
-        self->RedialLater();
-      });
+  this->LimitAttempt(kHelloLimit);
+  const FrameConnectionPointer fresh =
+      FrameConnection::Create(std::move(socket));
+  this->attempt = fresh;
+  // The acceptor takes a link for open once it has the Hello, so it gets none
+  // before it is decided that the open link is replaced.
+  this->hello_sent = this->connection == nullptr;
+  if (this->hello_sent) fresh->Send(WireCodec::ToMessagePack(this->own_hello));
+  FrameConnection::Handlers callbacks;
+  callbacks.frame = [self = this->shared_from_this(),
+                     fresh](std::string_view body) {
+    if (fresh == self->connection) {
+      return DeliverFrame(self->connected_hello, body, self->handlers);
+    }
+    const std::optional<Hello> other = DecodeHello(body);
+    if (other && fresh == self->attempt) self->OnHello(*other);
+    return other.has_value();
+  };
+  callbacks.closed = [self = this->shared_from_this(),
+                      fresh](std::optional<FrameError> error) {
+    if (error && self->handlers.frame_error) self->handlers.frame_error(*error);
+    if (fresh == self->connection) self->OnLinkClosed();
+    if (fresh == self->attempt) self->OnAttemptClosed();
+  };
+  callbacks.unanswered = [self = this->shared_from_this(), fresh] {
+    if (fresh == self->connection) self->OnUnanswered();
+  };
+  fresh->Start(std::move(callbacks));
+}
+
+void LinkDialer::OnHello(const Hello& other) {
+  if (other.id != this->expected_hello.id) {
+    this->ReportReplacement();
+    this->Stop();
+    return;
+  }
+  this->refusal_reported = false;
+  if (!this->connection) {
+    this->OpenLink(other);
+    return;
+  }
+  this->timer.expires_after(kAnswerGrace);
+  this->timer.async_wait([self = this->shared_from_this(),
+                          other](boost::system::error_code error) {
+    if (!error && !self->stopped && self->attempt) self->ReplaceIfSilent(other);
+  });
+}
+
+void LinkDialer::ReplaceIfSilent(const Hello& other) {
+  if (!this->connection) {
+    this->OpenLink(other);
+    return;
+  }
+  if (!this->connection->IsSilent()) {
+    this->AbandonAttempt();
+    this->PostponeAttempts();
+    return;
+  }
+  if (this->handlers.silent) {
+    this->handlers.silent(this->connected_hello, this->connection->silence());
+  }
+  this->connection->Close();
+  // Queued behind the end of the silent link, so that `down` comes first.
+  asio::post(this->context,
+             [self = this->shared_from_this(), other, fresh = this->attempt] {
+               if (self->stopped || fresh != self->attempt) return;
+               self->OpenLink(other);
+             });
+}
+
+void LinkDialer::OpenLink(const Hello& other) {
+  this->timer.cancel();
+  this->connection = std::move(this->attempt);
+  this->attempt.reset();
+  this->connected_hello = other;
+  if (!this->hello_sent) {
+    this->connection->Send(WireCodec::ToMessagePack(this->own_hello));
+  }
+  if (other.answers) {
+    this->connection->ExpectAnswers(kAnswerLimit +
+                                    RandomUpTo(kAnswerLimitSpread));
+  }
+  this->handlers.up(other, this->connection);
+}
+
+void LinkDialer::OnUnanswered() {
+  const bool trying = this->connecting || this->attempt;
+  if (trying || std::chrono::steady_clock::now() < this->next_attempt) return;
+  if (this->connection->IsSilent()) this->Dial();
+}
+
+void LinkDialer::PostponeAttempts() {
+  const auto now = std::chrono::steady_clock::now();
+  const bool in_series = now - this->next_attempt < kMaximumAttemptPause;
+  this->attempt_pause =
+      in_series ? std::min(2 * this->attempt_pause, kMaximumAttemptPause)
+                : kAttemptPause;
+  this->next_attempt = now + this->attempt_pause;
+}
+
+void LinkDialer::OnLinkClosed() {
+  const FrameConnectionPointer closed = std::move(this->connection);
+  this->connection.reset();
+  ReportTimeout(*closed, this->connected_hello, this->handlers);
+  this->handlers.down(this->connected_hello, closed);
+  if (!this->connecting && !this->attempt) this->RedialLater();
+}
+
+void LinkDialer::OnAttemptClosed() {
+  this->attempt.reset();
+  this->RedialLater();
 }
 
 void LinkDialer::ReportRefusal() {
--- a/libraries/network/link.h
+++ b/libraries/network/link.h
@@ -4,12 +4,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string_view>
 
 #include "libraries/base/error.h"
+#include "libraries/base/time.h"
 #include "libraries/network/frame_connection.h"
 #include "libraries/network/thread_group.h"
 #include "libraries/protocol/hello.h"
@@ -29,6 +31,9 @@
   std::function<void(const Hello& other, const FrameConnectionPointer&)> down;
   // May be empty. Called if the connection closes because of invalid bytes.
   std::function<void(FrameError)> frame_error;
+  // May be empty. Called before `down` if the connection is closed because the
+  // other process was silent on it.
+  std::function<void(const Hello& other, const LinkSilence&)> silent;
   // Called by dialers only; may be empty. An attempt to connect was refused,
   // for the first time since the last connection.
   std::function<void()> refused;
@@ -56,6 +61,12 @@
 
 // Keeps a link to one process open, reconnecting after a loss, until it is
 // stopped or another incarnation of the process answers.
+//
+// A link on which the other process is silent is not closed at once: it may be
+// sound, and the process frozen or late. The dialer opens a second connection
+// instead, and replaces the link only if the process answers there and remains
+// silent on the link. What this process itself was late to read has been read
+// by then.
 class LinkDialer : public std::enable_shared_from_this<LinkDialer> {
  public:
   // The dialer continues to connect after a refusal, but not after an answer by
@@ -77,6 +88,21 @@
   void Dial();
   void RedialLater();
   void OnConnected(boost::asio::ip::tcp::socket socket);
+  // The callbacks of a connection while it waits for the other's Hello.
+  void OnHello(const Hello& other);
+  void OnAttemptClosed();
+  // The callbacks of the open link.
+  void OnUnanswered();
+  void OnLinkClosed();
+  // Decides whether the attempt becomes the link, once the process has answered
+  // on it and the open link has had time to be heard.
+  void ReplaceIfSilent(const Hello& other);
+  // The process has proved to be late, not its link silent.
+  void PostponeAttempts();
+  void OpenLink(const Hello& other);
+  // Abandons the attempt after `limit`.
+  void LimitAttempt(Duration limit);
+  void AbandonAttempt();
   void ReportRefusal();
   void ReportReplacement();
 
@@ -85,8 +111,19 @@
   Hello own_hello;
   Hello expected_hello;
   LinkHandlers handlers;
+  // Limits the attempt, or delays the next one.
   boost::asio::steady_timer timer;
+  // The open link; null if there is none.
   FrameConnectionPointer connection;
+  // The process at the other end of `connection`.
+  Hello connected_hello;
+  // A connection that is being opened, or waits for the other's Hello.
+  std::shared_ptr<boost::asio::ip::tcp::socket> connecting;
+  FrameConnectionPointer attempt;
+  bool hello_sent = false;
+  // No attempt to replace an open link begins earlier.
+  std::chrono::steady_clock::time_point next_attempt;
+  Duration attempt_pause{};
   bool stopped = false;
   bool refusal_reported = false;
 };
--- a/libraries/protocol/hello.h
+++ b/libraries/protocol/hello.h
@@ -2,6 +2,7 @@
 #define DANDELIONSPUR_LIBRARIES_PROTOCOL_HELLO_H_
 
 #include <boost/describe.hpp>
+#include <cstddef>
 #include <cstdint>
 
 namespace dandelionspur {
@@ -15,8 +16,14 @@
   ProcessRole role = ProcessRole::kEntry;
   // The sender's EntryId or AgentId, by `role`.
   std::uint64_t id = 0;
+  // Whether the sender reads empty frames, and sends them on connections that
+  // it accepts to answer what it received. Older versions take an empty frame
+  // for an error.
+  bool answers = false;
+
+  static constexpr std::size_t kRequiredMembers = 2;
 };
-BOOST_DESCRIBE_STRUCT(Hello, (), (role, id))
+BOOST_DESCRIBE_STRUCT(Hello, (), (role, id, answers))
 
 }  // namespace dandelionspur
 
--- a/services/agent/agent_links.cc
+++ b/services/agent/agent_links.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "services/runtime/message_decoding.h"
+#include "services/runtime/silent_links.h"
 
 namespace dandelionspur {
 namespace {
@@ -43,6 +44,9 @@
       this->OnDown(EntryId(other.id), connection);
     });
   };
+  handlers.silent = [this](const Hello& other, const LinkSilence& silence) {
+    ReportSilentLink(other, silence, this->metrics);
+  };
   handlers.frame_error = [this](FrameError error) {
     this->metrics.Count("bad_frames_total", "error",
                         boost::describe::enum_to_string(error, "unknown"));
--- a/services/entry/entry_links.cc
+++ b/services/entry/entry_links.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "services/runtime/message_decoding.h"
+#include "services/runtime/silent_links.h"
 
 namespace dandelionspur {
 namespace {
@@ -70,6 +71,9 @@
       this->OnAgentDown(AgentId(other.id), connection);
     });
   };
+  handlers.silent = [this](const Hello& other, const LinkSilence& silence) {
+    ReportSilentLink(other, silence, this->metrics);
+  };
   handlers.frame_error = [this](FrameError error) {
     this->metrics.Count("bad_frames_total", "error",
                         boost::describe::enum_to_string(error, "unknown"));
@@ -94,6 +98,9 @@
       this->OnPeerDown(EntryId(other.id), connection);
     });
   };
+  handlers.silent = [this](const Hello& other, const LinkSilence& silence) {
+    ReportSilentLink(other, silence, this->metrics);
+  };
   handlers.refused = [this, peer] {
     asio::dispatch(this->core, [this, peer] { this->OnPeerRefuses(peer); });
   };
