--- a/meta/cluster.py
+++ b/meta/cluster.py
@@ -139,14 +139,22 @@
     def start_table(self):
         self.table = self._start("table", [BUILD / "utilities/table-stand-in", "--port", self.table_port()])
 
+    def entry_table_port(self):
+        """The port at which entries call the table."""
+        return self.table_port()
+
+    def peer_address(self):
+        """The address at which entries listen for links."""
+        return LOOPBACK
+
     def start_entry(self, entry):
         endpoint = lambda port: {"address": LOOPBACK, "port": port}
         settings = {
             "data_centre": "loopback-1",
             "callers": endpoint(self.caller_port(entry)),
-            "peers": endpoint(self.peer_port(entry)),
+            "peers": {"address": self.peer_address(), "port": self.peer_port(entry)},
             "admin": endpoint(self.entry_admin_port(entry)),
-            "table": endpoint(self.table_port()),
+            "table": endpoint(self.entry_table_port()),
             **self.entry_settings,
         }
         if self.platform:
--- a/tests/system/cluster_case.py
+++ b/tests/system/cluster_case.py
@@ -18,11 +18,12 @@
     # The first port of the next test; set by each class. All ranges lie below the system's ephemeral ports.
     next_port = None
     cluster_options = {}
+    cluster_class = Cluster
 
     def cluster(self, entries=3, agents=3, **options):
         port = type(self).next_port
         type(self).next_port += PORTS_PER_TEST
-        started = Cluster(port, entries, agents, **self.cluster_options, **options)
+        started = self.cluster_class(port, entries, agents, **self.cluster_options, **options)
         started.__enter__()
         self.addCleanup(started.__exit__, None, None, None)
         self.pool = concurrent.futures.ThreadPoolExecutor(64)
