entry_core: Keep a cancelling under the key of its job

Change: the records of a bucket's keys say which were cancelled, for the duplicate window; promises, hand-overs and re-replications carry it (a trailing member, which earlier versions skip). A home answers submissions of such a key as cancelled, keeps that answer, and lists the runs still to be stopped. An entry that isn't the home relays none of them.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -90,6 +90,7 @@
 }
 
 void EntryCore::On(const CallerCancelled& event) {
+  this->ownership.Cancel(event.key, this->current_time);
   if (this->relays.Cancel(event.key)) return;
   const BucketId bucket = this->ownership.BucketOfKey(event.key);
   if (this->ownership.IsActive(bucket)) {
@@ -329,6 +330,7 @@
 }
 
 void EntryCore::OnPeer(EntryId /*from*/, const CancelJob& message) {
+  this->ownership.Cancel(message.key, this->current_time);
   this->home.Cancel(message.key, this->current_time);
 }
 
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -52,6 +52,11 @@
     this->Advance(*job, now);
     return;
   }
+  if (this->ownership.IsCancelled(key)) {
+    this->finisher.Answer(waiter, key,
+                          JobAnswer::MayHaveRun(Reason::kCancelled));
+    return;
+  }
   if (submission.kind == SubmissionKind::kJoin) {
     this->finisher.Answer(waiter, key,
                           JobAnswer::MayHaveRun(Reason::kNotFound));
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -47,6 +47,7 @@
   void Accept(const JobSubmission& submission, const Waiter& waiter,
               std::optional<EntryId> witness, EarlierRelays earlier,
               Timestamp now);
+  // Ends the job, if there is one. Its key is recorded as cancelled.
   void Cancel(const JobKey& key, Timestamp now);
   // Notifies the sender of a relay that this entry will not act on the relay
   // any more, and whether it may have done so before.
--- a/libraries/entry_core/job_finisher.cc
+++ b/libraries/entry_core/job_finisher.cc
@@ -39,22 +39,29 @@
 void JobFinisher::Finish(HomeJob& job, const JobAnswer& answer, Timestamp now) {
   const JobKey key = job.submission.key;
   this->queues.Remove(job);
-  for (const ReportedTask& started : StartedTasks(job)) {
-    this->outbox.ToAgent(started.agent, StopTask{{key, started.task}});
+  // Those that agents have reported are among the started ones only once the
+  // job has begun to run.
+  const bool is_cancelled = this->ownership.IsCancelled(key);
+  const std::vector<ReportedTask> started =
+      job.phase == JobPhase::kRunning ? StartedTasks(job)
+                                      : this->ownership.ReportedTasks(key);
+  const std::vector<ReportedTask> stopped =
+      is_cancelled ? started : StartedTasks(job);
+  for (const ReportedTask& run : stopped) {
+    this->outbox.ToAgent(run.agent, StopTask{{key, run.task}});
   }
   for (const Waiter& waiter : job.waiters) {
     this->Answer(waiter, key, answer);
   }
-  const bool may_run_again =
-      job.IsRerunnable() && answer.verdict == Verdict::kMayHaveRun;
+  const bool may_run_again = job.IsRerunnable() &&
+                             answer.verdict == Verdict::kMayHaveRun &&
+                             !is_cancelled;
   if (may_run_again) {
     // A later submission of the key first queries the state of these tasks.
-    // Those that agents have reported are among the started ones only once the
-    // job has begun to run.
-    this->ownership.Reopen(key, job.phase == JobPhase::kRunning
-                                    ? StartedTasks(job)
-                                    : this->ownership.ReportedTasks(key));
+    this->ownership.Reopen(key, started);
   } else {
+    // Kept until the agents have none of them any more.
+    if (is_cancelled) this->ownership.SetReported(key, started);
     this->answer_cache.Insert(key, {job.submission.body_digest, answer}, now);
     this->ownership.Close(key, now);
   }
--- a/libraries/entry_core/key_records.cc
+++ b/libraries/entry_core/key_records.cc
@@ -14,13 +14,28 @@
   const Record own{known.first_seen, now, KeyOrigin::kOwn};
   const auto [record, inserted] = this->records.emplace(known.key, own);
   record->second.last_heard = now;
-  return inserted ? KeyNovelty::kNew : KeyNovelty::kKnown;
+  const KeyNovelty mark = this->NoteCancelled(known, now);
+  return inserted ? KeyNovelty::kNew : mark;
 }
 
 KeyNovelty KeyRecords::RememberInherited(const KnownKey& known, Timestamp now) {
   const Record inherited{known.first_seen, now, KeyOrigin::kInherited};
   const bool inserted = this->records.emplace(known.key, inherited).second;
-  return inserted ? KeyNovelty::kNew : KeyNovelty::kKnown;
+  const KeyNovelty mark = this->NoteCancelled(known, now);
+  return inserted ? KeyNovelty::kNew : mark;
+}
+
+KeyNovelty KeyRecords::NoteCancelled(const KnownKey& known, Timestamp now) {
+  if (!known.cancelled) return KeyNovelty::kKnown;
+  if (!this->cancelled_keys.insert(known.key).second) return KeyNovelty::kKnown;
+  this->records.at(known.key).last_heard = now;
+  return KeyNovelty::kNew;
+}
+
+KeyNovelty KeyRecords::Cancel(const JobKey& key, Timestamp now) {
+  const KeyNovelty novelty = this->RememberInherited({key, now, true}, now);
+  this->records.at(key).last_heard = now;
+  return novelty;
 }
 
 void KeyRecords::MergePromised(const KnownKey& known, RecordedKeys recorded,
@@ -32,6 +47,7 @@
   if (recorded == RecordedKeys::kBecomeInherited) {
     record->second.origin = KeyOrigin::kInherited;
   }
+  this->NoteCancelled(known, now);
 }
 
 void KeyRecords::AddReported(const KnownKey& known,
@@ -58,9 +74,21 @@
   const auto record = this->records.find(key);
   if (record == this->records.end()) return;
   record->second.origin = KeyOrigin::kInherited;
+  this->SetReported(key, std::move(started));
+}
+
+void KeyRecords::SetReported(const JobKey& key,
+                             std::vector<ReportedTask> started) {
   this->reported[key] = std::move(started);
 }
 
+void KeyRecords::RemoveReported(const JobKey& key, const ReportedTask& gone) {
+  const auto found = this->reported.find(key);
+  if (found == this->reported.end()) return;
+  std::erase(found->second, gone);
+  if (found->second.empty()) this->reported.erase(found);
+}
+
 void KeyRecords::BeginBallot() {
   this->ClearReported();
   for (auto& [key, record] : this->records) {
@@ -75,6 +103,9 @@
   std::erase_if(this->reported, [&](const auto& item) {
     return !this->records.contains(item.first);
   });
+  std::erase_if(this->cancelled_keys, [&](const JobKey& key) {
+    return !this->records.contains(key);
+  });
 }
 
 std::optional<KeyOrigin> KeyRecords::OriginOf(const JobKey& key) const {
@@ -104,7 +135,7 @@
   KeyList list;
   for (const auto& [key, record] : this->records) {
     if (after && key <= *after) continue;
-    list.keys.push_back({key, record.first_seen});
+    list.keys.push_back({key, record.first_seen, this->IsCancelled(key)});
   }
   list.is_complete = list.keys.size() <= maximum;
   const auto listed = list.keys.begin() + static_cast<std::ptrdiff_t>(std::min(
--- a/libraries/entry_core/key_records.h
+++ b/libraries/entry_core/key_records.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -30,7 +31,8 @@
 // What a promise changes about keys that are recorded already.
 enum class RecordedKeys { kKeepOrigin, kBecomeInherited };
 
-// Whether a key that is to be recorded was not recorded before.
+// Whether a key that is to be recorded was not recorded before, or not as
+// cancelled.
 enum class KeyNovelty { kNew, kKnown };
 
 // Some recorded keys in ascending order, and whether there are further ones.
@@ -46,8 +48,8 @@
  public:
   // Records a key that this entry handles as home, or as witness.
   KeyNovelty Remember(const KnownKey& known, Timestamp now);
-  // Records a key of which another home may have started tasks. Changes nothing
-  // if the key is recorded already.
+  // Records a key of which another home may have started tasks. If the key is
+  // recorded already, takes over only that it was cancelled.
   KeyNovelty RememberInherited(const KnownKey& known, Timestamp now);
   // Records a key that another entry has listed in its promise as inherited.
   // Keeps the earlier one of the times at which the key was first seen.
@@ -57,10 +59,17 @@
   // once.
   void AddReported(const KnownKey& known, const std::vector<TaskIndex>& tasks,
                    AgentId agent, Timestamp now);
+  // Records that the job was cancelled, for as long as the key is recorded.
+  // Records the key as inherited if it is not recorded.
+  KeyNovelty Cancel(const JobKey& key, Timestamp now);
   // Marks a key as having its final answer.
   void Close(const JobKey& key, Timestamp now);
   // Treats a key as inherited; `started` replaces its reported tasks.
   void Reopen(const JobKey& key, std::vector<ReportedTask> started);
+  // Replaces the reported tasks of the key.
+  void SetReported(const JobKey& key, std::vector<ReportedTask> started);
+  // Forgets one reported task of the key.
+  void RemoveReported(const JobKey& key, const ReportedTask& gone);
   // Treats all keys as inherited and forgets the reported tasks, since a new
   // ballot begins.
   void BeginBallot();
@@ -72,6 +81,13 @@
   // OriginOf and FirstSeen return nothing if the key is not recorded.
   [[nodiscard]] std::optional<KeyOrigin> OriginOf(const JobKey& key) const;
   [[nodiscard]] std::optional<Timestamp> FirstSeen(const JobKey& key) const;
+  [[nodiscard]] bool IsCancelled(const JobKey& key) const {
+    return this->cancelled_keys.contains(key);
+  }
+  // The recorded keys of cancelled jobs.
+  [[nodiscard]] const std::set<JobKey>& cancelled() const {
+    return this->cancelled_keys;
+  }
   // Valid until the next change.
   [[nodiscard]] const std::vector<ReportedTask>& ReportedTasks(
       const JobKey& key) const;
@@ -90,7 +106,11 @@
     KeyOrigin origin = KeyOrigin::kOwn;
   };
 
+  // Takes over whether the key, which is recorded, was cancelled.
+  KeyNovelty NoteCancelled(const KnownKey& known, Timestamp now);
+
   std::unordered_map<JobKey, Record> records;
+  std::set<JobKey> cancelled_keys;
   std::unordered_map<JobKey, std::vector<ReportedTask>> reported;
 };
 
--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -78,6 +78,20 @@
   this->new_keys[this->BucketOfKey(known.key)].push_back(known);
 }
 
+void Ownership::Cancel(const JobKey& key, Timestamp now) {
+  const KeyNovelty novelty = this->RecordsOf(key).Cancel(key, now);
+  this->TrackNewKey({key, now, true}, novelty);
+}
+
+std::vector<JobKey> Ownership::CancelledKeys() const {
+  std::vector<JobKey> keys;
+  for (const BucketState& bucket : this->buckets.all()) {
+    const std::set<JobKey>& cancelled = bucket.keys.cancelled();
+    keys.insert(keys.end(), cancelled.begin(), cancelled.end());
+  }
+  return keys;
+}
+
 void Ownership::Close(const JobKey& key, Timestamp now) {
   this->RecordsOf(key).Close(key, now);
 }
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -180,11 +180,27 @@
   std::map<BucketId, std::vector<KnownKey>> TakeNewKeys() {
     return std::exchange(this->new_keys, {});
   }
+  // Records that the job was cancelled, here and in all later promises and
+  // hand-overs of the key.
+  void Cancel(const JobKey& key, Timestamp now);
+  [[nodiscard]] bool IsCancelled(const JobKey& key) const {
+    return this->RecordsOf(key).IsCancelled(key);
+  }
+  // The recorded keys of cancelled jobs.
+  [[nodiscard]] std::vector<JobKey> CancelledKeys() const;
   // Marks a key as having its final answer under the current ballot.
   void Close(const JobKey& key, Timestamp now);
   // Treats a key that may run again as inherited; `started` are its tasks that
   // have been started and have not completed.
   void Reopen(const JobKey& key, std::vector<ReportedTask> started);
+  // Replaces the reported tasks of the key.
+  void SetReported(const JobKey& key, std::vector<ReportedTask> started) {
+    this->RecordsOf(key).SetReported(key, std::move(started));
+  }
+  // Forgets a reported task of which the agent runs nothing any more.
+  void RemoveReported(const JobKey& key, const ReportedTask& gone) {
+    this->RecordsOf(key).RemoveReported(key, gone);
+  }
   [[nodiscard]] KeyStatus StatusOf(const JobSubmission& job, Timestamp now) {
     return this->history.StatusOf(job, now);
   }
--- a/libraries/entry_core/relay_table.cc
+++ b/libraries/entry_core/relay_table.cc
@@ -80,6 +80,12 @@
     }
     return;
   }
+  // A home that doesn't know of the cancelling yet would start the job.
+  if (this->ownership.IsCancelled(key)) {
+    this->AnswerCallers(job, JobAnswer::MayHaveRun(Reason::kCancelled));
+    this->relayed.erase(key);
+    return;
+  }
   const EntryId target = this->ownership.ExpectedHome(bucket, now);
   const bool reachable =
       target != this->settings.self && this->peers.IsConnected(target);
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -28,10 +28,13 @@
 
 // A key of a job that an entry has recorded, and when any entry first saw it.
 struct KnownKey {
+  static constexpr std::size_t kRequiredMembers = 2;
   JobKey key;
   Timestamp first_seen;
+  // The job was cancelled, so none of its tasks may start any more.
+  bool cancelled = false;
 };
-BOOST_DESCRIBE_STRUCT(KnownKey, (), (key, first_seen))
+BOOST_DESCRIBE_STRUCT(KnownKey, (), (key, first_seen, cancelled))
 
 // Sent when a connection opens and whenever the sender's view changes. Carries
 // the state that a new entry needs before it may make any decision.
--- a/tests/entry_core/key_records_test.cc
+++ b/tests/entry_core/key_records_test.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <functional>
+#include <set>
 #include <string>
 
 namespace dandelionspur {
@@ -32,6 +33,81 @@
   std::int64_t first_seen = 0;
 };
 
+// How kKey, whose job was cancelled, comes into the records.
+struct CancelledCase {
+  std::string name;
+  std::function<void(KeyRecords&)> act;
+  KeyOrigin origin;
+};
+
+class CancelledKeyTest : public testing::TestWithParam<CancelledCase> {};
+
+// Guards against a late duplicate that starts a cancelled job again after its
+// bucket has moved: whoever takes the key over must learn of the cancelling.
+TEST_P(CancelledKeyTest, IsListedAsCancelledUntilItExpires) {
+  KeyRecords records;
+  this->GetParam().act(records);
+  EXPECT_EQ(records.OriginOf(kKey), this->GetParam().origin);
+  records.BeginBallot();
+  EXPECT_TRUE(records.IsCancelled(kKey));
+  EXPECT_EQ(records.cancelled(), std::set<JobKey>{kKey});
+  ASSERT_EQ(records.Sorted().size(), 1U);
+  EXPECT_TRUE(records.Sorted().front().cancelled);
+  // Cancelled at 8 s, so kept for longer than a key that was last heard before.
+  records.Expire(At(8));
+  EXPECT_TRUE(records.IsCancelled(kKey));
+  records.Expire(At(9));
+  EXPECT_FALSE(records.IsCancelled(kKey));
+  EXPECT_TRUE(records.cancelled().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ways, CancelledKeyTest,
+    testing::Values(
+        CancelledCase{"NotRecordedBefore",
+                      [](KeyRecords& records) { records.Cancel(kKey, At(8)); },
+                      KeyOrigin::kInherited},
+        CancelledCase{"RecordedAsOwn",
+                      [](KeyRecords& records) {
+                        records.Remember({kKey, At(5)}, At(6));
+                        records.Cancel(kKey, At(8));
+                      },
+                      KeyOrigin::kOwn},
+        CancelledCase{"ClosedBefore",
+                      [](KeyRecords& records) {
+                        records.Remember({kKey, At(5)}, At(6));
+                        records.Close(kKey, At(7));
+                        records.Cancel(kKey, At(8));
+                      },
+                      KeyOrigin::kClosed},
+        CancelledCase{"Witnessed",
+                      [](KeyRecords& records) {
+                        records.Remember({kKey, At(5), true}, At(8));
+                      },
+                      KeyOrigin::kOwn},
+        CancelledCase{"HandedOver",
+                      [](KeyRecords& records) {
+                        records.Remember({kKey, At(5)}, At(6));
+                        records.RememberInherited({kKey, At(5), true}, At(8));
+                      },
+                      KeyOrigin::kOwn},
+        CancelledCase{"PromisedAfterActivation",
+                      [](KeyRecords& records) {
+                        records.Remember({kKey, At(5)}, At(6));
+                        records.MergePromised({kKey, At(5), true},
+                                              RecordedKeys::kKeepOrigin, At(8));
+                      },
+                      KeyOrigin::kOwn},
+        CancelledCase{"ListedAgainAsNotCancelled",
+                      [](KeyRecords& records) {
+                        records.Cancel(kKey, At(8));
+                        records.MergePromised({kKey, At(5)},
+                                              RecordedKeys::kBecomeInherited,
+                                              At(8));
+                      },
+                      KeyOrigin::kInherited}),
+    [](const auto& tested) { return tested.param.name; });
+
 class OriginTest : public testing::TestWithParam<OriginCase> {};
 
 TEST_P(OriginTest, FollowsTheLatestChange) {
--- a/tests/support/entry_harness.cc
+++ b/tests/support/entry_harness.cc
@@ -8,13 +8,12 @@
 
 constexpr EntryId::ValueType kSelf = 1;
 constexpr AgentId::ValueType kFirstAgent = 1000;
-constexpr std::uint32_t kBuckets = 8;
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 
 EntryCoreSettings HarnessSettings() {
   EntryCoreSettings settings;
   settings.self = EntryId(kSelf);
-  settings.bucket_count = kBuckets;
+  settings.bucket_count = kHarnessBuckets;
   return settings;
 }
 
@@ -150,7 +149,7 @@
       reply.buckets.push_back({bucket.bucket, bucket.ballot, true});
       if (!this->reported_job) continue;
       const JobKey key = HarnessKey(*this->reported_job);
-      if (BucketOf(key, kBuckets) != bucket.bucket) continue;
+      if (BucketOf(key, kHarnessBuckets) != bucket.bucket) continue;
       reply.started.push_back({key, {TaskIndex(0)}});
     }
     return AgentMessageReceived{sent->to, reply};
--- a/tests/support/entry_harness.h
+++ b/tests/support/entry_harness.h
@@ -60,6 +60,8 @@
   bool sends_confirmations = true;
 };
 
+inline constexpr std::uint32_t kHarnessBuckets = 8;
+
 // Returns the key of the job that Submit submits under this number.
 JobKey HarnessKey(std::uint64_t number);
 // Returns the starts among the effects.
