agent_core: Refuse stop orders of a former home

Change: StopTask carries the home's ballot; the agent ignores it below the promised one. Orders without a ballot, from earlier versions, are obeyed.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -331,6 +331,12 @@
 }
 
 void AgentCore::OnMessage(EntryId /*from*/, const StopTask& message) {
+  const Ballot& promised =
+      this->promises[this->BucketOfKey(message.task.key).value()];
+  // The task may have been started again by the present home.
+  const bool is_outdated =
+      !message.ballot.IsNone() && message.ballot < promised;
+  if (is_outdated) return;
   const std::optional<AcceptedStart> waiting =
       this->admission.Withdraw(message.task);
   if (waiting) {
--- a/libraries/entry_core/job_finisher.cc
+++ b/libraries/entry_core/job_finisher.cc
@@ -47,8 +47,10 @@
                                       : this->ownership.ReportedTasks(key);
   const std::vector<ReportedTask> stopped =
       is_cancelled ? started : StartedTasks(job);
+  const Ballot ballot =
+      this->ownership.Promised(this->ownership.BucketOfKey(key));
   for (const ReportedTask& run : stopped) {
-    this->outbox.ToAgent(run.agent, StopTask{{key, run.task}});
+    this->outbox.ToAgent(run.agent, StopTask{{key, run.task}, ballot});
   }
   for (const Waiter& waiter : job.waiters) {
     this->Answer(waiter, key, answer);
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -323,11 +323,15 @@
 };
 BOOST_DESCRIBE_STRUCT(Renounce, (), (task, ballot, attempt))
 
+// Stops a task. Refused from a home whose ballot is below the promised one.
 struct StopTask {
   static constexpr const char* kName = "stop_task";
+  static constexpr std::size_t kRequiredMembers = 1;
   TaskId task;
+  // None from earlier versions, which are obeyed.
+  Ballot ballot{};
 };
-BOOST_DESCRIBE_STRUCT(StopTask, (), (task))
+BOOST_DESCRIBE_STRUCT(StopTask, (), (task, ballot))
 
 // Announces that the entry has queued tasks but no free capacity for them. The
 // agent sends a heartbeat as soon as capacity is free. Holds until the agent
--- a/tests/agent_core/agent_core_test.cc
+++ b/tests/agent_core/agent_core_test.cc
@@ -112,6 +112,44 @@
         NotRunCase{UpstreamResult::kNoRoom, Reason::kNoFreeSlot},
         NotRunCase{UpstreamResult::kUnanswered, Reason::kOrderUnanswered}));
 
+// The ballot of a stop order, beside that of the start and the promised one.
+struct StopCase {
+  const char* name;
+  Ballot started;
+  Ballot promised;
+  Ballot stopped;
+  bool obeyed;
+};
+
+class StopBallotTest : public AgentCoreTest,
+                       public testing::WithParamInterface<StopCase> {};
+
+// Guards against a former home that wakes late and stops a task that the
+// present home runs.
+TEST_P(StopBallotTest, IsObeyedUnlessFromAFormerHome) {
+  const StopCase& tested = this->GetParam();
+  Start start = StartOf(1);
+  start.ballot = tested.started;
+  this->Deliver(start);
+  this->Deliver(
+      RegisterAcknowledged{View(), {{BucketId(0), tested.promised}}, true});
+  const auto stops =
+      Only<StopOnUpstream>(this->Deliver(StopTask{start.task, tested.stopped}));
+  EXPECT_EQ(stops.size(), tested.obeyed ? 1U : 0U);
+}
+
+const Ballot kFormer{Epoch(1), 0, EntryId(kEntry)};
+const Ballot kPresent{Epoch(2), 0, EntryId(kEntry + 1)};
+
+INSTANTIATE_TEST_SUITE_P(
+    Ballots, StopBallotTest,
+    testing::Values(
+        StopCase{"PresentHome", kFormer, kFormer, kFormer, true},
+        StopCase{"FormerHome", kFormer, kPresent, kFormer, false},
+        StopCase{"HomeNotPromisedYet", kFormer, kFormer, kPresent, true},
+        StopCase{"EarlierVersion", kFormer, kPresent, Ballot(), true}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
 TEST_F(AgentCoreTest, StartsBeyondTheCapacityAreQueued) {
   EXPECT_EQ(Only<RunOnUpstream>(this->Deliver(StartOf(1))).size(), 1U);
   EXPECT_EQ(Only<RunOnUpstream>(this->Deliver(StartOf(2))).size(), 1U);
