entry_core: Acknowledge a cancelling once it holds

Change: a new module, Cancellations. Every entry that has recorded a cancelling tells the home until it confirms, and again after each change of home. The home repeats the stop orders until the agent says that the task is gone. CancelJob serves as its own confirmation, so that earlier versions meet no message that they can't decode; jobs that aren't cancelled cause no message. The own interface's DELETE answers 200 in place of 202.

The simulated cluster's random cancels have answers now; after its faults are cleared, late duplicates of acknowledged cancellings must start nothing, and the new deliberate fault ForgetCancelling must be caught.

--- a/libraries/decision_log/entry_decision_log.cc
+++ b/libraries/decision_log/entry_decision_log.cc
@@ -130,6 +130,12 @@
   this->Finish(effect.key, EntryId(), effect.answer);
 }
 
+void EntryDecisionLog::OnEffect(const CancelAnswered& effect) {
+  this->AddStep(effect.key, [&](const std::string& job) {
+    return CancelSettled{job, effect.outcome};
+  });
+}
+
 void EntryDecisionLog::OnEffect(const SendToPeer& effect) {
   if (const auto* relay = std::get_if<Relay>(&effect.message)) {
     this->AddStep(relay->job.key, [&](const std::string& job) {
--- a/libraries/decision_log/entry_decision_log.h
+++ b/libraries/decision_log/entry_decision_log.h
@@ -15,7 +15,7 @@
     std::variant<RequestReceived, RelaySent, RelayReceived, RelayReturned,
                  RefusalDecided, TaskStartSent, TaskStartRefused, TaskEnded,
                  TaskRetried, TaskStateRequested, TaskStateReceived,
-                 TaskStopSent, CancelReceived, JobAnswered>;
+                 TaskStopSent, CancelReceived, CancelSettled, JobAnswered>;
 
 // Writes the log lines of an entry from the steps of its core. All steps of a
 // job that fails, is refused, is late, has been retried or was taken over from
@@ -71,6 +71,7 @@
 
   // Record the steps that an effect contributes.
   void OnEffect(const AnswerCaller& effect);
+  void OnEffect(const CancelAnswered& effect);
   void OnEffect(const SendToPeer& effect);
   void OnEffect(const SendToAgent& effect);
   void OnEffect(const JobRefused& effect);
--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -589,6 +589,14 @@
 };
 BOOST_DESCRIBE_STRUCT(CancelReceived, (), (job))
 
+// The caller that cancelled the job was answered.
+struct CancelSettled {
+  static constexpr const char* kName = "cancel_settled";
+  std::string job;
+  CancelOutcome outcome = CancelOutcome::kNotConfirmed;
+};
+BOOST_DESCRIBE_STRUCT(CancelSettled, (), (job, outcome))
+
 // The job was answered, to its caller (`to` is 0) or to the entry `to` that
 // relayed it.
 struct JobAnswered {
--- /dev/null
+++ b/libraries/entry_core/cancellations.h
@@ -0,0 +1,98 @@
+#ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_CANCELLATIONS_H_
+#define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_CANCELLATIONS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "libraries/entry_core/agent_registry.h"
+#include "libraries/entry_core/entry_core_settings.h"
+#include "libraries/entry_core/entry_outbox.h"
+#include "libraries/entry_core/home_jobs.h"
+#include "libraries/entry_core/ownership.h"
+#include "libraries/entry_core/peer_directory.h"
+
+namespace dandelionspur {
+
+// Makes cancellings hold. Each entry that has recorded a key as cancelled tells
+// the home of the key's bucket until it has confirmed that it knows, and again
+// after each change of home. A home stops what agents still run of the job
+// until they have said that it is gone. A caller that cancels is answered once
+// further entries have recorded the cancelling.
+class Cancellations {
+ public:
+  Cancellations(const EntryCoreSettings& configured, Ownership& owner,
+                const PeerDirectory& directory, const AgentRegistry& registry,
+                HomeJobs& jobs, EntryOutbox& effects);
+
+  // A caller of this entry cancels the job; it is answered if `request` is set.
+  void OnCaller(const JobKey& key, std::optional<RequestId> request,
+                Timestamp now);
+  void OnMessage(EntryId from, const CancelJob& message, Timestamp now);
+  void OnRenounceReply(AgentId from, const RenounceReply& message);
+  // Repeats what is not confirmed. Call it periodically.
+  void Repeat(Timestamp now);
+  // Answers the callers that have waited for long enough.
+  void AnswerOverdue(Timestamp now);
+  // This entry leaves the view, so it doesn't count as one that keeps the
+  // record.
+  void BeginDeparture() { this->leaving = true; }
+
+  // Whether callers wait for the answer to a cancelling.
+  [[nodiscard]] bool HasCallers() const;
+
+ private:
+  // Pauses before an entry that hasn't confirmed is told again.
+  static constexpr Duration kFirstPause = std::chrono::milliseconds(200);
+  static constexpr Duration kLongestPause = std::chrono::seconds(2);
+
+  struct WaitingCaller {
+    RequestId request;
+    Timestamp answer_by;
+  };
+  struct Cancelling {
+    // The highest ballot whose owner has confirmed that it knows.
+    Ballot confirmed;
+    // The other entries that have confirmed that they know.
+    std::set<EntryId> holders;
+    std::vector<WaitingCaller> callers;
+    // The entry that was told last as home, and when it may be told again.
+    EntryId told;
+    Timestamp tell_from;
+    Duration pause = kFirstPause;
+  };
+
+  // Records the cancelling and ends the job if this entry is its home.
+  void Record(const JobKey& key, Timestamp now);
+  void TellHome(const JobKey& key, Cancelling& cancelling, Timestamp now);
+  // Asks entries other than the home to record the cancelling, as many as are
+  // missing.
+  void AskHolders(const JobKey& key, const Cancelling& cancelling,
+                  Timestamp now);
+  void Send(EntryId to, const JobKey& key, CancelStep step);
+  // Sends the agents that may run tasks of the job the order to stop them, and
+  // asks what became of them.
+  void StopRuns(const JobKey& key, Timestamp now);
+  // The number of other entries that must know before a caller is answered.
+  [[nodiscard]] std::size_t RequiredHolders() const;
+  [[nodiscard]] bool Holds(const Cancelling& cancelling) const {
+    return cancelling.holders.size() >= this->RequiredHolders();
+  }
+  void AnswerIfHeld(const JobKey& key, Cancelling& cancelling);
+
+  EntryCoreSettings settings;
+  Ownership& ownership;
+  const PeerDirectory& peers;
+  const AgentRegistry& agents;
+  HomeJobs& home;
+  EntryOutbox& outbox;
+  std::map<JobKey, Cancelling> cancellings;
+  bool leaving = false;
+};
+
+}  // namespace dandelionspur
+
+#endif  // DANDELIONSPUR_LIBRARIES_ENTRY_CORE_CANCELLATIONS_H_
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -26,6 +26,8 @@
            this->outbox),
       relays(this->settings, this->ownership, this->peers, this->home,
              this->outbox),
+      cancellations(this->settings, this->ownership, this->peers,
+                    this->registry, this->home, this->outbox),
       hand_over(this->settings, this->ownership, this->peers, this->outbox),
       bucket_return(this->settings, this->peers, this->health, this->ownership),
       documents_in_force(this->settings, this->peers, this->home,
@@ -90,18 +92,7 @@
 }
 
 void EntryCore::On(const CallerCancelled& event) {
-  this->ownership.Cancel(event.key, this->current_time);
-  if (this->relays.Cancel(event.key)) return;
-  const BucketId bucket = this->ownership.BucketOfKey(event.key);
-  if (this->ownership.IsActive(bucket)) {
-    this->home.Cancel(event.key, this->current_time);
-    return;
-  }
-  const EntryId target =
-      this->ownership.ExpectedHome(bucket, this->current_time);
-  if (target != EntryId() && target != this->settings.self) {
-    this->outbox.ToPeer(target, CancelJob{event.key});
-  }
+  this->cancellations.OnCaller(event.key, event.request, this->current_time);
 }
 
 void EntryCore::On(const PeerConnected& event) {
@@ -200,6 +191,7 @@
   this->drain_began = this->current_time;
   this->relays.StopWitnessing();
   this->home.BeginDeparture();
+  this->cancellations.BeginDeparture();
   this->hand_over.BeginDeparture(this->current_time);
 }
 
@@ -209,6 +201,7 @@
   this->home.Tick(now);
   this->relays.Tick(now);
   this->confirmer.Advance(now);
+  this->cancellations.AnswerOverdue(now);
   if (now >= this->next_repeat) {
     this->next_repeat = now + this->settings.repeat_interval;
     this->ownership.RequestMissing(now);
@@ -217,6 +210,7 @@
                              DeclinesBuckets(this->health.KeptUpFor(now)));
     if (!this->draining) this->bucket_return.Advance(now);
     this->home.RepeatRequests(now);
+    this->cancellations.Repeat(now);
     this->hand_over.ReplaceUnreachable(now);
     this->RemoveDeadMembers();
     this->ownership.Expire(now - this->settings.duplicate_window);
@@ -329,9 +323,10 @@
   this->relays.OnMoved(from, message, this->current_time);
 }
 
-void EntryCore::OnPeer(EntryId /*from*/, const CancelJob& message) {
-  this->ownership.Cancel(message.key, this->current_time);
-  this->home.Cancel(message.key, this->current_time);
+void EntryCore::OnPeer(EntryId from, const CancelJob& message) {
+  const BucketId bucket = this->ownership.BucketOfKey(message.key);
+  this->Observe({{bucket, message.promised}});
+  this->cancellations.OnMessage(from, message, this->current_time);
 }
 
 void EntryCore::OnPeer(EntryId from, const ConfirmRequest& message) {
@@ -440,6 +435,7 @@
 
 void EntryCore::OnAgent(AgentId from, const RenounceReply& message) {
   this->home.OnRenounceReply(from, message, this->current_time);
+  this->cancellations.OnRenounceReply(from, message);
 }
 
 void EntryCore::OnAgent(AgentId from, const AgentLeaving& /*message*/) {
@@ -695,7 +691,8 @@
   const bool alone = this->view().members.size() == 1;
   if (this->IsMember() && !alone && !overdue) return;
   if (elapsed < this->settings.drain_accepts) return;
-  const bool idle = this->home.size() == 0 && this->relays.size() == 0;
+  const bool idle = this->home.size() == 0 && this->relays.size() == 0 &&
+                    !this->cancellations.HasCallers();
   if (!idle) return;
   this->drained_reported = true;
   this->outbox.Add(EntryDrained{});
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -7,6 +7,7 @@
 
 #include "libraries/entry_core/agent_contacts.h"
 #include "libraries/entry_core/agent_registry.h"
+#include "libraries/entry_core/cancellations.h"
 #include "libraries/entry_core/documents_in_force.h"
 #include "libraries/entry_core/entry_core_settings.h"
 #include "libraries/entry_core/entry_events.h"
@@ -164,6 +165,7 @@
   RefusalConfirmer confirmer;
   HomeJobs home;
   RelayTable relays;
+  Cancellations cancellations;
   KeyHandOver hand_over;
   BucketReturn bucket_return;
   DocumentsInForce documents_in_force;
--- a/libraries/entry_core/entry_events.h
+++ b/libraries/entry_core/entry_events.h
@@ -3,6 +3,7 @@
 
 #include <boost/describe.hpp>
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -21,9 +22,12 @@
 
 struct CallerCancelled {
   static constexpr const char* kName = "caller_cancelled";
+  static constexpr std::size_t kRequiredMembers = 1;
   JobKey key;
+  // Set if the caller waits for CancelAnswered.
+  std::optional<RequestId> request{};
 };
-BOOST_DESCRIBE_STRUCT(CallerCancelled, (), (key))
+BOOST_DESCRIBE_STRUCT(CallerCancelled, (), (key, request))
 
 struct PeerConnected {
   static constexpr const char* kName = "peer_connected";
@@ -128,6 +132,19 @@
                  AgentMessageReceived, ViewRead, DocumentRead, DrainRequested,
                  EntryTick, PeerLinkRenewed, PeerRefusesConnections>;
 
+// Whether a cancelling holds: the job's home and another entry know of it, or
+// two entries that tell each later home.
+// kNotConfirmed: that couldn't be confirmed in time.
+BOOST_DEFINE_ENUM_CLASS(CancelOutcome, kHolds, kNotConfirmed)
+
+struct CancelAnswered {
+  static constexpr const char* kName = "cancel_answered";
+  RequestId request;
+  JobKey key;
+  CancelOutcome outcome = CancelOutcome::kNotConfirmed;
+};
+BOOST_DESCRIBE_STRUCT(CancelAnswered, (), (request, key, outcome))
+
 struct AnswerCaller {
   static constexpr const char* kName = "answer_caller";
   RequestId request;
@@ -266,7 +283,7 @@
     std::variant<AnswerCaller, SendToPeer, SendToAgent, ProposeView,
                  ViewInForce, DocumentInForce, RetryCounted, JobRefused,
                  AgentLost, OwnershipChanged, RemovedFromView, EntryDrained,
-                 QuarantineChanged>;
+                 QuarantineChanged, CancelAnswered>;
 
 }  // namespace dandelionspur
 
--- a/libraries/entry_core/relay_table.cc
+++ b/libraries/entry_core/relay_table.cc
@@ -160,15 +160,6 @@
   return target == job.returned_by && now < job.submit_from;
 }
 
-bool RelayTable::Cancel(const JobKey& key) {
-  const auto found = this->relayed.find(key);
-  if (found == this->relayed.end()) return false;
-  if (found->second.target) {
-    this->outbox.ToPeer(*found->second.target, CancelJob{key});
-  }
-  return true;
-}
-
 void RelayTable::ResubmitRelaysTo(EntryId peer) {
   // A second relay of the same job is safe: the home joins it to the first.
   for (auto& [key, job] : this->relayed) {
--- a/libraries/entry_core/relay_table.h
+++ b/libraries/entry_core/relay_table.h
@@ -41,9 +41,6 @@
   void Park(const ParkedRelay& parked);
   void OnAnswer(EntryId from, const RelayAnswer& answer);
   void OnMoved(EntryId from, const RelayMoved& moved, Timestamp now);
-  // Forwards a cancellation to the home. Returns false if this entry has no
-  // relayed submission with the key.
-  bool Cancel(const JobKey& key);
   // Marks the submissions relayed to the peer for another relay at the next
   // tick, since relays or their answers may have been lost.
   void ResubmitRelaysTo(EntryId peer);
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -177,11 +177,23 @@
 };
 BOOST_DESCRIBE_STRUCT(RelayMoved, (), (key, attempt, promised, starts))
 
+// What a CancelJob says.
+// kUnconfirmed: the sender, of an earlier version, expects no confirmation.
+// kRequested: the receiver is to record the cancelling, and to confirm it.
+// kConfirmed: the sender has recorded the cancelling.
+BOOST_DEFINE_ENUM_CLASS(CancelStep, kUnconfirmed, kRequested, kConfirmed)
+
+// Tells that a job was cancelled. The home ends the job; every receiver records
+// the cancelling under the job's key.
 struct CancelJob {
   static constexpr const char* kName = "cancel_job";
+  static constexpr std::size_t kRequiredMembers = 1;
   JobKey key;
+  // The highest ballot that the sender has promised for the bucket.
+  Ballot promised{};
+  CancelStep step = CancelStep::kUnconfirmed;
 };
-BOOST_DESCRIBE_STRUCT(CancelJob, (), (key))
+BOOST_DESCRIBE_STRUCT(CancelJob, (), (key, promised, step))
 
 // Asks the receiver to confirm that it has promised no higher ballots.
 struct ConfirmRequest {
--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -20,7 +20,6 @@
 // platform queues.
 constexpr std::string_view kApiPrefix = "/v1/";
 constexpr unsigned kOk = 200;
-constexpr unsigned kAccepted = 202;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kConflict = 409;
@@ -110,6 +109,15 @@
   return response;
 }
 
+HttpResponse CancelResponse(const JobAnswer& answer) {
+  if (answer.reason != Reason::kCancelled) {
+    return AnswerResponse(answer, false,
+                          "it isn't known whether the cancelling holds; it may "
+                          "be repeated");
+  }
+  return JsonResponse(kOk, {{"cancel", "holds"}});
+}
+
 struct CallerRoutes::Target {
   ServiceName service;
   // Job key; empty for a new submission.
@@ -123,7 +131,8 @@
       core(std::move(core_interface)),
       response_times(
           counters.HistogramFor("stage_seconds", "stage", "response")),
-      answers(counters, "answers_total") {}
+      answers(counters, "answers_total"),
+      cancel_answers(counters, "cancel_answers_total") {}
 
 void CallerRoutes::Handle(const HttpRequest& request, HttpResponder responder) {
   if (this->HandleQueueCall(request, responder)) return;
@@ -146,7 +155,8 @@
   } else if (request.method() == http::verb::get && is_item) {
     this->Await(target, std::move(responder));
   } else if (request.method() == http::verb::delete_ && is_item) {
-    this->Cancel(target, responder);
+    this->Cancel(target.service, target.key, std::move(responder),
+                 CancelResponse);
   } else {
     constexpr unsigned kMethodNotAllowed = 405;
     responder(ProblemResponse(kMethodNotAllowed, "not allowed here"));
@@ -216,8 +226,7 @@
         this->SubmitToQueue(match, request, responder);
         break;
       case JobCallKind::kCancel:
-        this->core.cancel(JobKey::FromText(match.service, match.rest));
-        responder(EncodeCancelled());
+        this->Cancel(match.service, match.rest, responder, EncodeJobAnswer);
         break;
       case JobCallKind::kGetQueue:
         // A job with a waiting caller is started or refused immediately, so no
@@ -279,11 +288,25 @@
   });
 }
 
-void CallerRoutes::Cancel(const Target& target,
-                          const HttpResponder& responder) {
-  this->core.cancel(JobKey::FromText(target.service, target.key));
-  // The outcome is reported by the answer of the job itself.
-  responder(JsonResponse(kAccepted, {{"cancel", "requested"}}));
+void CallerRoutes::Cancel(const ServiceName& service, std::string_view name,
+                          HttpResponder responder, AnswerEncoder encode) {
+  JobSubmission job;
+  job.kind = SubmissionKind::kJoin;
+  job.key = JobKey::FromText(service, name);
+  job.name = name;
+  job.service = service;
+  this->core.cancel(
+      std::move(job),
+      [this, encoder = std::move(encode), respond = std::move(responder),
+       name = std::string(name), service](const JobAnswer& answer) {
+        this->cancel_answers.Count(answer.reason);
+        if (answer.reason != Reason::kCancelled) {
+          LogEvent(LogCategory::kFailure,
+                   RequestRejected{name, service.value(), answer.reason,
+                                   "cancelling not confirmed"});
+        }
+        respond(encoder(answer));
+      });
 }
 
 }  // namespace dandelionspur
--- a/services/entry/caller_routes.h
+++ b/services/entry/caller_routes.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "libraries/network/http_server.h"
 #include "libraries/protocol/job.h"
@@ -16,7 +17,10 @@
 struct CoreInterface {
   // Invokes the callback exactly once, on the core's thread.
   std::function<void(JobSubmission, AnswerCallback)> submit;
-  std::function<void(const JobKey&)> cancel;
+  // Cancels the job with this key. Invokes the callback exactly once, on the
+  // core's thread: with kCancelled once the cancelling holds, or with the
+  // reason why that isn't known.
+  std::function<void(JobSubmission, AnswerCallback)> cancel;
 };
 
 // The HTTP interface for callers; see docs/api.md.
@@ -40,8 +44,9 @@
   void Submit(const Target& target, const HttpRequest& request,
               HttpResponder responder);
   void Await(const Target& target, HttpResponder responder);
-  void Cancel(const Target& target, const HttpResponder& responder);
   using AnswerEncoder = std::function<HttpResponse(const JobAnswer&)>;
+  void Cancel(const ServiceName& service, std::string_view name,
+              HttpResponder responder, AnswerEncoder encode);
   void SubmitToCore(JobSubmission job, HttpResponder responder,
                     AnswerEncoder encode);
 
@@ -49,6 +54,7 @@
   CoreInterface core;
   prometheus::Histogram& response_times;
   ReasonCounters answers;
+  ReasonCounters cancel_answers;
 };
 
 // Encodes a job's answer: its results, or application/problem+json (RFC 9457)
@@ -57,6 +63,9 @@
 HttpResponse AnswerResponse(const JobAnswer& answer, bool raw_answer,
                             const std::string& detail);
 
+// Encodes the answer to a cancelling: whether it holds, or a problem.
+HttpResponse CancelResponse(const JobAnswer& answer);
+
 }  // namespace dandelionspur
 
 #endif  // DANDELIONSPUR_SERVICES_ENTRY_CALLER_ROUTES_H_
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -161,12 +161,15 @@
           this->Enqueue(std::move(submission), std::move(done), read_at);
         });
   };
-  core_interface.cancel = [this](const JobKey& key) {
+  core_interface.cancel = [this](JobSubmission job, AnswerCallback callback) {
     asio::post(this->core_thread.First(),
-               [this, key, arrived = SteadyClock::now()] {
+               [this, cancelled = std::move(job), done = std::move(callback),
+                arrived = SteadyClock::now()]() mutable {
                  this->RecordQueueDelay(arrived);
-                 this->SubmitWaiting(key);
-                 this->Handle(CallerCancelled{key});
+                 this->SubmitWaiting(cancelled.key);
+                 const RequestId request =
+                     this->waiting_callers.Add(cancelled, std::move(done));
+                 this->Handle(CallerCancelled{cancelled.key, request});
                });
   };
   this->caller_routes = std::make_unique<CallerRoutes>(
@@ -458,6 +461,13 @@
   this->waiting_callers.Answer(effect.request, effect.answer);
 }
 
+void EntryServer::Apply(const CancelAnswered& effect) {
+  const Reason reason = effect.outcome == CancelOutcome::kHolds
+                            ? Reason::kCancelled
+                            : Reason::kHomeUnreachable;
+  this->waiting_callers.Answer(effect.request, JobAnswer::MayHaveRun(reason));
+}
+
 void EntryServer::Apply(SendToPeer& effect) {
   this->links->Send(effect.to, std::move(effect.message));
 }
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -115,6 +115,7 @@
   void UpdateGauges();
 
   void Apply(AnswerCaller& effect);
+  void Apply(const CancelAnswered& effect);
   void Apply(SendToPeer& effect);
   void Apply(SendToAgent& effect);
   void Apply(const ProposeView& effect);
--- a/tests/entry_core/deliberate_fault_test.cc
+++ b/tests/entry_core/deliberate_fault_test.cc
@@ -106,6 +106,8 @@
         FaultCase{
             "IgnoreShrunkCapacity", DeliberateFault::kIgnoreShrunkCapacity, 1,
             RerunPolicy::kAfterLease, false, FaultMix::kCrashingUpstreams},
+        FaultCase{"ForgetCancelling", DeliberateFault::kForgetCancelling, 1,
+                  RerunPolicy::kAfterLease},
         FaultCase{"KeepPredecessorTasks",
                   DeliberateFault::kKeepPredecessorTasks, 1,
                   RerunPolicy::kAfterLease}),
--- a/tests/support/fault_injector.cc
+++ b/tests/support/fault_injector.cc
@@ -96,6 +96,8 @@
   switch (this->fault) {
     case DeliberateFault::kSkipWitness:
       return this->ForgeWitnessReply(from, to, message);
+    case DeliberateFault::kForgetCancelling:
+      return this->ForgeCancelConfirmation(from, to, message);
     case DeliberateFault::kRefuseWithoutConfirmation:
       return this->ForgeConfirmReply(from, to, message);
     case DeliberateFault::kSkipBallotCheck:
@@ -156,6 +158,18 @@
   return Outcome::kDrop;
 }
 
+FaultInjector::Outcome FaultInjector::ForgeCancelConfirmation(
+    NodeId from, NodeId to, const SimulatedMessage& message) {
+  const auto* request = FindContent<PeerMessage, CancelJob>(message);
+  const bool is_request =
+      request != nullptr && request->step == CancelStep::kRequested;
+  if (!is_request) return Outcome::kSend;
+  this->network.Send(to, from,
+                     PeerMessage(CancelJob{request->key, request->promised,
+                                           CancelStep::kConfirmed}));
+  return Outcome::kDrop;
+}
+
 FaultInjector::Outcome FaultInjector::ForgeConfirmReply(
     NodeId from, NodeId to, const SimulatedMessage& message) {
   if (const auto* asked = FindContent<PeerMessage, ConfirmRequest>(message)) {
--- a/tests/support/fault_injector.h
+++ b/tests/support/fault_injector.h
@@ -42,6 +42,8 @@
   // Replies to a request in place of its receiver, if `message` is one.
   [[nodiscard]] Outcome ForgeWitnessReply(NodeId from, NodeId to,
                                           const SimulatedMessage& message);
+  [[nodiscard]] Outcome ForgeCancelConfirmation(
+      NodeId from, NodeId to, const SimulatedMessage& message);
   [[nodiscard]] Outcome ForgeConfirmReply(NodeId from, NodeId to,
                                           const SimulatedMessage& message);
 
--- a/tests/support/simulated_cluster.cc
+++ b/tests/support/simulated_cluster.cc
@@ -12,6 +12,8 @@
 constexpr Duration kTick = std::chrono::milliseconds(50);
 // Covers every deadline with its grace period, and takeovers of buckets.
 constexpr int kCompletionTicks = 400;
+// 10 s, half of the time for completion.
+constexpr int kSettledAfterTicks = 200;
 constexpr int kTicksPerPoll = 20;
 // 2.5 s, which is longer than the leases of an agent that nobody hears can
 // last.
@@ -223,6 +225,10 @@
   this->ClearFaults();
   for (int i = 0; i < kCompletionTicks && !this->violation(); ++i) {
     const bool polls = i % kTicksPerPoll == 0;
+    if (i == kSettledAfterTicks) {
+      this->oracle.SettleCancellations();
+      this->SubmitCancelled();
+    }
     for (const NodeId entry : this->processes.AliveEntries()) {
       this->ReconnectEntry(entry);
       if (polls) this->PollTable(static_cast<std::uint32_t>(entry));
@@ -465,7 +471,25 @@
   const NodeId entry = Pick(alive, choice);
   if (this->processes.IsFrozen(entry) || this->key_count == 0) return;
   const JobKey key = KeyOf((choice / 8) % this->key_count);
-  this->processes.HandleEntry(entry, CallerCancelled{key});
+  const RequestId request = this->oracle.RecordCancelling(entry);
+  this->log.Append("cancel " + ShortName(key) + " at entry " +
+                   std::to_string(entry));
+  this->processes.HandleEntry(entry, CallerCancelled{key, request});
+}
+
+void SimulatedCluster::SubmitCancelled() {
+  const std::vector<NodeId> alive = this->processes.AliveEntries();
+  if (alive.empty()) return;
+  const std::vector<JobKey> held = this->oracle.HeldCancellations();
+  for (std::uint32_t number = 0; number < this->key_count; ++number) {
+    const JobSubmission job = JobOf(number, this->options);
+    if (std::find(held.begin(), held.end(), job.key) == held.end()) continue;
+    const NodeId entry = Pick(alive, number);
+    this->log.Append("late duplicate of key " + std::to_string(number) +
+                     " at entry " + std::to_string(entry));
+    const RequestId request = this->oracle.RecordSubmission(entry, job.key);
+    this->processes.HandleEntry(entry, CallerSubmitted{request, job});
+  }
 }
 
 void SimulatedCluster::DrainOne(std::uint32_t choice) {
--- a/tests/support/simulated_cluster.h
+++ b/tests/support/simulated_cluster.h
@@ -92,6 +92,8 @@
   void FreezeOrThaw(std::uint32_t choice);
   void CutOrReconnect(std::uint32_t choice);
   void Cancel(std::uint32_t choice);
+  // Submits each job once more whose cancelling was acknowledged.
+  void SubmitCancelled();
   void DrainOne(std::uint32_t choice);
   void LeaveOne(std::uint32_t choice);
 
--- a/tests/support/simulated_processes.cc
+++ b/tests/support/simulated_processes.cc
@@ -451,6 +451,11 @@
   this->oracle.RecordAnswer(answer);
 }
 
+void SimulatedProcesses::Apply(NodeId from, const CancelAnswered& answer) {
+  const View& view = this->entries.at(from).core->view();
+  this->oracle.RecordCancelAnswer(answer, view.members.size());
+}
+
 void SimulatedProcesses::Apply(NodeId from, const SendToPeer& sent) {
   this->oracle.RecordRelayAnswer(from, sent);
   if (const auto* reply = std::get_if<ConfirmReply>(&sent.message)) {
--- a/tests/support/simulated_processes.h
+++ b/tests/support/simulated_processes.h
@@ -142,6 +142,7 @@
 
   // Carry out an effect of the process `from`.
   void Apply(NodeId from, const AnswerCaller& answer);
+  void Apply(NodeId from, const CancelAnswered& answer);
   void Apply(NodeId from, const SendToPeer& sent);
   void Apply(NodeId from, const SendToAgent& sent);
   void Apply(NodeId from, const ProposeView& proposal);
--- a/tests/support/simulation_options.h
+++ b/tests/support/simulation_options.h
@@ -56,6 +56,8 @@
   kIgnoreLosses,
   // Agents are not told that the capacity of their upstream has shrunk.
   kIgnoreShrunkCapacity,
+  // A cancelling is confirmed although the receiver has not recorded it.
+  kForgetCancelling,
 };
 
 // What happens to messages between entries that are in flight on a connection
--- a/tests/support/simulation_oracle.cc
+++ b/tests/support/simulation_oracle.cc
@@ -22,6 +22,7 @@
 }
 
 bool SimulationOracle::HasPendingRequest(NodeId entry) const {
+  if (this->cancellations.HasPendingRequest(entry)) return true;
   return std::any_of(this->submissions.begin(), this->submissions.end(),
                      [&](const auto& item) {
                        return item.second.entry == entry &&
@@ -52,6 +53,20 @@
   if (conditions.agent_leaves) this->Fail("a leaving agent starts");
   if (!(run.body == BodyOf(run.task))) this->Fail("a task has a wrong body");
   if (!this->IsWanted(run.task.key)) this->Fail("a refused submission starts");
+  const std::optional<std::string> cancelled =
+      this->cancellations.OnStart(run.task.key);
+  if (cancelled) this->Fail(*cancelled);
+}
+
+void SimulationOracle::RecordCancelAnswer(const CancelAnswered& answer,
+                                          std::size_t members) {
+  this->log.Append(std::string("the cancelling of ") + ShortName(answer.key) +
+                   (answer.outcome == CancelOutcome::kHolds
+                        ? " holds"
+                        : " is not confirmed"));
+  const std::optional<std::string> violation =
+      this->cancellations.OnAnswered(answer, members);
+  if (violation) this->Fail(*violation);
 }
 
 bool SimulationOracle::IsWanted(const JobKey& key) const {
--- a/tests/support/simulation_oracle.h
+++ b/tests/support/simulation_oracle.h
@@ -11,6 +11,7 @@
 
 #include "libraries/agent_core/agent_core.h"
 #include "libraries/entry_core/entry_core.h"
+#include "tests/support/cancellation_check.h"
 #include "tests/support/simulated_network.h"
 #include "tests/support/simulation_log.h"
 #include "tests/support/simulation_options.h"
@@ -60,7 +61,22 @@
   void RecordStart(const RunOnUpstream& run, const StartConditions& conditions);
   // Records that the agent's upstream was lost while it ran these tasks.
   void RecordUpstreamLoss(NodeId agent, const std::vector<TaskId>& running);
-  void RecordEntryLoss() { this->upstream_losses.OnEntryLost(); }
+  void RecordEntryLoss() {
+    this->upstream_losses.OnEntryLost();
+    this->cancellations.OnEntryLost();
+  }
+  // Returns the id of the request to cancel a job.
+  RequestId RecordCancelling(NodeId entry) {
+    return this->cancellations.OnRequested(entry);
+  }
+  // `members` is the size of the view of the entry that answers.
+  void RecordCancelAnswer(const CancelAnswered& answer, std::size_t members);
+  // From now on no job starts whose cancelling was acknowledged.
+  void SettleCancellations() { this->cancellations.Settle(); }
+  // The jobs that may not start any more from then on.
+  [[nodiscard]] std::vector<JobKey> HeldCancellations() const {
+    return this->cancellations.Held();
+  }
   void RecordAnswer(const AnswerCaller& answer);
   // Logs the answer to a relay if `sent` is one. Checks that a job refused as
   // not run has not been started, and records the refusal.
@@ -102,6 +118,7 @@
   std::map<RequestId, Submission> submissions;
   std::map<TaskId, std::uint32_t> starts_of_task;
   UpstreamLossCheck upstream_losses;
+  CancellationCheck cancellations;
   // The latest submission of any job at the first start of each job.
   std::map<JobKey, RequestId> first_starts;
   std::map<NodeId, StartedJobs> started_at_confirmation;
--- a/utilities/dandelionspur/step_description.cc
+++ b/utilities/dandelionspur/step_description.cc
@@ -149,6 +149,10 @@
     return "answers the caller (request " + FormatId(effect.request) +
            "): " + Format(effect.answer);
   }
+  std::string operator()(const CancelAnswered& effect) const {
+    return "answers the cancelling (request " + FormatId(effect.request) +
+           "): " + std::string(EnumName(effect.outcome));
+  }
   std::string operator()(const SendToPeer& effect) const {
     return "to entry " + FormatId(effect.to) + ": " +
            DescribeMessage(effect.message, this->key);
