--- a/libraries/entry_core/cancellations.cc
+++ b/libraries/entry_core/cancellations.cc
@@ -28,6 +28,8 @@
   this->ownership.Cancel(key, now);
   this->Record(key, now);
   Cancelling& cancelling = this->cancellings[key];
+  // Who confirmed an earlier cancelling may have ended since.
+  if (cancelling.callers.empty()) cancelling = Cancelling();
   if (request) cancelling.callers.push_back({*request, now + kAnswerWithin});
   this->TellHome(key, cancelling, now);
   const BucketId bucket = this->ownership.BucketOfKey(key);
--- a/tests/entry_core/cancellation_test.cc
+++ b/tests/entry_core/cancellation_test.cc
@@ -130,6 +130,16 @@
   EXPECT_TRUE(CancelsIn(this->Advance(std::chrono::seconds(5))).empty());
 }
 
+// Guards against a repeated cancelling that is acknowledged since an entry
+// knows of it that has ended: seed 687 of the cluster fuzzer.
+TEST_F(CancellationTest, IsConfirmedAnewWhenItIsRepeated) {
+  this->Cancel();
+  this->Confirm(kHome, this->BallotOf(kHome, 1));
+  const std::vector<EntryEffect> effects = this->Cancel();
+  EXPECT_TRUE(OutcomesIn(effects).empty());
+  EXPECT_TRUE(Asks(effects, kHome));
+}
+
 // Guards against a cancelling that can't be acknowledged while the home stands
 // still, and is lost with it.
 TEST_F(CancellationTest, IsAcknowledgedOnceTwoEntriesKnowThatRepeatIt) {
