--- a/libraries/entry_core/cancellations.cc
+++ b/libraries/entry_core/cancellations.cc
@@ -176,8 +176,9 @@
 }
 
 void Cancellations::AnswerOverdue(Timestamp now) {
-  for (auto& [key, cancelling] : this->cancellings) {
-    std::erase_if(cancelling.callers, [&](const WaitingCaller& caller) {
+  for (auto& item : this->cancellings) {
+    const JobKey& key = item.first;
+    std::erase_if(item.second.callers, [&](const WaitingCaller& caller) {
       if (now < caller.answer_by) return false;
       this->outbox.Add(
           CancelAnswered{caller.request, key, CancelOutcome::kNotConfirmed});
