--- a/libraries/entry_core/relay_table.cc
+++ b/libraries/entry_core/relay_table.cc
@@ -80,6 +80,12 @@
     }
     return;
   }
+  // A home that doesn't know of the cancelling yet would start the job.
+  if (this->ownership.IsCancelled(key)) {
+    this->AnswerCallers(job, JobAnswer::MayHaveRun(Reason::kCancelled));
+    this->relayed.erase(key);
+    return;
+  }
   const EntryId target = this->ownership.ExpectedHome(bucket, now);
   const bool reachable =
       target != this->settings.self && this->peers.IsConnected(target);
@@ -154,15 +160,6 @@
   return target == job.returned_by && now < job.submit_from;
 }
 
-bool RelayTable::Cancel(const JobKey& key) {
-  const auto found = this->relayed.find(key);
-  if (found == this->relayed.end()) return false;
-  if (found->second.target) {
-    this->outbox.ToPeer(*found->second.target, CancelJob{key});
-  }
-  return true;
-}
-
 void RelayTable::ResubmitRelaysTo(EntryId peer) {
   // A second relay of the same job is safe: the home joins it to the first.
   for (auto& [key, job] : this->relayed) {
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -28,10 +28,13 @@
 
 // A key of a job that an entry has recorded, and when any entry first saw it.
 struct KnownKey {
+  static constexpr std::size_t kRequiredMembers = 2;
   JobKey key;
   Timestamp first_seen;
+  // The job was cancelled, so none of its tasks may start any more.
+  bool cancelled = false;
 };
-BOOST_DESCRIBE_STRUCT(KnownKey, (), (key, first_seen))
+BOOST_DESCRIBE_STRUCT(KnownKey, (), (key, first_seen, cancelled))
 
 // Sent when a connection opens and whenever the sender's view changes. Carries
 // the state that a new entry needs before it may make any decision.
@@ -178,11 +181,23 @@
 };
 BOOST_DESCRIBE_STRUCT(RelayMoved, (), (key, attempt, promised, starts))
 
+// What a CancelJob says.
+// kUnconfirmed: the sender, of an earlier version, expects no confirmation.
+// kRequested: the receiver is to record the cancelling, and to confirm it.
+// kConfirmed: the sender has recorded the cancelling.
+BOOST_DEFINE_ENUM_CLASS(CancelStep, kUnconfirmed, kRequested, kConfirmed)
+
+// Tells that a job was cancelled. The home ends the job; every receiver records
+// the cancelling under the job's key.
 struct CancelJob {
   static constexpr const char* kName = "cancel_job";
+  static constexpr std::size_t kRequiredMembers = 1;
   JobKey key;
+  // The highest ballot that the sender has promised for the bucket.
+  Ballot promised{};
+  CancelStep step = CancelStep::kUnconfirmed;
 };
-BOOST_DESCRIBE_STRUCT(CancelJob, (), (key))
+BOOST_DESCRIBE_STRUCT(CancelJob, (), (key, promised, step))
 
 // Asks the receiver to confirm that it has promised no higher ballots.
 struct ConfirmRequest {
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -113,8 +113,8 @@
   core_interface.submit = [this](JobSubmission job, AnswerCallback callback) {
     this->intake->Submit(std::move(job), std::move(callback));
   };
-  core_interface.cancel = [this](const JobKey& key) {
-    this->intake->Cancel(key);
+  core_interface.cancel = [this](JobSubmission job, AnswerCallback callback) {
+    this->intake->Cancel(std::move(job), std::move(callback));
   };
   this->caller_routes = std::make_unique<CallerRoutes>(
       this->serving, std::move(core_interface), this->metrics);
@@ -240,6 +240,13 @@
   this->waiting_callers.Answer(effect.request, effect.answer);
 }
 
+void EntryServer::Apply(const CancelAnswered& effect) {
+  const Reason reason = effect.outcome == CancelOutcome::kHolds
+                            ? Reason::kCancelled
+                            : Reason::kHomeUnreachable;
+  this->waiting_callers.Answer(effect.request, JobAnswer::MayHaveRun(reason));
+}
+
 void EntryServer::Apply(SendToPeer& effect) {
   this->links->Send(effect.to, std::move(effect.message));
 }
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -77,6 +77,7 @@
   void PublishServingState();
 
   void Apply(AnswerCaller& effect);
+  void Apply(const CancelAnswered& effect);
   void Apply(SendToPeer& effect);
   void Apply(SendToAgent& effect);
   void Apply(const ProposeView& effect);
--- a/services/entry/job_intake.cc
+++ b/services/entry/job_intake.cc
@@ -59,12 +59,16 @@
       });
 }
 
-void JobIntake::Cancel(const JobKey& key) {
-  asio::post(this->context, [this, key, arrived = SteadyClock::now()] {
-    this->load.RecordQueueDelay(arrived);
-    this->SubmitWaiting(key);
-    this->handle(CallerCancelled{key});
-  });
+void JobIntake::Cancel(JobSubmission job, AnswerCallback callback) {
+  asio::post(this->context,
+             [this, cancelled = std::move(job), done = std::move(callback),
+              arrived = SteadyClock::now()]() mutable {
+               this->load.RecordQueueDelay(arrived);
+               this->SubmitWaiting(cancelled.key);
+               const RequestId request =
+                   this->waiting_callers.Add(cancelled, std::move(done));
+               this->handle(CallerCancelled{cancelled.key, request});
+             });
 }
 
 void JobIntake::Enqueue(JobSubmission job, AnswerCallback callback,
