platform: Carry or refuse bodies and keys that are no text

Cause: a start order puts the task's body and name, which are a caller's bytes, into JSON.

Change: the platform's protocol has a form for names, which the agent chooses, so a key that is no UTF-8 becomes "~" and its hexadecimal bytes, different for each key. It has none for bodies. An entry whose agents speak it (`upstream_protocol`, by default where `readiness` is set) refuses such a body with 400 `malformed_request`, "not run" and the field's name before a key is recorded. An agent refuses it too, as not run, since an entry of an older version may pass it on. The product's own upstream protocol carries raw bodies, and takes all of them as before.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -19,6 +19,8 @@
       return Reason::kOrderUnanswered;
     case UpstreamResult::kNoContact:
       return Reason::kContactLost;
+    case UpstreamResult::kCannotCarry:
+      return Reason::kMalformedRequest;
     case UpstreamResult::kSucceeded:
     case UpstreamResult::kFailed:
     case UpstreamResult::kBroken:
--- a/libraries/agent_core/agent_events.h
+++ b/libraries/agent_core/agent_events.h
@@ -41,8 +41,9 @@
 // kNoRoom: like kNotSent; the upstream has no free capacity for the task.
 // kUnanswered: like kNotSent; the upstream did not answer the start order.
 // kNoContact: like kNotSent; leases may not be granted at present.
+// kCannotCarry: like kNotSent; the upstream's protocol can't carry the body.
 BOOST_DEFINE_ENUM_CLASS(UpstreamResult, kSucceeded, kFailed, kBroken, kNotSent,
-                        kNoRoom, kUnanswered, kNoContact)
+                        kNoRoom, kUnanswered, kNoContact, kCannotCarry)
 
 struct UpstreamTaskCompleted {
   static constexpr const char* kName = "upstream_ended";
--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -81,6 +81,13 @@
   return ReadEndpoint(reader, name);
 }
 
+UpstreamProtocol ReadUpstreamProtocol(ObjectReader& reader,
+                                      UpstreamProtocol otherwise) {
+  return static_cast<UpstreamProtocol>(
+      reader.ChoiceOr("upstream_protocol", {"own", "platform"},
+                      static_cast<std::size_t>(otherwise)));
+}
+
 // Returns the capacity of the link in bytes a second.
 std::uint64_t ReadLink(ObjectReader& reader) {
   constexpr std::uint64_t kBytesPerKilobit = 125;
@@ -139,6 +146,10 @@
   settings.peers = ReadEndpoint(reader, "peers");
   settings.admin = ReadEndpoint(reader, "admin");
   settings.table = ReadEndpoint(reader, "table");
+  // Only the platform asks for readiness.
+  settings.upstream_protocol = ReadUpstreamProtocol(
+      reader, settings.readiness ? UpstreamProtocol::kPlatform
+                                 : UpstreamProtocol::kOwn);
   settings.millicores = static_cast<std::uint32_t>(
       reader.ThousandthsOr("cores", kMillicoreRange, kMillicoresPerCore));
   settings.input_output_threads = static_cast<std::uint32_t>(
@@ -181,8 +192,8 @@
   AgentSettings settings;
   settings.data_centre = DataCentreName(reader.Text("data_centre"));
   settings.admin = ReadEndpoint(reader, "admin");
-  settings.upstream_protocol = static_cast<UpstreamProtocol>(
-      reader.ChoiceOr("upstream_protocol", {"own", "platform"}, 0));
+  settings.upstream_protocol =
+      ReadUpstreamProtocol(reader, UpstreamProtocol::kOwn);
   settings.announcements = ReadOptionalEndpoint(reader, "announcements");
   const bool uses_platform_protocol =
       settings.upstream_protocol == UpstreamProtocol::kPlatform;
--- a/libraries/configuration/settings.h
+++ b/libraries/configuration/settings.h
@@ -45,6 +45,8 @@
   Endpoint peers;
   Endpoint admin;
   Endpoint table;
+  // Between agents and upstreams. Default: kPlatform if `readiness` is given.
+  UpstreamProtocol upstream_protocol = UpstreamProtocol::kOwn;
   // The processor capacity of the instance, in thousandths of a core. The entry
   // is the home, the owner of the bucket, of a share of the keys in proportion
   // to its capacity.
@@ -74,10 +76,10 @@
 };
 BOOST_DESCRIBE_STRUCT(EntrySettings, (),
                       (data_centre, callers, readiness, peers, admin, table,
-                       millicores, link_bytes_per_second, memory_bytes,
-                       input_output_threads, bucket_count, duplicate_window,
-                       suspect_after, remove_after, lease, drain_accepts,
-                       stop_within, recording, log))
+                       upstream_protocol, millicores, link_bytes_per_second,
+                       memory_bytes, input_output_threads, bucket_count,
+                       duplicate_window, suspect_after, remove_after, lease,
+                       drain_accepts, stop_within, recording, log))
 
 struct AgentSettings {
   DataCentreName data_centre;
--- a/libraries/entry_core/submission_validator.cc
+++ b/libraries/entry_core/submission_validator.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "libraries/configuration/object_reader.h"
+#include "libraries/protocol/parse_json.h"
 
 namespace dandelionspur {
 namespace {
@@ -138,13 +139,19 @@
 }
 
 ValidatedSubmission SubmissionValidator::Request(
-    const RawSubmission& raw, const ServiceDocument* document) {
+    const RawSubmission& raw, const ServiceDocument* document,
+    TaskBodies bodies) {
   if (document == nullptr) {
     return Reject(Reason::kUnknownService,
                   "no document names this service: " + raw.service.value());
   }
   const std::optional<std::string> problem = KeyProblem(raw);
   if (problem) return Reject(Reason::kMalformedRequest, *problem);
+  if (bodies == TaskBodies::kText && !IsUtf8(raw.body)) {
+    return Reject(Reason::kMalformedRequest,
+                  "request: field \"body\" must be UTF-8, since the upstreams "
+                  "of this service take text only");
+  }
   if (raw.body.size() > kMaximumTaskBody) {
     return Reject(Reason::kMalformedRequest,
                   "the body must not exceed 1048576 bytes");
--- a/libraries/entry_core/submission_validator.h
+++ b/libraries/entry_core/submission_validator.h
@@ -28,6 +28,10 @@
   std::string detail;
 };
 
+// What the upstreams' protocol can carry as the body of a task.
+// kText: UTF-8 only.
+enum class TaskBodies { kBytes, kText };
+
 using ValidatedSubmission = std::variant<JobSubmission, RejectedSubmission>;
 
 // Validates callers' requests. A rejected request has not been sent to any
@@ -40,9 +44,11 @@
   static ValidatedSubmission Job(const RawSubmission& raw,
                                  const ServiceDocument* document);
   // Validates a single request and makes it a job of one task, whose body is
-  // the request's body.
+  // the request's body. The bodies of a job need no such check: they are parsed
+  // from JSON, and so are text.
   static ValidatedSubmission Request(const RawSubmission& raw,
-                                     const ServiceDocument* document);
+                                     const ServiceDocument* document,
+                                     TaskBodies bodies);
   // Makes a job without tasks from the route of a queue and the caller's key.
   // The caller of this function adds the tasks.
   static JobSubmission QueuedJob(const ServiceName& service, const Route& route,
--- a/libraries/network/http_client.h
+++ b/libraries/network/http_client.h
@@ -75,7 +75,8 @@
 
 HttpRequest MakeHttpRequest(boost::beast::http::verb verb,
                             const std::string& path, std::string body);
-// A POST whose body is JSON.
+// A POST whose body is JSON. The texts in `body` must be UTF-8; nothing but
+// that can be written as JSON.
 HttpRequest MakeJsonRequest(const std::string& path,
                             const nlohmann::json& body);
 
--- a/libraries/protocol/parse_json.cc
+++ b/libraries/protocol/parse_json.cc
@@ -1,5 +1,6 @@
 #include "libraries/protocol/parse_json.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <exception>
 #include <utility>
@@ -47,6 +48,11 @@
 }
 
 bool IsUtf8(std::string_view bytes) {
+  constexpr unsigned char kFirstBeyondAscii = 0x80;
+  const bool is_ascii =
+      std::all_of(bytes.begin(), bytes.end(),
+                  [](unsigned char byte) { return byte < kFirstBeyondAscii; });
+  if (is_ascii) return true;
   try {
     json(bytes).dump();
     return true;
--- a/meta/cluster.py
+++ b/meta/cluster.py
@@ -150,6 +150,7 @@
             **self.entry_settings,
         }
         if self.platform:
+            settings.setdefault("upstream_protocol", "platform")
             settings["lease_ms"] = 1000
         path = self.write_settings(f"entry-{entry}", settings)
         self.entries[entry] = self._start(f"entry-{entry}", [BUILD / "services/dandelionspur-entry", "--settings", path])
--- a/services/agent/platform_upstream.cc
+++ b/services/agent/platform_upstream.cc
@@ -98,6 +98,14 @@
 }
 
 void PlatformUpstream::Run(const RunOnUpstream& task) {
+  if (!CanCarryBody(task.body.bytes())) {
+    // Posted, since the core's other effects are still to be applied.
+    asio::post(this->context, [this, id = task.task] {
+      this->sink(
+          UpstreamTaskCompleted{id, UpstreamResult::kCannotCarry, {}, {}});
+    });
+    return;
+  }
   this->session.Run(task, this->PrepareSession());
   this->ExecuteEffects();
 }
--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -6,7 +6,6 @@
 #include <variant>
 
 #include "libraries/decision_log/log_events.h"
-#include "libraries/entry_core/submission_validator.h"
 #include "libraries/telemetry/log.h"
 #include "platform/job_calls.h"
 #include "services/runtime/admin_routes.h"
@@ -68,6 +67,13 @@
   return results;
 }
 
+// The product's own protocol sends a task's body as it is, the platform's
+// within JSON.
+TaskBodies BodiesFor(UpstreamProtocol protocol) {
+  return protocol == UpstreamProtocol::kOwn ? TaskBodies::kBytes
+                                            : TaskBodies::kText;
+}
+
 std::string_view HeaderValue(const HttpRequest& request,
                              std::string_view name) {
   const auto found = request.find(name);
@@ -118,9 +124,11 @@
 };
 
 CallerRoutes::CallerRoutes(const PublishedServingState& state,
-                           CoreInterface core_interface, Metrics& counters)
+                           CoreInterface core_interface,
+                           UpstreamProtocol protocol, Metrics& counters)
     : serving(state),
       core(std::move(core_interface)),
+      task_bodies(BodiesFor(protocol)),
       response_times(
           counters.HistogramFor("stage_seconds", "stage", "response")),
       answers(counters, "answers_total") {}
@@ -166,7 +174,8 @@
         const ServiceDocument* document = found == state.documents.end()
                                               ? nullptr
                                               : found->second->parsed.get();
-        return target.is_request ? SubmissionValidator::Request(raw, document)
+        return target.is_request ? SubmissionValidator::Request(
+                                       raw, document, this->task_bodies)
                                  : SubmissionValidator::Job(raw, document);
       });
   if (const auto* rejected = std::get_if<RejectedSubmission>(&validated)) {
--- a/services/entry/caller_routes.h
+++ b/services/entry/caller_routes.h
@@ -4,6 +4,8 @@
 #include <functional>
 #include <string>
 
+#include "libraries/configuration/settings.h"
+#include "libraries/entry_core/submission_validator.h"
 #include "libraries/network/http_server.h"
 #include "libraries/protocol/job.h"
 #include "services/entry/serving_state.h"
@@ -23,7 +25,7 @@
 class CallerRoutes {
  public:
   CallerRoutes(const PublishedServingState& state, CoreInterface core_interface,
-               Metrics& counters);
+               UpstreamProtocol protocol, Metrics& counters);
 
   // Handles one request. Safe from any of the server's threads.
   void Handle(const HttpRequest& request, HttpResponder responder);
@@ -47,6 +49,7 @@
 
   const PublishedServingState& serving;
   CoreInterface core;
+  TaskBodies task_bodies;
   prometheus::Histogram& response_times;
   ReasonCounters answers;
 };
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -170,7 +170,8 @@
                });
   };
   this->caller_routes = std::make_unique<CallerRoutes>(
-      this->serving, std::move(core_interface), this->metrics);
+      this->serving, std::move(core_interface),
+      this->settings.upstream_protocol, this->metrics);
   BOOST_LEAF_AUTO(
       bound_links,
       EntryLinks::Create(
--- a/tests/configuration/settings_test.cc
+++ b/tests/configuration/settings_test.cc
@@ -54,6 +54,45 @@
                                 DocumentProblem}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
+struct ProtocolCase {
+  const char* name;
+  const char* fields;
+  UpstreamProtocol protocol;
+};
+
+class EntryProtocolTest : public testing::TestWithParam<ProtocolCase> {};
+
+// Guards against an entry on the platform that passes on bodies which the
+// agents there must refuse, because its settings don't name the protocol.
+TEST_P(EntryProtocolTest, IsThePlatformsWhereThePlatformAsksForReadiness) {
+  const std::string text =
+      std::string(R"({"data_centre": "d", "callers": "127.0.0.1:1",
+                      "peers": "127.0.0.1:2", "admin": "127.0.0.1:3",
+                      "table": "127.0.0.1:4")") +
+      this->GetParam().fields + "}";
+  const EntrySettings settings =
+      OrElse([&] { return ParseEntrySettings(text, "file.json"); },
+             [](const std::string& problem) {
+               ADD_FAILURE() << problem;
+               return EntrySettings();
+             });
+  EXPECT_EQ(settings.upstream_protocol, this->GetParam().protocol);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Protocols, EntryProtocolTest,
+    testing::Values(ProtocolCase{"Default", "", UpstreamProtocol::kOwn},
+                    ProtocolCase{"Readiness", R"(, "readiness": "127.0.0.1:5")",
+                                 UpstreamProtocol::kPlatform},
+                    ProtocolCase{"Named",
+                                 R"(, "upstream_protocol": "platform")",
+                                 UpstreamProtocol::kPlatform},
+                    ProtocolCase{"NamedBesideReadiness",
+                                 R"(, "readiness": "127.0.0.1:5",
+                        "upstream_protocol": "own")",
+                                 UpstreamProtocol::kOwn}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
 struct ProblemCase {
   const char* name;
   const char* text;
@@ -90,6 +129,14 @@
                     "file.json: field \"maximum_quarantined_percent\" must be "
                     "an integer from 0 to 100",
                     DocumentProblem},
+        ProblemCase{"UnknownProtocol",
+                    R"({"data_centre": "d",
+                        "callers": "127.0.0.1:1", "peers": "127.0.0.1:2",
+                        "admin": "127.0.0.1:3", "table": "127.0.0.1:4",
+                        "upstream_protocol": "x"})",
+                    "file.json: field \"upstream_protocol\" must be one of: "
+                    "own, platform",
+                    EntryProblem},
         ProblemCase{"UnknownChoice",
                     R"({"service": "s", "owner": "o", "order": "best"})",
                     "file.json: field \"order\" must be one of: "
--- a/tests/entry_core/submission_validator_test.cc
+++ b/tests/entry_core/submission_validator_test.cc
@@ -88,6 +88,45 @@
                 "no document names this service"}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
+struct RequestCase {
+  const char* name;
+  TaskBodies bodies;
+  std::string key;
+  std::string body;
+  bool is_accepted;
+};
+
+class RequestBytesTest : public testing::TestWithParam<RequestCase> {};
+
+// Guards against a body that the upstreams' protocol can't carry and that is
+// found only after the key was recorded, or ends the agent.
+TEST_P(RequestBytesTest, AreAcceptedWhereTheProtocolCarriesThem) {
+  const RequestCase& tested = this->GetParam();
+  const RawSubmission raw{ServiceName("s"), tested.key, tested.body, "\xff"};
+  const ValidatedSubmission validated =
+      SubmissionValidator::Request(raw, &Document(), tested.bodies);
+  const auto* rejected = std::get_if<RejectedSubmission>(&validated);
+  ASSERT_EQ(rejected == nullptr, tested.is_accepted);
+  if (rejected == nullptr) {
+    const auto& job = std::get<JobSubmission>(validated);
+    EXPECT_EQ(job.name, tested.key);
+    EXPECT_EQ(job.tasks.front().body.bytes(), tested.body);
+    return;
+  }
+  EXPECT_EQ(rejected->answer.verdict, Verdict::kNotRun);
+  EXPECT_EQ(rejected->answer.reason, Reason::kMalformedRequest);
+  EXPECT_NE(rejected->detail.find("field \"body\""), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests, RequestBytesTest,
+    testing::Values(
+        RequestCase{"TextAsText", TaskBodies::kText, "k", "größe", true},
+        RequestCase{"BytesAsBytes", TaskBodies::kBytes, "k", "\x89PNG", true},
+        RequestCase{"BytesAsText", TaskBodies::kText, "k", "\x89PNG", false},
+        RequestCase{"KeyOfBytes", TaskBodies::kText, "k\xff", "a", true}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
 TEST(SubmissionValidatorTest, SoundJobIsAccepted) {
   const std::string body = Tasks(860);
   const RawSubmission raw{ServiceName("s"), "k", body, ""};
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <nlohmann/json.hpp>
 #include <string>
 
 #include "libraries/configuration/service_document.h"
@@ -257,6 +258,69 @@
                     GoneCase{"Bytes", "\x93\xff", std::nullopt}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
+struct TaskNameCase {
+  std::string name;
+  std::string job;
+  std::string task;
+};
+
+class TaskNameTest : public testing::TestWithParam<TaskNameCase> {};
+
+// Guards against an agent that ends by an exception: a caller's key may hold
+// any byte, and names the task in each order.
+TEST_P(TaskNameTest, FitsIntoAnOrder) {
+  const std::string task = UpstreamTaskName(this->GetParam().job, 3);
+  EXPECT_EQ(task, this->GetParam().task);
+  StartOrder start;
+  start.run.task = task;
+  StopOrder stop;
+  stop.run.task = task;
+  EXPECT_NE(EncodeOrder(start, {}).body().find(task), std::string::npos);
+  EXPECT_NE(EncodeOrder(stop, {}).body().find(task), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Names, TaskNameTest,
+    testing::Values(TaskNameCase{"Identifier", "5c0e7a21d94b36f8",
+                                 "5c0e7a21d94b36f8.0.0.3"},
+                    TaskNameCase{"Text", "größe 1", "größe 1.0.0.3"},
+                    TaskNameCase{"NoText", "k\xff", "~6bff.0.0.3"},
+                    // Two jobs must not have tasks of the same name.
+                    TaskNameCase{"LikeAnEncodedOne", "~6bff",
+                                 "~7e36626666.0.0.3"}),
+    [](const auto& tested) { return tested.param.name; });
+
+struct BodyCase {
+  std::string name;
+  std::string body;
+  bool can_carry;
+};
+
+class StartBodyTest : public testing::TestWithParam<BodyCase> {};
+
+// Guards against an agent that ends by an exception, or an upstream that is
+// sent another body than the caller's.
+TEST_P(StartBodyTest, IsCarriedAsItIsOrRefused) {
+  const BodyCase& tested = this->GetParam();
+  ASSERT_EQ(CanCarryBody(tested.body), tested.can_carry);
+  if (!tested.can_carry) return;
+  StartOrder start;
+  start.body = tested.body;
+  const auto wire = nlohmann::json::parse(EncodeOrder(start, {}).body());
+  EXPECT_EQ(wire.at("spec"), tested.body);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bodies, StartBodyTest,
+    testing::Values(BodyCase{"Empty", "", true}, BodyCase{"Ascii", "a\n", true},
+                    BodyCase{"Zero", std::string("a\0b", 3), true},
+                    BodyCase{"Utf8", "größe", true},
+                    BodyCase{"LoneByte", "\x89PNG", false},
+                    BodyCase{"CutSequence", "a\xc3", false},
+                    BodyCase{"Overlong", "\xc0\xaf", false},
+                    BodyCase{"Surrogate", "\xed\xa0\x80", false}),
+    [](const auto& tested) { return tested.param.name; });
+
 struct OrderCase {
   const char* name;
   HttpResult result;
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -93,6 +93,27 @@
         self.assertEqual((status, answer["reason"]), (503, "unsupported_job"))
         self.assertEqual(cluster.runs(), [])
 
+    # Guards against agents that end by an exception, one after the other, because a caller sends bytes that are no text.
+    def test_a_body_that_is_no_text_is_refused_and_ends_no_agent(self):
+        # An entry that doesn't know the protocol passes the body on, like one of an older version; then the agents refuse it.
+        for protocol, status in (("platform", 400), ("own", 503)):
+            cluster = self.cluster(agents=2, entry_settings={"upstream_protocol": protocol})
+            for i in range(4):
+                answer = self.send_request(cluster, i % 3, f"key-{i}", b"\x89PNG")
+                self.assertEqual((answer[0], answer[1]["verdict"]), (status, "not_run"), cluster.logs())
+            self.assertIsNone(next((agent for agent in cluster.agents if agent.popen.poll() is not None), None), cluster.logs())
+            self.assertEqual(cluster.runs(), [])
+
+    # Guards against agents that end by an exception because a caller's key, which names the task, is no text.
+    def test_a_key_that_is_no_text_is_served(self):
+        cluster = self.cluster(agents=2)
+        for i in range(4):
+            self.assertEqual(self.send_request(cluster, i % 3, f"key-{i}\xff", b"20")[0], 200, cluster.logs())
+        self.assertEqual(len(cluster.runs()), 4)
+
+    def send_request(self, cluster, entry, key, body):
+        return call_json("POST", cluster.caller_port(entry), "/v1/services/demo/requests", body, {"Idempotency-Key": key})
+
     def test_kill_of_an_entry(self):
         cluster = self.cluster()
         first = self.submit_many(cluster, 24, "600")
