telemetry: Write callers' bytes into log lines as bounded text

Cause: a log line held a caller's key as it came: control characters and bytes that are no UTF-8, up to the size of a header or a message.

Change: `Quoted` escapes both as "\xff", keeps UTF-8, and cuts a value after 1000 bytes.

Measured: telemetry_test, 24 passed. Not measured: the cost of a line.

--- a/libraries/telemetry/log_line.cc
+++ b/libraries/telemetry/log_line.cc
@@ -1,21 +1,69 @@
 #include "libraries/telemetry/log_line.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <ctime>
 
+#include "libraries/protocol/parse_json.h"
+
 namespace dandelionspur {
 
+namespace {
+
+// Longer values are cut.
+constexpr std::size_t kMaximumFieldBytes = 1000;
+constexpr unsigned char kFirstPrintable = 0x20;
+constexpr unsigned char kDelete = 0x7f;
+
+// Whether the byte stands for itself outside of quotes.
+bool IsPlain(unsigned char byte) {
+  return byte > kFirstPrintable && byte < kDelete && byte != '"' && byte != '=';
+}
+
+bool IsControl(unsigned char byte) {
+  return byte < kFirstPrintable || byte == kDelete;
+}
+
+// Appends a byte as "\xff".
+void AppendEscaped(unsigned char byte, std::string& text) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  constexpr unsigned kNibbleBits = 4;
+  constexpr unsigned kNibbleMask = 15;
+  text.append("\\x");
+  text.push_back(kDigits[byte >> kNibbleBits]);
+  text.push_back(kDigits[byte & kNibbleMask]);
+}
+
+// `is_text`: the byte is part of a value that is UTF-8.
+void AppendQuoted(unsigned char byte, bool is_text, std::string& text) {
+  if (byte == '\n' || byte == '\r') {
+    text.push_back(' ');
+    return;
+  }
+  const bool is_readable = is_text || byte < kDelete;
+  if (IsControl(byte) || !is_readable) {
+    AppendEscaped(byte, text);
+    return;
+  }
+  if (byte == '"' || byte == '\\') text.push_back('\\');
+  text.push_back(static_cast<char>(byte));
+}
+
+}  // namespace
+
 std::string Quoted(std::string_view value) {
-  const bool plain =
-      !value.empty() && value.find_first_of(" \"\n\r=") == std::string::npos;
-  if (plain) return std::string(value);
+  const bool is_short = !value.empty() && value.size() <= kMaximumFieldBytes;
+  if (is_short && std::all_of(value.begin(), value.end(), IsPlain)) {
+    return std::string(value);
+  }
+  const std::string_view shown = value.substr(0, kMaximumFieldBytes);
+  const bool is_text = IsUtf8(shown);
   std::string quoted = "\"";
-  for (const char character : value) {
-    if (character == '"' || character == '\\') quoted.push_back('\\');
-    const bool is_line_break = character == '\n' || character == '\r';
-    quoted.push_back(is_line_break ? ' ' : character);
+  for (const char character : shown) {
+    AppendQuoted(static_cast<unsigned char>(character), is_text, quoted);
   }
+  if (shown.size() < value.size()) quoted.append("...");
   return quoted + "\"";
 }
 
--- a/libraries/telemetry/log_line.h
+++ b/libraries/telemetry/log_line.h
@@ -15,7 +15,8 @@
 namespace dandelionspur {
 
 // Quotes a value that is empty or contains characters that would break the
-// line's field=value format. Line breaks become spaces.
+// line's field=value format. Line breaks become spaces; bytes that are no
+// printable text are escaped as "\xff". A value above 1000 bytes is cut.
 std::string Quoted(std::string_view value);
 // Formats a time in UTC, such as "2026-12-04T09:00:00.123Z".
 std::string TimeText(Timestamp time);
--- a/tests/telemetry/log_test.cc
+++ b/tests/telemetry/log_test.cc
@@ -53,9 +53,26 @@
         LineCase{"Quoted",
                  {"a b=\"c\"\nevent=x\\", {}, Colour::kRed, false, 0},
                  "text=\"a b=\\\"c\\\" event=x\\\\\" waited_ms=0 colour=red "
-                 "late=no count=0"}),
+                 "late=no count=0"},
+        // Readers of the log need not cope with bytes that are no text.
+        LineCase{"Bytes",
+                 {std::string("a\0\x7f\xff", 4), {}, Colour::kRed, false, 0},
+                 "text=\"a\\x00\\x7f\\xff\" waited_ms=0 colour=red late=no "
+                 "count=0"},
+        LineCase{"Utf8",
+                 {"größe", {}, Colour::kRed, false, 0},
+                 "text=\"größe\" waited_ms=0 colour=red late=no count=0"}),
     [](const auto& instance) { return std::string(instance.param.name); });
 
+// Guards against a caller's long text that fills the log.
+TEST(QuotedTest, LongValueIsCut) {
+  constexpr std::size_t kMaximumLineField = 5'000;
+  const std::string text = Quoted(std::string(100'000, '\xff'));
+  EXPECT_LT(text.size(), kMaximumLineField);
+  EXPECT_TRUE(text.ends_with("...\"")) << text.substr(text.size() - 10);
+  EXPECT_TRUE(Quoted(std::string(100'000, 'a')).ends_with("...\""));
+}
+
 constexpr Timestamp kStart{std::chrono::seconds(1'000)};
 
 TEST(LineBudgetTest, EachCategoryHasItsShare) {
