entry: Refuse the id of a change that is no UTF-8

Cause: the id of a document's change comes from the query as it is, and is written within JSON, whose encoding throws for bytes that are no UTF-8. That would have ended the entry.

Change: such an id is answered 400, naming the field.

Measured: document_routes_test, 4 passed. It was not run against the code before.

--- a/services/entry/document_routes.cc
+++ b/services/entry/document_routes.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "libraries/protocol/parse_json.h"
 #include "services/runtime/admin_routes.h"
 
 namespace dandelionspur {
@@ -115,6 +116,11 @@
                               "change_id and base_version are required"));
     return;
   }
+  // The id is stored within JSON.
+  if (!IsUtf8(change_id)) {
+    responder(ProblemResponse(kBadRequest, "change_id must be UTF-8"));
+    return;
+  }
   const std::optional<std::string> problem =
       DocumentProblem(service, request.body());
   if (problem) {
