entry: Answer results that are no text as base64

Cause: in the answer of a job, bytes of a result that are no UTF-8 were replaced by U+FFFD, so the caller got another result than its task's.

Change: such a result is an object with its base64. Texts stay as they were, and raw answers too.

--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -6,7 +6,9 @@
 #include <variant>
 
 #include "libraries/decision_log/log_events.h"
+#include "libraries/protocol/parse_json.h"
 #include "libraries/telemetry/log.h"
+#include "platform/base64.h"
 #include "platform/job_calls.h"
 #include "services/runtime/admin_routes.h"
 
@@ -59,10 +61,16 @@
   }
 }
 
+// A result that JSON can't hold as text is an object with its base64.
+nlohmann::json ResultJson(const std::string& bytes) {
+  if (IsUtf8(bytes)) return bytes;
+  return {{"base64", EncodeBase64(bytes)}};
+}
+
 nlohmann::json ResultsJson(const JobAnswer& answer) {
   nlohmann::json results = nlohmann::json::array();
   for (const Payload& result : answer.results) {
-    results.push_back(result.bytes());
+    results.push_back(ResultJson(result.bytes()));
   }
   return results;
 }
