protocol: Encode bytes that are no text for display in one place

Cause: the operator's command and a replay that differs encode recorded values, which may hold a caller's bytes, in the way that throws.

Change: `DumpForDisplay` replaces what is no UTF-8; the admin routes, which did so already, use it too.

Measured: it compiles within the daemons' build; no test of its own.

--- a/libraries/protocol/parse_json.cc
+++ b/libraries/protocol/parse_json.cc
@@ -61,6 +61,10 @@
   }
 }
 
+std::string DumpForDisplay(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 std::string BoundedMessage(std::string_view message) {
   constexpr std::size_t kMaximumBytes = 300;
   constexpr char kFirstPrintable = ' ';
--- a/libraries/protocol/parse_json.h
+++ b/libraries/protocol/parse_json.h
@@ -27,6 +27,10 @@
 // Whether the bytes are UTF-8, so that they can be written as JSON.
 bool IsUtf8(std::string_view bytes);
 
+// Encodes a value whose texts may hold any bytes, for people to read: bytes
+// that are not UTF-8 become U+FFFD.
+std::string DumpForDisplay(const nlohmann::json& value);
+
 // A message that may quote bytes from another process, in a form fit for a log
 // line: shortened to 300 bytes, and with '?' for all but printable ASCII.
 std::string BoundedMessage(std::string_view message);
--- a/libraries/recording/replayer.h
+++ b/libraries/recording/replayer.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "libraries/protocol/codec.h"
+#include "libraries/protocol/parse_json.h"
 #include "libraries/recording/segment.h"
 
 namespace dandelionspur {
@@ -51,8 +52,8 @@
     if (DigestOf(RecordCodec::ToMessagePack(effects)) != step.effects_digest) {
       return Fail(source + ": record " + std::to_string(this->steps) +
                   ": the effects differ from the recorded ones; replayed: " +
-                  NamedCodec::Encode(effects).dump() +
-                  "; event: " + NamedCodec::Encode(event).dump());
+                  DumpForDisplay(NamedCodec::Encode(effects)) +
+                  "; event: " + DumpForDisplay(NamedCodec::Encode(event)));
     }
     ++this->steps;
     visit(step.now, event, effects);
--- a/services/runtime/admin_routes.cc
+++ b/services/runtime/admin_routes.cc
@@ -2,6 +2,8 @@
 
 #include <boost/endian/conversion.hpp>
 
+#include "libraries/protocol/parse_json.h"
+
 namespace dandelionspur {
 
 std::vector<std::string> PathParts(std::string_view target) {
@@ -35,16 +37,13 @@
 }
 
 HttpResponse JsonResponse(unsigned status, const nlohmann::json& body) {
-  return MakeHttpResponse(
-      status, "application/json",
-      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  return MakeHttpResponse(status, "application/json", DumpForDisplay(body));
 }
 
 HttpResponse ProblemResponse(unsigned status, const std::string& detail) {
   const nlohmann::json body = {{"status", status}, {"detail", detail}};
-  return MakeHttpResponse(
-      status, "application/problem+json",
-      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  return MakeHttpResponse(status, "application/problem+json",
+                          DumpForDisplay(body));
 }
 
 HttpResponse MetricsResponse(const Metrics& metrics) {
--- a/utilities/dandelionspur/commands.cc
+++ b/utilities/dandelionspur/commands.cc
@@ -8,6 +8,7 @@
 
 #include "libraries/configuration/object_reader.h"
 #include "libraries/configuration/service_document.h"
+#include "libraries/protocol/parse_json.h"
 #include "utilities/dandelionspur/line_diff.h"
 
 namespace dandelionspur {
@@ -365,7 +366,7 @@
 void Commands::Print(const nlohmann::json& json,
                      const std::string& text_output) const {
   if (this->options.output == OutputFormat::kJson) {
-    std::cout << json.dump() << "\n";
+    std::cout << DumpForDisplay(json) << "\n";
     return;
   }
   std::cout << text_output;
