runtime: End what a handler throws at one boundary, or the process

Cause: nothing caught an exception of a handler, so each one ended the process, without a line that said why; one that was caught somewhere might have left half a change in a core.

Change: `HandlerBoundary` ends the HTTP request (500; 502 for callers, "may have run"), the row of the table, the order to the upstream (not sent) or its answer (unknown), with the line `handler_failed` and a counter. A core's step with its effects runs in `RunCoreStep`; what it throws, or any event loop, ends the process at once with exit code 5 and the reason in its last line, `broken`.

The tests were not run against the code before, and no load was run.

--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -24,6 +24,23 @@
 };
 BOOST_DESCRIBE_STRUCT(ProcessStarted, (), (incarnation, version))
 
+// The last line of a process that ended itself because of an error after which
+// its state can't be trusted.
+struct ProcessBroken {
+  static constexpr const char* kName = "broken";
+  std::string reason;
+};
+BOOST_DESCRIBE_STRUCT(ProcessBroken, (), (reason))
+
+// The handler of a single request, frame, row or answer has thrown, and that
+// one was given up.
+struct HandlerFailed {
+  static constexpr const char* kName = "handler_failed";
+  std::string kind;
+  std::string reason;
+};
+BOOST_DESCRIBE_STRUCT(HandlerFailed, (), (kind, reason))
+
 // A graceful shutdown has begun.
 struct ProcessDraining {
   static constexpr const char* kName = "draining";
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -11,6 +11,8 @@
 #include "libraries/telemetry/log.h"
 #include "services/runtime/admin_routes.h"
 #include "services/runtime/daemon.h"
+#include "services/runtime/fatal_error.h"
+#include "services/runtime/handler_boundary.h"
 #include "services/runtime/settings_reloader.h"
 
 namespace dandelionspur {
@@ -103,12 +105,14 @@
   this->links = std::make_unique<AgentLinks>(
       this->self, this->core_thread.First(), this->input_output, this->metrics,
       [this](AgentEvent event) { this->Dispatch(std::move(event)); });
-  BOOST_LEAF_AUTO(admin,
-                  HttpServer::Create(this->settings.admin, this->input_output,
-                                     [this](const HttpRequest& request,
-                                            const HttpResponder& responder) {
-                                       this->HandleAdmin(request, responder);
-                                     }));
+  BOOST_LEAF_AUTO(
+      admin,
+      HttpServer::Create(
+          this->settings.admin, this->input_output,
+          GuardRequests(this->metrics, [this](const HttpRequest& request,
+                                              const HttpResponder& responder) {
+            this->HandleAdmin(request, responder);
+          })));
   this->admin_server = std::move(admin);
   if (this->settings.upstream_protocol == UpstreamProtocol::kPlatform) {
     BOOST_LEAF_AUTO(
@@ -154,13 +158,16 @@
 }
 
 void AgentServer::Handle(const AgentEvent& event) {
-  const Timestamp now = WallClockNow();
-  std::vector<AgentEffect> effects = this->core.Handle(event, now);
-  this->log.Observe(event, effects, now);
-  this->records->Record(event, now, effects);
-  for (AgentEffect& effect : effects) {
-    std::visit([this](auto& alternative) { this->Apply(alternative); }, effect);
-  }
+  RunCoreStep([&] {
+    const Timestamp now = WallClockNow();
+    std::vector<AgentEffect> effects = this->core.Handle(event, now);
+    this->log.Observe(event, effects, now);
+    this->records->Record(event, now, effects);
+    for (AgentEffect& effect : effects) {
+      std::visit([this](auto& alternative) { this->Apply(alternative); },
+                 effect);
+    }
+  });
 }
 
 void AgentServer::ScheduleTick() {
--- a/services/agent/platform_upstream.cc
+++ b/services/agent/platform_upstream.cc
@@ -8,11 +8,13 @@
 #include "libraries/base/enum_name.h"
 #include "libraries/decision_log/log_events.h"
 #include "libraries/telemetry/log.h"
+#include "services/runtime/fatal_error.h"
 
 namespace dandelionspur {
 namespace {
 
 namespace asio = boost::asio;
+using SteadyTime = LeasedUpstream::SteadyTime;
 
 constexpr std::chrono::milliseconds kTickInterval{50};
 // A local upstream answers within milliseconds or not at all. If the timeout is
@@ -43,13 +45,14 @@
     EventSink events, RenewalSource renewal) {
   std::unique_ptr<PlatformUpstream> upstream(new PlatformUpstream(
       settings, thread, counters, std::move(events), std::move(renewal)));
-  BOOST_LEAF_AUTO(bound,
-                  HttpServer::Create(
-                      *settings.announcements, thread,
-                      [raw = upstream.get()](const HttpRequest& request,
+  BOOST_LEAF_AUTO(
+      bound, HttpServer::Create(
+                 *settings.announcements, thread,
+                 GuardRequests(counters, [raw = upstream.get()](
+                                             const HttpRequest& request,
                                              const HttpResponder& responder) {
-                        raw->OnUpstreamCall(request, responder);
-                      }));
+                   raw->OnUpstreamCall(request, responder);
+                 })));
   upstream->server = std::move(bound);
   asio::post(thread.First(), [raw = upstream.get()] { raw->ScheduleTick(); });
   return upstream;
@@ -60,14 +63,45 @@
                                    EventSink events, RenewalSource renewal)
     : context(thread.First()),
       metrics(counters),
+      boundary(counters),
       sink(std::move(events)),
       renewal_source(std::move(renewal)),
       session(SessionSettings(settings)),
       tick_timer(thread.First()) {}
 
-LeasedUpstream::SteadyTime PlatformUpstream::PrepareSession() {
-  this->session.SetLeaseRenewal(this->renewal_source());
-  return std::chrono::steady_clock::now();
+template <typename Step>
+void PlatformUpstream::InSession(Step&& step) {
+  RunCoreStep([&] {
+    this->session.SetLeaseRenewal(this->renewal_source());
+    step(std::chrono::steady_clock::now());
+    this->ExecuteEffects();
+  });
+}
+
+template <typename Order>
+void PlatformUpstream::Send(HttpClient& client, const Order& order,
+                            const UpstreamIncarnation& receiver,
+                            Duration timeout, HttpCallback callback) {
+  std::optional<HttpRequest> request;
+  this->boundary.Run(HandlerKind::kUpstreamOrder,
+                     [&] { request = EncodeOrder(order, receiver); });
+  if (request) {
+    client.Send(std::move(*request), timeout, std::move(callback));
+    return;
+  }
+  // Posted like an answer, which never arrives during the call.
+  asio::post(this->context, [answer = std::move(callback)] {
+    answer(HttpResult{HttpProgress::kNotSent, {}});
+  });
+}
+
+template <typename Answer>
+Answer PlatformUpstream::Decode(Answer (*decode)(const HttpResult&),
+                                const HttpResult& result) {
+  Answer answer;
+  this->boundary.Run(HandlerKind::kUpstreamAnswer,
+                     [&] { answer = decode(result); });
+  return answer;
 }
 
 void PlatformUpstream::OnUpstreamCall(const HttpRequest& request,
@@ -88,13 +122,13 @@
     return;
   }
   responder(EncodeUpstreamAcknowledgement());
-  const auto now = this->PrepareSession();
-  if (const auto* heartbeat = std::get_if<UpstreamHeartbeat>(&*call)) {
-    this->session.OnHeartbeat(*heartbeat, now);
-  } else {
-    this->session.OnGone(std::get<UpstreamGone>(*call), now);
-  }
-  this->ExecuteEffects();
+  this->InSession([&](SteadyTime now) {
+    if (const auto* heartbeat = std::get_if<UpstreamHeartbeat>(&*call)) {
+      this->session.OnHeartbeat(*heartbeat, now);
+    } else {
+      this->session.OnGone(std::get<UpstreamGone>(*call), now);
+    }
+  });
 }
 
 void PlatformUpstream::Run(const RunOnUpstream& task) {
@@ -106,21 +140,18 @@
     });
     return;
   }
-  this->session.Run(task, this->PrepareSession());
-  this->ExecuteEffects();
+  this->InSession([&](SteadyTime now) { this->session.Run(task, now); });
 }
 
 void PlatformUpstream::Stop(const TaskId& task) {
-  this->session.Stop(task, this->PrepareSession());
-  this->ExecuteEffects();
+  this->InSession([&](SteadyTime now) { this->session.Stop(task, now); });
 }
 
 void PlatformUpstream::ScheduleTick() {
   this->tick_timer.expires_after(kTickInterval);
   this->tick_timer.async_wait([this](boost::system::error_code error) {
     if (error) return;
-    this->session.Tick(this->PrepareSession());
-    this->ExecuteEffects();
+    this->InSession([this](SteadyTime now) { this->session.Tick(now); });
     this->ScheduleTick();
   });
 }
@@ -142,37 +173,40 @@
 }
 
 void PlatformUpstream::Execute(const SendStart& effect) {
-  this->ConnectTo(effect.receiver.endpoint)
-      .orders->Send(
-          EncodeOrder(effect.order, effect.receiver.incarnation), kOrderTimeout,
-          [this, order = effect.order](const HttpResult& result) {
-            this->session.OnStartAnswer(order, DecodeOrderAnswer(result),
-                                        this->PrepareSession());
-            this->ExecuteEffects();
-          });
+  this->Send(*this->ConnectTo(effect.receiver.endpoint).orders, effect.order,
+             effect.receiver.incarnation, kOrderTimeout,
+             [this, order = effect.order](const HttpResult& result) {
+               const OrderAnswer answer =
+                   this->Decode(&DecodeOrderAnswer, result);
+               this->InSession([&](SteadyTime now) {
+                 this->session.OnStartAnswer(order, answer, now);
+               });
+             });
 }
 
 void PlatformUpstream::Execute(const SendStop& effect) {
-  this->ConnectTo(effect.receiver.endpoint)
-      .orders->Send(
-          EncodeOrder(effect.order, effect.receiver.incarnation), kOrderTimeout,
-          [this, order = effect.order](const HttpResult& result) {
-            this->session.OnStopAnswer(order, DecodeOrderAnswer(result),
-                                       this->PrepareSession());
-            this->ExecuteEffects();
-          });
+  this->Send(*this->ConnectTo(effect.receiver.endpoint).orders, effect.order,
+             effect.receiver.incarnation, kOrderTimeout,
+             [this, order = effect.order](const HttpResult& result) {
+               const OrderAnswer answer =
+                   this->Decode(&DecodeOrderAnswer, result);
+               this->InSession([&](SteadyTime now) {
+                 this->session.OnStopAnswer(order, answer, now);
+               });
+             });
 }
 
 void PlatformUpstream::Execute(const SendList& effect) {
-  this->ConnectTo(effect.receiver.endpoint)
-      .lists->Send(EncodeOrder(effect.order, effect.receiver.incarnation),
-                   effect.order.poll_timeout + kListTimeoutMargin,
-                   [this, number = effect.number](const HttpResult& result) {
-                     this->session.OnListAnswer(number,
-                                                DecodeListAnswer(result),
-                                                this->PrepareSession());
-                     this->ExecuteEffects();
-                   });
+  this->Send(*this->ConnectTo(effect.receiver.endpoint).lists, effect.order,
+             effect.receiver.incarnation,
+             effect.order.poll_timeout + kListTimeoutMargin,
+             [this, number = effect.number](const HttpResult& result) {
+               const ListAnswer answer =
+                   this->Decode(&DecodeListAnswer, result);
+               this->InSession([&](SteadyTime now) {
+                 this->session.OnListAnswer(number, answer, now);
+               });
+             });
 }
 
 void PlatformUpstream::Execute(const ForeignDeparture& effect) {
--- a/services/agent/platform_upstream.h
+++ b/services/agent/platform_upstream.h
@@ -11,6 +11,7 @@
 #include "libraries/network/http_client.h"
 #include "libraries/telemetry/metrics.h"
 #include "libraries/upstream_session/leased_upstream.h"
+#include "services/runtime/handler_boundary.h"
 
 namespace dandelionspur {
 
@@ -36,9 +37,10 @@
  private:
   PlatformUpstream(const AgentSettings& settings, ThreadGroup& thread,
                    Metrics& counters, EventSink events, RenewalSource renewal);
-  // Updates whether the session may grant leases, and returns the current time
-  // for the session call that follows.
-  LeasedUpstream::SteadyTime PrepareSession();
+  // Calls `step` with the current time, once the session knows whether it may
+  // grant leases, and executes the effects.
+  template <typename Step>
+  void InSession(Step&& step);
   void OnUpstreamCall(const HttpRequest& request,
                       const HttpResponder& responder);
   void ScheduleTick();
@@ -51,6 +53,15 @@
   void Execute(const SessionEnded& effect);
   void Execute(const AgentEvent& event);
 
+  // Sends an order. One that can't be encoded is answered as not sent.
+  template <typename Order>
+  void Send(HttpClient& client, const Order& order,
+            const UpstreamIncarnation& receiver, Duration timeout,
+            HttpCallback callback);
+  // Decodes an answer. One that can't be decoded counts as malformed.
+  template <typename Answer>
+  Answer Decode(Answer (*decode)(const HttpResult&), const HttpResult& result);
+
   struct Connections {
     Endpoint endpoint;
     std::shared_ptr<HttpClient> orders;
@@ -62,6 +73,7 @@
 
   boost::asio::io_context& context;
   Metrics& metrics;
+  HandlerBoundary boundary;
   EventSink sink;
   RenewalSource renewal_source;
   LeasedUpstream session;
--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -124,6 +124,17 @@
   return response;
 }
 
+HttpResponse InternalErrorResponse() {
+  const nlohmann::json body = {{"verdict", VerdictName(Verdict::kMayHaveRun)},
+                               {"reason", "internal_error"},
+                               {"type", "about:blank"},
+                               {"title", "internal_error"},
+                               {"status", kBadGateway}};
+  HttpResponse response = JsonResponse(kBadGateway, body);
+  response.set(http::field::content_type, "application/problem+json");
+  return response;
+}
+
 struct CallerRoutes::Target {
   ServiceName service;
   // Job key; empty for a new submission.
--- a/services/entry/caller_routes.h
+++ b/services/entry/caller_routes.h
@@ -60,6 +60,10 @@
 HttpResponse AnswerResponse(const JobAnswer& answer, bool raw_answer,
                             const std::string& detail);
 
+// The response to a call whose handler has thrown: whether the job has been
+// submitted by then is not known. Callers of queues may repeat such a call.
+HttpResponse InternalErrorResponse();
+
 }  // namespace dandelionspur
 
 #endif  // DANDELIONSPUR_SERVICES_ENTRY_CALLER_ROUTES_H_
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -16,6 +16,8 @@
 #include "platform/job_calls.h"
 #include "services/runtime/admin_routes.h"
 #include "services/runtime/daemon.h"
+#include "services/runtime/fatal_error.h"
+#include "services/runtime/handler_boundary.h"
 #include "services/runtime/settings_reloader.h"
 
 namespace dandelionspur {
@@ -180,30 +182,37 @@
           [this](EntryEvent event) { this->Dispatch(std::move(event)); }));
   this->links = std::move(bound_links);
   BOOST_LEAF_AUTO(
-      callers, HttpServer::Create(
-                   this->settings.callers, this->input_output,
-                   [this](const HttpRequest& request, HttpResponder responder) {
-                     this->caller_routes->Handle(request, std::move(responder));
-                   },
-                   [this](const HttpConnectionReport& report) {
-                     this->OnCallerGone(report);
-                   }));
+      callers,
+      HttpServer::Create(
+          this->settings.callers, this->input_output,
+          GuardRequests(
+              this->metrics,
+              [this](const HttpRequest& request, HttpResponder responder) {
+                this->caller_routes->Handle(request, std::move(responder));
+              },
+              InternalErrorResponse()),
+          [this](const HttpConnectionReport& report) {
+            this->OnCallerGone(report);
+          }));
   this->caller_server = std::move(callers);
-  BOOST_LEAF_AUTO(admin,
-                  HttpServer::Create(this->settings.admin, this->input_output,
-                                     [this](const HttpRequest& request,
-                                            const HttpResponder& responder) {
-                                       this->HandleAdmin(request, responder);
-                                     }));
+  BOOST_LEAF_AUTO(
+      admin,
+      HttpServer::Create(
+          this->settings.admin, this->input_output,
+          GuardRequests(this->metrics, [this](const HttpRequest& request,
+                                              const HttpResponder& responder) {
+            this->HandleAdmin(request, responder);
+          })));
   this->admin_server = std::move(admin);
   if (this->settings.readiness) {
-    BOOST_LEAF_AUTO(
-        readiness,
-        HttpServer::Create(
-            *this->settings.readiness, this->input_output,
-            [this](const HttpRequest&, const HttpResponder& responder) {
-              this->HandleReadiness(responder);
-            }));
+    BOOST_LEAF_AUTO(readiness,
+                    HttpServer::Create(
+                        *this->settings.readiness, this->input_output,
+                        GuardRequests(this->metrics,
+                                      [this](const HttpRequest&,
+                                             const HttpResponder& responder) {
+                                        this->HandleReadiness(responder);
+                                      })));
     this->readiness_server = std::move(readiness);
   }
   asio::post(this->core_thread.First(), [this] { this->ScheduleTick(); });
@@ -386,12 +395,15 @@
       this->links->SetAgentEndpoint(hello->description);
     }
   }
-  std::vector<EntryEffect> effects = this->core.Handle(event, now);
-  this->log.Observe(event, effects, now);
-  this->records->Record(event, now, effects);
-  for (EntryEffect& effect : effects) {
-    std::visit([this](auto& alternative) { this->Apply(alternative); }, effect);
-  }
+  RunCoreStep([&] {
+    std::vector<EntryEffect> effects = this->core.Handle(event, now);
+    this->log.Observe(event, effects, now);
+    this->records->Record(event, now, effects);
+    for (EntryEffect& effect : effects) {
+      std::visit([this](auto& alternative) { this->Apply(alternative); },
+                 effect);
+    }
+  });
 }
 
 void EntryServer::ScheduleTick() {
--- a/services/entry/table_watcher.cc
+++ b/services/entry/table_watcher.cc
@@ -75,6 +75,7 @@
       own_member(self),
       context(thread),
       metrics(counters),
+      boundary(counters),
       sink(std::move(events)),
       overtaken_configurations(counters.CounterFor(
           "configurations_skipped_total", "reason", "overtaken")),
@@ -155,20 +156,21 @@
 
 void TableWatcher::OnOwnRows(const std::vector<Row>& rows) {
   for (const Row& row : rows) {
-    if (row.key == kViewRow) {
-      this->OnViewRow(row);
-      continue;
-    }
-    if (JoinRequests::IsRowKey(row.key)) {
-      this->OnJoinRow(row);
-      continue;
-    }
-    if (!row.key.starts_with(kServicePrefix)) continue;
-    this->OnDocumentRow(row);
+    this->boundary.Run(HandlerKind::kRow, [&] { this->OnOwnRow(row); });
   }
   this->Join();
 }
 
+void TableWatcher::OnOwnRow(const Row& row) {
+  if (row.key == kViewRow) {
+    this->OnViewRow(row);
+  } else if (JoinRequests::IsRowKey(row.key)) {
+    this->OnJoinRow(row);
+  } else if (row.key.starts_with(kServicePrefix)) {
+    this->OnDocumentRow(row);
+  }
+}
+
 void TableWatcher::OnDocumentRow(const Row& row) {
   // The document of a row that was removed stays in force.
   if (row.version == RowVersion()) return;
@@ -192,7 +194,9 @@
     const bool is_newer = newest == nullptr || row.version >= newest->version;
     if (is_newer) newest = &row;
   }
-  if (newest != nullptr) this->OnConfigurationRow(*newest);
+  if (newest == nullptr) return;
+  this->boundary.Run(HandlerKind::kRow,
+                     [&] { this->OnConfigurationRow(*newest); });
 }
 
 void TableWatcher::OnConfigurationRow(const Row& row) {
@@ -229,7 +233,7 @@
 void TableWatcher::RereadView() {
   this->table.ReadRow(kViewRow, [this](const std::optional<Row>& row) {
     if (!row) return;
-    if (row->version != RowVersion()) this->OnViewRow(*row);
+    this->boundary.Run(HandlerKind::kRow, [&] { this->OnViewRow(*row); });
     this->Join();
   });
 }
--- a/services/entry/table_watcher.h
+++ b/services/entry/table_watcher.h
@@ -15,6 +15,7 @@
 #include "platform/table_client.h"
 #include "services/entry/entry_links.h"
 #include "services/entry/join_requests.h"
+#include "services/runtime/handler_boundary.h"
 
 namespace dandelionspur {
 
@@ -83,6 +84,7 @@
   // read. `kind` is the counter's label.
   void ReportUnreadable(std::string_view kind, const std::string& problem);
   void OnOwnRows(const std::vector<Row>& rows);
+  void OnOwnRow(const Row& row);
   void OnOperatorRows(const std::vector<Row>& rows);
   void OnConfigurationRow(const Row& row);
   void OnDocumentRow(const Row& row);
@@ -112,6 +114,7 @@
   ViewMember own_member;
   boost::asio::io_context& context;
   Metrics& metrics;
+  HandlerBoundary boundary;
   EntryEventSink sink;
   // Versions of the operators' configuration that were not put in force.
   prometheus::Counter& overtaken_configurations;
--- a/services/runtime/daemon.h
+++ b/services/runtime/daemon.h
@@ -17,6 +17,8 @@
   // The other entries removed this process from the view; it must restart as a
   // new incarnation.
   kRemoved = 4,
+  // An error after which the state of this process can't be trusted.
+  kBroken = 5,
 };
 
 struct DaemonCommand {
--- a/services/runtime/run_daemon.h
+++ b/services/runtime/run_daemon.h
@@ -9,6 +9,7 @@
 #include "libraries/decision_log/log_events.h"
 #include "libraries/telemetry/log.h"
 #include "services/runtime/daemon.h"
+#include "services/runtime/fatal_error.h"
 #include "services/runtime/settings_reloader.h"
 
 namespace dandelionspur {
@@ -40,6 +41,7 @@
   const DaemonCommand command = ParseDaemonCommand(
       identity.program, identity.description, argument_count, arguments);
   InitializeLogging(identity.log_name);
+  EndProcessOnFatalErrors();
   const ExitCode code = OrElse(
       [&]() -> Result<ExitCode> {
         BOOST_LEAF_AUTO(text, ReadFile(command.settings_path));
--- a/tests/services/table_watcher_test.cc
+++ b/tests/services/table_watcher_test.cc
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -81,9 +82,17 @@
                std::to_string(count) + "\n") != std::string::npos;
   }
 
+  [[nodiscard]] bool Failed(int count) const {
+    return this->metrics.SerializeToText().find(
+               "handler_failures_total{kind=\"row\"} " + std::to_string(count) +
+               "\n") != std::string::npos;
+  }
+
   // The operators' rows that change after those that Read was given, one list
   // an answer.
   std::vector<json> operator_changes;
+  // Reading the document of this service throws; empty: of none.
+  std::string throwing_service;
   std::vector<VersionedDocument> documents;
   std::vector<std::string> services;
   std::vector<Epoch> epochs;
@@ -116,6 +125,8 @@
 
   void Note(const EntryEvent& event) {
     if (const auto* read = std::get_if<DocumentRead>(&event)) {
+      const std::string& service = read->document.service.value();
+      if (service == this->throwing_service) throw std::runtime_error(service);
       this->services.push_back(read->document.service.value());
       this->documents.push_back(read->document);
     }
@@ -190,6 +201,22 @@
   EXPECT_TRUE(this->Counted("operators"));
 }
 
+// Guards against an entry that ends, or doesn't follow the table any more,
+// because handling one row throws.
+TEST_F(TableWatcherTest, ARowWhoseHandlerThrowsLeavesItsNeighbours) {
+  this->throwing_service = "odd";
+  this->operator_changes = {json::array({ConfigurationRow(9, {"odd"})}),
+                            json::array({ConfigurationRow(10, {"s"})})};
+  this->Read({WireRow("service.before", Document("before")),
+              WireRow("service.odd", Document("odd")),
+              WireRow("service.zafter", Document("zafter"))},
+             json::array());
+  EXPECT_EQ(this->services,
+            (std::vector<std::string>{"before", "zafter", "s"}));
+  // Its own row, the version that names it, and the one that drops it.
+  EXPECT_TRUE(this->Failed(3));
+}
+
 struct OddRowCase {
   const char* name;
   // The JSON text of the odd row.
