--- a/tests/services/call_fuzz_test.cc
+++ b/tests/services/call_fuzz_test.cc
@@ -56,7 +56,7 @@
  private:
   void ChangeOnce(std::string& text) {
     // What has been hard for parsers before.
-    static const std::vector<std::string> kTokens = {
+    static const std::vector<std::string> tokens = {
         "\xff",    "\xc3",    std::string(1, '\0'),
         "\\ud800", "\\u0000", "\"",
         "{",       "[[[[[[",  "-1",
@@ -68,7 +68,7 @@
     const std::size_t at = this->Below(text.size() + 1);
     switch (this->Below(kKinds)) {
       case 0:
-        text.insert(at, kTokens[this->Below(kTokens.size())]);
+        text.insert(at, tokens[this->Below(tokens.size())]);
         break;
       case 1:
         text.erase(at, this->Below(8) + 1);
@@ -100,7 +100,7 @@
 
 // Each kind of call, before it is mutated.
 const std::vector<std::string>& CallerCorpus() {
-  static const std::vector<std::string> kCorpus = {
+  static const std::vector<std::string> corpus = {
       RequestText("POST /v1/services/demo/jobs", "Idempotency-Key: k\r\n",
                   R"({"tasks":[{"body":{"a":[1,"b"]},"declared_ms":50}],)"
                   R"("deadline_ms":5000,"client_account":"guides"})"),
@@ -118,11 +118,11 @@
       RequestText("DELETE /jobs/5c0e7a21d94b36f8", "", ""),
       RequestText("GET /jobs/", "", ""),
   };
-  return kCorpus;
+  return corpus;
 }
 
 const std::vector<std::string>& UpstreamCorpus() {
-  static const std::vector<std::string> kCorpus = {
+  static const std::vector<std::string> corpus = {
       RequestText("POST /-/Instances.Heartbeat/i-7f3a91c2", "",
                   R"({"service":"demo","address":"10.0.0.9:80","zone":"z",)"
                   R"("version":"v1","slots":8,"state":"ready",)"
@@ -130,17 +130,17 @@
                   R"("labels":["a"],"clock_ms":482113,"seq":4,"born":5})"),
       RequestText("POST /-/Instances.Leave/i-7f3a91c2", "", R"({"born":5})"),
   };
-  return kCorpus;
+  return corpus;
 }
 
 const std::vector<std::string>& AnswerCorpus() {
-  static const std::vector<std::string> kCorpus = {
+  static const std::vector<std::string> corpus = {
       R"({"clock_ms":482113})",
       R"({"clock_ms":482113,"reason":"fence"})",
       R"({"clock_ms":482113,"born":7,"running":[["a.0.0.17",2,"s",41]],)"
       R"("finished":[[58,"a.0.0.9",1,"done",""]]})",
   };
-  return kCorpus;
+  return corpus;
 }
 
 class CallFuzzTest : public testing::Test {
