--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -6,8 +6,9 @@
 #include <variant>
 
 #include "libraries/decision_log/log_events.h"
-#include "libraries/entry_core/submission_validator.h"
+#include "libraries/protocol/parse_json.h"
 #include "libraries/telemetry/log.h"
+#include "platform/base64.h"
 #include "platform/job_calls.h"
 #include "services/runtime/admin_routes.h"
 
@@ -59,14 +60,27 @@
   }
 }
 
+// A result that JSON can't hold as text is an object with its base64.
+nlohmann::json ResultJson(const std::string& bytes) {
+  if (IsUtf8(bytes)) return bytes;
+  return {{"base64", EncodeBase64(bytes)}};
+}
+
 nlohmann::json ResultsJson(const JobAnswer& answer) {
   nlohmann::json results = nlohmann::json::array();
   for (const Payload& result : answer.results) {
-    results.push_back(result.bytes());
+    results.push_back(ResultJson(result.bytes()));
   }
   return results;
 }
 
+// The product's own protocol sends a task's body as it is, the platform's
+// within JSON.
+TaskBodies BodiesFor(UpstreamProtocol protocol) {
+  return protocol == UpstreamProtocol::kOwn ? TaskBodies::kBytes
+                                            : TaskBodies::kText;
+}
+
 std::string_view HeaderValue(const HttpRequest& request,
                              std::string_view name) {
   const auto found = request.find(name);
@@ -118,6 +132,17 @@
   return JsonResponse(kOk, {{"cancel", "holds"}});
 }
 
+HttpResponse InternalErrorResponse() {
+  const nlohmann::json body = {{"verdict", VerdictName(Verdict::kMayHaveRun)},
+                               {"reason", "internal_error"},
+                               {"type", "about:blank"},
+                               {"title", "internal_error"},
+                               {"status", kBadGateway}};
+  HttpResponse response = JsonResponse(kBadGateway, body);
+  response.set(http::field::content_type, "application/problem+json");
+  return response;
+}
+
 struct CallerRoutes::Target {
   ServiceName service;
   // Job key; empty for a new submission.
@@ -126,9 +151,11 @@
 };
 
 CallerRoutes::CallerRoutes(const PublishedServingState& state,
-                           CoreInterface core_interface, Metrics& counters)
+                           CoreInterface core_interface,
+                           UpstreamProtocol protocol, Metrics& counters)
     : serving(state),
       core(std::move(core_interface)),
+      task_bodies(BodiesFor(protocol)),
       response_times(
           counters.HistogramFor("stage_seconds", "stage", "response")),
       answers(counters, "answers_total"),
@@ -176,7 +203,8 @@
         const ServiceDocument* document = found == state.documents.end()
                                               ? nullptr
                                               : found->second->parsed.get();
-        return target.is_request ? SubmissionValidator::Request(raw, document)
+        return target.is_request ? SubmissionValidator::Request(
+                                       raw, document, this->task_bodies)
                                  : SubmissionValidator::Job(raw, document);
       });
   if (const auto* rejected = std::get_if<RejectedSubmission>(&validated)) {
--- a/services/entry/caller_routes.h
+++ b/services/entry/caller_routes.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "libraries/configuration/settings.h"
+#include "libraries/entry_core/submission_validator.h"
 #include "libraries/network/http_server.h"
 #include "libraries/protocol/job.h"
 #include "services/entry/serving_state.h"
@@ -27,7 +29,7 @@
 class CallerRoutes {
  public:
   CallerRoutes(const PublishedServingState& state, CoreInterface core_interface,
-               Metrics& counters);
+               UpstreamProtocol protocol, Metrics& counters);
 
   // Handles one request. Safe from any of the server's threads.
   void Handle(const HttpRequest& request, HttpResponder responder);
@@ -52,6 +54,7 @@
 
   const PublishedServingState& serving;
   CoreInterface core;
+  TaskBodies task_bodies;
   prometheus::Histogram& response_times;
   ReasonCounters answers;
   ReasonCounters cancel_answers;
@@ -65,6 +68,9 @@
 
 // Encodes the answer to a cancelling: whether it holds, or a problem.
 HttpResponse CancelResponse(const JobAnswer& answer);
+// The response to a call whose handler has thrown: whether the job has been
+// submitted by then is not known. Callers of queues may repeat such a call.
+HttpResponse InternalErrorResponse();
 
 }  // namespace dandelionspur
 
--- a/services/entry/document_routes.cc
+++ b/services/entry/document_routes.cc
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "libraries/protocol/http_status.h"
+#include "libraries/protocol/parse_json.h"
 #include "services/runtime/admin_routes.h"
 
 namespace dandelionspur {
@@ -111,6 +112,11 @@
                               "change_id and base_version are required"));
     return;
   }
+  // The id is stored within JSON.
+  if (!IsUtf8(change_id)) {
+    responder(ProblemResponse(kBadRequest, "change_id must be UTF-8"));
+    return;
+  }
   const std::optional<std::string> problem =
       DocumentProblem(service, request.body());
   if (problem) {
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -12,6 +12,8 @@
 #include "platform/job_calls.h"
 #include "services/entry/core_settings.h"
 #include "services/runtime/daemon.h"
+#include "services/runtime/fatal_error.h"
+#include "services/runtime/handler_boundary.h"
 #include "services/runtime/settings_reloader.h"
 
 namespace dandelionspur {
@@ -117,16 +119,21 @@
     this->intake->Cancel(std::move(job), std::move(callback));
   };
   this->caller_routes = std::make_unique<CallerRoutes>(
-      this->serving, std::move(core_interface), this->metrics);
+      this->serving, std::move(core_interface),
+      this->settings.upstream_protocol, this->metrics);
   BOOST_LEAF_AUTO(
-      callers, HttpServer::Create(
-                   this->settings.callers, this->input_output,
-                   [this](const HttpRequest& request, HttpResponder responder) {
-                     this->caller_routes->Handle(request, std::move(responder));
-                   },
-                   [this](const HttpConnectionReport& report) {
-                     this->OnCallerGone(report);
-                   }));
+      callers,
+      HttpServer::Create(
+          this->settings.callers, this->input_output,
+          GuardRequests(
+              this->metrics,
+              [this](const HttpRequest& request, HttpResponder responder) {
+                this->caller_routes->Handle(request, std::move(responder));
+              },
+              InternalErrorResponse()),
+          [this](const HttpConnectionReport& report) {
+            this->OnCallerGone(report);
+          }));
   this->caller_server = std::move(callers);
   return {};
 }
@@ -141,23 +148,27 @@
       this->core_thread.First(), this->core, this->status, *this->gauges,
       this->metrics, *this->document_routes, *this->records,
       [this] { this->Drain(); });
-  BOOST_LEAF_AUTO(admin, HttpServer::Create(
-                             this->settings.admin, this->input_output,
-                             [this](const HttpRequest& request,
-                                    const HttpResponder& responder) {
-                               this->admin_routes->Handle(request, responder);
-                             }));
+  BOOST_LEAF_AUTO(
+      admin,
+      HttpServer::Create(
+          this->settings.admin, this->input_output,
+          GuardRequests(this->metrics, [this](const HttpRequest& request,
+                                              const HttpResponder& responder) {
+            this->admin_routes->Handle(request, responder);
+          })));
   this->admin_server = std::move(admin);
   return {};
 }
 
 Result<void> EntryServer::ListenToProbes() {
-  BOOST_LEAF_AUTO(readiness, HttpServer::Create(
-                                 *this->settings.readiness, this->input_output,
-                                 [this](const HttpRequest&,
-                                        const HttpResponder& responder) {
-                                   this->HandleReadiness(responder);
-                                 }));
+  BOOST_LEAF_AUTO(
+      readiness,
+      HttpServer::Create(
+          *this->settings.readiness, this->input_output,
+          GuardRequests(this->metrics, [this](const HttpRequest&,
+                                              const HttpResponder& responder) {
+            this->HandleReadiness(responder);
+          })));
   this->readiness_server = std::move(readiness);
   return {};
 }
@@ -214,12 +225,15 @@
       this->links->SetAgentEndpoint(hello->description);
     }
   }
-  std::vector<EntryEffect> effects = this->core.Handle(event, now);
-  this->log.Observe(event, effects, now);
-  this->records->Record(event, now, effects);
-  for (EntryEffect& effect : effects) {
-    std::visit([this](auto& alternative) { this->Apply(alternative); }, effect);
-  }
+  RunCoreStep([&] {
+    std::vector<EntryEffect> effects = this->core.Handle(event, now);
+    this->log.Observe(event, effects, now);
+    this->records->Record(event, now, effects);
+    for (EntryEffect& effect : effects) {
+      std::visit([this](auto& alternative) { this->Apply(alternative); },
+                 effect);
+    }
+  });
 }
 
 void EntryServer::ScheduleTick() {
--- a/services/entry/job_intake.h
+++ b/services/entry/job_intake.h
@@ -36,9 +36,9 @@
   // Submits a job. Invokes the callback exactly once, on the core's thread.
   // Safe from any thread.
   void Submit(JobSubmission job, AnswerCallback callback);
-  // Cancels the job with the key of `job`. Invokes the callback exactly once, on
-  // the core's thread, as soon as it is known whether the cancelling holds. Safe
-  // from any thread.
+  // Cancels the job with the key of `job`. Invokes the callback exactly once,
+  // on the core's thread, as soon as it is known whether the cancelling holds.
+  // Safe from any thread.
   void Cancel(JobSubmission job, AnswerCallback callback);
   // The number of new jobs that wait for their turn.
   [[nodiscard]] std::size_t waiting_count() const { return this->calls.size(); }
