entry_core: Count the members in one place, and only what a state tells

An entry that had proposed to leave dropped dead members whatever the age of its view. A view sent by an earlier version counted as a member's list of agents; a state says now that it tells all.

--- a/libraries/entry_core/agent_contacts.cc
+++ b/libraries/entry_core/agent_contacts.cc
@@ -174,31 +174,31 @@
 }
 
 bool AgentContacts::HearsMostMembers(const View& view, Timestamp now) const {
-  const bool dead_are_gone = this->IsViewTrusted(now);
-  std::size_t heard = 1;
-  std::size_t living = 1;
-  for (const ViewMember& member : view.members) {
-    if (member.entry == this->settings.self) continue;
-    if (dead_are_gone && this->peers.DeadSince(member.entry)) continue;
-    ++living;
-    if (this->peers.IsConfirming(member.entry, now)) ++heard;
-  }
-  return 2 * heard > living;
+  const MemberCount others =
+      this->CountOthers(view, this->settings.suspect_after, now);
+  return 2 * (others.heard + 1) > others.living + 1;
 }
 
 bool AgentContacts::IsHeardByMostMembers(const View& view,
                                          Timestamp now) const {
-  std::size_t heard = 0;
-  std::size_t living = 0;
+  const MemberCount others = this->CountOthers(view, kContactLimit, now);
+  return 2 * others.heard > others.living;
+}
+
+AgentContacts::MemberCount AgentContacts::CountOthers(const View& view,
+                                                      Duration limit,
+                                                      Timestamp now) const {
+  const bool dead_are_gone = this->IsViewTrusted(now);
+  MemberCount others;
   for (const ViewMember& member : view.members) {
     if (member.entry == this->settings.self) continue;
-    if (this->peers.DeadSince(member.entry)) continue;
-    ++living;
-    if (this->peers.HasConfirmedWithin(kContactLimit, member.entry, now)) {
-      ++heard;
+    if (dead_are_gone && this->peers.DeadSince(member.entry)) continue;
+    ++others.living;
+    if (this->peers.HasConfirmedWithin(limit, member.entry, now)) {
+      ++others.heard;
     }
   }
-  return 2 * heard > living;
+  return others;
 }
 
 bool AgentContacts::IsMissing(const KnownAgent& agent, Timestamp now) const {
--- a/libraries/entry_core/agent_contacts.h
+++ b/libraries/entry_core/agent_contacts.h
@@ -82,12 +82,20 @@
   [[nodiscard]] bool HasLongStoppedConfirming(EntryId member,
                                               bool hears_most_members,
                                               Timestamp now) const;
+  struct MemberCount {
+    std::size_t living = 0;
+    std::size_t heard = 0;
+  };
+  // Counts the other members, and those that have confirmed a heartbeat of this
+  // entry within `limit`.
+  [[nodiscard]] MemberCount CountOthers(const View& view, Duration limit,
+                                        Timestamp now) const;
   [[nodiscard]] bool IsViewTrusted(Timestamp now) const;
 
   EntryCoreSettings settings;
   AgentRegistry& agents;
   PeerDirectory& peers;
-  // Not set by versions and stand-ins that don't tell the age of the view.
+  // Not set while the age of the view is not known; the view is trusted then.
   std::optional<Timestamp> view_current_at;
 };
 
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -239,8 +239,8 @@
   const bool state_covers_membership =
       message.view.Find(this->settings.self) != nullptr &&
       this->view().Find(from) != nullptr && this->IsMember();
-  if (message.view_only || !state_covers_membership) return;
-  this->ownership.NoteAgentsTold(from);
+  if (!state_covers_membership) return;
+  if (message.tells_agents) this->ownership.NoteAgentsTold(from);
   if (message.synchronized) this->ownership.MarkSynchronized();
 }
 
@@ -556,14 +556,14 @@
   for (const EntryId peer :
        this->view_spread.TakeOutdated(this->view(), this->current_time)) {
     // It has the rest of the state since it connected.
-    this->outbox.ToPeer(peer, PeerState{this->view(), false, {}, {}, true});
+    this->outbox.ToPeer(peer, PeerState{this->view(), false, {}, {}, false});
   }
 }
 
 PeerState EntryCore::StateForPeers() const {
   return PeerState{this->view(), this->ownership.IsSynchronized(),
                    this->registry.Summaries(), this->ownership.Promises(),
-                   false};
+                   true};
 }
 
 void EntryCore::SendState(EntryId peer) {
--- a/libraries/entry_core/peer_directory.h
+++ b/libraries/entry_core/peer_directory.h
@@ -264,12 +264,10 @@
     return found == this->peers.end() ? Timestamp()
                                       : found->second.sightings_received_up_to;
   }
-  // Whether the peer has recently confirmed a heartbeat of this entry.
+  // Whether the peer has confirmed a heartbeat that this entry sent within the
+  // limit.
   // Receiving messages from the peer is not enough: the link from this entry to
   // the peer may be broken.
-  [[nodiscard]] bool IsConfirming(EntryId peer, Timestamp now) const {
-    return this->HasConfirmedWithin(this->suspect_after, peer, now);
-  }
   [[nodiscard]] bool HasConfirmedWithin(Duration limit, EntryId peer,
                                         Timestamp now) const {
     const auto found = this->peers.find(peer);
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -46,11 +46,12 @@
   bool synchronized = false;
   std::vector<AgentSummary> agents;
   std::vector<BucketBallot> promises;
-  // Carries nothing but the view.
-  bool view_only = false;
+  // Whether `agents` are all that the sender knows. A message that carries only
+  // the view tells none, and earlier versions don't say.
+  bool tells_agents = false;
 };
 BOOST_DESCRIBE_STRUCT(PeerState, (),
-                      (view, synchronized, agents, promises, view_only))
+                      (view, synchronized, agents, promises, tells_agents))
 
 // Asks for a promise to refuse all requests under lower ballots.
 struct PromiseRequest {
--- a/services/entry/document_routes.cc
+++ b/services/entry/document_routes.cc
@@ -114,7 +114,8 @@
   }
   // The id is stored within JSON.
   if (!IsUtf8(change_id)) {
-    responder(ProblemResponse(kBadRequest, "change_id must be UTF-8"));
+    responder(
+        ProblemResponse(http_status::kBadRequest, "change_id must be UTF-8"));
     return;
   }
   const std::optional<std::string> problem =
--- a/tests/entry_core/joining_entry_test.cc
+++ b/tests/entry_core/joining_entry_test.cc
@@ -58,7 +58,7 @@
   // The other entry tells all that it knows.
   void SendState(EntryId from, const std::vector<AgentSummary>& agents) {
     this->Handle(PeerMessageReceived{
-        from, PeerState{this->view, false, agents, {}, false}});
+        from, PeerState{this->view, false, agents, {}, true}});
   }
   void SendHeartbeat(EntryId from) {
     PeerHeartbeat heartbeat;
@@ -134,7 +134,7 @@
 TEST_F(JoiningEntryTest, AViewAloneTellsNoAgents) {
   this->Join();
   this->Handle(
-      PeerMessageReceived{kOlder, PeerState{this->view, false, {}, {}, true}});
+      PeerMessageReceived{kOlder, PeerState{this->view, false, {}, {}, false}});
   this->Advance(Settings().lease_over_after + milliseconds(500), {kOther});
   EXPECT_FALSE(this->KnowsAllRunningAgents());
 }
