entry_core: Trust a view for 2.5 s

An outage of the table in which most entries are killed now ends the service of the rest after 2.5 s instead.

--- a/libraries/entry_core/peer_directory.h
+++ b/libraries/entry_core/peer_directory.h
@@ -19,7 +19,7 @@
 // members that it knows to be dead as gone. Others may have joined in their
 // place since, which it can't hear of while it reaches neither the table nor
 // them.
-inline constexpr Duration kViewTrustedFor = std::chrono::seconds(6);
+inline constexpr Duration kViewTrustedFor = std::chrono::milliseconds(2'500);
 
 // Liveness of the other entries. Suspicion decides only which entry acts as
 // home and never affects safety: a false suspicion costs a change of home.
