--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -236,12 +236,13 @@
   this->peers.NoteEpoch(from, message.view.epoch, this->current_time);
   this->AdoptView(message.view);
   this->Observe(message.promises);
-  const bool state_covers_membership =
-      message.view.Find(this->settings.self) != nullptr &&
-      this->view().Find(from) != nullptr && this->IsMember();
-  if (!state_covers_membership) return;
+  const bool covers_membership =
+      message.view.Find(this->settings.self) != nullptr && this->IsMember();
+  if (!covers_membership) return;
+  // Also of an entry that has yet to join: it won't repeat its state then.
   if (message.tells_agents) this->ownership.NoteAgentsTold(from);
-  if (message.synchronized) this->ownership.MarkSynchronized();
+  const bool is_member = this->view().Find(from) != nullptr;
+  if (message.synchronized && is_member) this->ownership.MarkSynchronized();
 }
 
 void EntryCore::OnPeer(EntryId from, const PromiseRequest& message) {
--- a/tests/entry_core/joining_entry_test.cc
+++ b/tests/entry_core/joining_entry_test.cc
@@ -150,6 +150,20 @@
   EXPECT_TRUE(this->KnowsAllRunningAgents());
 }
 
+// Guards against an entry whose buckets stay unsettled for good: one that joins
+// after it has told its agents does not tell them again.
+TEST_F(JoiningEntryTest, AnEntryThatHasToldItsAgentsMayJoinLater) {
+  const ViewMember older = this->view.members.front();
+  this->view.members.erase(this->view.members.begin());
+  this->Join();
+  this->SendState(kOlder, {});
+  this->view.epoch = Epoch(this->view.epoch.value() + 1);
+  this->view.members.push_back(older);
+  this->Handle(ViewRead{this->view});
+  this->Advance(kContactLimit + Settings().lease_over_after, {kOlder, kOther});
+  EXPECT_TRUE(this->KnowsAllRunningAgents());
+}
+
 // Both would wait for each other otherwise, and a restart of all would last.
 TEST_F(JoiningEntryTest, EntriesThatJoinTogetherWaitForTheLeasesOnly) {
   this->view.members.erase(this->view.members.begin());
