--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -38,7 +38,6 @@
   const Duration away = this->health.NoteEvent(now);
   this->peers.ExcuseSilence(away, now);
   this->registry.ExcuseSilence(away, now);
-  if (away != Duration()) this->may_start = this->MayRenewLeases();
   std::visit([this](const auto& alternative) { this->On(alternative); }, event);
   this->AdvanceState();
   return this->outbox.Take();
@@ -195,7 +194,6 @@
 void EntryCore::On(const EntryTick& event) {
   const Timestamp now = this->current_time;
   if (event.view_age) this->contacts.NoteViewCurrent(now - *event.view_age);
-  this->may_start = this->MayRenewLeases();
   this->home.NoteSendBacklog(event.send_backlog, now);
   this->home.Tick(now);
   this->relays.Tick(now);
@@ -578,9 +576,7 @@
   const Ownership::Activation activation = this->ownership.ActivateReady(now);
   this->relays.OnActivated(activation.activated, now);
   this->hand_over.ReReplicate(activation.fully_recovered, now);
-  // The others may count the leases as over by now that this entry's starts
-  // would give.
-  if (this->may_start) this->home.Dispatch(now);
+  this->home.Dispatch(now);
 }
 
 void EntryCore::ResubmitJobs(const std::vector<BucketId>& lost) {
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -183,8 +183,6 @@
   std::optional<Timestamp> member_since;
   // Peers from which no message has arrived since they reconnected.
   std::set<EntryId> renewed_links;
-  // Whether this entry may start tasks: what MayRenewLeases returned last.
-  bool may_start = true;
   bool draining = false;
   Timestamp drain_began;
   Timestamp next_departure;
--- a/utilities/dandelionspur/commands.cc
+++ b/utilities/dandelionspur/commands.cc
@@ -127,8 +127,9 @@
         this->client.Send(this->options.entry, http::verb::get,
                           ServicePath(service, "document"), "");
     if (current.status == 0) return this->ReportUnavailable(current);
-    if (current.status == http_status::kOk)
+    if (current.status == http_status::kOk) {
       base = current.json.value("version", base);
+    }
   }
   const std::string query = "document?base_version=" + std::to_string(base) +
                             "&change_id=" + this->options.change_id;
@@ -282,8 +283,9 @@
         BOOST_LEAF_AUTO(endpoint, ParseEndpoint(process));
         const AdminReply reply =
             this->client.Send(endpoint, http::verb::post, "/v1/drain", "");
-        if (reply.status != http_status::kAccepted)
+        if (reply.status != http_status::kAccepted) {
           return this->ReportUnavailable(reply);
+        }
         // The process exits once it has drained; its admin port then refuses
         // connections.
         const auto started_at = std::chrono::steady_clock::now();
--- a/utilities/table_stand_in/table_store.cc
+++ b/utilities/table_stand_in/table_store.cc
@@ -309,8 +309,9 @@
 
 HttpResponse TableStore::SetFaults(const std::string& body) {
   const json wire = json::parse(body, nullptr, false);
-  if (!wire.is_object())
+  if (!wire.is_object()) {
     return ProblemResponse(http_status::kBadRequest, "not an object");
+  }
   this->faults.down = wire.value("down", false);
   this->faults.busy = wire.value("busy", false);
   this->faults.lose_answers = wire.value("lose_answers", 0U);
@@ -326,8 +327,9 @@
 
 HttpResponse TableStore::WriteOperatorRow(const std::string& body) {
   const json row = json::parse(body, nullptr, false);
-  if (!row.is_object())
+  if (!row.is_object()) {
     return ProblemResponse(http_status::kBadRequest, "not an object");
+  }
   ++this->revision;
   this->Write({"op", "", row.value("key", "")},
               EncodeBase64(row.value("value", "")));
