--- a/utilities/upstream_stand_in/stand_in_upstream.cc
+++ b/utilities/upstream_stand_in/stand_in_upstream.cc
@@ -138,9 +138,10 @@
   found->second.lease = std::make_unique<boost::asio::steady_timer>(
       this->context, std::chrono::milliseconds(lease));
   found->second.lease->async_wait([this, id](boost::system::error_code error) {
-    if (!error)
+    if (!error) {
       this->EndTask(id, http_status::kServiceUnavailable,
                     "the lease has lapsed");
+    }
   });
 }
 
