--- a/review/shared-2/fleet.py
+++ b/review/shared-2/fleet.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -758,10 +759,11 @@
         self.folder.cleanup()
 
 
-def run_case(play, rule, record, **options):
-    """Plays a case and ends the process: with 1 if `rule` was broken, 0 if it held, 2 if the case couldn't run."""
+def run_case(play, rule, record, kind=None, **options):
+    """Plays a case and ends the process: with 1 if `rule` was broken, 0 if it held, 2 if the case couldn't run. The variable LOGS
+    may name a folder for the logs of the processes."""
     async def run():
-        fleet = Fleet(**options)
+        fleet = (kind or Fleet)(**options)
         try:
             await play(fleet)
             fleet.check_at_end()
@@ -773,6 +775,8 @@
             print("couldn't run:", repr(error))
             return 2
         finally:
+            if os.environ.get("LOGS"):
+                shutil.copytree(fleet.folder.name, os.environ["LOGS"], dirs_exist_ok=True)
             fleet.end(record)
 
     loop = asyncio.new_event_loop()
