--- a/review/shared-2/linked.py
+++ b/review/shared-2/linked.py
@@ -64,17 +64,16 @@
         self.second_side = set()
         self.store.trouble.clear()
 
-    def name_of(self, data):
-        """The machine whose incarnation a Hello names."""
-        for at in range(len(data) - 8):
-            if data[at] == FIRST_OF_UINT64:
-                number = int.from_bytes(data[at + 1:at + 9], "big")
-                if number not in self.incarnations:
-                    for machine in self.entries + self.agents:
-                        for found in re.findall(r"event=started incarnation=(\d+)", machine.log()):
-                            self.incarnations[int(found)] = machine.name
-                return self.incarnations.get(number)
-        return None
+    async def name_of(self, hello):
+        """The machine whose incarnation this first frame names. Its log may not tell it yet."""
+        at = hello.index(FIRST_OF_UINT64)
+        number = int.from_bytes(hello[at + 1:at + 9], "big")
+        while number not in self.incarnations:
+            for machine in self.entries + self.agents:
+                for found in re.findall(r"event=started incarnation=(\d+)", machine.log()):
+                    self.incarnations[int(found)] = machine.name
+            await asyncio.sleep(0.02)
+        return self.incarnations[number]
 
     def is_cut(self, link):
         if not self.second_side:
@@ -93,7 +92,7 @@
             try:
                 while data := await source.read(65536):
                     if identifies and link["dialer"] is None:
-                        link["dialer"] = self.name_of(data)
+                        link["dialer"] = await self.name_of(data)
                     while self.is_cut(link):
                         await asyncio.sleep(0.01)
                     target.write(data)
