--- a/review/shared-2/fleet.py
+++ b/review/shared-2/fleet.py
@@ -780,6 +780,12 @@
             fleet.end(record)
 
     loop = asyncio.new_event_loop()
-    code = loop.run_until_complete(run())
+    task = loop.create_task(run())
+    # The script's time is over.
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        code = loop.run_until_complete(task)
+    except asyncio.CancelledError:
+        code = 2
     sys.stdout.flush()
     os._exit(code)
