entry, agent: Start nothing in an evacuated data centre

Cause: the operators' rows evacuate/NAME were not read, so tasks went on there. Change: entries follow the rows and tell each other and the agents a versioned set; the agent refuses each start while its data centre is evacuated; placement, capacity and admission go by what is left; upstreams that return get a growing share. What nobody may serve is refused at once.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -41,6 +41,7 @@
     : settings(configured),
       started(configured.started_set),
       losses(configured.started_set.duplicate_window),
+      evacuation(configured.data_centre),
       promises(configured.bucket_count) {}
 
 std::vector<AgentEffect> AgentCore::Handle(const AgentEvent& event,
@@ -57,6 +58,7 @@
 void AgentCore::On(const UpstreamAnnounced& event) {
   this->description = event.description;
   this->description->agent = this->settings.self;
+  this->description->data_centre = this->settings.data_centre;
   this->admission.SetCapacity(event.description.capacity);
   ++this->load_version;
   this->upstream_leaving = false;
@@ -221,6 +223,7 @@
     promised_ballot = std::max(promised_ballot, promise.ballot);
   }
   if (message.has_promises) this->promises_received.insert(from);
+  this->AdoptEvacuations(from, message.evacuations);
   this->AdoptView(message.view);
   const bool is_complete =
       this->connected.contains(from) && this->promises_received.contains(from);
@@ -360,7 +363,8 @@
   this->SendHeartbeat(from);
 }
 
-void AgentCore::OnMessage(EntryId /*from*/, const EntryHeartbeat& message) {
+void AgentCore::OnMessage(EntryId from, const EntryHeartbeat& message) {
+  this->AdoptEvacuations(from, message.evacuations);
   this->last_confirmed = std::max(this->last_confirmed, message.heard);
   this->UpdateRenewal();
 }
@@ -391,6 +395,18 @@
   this->CheckReady();
 }
 
+void AgentCore::AdoptEvacuations(EntryId from,
+                                 const std::optional<EvacuationSet>& told) {
+  if (!told) return;
+  const auto sender = this->connected.find(from);
+  if (sender != this->connected.end()) sender->second.tells_evacuations = true;
+  const std::optional<EvacuationPhase> change = this->evacuation.Adopt(*told);
+  if (!change) return;
+  this->effects.emplace_back(OwnEvacuationChanged{*change, told->version});
+  this->StartQueued();
+  this->SendHeartbeats();
+}
+
 void AgentCore::SendRegistrations() {
   this->next_registration =
       this->current_time + this->settings.registration_interval;
@@ -398,7 +414,8 @@
   for (const auto& [entry, state] : this->connected) {
     if (this->acknowledged.contains(entry)) continue;
     this->Send(entry, Register{*this->description, this->view.epoch,
-                               this->promises_received.contains(entry)});
+                               this->promises_received.contains(entry),
+                               this->evacuation.known()});
   }
 }
 
@@ -444,8 +461,16 @@
   this->effects.emplace_back(StartRefusalCounted{reason});
   const Ballot promised =
       this->promises[this->BucketOfKey(start.task.key).value()];
-  this->Send(to, TaskNotRun{start.task, reason, promised, this->ReportLoad(to),
-                            start.Number()});
+  this->Send(to, TaskNotRun{start.task, this->ReasonFor(to, reason), promised,
+                            this->ReportLoad(to), start.Number()});
+}
+
+Reason AgentCore::ReasonFor(EntryId to, Reason reason) const {
+  if (reason != Reason::kDataCentreEvacuated) return reason;
+  const auto receiver = this->connected.find(to);
+  const bool is_known =
+      receiver != this->connected.end() && receiver->second.tells_evacuations;
+  return is_known ? reason : Reason::kNoFreeSlot;
 }
 
 void AgentCore::RejectQueued(const AcceptedStart& accepted, Reason reason) {
@@ -454,9 +479,10 @@
   ++this->load_version;
   this->effects.emplace_back(StartRefusalCounted{reason});
   const Ballot promised = this->promises[this->BucketOfKey(task.key).value()];
-  this->Send(promised.entry, TaskNotRun{task, reason, promised,
-                                        this->ReportLoad(promised.entry),
-                                        accepted.start.Number()});
+  this->Send(
+      promised.entry,
+      TaskNotRun{task, this->ReasonFor(promised.entry, reason), promised,
+                 this->ReportLoad(promised.entry), accepted.start.Number()});
 }
 
 void AgentCore::StartQueued() {
@@ -517,6 +543,7 @@
 std::optional<Reason> AgentCore::NotAcceptingReason() const {
   if (!this->ready) return Reason::kAgentNotReady;
   if (this->leaving || this->upstream_leaving) return Reason::kAgentLeaving;
+  if (this->is_evacuated()) return Reason::kDataCentreEvacuated;
   if (this->contact == UpstreamContact::kSilent) {
     return Reason::kUpstreamUnreachable;
   }
@@ -555,7 +582,8 @@
   if (load.HasFreeCapacity()) this->connected[entry].demand = 0;
   this->Send(entry,
              AgentHeartbeat{load, this->current_time, this->view.epoch,
-                            this->recent_losses.Report(this->current_time)});
+                            this->recent_losses.Report(this->current_time),
+                            this->evacuation.version()});
 }
 
 void AgentCore::NotifyEntriesWithDemand(EntryId except) {
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "libraries/agent_core/agent_events.h"
+#include "libraries/agent_core/evacuation_guard.h"
 #include "libraries/agent_core/loss_suspects.h"
 #include "libraries/agent_core/recent_losses.h"
 #include "libraries/agent_core/started_set.h"
@@ -17,6 +18,7 @@
 namespace dandelionspur {
 
 struct AgentCoreSettings {
+  static constexpr std::size_t kRequiredMembers = 6;
   AgentId self;
   std::uint32_t bucket_count = 0;
   StartedSetLimits started_set;
@@ -26,12 +28,13 @@
   // The upstream's lease is renewed only for this long after the sending of the
   // latest heartbeat that an entry has confirmed.
   Duration contact_limit = kContactLimit;
+  DataCentreName data_centre;
 };
 BOOST_DESCRIBE_STRUCT(StartedSetLimits, (),
                       (maximum_tasks, maximum_answer_bytes, duplicate_window))
 BOOST_DESCRIBE_STRUCT(AgentCoreSettings, (),
                       (self, bucket_count, started_set, registration_interval,
-                       heartbeat_interval, contact_limit))
+                       heartbeat_interval, contact_limit, data_centre))
 
 // All decisions of an agent, as a deterministic state machine: the last check
 // before a task reaches its upstream. It uses no socket, thread, clock or
@@ -61,6 +64,10 @@
   // lease, since the process may have been frozen after its last event.
   [[nodiscard]] LeaseRenewal RenewalAt(Timestamp now) const;
   [[nodiscard]] bool is_ready() const { return this->ready; }
+  // Whether no task may start, since the agent's data centre is evacuated.
+  [[nodiscard]] bool is_evacuated() const {
+    return this->evacuation.IsEvacuated();
+  }
 
  private:
   void On(const UpstreamAnnounced& event);
@@ -87,6 +94,8 @@
   void OnMessage(EntryId from, const ConfirmRequest& message);
 
   void AdoptView(const View& candidate);
+  // Takes over what the entry tells of evacuated data centres, if anything.
+  void AdoptEvacuations(EntryId from, const std::optional<EvacuationSet>& told);
   void SendRegistrations();
   // Becomes ready once every member of the view has acknowledged this agent.
   // Announces that to all of them when it begins, and to each entry that
@@ -99,6 +108,8 @@
   [[nodiscard]] std::optional<Reason> StartRefusalReason(
       const Start& start) const;
   void RefuseStart(EntryId to, const Start& start, Reason reason);
+  // The reason as this entry can decode it.
+  [[nodiscard]] Reason ReasonFor(EntryId to, Reason reason) const;
   // Forbids a start that was withdrawn from the queue and sends the home the
   // reason.
   void RejectQueued(const AcceptedStart& accepted, Reason reason);
@@ -138,6 +149,9 @@
     Payload latest_body;
     // The load version that was last reported to the entry.
     std::uint64_t reported_load = 0;
+    // An entry that tells of evacuations knows the reason for a refusal by
+    // one; an earlier version can't decode it.
+    bool tells_evacuations = false;
   };
 
   AgentCoreSettings settings;
@@ -145,6 +159,7 @@
   UpstreamAdmission admission;
   UpstreamLosses losses;
   RecentLosses recent_losses;
+  EvacuationGuard evacuation;
   // The suspects of a break of contact that has not ended; empty without one.
   std::set<TaskId> break_suspects;
   View view;
--- a/libraries/agent_core/agent_events.h
+++ b/libraries/agent_core/agent_events.h
@@ -167,9 +167,18 @@
 };
 BOOST_DESCRIBE_STRUCT(RenewalChanged, (), (renewal))
 
+// The agent's data centre is evacuated from now on, or not any more.
+struct OwnEvacuationChanged {
+  static constexpr const char* kName = "own_evacuation_changed";
+  EvacuationPhase phase = EvacuationPhase::kBegun;
+  EvacuationVersion version;
+};
+BOOST_DESCRIBE_STRUCT(OwnEvacuationChanged, (), (phase, version))
+
 using AgentEffect =
     std::variant<SendToEntry, RunOnUpstream, StopOnUpstream, ConnectToMembers,
-                 AgentDrained, StartRefusalCounted, RenewalChanged>;
+                 AgentDrained, StartRefusalCounted, RenewalChanged,
+                 OwnEvacuationChanged>;
 
 }  // namespace dandelionspur
 
--- a/libraries/decision_log/agent_decision_log.cc
+++ b/libraries/decision_log/agent_decision_log.cc
@@ -130,6 +130,11 @@
   LogStateChange(RenewalLine{effect.renewal, this->core.running()});
 }
 
+void AgentDecisionLog::OnEffect(const OwnEvacuationChanged& effect) {
+  LogStateChange(OwnEvacuationLine{effect.phase, effect.version.value(),
+                                   this->core.running()});
+}
+
 void AgentDecisionLog::Finish(const TaskId& task, LogCategory log_category) {
   const TaskTraces::Trace* trace = this->traces.Find(task);
   if (trace == nullptr) return;
--- a/libraries/decision_log/agent_decision_log.h
+++ b/libraries/decision_log/agent_decision_log.h
@@ -50,6 +50,7 @@
   void OnEffect(const SendToEntry& effect);
   void OnEffect(const ConnectToMembers& effect);
   void OnEffect(const RenewalChanged& effect);
+  void OnEffect(const OwnEvacuationChanged& effect);
   template <typename Other>
   void OnEffect(const Other& /*effect*/) {}
 
--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -269,6 +269,27 @@
 BOOST_DESCRIBE_STRUCT(CallerConnectionCut, (),
                       (reason, unanswered, unread, since_request))
 
+// The entry places no tasks in the data centre any more, or again. Counts the
+// agents there that it knows.
+struct EvacuationLine {
+  static constexpr const char* kName = "evacuation";
+  EvacuationPhase phase = EvacuationPhase::kBegun;
+  std::string data_centre;
+  std::uint64_t version = 0;
+  std::size_t agents = 0;
+};
+BOOST_DESCRIBE_STRUCT(EvacuationLine, (), (phase, data_centre, version, agents))
+
+// The agent starts no tasks any more, or again, since its data centre is
+// evacuated. Counts the tasks that run on.
+struct OwnEvacuationLine {
+  static constexpr const char* kName = "own_evacuation";
+  EvacuationPhase phase = EvacuationPhase::kBegun;
+  std::uint64_t version = 0;
+  std::uint64_t tasks_running = 0;
+};
+BOOST_DESCRIBE_STRUCT(OwnEvacuationLine, (), (phase, version, tasks_running))
+
 // The program restarts in the same process, without its earlier state.
 struct ProcessRestarting {
   static constexpr const char* kName = "beginning_anew";
--- a/libraries/entry_core/admission.cc
+++ b/libraries/entry_core/admission.cc
@@ -33,6 +33,9 @@
       document.maximum_queued_tasks) {
     return Reason::kQueueFull;
   }
+  if (this->agents.IsEvacuated(job.submission.service)) {
+    return Reason::kNotReady;
+  }
   const Resources capacity = this->agents.CapacityOf(job.submission.service);
   if (capacity.millicores == 0) return std::nullopt;
   const JobGroupId group = job.submission.group;
--- a/libraries/entry_core/agent_registry.cc
+++ b/libraries/entry_core/agent_registry.cc
@@ -139,7 +139,7 @@
   if (found == this->services.end()) return true;
   bool any_present = false;
   for (const KnownAgent* known : found->second.agents) {
-    if (known->lost_at || known->leaving) continue;
+    if (known->lost_at || known->leaving || known->evacuated) continue;
     if (need.FitsIn(known->description->capacity)) return true;
     const bool is_present = known->connected && known->ready &&
                             known->description->capacity.millicores > 0;
@@ -153,11 +153,48 @@
                      });
 }
 
+bool AgentRegistry::IsEvacuated(const ServiceName& service) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) return false;
+  bool any_evacuated = false;
+  for (const KnownAgent* known : found->second.agents) {
+    if (known->lost_at || known->leaving) continue;
+    if (!known->evacuated) return false;
+    any_evacuated = true;
+  }
+  return any_evacuated;
+}
+
+std::size_t AgentRegistry::CountIn(const DataCentreName& data_centre) const {
+  const auto counted = std::count_if(
+      this->agents.begin(), this->agents.end(), [&](const auto& item) {
+        const KnownAgent& known = item.second;
+        return known.description && !known.lost_at &&
+               known.description->data_centre == data_centre;
+      });
+  return static_cast<std::size_t>(counted);
+}
+
+void AgentRegistry::MarkEvacuated(const Evacuations& evacuations,
+                                  Timestamp now) {
+  for (auto& [id, known] : this->agents) {
+    if (!known.description) continue;
+    const bool was_evacuated = known.evacuated;
+    known.evacuated = evacuations.IsEvacuated(known.description->data_centre);
+    if (known.evacuated) {
+      known.returned_at.reset();
+    } else if (was_evacuated) {
+      known.returned_at = now;
+    }
+  }
+  this->RecountCapacity();
+}
+
 void AgentRegistry::RecountCapacity() {
   for (auto& [name, service] : this->services) {
     service.capacity = Resources();
     for (const KnownAgent* known : service.agents) {
-      if (known->connected && known->ready && !known->leaving) {
+      if (known->CountsAsCapacity()) {
         service.capacity += known->description->capacity;
       }
     }
--- a/libraries/entry_core/agent_registry.h
+++ b/libraries/entry_core/agent_registry.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "libraries/entry_core/evacuation/evacuations.h"
+#include "libraries/entry_core/evacuation/return_ramp.h"
 #include "libraries/protocol/agent_messages.h"
 
 namespace dandelionspur {
@@ -21,6 +23,10 @@
   bool connected = false;
   bool ready = false;
   bool leaving = false;
+  // No task may be placed here, since the data centre is evacuated.
+  bool evacuated = false;
+  // When that ended.
+  std::optional<Timestamp> returned_at;
   // The agent process has announced that it leaves, which it never takes back.
   bool has_announced_departure = false;
   // It has since reported that no task runs or waits there, so that it takes no
@@ -79,8 +85,11 @@
   }
   // Whether the agent's upstream is up and takes tasks, as last reported.
   [[nodiscard]] bool TakesTasks() const {
-    return this->connected && this->ready && !this->leaving && !this->lost_at &&
-           this->load.accepting;
+    return this->CountsAsCapacity() && !this->lost_at && this->load.accepting;
+  }
+  // Whether the upstream is part of its service's capacity.
+  [[nodiscard]] bool CountsAsCapacity() const {
+    return this->connected && this->ready && !this->leaving && !this->evacuated;
   }
   // Records that an entry received the agent's heartbeat at `at` or earlier.
   // `heartbeat` is the agent's time of sending.
@@ -94,6 +103,12 @@
   [[nodiscard]] bool HasCapacityFor(const Resources& need) const {
     return (this->Taken() + need).FitsIn(this->load.capacity);
   }
+  // Whether a task may start so soon after the end of an evacuation.
+  [[nodiscard]] bool RampAllows(const Resources& need, Timestamp now) const {
+    return !this->returned_at ||
+           ReturnRamp::Allows(now - *this->returned_at, this->Taken(), need,
+                              this->load.capacity);
+  }
   // The resources of the tasks that run at the agent, wait there or were sent
   // and aren't reported yet.
   [[nodiscard]] Resources Taken() const {
@@ -139,8 +154,8 @@
   }
   [[nodiscard]] const std::vector<KnownAgent*>& OfService(
       const ServiceName& service);
-  // Total capacity of the service's agents that are connected, ready and not
-  // leaving, as of the last call of RecountCapacity.
+  // Total capacity of the service's agents that are connected, ready and
+  // neither leaving nor evacuated, as of the last call of RecountCapacity.
   [[nodiscard]] Resources CapacityOf(const ServiceName& service) const;
   // Processor cores in CapacityOf; at least one, as it serves as a divisor.
   [[nodiscard]] std::int64_t CoresOf(const ServiceName& service) const;
@@ -150,6 +165,13 @@
   // capacity, or the upstream of some agent is unknown.
   [[nodiscard]] bool MayEverHold(const ServiceName& service,
                                  const Resources& need) const;
+  // Whether the service has upstreams, but all that are there are evacuated and
+  // none that isn't may return.
+  [[nodiscard]] bool IsEvacuated(const ServiceName& service) const;
+  // The number of agents in the data centre that aren't lost.
+  [[nodiscard]] std::size_t CountIn(const DataCentreName& data_centre) const;
+  // Marks the agents of evacuated data centres, and recounts the capacity.
+  void MarkEvacuated(const Evacuations& evacuations, Timestamp now);
   // Must be called whenever an agent connects, disconnects or changes state.
   void RecountCapacity();
 
--- a/libraries/entry_core/early_refusals.cc
+++ b/libraries/entry_core/early_refusals.cc
@@ -73,6 +73,23 @@
   }
 }
 
+void EarlyRefusals::RefuseEvacuated(Timestamp now) {
+  for (auto& [name, service] : this->queues.all()) {
+    if (service.queued_tasks() == 0 || !this->agents.IsEvacuated(name)) {
+      continue;
+    }
+    const ServiceName evacuated = name;
+    const std::vector<JobKey> unservable =
+        this->jobs.KeysOf([&](const HomeJob& job) {
+          return job.submission.service == evacuated &&
+                 job.phase == JobPhase::kRunning && job.HasNoStarts();
+        });
+    for (const JobKey& key : unservable) {
+      this->finisher.Refuse(this->jobs.At(key), Reason::kNotReady, now);
+    }
+  }
+}
+
 void EarlyRefusals::DeprioritizeOverdue(ServiceState& service, Timestamp now) {
   for (const JobKey& key : service.OverdueJobs(now)) {
     HomeJob& job = this->jobs.At(key);
--- a/libraries/entry_core/early_refusals.h
+++ b/libraries/entry_core/early_refusals.h
@@ -29,6 +29,9 @@
   void RefuseUnservableInQuarantine(ServiceState& service, Timestamp now);
   // Refuses the service's jobs with a queued task that no upstream can hold.
   void RefuseOversized(const ServiceName& service, Timestamp now);
+  // Refuses the jobs without starts whose service has no upstream left, since
+  // all data centres that have any are evacuated.
+  void RefuseEvacuated(Timestamp now);
   // Moves queued jobs that can no longer meet their objective behind all
   // others, and refuses those without starts whose answer would be of no use.
   void DeprioritizeOverdue(ServiceState& service, Timestamp now);
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -220,6 +220,10 @@
   this->ContinueDrain();
 }
 
+void EntryCore::On(const EvacuationsRead& event) {
+  this->AdoptEvacuations(event.evacuations);
+}
+
 void EntryCore::OnPeer(EntryId from, const PeerState& message) {
   for (const AgentSummary& summary : message.agents) {
     KnownAgent& agent = this->registry.Add(summary.agent);
@@ -374,6 +378,7 @@
 void EntryCore::OnPeer(EntryId from, const PeerHeartbeat& message) {
   this->peers.NoteEpoch(from, message.epoch, this->current_time);
   this->documents_in_force.OnHeartbeat(from, message);
+  this->AdoptEvacuations(message.evacuations);
   for (const AgentSummary& lost :
        this->contacts.OnHeartbeat(from, message, this->current_time)) {
     this->MarkAgentLost(
@@ -396,12 +401,15 @@
   KnownAgent& agent = this->registry.Add(from);
   agent.connected = true;
   agent.acknowledged = true;
-  this->registry.RecountCapacity();
+  this->AdoptEvacuations(message.evacuations);
+  this->registry.MarkEvacuated(this->known_evacuations, this->current_time);
   RegisterAcknowledged reply;
   reply.view.epoch = this->view().epoch;
   if (message.epoch < this->view().epoch) reply.view = this->view();
   reply.has_promises = !message.has_promises;
   if (reply.has_promises) reply.promises = this->ownership.Promises();
+  reply.evacuations = this->known_evacuations.NewsFor(
+      message.evacuations.value_or(EvacuationSet()).version);
   this->outbox.ToAgent(from, std::move(reply));
   if (!has_shrunk) return;
   this->home.OnCapacityShrunk(message.description.service, this->current_time);
@@ -457,9 +465,13 @@
   if (agent == nullptr || this->current_time < agent->next_reply) return;
   // An entry without contact to most others must not keep tasks running whose
   // leases the others consider expired.
-  if (!this->MayRenewLeases()) return;
+  const bool may_confirm = this->MayRenewLeases();
+  EntryHeartbeat reply;
+  if (may_confirm) reply.heard = message.sent_at;
+  reply.evacuations = this->known_evacuations.NewsFor(message.evacuations);
+  if (!may_confirm && !reply.evacuations) return;
   agent->next_reply = this->current_time + this->settings.agent_reply_interval;
-  this->outbox.ToAgent(from, EntryHeartbeat{message.sent_at});
+  this->outbox.ToAgent(from, std::move(reply));
 }
 
 void EntryCore::OnAgent(AgentId /*from*/, const ConfirmReply& message) {
@@ -508,6 +520,24 @@
   this->SendViewToAgents();
 }
 
+void EntryCore::AdoptEvacuations(const std::optional<EvacuationSet>& told) {
+  if (!told) return;
+  const std::optional<EvacuationDifference> difference =
+      this->known_evacuations.Adopt(*told);
+  if (!difference) return;
+  this->registry.MarkEvacuated(this->known_evacuations, this->current_time);
+  const EvacuationVersion version = this->evacuations().version;
+  for (const DataCentreName& begun : difference->begun) {
+    this->outbox.Add(
+        EvacuationChanged{EvacuationPhase::kBegun, begun, version});
+  }
+  for (const DataCentreName& ended : difference->ended) {
+    this->outbox.Add(
+        EvacuationChanged{EvacuationPhase::kEnded, ended, version});
+  }
+  this->home.OnEvacuationChanged(this->current_time);
+}
+
 void EntryCore::NoteUntoldDepartures(const View& former) {
   for (const ViewMember& member : former.members) {
     const bool matters = member.entry != this->settings.self &&
@@ -672,6 +702,7 @@
     PeerHeartbeat heartbeat =
         this->contacts.HeartbeatFor(peer, this->view(), this->current_time);
     heartbeat.documents = this->documents_in_force.NewsFor(peer);
+    heartbeat.evacuations = this->known_evacuations.News();
     this->outbox.ToPeer(peer, std::move(heartbeat));
   }
 }
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -12,6 +12,7 @@
 #include "libraries/entry_core/entry_core_settings.h"
 #include "libraries/entry_core/entry_events.h"
 #include "libraries/entry_core/entry_outbox.h"
+#include "libraries/entry_core/evacuation/evacuations.h"
 #include "libraries/entry_core/hand_over.h"
 #include "libraries/entry_core/home_assignment.h"
 #include "libraries/entry_core/home_jobs.h"
@@ -48,6 +49,9 @@
   [[nodiscard]] const View& view() const { return this->ownership.view(); }
   [[nodiscard]] const AgentRegistry& agents() const { return this->registry; }
   [[nodiscard]] const Ownership& buckets() const { return this->ownership; }
+  [[nodiscard]] const EvacuationSet& evacuations() const {
+    return this->known_evacuations.known();
+  }
   [[nodiscard]] std::size_t jobs_at_home() const { return this->home.size(); }
   // The other entry to which a job with this key would be relayed now; nothing
   // if this entry is its home or the home is not known.
@@ -90,6 +94,7 @@
   void On(const DocumentRead& event);
   void On(const DrainRequested& event);
   void On(const EntryTick& event);
+  void On(const EvacuationsRead& event);
 
   void OnPeer(EntryId from, const PeerState& message);
   void OnPeer(EntryId from, const PromiseRequest& message);
@@ -122,6 +127,8 @@
   // the current time.
   void AcceptRelay(EntryId from, const Relay& message);
   void AdoptView(const View& view);
+  // Takes over a newer set of evacuated data centres, whoever told it.
+  void AdoptEvacuations(const std::optional<EvacuationSet>& told);
   // Accounts for the members of `former` that have left without having told
   // this entry their agents.
   void NoteUntoldDepartures(const View& former);
@@ -174,6 +181,7 @@
   KeyHandOver hand_over;
   BucketReturn bucket_return;
   DocumentsInForce documents_in_force;
+  Evacuations known_evacuations;
   std::map<AgentId, Timestamp> disconnected_agents;
   Timestamp current_time;
   Timestamp next_repeat;
--- a/libraries/entry_core/entry_events.h
+++ b/libraries/entry_core/entry_events.h
@@ -128,12 +128,20 @@
 };
 BOOST_DESCRIBE_STRUCT(EntryTick, (), (send_backlog, view_age))
 
+// The evacuated data centres by the operators' table.
+struct EvacuationsRead {
+  static constexpr const char* kName = "evacuations_read";
+  EvacuationSet evacuations;
+};
+BOOST_DESCRIBE_STRUCT(EvacuationsRead, (), (evacuations))
+
 using EntryEvent =
     std::variant<CallerSubmitted, CallerCancelled, PeerConnected,
                  PeerDisconnected, PeerProvenDead, PeerMessageReceived,
                  AgentConnected, AgentDisconnected, AgentRefusesConnections,
                  AgentMessageReceived, ViewRead, DocumentRead, DrainRequested,
-                 EntryTick, PeerLinkRenewed, PeerRefusesConnections>;
+                 EntryTick, PeerLinkRenewed, PeerRefusesConnections,
+                 EvacuationsRead>;
 
 // Whether a cancelling holds: the job's home and another entry know of it, or
 // two entries that tell each later home.
@@ -282,11 +290,20 @@
 };
 BOOST_DESCRIBE_STRUCT(EntryDrained, (), ())
 
+// From now on no task is placed in the data centre, or again.
+struct EvacuationChanged {
+  static constexpr const char* kName = "evacuation_changed";
+  EvacuationPhase phase = EvacuationPhase::kBegun;
+  DataCentreName data_centre;
+  EvacuationVersion version;
+};
+BOOST_DESCRIBE_STRUCT(EvacuationChanged, (), (phase, data_centre, version))
+
 using EntryEffect =
     std::variant<AnswerCaller, SendToPeer, SendToAgent, ProposeView,
                  ViewInForce, DocumentInForce, RetryCounted, JobRefused,
                  AgentLost, OwnershipChanged, RemovedFromView, EntryDrained,
-                 QuarantineChanged, CancelAnswered>;
+                 QuarantineChanged, CancelAnswered, EvacuationChanged>;
 
 }  // namespace dandelionspur
 
--- a/libraries/entry_core/home_job.h
+++ b/libraries/entry_core/home_job.h
@@ -47,8 +47,8 @@
   StartNumber start;
   // Number of runs that completed with outcome kFailed.
   std::uint32_t failures = 0;
-  // Set when the task is queued again for any reason but kNoFreeSlot, such as a
-  // refused start or a failed run.
+  // Set when the task is queued again because of a refused start or a failed
+  // run, but not for lack of a free slot or for an evacuation.
   bool retried = false;
   // The latest start was sent with losses under which the task is suspected.
   bool started_as_suspect = false;
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -478,6 +478,7 @@
   this->quarantine.Tick(now);
   this->early_refusals.AbandonBeforeDeadlines(now);
   this->early_refusals.RefuseUnservable(now);
+  this->early_refusals.RefuseEvacuated(now);
   this->RequeueAfterLeases(now);
   this->AdvanceBlocked(now);
   this->finisher.Expire(now);
@@ -506,8 +507,9 @@
   TaskRecord& task = job.tasks[index.value()];
   task.phase = TaskPhase::kQueued;
   // kNoFreeSlot is no failure: another home has taken the slot, and the agent's
-  // load reports show when to try again.
-  const bool has_failed = reason != Reason::kNoFreeSlot;
+  // load reports show when to try again. Nor is an evacuation.
+  const bool has_failed =
+      reason != Reason::kNoFreeSlot && reason != Reason::kDataCentreEvacuated;
   if (has_failed) task.retried = true;
   if (job.phase != JobPhase::kRunning) return;
   if (!task.unsettled_agents.empty()) {
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -84,6 +84,10 @@
   void OnCapacityShrunk(const ServiceName& service, Timestamp now) {
     this->early_refusals.RefuseOversized(service, now);
   }
+  // Data centres were evacuated or have returned.
+  void OnEvacuationChanged(Timestamp now) {
+    this->early_refusals.RefuseEvacuated(now);
+  }
   void OnRefusalsConfirmed(const std::vector<ConfirmedRefusal>& confirmed,
                            Timestamp now) {
     this->finisher.OnRefusalsConfirmed(confirmed, now);
--- a/libraries/entry_core/job_finisher.cc
+++ b/libraries/entry_core/job_finisher.cc
@@ -4,6 +4,8 @@
 namespace {
 
 constexpr Duration kMinimumRetryAfter = std::chrono::milliseconds(100);
+// The operators end an evacuation at a time that nobody knows.
+constexpr Duration kRetryAfterWhileEvacuated = std::chrono::seconds(1);
 
 // The tasks for which no completion or refusal has been received, with each
 // agent that may run them.
@@ -91,7 +93,9 @@
     refused.cores =
         static_cast<std::uint64_t>(this->admission.CoresFor(*service, group));
   }
-  job.retry_after = kMinimumRetryAfter + refused.expected_wait;
+  job.retry_after = reason == Reason::kNotReady
+                        ? kRetryAfterWhileEvacuated
+                        : kMinimumRetryAfter + refused.expected_wait;
   this->outbox.Add(refused);
   this->confirmer.Add(job.submission.key, job.submission.rerun);
   this->confirmer.Advance(now);
--- a/libraries/entry_core/quarantine_control.cc
+++ b/libraries/entry_core/quarantine_control.cc
@@ -92,7 +92,7 @@
   std::map<Endpoint, const KnownAgent*> newest;
   for (const KnownAgent* agent : this->agents.OfService(service)) {
     const bool is_gone =
-        agent->leaving ||
+        agent->leaving || agent->evacuated ||
         (agent->lost_at && *agent->lost_at + kKeptAfterLoss < now);
     if (is_gone) continue;
     const KnownAgent*& known = newest[agent->description->admin_endpoint];
--- a/libraries/entry_core/upstream_health.cc
+++ b/libraries/entry_core/upstream_health.cc
@@ -27,6 +27,7 @@
                                  Timestamp now) const {
   if (!this->MayTakeTasks(agent, now)) return false;
   if (!agent.HasCapacityFor(need)) return false;
+  if (!agent.RampAllows(need, now)) return false;
   return !this->IsOnProbation(agent) || agent.running == 0;
 }
 
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -10,6 +10,7 @@
 #include "libraries/base/ballot.h"
 #include "libraries/base/resources.h"
 #include "libraries/protocol/entry_messages.h"
+#include "libraries/protocol/evacuation.h"
 #include "libraries/protocol/job.h"
 #include "libraries/protocol/view.h"
 
@@ -40,6 +41,7 @@
 // The description of an upstream as it announced itself, with the identity and
 // address of its agent.
 struct AgentDescription {
+  static constexpr std::size_t kRequiredMembers = 6;
   AgentId agent;
   ServiceName service;
   std::string upstream;
@@ -47,11 +49,13 @@
   Resources capacity;
   // Probed to distinguish a dead agent from an unresponsive one.
   Endpoint admin_endpoint;
+  // Empty from versions that don't report it.
+  DataCentreName data_centre;
   bool operator==(const AgentDescription&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(AgentDescription, (),
-                      (agent, service, upstream, rack, capacity,
-                       admin_endpoint))
+                      (agent, service, upstream, rack, capacity, admin_endpoint,
+                       data_centre))
 
 // Sent to every entry of the view that has not acknowledged the agent on this
 // connection. The agent accepts no starts until all members of its view have
@@ -65,8 +69,12 @@
   // Whether the agent has the ballots that the entry had promised when it first
   // acknowledged the agent. Promises made later are requested from it.
   bool has_promises = false;
+  // The evacuated data centres that the agent was told of. An entry that has
+  // restarted while the table can't be read learns them from here.
+  std::optional<EvacuationSet> evacuations{};
 };
-BOOST_DESCRIBE_STRUCT(Register, (), (description, epoch, has_promises))
+BOOST_DESCRIBE_STRUCT(Register, (),
+                      (description, epoch, has_promises, evacuations))
 
 // Announces that every entry of the view `epoch` has acknowledged the agent.
 struct AgentReady {
@@ -248,8 +256,11 @@
   Epoch epoch{};
   // The latest losses of the agent's upstream, oldest first.
   std::vector<RecentLoss> recent_losses{};
+  // Version of the evacuated data centres that the agent knows; 0 if none.
+  EvacuationVersion evacuations{};
 };
-BOOST_DESCRIBE_STRUCT(AgentHeartbeat, (), (load, sent_at, epoch, recent_losses))
+BOOST_DESCRIBE_STRUCT(AgentHeartbeat, (),
+                      (load, sent_at, epoch, recent_losses, evacuations))
 
 using AgentMessage = std::variant<Register, AgentReady, AgentPromiseReply,
                                   TaskFinished, TaskNotRun, RenounceReply,
@@ -267,8 +278,11 @@
   // Whether `promises` is complete. It is left empty for an agent that has
   // received the promises before.
   bool has_promises = true;
+  // Set if the entry knows other evacuated data centres than the agent.
+  std::optional<EvacuationSet> evacuations{};
 };
-BOOST_DESCRIBE_STRUCT(RegisterAcknowledged, (), (view, promises, has_promises))
+BOOST_DESCRIBE_STRUCT(RegisterAcknowledged, (),
+                      (view, promises, has_promises, evacuations))
 
 struct Start {
   static constexpr const char* kName = "start";
@@ -346,11 +360,14 @@
 // kContactLimit after `heard`.
 struct EntryHeartbeat {
   static constexpr const char* kName = "entry_heartbeat";
+  static constexpr std::size_t kRequiredMembers = 1;
   // The send time, by the agent's clock, of the newest heartbeat that the entry
-  // has received from it.
+  // has received from it; 0 if the entry confirms none.
   Timestamp heard;
+  // Set if the entry knows newer evacuated data centres than the agent.
+  std::optional<EvacuationSet> evacuations{};
 };
-BOOST_DESCRIBE_STRUCT(EntryHeartbeat, (), (heard))
+BOOST_DESCRIBE_STRUCT(EntryHeartbeat, (), (heard, evacuations))
 
 using EntryToAgentMessage =
     std::variant<RegisterAcknowledged, PromiseRequest, Start, Renounce,
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "libraries/base/ballot.h"
+#include "libraries/protocol/evacuation.h"
 #include "libraries/protocol/job.h"
 #include "libraries/protocol/view.h"
 
@@ -345,11 +346,14 @@
   // The sender is behind with its events and shouldn't be home of buckets that
   // it isn't home of.
   bool declines_buckets = false;
+  // The evacuated data centres that the sender knows. Not set as long as it
+  // knows of no evacuation.
+  std::optional<EvacuationSet> evacuations;
 };
 BOOST_DESCRIBE_STRUCT(PeerHeartbeat, (),
                       (epoch, sent_at, peers, sightings, coverage,
                        missing_agents, missing_entries, lost_agents, documents,
-                       declines_buckets))
+                       declines_buckets, evacuations))
 
 using PeerMessage =
     std::variant<PeerState, PromiseRequest, PromiseReply, WitnessRequest,
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -37,6 +37,7 @@
   AgentCoreSettings core;
   core.self = self;
   core.bucket_count = settings.bucket_count;
+  core.data_centre = settings.data_centre;
   core.started_set = {settings.maximum_remembered_tasks,
                       static_cast<std::size_t>(settings.maximum_answer_bytes),
                       settings.duplicate_window};
@@ -290,12 +291,14 @@
   this->metrics.Set("tasks_running", static_cast<double>(this->core.running()));
   this->metrics.Set("tasks_remembered",
                     static_cast<double>(this->core.remembered()));
+  this->metrics.Set("evacuated", this->core.is_evacuated() ? 1 : 0);
   SetLogGauges(this->metrics);
 }
 
 nlohmann::json AgentServer::Status() const {
   return {{"agent", std::to_string(this->self.value())},
           {"ready", this->core.is_ready()},
+          {"evacuated", this->core.is_evacuated()},
           {"running", this->core.running()},
           {"remembered", this->core.remembered()}};
 }
--- a/services/agent/agent_server.h
+++ b/services/agent/agent_server.h
@@ -69,6 +69,8 @@
   // Logged by the decision log only: PlatformUpstream queries the renewal state
   // for each lease.
   void Apply(const RenewalChanged& /*effect*/) {}
+  // Logged by the decision log; UpdateGauges reads the state.
+  void Apply(const OwnEvacuationChanged& /*effect*/) {}
 
   AgentSettings settings;
   AgentId self;
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -329,6 +329,16 @@
                       EnumName(effect.phase), 1);
 }
 
+void EntryServer::Apply(const EvacuationChanged& effect) {
+  const std::string& data_centre = effect.data_centre.value();
+  LogStateChange(
+      EvacuationLine{effect.phase, data_centre, effect.version.value(),
+                     this->core.agents().CountIn(effect.data_centre)});
+  const bool is_evacuated = effect.phase == EvacuationPhase::kBegun;
+  this->metrics.Set("data_centre_evacuated", "data_centre", data_centre,
+                    is_evacuated ? 1 : 0);
+}
+
 void EntryServer::Apply(const AgentLost& effect) {
   this->metrics.Count("agents_given_up_total", "evidence",
                       EnumName(effect.evidence));
--- a/services/entry/entry_status.cc
+++ b/services/entry/entry_status.cc
@@ -17,7 +17,8 @@
           {"jobs_relayed", this->core.jobs_relayed()},
           {"members", this->EncodeMembers()},
           {"agents", this->EncodeAgents()},
-          {"documents", this->EncodeDocuments()}};
+          {"documents", this->EncodeDocuments()},
+          {"evacuated", this->EncodeEvacuated()}};
 }
 
 std::uint32_t EntryStatus::CountActiveBuckets() const {
@@ -52,6 +53,8 @@
          {"connected", agent.connected},
          {"ready", agent.ready},
          {"leaving", agent.leaving},
+         {"data_centre", agent.description->data_centre.value()},
+         {"evacuated", agent.evacuated},
          {"lost", agent.lost_at.has_value()},
          {"running", agent.running},
          {"millicores_in_use", agent.load.running.millicores},
@@ -60,6 +63,14 @@
   return agents;
 }
 
+nlohmann::json EntryStatus::EncodeEvacuated() const {
+  nlohmann::json names = nlohmann::json::array();
+  for (const DataCentreName& name : this->core.evacuations().data_centres) {
+    names.push_back(name.value());
+  }
+  return names;
+}
+
 nlohmann::json EntryStatus::EncodeDocuments() const {
   nlohmann::json documents = nlohmann::json::object();
   for (const auto& [service, document] : this->core.documents()) {
--- a/services/entry/table_watcher.cc
+++ b/services/entry/table_watcher.cc
@@ -134,13 +134,14 @@
           return;
         }
         feed.revision = changes->revision;
-        for (const std::string& problem : changes->unreadable_rows) {
-          this->ReportUnreadable("row", problem);
+        for (const UnreadableRow& row : changes->unreadable_rows) {
+          this->ReportUnreadable("row", row.problem);
         }
         if (feed.table == TableName::kOwn) {
           this->OnOwnRows(changes->rows);
           this->NoteViewRead(began);
         } else {
+          this->OnEvacuationRows(*changes);
           this->OnOperatorRows(changes->rows);
         }
         if (feed.revision == TableRevision()) {
@@ -213,6 +214,13 @@
                      [&] { this->OnConfigurationRow(*newest); });
 }
 
+void TableWatcher::OnEvacuationRows(const RowChanges& changes) {
+  this->boundary.Run(HandlerKind::kRow, [&] {
+    std::optional<EvacuationSet> read = this->evacuation_rows.Apply(changes);
+    if (read) this->sink(EvacuationsRead{std::move(*read)});
+  });
+}
+
 void TableWatcher::OnConfigurationRow(const Row& row) {
   const auto began = SteadyClock::now();
   const std::vector<VersionedDocument> documents =
--- a/services/entry/table_watcher.h
+++ b/services/entry/table_watcher.h
@@ -13,6 +13,7 @@
 
 #include "libraries/configuration/settings.h"
 #include "libraries/telemetry/metrics.h"
+#include "platform/evacuation_rows.h"
 #include "platform/table_client.h"
 #include "services/entry/entry_links.h"
 #include "services/entry/join_requests.h"
@@ -92,6 +93,7 @@
   void OnOwnRows(const std::vector<Row>& rows);
   void OnOwnRow(const Row& row);
   void OnOperatorRows(const std::vector<Row>& rows);
+  void OnEvacuationRows(const RowChanges& changes);
   void OnConfigurationRow(const Row& row);
   void OnDocumentRow(const Row& row);
   void OnJoinRow(const Row& row);
@@ -129,6 +131,7 @@
   TableClient table;
   Feed own_feed;
   Feed operator_feed;
+  EvacuationRows evacuation_rows;
   // The latest version of the operators' configuration, and its services.
   DocumentVersion newest_configuration;
   std::set<ServiceName> configured_services;
--- a/tests/support/entry_mesh.cc
+++ b/tests/support/entry_mesh.cc
@@ -71,6 +71,16 @@
   this->document = written;
 }
 
+void EntryMesh::ReadEvacuations(std::size_t entry,
+                                const EvacuationSet& evacuations) {
+  this->Handle(entry, EvacuationsRead{evacuations});
+  this->DeliverAll();
+}
+
+const EvacuationSet& EntryMesh::EvacuationsAt(std::size_t entry) const {
+  return this->entries[entry].core->evacuations();
+}
+
 void EntryMesh::CutFromTable(std::size_t entry) {
   this->entries[entry].reaches_table = false;
 }
--- a/tests/support/entry_mesh.h
+++ b/tests/support/entry_mesh.h
@@ -30,6 +30,8 @@
   std::size_t Join();
   void Advance(Duration span);
   void WriteDocument(const VersionedDocument& written);
+  // The entry reads these evacuated data centres from the operators' table.
+  void ReadEvacuations(std::size_t entry, const EvacuationSet& evacuations);
   // The entry reads nothing from the table from now on.
   void CutFromTable(std::size_t entry);
   // The entry handles nothing from now on. No other learns of its end.
@@ -50,6 +52,7 @@
   [[nodiscard]] DocumentVersion VersionAt(std::size_t entry) const;
   // The document that is in force at the entry, if there is one.
   [[nodiscard]] VersionedDocument DocumentAt(std::size_t entry) const;
+  [[nodiscard]] const EvacuationSet& EvacuationsAt(std::size_t entry) const;
   [[nodiscard]] Timestamp now() const { return this->time; }
   // The encoded size of all messages that the entries have sent each other.
   [[nodiscard]] std::uint64_t bytes_sent() const { return this->sent_bytes; }
--- a/utilities/dandelionspur/commands.cc
+++ b/utilities/dandelionspur/commands.cc
@@ -264,12 +264,19 @@
                 << (agent.value("lost", false)         ? "lost"
                     : !agent.value("connected", false) ? "disconnected"
                     : agent.value("leaving", false)    ? "leaving"
+                    : agent.value("evacuated", false)  ? "evacuated"
                     : agent.value("ready", false)      ? "ready"
                                                        : "registering")
                 << ", " << agent["running"] << " running from here, "
                 << agent["millicores_in_use"] << " millicores in use of "
                 << agent["cores"] << " cores\n";
   }
+  const nlohmann::json evacuated =
+      status.value("evacuated", nlohmann::json::array());
+  for (const nlohmann::json& data_centre : evacuated) {
+    text_output << "  data centre " << data_centre.get<std::string>()
+                << ": evacuated\n";
+  }
   for (const auto& [service, version] : status["documents"].items()) {
     text_output << "  service " << service << ": version " << version << "\n";
   }
