--- a/tests/agent_core/agent_core_test.cc
+++ b/tests/agent_core/agent_core_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace dandelionspur {
@@ -39,6 +40,7 @@
     AgentCoreSettings settings;
     settings.self = AgentId(7);
     settings.bucket_count = 1;
+    settings.data_centre = DataCentreName("a");
     return settings;
   }
 
@@ -801,5 +803,78 @@
   EXPECT_EQ(parts, 6U);
 }
 
+EvacuationSet SetOf(std::uint64_t version,
+                    const std::vector<std::string>& names) {
+  return {EvacuationVersion(version), {names.begin(), names.end()}};
+}
+
+struct EvacuationCase {
+  const char* name;
+  std::vector<EvacuationSet> told;
+  bool starts;
+};
+
+class EvacuatedAgentTest : public AgentCoreTest,
+                           public testing::WithParamInterface<EvacuationCase> {
+};
+
+// Guards against a start in an evacuated data centre by a home that is cut off
+// from the table and the other entries: the agent is the last to check it.
+TEST_P(EvacuatedAgentTest, AStartOfAnUninformedHomeIsRefusedWhileEvacuated) {
+  const EntryId uninformed(kEntry + 1);
+  this->Handle(EntryConnected{uninformed});
+  for (const EvacuationSet& told : this->GetParam().told) {
+    this->Deliver(EntryHeartbeat{this->now, told});
+  }
+  const bool starts = this->GetParam().starts;
+  EXPECT_EQ(this->agent.is_evacuated(), !starts);
+  Start start = StartOf(1);
+  start.ballot.entry = uninformed;
+  const auto effects = this->Handle(EntryMessageReceived{uninformed, start});
+  EXPECT_EQ(Only<RunOnUpstream>(effects).size(), starts ? 1U : 0U);
+  const auto refused = Sent<TaskNotRun>(effects);
+  ASSERT_EQ(refused.size(), starts ? 0U : 1U);
+  if (starts) return;
+  // An entry that tells of no evacuations may not know the reason.
+  EXPECT_EQ(refused[0].reason, Reason::kNoFreeSlot);
+  EXPECT_FALSE(refused[0].load.accepting);
+  EXPECT_FALSE(refused[0].load.leaving);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Sets, EvacuatedAgentTest,
+    testing::Values(
+        EvacuationCase{"Nothing", {}, true},
+        EvacuationCase{"Elsewhere", {SetOf(5, {"b"})}, true},
+        EvacuationCase{"OneOfTwo", {SetOf(5, {"a", "b"})}, false},
+        EvacuationCase{"Returned", {SetOf(5, {"a"}), SetOf(6, {})}, true},
+        EvacuationCase{"OlderReturn", {SetOf(5, {"a"}), SetOf(4, {})}, false},
+        EvacuationCase{
+            "OlderEvacuation", {SetOf(5, {}), SetOf(4, {"a"})}, true}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
+// Guards against a start that waits in the agent's queue and is carried out
+// long after the evacuation; what runs may end.
+TEST_F(AgentCoreTest, QueuedTasksAreReturnedWhenTheDataCentreIsEvacuated) {
+  for (const std::uint64_t job : {1, 2, 3}) this->Deliver(StartOf(job));
+  const auto effects =
+      this->Deliver(EntryHeartbeat{this->now, SetOf(5, {"a"})});
+  ASSERT_EQ(Sent<TaskNotRun>(effects).size(), 1U);
+  EXPECT_EQ(Sent<TaskNotRun>(effects)[0].reason, Reason::kDataCentreEvacuated);
+  EXPECT_TRUE(Only<StopOnUpstream>(effects).empty());
+  EXPECT_EQ(this->agent.running(), 2U);
+  // The entries hear of it at once, and one that restarts when it connects.
+  ASSERT_EQ(Sent<AgentHeartbeat>(effects).size(), 1U);
+  EXPECT_FALSE(Sent<AgentHeartbeat>(effects)[0].load.accepting);
+  EXPECT_EQ(Sent<AgentHeartbeat>(effects)[0].evacuations, EvacuationVersion(5));
+  const auto registered =
+      Sent<Register>(this->Handle(EntryConnected{EntryId(kEntry)}));
+  ASSERT_EQ(registered.size(), 1U);
+  EXPECT_EQ(registered[0].evacuations, SetOf(5, {"a"}));
+  EXPECT_EQ(registered[0].description.data_centre, DataCentreName("a"));
+  this->Deliver(RegisterAcknowledged{View(), {}, true, SetOf(6, {})});
+  EXPECT_FALSE(this->agent.is_evacuated());
+}
+
 }  // namespace
 }  // namespace dandelionspur
--- a/tests/services/table_watcher_test.cc
+++ b/tests/services/table_watcher_test.cc
@@ -89,13 +89,14 @@
   }
 
   // The operators' rows that change after those that Read was given, one list
-  // an answer.
+  // an answer. Null: all rows are removed, and the history of that is gone.
   std::vector<json> operator_changes;
   // Reading the document of this service throws; empty: of none.
   std::string throwing_service;
   std::vector<VersionedDocument> documents;
   std::vector<std::string> services;
   std::vector<Epoch> epochs;
+  std::vector<EvacuationSet> evacuations;
 
  private:
   static std::string Answer(const json& rows) {
@@ -117,6 +118,12 @@
           table == "op" && this->next_change < this->operator_changes.size();
       if (!has_changes) return;
       const json& rows = this->operator_changes[this->next_change++];
+      if (rows.is_null()) {
+        constexpr unsigned kGone = 410;
+        this->answers["op"] = Answer(json::array());
+        responder(MakeHttpResponse(kGone, "application/json", "{}"));
+        return;
+      }
       responder(MakeHttpResponse(kOk, "application/json", Answer(rows)));
       return;
     }
@@ -130,6 +137,9 @@
       this->services.push_back(read->document.service.value());
       this->documents.push_back(read->document);
     }
+    if (const auto* read = std::get_if<EvacuationsRead>(&event)) {
+      this->evacuations.push_back(read->evacuations);
+    }
     if (const auto* read = std::get_if<ViewRead>(&event)) {
       this->epochs.push_back(read->view.epoch);
     }
@@ -217,6 +227,22 @@
   EXPECT_TRUE(this->Failed(3));
 }
 
+// Guards against an entry that follows the configuration, but not the rows that
+// evacuate data centres, or misses a removal that the history lacks.
+TEST_F(TableWatcherTest, TheEvacuatedDataCentresAreFollowed) {
+  const json odd = WireRow("evacuate/a", "\xff[");
+  this->operator_changes = {json::array({ConfigurationRow(9, {"s"})}),
+                            json::array({WireRow("evacuate/b", "")}), json()};
+  this->Read(json::array(), json::array({odd, ConfigurationRow(8, {"s"})}));
+  const EvacuationVersion version(9);
+  const DataCentreName first("a");
+  const DataCentreName second("b");
+  EXPECT_EQ(
+      this->evacuations,
+      (std::vector<EvacuationSet>{
+          {version, {first}}, {version, {first, second}}, {version, {}}}));
+}
+
 struct OddRowCase {
   const char* name;
   // The JSON text of the odd row.
