--- a/platform/evacuation_rows.cc
+++ b/services/entry/evacuation_rows.cc
@@ -1,12 +1,14 @@
-#include "platform/evacuation_rows.h"
+#include "services/entry/evacuation_rows.h"
 
 #include <string>
 #include <string_view>
 
+#include "platform/desired_state.h"
+
 namespace dandelionspur {
 namespace {
 
-constexpr std::string_view kPrefix = "evacuate/";
+constexpr std::string_view kPrefix = kEvacuationRowPrefix;
 
 std::optional<DataCentreName> EvacuatedBy(const std::string& key) {
   if (!key.starts_with(kPrefix) || key.size() == kPrefix.size()) {
--- a/services/entry/table_watcher.h
+++ b/services/entry/table_watcher.h
@@ -13,9 +13,9 @@
 
 #include "libraries/configuration/settings.h"
 #include "libraries/telemetry/metrics.h"
-#include "platform/evacuation_rows.h"
 #include "platform/table_client.h"
 #include "services/entry/entry_links.h"
+#include "services/entry/evacuation_rows.h"
 #include "services/entry/join_requests.h"
 #include "services/runtime/handler_boundary.h"
 
--- a/tests/platform/evacuation_rows_test.cc
+++ b/tests/services/evacuation_rows_test.cc
@@ -1,4 +1,4 @@
-#include "platform/evacuation_rows.h"
+#include "services/entry/evacuation_rows.h"
 
 #include <gtest/gtest.h>
 
