network: Bound what a stranger on a link can make a process hold

Each read of a long frame moved all that had arrived. An accept that failed for lack of descriptors was repeated at once, without end.

Change: 4 KiB and 10 s for the Hello; the usual size of frames only after it. A frame is moved to the front of the buffer once. After a failed accept the listener pauses for 20 ms.

--- a/libraries/network/frame_connection.h
+++ b/libraries/network/frame_connection.h
@@ -63,6 +63,8 @@
   void Close();
 
   // The functions below must be called on the connection's thread.
+  // From now on, a frame with a longer body closes the connection.
+  void LimitFrames(std::size_t bytes) { this->incoming.LimitBody(bytes); }
   // From now on, sends an empty frame when bytes are received and nothing has
   // been sent for `interval`.
   void AnswerEvery(Duration interval) { this->answer_interval = interval; }
--- a/libraries/network/link.cc
+++ b/libraries/network/link.cc
@@ -19,6 +19,13 @@
 constexpr Duration kRedialInterval = std::chrono::milliseconds(100);
 constexpr Duration kRedialSpread = std::chrono::milliseconds(50);
 
+// More than any Hello has, also of later versions. Nobody has said yet who
+// sends it.
+constexpr std::size_t kMaximumHelloBytes = 4096;
+// The pause after a connection could not be accepted, for lack of descriptors
+// or memory.
+constexpr std::chrono::milliseconds kAcceptPause{20};
+
 std::optional<Hello> DecodeHello(std::string_view body) {
   return OrElse(
       [&]() -> Result<std::optional<Hello>> {
@@ -53,17 +60,35 @@
   return handlers.frame(other, body);
 }
 
+// Closes the connection if no Hello comes on it in time.
+void LimitHello(const FrameConnectionPointer& connection,
+                const asio::any_io_executor& executor,
+                const std::shared_ptr<std::optional<Hello>>& other) {
+  const auto timer = std::make_shared<asio::steady_timer>(executor);
+  timer->expires_after(kAcceptedHelloLimit);
+  timer->async_wait(
+      [timer, other, weak = std::weak_ptr<FrameConnection>(connection)](
+          boost::system::error_code error) {
+        const FrameConnectionPointer open = weak.lock();
+        if (!error && open && !*other) open->Close();
+      });
+}
+
 // Starts an accepted connection: sends `own`, expects a Hello as the first
 // frame and passes later frames to `handlers`.
 void StartAcceptedLink(const FrameConnectionPointer& connection,
-                       const Hello& own, const LinkHandlers& handlers) {
+                       const asio::any_io_executor& executor, const Hello& own,
+                       const LinkHandlers& handlers) {
   connection->Send(WireCodec::ToMessagePack(own));
   const auto other = std::make_shared<std::optional<Hello>>();
+  connection->LimitFrames(kMaximumHelloBytes);
+  LimitHello(connection, executor, other);
   FrameConnection::Handlers callbacks;
   callbacks.frame = [=](std::string_view body) {
     if (*other) return DeliverFrame(**other, body, handlers);
     *other = DecodeHello(body);
     if (!*other) return false;
+    connection->LimitFrames(kMaximumFrameBody);
     if ((*other)->answers) connection->AnswerEvery(kAnswerInterval);
     handlers.up(**other, connection);
     return true;
@@ -85,6 +110,7 @@
   Acceptor(ThreadGroup& group, Hello own, LinkHandlers callbacks)
       : threads(group),
         acceptor(group.First()),
+        pause_timer(group.First()),
         own_hello(WithAnswers(own)),
         handlers(std::move(callbacks)) {}
 
@@ -102,11 +128,14 @@
             const auto executor = socket.get_executor();
             const FrameConnectionPointer connection =
                 FrameConnection::Create(std::move(socket));
-            asio::post(executor, [self, connection] {
-              StartAcceptedLink(connection, self->own_hello, self->handlers);
+            asio::post(executor, [self, connection, executor] {
+              StartAcceptedLink(connection, executor, self->own_hello,
+                                self->handlers);
             });
+            self->Accept();
+            return;
           }
-          self->Accept();
+          self->AcceptAfterPause();
         });
   }
 
@@ -115,12 +144,22 @@
                [self = this->shared_from_this()] {
                  boost::system::error_code ignored;
                  self->acceptor.close(ignored);
+                 self->pause_timer.cancel();
                });
   }
 
  private:
+  void AcceptAfterPause() {
+    this->pause_timer.expires_after(kAcceptPause);
+    this->pause_timer.async_wait(
+        [self = this->shared_from_this()](boost::system::error_code error) {
+          if (!error && self->acceptor.is_open()) self->Accept();
+        });
+  }
+
   ThreadGroup& threads;
   Tcp::acceptor acceptor;
+  asio::steady_timer pause_timer;
   Hello own_hello;
   LinkHandlers handlers;
 };
--- a/libraries/network/link_liveness.h
+++ b/libraries/network/link_liveness.h
@@ -34,6 +34,10 @@
 // connections too, so the second bound is longer.
 inline constexpr Duration kConnectLimit = std::chrono::milliseconds(1000);
 inline constexpr Duration kHelloLimit = std::chrono::milliseconds(3000);
+// The same for an acceptor, which a dialer tells nothing before it has decided
+// that the new connection is to replace its link.
+inline constexpr Duration kAcceptedHelloLimit =
+    std::chrono::milliseconds(10000);
 
 }  // namespace dandelionspur
 
--- a/libraries/protocol/frame_decoder.cc
+++ b/libraries/protocol/frame_decoder.cc
@@ -13,11 +13,7 @@
 }  // namespace
 
 std::span<char> FrameDecoder::Room() {
-  std::copy(this->buffer.begin() + static_cast<std::ptrdiff_t>(this->begin),
-            this->buffer.begin() + static_cast<std::ptrdiff_t>(this->end),
-            this->buffer.begin());
-  this->end -= this->begin;
-  this->begin = 0;
+  this->MoveToFront();
   if (this->end == 0 && this->buffer.size() > kInitialBufferBytes) {
     // Releases the memory of a large frame that has been consumed.
     this->buffer = {};
@@ -29,6 +25,16 @@
   return std::span(this->buffer).subspan(this->end);
 }
 
+void FrameDecoder::MoveToFront() {
+  // A frame that arrives in many reads is moved once.
+  if (this->begin == 0) return;
+  std::copy(this->buffer.begin() + static_cast<std::ptrdiff_t>(this->begin),
+            this->buffer.begin() + static_cast<std::ptrdiff_t>(this->end),
+            this->buffer.begin());
+  this->end -= this->begin;
+  this->begin = 0;
+}
+
 void FrameDecoder::Add(std::size_t received) { this->end += received; }
 
 std::optional<std::string_view> FrameDecoder::Next() {
@@ -42,6 +48,10 @@
     this->problem = decoded.error;
     return std::nullopt;
   }
+  if (decoded.body_size > this->maximum_body) {
+    this->problem = FrameError::kOversized;
+    return std::nullopt;
+  }
   const std::size_t size = kFrameHeaderSize + decoded.body_size;
   if (unread.size() < size) return std::nullopt;
   this->begin += size;
--- a/libraries/protocol/frame_decoder.h
+++ b/libraries/protocol/frame_decoder.h
@@ -24,6 +24,8 @@
   // The body of the next frame, valid until Room() is called. Returns nothing
   // if the frame is incomplete or its header invalid.
   [[nodiscard]] std::optional<std::string_view> Next();
+  // From now on, a frame with a longer body is invalid.
+  void LimitBody(std::size_t bytes) { this->maximum_body = bytes; }
   // The error of the first invalid header, after which Next() returns no more
   // frames.
   [[nodiscard]] std::optional<FrameError> error() const {
@@ -33,10 +35,14 @@
   [[nodiscard]] bool HasPartialFrame() const { return this->begin < this->end; }
 
  private:
+  // Moves what Next() has not consumed to the front of the buffer.
+  void MoveToFront();
+
   std::vector<char> buffer;
   // The range of `buffer` that Next() has not consumed.
   std::size_t begin = 0;
   std::size_t end = 0;
+  std::size_t maximum_body = kMaximumFrameBody;
   std::optional<FrameError> problem;
 };
 
--- a/tests/protocol/frame_decoder_test.cc
+++ b/tests/protocol/frame_decoder_test.cc
@@ -54,6 +54,17 @@
                          testing::Values(1, 2, 4, 5, 6, 7, 1000, 4096, 8191,
                                          8192, 1'000'000));
 
+// Guards against a process that buffers what a stranger announces.
+TEST(FrameDecoderLimitTest, RefusesABodyAboveTheLimitFromThenOn) {
+  FrameDecoder decoder;
+  decoder.LimitBody(10);
+  const std::string bytes =
+      EncodeFrame(std::string(10, 'a')) + EncodeFrame(std::string(11, 'b'));
+  EXPECT_EQ(DecodeInPieces(decoder, bytes, bytes.size()),
+            std::vector<std::string>{std::string(10, 'a')});
+  EXPECT_EQ(decoder.error(), FrameError::kOversized);
+}
+
 struct BadHeaderCase {
   const char* name;
   std::string bytes;
