network: Bound memory, time and number of callers' connections

A body's announced length was reserved at once. Nothing bounded all connections together, the time of a request or an answer, or the number of connections; without descriptors the accept loop spun.

Change: HttpRequestReader, which has no socket, bounds header, body and framing of one request; a body arrives in blocks. HttpSession has phases, and the listener closes connections that take too long, that hold the most when all hold too much, or that are idle when there are too many. 431, 413 and 408 with not_run, or a close without an answer where the request isn't at fault. Answers of servers: a buffer with a maximum.

--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -1,6 +1,7 @@
 #include "libraries/configuration/settings.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <type_traits>
 
 #include "libraries/base/resources.h"
 #include "libraries/configuration/object_reader.h"
@@ -23,6 +24,10 @@
 constexpr IntegerRange kLogLinesPerSecondRange{0, 100'000};
 constexpr IntegerRange kJobsFollowedRange{0, 1'000};
 constexpr IntegerRange kWriteIntervalRangeMilliseconds{100, 3'600'000};
+constexpr IntegerRange kHeaderBytesRange{1'024, 1'048'576};
+constexpr IntegerRange kClientTimeRangeMilliseconds{100, 3'600'000};
+constexpr IntegerRange kDescriptorRange{64, 1'048'576};
+constexpr IntegerRange kClientConnectionRange{1, 1'048'576};
 
 constexpr IntegerRange kLinkRangeKilobits{100, 1'000'000'000};
 constexpr IntegerRange kMemoryRangeMegabytes{16, 1'048'576};
@@ -120,6 +125,35 @@
   return settings;
 }
 
+ClientLimitSettings ReadClientLimits(ObjectReader& reader) {
+  ClientLimitSettings limits;
+  if (!reader.Has("client_limits")) return limits;
+  ObjectReader nested = reader.Object("client_limits");
+  const auto integer = [&](const char* name, IntegerRange range, auto& value) {
+    using Value = std::decay_t<decltype(value)>;
+    value = static_cast<Value>(
+        nested.IntegerOr(name, range, static_cast<std::int64_t>(value)));
+  };
+  integer("header_bytes", kHeaderBytesRange, limits.header_bytes);
+  integer("body_bytes", kByteRange, limits.body_bytes);
+  integer("framing_bytes", kByteRange, limits.framing_bytes);
+  limits.request_time = nested.SecondsOr(
+      "request_s", kClientTimeRangeMilliseconds, limits.request_time);
+  limits.answer_time = nested.SecondsOr(
+      "answer_s", kClientTimeRangeMilliseconds, limits.answer_time);
+  const auto if_given = [&](const char* name, IntegerRange range, auto& value) {
+    if (nested.Has(name)) integer(name, range, value);
+  };
+  if_given("held_bytes", kByteRange, limits.held_bytes);
+  if_given("descriptors", kDescriptorRange, limits.descriptors);
+  if_given("connections", kClientConnectionRange, limits.connections);
+  if (limits.held_bytes != 0 && limits.held_bytes <= limits.body_bytes) {
+    nested.ReportProblem("held_bytes", "must be above body_bytes");
+  }
+  reader.FinishNested(nested);
+  return limits;
+}
+
 LogSettings ReadLog(ObjectReader& reader) {
   LogSettings settings{kDefaultLogLines, kDefaultJobsFollowed};
   if (!reader.Has("log")) return settings;
@@ -169,6 +203,7 @@
       "drain_accepts_ms", kDrainRangeMilliseconds, kDefaultDrainAccepts);
   settings.stop_within = reader.SecondsOr(
       "stop_within_s", kStopRangeMilliseconds, kDefaultStopWithin);
+  settings.client_limits = ReadClientLimits(reader);
   settings.link_bytes_per_second = ReadLink(reader);
   settings.memory_bytes = ReadMemoryLimit(reader);
   settings.recording = ReadRecording(reader);
@@ -218,6 +253,7 @@
       kDefaultDuplicateWindow);
   settings.lease =
       reader.MillisecondsOr("lease_ms", kLeaseRangeMilliseconds, kDefaultLease);
+  settings.client_limits = ReadClientLimits(reader);
   settings.recording = ReadRecording(reader);
   settings.log = ReadLog(reader);
   BOOST_LEAF_CHECK(reader.Finish());
--- a/libraries/configuration/settings.h
+++ b/libraries/configuration/settings.h
@@ -3,6 +3,7 @@
 
 #include <boost/describe.hpp>
 #include <boost/mp11.hpp>
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -30,6 +31,30 @@
   auto operator<=>(const RecordingSettings&) const = default;
 };
 
+// What the callers of a process can make it hold. The defaults exceed what the
+// requests need that this software serves.
+struct ClientLimitSettings {
+  // The request line and the header fields of a request.
+  std::uint32_t header_bytes = 16'384;
+  std::uint64_t body_bytes = 16'777'216;
+  // Sizes and extensions of a request's chunks, and its trailer.
+  std::uint64_t framing_bytes = 1'048'576;
+  // From a request's first byte to its last.
+  Duration request_time = std::chrono::seconds(120);
+  // From an answer's first byte to its last.
+  Duration answer_time = std::chrono::seconds(120);
+  // Unfinished requests and answers of all connections of one endpoint; 0:
+  // derived from the process's memory.
+  std::uint64_t held_bytes = 0;
+  // The file descriptors that the process may have open; 0: as many as the
+  // system allows.
+  std::uint32_t descriptors = 0;
+  // Connections to the endpoint for callers, at a time; 0: derived from the
+  // descriptors.
+  std::uint32_t connections = 0;
+  auto operator<=>(const ClientLimitSettings&) const = default;
+};
+
 // The protocol between an agent and its upstream.
 // kOwn: the upstream announces itself at the admin address, and one call runs
 // one task: docs/api.md.
@@ -67,6 +92,7 @@
   Duration remove_after{};
   // The longest lease under which any agent lets an upstream run tasks.
   Duration lease{};
+  ClientLimitSettings client_limits;
   // How long callers are still accepted after a request to stop.
   Duration drain_accepts{};
   // The time from a request to stop until the process is killed.
@@ -79,7 +105,8 @@
                        upstream_protocol, millicores, link_bytes_per_second,
                        memory_bytes, input_output_threads, bucket_count,
                        duplicate_window, suspect_after, remove_after, lease,
-                       drain_accepts, stop_within, recording, log))
+                       client_limits, drain_accepts, stop_within, recording,
+                       log))
 
 struct AgentSettings {
   DataCentreName data_centre;
@@ -99,6 +126,7 @@
   // The duration of the lease under which the upstream runs a task; renewed
   // after half of it.
   Duration lease{};
+  ClientLimitSettings client_limits;
   RecordingSettings recording;
   LogSettings log;
 };
@@ -106,8 +134,8 @@
                       (data_centre, admin, upstream_protocol, announcements,
                        input_output_threads, table, upstream_connections,
                        bucket_count, maximum_remembered_tasks,
-                       maximum_answer_bytes, duplicate_window, lease, recording,
-                       log))
+                       maximum_answer_bytes, duplicate_window, lease,
+                       client_limits, recording, log))
 
 // Parse and validate the text of a settings file. Errors name the text by
 // `source`, the field and the allowed values.
--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -269,6 +269,18 @@
 BOOST_DESCRIBE_STRUCT(CallerConnectionCut, (),
                       (reason, unanswered, unread, since_request))
 
+// Callers reached a limit of client_limits; their connections were closed or
+// their requests refused. At most one line a second for each limit and
+// endpoint.
+struct ClientLimitReached {
+  static constexpr const char* kName = "client_limit_reached";
+  std::string endpoint;
+  std::string limit;
+  // How often since the last such line.
+  std::uint64_t times = 0;
+};
+BOOST_DESCRIBE_STRUCT(ClientLimitReached, (), (endpoint, limit, times))
+
 // The program restarts in the same process, without its earlier state.
 struct ProcessRestarting {
   static constexpr const char* kName = "beginning_anew";
--- a/libraries/network/http_client.cc
+++ b/libraries/network/http_client.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "libraries/network/arriving_body.h"
 #include "libraries/network/socket_liveness.h"
 
 namespace dandelionspur {
@@ -19,6 +20,11 @@
 using Tcp = asio::ip::tcp;
 
 constexpr std::uint64_t kMaximumResponseBytes = 64ULL * 1024 * 1024;
+// A response's header, a chunk's size and extension, and the trailer each have
+// to fit into the read buffer.
+constexpr std::size_t kMaximumBufferBytes = 64UL * 1024;
+// A larger buffer is freed once it is empty between two responses.
+constexpr std::size_t kRetainedBufferBytes = 4096;
 constexpr Duration kConnectTimeout = std::chrono::seconds(1);
 
 bool IsRefusal(const boost::system::error_code& error) {
@@ -103,7 +109,13 @@
   }
 
   void Finish() {
-    HttpResult result{HttpProgress::kAnswered, this->parser->release()};
+    http::response<ArrivingBody> message = this->parser->release();
+    HttpResult result{
+        HttpProgress::kAnswered,
+        HttpResponse(std::move(message.base()), message.body().Take())};
+    const bool oversized = this->buffer.size() == 0 &&
+                           this->buffer.capacity() > kRetainedBufferBytes;
+    if (oversized) this->buffer.shrink_to_fit();
     const bool reusable = result.response.keep_alive();
     const HttpCallback callback = std::move(this->current.callback);
     this->stream.expires_never();
@@ -128,8 +140,8 @@
 
   beast::tcp_stream stream;
   std::shared_ptr<HttpClient> client;
-  beast::flat_buffer buffer;
-  std::optional<http::response_parser<http::string_body>> parser;
+  beast::flat_buffer buffer{kMaximumBufferBytes};
+  std::optional<http::response_parser<ArrivingBody>> parser;
   PendingRequest current;
   bool connected = false;
 };
--- a/libraries/network/http_connection_end.h
+++ b/libraries/network/http_connection_end.h
@@ -14,9 +14,10 @@
 // kAnswered: after a response that announced it, or after the last response of
 // a server that drains.
 // kWriteFailed: a response could not be written.
+// kLimit: the caller exceeded a limit of the server: HttpLimits.
 // kServerEnded: the server ended while the connection was open.
 BOOST_DEFINE_ENUM_CLASS(HttpConnectionEnd, kCallerClosed, kIdle, kAnswered,
-                        kWriteFailed, kServerEnded)
+                        kWriteFailed, kLimit, kServerEnded)
 
 // What a connection that has ended owed its caller.
 struct HttpConnectionReport {
--- a/libraries/network/http_server.h
+++ b/libraries/network/http_server.h
@@ -8,6 +8,7 @@
 
 #include "libraries/base/error.h"
 #include "libraries/network/http_connection_end.h"
+#include "libraries/network/http_limits.h"
 #include "libraries/network/http_messages.h"
 #include "libraries/network/thread_group.h"
 #include "libraries/protocol/view.h"
@@ -20,17 +21,31 @@
   // Requests that were read completely and whose response has not been written
   // completely.
   std::size_t unanswered = 0;
+  // What connections hold of unfinished requests and of answers, in bytes.
+  std::size_t held = 0;
 };
 
-// An HTTP/1.1 server with keep-alive. A request that is malformed or too long
-// is answered with 400, 413 or 431 and not passed to the handler.
+// What a server is told of its connections, and the bounds that it keeps them
+// in. What the functions use must outlive the server's threads.
+struct HttpServerOptions {
+  HttpConnectionObserver connection_ended = [](const HttpConnectionReport&) {};
+  HttpLimits limits;
+  HttpLimitObserver limit_reached = [](HttpLimit) {};
+};
+
+// An HTTP/1.1 server with keep-alive. A request that is malformed, too long or
+// too slow is answered with 400, 408, 413 or 431 and not passed to the handler;
+// its connection closes. So do connections without an answer: those that hold
+// the most when all together hold too much; those that leave an answer unread
+// for too long; and those that have been idle for the longest when there are
+// too many, or too few descriptors, first of the caller's address with the
+// most. A connection whose request is being handled stays.
 class HttpServer {
  public:
-  // Fails if the endpoint can't be bound. `threads` must outlive the server,
-  // and what `observer` uses must outlive `threads`.
+  // Fails if the endpoint can't be bound. `threads` must outlive the server.
   static Result<std::unique_ptr<HttpServer>> Create(
       const Endpoint& endpoint, ThreadGroup& threads, HttpHandler handler,
-      HttpConnectionObserver observer = [](const HttpConnectionReport&) {});
+      HttpServerOptions options = {});
 
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/libraries/network/http_server_state.h
+++ b/libraries/network/http_server_state.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "libraries/network/http_connection_end.h"
+#include "libraries/network/http_limits.h"
 #include "libraries/network/http_messages.h"
 
 namespace dandelionspur {
@@ -15,9 +16,12 @@
 class HttpServerState {
  public:
   HttpServerState(HttpHandler callback,
-                  HttpConnectionObserver connection_observer)
+                  HttpConnectionObserver connection_observer,
+                  const HttpLimits& configured, HttpLimitObserver reached)
       : handler(std::move(callback)),
-        observer(std::move(connection_observer)) {}
+        observer(std::move(connection_observer)),
+        limits(configured),
+        limit_reached(std::move(reached)) {}
 
   // The listener and each connection hold a reference; the server is drained
   // when the last one is released.
@@ -28,17 +32,24 @@
 
   const HttpHandler handler;
   const HttpConnectionObserver observer;
+  const HttpLimits limits;
+  const HttpLimitObserver limit_reached;
   // Set when connections are to close after a response.
   std::atomic<bool> closing = false;
   // Set when connections are to close once idle.
   std::atomic<bool> draining = false;
   // Set before the listener releases its reference.
   std::function<void()> drained = [] {};
+  // Makes room when the connections hold too much. Set before the first
+  // connection; may be called on any of the server's threads.
+  std::function<void()> relieve = [] {};
   // Set when the HttpServer has been destroyed; `drained` must not be called
   // then.
   std::atomic<bool> owner_destroyed = false;
   std::atomic<std::size_t> connections = 0;
   std::atomic<std::size_t> unanswered = 0;
+  // What the connections hold of unfinished requests and of answers, in bytes.
+  std::atomic<std::size_t> held = 0;
 
  private:
   // Starts with the listener's reference.
--- a/libraries/network/http_session.cc
+++ b/libraries/network/http_session.cc
@@ -2,7 +2,6 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/http.hpp>
-#include <cstdint>
 #include <utility>
 
 namespace dandelionspur {
@@ -12,28 +11,30 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 
-constexpr std::uint64_t kMaximumBodyBytes = 16ULL * 1024 * 1024;
-constexpr std::uint32_t kMaximumHeaderBytes = 16U * 1024;
+constexpr unsigned kRequestTimeout = 408;
+// What a refused caller may still send before its connection is closed.
+constexpr std::size_t kLingerBytes = 262'144;
+constexpr std::size_t kLingerReadBytes = 8192;
 
-unsigned StatusFor(const boost::system::error_code& error) {
-  constexpr unsigned kBadRequest = 400;
-  constexpr unsigned kBodyTooLarge = 413;
-  constexpr unsigned kHeaderTooLarge = 431;
-  if (error == http::error::body_limit) return kBodyTooLarge;
-  if (error == http::error::header_limit) return kHeaderTooLarge;
-  return kBadRequest;
+asio::ip::address PeerOf(const Tcp::socket& socket) {
+  boost::system::error_code ended;
+  return socket.remote_endpoint(ended).address();
 }
 
 }  // namespace
 
 HttpSession::HttpSession(Tcp::socket connected,
                          std::shared_ptr<HttpServerState> common)
-    : socket(std::move(connected)), shared(std::move(common)) {
+    : socket(std::move(connected)),
+      shared(std::move(common)),
+      caller(PeerOf(this->socket)),
+      reader(this->shared->limits) {
   this->shared->Acquire();
   ++this->shared->connections;
 }
 
 HttpSession::~HttpSession() {
+  this->Hold(0);
   this->shared->observer(this->Report());
   this->MarkAnswered();
   --this->shared->connections;
@@ -42,7 +43,7 @@
 
 HttpConnectionReport HttpSession::Report() {
   HttpConnectionReport report{
-      this->end, this->busy, this->HasUnhandledBytes(), {}};
+      this->end, this->busy, !this->refused && this->HasUnhandledBytes(), {}};
   if (this->request_read_at) {
     report.since_request = std::chrono::duration_cast<Duration>(
         std::chrono::steady_clock::now() - *this->request_read_at);
@@ -57,47 +58,82 @@
   });
 }
 
-void HttpSession::Read() {
-  this->PrepareParser();
-  this->AwaitRequest();
+void HttpSession::EndFor(HttpLimit reached) {
+  asio::post(this->socket.get_executor(), [self = this->shared_from_this(),
+                                           reached] { self->EndNow(reached); });
 }
 
-bool HttpSession::HasUnhandledBytes() {
-  if (this->buffer.size() > 0) return true;
-  const bool partly_read =
-      !this->busy && this->parser && this->parser->got_some();
-  if (partly_read) return true;
+void HttpSession::EndNow(HttpLimit reached) {
+  switch (this->state.phase()) {
+    case HttpSessionPhase::kHandling:
+    case HttpSessionPhase::kEnding:
+      return;
+    case HttpSessionPhase::kIdle:
+      if (this->HasUnhandledBytes()) return;
+      break;
+    case HttpSessionPhase::kReading:
+      if (reached != HttpLimit::kRequestTime) break;
+      this->shared->limit_reached(reached);
+      this->Refuse(kRequestTimeout);
+      return;
+    case HttpSessionPhase::kLingering:
+      this->Close(HttpConnectionEnd::kAnswered);
+      return;
+    case HttpSessionPhase::kWriting:
+      break;
+  }
+  this->shared->limit_reached(reached);
+  this->Close(HttpConnectionEnd::kLimit);
+}
+
+void HttpSession::Close(HttpConnectionEnd cause) {
+  this->end = cause;
+  this->state.Enter(HttpSessionPhase::kEnding);
   boost::system::error_code ignored;
-  return this->socket.available(ignored) > 0;
+  this->socket.close(ignored);
 }
 
-void HttpSession::PrepareParser() {
-  this->parser.emplace();
-  this->parser->body_limit(kMaximumBodyBytes);
-  this->parser->header_limit(kMaximumHeaderBytes);
+void HttpSession::Hold(std::size_t bytes) {
+  const std::size_t before = this->state.held.exchange(bytes);
+  if (bytes == before) return;
+  // Wraps around where it falls, as the total does.
+  const std::size_t total = this->shared->held += bytes - before;
+  const bool grows = bytes > before;
+  if (grows && total > this->shared->limits.held_bytes) {
+    this->shared->relieve();
+  }
+}
+
+void HttpSession::Read() { this->ReadMore(); }
+
+bool HttpSession::HasUnhandledBytes() {
+  if (this->reader.HasBytes()) return true;
+  boost::system::error_code ignored;
+  return this->socket.available(ignored) > 0;
 }
 
-void HttpSession::AwaitRequest() {
-  http::async_read(
-      this->socket, this->buffer, *this->parser,
+void HttpSession::ReadMore() {
+  this->socket.async_read_some(
+      this->reader.Room(),
       [self = this->shared_from_this()](boost::system::error_code error,
-                                        std::size_t) { self->OnRead(error); });
+                                        std::size_t received) {
+        self->OnRead(error, received);
+      });
 }
 
 void HttpSession::ReadNext() {
-  this->PrepareParser();
+  this->state.Enter(HttpSessionPhase::kIdle);
   if (this->shared->draining && !this->HasUnhandledBytes()) {
-    this->end = HttpConnectionEnd::kAnswered;
-    boost::system::error_code ignored;
-    this->socket.close(ignored);
+    this->Close(HttpConnectionEnd::kAnswered);
     return;
   }
-  this->AwaitRequest();
+  this->Proceed();
 }
 
 void HttpSession::MarkUnanswered() {
   this->busy = true;
   ++this->shared->unanswered;
+  this->request_read_at = std::chrono::steady_clock::now();
 }
 
 void HttpSession::MarkAnswered() {
@@ -106,34 +142,57 @@
   --this->shared->unanswered;
 }
 
-void HttpSession::OnRead(boost::system::error_code error) {
+void HttpSession::OnRead(boost::system::error_code error,
+                         std::size_t received) {
+  if (this->refused || this->state.phase() == HttpSessionPhase::kEnding) return;
   if (error == asio::error::operation_aborted) {
-    if (this->HasUnhandledBytes()) {
-      this->AwaitRequest();
-    } else {
-      this->end = HttpConnectionEnd::kIdle;
-    }
+    this->OnCancelled();
     return;
   }
-  const bool disconnected = error == http::error::end_of_stream ||
-                            error == asio::error::connection_reset ||
-                            error == http::error::partial_message;
-  if (disconnected) {
+  if (error) {
     this->end = HttpConnectionEnd::kCallerClosed;
     return;
   }
-  this->MarkUnanswered();
-  this->request_read_at = std::chrono::steady_clock::now();
-  if (error) {
-    HttpResponse refusal =
-        MakeHttpResponse(StatusFor(error), "application/problem+json",
-                         R"({"verdict":"not_run",)"
-                         R"("reason":"malformed_request"})");
-    refusal.keep_alive(false);
-    this->Write(std::move(refusal));
-    return;
+  this->reader.Add(received);
+  this->Proceed();
+}
+
+void HttpSession::OnCancelled() {
+  if (this->HasUnhandledBytes()) {
+    this->ReadMore();
+  } else {
+    this->end = HttpConnectionEnd::kIdle;
+  }
+}
+
+void HttpSession::Proceed() {
+  switch (this->reader.Parse()) {
+    case HttpReadState::kComplete:
+      this->HandleRequest();
+      return;
+    case HttpReadState::kRefused:
+      if (const auto limit = this->reader.exceeded()) {
+        this->shared->limit_reached(*limit);
+      }
+      this->Refuse(this->reader.refusal_status());
+      return;
+    case HttpReadState::kIncomplete:
+      break;
+  }
+  if (this->reader.HasBytes()) {
+    this->Hold(this->reader.held_bytes());
+    if (this->state.phase() == HttpSessionPhase::kIdle) {
+      this->state.Enter(HttpSessionPhase::kReading);
+    }
   }
-  HttpRequest request = this->parser->release();
+  this->ReadMore();
+}
+
+void HttpSession::HandleRequest() {
+  this->Hold(0);
+  this->MarkUnanswered();
+  this->state.Enter(HttpSessionPhase::kHandling);
+  HttpRequest request = this->reader.Take();
   this->keep_alive = request.keep_alive();
   this->version = request.version();
   this->shared->handler(std::move(request),
@@ -143,6 +202,18 @@
                         }));
 }
 
+void HttpSession::Refuse(unsigned status) {
+  this->refused = true;
+  this->MarkUnanswered();
+  boost::system::error_code ignored;
+  this->socket.cancel(ignored);
+  HttpResponse refusal = MakeHttpResponse(status, "application/problem+json",
+                                          R"({"verdict":"not_run",)"
+                                          R"("reason":"malformed_request"})");
+  refusal.keep_alive(false);
+  this->Write(std::move(refusal));
+}
+
 void HttpSession::Respond(HttpResponseFactory make) {
   asio::post(this->socket.get_executor(), [self = this->shared_from_this(),
                                            maker = std::move(make)] {
@@ -157,6 +228,8 @@
 void HttpSession::Write(HttpResponse message) {
   this->response = std::move(message);
   this->response.prepare_payload();
+  this->state.Enter(HttpSessionPhase::kWriting);
+  this->Hold(this->response.body().size());
   http::async_write(this->socket, this->response,
                     [self = this->shared_from_this()](
                         boost::system::error_code error, std::size_t) {
@@ -165,19 +238,37 @@
 }
 
 void HttpSession::OnWritten(boost::system::error_code error) {
+  if (this->state.phase() == HttpSessionPhase::kEnding) return;
   if (error) {
     this->end = HttpConnectionEnd::kWriteFailed;
     return;
   }
   this->MarkAnswered();
-  this->parser.reset();
-  if (this->response.need_eof()) {
-    this->end = HttpConnectionEnd::kAnswered;
-    boost::system::error_code ignored;
-    this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  const bool last = this->response.need_eof();
+  this->response = {};
+  this->Hold(0);
+  if (!last) {
+    this->ReadNext();
     return;
   }
-  this->ReadNext();
+  this->end = HttpConnectionEnd::kAnswered;
+  boost::system::error_code ignored;
+  this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  if (!this->refused) return;
+  this->state.Enter(HttpSessionPhase::kLingering);
+  this->response.body().resize(kLingerReadBytes);
+  this->Linger();
+}
+
+void HttpSession::Linger() {
+  std::string& discarded = this->response.body();
+  this->socket.async_read_some(
+      asio::buffer(discarded),
+      [self = this->shared_from_this()](boost::system::error_code error,
+                                        std::size_t received) {
+        self->lingered += received;
+        if (!error && self->lingered < kLingerBytes) self->Linger();
+      });
 }
 
 }  // namespace dandelionspur
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -85,6 +85,7 @@
       input_output(configured.input_output_threads == 0
                        ? this->core_thread
                        : *this->network_threads),
+      client_limits(configured.client_limits, this->metrics),
       refusals(this->metrics, "start_refusals_total"),
       core(CoreSettings(configured, own)),
       log(this->core),
@@ -110,12 +111,13 @@
       [this](AgentEvent event) { this->Dispatch(std::move(event)); });
   BOOST_LEAF_AUTO(
       admin,
-      HttpServer::Create(
-          this->settings.admin, this->input_output,
-          GuardRequests(this->metrics, [this](const HttpRequest& request,
+      HttpServer::Create(this->settings.admin, this->input_output,
+                         GuardRequests(this->metrics,
+                                       [this](const HttpRequest& request,
                                               const HttpResponder& responder) {
-            this->HandleAdmin(request, responder);
-          })));
+                                         this->HandleAdmin(request, responder);
+                                       }),
+                         this->client_limits.ForOthers("admin")));
   this->admin_server = std::move(admin);
   if (this->settings.upstream_protocol == UpstreamProtocol::kPlatform) {
     BOOST_LEAF_AUTO(
--- a/services/agent/agent_server.h
+++ b/services/agent/agent_server.h
@@ -12,6 +12,7 @@
 #include "services/agent/agent_links.h"
 #include "services/agent/platform_upstream.h"
 #include "services/agent/upstream_client.h"
+#include "services/runtime/client_limits.h"
 #include "services/runtime/record_uploader.h"
 
 namespace dandelionspur {
@@ -79,6 +80,7 @@
   // Not set if one thread runs everything.
   std::optional<ThreadGroup> network_threads;
   ThreadGroup& input_output;
+  ClientLimits client_limits;
   ReasonCounters refusals;
   AgentCore core;
   AgentDecisionLog log;
--- a/services/agent/platform_upstream.cc
+++ b/services/agent/platform_upstream.cc
@@ -46,13 +46,15 @@
   std::unique_ptr<PlatformUpstream> upstream(new PlatformUpstream(
       settings, thread, counters, std::move(events), std::move(renewal)));
   BOOST_LEAF_AUTO(
-      bound, HttpServer::Create(
-                 *settings.announcements, thread,
-                 GuardRequests(counters, [raw = upstream.get()](
-                                             const HttpRequest& request,
-                                             const HttpResponder& responder) {
-                   raw->OnUpstreamCall(request, responder);
-                 })));
+      bound,
+      HttpServer::Create(
+          *settings.announcements, thread,
+          GuardRequests(counters,
+                        [raw = upstream.get()](const HttpRequest& request,
+                                               const HttpResponder& responder) {
+                          raw->OnUpstreamCall(request, responder);
+                        }),
+          upstream->client_limits.ForOthers("announcements")));
   upstream->server = std::move(bound);
   asio::post(thread.First(), [raw = upstream.get()] { raw->ScheduleTick(); });
   return upstream;
@@ -63,6 +65,7 @@
                                    EventSink events, RenewalSource renewal)
     : context(thread.First()),
       metrics(counters),
+      client_limits(settings.client_limits, counters),
       boundary(counters),
       sink(std::move(events)),
       renewal_source(std::move(renewal)),
--- a/services/agent/platform_upstream.h
+++ b/services/agent/platform_upstream.h
@@ -11,6 +11,7 @@
 #include "libraries/network/http_client.h"
 #include "libraries/telemetry/metrics.h"
 #include "libraries/upstream_session/leased_upstream.h"
+#include "services/runtime/client_limits.h"
 #include "services/runtime/handler_boundary.h"
 
 namespace dandelionspur {
@@ -73,6 +74,7 @@
 
   boost::asio::io_context& context;
   Metrics& metrics;
+  ClientLimits client_limits;
   HandlerBoundary boundary;
   EventSink sink;
   RenewalSource renewal_source;
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -43,6 +43,8 @@
       input_output(configured.input_output_threads == 0
                        ? this->core_thread
                        : *this->network_threads),
+      client_limits(configured.client_limits, configured.memory_bytes,
+                    this->metrics),
       retries(this->metrics, "retries_total"),
       refusals(this->metrics, "refusals_decided_total"),
       agent_messages(this->metrics, "messages_from_agents_total"),
@@ -131,9 +133,10 @@
                 this->caller_routes->Handle(request, std::move(responder));
               },
               InternalErrorResponse()),
-          [this](const HttpConnectionReport& report) {
-            this->OnCallerGone(report);
-          }));
+          this->client_limits.ForCallers(
+              "callers", [this](const HttpConnectionReport& report) {
+                this->OnCallerGone(report);
+              })));
   this->caller_server = std::move(callers);
   return {};
 }
@@ -149,13 +152,14 @@
       this->metrics, *this->document_routes, *this->records,
       [this] { this->Drain(); });
   BOOST_LEAF_AUTO(
-      admin,
-      HttpServer::Create(
-          this->settings.admin, this->input_output,
-          GuardRequests(this->metrics, [this](const HttpRequest& request,
-                                              const HttpResponder& responder) {
-            this->admin_routes->Handle(request, responder);
-          })));
+      admin, HttpServer::Create(
+                 this->settings.admin, this->input_output,
+                 GuardRequests(this->metrics,
+                               [this](const HttpRequest& request,
+                                      const HttpResponder& responder) {
+                                 this->admin_routes->Handle(request, responder);
+                               }),
+                 this->client_limits.ForOthers("admin")));
   this->admin_server = std::move(admin);
   return {};
 }
@@ -163,12 +167,13 @@
 Result<void> EntryServer::ListenToProbes() {
   BOOST_LEAF_AUTO(
       readiness,
-      HttpServer::Create(
-          *this->settings.readiness, this->input_output,
-          GuardRequests(this->metrics, [this](const HttpRequest&,
+      HttpServer::Create(*this->settings.readiness, this->input_output,
+                         GuardRequests(this->metrics,
+                                       [this](const HttpRequest&,
                                               const HttpResponder& responder) {
-            this->HandleReadiness(responder);
-          })));
+                                         this->HandleReadiness(responder);
+                                       }),
+                         this->client_limits.ForOthers("readiness")));
   this->readiness_server = std::move(readiness);
   return {};
 }
@@ -366,6 +371,8 @@
 void EntryServer::OnCallerGone(const HttpConnectionReport& report) {
   const std::string reason(EnumName(report.end));
   this->metrics.Count("caller_connections_ended_total", "reason", reason);
+  // The lines for the limit tell of these.
+  if (report.end == HttpConnectionEnd::kLimit) return;
   if (!report.cuts_request()) return;
   this->metrics.Count("caller_connections_cut_total", "reason", reason);
   LogEvent(LogCategory::kFailure,
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -23,6 +23,7 @@
 #include "services/entry/serving_state.h"
 #include "services/entry/table_watcher.h"
 #include "services/entry/waiting_callers.h"
+#include "services/runtime/client_limits.h"
 #include "services/runtime/record_uploader.h"
 
 namespace dandelionspur {
@@ -100,6 +101,7 @@
   // Not set if one thread runs everything.
   std::optional<ThreadGroup> network_threads;
   ThreadGroup& input_output;
+  ClientLimits client_limits;
   ReasonCounters retries;
   ReasonCounters refusals;
   MessageCounters<AgentMessage> agent_messages;
--- a/tests/configuration/settings_test.cc
+++ b/tests/configuration/settings_test.cc
@@ -137,6 +137,14 @@
                     "file.json: field \"upstream_protocol\" must be one of: "
                     "own, platform",
                     EntryProblem},
+        ProblemCase{"HeldBelowBody",
+                    R"({"data_centre": "d",
+                        "callers": "127.0.0.1:1", "peers": "127.0.0.1:2",
+                        "admin": "127.0.0.1:3", "table": "127.0.0.1:4",
+                        "client_limits": {"held_bytes": 4096}})",
+                    "file.json: field \"client_limits.held_bytes\" must be "
+                    "above body_bytes",
+                    EntryProblem},
         ProblemCase{"UnknownChoice",
                     R"({"service": "s", "owner": "o", "order": "best"})",
                     "file.json: field \"order\" must be one of: "
--- a/tests/network/http_connection_end_test.cc
+++ b/tests/network/http_connection_end_test.cc
@@ -31,6 +31,10 @@
  public:
   ObservedServer() {
     this->threads = std::make_unique<ThreadGroup>(1);
+    HttpServerOptions options;
+    options.connection_ended = [this](const HttpConnectionReport& report) {
+      this->Note(report);
+    };
     this->server = OrElse(
         [&]() -> Result<std::unique_ptr<HttpServer>> {
           return HttpServer::Create(
@@ -38,9 +42,7 @@
               [this](const HttpRequest&, const HttpResponder& responder) {
                 this->Handle(responder);
               },
-              [this](const HttpConnectionReport& report) {
-                this->Note(report);
-              });
+              std::move(options));
         },
         [](const std::string&) { return std::unique_ptr<HttpServer>(); });
     this->caller.emplace(this->context);
