--- a/libraries/network/arriving_body.h
+++ b/libraries/network/arriving_body.h
@@ -76,45 +76,47 @@
   std::size_t total = 0;
 };
 
-// A body that takes memory as its bytes arrive. Beast's string_body takes the
-// announced length at once, which costs the sender nothing. The parser must
-// have a body limit.
-struct ArrivingBody {
-  using value_type = ArrivedBytes;
-
-  // The reader that Beast's parser asks for.
-  class reader {
-   public:
-    template <bool IsRequest, class Fields>
-    reader(boost::beast::http::header<IsRequest, Fields>& /*header*/,
-           ArrivedBytes& target)
-        : body(target) {}
-
-    void init(const boost::optional<std::uint64_t>& length,
-              boost::system::error_code& error) {
-      constexpr std::uint64_t kReservedBytes = 16'384;
-      if (length && *length > 0 && *length <= kReservedBytes) {
-        this->body.Reserve(*length);
-      }
-      error = {};
+// Passes the body that Beast's parser reads on to ArrivedBytes. The names are
+// the ones that the parser asks for.
+class ArrivingBodyReader {
+ public:
+  template <bool IsRequest, class Fields>
+  ArrivingBodyReader(boost::beast::http::header<IsRequest, Fields>& /*header*/,
+                     ArrivedBytes& target)
+      : body(target) {}
+
+  void init(const boost::optional<std::uint64_t>& length,
+            boost::system::error_code& error) {
+    constexpr std::uint64_t kReservedBytes = 16'384;
+    if (length && *length > 0 && *length <= kReservedBytes) {
+      this->body.Reserve(*length);
     }
+    error = {};
+  }
 
-    template <class Buffers>
-    std::size_t put(const Buffers& buffers, boost::system::error_code& error) {
-      std::size_t bytes = 0;
-      for (const auto part : boost::beast::buffers_range_ref(buffers)) {
-        this->body.Append({static_cast<const char*>(part.data()), part.size()});
-        bytes += part.size();
-      }
-      error = {};
-      return bytes;
+  template <class Buffers>
+  std::size_t put(const Buffers& buffers, boost::system::error_code& error) {
+    std::size_t bytes = 0;
+    for (const auto part : boost::beast::buffers_range_ref(buffers)) {
+      this->body.Append({static_cast<const char*>(part.data()), part.size()});
+      bytes += part.size();
     }
+    error = {};
+    return bytes;
+  }
 
-    void finish(boost::system::error_code& error) { error = {}; }
+  void finish(boost::system::error_code& error) { error = {}; }
 
-   private:
-    ArrivedBytes& body;
-  };
+ private:
+  ArrivedBytes& body;
+};
+
+// A body that takes memory as its bytes arrive. Beast's string_body takes the
+// announced length at once, which costs the sender nothing. The parser must
+// have a body limit.
+struct ArrivingBody {
+  using value_type = ArrivedBytes;
+  using reader = ArrivingBodyReader;
 };
 
 }  // namespace dandelionspur
--- a/libraries/network/http_victims.cc
+++ b/libraries/network/http_victims.cc
@@ -102,8 +102,8 @@
     held += bytes;
     const Rank rank = RankOf(session->progress(), now);
     const bool may_end = rank == Rank::kStalled || rank == Rank::kUnfinished;
-    if (bytes > 0 && may_end)
-      candidates.emplace_back(bytes, std::move(session));
+    if (bytes == 0 || !may_end) continue;
+    candidates.emplace_back(bytes, std::move(session));
   }
   std::vector<SessionPointer> chosen;
   if (held <= limit) return chosen;
