entry_core, agent_core: Place tasks where they end soonest and offer freed capacity once

Cause: all entries chose the fastest upstream that an outdated report showed as free, and freed capacity was told to all waiting entries, which all sent starts for it.

Change: SoonestEnd places by expected end (wait under an outdated report, measured slowness, share of failures); an agent offers freed capacity to one entry at a time, orders its line by slack and reports its upstream's slowness over all entries; entries tell each other their queues, late jobs yield to jobs in time, and lower priorities leave room for one urgent task.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -146,6 +146,7 @@
   this->connected.erase(event.entry);
   this->acknowledged.erase(event.entry);
   this->ready_announced.erase(event.entry);
+  this->offers.Settle(event.entry);
 }
 
 void AgentCore::On(const EntryMessageReceived& event) {
@@ -155,7 +156,7 @@
 
 void AgentCore::On(const UpstreamTaskCompleted& event) {
   if (!this->admission.IsRunning(event.task)) return;
-  this->admission.Release(event.task);
+  const Duration declared = this->admission.Release(event.task);
   if (this->admission.running_count() == 0) this->break_suspects.clear();
   ++this->load_version;
   this->stopping.erase(event.task);
@@ -170,14 +171,18 @@
     this->effects.emplace_back(StartRefusalCounted{reason});
     this->Send(home, TaskNotRun{event.task, reason, Ballot(),
                                 this->ReportLoad(home), start});
-    this->NotifyEntriesWithDemand(home);
+    this->OfferFreeCapacity(home);
     return;
   }
   TaskOutcome outcome = TaskOutcome::kUnknown;
   if (event.result == UpstreamResult::kSucceeded) {
     outcome = TaskOutcome::kSucceeded;
+    this->performance.ObserveSuccess(declared, event.elapsed);
+  }
+  if (event.result == UpstreamResult::kFailed) {
+    outcome = TaskOutcome::kFailed;
+    this->performance.ObserveFailure();
   }
-  if (event.result == UpstreamResult::kFailed) outcome = TaskOutcome::kFailed;
   this->started.MarkFinished(event.task, outcome, event.body);
   // Built from the event, since the size limit of the set may have evicted the
   // answer already.
@@ -185,7 +190,7 @@
       event.task, StartedState::kFinished,    outcome, event.body, true,
       start,      this->losses.Of(event.task)};
   this->Send(home, TaskFinished{report, event.elapsed, this->ReportLoad(home)});
-  this->NotifyEntriesWithDemand(home);
+  this->OfferFreeCapacity(home);
 }
 
 void AgentCore::On(const AgentViewRead& event) { this->AdoptView(event.view); }
@@ -203,6 +208,7 @@
   this->losses.Expire(this->current_time);
   this->recent_losses.Expire(this->current_time);
   this->StopOverdue();
+  this->OfferFreeCapacity(std::nullopt);
   const bool idle = this->admission.running_count() == 0 &&
                     this->admission.waiting_count() == 0;
   if (this->leaving && idle && !this->drained_reported) {
@@ -277,6 +283,7 @@
 void AgentCore::OnMessage(EntryId from, const Start& message) {
   const auto sender = this->connected.find(from);
   Start start = message;
+  this->offers.Settle(from);
   if (sender != this->connected.end()) {
     ++sender->second.starts_seen;
     sender->second.demand = message.queued;
@@ -316,8 +323,9 @@
       this->promises[this->BucketOfKey(message.task.key).value()];
   promised = std::max(promised, message.ballot);
   ++this->load_version;
-  this->admission.Enqueue(
-      {message, from, this->current_time + message.time_left});
+  AcceptedStart accepted{message, from, this->current_time + message.time_left};
+  if (message.slack) accepted.start_by = this->current_time + *message.slack;
+  this->admission.Enqueue(std::move(accepted));
   this->StartQueued();
 }
 
@@ -537,6 +545,7 @@
   }
   load.accepting = !this->NotAcceptingReason();
   load.leaving = this->leaving || this->upstream_leaving;
+  load.performance = this->performance.Report();
   return load;
 }
 
@@ -558,16 +567,40 @@
                             this->recent_losses.Report(this->current_time)});
 }
 
-void AgentCore::NotifyEntriesWithDemand(EntryId except) {
-  const bool has_capacity = this->admission.waiting_count() == 0 &&
-                            this->LoadFor(except).HasFreeCapacity();
-  if (!has_capacity) return;
+void AgentCore::OfferFreeCapacity(std::optional<EntryId> reported) {
+  const bool accepts =
+      this->admission.waiting_count() == 0 && !this->NotAcceptingReason();
+  std::uint64_t starts = accepts ? this->FreeStarts() : 0;
+  if (starts == 0) return;
+  std::vector<WaitingEntry> waiting;
   for (const auto& [entry, state] : this->connected) {
-    if (state.demand == 0 || entry == except) continue;
+    if (state.demand == 0) continue;
+    if (entry == reported) {
+      --starts;
+      continue;
+    }
+    waiting.push_back({entry, state.demand});
+  }
+  if (waiting.empty()) return;
+  for (const EntryId entry :
+       this->offers.Offer(waiting, starts, this->current_time)) {
     this->SendHeartbeat(entry);
   }
 }
 
+std::uint64_t AgentCore::FreeStarts() const {
+  // For an upstream where nothing runs that would tell the usual size.
+  constexpr std::uint64_t kTasksOfIdleUpstream = 8;
+  const std::uint64_t total = this->admission.total().millicores;
+  const std::uint64_t in_use = this->admission.running_need().millicores;
+  const std::uint64_t usual = this->admission.running_count() == 0
+                                  ? total / kTasksOfIdleUpstream
+                                  : in_use / this->admission.running_count();
+  if (in_use >= total) return 0;
+  // Rounded, since tasks differ in size.
+  return (total - in_use + usual / 2) / std::max<std::uint64_t>(1, usual);
+}
+
 void AgentCore::SendHeartbeats() {
   this->next_heartbeat = this->current_time + this->settings.heartbeat_interval;
   for (const auto& [entry, state] : this->connected) {
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -8,10 +8,12 @@
 #include <vector>
 
 #include "libraries/agent_core/agent_events.h"
+#include "libraries/agent_core/free_capacity_offers.h"
 #include "libraries/agent_core/loss_suspects.h"
 #include "libraries/agent_core/recent_losses.h"
 #include "libraries/agent_core/started_set.h"
 #include "libraries/agent_core/upstream_admission.h"
+#include "libraries/agent_core/upstream_performance.h"
 #include "libraries/protocol/upstream_losses.h"
 
 namespace dandelionspur {
@@ -122,9 +124,12 @@
   // Returns LoadFor(entry) and records that the entry receives this load.
   AgentLoad ReportLoad(EntryId entry);
   void SendHeartbeat(EntryId entry);
-  // Sends a heartbeat to each entry with demand other than `except`, if the
-  // upstream has free capacity.
-  void NotifyEntriesWithDemand(EntryId except);
+  // Offers free capacity to entries with demand. `reported`: the entry that
+  // receives the load with another message.
+  void OfferFreeCapacity(std::optional<EntryId> reported);
+  // The number of further tasks of the usual size that the upstream has room
+  // for.
+  [[nodiscard]] std::uint64_t FreeStarts() const;
   void SendHeartbeats();
   void Send(EntryId to, AgentMessage message);
   [[nodiscard]] BucketId BucketOfKey(const JobKey& key) const;
@@ -143,6 +148,8 @@
   AgentCoreSettings settings;
   StartedSet started;
   UpstreamAdmission admission;
+  FreeCapacityOffers offers;
+  UpstreamPerformance performance;
   UpstreamLosses losses;
   RecentLosses recent_losses;
   // The suspects of a break of contact that has not ended; empty without one.
--- a/libraries/agent_core/upstream_admission.cc
+++ b/libraries/agent_core/upstream_admission.cc
@@ -11,6 +11,11 @@
 // tasks wait here while another upstream becomes free earlier.
 constexpr std::uint64_t kQueueDivisor = 2;
 
+bool IsMoreUrgent(const AcceptedStart& left, const AcceptedStart& right) {
+  return left.start_by.value_or(Timestamp::max()) <
+         right.start_by.value_or(Timestamp::max());
+}
+
 }  // namespace
 
 bool UpstreamAdmission::Admits(const Resources& need) const {
@@ -22,7 +27,9 @@
 
 void UpstreamAdmission::Enqueue(AcceptedStart accepted) {
   this->waiting += accepted.start.request.need;
-  this->queue.push_back(std::move(accepted));
+  const auto position = std::upper_bound(this->queue.begin(), this->queue.end(),
+                                         accepted, IsMoreUrgent);
+  this->queue.insert(position, std::move(accepted));
 }
 
 std::optional<AcceptedStart> UpstreamAdmission::TakeNext(Timestamp now) {
@@ -34,7 +41,8 @@
   this->waiting = Without(this->waiting, need);
   this->in_use += need;
   this->running.emplace(next.start.task,
-                        Running{need, next.deadline, next.start.group, now});
+                        Running{need, next.deadline, next.start.group, now,
+                                next.start.request.declared});
   return next;
 }
 
@@ -76,11 +84,13 @@
   });
 }
 
-void UpstreamAdmission::Release(const TaskId& task) {
+Duration UpstreamAdmission::Release(const TaskId& task) {
   const auto found = this->running.find(task);
-  if (found == this->running.end()) return;
+  if (found == this->running.end()) return {};
+  const Duration declared = found->second.declared;
   this->in_use = Without(this->in_use, found->second.need);
   this->running.erase(found);
+  return declared;
 }
 
 std::vector<TaskId> UpstreamAdmission::Overdue(Timestamp now) const {
--- a/libraries/agent_core/upstream_admission.h
+++ b/libraries/agent_core/upstream_admission.h
@@ -18,6 +18,9 @@
   EntryId from;
   // The caller stops waiting for the task's result at this time.
   Timestamp deadline;
+  // The latest start with which the task ends within its objective; not set if
+  // it can't any more.
+  std::optional<Timestamp> start_by{};
 };
 
 // A task that is at the upstream.
@@ -41,6 +44,8 @@
   // Whether a task may be queued: it fits into the total capacity, and the
   // queue is short enough.
   [[nodiscard]] bool Admits(const Resources& need) const;
+  // Starts that can still meet their objective are served first, by the time
+  // left until then; the others in the order of their arrival.
   void Enqueue(AcceptedStart accepted);
   // Removes the first start from the queue and counts its task as running.
   // Returns nothing if the queue is empty or the free capacity is too small.
@@ -51,8 +56,9 @@
   std::vector<AcceptedStart> WithdrawOverdue(Timestamp now);
   // Removes all starts from the queue that don't fit into the total capacity.
   std::vector<AcceptedStart> WithdrawOversized();
-  // Frees the resources of a completed task.
-  void Release(const TaskId& task);
+  // Frees the resources of a completed task and returns its declared run time;
+  // zero if it was not running.
+  Duration Release(const TaskId& task);
 
   [[nodiscard]] bool IsRunning(const TaskId& task) const {
     return this->running.contains(task);
@@ -75,6 +81,7 @@
     Timestamp deadline;
     JobGroupId group;
     Timestamp started_at;
+    Duration declared{};
   };
 
   // Removes all starts from the queue for which `condition` holds.
--- a/libraries/configuration/service_document.cc
+++ b/libraries/configuration/service_document.cc
@@ -94,7 +94,8 @@
   document.change_id = ChangeId(reader.TextOr("change_id", ""));
   document.owner = ClientAccount(reader.Text("owner"));
   document.placement = static_cast<PlacementKind>(reader.ChoiceOr(
-      "placement", {"fastest_free", "random", "round_robin", "two_choices"},
+      "placement",
+      {"fastest_free", "random", "round_robin", "two_choices", "soonest_end"},
       0));
   document.order = static_cast<OrderKind>(reader.ChoiceOr(
       "order", {"shortest_remaining", "first_in_first_out", "least_slack"}, 0));
--- a/libraries/configuration/service_document.h
+++ b/libraries/configuration/service_document.h
@@ -12,10 +12,14 @@
 
 namespace dandelionspur {
 
-// The policy that chooses among the upstreams with a free slot. All but
-// kFastestFree are baselines for experiments.
+// The policy that chooses among the upstreams with a free slot.
+// kFastestFree: the upstream that has run tasks fastest.
+// kSoonestEnd: the upstream where the task is expected to end first, for
+// services whose upstreams are often full. Tasks leave room for others of
+// higher priority, and late jobs yield to those of other entries.
+// The others are baselines for experiments.
 BOOST_DEFINE_ENUM_CLASS(PlacementKind, kFastestFree, kRandom, kRoundRobin,
-                        kTwoChoices)
+                        kTwoChoices, kSoonestEnd)
 // The order in which queued jobs are served.
 // kLeastSlack: jobs that can still meet their latency objective come first, by
 // the latest time at which they must start; then jobs that can no longer do so.
--- a/libraries/entry_core/admission.cc
+++ b/libraries/entry_core/admission.cc
@@ -66,7 +66,7 @@
   if (quarantine.Contains(group)) {
     return WaitInQuarantine(service, group, service.QueuedWorkOf(group), now);
   }
-  Duration work = service.queued_work();
+  Duration work = service.queued_work() + service.peer_backlog().Total();
   for (const JobGroupId quarantined : quarantine.Groups()) {
     work -= service.QueuedWorkOf(quarantined);
   }
--- a/libraries/entry_core/agent_registry.cc
+++ b/libraries/entry_core/agent_registry.cc
@@ -3,6 +3,11 @@
 #include <algorithm>
 
 namespace dandelionspur {
+namespace {
+
+constexpr double kPercent = 100;
+
+}  // namespace
 
 void KnownAgent::NoteStartSent(const Resources& need) {
   ++this->starts_sent;
@@ -22,6 +27,10 @@
 void KnownAgent::NoteLoad(const AgentLoad& reported) {
   this->load = reported;
   this->last_load = reported;
+  if (reported.performance.slowness_percent > 0) {
+    this->slowness = reported.performance.slowness_percent / kPercent;
+    this->slowness_known = true;
+  }
   const bool is_idle =
       reported.running == Resources() && reported.waiting == Resources();
   this->has_departed = this->has_announced_departure && is_idle;
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -381,6 +381,7 @@
         lost.ended_idle ? AgentRuns::kEnded : AgentRuns::kMayContinue,
         DeathEvidence::kToldByEntry);
   }
+  this->home.NotePeerBacklogs(from, message.backlogs, this->current_time);
 }
 
 void EntryCore::OnAgent(AgentId from, const Register& message) {
@@ -666,12 +667,14 @@
 void EntryCore::SendHeartbeats() {
   this->SendViewToOutdatedPeers();
   this->documents_in_force.BeginRound(this->current_time);
+  const std::vector<ServiceBacklog> backlogs = this->home.Backlogs();
   // Also to former members: they still relay their callers' jobs, to members
   // that they hear.
   for (const EntryId peer : this->peers.Connected()) {
     PeerHeartbeat heartbeat =
         this->contacts.HeartbeatFor(peer, this->view(), this->current_time);
     heartbeat.documents = this->documents_in_force.NewsFor(peer);
+    heartbeat.backlogs = backlogs;
     this->outbox.ToPeer(peer, std::move(heartbeat));
   }
 }
--- a/libraries/entry_core/home_job.h
+++ b/libraries/entry_core/home_job.h
@@ -2,6 +2,7 @@
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_HOME_JOB_H_
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <variant>
 #include <vector>
@@ -146,6 +147,17 @@
     return this->DueAt() - Duration(static_cast<std::int64_t>(
                                static_cast<double>(longest.count()) * stretch));
   }
+  // How much later a task can be started and still end by DueAt(); nothing if
+  // that is no longer possible. `slowness`: actual over declared task time.
+  [[nodiscard]] std::optional<Duration> SlackOf(Duration declared,
+                                                double slowness,
+                                                Timestamp now) const {
+    const Duration run_time(static_cast<std::int64_t>(
+        static_cast<double>(declared.count()) * slowness));
+    const Duration slack = this->DueAt() - now - run_time;
+    if (slack < Duration()) return std::nullopt;
+    return slack;
+  }
   // True if neither this home nor a former one can have run a task of the job:
   // the key is not inherited, and each start by this home was proven "not run".
   // Doesn't consider starts for earlier relays (`earlier`).
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -99,6 +99,8 @@
   ServiceState* service = this->queues.Of(job);
   if (service != nullptr && !inherited) {
     service->demand().Add(submission.group, submission.CoreTime(), now);
+    service->urgent_reserve().Observe(submission.priority,
+                                      submission.tasks.front().need, now);
   }
   const std::optional<Reason> refusal_reason =
       inherited ? std::nullopt : this->admission.Check(job, service, now);
@@ -474,7 +476,30 @@
   }
 }
 
+std::vector<ServiceBacklog> HomeJobs::Backlogs() {
+  std::vector<ServiceBacklog> backlogs;
+  for (const auto& [name, service] : this->queues.all()) {
+    const Backlog backlog = service.OwnBacklog();
+    if (backlog != Backlog()) backlogs.push_back({name, backlog});
+  }
+  return backlogs;
+}
+
+void HomeJobs::NotePeerBacklogs(EntryId from,
+                                const std::vector<ServiceBacklog>& told,
+                                Timestamp now) {
+  this->peer_backlogs.Note(from, told, now);
+  this->ApplyPeerBacklogs(now);
+}
+
+void HomeJobs::ApplyPeerBacklogs(Timestamp now) {
+  for (auto& [name, service] : this->queues.all()) {
+    service.NotePeerBacklog(this->peer_backlogs.Of(name, now));
+  }
+}
+
 void HomeJobs::Tick(Timestamp now) {
+  this->ApplyPeerBacklogs(now);
   this->quarantine.Tick(now);
   this->early_refusals.AbandonBeforeDeadlines(now);
   this->early_refusals.RefuseUnservable(now);
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -9,6 +9,7 @@
 #include "libraries/entry_core/admission.h"
 #include "libraries/entry_core/agent_registry.h"
 #include "libraries/entry_core/caller_job.h"
+#include "libraries/entry_core/contention/peer_backlogs.h"
 #include "libraries/entry_core/early_refusals.h"
 #include "libraries/entry_core/entry_core_settings.h"
 #include "libraries/entry_core/entry_outbox.h"
@@ -103,6 +104,11 @@
   void NoteSendBacklog(std::uint64_t bytes, Timestamp now) {
     this->dispatcher.NoteSendBacklog(bytes, now);
   }
+  // What this entry queues, by service, for the other entries.
+  [[nodiscard]] std::vector<ServiceBacklog> Backlogs();
+  // Records what another entry queues.
+  void NotePeerBacklogs(EntryId from, const std::vector<ServiceBacklog>& told,
+                        Timestamp now);
   void Tick(Timestamp now);
   // Repeats the requests to witnesses that have not answered.
   void RepeatRequests(Timestamp now);
@@ -146,6 +152,8 @@
   void QueryTask(HomeJob& job, TaskIndex index, AgentId holder);
   // Applies the outcome of a run, if its task is outstanding at `from`.
   void OnRunCompleted(AgentId from, const TaskReport& report, Timestamp now);
+  // Brings what the other entries queue to the service states.
+  void ApplyPeerBacklogs(Timestamp now);
   // Whether a task may be started again after a run with this outcome.
   static bool MayRunAgain(const HomeJob& job, const TaskRecord& task,
                           TaskOutcome outcome);
@@ -169,6 +177,7 @@
   QuarantineControl quarantine;
   UpstreamLosses losses;
   TaskDispatcher dispatcher;
+  PeerBacklogs peer_backlogs;
   // The entries that have declined to witness, since they leave the view.
   std::set<EntryId> declining;
   bool leaving = false;
--- a/libraries/entry_core/placement.h
+++ b/libraries/entry_core/placement.h
@@ -11,24 +11,35 @@
 
 #include "libraries/configuration/service_document.h"
 #include "libraries/entry_core/agent_registry.h"
+#include "libraries/entry_core/placement/expected_end.h"
+#include "libraries/protocol/job.h"
 
 namespace dandelionspur {
 
 // The agents that a task may be sent to. Never empty when a policy chooses.
 using Candidates = std::vector<const KnownAgent*>;
 
+// The task that is placed.
+struct PlacementRequest {
+  TaskId id;
+  TaskOutlook outlook;
+  Timestamp now;
+};
+
 // A policy that chooses among agents with free capacity and returns the index
 // of the chosen one.
 template <typename Policy>
-concept PlacementPolicy = requires(Policy policy, const Candidates& agents) {
-  { policy.Choose(agents) } -> std::same_as<std::size_t>;
+concept PlacementPolicy = requires(Policy policy, const Candidates& agents,
+                                   const PlacementRequest& request) {
+  { policy.Choose(agents, request) } -> std::same_as<std::size_t>;
 };
 
 // The upstream with the lowest measured slowness. Among equals, the one with
 // the fewest running tasks of this entry.
 class FastestFree {
  public:
-  [[nodiscard]] std::size_t Choose(const Candidates& agents) const {
+  [[nodiscard]] std::size_t Choose(const Candidates& agents,
+                                   const PlacementRequest& /*request*/) const {
     std::size_t best = 0;
     for (std::size_t i = 1; i < agents.size(); ++i) {
       const KnownAgent& current = *agents[i];
@@ -46,7 +57,8 @@
 // The upstream with the least resources in use, for tasks that may crash it.
 class LeastTaken {
  public:
-  [[nodiscard]] std::size_t Choose(const Candidates& agents) const {
+  [[nodiscard]] std::size_t Choose(const Candidates& agents,
+                                   const PlacementRequest& /*request*/) const {
     const auto least = std::min_element(
         agents.begin(), agents.end(),
         [](const KnownAgent* left, const KnownAgent* right) {
@@ -56,11 +68,25 @@
   }
 };
 
+// The upstream where the task is expected to end first. Among upstreams where
+// it ends about as soon, each task goes to another one, so that the entries
+// don't all start their tasks at the same upstream.
+class SoonestEnd {
+ public:
+  std::size_t Choose(const Candidates& agents, const PlacementRequest& request);
+
+ private:
+  // Members only to reuse their allocations; the content is per decision.
+  std::vector<Duration> ends;
+  std::vector<std::size_t> near_best;
+};
+
 // Baseline: a random upstream.
 class RandomChoice {
  public:
   explicit RandomChoice(std::uint64_t seed) : generator(seed) {}
-  std::size_t Choose(const Candidates& agents) {
+  std::size_t Choose(const Candidates& agents,
+                     const PlacementRequest& /*request*/) {
     return static_cast<std::size_t>(this->generator() % agents.size());
   }
 
@@ -71,7 +97,8 @@
 // Baseline: each upstream in turn.
 class RoundRobin {
  public:
-  std::size_t Choose(const Candidates& agents) {
+  std::size_t Choose(const Candidates& agents,
+                     const PlacementRequest& /*request*/) {
     ++this->turn;
     return this->turn % agents.size();
   }
@@ -85,9 +112,10 @@
 class TwoChoices {
  public:
   explicit TwoChoices(std::uint64_t seed) : random(seed) {}
-  std::size_t Choose(const Candidates& agents) {
-    const std::size_t first = this->random.Choose(agents);
-    const std::size_t second = this->random.Choose(agents);
+  std::size_t Choose(const Candidates& agents,
+                     const PlacementRequest& request) {
+    const std::size_t first = this->random.Choose(agents, request);
+    const std::size_t second = this->random.Choose(agents, request);
     return agents[second]->running < agents[first]->running ? second : first;
   }
 
@@ -97,10 +125,10 @@
 
 static_assert(PlacementPolicy<FastestFree> && PlacementPolicy<LeastTaken> &&
               PlacementPolicy<RandomChoice> && PlacementPolicy<RoundRobin> &&
-              PlacementPolicy<TwoChoices>);
+              PlacementPolicy<TwoChoices> && PlacementPolicy<SoonestEnd>);
 
 using Placement =
-    std::variant<FastestFree, RandomChoice, RoundRobin, TwoChoices>;
+    std::variant<FastestFree, RandomChoice, RoundRobin, TwoChoices, SoonestEnd>;
 
 inline Placement MakePlacement(PlacementKind kind, std::uint64_t seed) {
   switch (kind) {
@@ -110,6 +138,8 @@
       return RoundRobin();
     case PlacementKind::kTwoChoices:
       return TwoChoices(seed);
+    case PlacementKind::kSoonestEnd:
+      return SoonestEnd();
     case PlacementKind::kFastestFree:
       break;
   }
--- a/libraries/entry_core/service_state.cc
+++ b/libraries/entry_core/service_state.cc
@@ -11,6 +11,7 @@
 constexpr double kPercent = 100;
 constexpr double kAverageWeight = 0.05;
 constexpr double kMaximumRatio = 20;
+constexpr std::int64_t kRunTimeDivisor = 16;
 // The latest start of a job is computed for tasks that take this many times as
 // long as the average, so that jobs with slower tasks are still in time.
 constexpr double kStretchMargin = 1.25;
@@ -65,13 +66,21 @@
   }
   job.is_queued = true;
   job.is_quarantined = this->isolation.Contains(job.submission.group);
-  this->PositionsOf(job).insert({job.rank, job.submission.key});
+  this->PositionsOf(job).insert(
+      {job.rank, job.submission.key, job.submission.priority});
+  if (job.is_late) this->queued_late += job.queued_work;
 }
 
 void ServiceState::Dequeue(HomeJob& job) {
   if (!job.is_queued) return;
   job.is_queued = false;
-  this->PositionsOf(job).erase({job.rank, job.submission.key});
+  this->PositionsOf(job).erase(
+      {job.rank, job.submission.key, job.submission.priority});
+  if (job.is_late) this->queued_late -= job.queued_work;
+}
+
+Backlog ServiceState::OwnBacklog() const {
+  return {this->queued_total - this->queued_late, this->queued_late};
 }
 
 std::set<ServiceState::Position>& ServiceState::PositionsOf(
@@ -103,6 +112,21 @@
   return best->queue.First();
 }
 
+std::optional<JobKey> ServiceState::NextAbove(std::uint32_t priority) const {
+  const Position* best = nullptr;
+  for (const auto& [name, client_account] : this->client_accounts) {
+    if (client_account.running >= client_account.maximum_running) continue;
+    const std::set<Position>& jobs = client_account.queue.jobs;
+    const auto found = std::find_if(
+        jobs.begin(), jobs.end(),
+        [&](const Position& position) { return position.priority < priority; });
+    if (found == jobs.end()) continue;
+    if (best == nullptr || *found < *best) best = &*found;
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->key;
+}
+
 std::optional<JobKey> ServiceState::NextOf(JobGroupId group) const {
   const auto found = this->quarantined.find(group);
   const bool is_idle =
@@ -196,6 +220,7 @@
       std::min(kMaximumRatio, static_cast<double>(elapsed.count()) /
                                   static_cast<double>(declared.count()));
   this->error_ratio += kAverageWeight * (ratio - this->error_ratio);
+  this->run_time += (elapsed - this->run_time) / kRunTimeDivisor;
 }
 
 ServiceState::AccountState& ServiceState::Account(
--- a/libraries/entry_core/service_state.h
+++ b/libraries/entry_core/service_state.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "libraries/configuration/service_document.h"
+#include "libraries/entry_core/contention/urgent_reserve.h"
 #include "libraries/entry_core/group_demand.h"
 #include "libraries/entry_core/home_job.h"
 #include "libraries/entry_core/placement.h"
@@ -40,6 +41,9 @@
   // account, the document's order decides. With kShortestRemaining, waiting
   // time lowers the rank (ageing), so that large jobs don't starve.
   [[nodiscard]] std::optional<JobKey> Next() const;
+  // The same among the jobs that are in time and of higher priority, i.e. with
+  // a lower number, than `priority`.
+  [[nodiscard]] std::optional<JobKey> NextAbove(std::uint32_t priority) const;
   // The same for the queue of a quarantined group.
   [[nodiscard]] std::optional<JobKey> NextOf(JobGroupId group) const;
   // The queued jobs of a quarantined group, the next one first.
@@ -67,6 +71,14 @@
   [[nodiscard]] Quarantine& quarantine() { return this->isolation; }
   [[nodiscard]] const Quarantine& quarantine() const { return this->isolation; }
   [[nodiscard]] GroupDemand& demand() { return this->group_demand; }
+  [[nodiscard]] UrgentReserve& urgent_reserve() { return this->reserve; }
+
+  // The declared core times of the queued tasks, by whether their jobs can
+  // still meet their objectives.
+  [[nodiscard]] Backlog OwnBacklog() const;
+  // What the other entries queue for the service.
+  void NotePeerBacklog(const Backlog& backlog) { this->peers = backlog; }
+  [[nodiscard]] const Backlog& peer_backlog() const { return this->peers; }
 
   // Takes one retry from the budget. Returns false if the budget is exhausted.
   bool TakeRetry();
@@ -75,11 +87,14 @@
   // over all upstreams of the service.
   void ObserveTask(Duration declared, Duration elapsed);
   [[nodiscard]] double declared_error() const { return this->error_ratio; }
+  // Moving average of the tasks' run time.
+  [[nodiscard]] Duration usual_run_time() const { return this->run_time; }
 
  private:
   struct Position {
     std::int64_t rank = 0;
     JobKey key;
+    std::uint32_t priority = 0;
     auto operator<=>(const Position&) const = default;
   };
   struct Queue {
@@ -117,6 +132,11 @@
   std::map<JobGroupId, Duration> queued_of_groups;
   Quarantine isolation;
   GroupDemand group_demand;
+  UrgentReserve reserve;
+  Backlog peers;
+  // Part of `queued_total`.
+  Duration queued_late{};
+  Duration run_time{};
   double retry_tokens = 0;
   double error_ratio = 1.0;
 };
--- a/libraries/entry_core/task_dispatcher.cc
+++ b/libraries/entry_core/task_dispatcher.cc
@@ -49,19 +49,44 @@
     const std::optional<JobKey> key = next_job();
     if (!key) break;
     HomeJob& job = this->jobs.At(*key);
+    if (this->YieldsToPeers(job, service)) break;
     const TaskIndex index = job.queued.back();
     const std::optional<PlacementChoice> choice =
         this->placement.Choose(job, service, now);
-    if (!choice) {
-      const Resources& need = job.submission.tasks[index.value()].need;
-      if (this->agents.MayEverHold(job.submission.service, need)) break;
+    if (choice) {
+      this->StartTask(job, service, *choice, now);
+      continue;
+    }
+    const Resources& need = job.submission.tasks[index.value()].need;
+    if (!this->agents.MayEverHold(job.submission.service, need)) {
       this->finisher.Refuse(job, Reason::kDeadlineTooShort, now);
       continue;
     }
-    this->StartTask(job, service, *choice, now);
+    if (!this->StartMoreUrgent(job.submission.priority, service, now)) break;
   }
 }
 
+bool TaskDispatcher::StartMoreUrgent(std::uint32_t priority,
+                                     ServiceState& service, Timestamp now) {
+  const std::optional<JobKey> key = service.NextAbove(priority);
+  if (!key) return false;
+  HomeJob& job = this->jobs.At(*key);
+  const std::optional<PlacementChoice> choice =
+      this->placement.Choose(job, service, now);
+  if (!choice) return false;
+  this->StartTask(job, service, *choice, now);
+  return true;
+}
+
+bool TaskDispatcher::YieldsToPeers(const HomeJob& job,
+                                   const ServiceState& service) const {
+  // A shorter queue is gone before a message about it has arrived.
+  constexpr Duration kNegligibleWait = std::chrono::milliseconds(5);
+  const Duration core_time = service.peer_backlog().in_time;
+  const std::int64_t cores = this->agents.CoresOf(job.submission.service);
+  return job.is_late && core_time / cores > kNegligibleWait;
+}
+
 void TaskDispatcher::StartTask(HomeJob& job, ServiceState& service,
                                const PlacementChoice& choice, Timestamp now) {
   KnownAgent& agent = *choice.agent;
@@ -91,7 +116,8 @@
               std::nullopt,
               this->losses.Of(id),
               job.submission.group,
-              choice.scope};
+              choice.scope,
+              job.SlackOf(request.declared, agent.slowness, now)};
   agent.OmitRepeatedBody(start);
   this->send_budget.NoteSent(start.request.body.size() +
                              kJobMessageHeaderBytes);
--- a/libraries/entry_core/task_dispatcher.h
+++ b/libraries/entry_core/task_dispatcher.h
@@ -36,9 +36,17 @@
   template <typename NextJob>
   void DispatchQueue(ServiceState& service, Timestamp now,
                      const NextJob& next_job);
+  // Starts a task of a job of higher priority, which may use the room that a
+  // job of this priority must leave free. Returns whether there was one.
+  bool StartMoreUrgent(std::uint32_t priority, ServiceState& service,
+                       Timestamp now);
   // Starts the next task of the job, a job of the service.
   void StartTask(HomeJob& job, ServiceState& service,
                  const PlacementChoice& choice, Timestamp now);
+  // Whether the job must leave the free capacity to jobs that other entries
+  // queue: it is late, and those can still meet their objectives.
+  [[nodiscard]] bool YieldsToPeers(const HomeJob& job,
+                                   const ServiceState& service) const;
   void SendDemandNotices(ServiceState& service, Timestamp now);
 
   Duration suspect_after;
--- a/libraries/entry_core/task_placement.cc
+++ b/libraries/entry_core/task_placement.cc
@@ -6,6 +6,10 @@
 namespace dandelionspur {
 namespace {
 
+// An upstream where a larger share of the tasks fails gets no task that has
+// failed before.
+constexpr std::uint32_t kReliableFailedPercent = 10;
+
 // Whether tasks that are placed in this scope may run at the agent.
 bool IsInScope(const KnownAgent& agent, PlacementScope scope,
                JobGroupId group) {
@@ -27,21 +31,33 @@
                                                      ServiceState& service,
                                                      Timestamp now) {
   const TaskIndex index = job.queued.back();
+  const TaskRequest& task = job.submission.tasks[index.value()];
+  const TaskId id{job.submission.key, index};
   const Quarantine& quarantine = service.quarantine();
   PlacementChoice choice;
-  choice.scope = this->ScopeOf(job, job.submission.tasks[index.value()].need,
-                               quarantine, now);
-  this->CollectCandidates(job, index, choice.scope, now);
+  choice.scope = this->ScopeOf(job, task.need, quarantine, now);
+  const bool yields =
+      service.document().placement == PlacementKind::kSoonestEnd;
+  const Resources reserve =
+      yields ? service.urgent_reserve().For(job.submission.priority, now)
+             : Resources();
+  this->CollectCandidates(job, index, choice.scope, reserve, now);
+  if (job.tasks[index.value()].failures > 0) this->KeepReliable();
+  const PlacementRequest request{
+      id, {task.need.millicores, task.declared, service.usual_run_time()}, now};
+  if (yields) choice.reason = PlacementReason::kSoonestEnd;
   if (this->candidates.size() == 1) {
     choice.reason = PlacementReason::kOnlyCandidate;
   }
-  if (this->losses.SuspectedCount({job.submission.key, index}) > 0) {
+  if (this->losses.SuspectedCount(id) > 0) {
     this->KeepApartFromSuspects();
     LeastTaken least_taken;
-    choice.agent = this->ChooseCandidate(job, least_taken);
+    choice.agent = this->ChooseCandidate(job, least_taken, request);
   } else {
     choice.agent = std::visit(
-        [&](auto& policy) { return this->ChooseCandidate(job, policy); },
+        [&](auto& policy) {
+          return this->ChooseCandidate(job, policy, request);
+        },
         service.placement());
   }
   if (choice.agent == nullptr) return std::nullopt;
@@ -74,14 +90,19 @@
 }
 
 void TaskPlacement::CollectCandidates(const HomeJob& job, TaskIndex index,
-                                      PlacementScope scope, Timestamp now) {
+                                      PlacementScope scope,
+                                      const Resources& reserve, Timestamp now) {
   this->candidates.clear();
   const TaskRecord& task = job.tasks[index.value()];
   const Resources& need = job.submission.tasks[index.value()].need;
   const KnownAgent* last_resort = nullptr;
   for (const KnownAgent* agent :
        this->agents.OfService(job.submission.service)) {
-    if (!this->health.MayTakeTask(*agent, need, now)) continue;
+    // An upstream that is too small for both has no room to keep free.
+    const Resources with_reserve = need + reserve;
+    const Resources& room =
+        with_reserve.FitsIn(agent->load.capacity) ? with_reserve : need;
+    if (!this->health.MayTakeTask(*agent, room, now)) continue;
     if (!IsInScope(*agent, scope, job.submission.group)) continue;
     if (task.retried && agent->agent == task.agent) {
       last_resort = agent;
@@ -103,11 +124,21 @@
   if (!all_run_suspects) std::erase_if(this->candidates, runs_suspects);
 }
 
+void TaskPlacement::KeepReliable() {
+  const auto fails_often = [](const KnownAgent* agent) {
+    return agent->load.performance.failed_percent > kReliableFailedPercent;
+  };
+  const bool all_fail_often = std::all_of(this->candidates.begin(),
+                                          this->candidates.end(), fails_often);
+  if (!all_fail_often) std::erase_if(this->candidates, fails_often);
+}
+
 template <PlacementPolicy Policy>
-KnownAgent* TaskPlacement::ChooseCandidate(const HomeJob& job, Policy& policy) {
+KnownAgent* TaskPlacement::ChooseCandidate(const HomeJob& job, Policy& policy,
+                                           const PlacementRequest& request) {
   const BucketId bucket = this->ownership.BucketOfKey(job.submission.key);
   while (!this->candidates.empty()) {
-    const std::size_t choice = policy.Choose(this->candidates);
+    const std::size_t choice = policy.Choose(this->candidates, request);
     const AgentId agent = this->candidates[choice]->agent;
     // Nearly every agent has promised, so it is cheaper to check the chosen one
     // than to filter all candidates.
--- a/libraries/entry_core/task_placement.h
+++ b/libraries/entry_core/task_placement.h
@@ -39,8 +39,10 @@
 
  private:
   // Fills `candidates` with the agents that have free capacity for the task.
+  // `reserve`: what the task must leave free at an upstream.
   void CollectCandidates(const HomeJob& job, TaskIndex index,
-                         PlacementScope scope, Timestamp now);
+                         PlacementScope scope, const Resources& reserve,
+                         Timestamp now);
   // The part of the upstreams where the job's tasks may run now.
   [[nodiscard]] PlacementScope ScopeOf(const HomeJob& job,
                                        const Resources& need,
@@ -48,10 +50,13 @@
                                        Timestamp now) const;
   // Leaves only candidates without other suspects, if there are any.
   void KeepApartFromSuspects();
+  // Leaves only candidates where few tasks fail, if there are any.
+  void KeepReliable();
   // Chooses among `candidates` with the policy. Returns nullptr if none of them
   // has promised the ballot of the job's bucket.
   template <PlacementPolicy Policy>
-  [[nodiscard]] KnownAgent* ChooseCandidate(const HomeJob& job, Policy& policy);
+  [[nodiscard]] KnownAgent* ChooseCandidate(const HomeJob& job, Policy& policy,
+                                            const PlacementRequest& request);
 
   const Ownership& ownership;
   AgentRegistry& agents;
--- a/libraries/entry_core/upstream_health.cc
+++ b/libraries/entry_core/upstream_health.cc
@@ -39,6 +39,8 @@
   agent.consecutive_failures = 0;
   service.ObserveTask(declared, elapsed);
   if (declared <= Duration() || elapsed <= Duration()) return;
+  // The agent measures it over the tasks of all entries.
+  if (agent.load.performance.slowness_percent > 0) return;
   const double ratio =
       std::min(kMaximumSlowness, static_cast<double>(elapsed.count()) /
                                      static_cast<double>(declared.count()));
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -130,8 +130,20 @@
                       (task, state, outcome, result, result_kept, start,
                        losses))
 
+// How the upstream has completed its recent tasks, of all entries.
+struct PerformanceReport {
+  // Geometric mean of measured over declared run time; 0 if not known yet.
+  std::uint32_t slowness_percent = 0;
+  // The share of the tasks that failed.
+  std::uint32_t failed_percent = 0;
+
+  bool operator==(const PerformanceReport&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(PerformanceReport, (), (slowness_percent, failed_percent))
+
 // The load of an agent's upstream, as reported to one entry.
 struct AgentLoad {
+  static constexpr std::size_t kRequiredMembers = 6;
   // Total capacity of the upstream; zero while it accepts no tasks.
   Resources capacity;
   // Resources of the running tasks, including those being stopped.
@@ -146,6 +158,7 @@
   bool accepting = false;
   // Whether the upstream or its agent is shutting down.
   bool leaving = false;
+  PerformanceReport performance;
 
   // Whether the upstream has free capacity for a new task. Sending a report
   // for which this holds clears the receiver's DemandNotice at the agent.
@@ -158,7 +171,7 @@
 };
 BOOST_DESCRIBE_STRUCT(AgentLoad, (),
                       (capacity, running, waiting, starts_seen, accepting,
-                       leaving))
+                       leaving, performance))
 
 struct AgentBucketPromise {
   BucketId bucket;
@@ -303,6 +316,9 @@
   // The group of the task's job.
   JobGroupId group;
   PlacementScope scope = PlacementScope::kOrdinary;
+  // How much later the task can start and still end within its objective; not
+  // set if that is no longer possible, or by versions that don't tell.
+  std::optional<Duration> slack;
 
   [[nodiscard]] StartNumber Number() const {
     return {this->ballot, this->attempt};
@@ -311,7 +327,7 @@
 BOOST_DESCRIBE_STRUCT(Start, (),
                       (task, ballot, attempt, agent, time_left, placement,
                        queued, job_name, rerun, contact, request, repeated_body,
-                       losses, group, scope))
+                       losses, group, scope, slack))
 
 // Asks for the task's state and rules out a later start: if the task has not
 // been started, no start of it up to this ballot and attempt will take effect.
--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -324,6 +324,24 @@
 // Of an agent that is not listed, the sender may have had contact just now.
 BOOST_DEFINE_ENUM_CLASS(ContactCoverage, kAll, kRequested)
 
+// Declared core times of queued tasks.
+struct Backlog {
+  // Of the jobs that can still meet their objective.
+  Duration in_time{};
+  // Of the others.
+  Duration late{};
+
+  [[nodiscard]] Duration Total() const { return this->in_time + this->late; }
+  bool operator==(const Backlog&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(Backlog, (), (in_time, late))
+
+struct ServiceBacklog {
+  ServiceName service;
+  Backlog backlog;
+};
+BOOST_DESCRIBE_STRUCT(ServiceBacklog, (), (service, backlog))
+
 struct PeerHeartbeat {
   static constexpr const char* kName = "peer_heartbeat";
   static constexpr std::size_t kRequiredMembers = 4;
@@ -345,11 +363,13 @@
   // The sender is behind with its events and shouldn't be home of buckets that
   // it isn't home of.
   bool declines_buckets = false;
+  // The services for which the sender queues tasks.
+  std::vector<ServiceBacklog> backlogs;
 };
 BOOST_DESCRIBE_STRUCT(PeerHeartbeat, (),
                       (epoch, sent_at, peers, sightings, coverage,
                        missing_agents, missing_entries, lost_agents, documents,
-                       declines_buckets))
+                       declines_buckets, backlogs))
 
 using PeerMessage =
     std::variant<PeerState, PromiseRequest, PromiseReply, WitnessRequest,
--- a/libraries/protocol/job.h
+++ b/libraries/protocol/job.h
@@ -72,6 +72,8 @@
   // which a job with equal bodies travels between entries.
   std::optional<Payload> shared_body;
   JobGroupId group;
+  // 0 is the highest; of jobs that compete for room, higher ones are preferred.
+  std::uint32_t priority = 0;
 
   // Sum of the declared core times of all tasks.
   [[nodiscard]] Duration CoreTime() const {
@@ -138,7 +140,7 @@
 BOOST_DESCRIBE_STRUCT(JobSubmission, (),
                       (kind, key, created, service, client_account,
                        time_allowed, objective, body_digest, name, rerun,
-                       maximum_attempts, tasks, shared_body, group))
+                       maximum_attempts, tasks, shared_body, group, priority))
 
 // The answer to a submission. Only holders of a NotRunProof can answer that the
 // job has not run.
@@ -172,7 +174,7 @@
 
 // Why placement selected the agent of a task.
 BOOST_DEFINE_ENUM_CLASS(PlacementReason, kOnlyCandidate, kFastestFree,
-                        kRetryElsewhere, kProbation)
+                        kRetryElsewhere, kProbation, kSoonestEnd)
 
 // The part of the service's upstreams among which placement selected the agent
 // of a task: all of them, those that no quarantined group runs at, or those of
--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -297,6 +297,7 @@
     longest_task = std::max(longest_task, task.declared);
   }
   job.objective = match.route->Objective(longest_task);
+  job.priority = match.route->priority;
   job.tasks = std::move(content.tasks);
   this->SubmitToCore(std::move(job), std::move(responder), EncodeJobAnswer);
 }
