--- a/libraries/protocol/entry_messages.h
+++ b/libraries/protocol/entry_messages.h
@@ -325,6 +325,24 @@
 // Of an agent that is not listed, the sender may have had contact just now.
 BOOST_DEFINE_ENUM_CLASS(ContactCoverage, kAll, kRequested)
 
+// Declared core times of queued tasks.
+struct Backlog {
+  // Of the jobs that can still meet their objective.
+  Duration in_time{};
+  // Of the others.
+  Duration late{};
+
+  [[nodiscard]] Duration Total() const { return this->in_time + this->late; }
+  bool operator==(const Backlog&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(Backlog, (), (in_time, late))
+
+struct ServiceBacklog {
+  ServiceName service;
+  Backlog backlog;
+};
+BOOST_DESCRIBE_STRUCT(ServiceBacklog, (), (service, backlog))
+
 struct PeerHeartbeat {
   static constexpr const char* kName = "peer_heartbeat";
   static constexpr std::size_t kRequiredMembers = 4;
@@ -349,11 +367,13 @@
   // The evacuated data centres that the sender knows. Not set as long as it
   // knows of no evacuation.
   std::optional<EvacuationSet> evacuations;
+  // The services for which the sender queues tasks.
+  std::vector<ServiceBacklog> backlogs;
 };
 BOOST_DESCRIBE_STRUCT(PeerHeartbeat, (),
                       (epoch, sent_at, peers, sightings, coverage,
                        missing_agents, missing_entries, lost_agents, documents,
-                       declines_buckets, evacuations))
+                       declines_buckets, evacuations, backlogs))
 
 using PeerMessage =
     std::variant<PeerState, PromiseRequest, PromiseReply, WitnessRequest,
