interference: Keep apart groups that slow each other down

Agents name, if a start asks, the groups that ran beside an ended task and those that run now; homes explain a task's slowness by its group, upstream and service, compare the rest with and without each neighbour within quarters of the load, and pass over candidates where a suspected group runs, if another one with room is about as fast. Off unless the document or the settings ask for it.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -7,6 +7,9 @@
 namespace dandelionspur {
 namespace {
 
+// Entries are told of neighbours for this long after a start asked for it.
+constexpr Duration kReportNeighbours = std::chrono::seconds(5);
+
 // Why the upstream did not start a task; nothing for results after which the
 // task may have run.
 std::optional<Reason> ReasonNotRun(UpstreamResult result) {
@@ -155,7 +158,9 @@
 
 void AgentCore::On(const UpstreamTaskCompleted& event) {
   if (!this->admission.IsRunning(event.task)) return;
+  const TaskAtUpstream ended = this->admission.RunningTask(event.task);
   this->admission.Release(event.task);
+  this->neighbours.NoteEnded(ended.group, this->current_time);
   if (this->admission.running_count() == 0) this->break_suspects.clear();
   ++this->load_version;
   this->stopping.erase(event.task);
@@ -184,7 +189,12 @@
   const TaskReport report{
       event.task, StartedState::kFinished,    outcome, event.body, true,
       start,      this->losses.Of(event.task)};
-  this->Send(home, TaskFinished{report, event.elapsed, this->ReportLoad(home)});
+  TaskFinished finished{report, event.elapsed, this->ReportLoad(home)};
+  if (this->ReportsNeighbours()) {
+    finished.neighbours = this->neighbours.Beside(ended.group, ended.started_at,
+                                                  this->current_time);
+  }
+  this->Send(home, std::move(finished));
   this->NotifyEntriesWithDemand(home);
 }
 
@@ -311,6 +321,9 @@
     return;
   }
   this->started.Insert(message, this->current_time);
+  if (message.report_neighbours) {
+    this->report_neighbours_until = this->current_time + kReportNeighbours;
+  }
   this->losses.Record(message.task, message.losses, this->current_time);
   Ballot& promised =
       this->promises[this->BucketOfKey(message.task.key).value()];
@@ -472,6 +485,7 @@
              this->admission.TakeNext(this->current_time)) {
     const Duration time_left = next->deadline - this->current_time;
     ++this->load_version;
+    this->neighbours.NoteStarted(next->start.group, this->current_time);
     this->effects.emplace_back(
         RunOnUpstream{next->start.task, next->start.job_name,
                       next->start.request.body, time_left});
@@ -553,9 +567,12 @@
   // The entry applies the same rule to the load and sends another demand
   // notice if it needs more capacity.
   if (load.HasFreeCapacity()) this->connected[entry].demand = 0;
-  this->Send(entry,
-             AgentHeartbeat{load, this->current_time, this->view.epoch,
-                            this->recent_losses.Report(this->current_time)});
+  AgentHeartbeat heartbeat{load, this->current_time, this->view.epoch,
+                           this->recent_losses.Report(this->current_time)};
+  if (this->ReportsNeighbours()) {
+    heartbeat.running_groups = this->neighbours.Running();
+  }
+  this->Send(entry, std::move(heartbeat));
 }
 
 void AgentCore::NotifyEntriesWithDemand(EntryId except) {
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -9,6 +9,7 @@
 
 #include "libraries/agent_core/agent_events.h"
 #include "libraries/agent_core/loss_suspects.h"
+#include "libraries/agent_core/neighbour_record.h"
 #include "libraries/agent_core/recent_losses.h"
 #include "libraries/agent_core/started_set.h"
 #include "libraries/agent_core/upstream_admission.h"
@@ -118,6 +119,9 @@
   void UpdateRenewal();
   // Why the agent accepts no tasks; nothing while it accepts them.
   [[nodiscard]] std::optional<Reason> NotAcceptingReason() const;
+  [[nodiscard]] bool ReportsNeighbours() const {
+    return this->current_time < this->report_neighbours_until;
+  }
   [[nodiscard]] AgentLoad LoadFor(EntryId entry) const;
   // Returns LoadFor(entry) and records that the entry receives this load.
   AgentLoad ReportLoad(EntryId entry);
@@ -145,6 +149,9 @@
   UpstreamAdmission admission;
   UpstreamLosses losses;
   RecentLosses recent_losses;
+  NeighbourRecord neighbours;
+  // Until then the entries are told which groups run beside each other.
+  Timestamp report_neighbours_until;
   // The suspects of a break of contact that has not ended; empty without one.
   std::set<TaskId> break_suspects;
   View view;
--- a/libraries/agent_core/upstream_admission.cc
+++ b/libraries/agent_core/upstream_admission.cc
@@ -83,6 +83,11 @@
   this->running.erase(found);
 }
 
+TaskAtUpstream UpstreamAdmission::RunningTask(const TaskId& task) const {
+  const Running& state = this->running.at(task);
+  return {task, state.group, state.started_at};
+}
+
 std::vector<TaskId> UpstreamAdmission::Overdue(Timestamp now) const {
   std::vector<TaskId> overdue;
   for (const auto& [task, state] : this->running) {
--- a/libraries/agent_core/upstream_admission.h
+++ b/libraries/agent_core/upstream_admission.h
@@ -57,6 +57,8 @@
   [[nodiscard]] bool IsRunning(const TaskId& task) const {
     return this->running.contains(task);
   }
+  // `task` must be running.
+  [[nodiscard]] TaskAtUpstream RunningTask(const TaskId& task) const;
   // Running tasks whose deadline is `now` or earlier.
   [[nodiscard]] std::vector<TaskId> Overdue(Timestamp now) const;
   // In the order of the ids.
--- a/libraries/configuration/service_document.cc
+++ b/libraries/configuration/service_document.cc
@@ -119,6 +119,9 @@
   document.maximum_quarantined_percent = static_cast<std::uint32_t>(
       reader.IntegerOr("maximum_quarantined_percent", kPercentRange,
                        kDefaultQuarantinedPercent));
+  if (reader.Has("interference")) {
+    document.interference = ReadInterference(reader);
+  }
   ReadClientAccounts(reader, document);
   ReadRoutes(reader, document);
   if (document.default_deadline > document.maximum_deadline) {
@@ -137,6 +140,11 @@
 
 }  // namespace
 
+InterferenceHandling ReadInterference(ObjectReader& reader) {
+  return static_cast<InterferenceHandling>(
+      reader.ChoiceOr("interference", {"ignore", "keep_apart"}, 0));
+}
+
 Result<ServiceDocument> ParseServiceDocument(const std::string& text,
                                              const std::string& source) {
   std::optional<LongList<Route>> routes = ReadLongList<Route>(
--- a/libraries/configuration/service_document.h
+++ b/libraries/configuration/service_document.h
@@ -3,6 +3,7 @@
 
 #include <boost/describe.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,11 @@
 BOOST_DEFINE_ENUM_CLASS(OrderKind, kShortestRemaining, kFirstInFirstOut,
                         kLeastSlack)
 
+// What is done about groups of jobs that slow each other down at an upstream.
+// kIgnore: nothing. kKeepApart: their tasks run at different upstreams where
+// there is room.
+BOOST_DEFINE_ENUM_CLASS(InterferenceHandling, kIgnore, kKeepApart)
+
 struct ClientAccountPolicy {
   ClientAccount client_account;
   // The share of slots under contention, relative to other client accounts.
@@ -81,6 +87,8 @@
   // of the service's capacity that may be set aside for them. 0: none is
   // quarantined.
   std::uint32_t maximum_quarantined_percent = 0;
+  // Not set: as the entry's settings say.
+  std::optional<InterferenceHandling> interference;
   // Empty: any client account may submit, all with weight 1.
   std::vector<ClientAccountPolicy> client_accounts;
   std::vector<Route> routes;
@@ -90,7 +98,12 @@
                        maximum_queued_tasks, maximum_tasks_per_job,
                        default_deadline, maximum_deadline, duplicate_window,
                        retry_percent, maximum_ejected_percent,
-                       maximum_quarantined_percent, client_accounts, routes))
+                       maximum_quarantined_percent, interference,
+                       client_accounts, routes))
+
+class ObjectReader;
+// Reads the optional field `interference`.
+InterferenceHandling ReadInterference(ObjectReader& reader);
 
 // Parses and validates the text of a service document. Errors name the text by
 // `source`, the field and the allowed values.
--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -169,6 +169,7 @@
       "drain_accepts_ms", kDrainRangeMilliseconds, kDefaultDrainAccepts);
   settings.stop_within = reader.SecondsOr(
       "stop_within_s", kStopRangeMilliseconds, kDefaultStopWithin);
+  settings.interference = ReadInterference(reader);
   settings.link_bytes_per_second = ReadLink(reader);
   settings.memory_bytes = ReadMemoryLimit(reader);
   settings.recording = ReadRecording(reader);
--- a/libraries/configuration/settings.h
+++ b/libraries/configuration/settings.h
@@ -11,6 +11,7 @@
 #include "libraries/base/error.h"
 #include "libraries/base/identifiers.h"
 #include "libraries/base/time.h"
+#include "libraries/configuration/service_document.h"
 #include "libraries/protocol/view.h"
 #include "libraries/telemetry/log.h"
 
@@ -71,6 +72,8 @@
   Duration drain_accepts{};
   // The time from a request to stop until the process is killed.
   Duration stop_within{};
+  // For services whose document names none.
+  InterferenceHandling interference = InterferenceHandling::kIgnore;
   RecordingSettings recording;
   LogSettings log;
 };
@@ -79,7 +82,8 @@
                        upstream_protocol, millicores, link_bytes_per_second,
                        memory_bytes, input_output_threads, bucket_count,
                        duplicate_window, suspect_after, remove_after, lease,
-                       drain_accepts, stop_within, recording, log))
+                       drain_accepts, stop_within, interference, recording,
+                       log))
 
 struct AgentSettings {
   DataCentreName data_centre;
--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -143,6 +143,20 @@
 BOOST_DESCRIBE_STRUCT(GroupQuarantined, (),
                       (phase, service, group, losses, moments, upstreams))
 
+// The tasks of two groups are kept apart where there is room, or no longer,
+// since those of `victim` (0: of all groups) are slow beside `neighbour`.
+struct GroupsKeptApart {
+  static constexpr const char* kName = "interference";
+  SuspicionPhase phase = SuspicionPhase::kBegun;
+  std::string service;
+  std::uint64_t victim = 0;
+  std::uint64_t neighbour = 0;
+  // The victim's time beside the neighbour, in percent of its usual time.
+  std::uint64_t slowdown_percent = 0;
+};
+BOOST_DESCRIBE_STRUCT(GroupsKeptApart, (),
+                      (phase, service, victim, neighbour, slowdown_percent))
+
 struct ViewAdopted {
   static constexpr const char* kName = "view_in_force";
   std::uint64_t epoch = 0;
--- a/libraries/entry_core/agent_registry.cc
+++ b/libraries/entry_core/agent_registry.cc
@@ -35,6 +35,7 @@
 
 void KnownAgent::ResetSentStarts() {
   this->load = AgentLoad();
+  this->groups.NoteReported({});
   this->starts_sent = 0;
   this->latest_body.reset();
   this->unreported_starts.clear();
--- a/libraries/entry_core/agent_registry.h
+++ b/libraries/entry_core/agent_registry.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "libraries/entry_core/interference/groups_at_upstream.h"
 #include "libraries/protocol/agent_messages.h"
 
 namespace dandelionspur {
@@ -64,6 +65,8 @@
   std::uint32_t running = 0;
   // How many of them are suspected of the loss of an upstream.
   std::uint32_t running_suspects = 0;
+  // The groups whose tasks run there.
+  GroupsAtUpstream groups;
   // The quarantined groups whose tasks run at this upstream.
   std::vector<JobGroupId> quarantined_groups;
   // After a failed start, no further start is sent before this time.
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -448,6 +448,7 @@
 void EntryCore::OnAgent(AgentId from, const AgentHeartbeat& message) {
   this->home.OnAgentLoad(from, message.load);
   this->home.OnRecentLosses(from, message.recent_losses, this->current_time);
+  this->home.OnRunningGroups(from, message.running_groups);
   KnownAgent* agent = this->registry.Find(from);
   if (agent != nullptr) {
     agent->NoteHeartbeat(message.sent_at, this->current_time);
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -53,6 +53,10 @@
   // if this entry is its home or the home is not known.
   [[nodiscard]] std::optional<EntryId> OtherHomeOf(const JobKey& key,
                                                    Timestamp now) const;
+  // The groups that slow down others, of each service that keeps them apart.
+  [[nodiscard]] std::vector<ServiceSuspicions> Suspicions() const {
+    return this->home.Suspicions();
+  }
   // The longest delay with which messages of connected entries are handled.
   [[nodiscard]] Duration inbound_delay() const {
     return this->peers.LongestInboundDelay();
--- a/libraries/entry_core/entry_core_settings.h
+++ b/libraries/entry_core/entry_core_settings.h
@@ -6,6 +6,7 @@
 
 #include "libraries/base/identifiers.h"
 #include "libraries/base/time.h"
+#include "libraries/configuration/service_document.h"
 #include "libraries/protocol/agent_messages.h"
 
 namespace dandelionspur {
@@ -43,13 +44,15 @@
   std::uint64_t placement_seed = 1;
   // The rate at which starts and relays leave the instance; 0: not limited.
   std::uint64_t link_bytes_per_second = 0;
+  // For services whose document names none.
+  InterferenceHandling interference = InterferenceHandling::kIgnore;
 };
 BOOST_DESCRIBE_STRUCT(EntryCoreSettings, (),
                       (self, bucket_count, duplicate_window, suspect_after,
                        remove_after, repeat_interval, heartbeat_interval,
                        agent_reply_interval, lease_over_after, drain_accepts,
                        drain_limit, maximum_answer_bytes, placement_seed,
-                       link_bytes_per_second))
+                       link_bytes_per_second, interference))
 
 }  // namespace dandelionspur
 
--- a/libraries/entry_core/entry_events.h
+++ b/libraries/entry_core/entry_events.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "libraries/base/death_evidence.h"
+#include "libraries/entry_core/interference/interference_estimator.h"
 #include "libraries/protocol/agent_messages.h"
 #include "libraries/protocol/entry_messages.h"
 
@@ -248,6 +249,20 @@
 BOOST_DESCRIBE_STRUCT(QuarantineChanged, (),
                       (phase, service, group, losses, moments, upstreams))
 
+// From now on the tasks of two groups are kept apart where there is room, or no
+// longer, since those of `victim` take `slowdown_percent` of their usual time
+// beside those of `neighbour`. Victim 0: those of all groups.
+struct InterferenceChanged {
+  static constexpr const char* kName = "interference_changed";
+  SuspicionPhase phase = SuspicionPhase::kBegun;
+  ServiceName service;
+  JobGroupId victim;
+  JobGroupId neighbour;
+  std::uint32_t slowdown_percent = 0;
+};
+BOOST_DESCRIBE_STRUCT(InterferenceChanged, (),
+                      (phase, service, victim, neighbour, slowdown_percent))
+
 BOOST_DEFINE_ENUM_CLASS(OwnershipPhase, kNone, kCollecting, kActive)
 
 // Why an entry acquires a bucket. kNewView: the view has changed since its
@@ -286,7 +301,7 @@
     std::variant<AnswerCaller, SendToPeer, SendToAgent, ProposeView,
                  ViewInForce, DocumentInForce, RetryCounted, JobRefused,
                  AgentLost, OwnershipChanged, RemovedFromView, EntryDrained,
-                 QuarantineChanged, CancelAnswered>;
+                 QuarantineChanged, CancelAnswered, InterferenceChanged>;
 
 }  // namespace dandelionspur
 
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -279,6 +279,7 @@
       if (report.outcome == TaskOutcome::kSucceeded) {
         this->health.ObserveSuccess(*agent, *service, declared,
                                     message.elapsed);
+        this->ObserveNeighbours(*job, *service, *agent, message, now);
       } else {
         this->health.ObserveFailure(*agent, *service, now);
       }
@@ -290,6 +291,46 @@
   this->OnRunCompleted(from, report, now);
 }
 
+void HomeJobs::ObserveNeighbours(const HomeJob& job, ServiceState& service,
+                                 const KnownAgent& agent,
+                                 const TaskFinished& message, Timestamp now) {
+  if (!service.KeepsApart()) return;
+  const TaskRequest& request =
+      job.submission.tasks[message.report.task.task.value()];
+  const std::uint64_t capacity = message.load.capacity.millicores;
+  if (capacity == 0) return;
+  // The task itself is no longer in the report.
+  const std::uint64_t used =
+      message.load.running.millicores + request.need.millicores;
+  service.interference().Observe(
+      {job.submission.group, agent.agent, request.declared, message.elapsed,
+       job.tasks.size(),
+       static_cast<double>(used) / static_cast<double>(capacity),
+       message.neighbours},
+      now);
+}
+
+void HomeJobs::UpdateInterference(Timestamp now) {
+  for (auto& [name, service] : this->queues.all()) {
+    for (const SuspicionStep& step : service.interference().Update(now)) {
+      constexpr double kPercent = 100;
+      const Suspicion& suspicion = step.suspicion;
+      this->outbox.Add(InterferenceChanged{
+          step.phase, name, suspicion.victim, suspicion.neighbour,
+          static_cast<std::uint32_t>(suspicion.slowdown * kPercent)});
+    }
+  }
+}
+
+std::vector<ServiceSuspicions> HomeJobs::Suspicions() const {
+  std::vector<ServiceSuspicions> all;
+  for (const auto& [name, service] : this->queues.all()) {
+    if (!service.KeepsApart()) continue;
+    all.push_back({name, service.interference().suspicions()});
+  }
+  return all;
+}
+
 void HomeJobs::OnUpstreamLosses(const std::vector<TaskLosses>& reported,
                                 Timestamp now) {
   for (const TaskLosses& item : reported) {
@@ -422,6 +463,12 @@
   if (load.HasFreeCapacity()) agent->demand_notified = false;
 }
 
+void HomeJobs::OnRunningGroups(AgentId from,
+                               const std::vector<JobGroupId>& groups) {
+  KnownAgent* agent = this->agents.Find(from);
+  if (agent != nullptr) agent->groups.NoteReported(groups);
+}
+
 void HomeJobs::OnAgentConnected(AgentId agent) {
   for (const TaskId& id : this->outstanding.StartedAt(agent)) {
     const HomeJob* job = this->jobs.Find(id.key);
@@ -476,6 +523,7 @@
 
 void HomeJobs::Tick(Timestamp now) {
   this->quarantine.Tick(now);
+  this->UpdateInterference(now);
   this->early_refusals.AbandonBeforeDeadlines(now);
   this->early_refusals.RefuseUnservable(now);
   this->RequeueAfterLeases(now);
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -30,6 +30,11 @@
 // Whether runs started by a lost agent may still continue at its upstream.
 enum class AgentRuns { kMayContinue, kEnded };
 
+struct ServiceSuspicions {
+  ServiceName service;
+  std::vector<Suspicion> suspicions;
+};
+
 // The jobs whose home is this entry, that is, whose keys fall into buckets that
 // this entry owns. Handles admission, queueing, placement, retries and answers.
 class HomeJobs {
@@ -38,7 +43,10 @@
            AgentRegistry& registry, RefusalConfirmer& refusals,
            EntryOutbox& effects);
 
-  void ApplyDocument(const ServiceDocument& document) {
+  void ApplyDocument(ServiceDocument document) {
+    if (!document.interference) {
+      document.interference = this->settings.interference;
+    }
     this->queues.ApplyDocument(document);
   }
 
@@ -79,6 +87,8 @@
     this->quarantine.OnRecentLosses(from, reported, now);
   }
   void OnAgentLoad(AgentId from, const AgentLoad& load);
+  // Records which groups run at the agent's upstream.
+  void OnRunningGroups(AgentId from, const std::vector<JobGroupId>& groups);
   // The total capacity of an upstream of the service has shrunk. Refuses the
   // queued jobs that no upstream can hold any more.
   void OnCapacityShrunk(const ServiceName& service, Timestamp now) {
@@ -106,6 +116,8 @@
   void Tick(Timestamp now);
   // Repeats the requests to witnesses that have not answered.
   void RepeatRequests(Timestamp now);
+  // The groups of each service that slow down others, as of the latest tick.
+  [[nodiscard]] std::vector<ServiceSuspicions> Suspicions() const;
   // Starts queued tasks while agents have free capacity. Call after every
   // event.
   void Dispatch(Timestamp now) { this->dispatcher.Dispatch(now); }
@@ -146,6 +158,11 @@
   void QueryTask(HomeJob& job, TaskIndex index, AgentId holder);
   // Applies the outcome of a run, if its task is outstanding at `from`.
   void OnRunCompleted(AgentId from, const TaskReport& report, Timestamp now);
+  // Records how long a task of the job took, and beside which groups.
+  void ObserveNeighbours(const HomeJob& job, ServiceState& service,
+                         const KnownAgent& agent, const TaskFinished& message,
+                         Timestamp now);
+  void UpdateInterference(Timestamp now);
   // Whether a task may be started again after a run with this outcome.
   static bool MayRunAgain(const HomeJob& job, const TaskRecord& task,
                           TaskOutcome outcome);
--- a/libraries/entry_core/outstanding_tasks.cc
+++ b/libraries/entry_core/outstanding_tasks.cc
@@ -16,6 +16,7 @@
   }
   if (KnownAgent* known = this->agents.Find(agent)) {
     ++known->running;
+    known->groups.NoteStarted(job.submission.group);
     if (task.started_as_suspect) ++known->running_suspects;
   }
   this->tasks[agent].insert({job.submission.key, index});
@@ -31,6 +32,7 @@
   const bool was_suspect = std::exchange(task.started_as_suspect, false);
   if (agent == nullptr) return;
   if (agent->running > 0) --agent->running;
+  agent->groups.NoteEnded(job.submission.group);
   if (was_suspect && agent->running_suspects > 0) --agent->running_suspects;
 }
 
--- a/libraries/entry_core/service_queues.h
+++ b/libraries/entry_core/service_queues.h
@@ -28,6 +28,9 @@
   [[nodiscard]] std::map<ServiceName, ServiceState>& all() {
     return this->services;
   }
+  [[nodiscard]] const std::map<ServiceName, ServiceState>& all() const {
+    return this->services;
+  }
 
   // Queues a task of the job, to be taken before those that are queued already.
   // Does nothing if the job's service is not known.
--- a/libraries/entry_core/service_state.cc
+++ b/libraries/entry_core/service_state.cc
@@ -31,6 +31,7 @@
     this->policy = MakePlacement(document.placement, this->seed);
   }
   this->in_force = document;
+  if (!this->KeepsApart()) this->estimator.Clear();
   for (auto& [name, client_account] : this->client_accounts) {
     client_account.weight = 1;
     client_account.maximum_running = UINT32_MAX;
--- a/libraries/entry_core/service_state.h
+++ b/libraries/entry_core/service_state.h
@@ -10,6 +10,7 @@
 #include "libraries/configuration/service_document.h"
 #include "libraries/entry_core/group_demand.h"
 #include "libraries/entry_core/home_job.h"
+#include "libraries/entry_core/interference/interference_estimator.h"
 #include "libraries/entry_core/placement.h"
 #include "libraries/entry_core/quarantine.h"
 
@@ -66,6 +67,17 @@
 
   [[nodiscard]] Quarantine& quarantine() { return this->isolation; }
   [[nodiscard]] const Quarantine& quarantine() const { return this->isolation; }
+  // Which groups slow each other down. Empty unless the document asks to keep
+  // them apart.
+  [[nodiscard]] InterferenceEstimator& interference() {
+    return this->estimator;
+  }
+  [[nodiscard]] const InterferenceEstimator& interference() const {
+    return this->estimator;
+  }
+  [[nodiscard]] bool KeepsApart() const {
+    return this->in_force.interference == InterferenceHandling::kKeepApart;
+  }
   [[nodiscard]] GroupDemand& demand() { return this->group_demand; }
 
   // Takes one retry from the budget. Returns false if the budget is exhausted.
@@ -117,6 +129,7 @@
   std::map<JobGroupId, Duration> queued_of_groups;
   Quarantine isolation;
   GroupDemand group_demand;
+  InterferenceEstimator estimator;
   double retry_tokens = 0;
   double error_ratio = 1.0;
 };
--- a/libraries/entry_core/task_dispatcher.cc
+++ b/libraries/entry_core/task_dispatcher.cc
@@ -91,7 +91,8 @@
               std::nullopt,
               this->losses.Of(id),
               job.submission.group,
-              choice.scope};
+              choice.scope,
+              service.KeepsApart()};
   agent.OmitRepeatedBody(start);
   this->send_budget.NoteSent(start.request.body.size() +
                              kJobMessageHeaderBytes);
--- a/libraries/entry_core/task_placement.cc
+++ b/libraries/entry_core/task_placement.cc
@@ -1,6 +1,7 @@
 #include "libraries/entry_core/task_placement.h"
 
 #include <algorithm>
+#include <limits>
 #include <variant>
 
 namespace dandelionspur {
@@ -21,6 +22,21 @@
   return true;
 }
 
+// An upstream that is slower than another one by more than this factor costs a
+// task more than most neighbours do.
+constexpr double kMaximumDetour = 1.2;
+
+using Position = Candidates::const_iterator;
+
+// Infinite if the range is empty.
+double LowestSlowness(Position begin, Position end) {
+  double lowest = std::numeric_limits<double>::infinity();
+  for (Position agent = begin; agent != end; ++agent) {
+    lowest = std::min(lowest, (*agent)->slowness);
+  }
+  return lowest;
+}
+
 }  // namespace
 
 std::optional<PlacementChoice> TaskPlacement::Choose(const HomeJob& job,
@@ -35,6 +51,9 @@
   if (this->candidates.size() == 1) {
     choice.reason = PlacementReason::kOnlyCandidate;
   }
+  if (this->KeepApartFromInterference(job, service)) {
+    choice.reason = PlacementReason::kKeptApart;
+  }
   if (this->losses.SuspectedCount({job.submission.key, index}) > 0) {
     this->KeepApartFromSuspects();
     LeastTaken least_taken;
@@ -94,6 +113,27 @@
   }
 }
 
+bool TaskPlacement::KeepApartFromInterference(const HomeJob& job,
+                                              const ServiceState& service) {
+  if (!service.KeepsApart() || this->candidates.size() < 2) return false;
+  const AvoidedGroups avoided =
+      service.interference().ToAvoid(job.submission.group);
+  if (avoided.IsEmpty()) return false;
+  const auto apart_end = std::stable_partition(
+      this->candidates.begin(), this->candidates.end(),
+      [&](const KnownAgent* agent) {
+        return !agent->groups.AnyOf(
+            [&](JobGroupId group) { return avoided.Contains(group); });
+      });
+  const bool is_worth_it =
+      LowestSlowness(this->candidates.begin(), apart_end) <=
+      kMaximumDetour *
+          LowestSlowness(this->candidates.begin(), this->candidates.end());
+  const bool passes_over = is_worth_it && apart_end != this->candidates.end();
+  if (passes_over) this->candidates.erase(apart_end, this->candidates.end());
+  return passes_over;
+}
+
 void TaskPlacement::KeepApartFromSuspects() {
   const auto runs_suspects = [](const KnownAgent* agent) {
     return agent->running_suspects > 0;
--- a/libraries/entry_core/task_placement.h
+++ b/libraries/entry_core/task_placement.h
@@ -46,6 +46,11 @@
                                        const Resources& need,
                                        const Quarantine& quarantine,
                                        Timestamp now) const;
+  // Leaves only candidates where no group runs that slows down the job's group
+  // or is slowed down by it, if some are about as fast as the others. Returns
+  // whether any was passed over.
+  bool KeepApartFromInterference(const HomeJob& job,
+                                 const ServiceState& service);
   // Leaves only candidates without other suspects, if there are any.
   void KeepApartFromSuspects();
   // Chooses among `candidates` with the policy. Returns nullptr if none of them
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -189,14 +189,24 @@
 };
 BOOST_DESCRIBE_STRUCT(AgentPromiseReply, (), (buckets, started, losses, part))
 
+// The most groups that an agent names as neighbours of one task, and in one
+// heartbeat. They bound what the reports add to the messages: nine bytes for
+// each group.
+inline constexpr std::size_t kMaximumNeighbours = 4;
+inline constexpr std::size_t kMaximumReportedGroups = 8;
+
 struct TaskFinished {
   static constexpr const char* kName = "task_finished";
+  static constexpr std::size_t kRequiredMembers = 3;
   TaskReport report;
   // Run time of the task on the upstream.
   Duration elapsed{};
   AgentLoad load;
+  // The other groups whose tasks ran at the upstream for at least half of that
+  // time, longest first. Empty unless the start asked for it.
+  std::vector<JobGroupId> neighbours{};
 };
-BOOST_DESCRIBE_STRUCT(TaskFinished, (), (report, elapsed, load))
+BOOST_DESCRIBE_STRUCT(TaskFinished, (), (report, elapsed, load, neighbours))
 
 // Reports that a start had no effect and never will have one.
 struct TaskNotRun {
@@ -248,8 +258,12 @@
   Epoch epoch{};
   // The latest losses of the agent's upstream, oldest first.
   std::vector<RecentLoss> recent_losses{};
+  // The groups whose tasks run at the upstream. Empty unless a start of the
+  // last seconds asked for it.
+  std::vector<JobGroupId> running_groups{};
 };
-BOOST_DESCRIBE_STRUCT(AgentHeartbeat, (), (load, sent_at, epoch, recent_losses))
+BOOST_DESCRIBE_STRUCT(AgentHeartbeat, (),
+                      (load, sent_at, epoch, recent_losses, running_groups))
 
 using AgentMessage = std::variant<Register, AgentReady, AgentPromiseReply,
                                   TaskFinished, TaskNotRun, RenounceReply,
@@ -303,6 +317,8 @@
   // The group of the task's job.
   JobGroupId group;
   PlacementScope scope = PlacementScope::kOrdinary;
+  // Whether the home wants to know which groups run beside the task.
+  bool report_neighbours = false;
 
   [[nodiscard]] StartNumber Number() const {
     return {this->ballot, this->attempt};
@@ -311,7 +327,7 @@
 BOOST_DESCRIBE_STRUCT(Start, (),
                       (task, ballot, attempt, agent, time_left, placement,
                        queued, job_name, rerun, contact, request, repeated_body,
-                       losses, group, scope))
+                       losses, group, scope, report_neighbours))
 
 // Asks for the task's state and rules out a later start: if the task has not
 // been started, no start of it up to this ballot and attempt will take effect.
--- a/libraries/protocol/job.h
+++ b/libraries/protocol/job.h
@@ -170,9 +170,11 @@
 // The outcome of a run of a task on the upstream.
 BOOST_DEFINE_ENUM_CLASS(TaskOutcome, kSucceeded, kFailed, kUnknown)
 
-// Why placement selected the agent of a task.
+// Why placement selected the agent of a task. kKeptApart: among those where no
+// group runs that it would slow down or be slowed down by, while others had
+// room as well.
 BOOST_DEFINE_ENUM_CLASS(PlacementReason, kOnlyCandidate, kFastestFree,
-                        kRetryElsewhere, kProbation)
+                        kRetryElsewhere, kProbation, kKeptApart)
 
 // The part of the service's upstreams among which placement selected the agent
 // of a task: all of them, those that no quarantined group runs at, or those of
--- a/services/entry/entry_gauges.cc
+++ b/services/entry/entry_gauges.cc
@@ -41,6 +41,11 @@
   this->metrics.Set("known_keys",
                     static_cast<double>(this->core.buckets().KnownKeyCount()));
   this->metrics.Set("ready", this->core.IsReady() ? 1 : 0);
+  for (const ServiceSuspicions& service : this->core.Suspicions()) {
+    this->metrics.Set("interference_suspicions", "service",
+                      service.service.value(),
+                      static_cast<double>(service.suspicions.size()));
+  }
 }
 
 void EntryGauges::SetConfiguration() {
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -329,6 +329,14 @@
                       EnumName(effect.phase), 1);
 }
 
+void EntryServer::Apply(const InterferenceChanged& effect) {
+  LogStateChange(GroupsKeptApart{
+      effect.phase, effect.service.value(), effect.victim.value(),
+      effect.neighbour.value(), effect.slowdown_percent});
+  this->metrics.Count("interference_changes_total", "phase",
+                      EnumName(effect.phase), 1);
+}
+
 void EntryServer::Apply(const AgentLost& effect) {
   this->metrics.Count("agents_given_up_total", "evidence",
                       EnumName(effect.evidence));
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -88,6 +88,7 @@
   void Apply(const RemovedFromView& effect);
   void Apply(const JobRefused& effect);
   void Apply(const QuarantineChanged& effect);
+  void Apply(const InterferenceChanged& effect);
   void Apply(const AgentLost& effect);
   void Apply(const EntryDrained& effect);
 
--- a/services/entry/entry_status.cc
+++ b/services/entry/entry_status.cc
@@ -17,7 +17,8 @@
           {"jobs_relayed", this->core.jobs_relayed()},
           {"members", this->EncodeMembers()},
           {"agents", this->EncodeAgents()},
-          {"documents", this->EncodeDocuments()}};
+          {"documents", this->EncodeDocuments()},
+          {"interference", this->EncodeInterference()}};
 }
 
 std::uint32_t EntryStatus::CountActiveBuckets() const {
@@ -60,6 +61,25 @@
   return agents;
 }
 
+nlohmann::json EntryStatus::EncodeInterference() const {
+  nlohmann::json interference = nlohmann::json::array();
+  for (const ServiceSuspicions& service : this->core.Suspicions()) {
+    for (const Suspicion& suspicion : service.suspicions) {
+      interference.push_back(
+          {{"service", service.service.value()},
+           {"victim", suspicion.ConcernsAll()
+                          ? "all"
+                          : std::to_string(suspicion.victim.value())},
+           {"neighbour", std::to_string(suspicion.neighbour.value())},
+           {"slowdown", suspicion.slowdown},
+           {"significance", suspicion.significance},
+           {"jobs", suspicion.weight},
+           {"since_us", suspicion.since.time_since_epoch().count()}});
+    }
+  }
+  return interference;
+}
+
 nlohmann::json EntryStatus::EncodeDocuments() const {
   nlohmann::json documents = nlohmann::json::object();
   for (const auto& [service, document] : this->core.documents()) {
--- a/services/entry/entry_status.h
+++ b/services/entry/entry_status.h
@@ -23,6 +23,7 @@
   [[nodiscard]] nlohmann::json EncodeMembers() const;
   [[nodiscard]] nlohmann::json EncodeAgents() const;
   [[nodiscard]] nlohmann::json EncodeDocuments() const;
+  [[nodiscard]] nlohmann::json EncodeInterference() const;
 
   const EntryCore& core;
   EntryId self;
--- a/tests/agent_core/agent_core_test.cc
+++ b/tests/agent_core/agent_core_test.cc
@@ -86,6 +86,83 @@
   Timestamp now{std::chrono::seconds(1000)};
 };
 
+// One task of group 1 runs from 100 to 200 ms. The others run in these times.
+struct NeighbourCase {
+  const char* name;
+  struct Other {
+    std::uint64_t group;
+    std::int64_t from_ms;
+    std::int64_t until_ms;
+  };
+  std::vector<Other> others;
+  bool asked = true;
+  std::vector<std::uint64_t> expected;
+};
+
+class NeighbourTest : public AgentCoreTest,
+                      public testing::WithParamInterface<NeighbourCase> {
+ protected:
+  void Start(std::uint64_t job, std::uint64_t group) {
+    auto start = StartOf(job);
+    start.group = JobGroupId(group);
+    start.report_neighbours = this->GetParam().asked;
+    this->Deliver(start);
+  }
+  std::vector<TaskFinished> End(std::uint64_t job) {
+    return Sent<TaskFinished>(this->Handle(
+        UpstreamTaskCompleted{StartOf(job).task, UpstreamResult::kSucceeded,
+                              Payload(), milliseconds(100)}));
+  }
+};
+
+// Guards against a task that is said to have run beside another one which it
+// met for a moment only, and against reports that nobody has asked for.
+TEST_P(NeighbourTest, ReportsWhoRanBesideATask) {
+  AgentDescription description;
+  description.capacity.millicores = 20 * kMillicoresPerCore;
+  this->Handle(UpstreamAnnounced{description});
+  const Timestamp begin = this->now;
+  std::vector<TaskFinished> finished;
+  for (std::int64_t at_ms = 0; at_ms <= 200; at_ms += 10) {
+    this->now = begin + milliseconds(at_ms);
+    this->Confirm();
+    for (std::size_t i = 0; i < this->GetParam().others.size(); ++i) {
+      const NeighbourCase::Other& other = this->GetParam().others[i];
+      if (other.from_ms == at_ms) this->Start(10 + i, other.group);
+      if (other.until_ms == at_ms) this->End(10 + i);
+    }
+    if (at_ms == 100) this->Start(1, 1);
+    if (at_ms == 200) finished = this->End(1);
+  }
+  ASSERT_EQ(finished.size(), 1U);
+  std::vector<std::uint64_t> reported;
+  for (const JobGroupId group : finished[0].neighbours) {
+    reported.push_back(group.value());
+  }
+  EXPECT_EQ(reported, this->GetParam().expected);
+  this->now += Settings().heartbeat_interval;
+  const auto heartbeats = Sent<AgentHeartbeat>(this->Handle(AgentTick{}));
+  ASSERT_EQ(heartbeats.size(), 1U);
+  for (const AgentHeartbeat& heartbeat : heartbeats) {
+    EXPECT_EQ(heartbeat.running_groups.empty(), !this->GetParam().asked);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Neighbours, NeighbourTest,
+    testing::Values(
+        NeighbourCase{"Alone", {{1, 0, 250}, {2, 0, 90}}, true, {}},
+        NeighbourCase{"MostOfTheTime", {{2, 0, 170}, {3, 160, 250}}, true, {2}},
+        NeighbourCase{
+            "InTurn", {{2, 90, 130}, {2, 150, 190}, {3, 190, 250}}, true, {2}},
+        NeighbourCase{
+            "AtMostFourAndTheLongestFirst",
+            {{2, 0, 160}, {3, 0, 170}, {4, 0, 180}, {5, 0, 190}, {6, 0, 250}},
+            true,
+            {6, 5, 4, 3}},
+        NeighbourCase{"NotAsked", {{2, 0, 250}}, false, {}}),
+    [](const auto& item) { return item.param.name; });
+
 struct NotRunCase {
   UpstreamResult result;
   Reason reason;
