--- a/libraries/entry_core/entry_events.h
+++ b/libraries/entry_core/entry_events.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "libraries/base/death_evidence.h"
-#include "libraries/entry_core/interference/interference_estimator.h"
+#include "libraries/entry_core/interference/suspicion_phase.h"
 #include "libraries/protocol/agent_messages.h"
 #include "libraries/protocol/entry_messages.h"
 
--- a/libraries/entry_core/interference/interference_estimator.cc
+++ b/libraries/entry_core/interference/interference_estimator.cc
@@ -49,7 +49,7 @@
   return this->has_all && !IsAmong(this->exempt, group);
 }
 
-void InterferenceEstimator::Observe(const EndedTask& task, Timestamp now) {
+void InterferenceEstimator::Observe(const ObservedTask& task, Timestamp now) {
   const bool is_usable = task.group != JobGroupId() &&
                          task.declared > Duration() &&
                          task.elapsed > Duration();
@@ -80,7 +80,7 @@
   }
 }
 
-void InterferenceEstimator::Record(const Pair& pair, const EndedTask& task,
+void InterferenceEstimator::Record(const Pair& pair, const ObservedTask& task,
                                    double unexplained, Timestamp now) {
   auto known = this->pairs.find(pair);
   if (known == this->pairs.end()) {
--- a/libraries/entry_core/interference/interference_estimator.h
+++ b/libraries/entry_core/interference/interference_estimator.h
@@ -1,7 +1,6 @@
 #ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_INTERFERENCE_INTERFERENCE_ESTIMATOR_H_
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_INTERFERENCE_INTERFERENCE_ESTIMATOR_H_
 
-#include <boost/describe.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -11,11 +10,12 @@
 #include "libraries/base/time.h"
 #include "libraries/entry_core/interference/banded_sample.h"
 #include "libraries/entry_core/interference/slowness_model.h"
+#include "libraries/entry_core/interference/suspicion_phase.h"
 
 namespace dandelionspur {
 
 // A task that ended in success.
-struct EndedTask {
+struct ObservedTask {
   JobGroupId group;
   AgentId upstream;
   Duration declared{};
@@ -46,9 +46,6 @@
   }
 };
 
-// kBegun: the groups are kept apart from now on. kEnded: no longer.
-BOOST_DEFINE_ENUM_CLASS(SuspicionPhase, kBegun, kEnded)
-
 struct SuspicionStep {
   SuspicionPhase phase = SuspicionPhase::kBegun;
   Suspicion suspicion;
@@ -75,7 +72,7 @@
 // at the same upstream: docs/design/interference.md.
 class InterferenceEstimator {
  public:
-  void Observe(const EndedTask& task, Timestamp now);
+  void Observe(const ObservedTask& task, Timestamp now);
   // Judges the pairs that were observed, at intervals. Returns the suspicions
   // that have begun or ended.
   std::vector<SuspicionStep> Update(Timestamp now);
@@ -106,7 +103,7 @@
     bool is_harmless = false;
   };
 
-  void Record(const Pair& pair, const EndedTask& task, double unexplained,
+  void Record(const Pair& pair, const ObservedTask& task, double unexplained,
               Timestamp now);
   // Whether the evidence is enough for a suspicion, or, if there is one
   // already (`was`), for keeping it, which takes less.
