--- a/libraries/agent_core/upstream_admission.cc
+++ b/libraries/agent_core/upstream_admission.cc
@@ -93,6 +93,11 @@
   return declared;
 }
 
+TaskAtUpstream UpstreamAdmission::RunningTask(const TaskId& task) const {
+  const Running& state = this->running.at(task);
+  return {task, state.group, state.started_at};
+}
+
 std::vector<TaskId> UpstreamAdmission::Overdue(Timestamp now) const {
   std::vector<TaskId> overdue;
   for (const auto& [task, state] : this->running) {
--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -204,6 +204,7 @@
   settings.stop_within = reader.SecondsOr(
       "stop_within_s", kStopRangeMilliseconds, kDefaultStopWithin);
   settings.client_limits = ReadClientLimits(reader);
+  settings.interference = ReadInterference(reader);
   settings.link_bytes_per_second = ReadLink(reader);
   settings.memory_bytes = ReadMemoryLimit(reader);
   settings.recording = ReadRecording(reader);
--- a/libraries/entry_core/service_state.h
+++ b/libraries/entry_core/service_state.h
@@ -11,6 +11,7 @@
 #include "libraries/entry_core/contention/urgent_reserve.h"
 #include "libraries/entry_core/group_demand.h"
 #include "libraries/entry_core/home_job.h"
+#include "libraries/entry_core/interference/interference_estimator.h"
 #include "libraries/entry_core/placement.h"
 #include "libraries/entry_core/quarantine.h"
 
@@ -70,6 +71,17 @@
 
   [[nodiscard]] Quarantine& quarantine() { return this->isolation; }
   [[nodiscard]] const Quarantine& quarantine() const { return this->isolation; }
+  // Which groups slow each other down. Empty unless the document asks to keep
+  // them apart.
+  [[nodiscard]] InterferenceEstimator& interference() {
+    return this->estimator;
+  }
+  [[nodiscard]] const InterferenceEstimator& interference() const {
+    return this->estimator;
+  }
+  [[nodiscard]] bool KeepsApart() const {
+    return this->in_force.interference == InterferenceHandling::kKeepApart;
+  }
   [[nodiscard]] GroupDemand& demand() { return this->group_demand; }
   [[nodiscard]] UrgentReserve& urgent_reserve() { return this->reserve; }
 
@@ -137,6 +149,7 @@
   // Part of `queued_total`.
   Duration queued_late{};
   Duration run_time{};
+  InterferenceEstimator estimator;
   double retry_tokens = 0;
   double error_ratio = 1.0;
 };
--- a/libraries/entry_core/task_dispatcher.cc
+++ b/libraries/entry_core/task_dispatcher.cc
@@ -117,7 +117,8 @@
               this->losses.Of(id),
               job.submission.group,
               choice.scope,
-              job.SlackOf(request.declared, agent.slowness, now)};
+              job.SlackOf(request.declared, agent.slowness, now),
+              service.KeepsApart()};
   agent.OmitRepeatedBody(start);
   this->send_budget.NoteSent(start.request.body.size() +
                              kJobMessageHeaderBytes);
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -210,14 +210,24 @@
 };
 BOOST_DESCRIBE_STRUCT(AgentPromiseReply, (), (buckets, started, losses, part))
 
+// The most groups that an agent names as neighbours of one task, and in one
+// heartbeat. They bound what the reports add to the messages: nine bytes for
+// each group.
+inline constexpr std::size_t kMaximumNeighbours = 4;
+inline constexpr std::size_t kMaximumReportedGroups = 8;
+
 struct TaskFinished {
   static constexpr const char* kName = "task_finished";
+  static constexpr std::size_t kRequiredMembers = 3;
   TaskReport report;
   // Run time of the task on the upstream.
   Duration elapsed{};
   AgentLoad load;
+  // The other groups whose tasks ran at the upstream for at least half of that
+  // time, longest first. Empty unless the start asked for it.
+  std::vector<JobGroupId> neighbours{};
 };
-BOOST_DESCRIBE_STRUCT(TaskFinished, (), (report, elapsed, load))
+BOOST_DESCRIBE_STRUCT(TaskFinished, (), (report, elapsed, load, neighbours))
 
 // Reports that a start had no effect and never will have one.
 struct TaskNotRun {
@@ -271,9 +281,13 @@
   std::vector<RecentLoss> recent_losses{};
   // Version of the evacuated data centres that the agent knows; 0 if none.
   EvacuationVersion evacuations{};
+  // The groups whose tasks run at the upstream. Empty unless a start of the
+  // last seconds asked for it.
+  std::vector<JobGroupId> running_groups{};
 };
 BOOST_DESCRIBE_STRUCT(AgentHeartbeat, (),
-                      (load, sent_at, epoch, recent_losses, evacuations))
+                      (load, sent_at, epoch, recent_losses, evacuations,
+                       running_groups))
 
 using AgentMessage = std::variant<Register, AgentReady, AgentPromiseReply,
                                   TaskFinished, TaskNotRun, RenounceReply,
@@ -333,6 +347,8 @@
   // How much later the task can start and still end within its objective; not
   // set if that is no longer possible, or by versions that don't tell.
   std::optional<Duration> slack;
+  // Whether the home wants to know which groups run beside the task.
+  bool report_neighbours = false;
 
   [[nodiscard]] StartNumber Number() const {
     return {this->ballot, this->attempt};
@@ -341,7 +357,7 @@
 BOOST_DESCRIBE_STRUCT(Start, (),
                       (task, ballot, attempt, agent, time_left, placement,
                        queued, job_name, rerun, contact, request, repeated_body,
-                       losses, group, scope, slack))
+                       losses, group, scope, slack, report_neighbours))
 
 // Asks for the task's state and rules out a later start: if the task has not
 // been started, no start of it up to this ballot and attempt will take effect.
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -90,6 +90,7 @@
   void Apply(const JobRefused& effect);
   void Apply(const QuarantineChanged& effect);
   void Apply(const EvacuationChanged& effect);
+  void Apply(const InterferenceChanged& effect);
   void Apply(const AgentLost& effect);
   void Apply(const EntryDrained& effect);
 
--- a/services/entry/entry_status.cc
+++ b/services/entry/entry_status.cc
@@ -18,7 +18,8 @@
           {"members", this->EncodeMembers()},
           {"agents", this->EncodeAgents()},
           {"documents", this->EncodeDocuments()},
-          {"evacuated", this->EncodeEvacuated()}};
+          {"evacuated", this->EncodeEvacuated()},
+          {"interference", this->EncodeInterference()}};
 }
 
 std::uint32_t EntryStatus::CountActiveBuckets() const {
@@ -71,6 +72,25 @@
   return names;
 }
 
+nlohmann::json EntryStatus::EncodeInterference() const {
+  nlohmann::json interference = nlohmann::json::array();
+  for (const ServiceSuspicions& service : this->core.Suspicions()) {
+    for (const Suspicion& suspicion : service.suspicions) {
+      interference.push_back(
+          {{"service", service.service.value()},
+           {"victim", suspicion.ConcernsAll()
+                          ? "all"
+                          : std::to_string(suspicion.victim.value())},
+           {"neighbour", std::to_string(suspicion.neighbour.value())},
+           {"slowdown", suspicion.slowdown},
+           {"significance", suspicion.significance},
+           {"jobs", suspicion.weight},
+           {"since_us", suspicion.since.time_since_epoch().count()}});
+    }
+  }
+  return interference;
+}
+
 nlohmann::json EntryStatus::EncodeDocuments() const {
   nlohmann::json documents = nlohmann::json::object();
   for (const auto& [service, document] : this->core.documents()) {
--- a/services/entry/entry_status.h
+++ b/services/entry/entry_status.h
@@ -24,6 +24,7 @@
   [[nodiscard]] nlohmann::json EncodeAgents() const;
   [[nodiscard]] nlohmann::json EncodeDocuments() const;
   [[nodiscard]] nlohmann::json EncodeEvacuated() const;
+  [[nodiscard]] nlohmann::json EncodeInterference() const;
 
   const EntryCore& core;
   EntryId self;
