agent_core, entry_core: Drop answers with their tasks; accept tasks without a time

An agent's kept answers were dropped by their bytes only. On the platform they are empty, so one stayed for each task ever run. They are dropped with their tasks now. TaskUnqueued read the end of a map where a group's tasks have no core time.

--- a/libraries/agent_core/started_set.cc
+++ b/libraries/agent_core/started_set.cc
@@ -172,6 +172,7 @@
   if (!is_latest_start) return Expiry::kRemoved;
   if (found->second.state == StartedState::kRunning) return Expiry::kStillRuns;
   this->tasks.erase(found);
+  this->DropAnswer(item.id);
   return Expiry::kRemoved;
 }
 
--- a/libraries/agent_core/started_set.h
+++ b/libraries/agent_core/started_set.h
@@ -94,6 +94,10 @@
   // duplicate window.
   void Expire(Timestamp now);
   [[nodiscard]] std::size_t size() const { return this->tasks.size(); }
+  // The number of results in the cache, also of empty ones.
+  [[nodiscard]] std::size_t kept_answers() const {
+    return this->answers.size();
+  }
 
  private:
   struct Entry {
--- a/libraries/entry_core/service_state.cc
+++ b/libraries/entry_core/service_state.cc
@@ -163,6 +163,8 @@
   --this->queued_count;
   this->queued_total -= core_time;
   const auto found = this->queued_of_groups.find(group);
+  // Tasks without a known time count as no work.
+  if (found == this->queued_of_groups.end()) return;
   found->second -= core_time;
   if (found->second <= Duration()) this->queued_of_groups.erase(found);
 }
--- a/tests/agent_core/agent_core_parts_test.cc
+++ b/tests/agent_core/agent_core_parts_test.cc
@@ -49,6 +49,16 @@
   EXPECT_EQ(set.size(), 0U);
 }
 
+// Guards against memory that grows with each task that an agent has run.
+TEST(StartedSetTest, TheAnswerOfAnExpiredTaskIsDropped) {
+  StartedSet set{StartedSetLimits{}};
+  set.Insert(StartOf(1, 1), Timestamp());
+  set.MarkFinished(StartOf(1, 1).task, TaskOutcome::kSucceeded, Payload());
+  EXPECT_EQ(set.kept_answers(), 1U);
+  set.Expire(Timestamp(std::chrono::hours(1)));
+  EXPECT_EQ(set.kept_answers(), 0U);
+}
+
 constexpr Duration kWindow = std::chrono::seconds(10);
 
 StartedSetLimits LimitsWithWindow() {
--- a/tests/entry_core/service_state_test.cc
+++ b/tests/entry_core/service_state_test.cc
@@ -23,6 +23,18 @@
   std::vector<std::uint64_t> order;
 };
 
+// Guards against an end of the process: the group had no work left after the
+// first of two tasks whose time is not known.
+TEST(QueuedWorkTest, TasksWithoutAKnownTimeCountAsNoWork) {
+  ServiceState service(ServiceDocument(), 1);
+  const JobGroupId group(7);
+  service.TaskQueued(group, Duration());
+  service.TaskQueued(group, Duration());
+  service.TaskUnqueued(group, Duration());
+  service.TaskUnqueued(group, Duration());
+  EXPECT_EQ(service.QueuedWorkOf(group), Duration());
+}
+
 class LeastSlackTest : public testing::TestWithParam<OrderCase> {};
 
 HomeJob JobOf(const QueuedJob& queued) {
