entry_core: Ignore the registration of an agent's former process that is read late

It marked the present process as ended, with all its runs, since Register compared no ids. A process that was proven dead registers nothing any more, and one whose id is lower replaces none that is connected (ids rise with the time; after a step back of the clock the ended one is not connected).

--- a/libraries/entry_core/agent_registry.cc
+++ b/libraries/entry_core/agent_registry.cc
@@ -60,6 +60,8 @@
 std::vector<AgentId> AgentRegistry::Register(
     const AgentDescription& description) {
   KnownAgent& known = this->Add(description.agent);
+  // What a process that has ended sent before may be read late.
+  if (known.lost_at) return {};
   const bool moved =
       known.description && known.description->service != description.service;
   if (moved) {
@@ -74,7 +76,10 @@
     const bool same_address =
         other.description && id != description.agent &&
         other.description->admin_endpoint == description.admin_endpoint;
-    if (same_address && !other.lost_at) replaced.push_back(id);
+    // Ids rise with the time, unless the clock was set back; then the one that
+    // has ended is not connected.
+    const bool is_successor = id > description.agent && other.connected;
+    if (same_address && !other.lost_at && !is_successor) replaced.push_back(id);
   }
   return replaced;
 }
--- a/libraries/entry_core/agent_registry.h
+++ b/libraries/entry_core/agent_registry.h
@@ -117,7 +117,8 @@
   [[nodiscard]] KnownAgent* Find(AgentId agent);
   [[nodiscard]] const KnownAgent* Find(AgentId agent) const;
   // Records a registration. Returns the older incarnations at the same address,
-  // which the registration proves dead.
+  // which the registration proves dead; none for one of an incarnation that has
+  // ended, which was read late.
   std::vector<AgentId> Register(const AgentDescription& description);
   // Marks the agent as lost; `idle` says that certainly no task was running
   // there.
