--- a/libraries/upstream_session/leased_upstream.cc
+++ b/libraries/upstream_session/leased_upstream.cc
@@ -126,11 +126,15 @@
 void LeasedUpstream::OnGone(const UpstreamGone& gone, SteadyTime now) {
   const bool same_id =
       this->upstream && this->upstream->incarnation.id == gone.incarnation.id;
-  if (same_id && this->upstream->incarnation == gone.incarnation) {
+  const bool is_own =
+      same_id && this->upstream->incarnation == gone.incarnation;
+  if (is_own && this->tasks.empty()) {
     this->EndSession(now);
-  } else if (same_id && gone.incarnation.started_milliseconds == 0) {
-    // An earlier incarnation may have sent the notice, so the upstream is asked
-    // whether it still answers.
+  } else if (is_own ||
+             (same_id && gone.incarnation.started_milliseconds == 0)) {
+    // The upstream runs on until it has the answer to the notice, or an earlier
+    // incarnation may have sent it. So the upstream is asked whether it still
+    // answers.
     this->departure_noticed = true;
     this->responses.RecordFailure(this->orders.next_list(), now);
     this->RequestList(Duration(), now);
--- a/libraries/upstream_session/leased_upstream.h
+++ b/libraries/upstream_session/leased_upstream.h
@@ -51,9 +51,9 @@
   explicit LeasedUpstream(const LeasedUpstreamSettings& configured);
 
   void OnHeartbeat(const UpstreamHeartbeat& heartbeat, SteadyTime now);
-  // The upstream process has exited, and with it all its tasks. A notice that
-  // does not say when its sender started proves nothing: then the tasks end by
-  // lists or by the lease.
+  // The upstream process is about to exit, or has exited. It may go on until it
+  // has the answer, and a notice that does not say when its sender started may
+  // be an earlier process's. So the tasks end by lists or by the lease.
   void OnGone(const UpstreamGone& gone, SteadyTime now);
   void Run(const RunOnUpstream& wanted, SteadyTime now);
   void Stop(const TaskId& task, SteadyTime now);
@@ -121,7 +121,7 @@
   SteadyTime next_list;
   // Whether a list has shown that no runs of an earlier process are left.
   bool unknown_runs_stopped = false;
-  // Whether a departure notice without a start time names the upstream's id.
+  // Whether a departure notice names the upstream's id.
   bool departure_noticed = false;
   LeaseRenewal renewal = LeaseRenewal::kSuspended;
   SessionReporter reporter;
