--- a/libraries/agent_core/agent_events.h
+++ b/libraries/agent_core/agent_events.h
@@ -71,7 +71,8 @@
 
 // How the loss of an upstream was noticed.
 // kNewIncarnation: another incarnation of the upstream has announced itself.
-// kSilent: it has not answered until the lease of its tasks had expired.
+// kSilent: it has refused connections, and has not answered until the lease of
+// its tasks had expired.
 BOOST_DEFINE_ENUM_CLASS(LossEvidence, kNewIncarnation, kSilent)
 
 // The upstream process has ended without notice, and with it all its tasks.
--- a/libraries/upstream_session/leased_upstream.cc
+++ b/libraries/upstream_session/leased_upstream.cc
@@ -120,6 +120,7 @@
   this->responses.RestartSilence(now);
   this->unknown_runs_stopped = false;
   this->departure_noticed = false;
+  this->refused_since_answer = false;
   this->RequestList(Duration(), now);
 }
 
@@ -269,6 +270,9 @@
   }
   const bool restarted =
       this->upstream && IsFromOther(list, this->upstream->incarnation);
+  if (list.answer.outcome == OrderOutcome::kConnectionRefused) {
+    this->refused_since_answer = true;
+  }
   if (this->IsContactBroken(number, list.answer.outcome)) {
     this->ReportContactBroken(now);
   }
@@ -335,7 +339,8 @@
     // While renewal is suspended, the leases expire because this process was
     // frozen or cut off, which says nothing about the upstream.
     const bool renews = this->renewal == LeaseRenewal::kAllowed;
-    if (renews && !this->IsEndPlanned()) {
+    // One that is merely silent may be cut off or overloaded.
+    if (renews && !this->IsEndPlanned() && this->refused_since_answer) {
       this->ReportLoss(LossEvidence::kSilent);
     }
     this->ReportEnd(SessionEndEvidence::kLeasesExpired);
@@ -415,6 +420,7 @@
 }
 
 void LeasedUpstream::RecordAnswer(SteadyTime now) {
+  this->refused_since_answer = false;
   this->responses.RecordAnswer(now);
   if (this->unknown_runs_stopped) {
     this->reporter.SetContact(UpstreamContact::kAnswering);
--- a/libraries/upstream_session/leased_upstream.h
+++ b/libraries/upstream_session/leased_upstream.h
@@ -123,6 +123,8 @@
   bool unknown_runs_stopped = false;
   // Whether a departure notice names the upstream's id.
   bool departure_noticed = false;
+  // Whether the upstream has refused a connection since its latest answer.
+  bool refused_since_answer = false;
   LeaseRenewal renewal = LeaseRenewal::kSuspended;
   SessionReporter reporter;
 };
