--- a/libraries/entry_core/agent_contacts.cc
+++ b/libraries/entry_core/agent_contacts.cc
@@ -128,6 +128,7 @@
            now >= *agent.lost_at + lease_over - kContactLimit;
   }
   if (now < agent.contact_at + lease_over) return false;
+  if (this->RemovedMayHaveRuns(now)) return false;
   const Timestamp over_at =
       this->LatestPossibleContact(agent, view) + lease_over;
   if (now < over_at) return false;
@@ -155,8 +156,8 @@
   const std::optional<Timestamp> before = membership.LatestUnknownContact();
   if (!before) return false;
   // An entry that had left the view relies on the lost members that it hears.
-  const Timestamp over_at =
-      *before + kContactLimit + this->settings.lease_over_after;
+  const Timestamp over_at = std::max(*before, this->removed_act_until) +
+                            kContactLimit + this->settings.lease_over_after;
   if (now < over_at) return false;
   const View& view = membership.view();
   const bool hears_most = this->HearsMostMembers(view, now);
@@ -173,7 +174,43 @@
          now <= *this->view_current_at + kViewTrustedFor;
 }
 
+bool AgentContacts::MayHaveBeenRemoved(const View& view, Timestamp now) const {
+  if (this->IsViewTrusted(now)) return false;
+  // A member that was proven dead removes nobody.
+  return std::any_of(
+      view.members.begin(), view.members.end(), [&](const ViewMember& member) {
+        return member.entry != this->settings.self &&
+               !this->peers.DeadSince(member.entry) &&
+               !this->peers.HasConfirmedWithin(this->settings.remove_after,
+                                               member.entry, now);
+      });
+}
+
+bool AgentContacts::NoteRemovals(const View& former, const View& next,
+                                 Timestamp now) {
+  // Those that were removed are the minority then, and have stopped.
+  if (this->HearsMostMembers(former, now)) return false;
+  bool any = false;
+  for (const EntryLoss& loss : next.losses) {
+    const bool is_known = std::find(former.losses.begin(), former.losses.end(),
+                                    loss) != former.losses.end();
+    const bool may_act = loss.proof == LossProof::kSilent && !is_known &&
+                         loss.entry != this->settings.self &&
+                         !this->peers.DeadSince(loss.entry);
+    if (!may_act) continue;
+    // An entry that joins reads of losses that may be long past.
+    const Timestamp removed = std::min(now, loss.lost_at + kClockSkewLimit);
+    const Timestamp unheard = this->peers.MayBeHeardUntil(
+        loss.entry, this->settings.remove_after, now);
+    this->removed_act_until =
+        std::max({this->removed_act_until, removed + kViewTrustedFor, unheard});
+    any = true;
+  }
+  return any;
+}
+
 bool AgentContacts::HearsMostMembers(const View& view, Timestamp now) const {
+  if (this->MayHaveBeenRemoved(view, now)) return false;
   const MemberCount others =
       this->CountOthers(view, this->settings.suspect_after, now);
   return 2 * (others.heard + 1) > others.living + 1;
@@ -181,6 +218,7 @@
 
 bool AgentContacts::IsHeardByMostMembers(const View& view,
                                          Timestamp now) const {
+  if (this->MayHaveBeenRemoved(view, now)) return false;
   const MemberCount others = this->CountOthers(view, kContactLimit, now);
   return 2 * others.heard > others.living;
 }
--- a/libraries/entry_core/agent_contacts.h
+++ b/libraries/entry_core/agent_contacts.h
@@ -46,10 +46,20 @@
                                         Timestamp now) const;
   // Records that no later view than the one in force was in the table at `at`.
   void NoteViewCurrent(Timestamp at) { this->view_current_at = at; }
+  // Records which members `next`, the view that follows `former`, has removed
+  // as silent although they may be the majority of `former`. They may confirm
+  // agents, and act as homes, until they know or must suspect that they were
+  // removed. Returns whether there are any.
+  bool NoteRemovals(const View& former, const View& next, Timestamp now);
+  // Whether runs that such members have started may continue.
+  [[nodiscard]] bool RemovedMayHaveRuns(Timestamp now) const {
+    return now < this->removed_act_until + this->settings.lease_over_after;
+  }
   // Whether most living members of the view have recently confirmed heartbeats
   // of this entry. At least one of these then also hears any other entry for
   // which the same holds. Dead members count as living ones that are not heard
   // unless the view was read recently, since others may have replaced them.
+  // Does not hold for an entry that may have been removed.
   [[nodiscard]] bool HearsMostMembers(const View& view, Timestamp now) const;
   // The same for an entry that has left the view, or may have, and still serves
   // the jobs that it has: whether most other living members have confirmed its
@@ -91,12 +101,17 @@
   [[nodiscard]] MemberCount CountOthers(const View& view, Duration limit,
                                         Timestamp now) const;
   [[nodiscard]] bool IsViewTrusted(Timestamp now) const;
+  // Whether a member that this entry hasn't heard for long enough to be removed
+  // by it may have removed this entry, as a later view may be in the table.
+  [[nodiscard]] bool MayHaveBeenRemoved(const View& view, Timestamp now) const;
 
   EntryCoreSettings settings;
   AgentRegistry& agents;
   PeerDirectory& peers;
   // Not set while the age of the view is not known; the view is trusted then.
   std::optional<Timestamp> view_current_at;
+  // Until when members that were removed as silent may confirm agents.
+  Timestamp removed_act_until;
 };
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -472,8 +472,11 @@
 void EntryCore::AdoptView(const View& view) {
   if (view.epoch <= this->view().epoch) return;
   const View former = this->view();
-  const Ownership::ViewChange change =
-      this->ownership.AdoptView(view, this->current_time);
+  const bool removed_may_act =
+      this->contacts.NoteRemovals(former, view, this->current_time);
+  const Ownership::ViewChange change = this->ownership.AdoptView(
+      view, removed_may_act ? OtherHomes::kPossible : OtherHomes::kNone,
+      this->current_time);
   this->view_spread.OnAdopted(this->current_time);
   this->NoteUntoldDepartures(former);
   this->ResubmitJobs(change.released);
--- a/libraries/entry_core/key_history.cc
+++ b/libraries/entry_core/key_history.cc
@@ -44,12 +44,15 @@
 bool KeyHistory::AllStartsRecorded(BucketState& bucket, Timestamp now) const {
   // Once true, it stays true for this ballot: all later starts are made here.
   bucket.all_starts_recorded = bucket.all_starts_recorded ||
-                               this->FormerHomeReportedAllStarts(bucket) ||
+                               this->FormerHomeReportedAllStarts(bucket, now) ||
                                this->PriorRunsResolved(bucket, now);
   return bucket.all_starts_recorded;
 }
 
-bool KeyHistory::FormerHomeReportedAllStarts(const BucketState& bucket) const {
+bool KeyHistory::FormerHomeReportedAllStarts(const BucketState& bucket,
+                                             Timestamp now) const {
+  // A later home may be among them.
+  if (this->contacts.RemovedMayHaveRuns(now)) return false;
   const auto has_reported = [&](EntryId entry) {
     return entry == this->settings.self ||
            bucket.entry_promises.contains(entry);
--- a/libraries/entry_core/key_history.h
+++ b/libraries/entry_core/key_history.h
@@ -63,8 +63,8 @@
   [[nodiscard]] bool RunsAreOver(AgentId agent, Timestamp now) const;
 
  private:
-  [[nodiscard]] bool FormerHomeReportedAllStarts(
-      const BucketState& bucket) const;
+  [[nodiscard]] bool FormerHomeReportedAllStarts(const BucketState& bucket,
+                                                 Timestamp now) const;
   // Whether every run that another home has started in this bucket has ended or
   // was reported with an agent's promise.
   [[nodiscard]] bool PriorRunsResolved(const BucketState& bucket,
--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -25,7 +25,8 @@
       history(configured, this->membership, this->buckets, registry,
               agent_contacts) {}
 
-Ownership::ViewChange Ownership::AdoptView(const View& view, Timestamp now) {
+Ownership::ViewChange Ownership::AdoptView(const View& view, OtherHomes others,
+                                           Timestamp now) {
   for (const BucketId id : this->buckets.ActiveBuckets()) {
     // Judged by the view in which the promises were made.
     this->history.AllStartsRecorded(this->buckets.Get(id), now);
@@ -35,7 +36,7 @@
   for (std::uint32_t i = 0; i < this->buckets.size(); ++i) {
     const BucketId id(i);
     if (this->buckets.Get(id).phase == OwnershipPhase::kNone) continue;
-    if (this->assignment.MayKeep(id)) {
+    if (others == OtherHomes::kNone && this->assignment.MayKeep(id)) {
       change.kept.push_back(id);
       continue;
     }
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -24,6 +24,10 @@
 
 namespace dandelionspur {
 
+// Whether members that a view has removed may act as homes under ballots that
+// the remaining ones have never seen.
+enum class OtherHomes { kNone, kPossible };
+
 // This entry's part in the ballot protocol that assigns each bucket a home: the
 // ballots that it has promised, the keys that it has witnessed, and its own
 // acquisitions of buckets. docs/design/at-most-once.md has the safety
@@ -46,8 +50,9 @@
   };
   // Applies a newer view. Keeps the fully recovered buckets of which this entry
   // remains the first in rank; only entries that were members when the ballot
-  // was acquired may be witnesses under it. Releases all other buckets.
-  ViewChange AdoptView(const View& view, Timestamp now);
+  // was acquired may be witnesses under it. Releases all other buckets, and
+  // every bucket where others may act.
+  ViewChange AdoptView(const View& view, OtherHomes others, Timestamp now);
   void MarkSynchronized() {
     this->membership.MarkSynchronized();
     this->buckets.NotePromisesChanged();
--- a/libraries/entry_core/peer_directory.h
+++ b/libraries/entry_core/peer_directory.h
@@ -124,6 +124,7 @@
     // of the current connection, and its requests are outdated.
     if (heartbeat.sent_at <= known.newest_heartbeat) return;
     known.newest_heartbeat = heartbeat.sent_at;
+    known.heartbeat_arrived = now;
     const Duration offset = now - heartbeat.sent_at;
     known.least_offset = std::min(known.least_offset, offset);
     known.heartbeat_delay = offset - known.least_offset;
@@ -277,7 +278,9 @@
   // The latest time at which the peer can have confirmed a heartbeat of an
   // agent without this entry having received that sighting. An entry stops
   // confirming when most others have not confirmed its own heartbeats for the
-  // time after which an entry is suspected. One that has an earlier view than
+  // time after which an entry is suspected. It may have received this entry's
+  // confirmation of its latest heartbeat, and this entry no later one since, so
+  // the arrival of that heartbeat counts. One that has an earlier view than
   // this entry may take dead members for all others until it no longer trusts
   // that view.
   [[nodiscard]] Timestamp MayConfirmAgentsUntil(EntryId peer) const {
@@ -286,10 +289,19 @@
     const Peer& known = found->second;
     if (known.dead_since) return *known.dead_since;
     const Timestamp in_contact =
-        known.sightings_received_up_to + this->suspect_after;
+        std::max(known.sightings_received_up_to, known.heartbeat_arrived) +
+        this->suspect_after;
     if (!known.lacks_view_since) return in_contact;
     return std::max(in_contact, *known.lacks_view_since + kViewTrustedFor);
   }
+  // The latest time at which the peer can still count this entry as heard
+  // within `limit`, as it was heard here last at `last_heard`. Not later than
+  // `now` for a peer that is not known.
+  [[nodiscard]] Timestamp MayBeHeardUntil(EntryId peer, Duration limit,
+                                          Timestamp now) const {
+    const auto found = this->peers.find(peer);
+    return found == this->peers.end() ? now : found->second.last_heard + limit;
+  }
   [[nodiscard]] Duration TimeSinceLastMessage(EntryId peer,
                                               Timestamp now) const {
     const auto found = this->peers.find(peer);
@@ -306,6 +318,8 @@
     std::optional<Timestamp> dead_since;
     // By the peer's clock.
     Timestamp newest_heartbeat;
+    // When it arrived, by this entry's clock.
+    Timestamp heartbeat_arrived;
     // When this entry sent its latest heartbeat that the peer has confirmed.
     Timestamp confirmed;
     Timestamp sightings_received_up_to;
--- a/tests/benchmarks/core_benchmark.cc
+++ b/tests/benchmarks/core_benchmark.cc
@@ -143,7 +143,7 @@
       view = WithMember(view, member, Timestamp());
     }
     ++round;
-    home.AdoptView(view, Timestamp());
+    home.AdoptView(view, OtherHomes::kNone, Timestamp());
     home.MarkSynchronized();
     for (std::uint32_t a = 0; a < kAgents; ++a) {
       registry.Add(AgentId(1000 + a)).connected = true;
--- a/tests/entry_core/deliberate_fault_test.cc
+++ b/tests/entry_core/deliberate_fault_test.cc
@@ -90,6 +90,8 @@
         // runs for over while another entry keeps them running.
         FaultCase{"HideSightings", DeliberateFault::kHideSightings, 6000,
                   RerunPolicy::kAfterLease, false, FaultMix::kPartialCuts},
+        FaultCase{"HideViewAge", DeliberateFault::kHideViewAge, 1,
+                  RerunPolicy::kAfterLease, false, FaultMix::kPartitions},
         FaultCase{"ReturnRelaysOfEndedHome",
                   DeliberateFault::kReturnRelaysOfEndedHome, 22'000,
                   RerunPolicy::kAfterLease, false,
--- a/tests/entry_core/joining_entry_test.cc
+++ b/tests/entry_core/joining_entry_test.cc
@@ -241,5 +241,45 @@
                                   false}),
     [](const auto& tested) { return tested.param.name; });
 
+// An entry that hears one of two other members; the other one is silent.
+struct SilentMemberCase {
+  std::string name;
+  Duration view_age;
+  Duration silent_for;
+  bool confirms = false;
+};
+
+class SilentMemberTest : public JoiningEntryTest,
+                         public testing::WithParamInterface<SilentMemberCase> {
+};
+
+// Guards against two sides of a partition that both act: the silent member may
+// have removed the others, which can't read that in the table. Also guards
+// against a service that ends with every short outage of the table.
+TEST_P(SilentMemberTest, MayHaveRemovedThoseThatCannotReadTheTable) {
+  this->Join();
+  this->Advance(seconds(1), {kOlder, kOther});
+  this->Handle(AgentConnected{kAgent});
+  this->view_age = this->GetParam().view_age;
+  this->Advance(this->GetParam().silent_for, {kOther});
+  AgentHeartbeat heartbeat;
+  heartbeat.sent_at = this->now;
+  EXPECT_EQ(
+      ConfirmsAgent(this->Handle(AgentMessageReceived{kAgent, heartbeat})),
+      this->GetParam().confirms);
+}
+
+constexpr Duration kOutdated = kViewTrustedFor + milliseconds(1);
+
+INSTANTIATE_TEST_SUITE_P(
+    Silences, SilentMemberTest,
+    testing::Values(SilentMemberCase{"TableIsRead", milliseconds(500),
+                                     seconds(8), true},
+                    SilentMemberCase{"NotSilentForLong", kOutdated,
+                                     milliseconds(4'950), true},
+                    SilentMemberCase{"SilentForLong", kOutdated,
+                                     milliseconds(5'050), false}),
+    [](const auto& tested) { return tested.param.name; });
+
 }  // namespace
 }  // namespace dandelionspur
--- a/tests/entry_core/protocol_fuzz_main.cc
+++ b/tests/entry_core/protocol_fuzz_main.cc
@@ -83,6 +83,7 @@
       "also cut links for long, with attempts to connect refused")(
       "table-cuts",
       "also cut one entry off from the table in a restart of all")(
+      "partitions", "also divide the network for long")(
       "crashing-upstreams", "some tasks crash upstreams; capacities change")(
       "leases", "jobs may run again after their lease has expired")(
       "log", "print the events of every run")(
@@ -115,6 +116,9 @@
   if (parsed.count("table-cuts") > 0) {
     options.simulation.fault_mix = dandelionspur::FaultMix::kTableCuts;
   }
+  if (parsed.count("partitions") > 0) {
+    options.simulation.fault_mix = dandelionspur::FaultMix::kPartitions;
+  }
   if (parsed.count("crashing-upstreams") > 0) {
     options.simulation.fault_mix = dandelionspur::FaultMix::kCrashingUpstreams;
   }
--- a/tests/entry_core/protocol_fuzz_test.cc
+++ b/tests/entry_core/protocol_fuzz_test.cc
@@ -87,6 +87,9 @@
                     // all entries but one, which can't read the table.
                     ClusterCase{"TableCuts", 3, 3, RerunPolicy::kAfterLease,
                                 FaultMix::kTableCuts},
+                    // Guards against two sides of a partition that both act.
+                    ClusterCase{"Partitions", 3, 3, RerunPolicy::kAfterLease,
+                                FaultMix::kPartitions},
                     ClusterCase{"CrashingUpstreams", 3, 3,
                                 RerunPolicy::kAfterLease,
                                 FaultMix::kCrashingUpstreams}),
--- a/tests/support/simulated_cluster.cc
+++ b/tests/support/simulated_cluster.cc
@@ -22,6 +22,9 @@
 // leases that it has confirmed can last.
 constexpr int kTableCutTicks = 180;
 constexpr int kRestartTicks = 6;
+// 14 s, which is longer than an entry waits before it removes the others and
+// takes their runs for over.
+constexpr int kPartitionTicks = 280;
 constexpr int kTicksPerFinish = 30;
 constexpr Duration kTaskTime = std::chrono::milliseconds(100);
 
@@ -174,6 +177,10 @@
     if (choice % 4 == 0) return this->CutFromTable(choice / 4);
     return this->DeliverOutOfOrder(choice / 4);
   }
+  if (this->options.fault_mix == FaultMix::kPartitions) {
+    if (choice % 8 == 0) return this->Partition(choice / 8);
+    return this->DeliverOutOfOrder(choice / 8);
+  }
   const bool refuses = this->options.fault_mix == FaultMix::kRefusingCuts;
   if (choice % 2 == 0 && refuses) return this->CutWithRefusals(choice / 2);
   if (choice % 2 == 0) return this->CutPartially(choice / 2);
@@ -244,6 +251,49 @@
   this->AdvanceTime(kTick);
 }
 
+void SimulatedCluster::Partition(std::uint32_t choice) {
+  const std::vector<NodeId> alive = this->processes.AliveEntries();
+  if (alive.size() < 3 || !this->table.IsUp()) return;
+  this->ThawAll();
+  // A member that was replaced just before, so that most don't know of its
+  // successor, is not covered: docs/design/at-most-once.md.
+  this->PollByAll();
+  this->DeliverAll();
+  std::vector<NodeId> near = {Pick(alive, choice)};
+  std::vector<NodeId> far;
+  for (const NodeId entry : alive) {
+    if (entry != near.front()) far.push_back(entry);
+  }
+  std::uint32_t sides = choice / 8;
+  for (const NodeId agent : this->processes.AliveAgents()) {
+    (sides % 2 == 0 ? near : far).push_back(agent);
+    sides /= 2;
+  }
+  this->log.Append("the network is divided, with entry " +
+                   std::to_string(near.front()) + " beside the table");
+  for (const NodeId node : far) this->processes.CutFromTable(node);
+  for (int i = 0; i < kPartitionTicks && !this->violation(); ++i) {
+    this->PassPartitionTick(near, far);
+    const bool polls = i % kTicksPerPoll == 0;
+    if (polls) this->PollByAll();
+    if (polls) this->Submit(choice / 16 + static_cast<std::uint32_t>(i));
+    if (i % kTicksPerFinish == 0) this->FinishTask(choice / 32);
+  }
+  this->processes.RestoreTable();
+  for (const NodeId entry : this->processes.AliveEntries()) {
+    this->ReconnectEntry(entry);
+  }
+}
+
+void SimulatedCluster::PassPartitionTick(const std::vector<NodeId>& near,
+                                         const std::vector<NodeId>& far) {
+  for (const NodeId node : near) {
+    for (const NodeId other : far) this->processes.Disconnect(node, other);
+  }
+  this->DeliverAll();
+  this->AdvanceTime(kTick);
+}
+
 void SimulatedCluster::PollByAll() {
   for (const NodeId entry : this->processes.AliveEntries()) {
     this->processes.ReadTable(entry);
--- a/tests/support/simulated_cluster.h
+++ b/tests/support/simulated_cluster.h
@@ -84,6 +84,11 @@
   // while these are restarted and join again. Its agents can be reached by all.
   void CutFromTable(std::uint32_t choice);
   void PassCutTick(NodeId cut, bool is_isolated);
+  // Divides the network for longer than it takes the entry beside the table to
+  // remove the others and to act alone. Callers reach both sides.
+  void Partition(std::uint32_t choice);
+  void PassPartitionTick(const std::vector<NodeId>& near,
+                         const std::vector<NodeId>& far);
   // All entries read the table, and the agents that no entry confirms.
   void PollByAll();
   // Keeps the links from `node` to `others` cut for that long.
--- a/tests/support/simulated_processes.cc
+++ b/tests/support/simulated_processes.cc
@@ -179,6 +179,8 @@
       static_cast<std::uint16_t>(1 + this->entries.at(entry).slot);
   member.millicores = this->options.MillicoresOf(this->entries.at(entry).slot);
   this->table.AddMember(member, this->clock.Now());
+  // Whoever writes the view knows that it is the latest one.
+  this->entries.at(entry).view_read_at = this->clock.Now();
   this->log.Append("view " + std::to_string(this->table.view().epoch.value()) +
                    " with entry " + std::to_string(entry));
 }
@@ -200,14 +202,18 @@
 }
 
 void SimulatedProcesses::ReadView(NodeId agent) {
+  if (this->cut_from_table.contains(agent)) return;
   this->HandleAgent(agent, AgentViewRead{this->table.view()});
 }
 
 void SimulatedProcesses::Tick(NodeId entry) {
   EntryTick tick;
   const Timestamp read_at = this->entries.at(entry).view_read_at;
+  const FaultMix mix = this->options.fault_mix;
   const bool tells_age =
-      this->options.fault_mix == FaultMix::kTableCuts && read_at != Timestamp();
+      (mix == FaultMix::kTableCuts || mix == FaultMix::kPartitions) &&
+      read_at != Timestamp() &&
+      this->options.fault != DeliberateFault::kHideViewAge;
   if (tells_age) tick.view_age = this->clock.Now() - read_at;
   this->HandleEntry(entry, tick);
 }
--- a/tests/support/simulation_options.h
+++ b/tests/support/simulation_options.h
@@ -58,6 +58,8 @@
   kIgnoreShrunkCapacity,
   // A cancelling is confirmed although the receiver has not recorded it.
   kForgetCancelling,
+  // Entries are not told how old their reading of the view is.
+  kHideViewAge,
 };
 
 // What happens to messages between entries that are in flight on a connection
@@ -74,6 +76,8 @@
 // kTableCuts: one entry is cut off from the table, and perhaps from the other
 // entries, while all others are restarted. An entry sends to another one only
 // on the connection that it has dialed itself, as a member of its view.
+// kPartitions: the network is divided for long, with one entry beside the table
+// and the others without it; each agent is on one side or the other.
 // kCrashingUpstreams: some tasks crash the upstreams that run them, capacities
 // change, and entries end; messages are delivered soon, and agents live on.
 enum class FaultMix {
@@ -81,7 +85,8 @@
   kPartialCuts,
   kRefusingCuts,
   kTableCuts,
-  kCrashingUpstreams
+  kCrashingUpstreams,
+  kPartitions
 };
 
 // Whether the events of each entry are kept for a replay.
