--- a/libraries/upstream_session/leased_upstream.cc
+++ b/libraries/upstream_session/leased_upstream.cc
@@ -120,17 +120,22 @@
   this->responses.RestartSilence(now);
   this->unknown_runs_stopped = false;
   this->departure_noticed = false;
+  this->refused_since_answer = false;
   this->RequestList(Duration(), now);
 }
 
 void LeasedUpstream::OnGone(const UpstreamGone& gone, SteadyTime now) {
   const bool same_id =
       this->upstream && this->upstream->incarnation.id == gone.incarnation.id;
-  if (same_id && this->upstream->incarnation == gone.incarnation) {
+  const bool is_own =
+      same_id && this->upstream->incarnation == gone.incarnation;
+  if (is_own && this->tasks.empty()) {
     this->EndSession(now);
-  } else if (same_id && gone.incarnation.started_milliseconds == 0) {
-    // An earlier incarnation may have sent the notice, so the upstream is asked
-    // whether it still answers.
+  } else if (is_own ||
+             (same_id && gone.incarnation.started_milliseconds == 0)) {
+    // The upstream runs on until it has the answer to the notice, or an earlier
+    // incarnation may have sent it. So the upstream is asked whether it still
+    // answers.
     this->departure_noticed = true;
     this->responses.RecordFailure(this->orders.next_list(), now);
     this->RequestList(Duration(), now);
@@ -265,6 +270,9 @@
   }
   const bool restarted =
       this->upstream && IsFromOther(list, this->upstream->incarnation);
+  if (list.answer.outcome == OrderOutcome::kConnectionRefused) {
+    this->refused_since_answer = true;
+  }
   if (this->IsContactBroken(number, list.answer.outcome)) {
     this->ReportContactBroken(now);
   }
@@ -331,7 +339,8 @@
     // While renewal is suspended, the leases expire because this process was
     // frozen or cut off, which says nothing about the upstream.
     const bool renews = this->renewal == LeaseRenewal::kAllowed;
-    if (renews && !this->IsEndPlanned()) {
+    // One that is merely silent may be cut off or overloaded.
+    if (renews && !this->IsEndPlanned() && this->refused_since_answer) {
       this->ReportLoss(LossEvidence::kSilent);
     }
     this->ReportEnd(SessionEndEvidence::kLeasesExpired);
@@ -411,6 +420,7 @@
 }
 
 void LeasedUpstream::RecordAnswer(SteadyTime now) {
+  this->refused_since_answer = false;
   this->responses.RecordAnswer(now);
   if (this->unknown_runs_stopped) {
     this->reporter.SetContact(UpstreamContact::kAnswering);
