recovery: List the agents' addresses, so that joining entries know whom to wait for

Cause: after the loss of all processes a new entry couldn't tell which agents were missing, so each unknown key waited until all leases must have run out (2.15 s after joining), and agents read the view only once a second, so that they heard of the new entries up to 1.3 s late. Change: agents list their address in a row before they read a view; a member reads the rows once, and is home as soon as the agents of all listed addresses have registered, or report that nothing of their predecessors is left, and have promised. Agents without contact read the view often at first. On by the settings agents_are_listed and lists_address.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -7,6 +7,9 @@
 namespace dandelionspur {
 namespace {
 
+// Ticks come more often. A longer interval may be a step of the clock.
+constexpr Duration kLongestTick = std::chrono::milliseconds(60);
+
 // Why the upstream did not start a task; nothing for results after which the
 // task may have run.
 std::optional<Reason> ReasonNotRun(UpstreamResult result) {
@@ -199,6 +202,9 @@
 }
 
 void AgentCore::On(const AgentTick& /*event*/) {
+  const Duration since_tick = this->current_time - this->latest_tick;
+  this->running_for += std::clamp(since_tick, Duration(), kLongestTick);
+  this->latest_tick = this->current_time;
   this->started.Expire(this->current_time);
   this->losses.Expire(this->current_time);
   this->recent_losses.Expire(this->current_time);
@@ -221,7 +227,8 @@
     promised_ballot = std::max(promised_ballot, promise.ballot);
   }
   if (message.has_promises) this->promises_received.insert(from);
-  this->AdoptView(message.view);
+  // The first view comes from the table, once this agent is listed there.
+  if (this->view.epoch != Epoch()) this->AdoptView(message.view);
   const bool is_complete =
       this->connected.contains(from) && this->promises_received.contains(from);
   if (!is_complete) return;
@@ -555,7 +562,15 @@
   if (load.HasFreeCapacity()) this->connected[entry].demand = 0;
   this->Send(entry,
              AgentHeartbeat{load, this->current_time, this->view.epoch,
-                            this->recent_losses.Report(this->current_time)});
+                            this->recent_losses.Report(this->current_time),
+                            this->VacantAddress()});
+}
+
+std::optional<Endpoint> AgentCore::VacantAddress() const {
+  const bool is_vacant =
+      !this->description && this->running_for > this->settings.lease_run_time;
+  return is_vacant ? std::optional(this->settings.admin_endpoint)
+                   : std::nullopt;
 }
 
 void AgentCore::NotifyEntriesWithDemand(EntryId except) {
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -17,6 +17,7 @@
 namespace dandelionspur {
 
 struct AgentCoreSettings {
+  static constexpr std::size_t kRequiredMembers = 6;
   AgentId self;
   std::uint32_t bucket_count = 0;
   StartedSetLimits started_set;
@@ -26,12 +27,18 @@
   // The upstream's lease is renewed only for this long after the sending of the
   // latest heartbeat that an entry has confirmed.
   Duration contact_limit = kContactLimit;
+  // Where this agent and all earlier ones on its instance are reached.
+  Endpoint admin_endpoint{};
+  // The longest time for which tasks that an earlier agent has started can run
+  // on after this one has begun.
+  Duration lease_run_time = MaximumLeaseRunTime(std::chrono::seconds(1));
 };
 BOOST_DESCRIBE_STRUCT(StartedSetLimits, (),
                       (maximum_tasks, maximum_answer_bytes, duplicate_window))
 BOOST_DESCRIBE_STRUCT(AgentCoreSettings, (),
                       (self, bucket_count, started_set, registration_interval,
-                       heartbeat_interval, contact_limit))
+                       heartbeat_interval, contact_limit, admin_endpoint,
+                       lease_run_time))
 
 // All decisions of an agent, as a deterministic state machine: the last check
 // before a task reaches its upstream. It uses no socket, thread, clock or
@@ -160,7 +167,14 @@
   std::map<EntryId, Epoch> ready_announced;
   // Running tasks for which the upstream has received a stop order.
   std::set<TaskId> stopping;
+  // This agent's address, once no task is left there of an earlier agent.
+  // Nothing while there is an upstream: a registration shows the same.
+  [[nodiscard]] std::optional<Endpoint> VacantAddress() const;
+
   Timestamp current_time;
+  // For how long this agent has run; a step of the clock adds little.
+  Duration running_for{};
+  Timestamp latest_tick;
   Timestamp next_registration;
   Timestamp next_heartbeat;
   // Increases whenever a task is queued, started, withdrawn or completed, or
--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -169,6 +169,7 @@
       "drain_accepts_ms", kDrainRangeMilliseconds, kDefaultDrainAccepts);
   settings.stop_within = reader.SecondsOr(
       "stop_within_s", kStopRangeMilliseconds, kDefaultStopWithin);
+  settings.agents_are_listed = reader.BooleanOr("agents_are_listed", false);
   settings.link_bytes_per_second = ReadLink(reader);
   settings.memory_bytes = ReadMemoryLimit(reader);
   settings.recording = ReadRecording(reader);
@@ -218,6 +219,7 @@
       kDefaultDuplicateWindow);
   settings.lease =
       reader.MillisecondsOr("lease_ms", kLeaseRangeMilliseconds, kDefaultLease);
+  settings.lists_address = reader.BooleanOr("lists_address", false);
   settings.recording = ReadRecording(reader);
   settings.log = ReadLog(reader);
   BOOST_LEAF_CHECK(reader.Finish());
--- a/libraries/configuration/settings.h
+++ b/libraries/configuration/settings.h
@@ -71,6 +71,9 @@
   Duration drain_accepts{};
   // The time from a request to stop until the process is killed.
   Duration stop_within{};
+  // Whether all agents list their addresses in the table: `lists_address` of
+  // their settings.
+  bool agents_are_listed = false;
   RecordingSettings recording;
   LogSettings log;
 };
@@ -79,7 +82,8 @@
                        upstream_protocol, millicores, link_bytes_per_second,
                        memory_bytes, input_output_threads, bucket_count,
                        duplicate_window, suspect_after, remove_after, lease,
-                       drain_accepts, stop_within, recording, log))
+                       drain_accepts, stop_within, agents_are_listed, recording,
+                       log))
 
 struct AgentSettings {
   DataCentreName data_centre;
@@ -99,6 +103,8 @@
   // The duration of the lease under which the upstream runs a task; renewed
   // after half of it.
   Duration lease{};
+  // Whether this agent lists its address in the table before it reads a view.
+  bool lists_address = false;
   RecordingSettings recording;
   LogSettings log;
 };
@@ -106,8 +112,8 @@
                       (data_centre, admin, upstream_protocol, announcements,
                        input_output_threads, table, upstream_connections,
                        bucket_count, maximum_remembered_tasks,
-                       maximum_answer_bytes, duplicate_window, lease, recording,
-                       log))
+                       maximum_answer_bytes, duplicate_window, lease,
+                       lists_address, recording, log))
 
 // Parse and validate the text of a settings file. Errors name the text by
 // `source`, the field and the allowed values.
--- a/libraries/entry_core/bucket_activator.cc
+++ b/libraries/entry_core/bucket_activator.cc
@@ -10,12 +10,14 @@
                                  BucketTable& bucket_table,
                                  const AgentRegistry& registry,
                                  const PeerDirectory& directory,
+                                 const KeyHistory& key_history,
                                  EntryOutbox& effects)
     : settings(configured),
       membership(current_membership),
       buckets(bucket_table),
       agents(registry),
       peers(directory),
+      history(key_history),
       outbox(effects) {}
 
 BucketActivator::Activation BucketActivator::ActivateReady(Timestamp now) {
@@ -128,15 +130,29 @@
          this->HasAllAgentPromises(bucket);
 }
 
+bool BucketActivator::MembersHavePromised(const BucketState& bucket) const {
+  const std::vector<ViewMember>& members = this->membership.view().members;
+  return std::all_of(members.begin(), members.end(),
+                     [&](const ViewMember& member) {
+                       return member.entry == this->settings.self ||
+                              bucket.entry_promises.contains(member.entry) ||
+                              this->peers.DeadSince(member.entry);
+                     });
+}
+
 bool BucketActivator::TryActivate(BucketId id, BucketState& bucket,
                                   Timestamp now) {
   if (!this->IsFullyRecovered(id, bucket)) {
-    if (now < this->ReplyDeadline(bucket)) return false;
+    // Jobs that may run again need no more than this.
+    const bool settled = this->history.PriorRunsResolved(bucket, now);
+    const bool may_reply = now < this->ReplyDeadline(bucket) &&
+                           !(settled && this->MembersHavePromised(bucket));
+    if (may_reply) return false;
     const std::optional<Timestamp> entries = this->EntriesDeadSince(id, bucket);
     const std::optional<Timestamp> agents_dead = this->AgentsDeadSince(bucket);
     const bool leases_over =
         now >= bucket.begun_at + this->settings.lease_over_after;
-    if (!entries && !agents_dead && !leases_over) return false;
+    if (!entries && !agents_dead && !leases_over && !settled) return false;
     // While a process is unresponsive without being proven dead, no key is
     // young enough to be fresh. Jobs that may run again only need all leases to
     // have expired.
--- a/libraries/entry_core/bucket_activator.h
+++ b/libraries/entry_core/bucket_activator.h
@@ -11,6 +11,7 @@
 #include "libraries/entry_core/bucket_table.h"
 #include "libraries/entry_core/entry_core_settings.h"
 #include "libraries/entry_core/entry_outbox.h"
+#include "libraries/entry_core/key_history.h"
 #include "libraries/entry_core/membership.h"
 #include "libraries/entry_core/peer_directory.h"
 #include "libraries/protocol/entry_messages.h"
@@ -24,7 +25,8 @@
   BucketActivator(const EntryCoreSettings& configured,
                   const Membership& current_membership,
                   BucketTable& bucket_table, const AgentRegistry& registry,
-                  const PeerDirectory& directory, EntryOutbox& effects);
+                  const PeerDirectory& directory, const KeyHistory& key_history,
+                  EntryOutbox& effects);
 
   struct Activation {
     std::vector<BucketId> activated;
@@ -57,6 +59,8 @@
   [[nodiscard]] std::optional<Timestamp> DeadSince(EntryId entry) const;
   [[nodiscard]] bool IsFullyRecovered(BucketId id,
                                       const BucketState& bucket) const;
+  // Whether every member that may be alive has promised.
+  [[nodiscard]] bool MembersHavePromised(const BucketState& bucket) const;
   bool TryActivate(BucketId id, BucketState& bucket, Timestamp now);
   // Until this time an acquisition waits for entries and agents that may still
   // reply: a home that activates without them must refuse older keys.
@@ -69,6 +73,7 @@
   BucketTable& buckets;
   const AgentRegistry& agents;
   const PeerDirectory& peers;
+  const KeyHistory& history;
   EntryOutbox& outbox;
   std::uint64_t examined = 0;
 };
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -177,6 +177,11 @@
 
 void EntryCore::On(const ViewRead& event) { this->AdoptView(event.view); }
 
+void EntryCore::On(const AgentAddressesRead& event) {
+  const bool counts = this->member_since && event.epoch >= this->joined_epoch;
+  if (counts) this->ownership.NoteAgentsListed(event.addresses);
+}
+
 void EntryCore::On(const DocumentRead& event) {
   this->documents_in_force.OnRead(event.document, this->current_time);
 }
@@ -393,6 +398,7 @@
     this->MarkAgentLost(replaced, AgentRuns::kEnded,
                         DeathEvidence::kOtherIncarnation);
   }
+  this->ownership.NoteAgentAccounted(message.description.admin_endpoint);
   KnownAgent& agent = this->registry.Add(from);
   agent.connected = true;
   agent.acknowledged = true;
@@ -448,6 +454,9 @@
 void EntryCore::OnAgent(AgentId from, const AgentHeartbeat& message) {
   this->home.OnAgentLoad(from, message.load);
   this->home.OnRecentLosses(from, message.recent_losses, this->current_time);
+  if (message.vacant_address) {
+    this->ownership.NoteAgentAccounted(*message.vacant_address);
+  }
   KnownAgent* agent = this->registry.Find(from);
   if (agent != nullptr) {
     agent->NoteHeartbeat(message.sent_at, this->current_time);
@@ -495,6 +504,7 @@
   }
   if (!this->member_since) {
     this->member_since = this->current_time;
+    this->joined_epoch = view.epoch;
     this->ownership.NoteJoined(this->current_time);
     // No agent can be ready that a member of the first view has not
     // acknowledged.
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -87,6 +87,7 @@
   void On(const AgentRefusesConnections& event);
   void On(const AgentMessageReceived& event);
   void On(const ViewRead& event);
+  void On(const AgentAddressesRead& event);
   void On(const DocumentRead& event);
   void On(const DrainRequested& event);
   void On(const EntryTick& event);
@@ -181,6 +182,8 @@
   // When this entry first became a member. Only other members can report keys
   // and losses from before that time.
   std::optional<Timestamp> member_since;
+  // The epoch of the first view with this entry.
+  Epoch joined_epoch;
   // Peers from which no message has arrived since they reconnected.
   std::set<EntryId> renewed_links;
   bool draining = false;
--- a/libraries/entry_core/entry_events.h
+++ b/libraries/entry_core/entry_events.h
@@ -128,12 +128,22 @@
 };
 BOOST_DESCRIBE_STRUCT(EntryTick, (), (send_backlog, view_age))
 
+// The addresses of all agents that were listed in the table at some time after
+// it had held the view of this epoch.
+struct AgentAddressesRead {
+  static constexpr const char* kName = "agent_addresses_read";
+  Epoch epoch;
+  std::vector<Endpoint> addresses;
+};
+BOOST_DESCRIBE_STRUCT(AgentAddressesRead, (), (epoch, addresses))
+
 using EntryEvent =
     std::variant<CallerSubmitted, CallerCancelled, PeerConnected,
                  PeerDisconnected, PeerProvenDead, PeerMessageReceived,
                  AgentConnected, AgentDisconnected, AgentRefusesConnections,
                  AgentMessageReceived, ViewRead, DocumentRead, DrainRequested,
-                 EntryTick, PeerLinkRenewed, PeerRefusesConnections>;
+                 EntryTick, PeerLinkRenewed, PeerRefusesConnections,
+                 AgentAddressesRead>;
 
 // Whether a cancelling holds: the job's home and another entry know of it, or
 // two entries that tell each later home.
--- a/libraries/entry_core/key_history.cc
+++ b/libraries/entry_core/key_history.cc
@@ -9,12 +9,14 @@
 KeyHistory::KeyHistory(const EntryCoreSettings& configured,
                        const Membership& current_membership,
                        BucketTable& bucket_table, const AgentRegistry& registry,
-                       const AgentContacts& agent_contacts)
+                       const AgentContacts& agent_contacts,
+                       const AgentRoster& agent_roster)
     : settings(configured),
       membership(current_membership),
       buckets(bucket_table),
       agents(registry),
-      contacts(agent_contacts) {}
+      contacts(agent_contacts),
+      roster(agent_roster) {}
 
 KeyStatus KeyHistory::StatusOf(const JobSubmission& job, Timestamp now) {
   BucketState& bucket =
@@ -68,7 +70,7 @@
 }
 
 bool KeyHistory::KnowsAllRunningAgents(Timestamp now) const {
-  return this->membership.IsSynchronized() ||
+  return this->membership.IsSynchronized() || this->roster.IsComplete() ||
          this->contacts.UnknownRunsAreOver(this->membership, now);
 }
 
--- a/libraries/entry_core/key_history.h
+++ b/libraries/entry_core/key_history.h
@@ -7,6 +7,7 @@
 #include "libraries/entry_core/bucket_table.h"
 #include "libraries/entry_core/entry_core_settings.h"
 #include "libraries/entry_core/membership.h"
+#include "libraries/entry_core/recovery/agent_roster.h"
 #include "libraries/protocol/entry_messages.h"
 
 namespace dandelionspur {
@@ -47,8 +48,8 @@
  public:
   KeyHistory(const EntryCoreSettings& configured,
              const Membership& current_membership, BucketTable& bucket_table,
-             const AgentRegistry& registry,
-             const AgentContacts& agent_contacts);
+             const AgentRegistry& registry, const AgentContacts& agent_contacts,
+             const AgentRoster& agent_roster);
 
   [[nodiscard]] KeyStatus StatusOf(const JobSubmission& job, Timestamp now);
   [[nodiscard]] HistoryState HistoryOf(const JobSubmission& job,
@@ -56,6 +57,10 @@
   // Whether every key that a former home may have started is recorded, or all
   // earlier runs are resolved. Keeps a positive result in the bucket.
   bool AllStartsRecorded(BucketState& bucket, Timestamp now) const;
+  // Whether every run that another home has started in this bucket has ended or
+  // was reported with an agent's promise.
+  [[nodiscard]] bool PriorRunsResolved(const BucketState& bucket,
+                                       Timestamp now) const;
   // Whether no agent that this entry does not know can be running tasks. Only
   // an entry that has joined recently can lack agents.
   [[nodiscard]] bool KnowsAllRunningAgents(Timestamp now) const;
@@ -65,10 +70,6 @@
  private:
   [[nodiscard]] bool FormerHomeReportedAllStarts(
       const BucketState& bucket) const;
-  // Whether every run that another home has started in this bucket has ended or
-  // was reported with an agent's promise.
-  [[nodiscard]] bool PriorRunsResolved(const BucketState& bucket,
-                                       Timestamp now) const;
   // The same for an agent in the registry.
   [[nodiscard]] bool RunsAreOver(const KnownAgent& agent, Timestamp now) const;
   // When an entry first saw the job's key, or an earlier time if that is not
@@ -86,6 +87,7 @@
   BucketTable& buckets;
   const AgentRegistry& agents;
   const AgentContacts& contacts;
+  const AgentRoster& roster;
 };
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/ownership.cc
+++ b/libraries/entry_core/ownership.cc
@@ -20,10 +20,10 @@
       collector(configured, this->membership, this->buckets, registry,
                 directory, effects),
       responder(this->buckets, effects),
-      activator(configured, this->membership, this->buckets, registry,
-                directory, effects),
       history(configured, this->membership, this->buckets, registry,
-              agent_contacts) {}
+              agent_contacts, this->roster),
+      activator(configured, this->membership, this->buckets, registry,
+                directory, this->history, effects) {}
 
 Ownership::ViewChange Ownership::AdoptView(const View& view, Timestamp now) {
   for (const BucketId id : this->buckets.ActiveBuckets()) {
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -20,6 +20,7 @@
 #include "libraries/entry_core/peer_directory.h"
 #include "libraries/entry_core/promise_collector.h"
 #include "libraries/entry_core/promise_responder.h"
+#include "libraries/entry_core/recovery/agent_roster.h"
 #include "libraries/protocol/entry_messages.h"
 
 namespace dandelionspur {
@@ -66,6 +67,18 @@
   [[nodiscard]] bool HasToldAgents(EntryId member) const {
     return this->membership.HasToldAgents(member);
   }
+  // Records the agents' addresses that were listed in the table once this entry
+  // was a member.
+  void NoteAgentsListed(const std::vector<Endpoint>& addresses) {
+    this->roster.NoteListed(addresses);
+    this->buckets.NotePromisesChanged();
+  }
+  // Records that no task of an earlier agent at the address is running.
+  void NoteAgentAccounted(const Endpoint& address) {
+    if (this->roster.NoteAccounted(address)) {
+      this->buckets.NotePromisesChanged();
+    }
+  }
   // Whether no agent that this entry does not know can be running tasks.
   [[nodiscard]] bool KnowsAllRunningAgents(Timestamp now) const {
     return this->history.KnowsAllRunningAgents(now);
@@ -251,8 +264,9 @@
   BucketAssignment assignment;
   PromiseCollector collector;
   PromiseResponder responder;
-  BucketActivator activator;
+  AgentRoster roster;
   KeyHistory history;
+  BucketActivator activator;
   bool tracks_new_keys = false;
   std::map<BucketId, std::vector<KnownKey>> new_keys;
 };
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -248,8 +248,12 @@
   Epoch epoch{};
   // The latest losses of the agent's upstream, oldest first.
   std::vector<RecentLoss> recent_losses{};
+  // The agent's address, if it has no upstream and no task runs any more that
+  // an earlier agent at this address has started.
+  std::optional<Endpoint> vacant_address{};
 };
-BOOST_DESCRIBE_STRUCT(AgentHeartbeat, (), (load, sent_at, epoch, recent_losses))
+BOOST_DESCRIBE_STRUCT(AgentHeartbeat, (),
+                      (load, sent_at, epoch, recent_losses, vacant_address))
 
 using AgentMessage = std::variant<Register, AgentReady, AgentPromiseReply,
                                   TaskFinished, TaskNotRun, RenounceReply,
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -22,10 +22,6 @@
 namespace http = boost::beast::http;
 
 constexpr std::chrono::milliseconds kTickInterval{50};
-constexpr Duration kViewReadInterval = std::chrono::seconds(1);
-// The agents' readings are spread over this time, so that they don't all meet
-// at the table when the entries are lost.
-constexpr Duration kViewReadSpread = std::chrono::milliseconds(500);
 constexpr IntegerRange kSlotRange{1, 1024};
 constexpr unsigned kOk = 200;
 constexpr unsigned kAccepted = 202;
@@ -40,6 +36,8 @@
   core.started_set = {settings.maximum_remembered_tasks,
                       static_cast<std::size_t>(settings.maximum_answer_bytes),
                       settings.duplicate_window};
+  core.admin_endpoint = settings.admin;
+  core.lease_run_time = MaximumLeaseRunTime(settings.lease);
   return core;
 }
 
@@ -89,7 +87,8 @@
       core(CoreSettings(configured, own)),
       log(this->core),
       tick_timer(this->core_thread.First()),
-      view_timer(this->core_thread.First()) {
+      view_timer(this->core_thread.First()),
+      view_reading(own) {
   this->log.Follow(configured.log.jobs_followed_per_thousand);
 }
 
@@ -105,6 +104,8 @@
       this->settings.recording, this->metrics);
   this->table = std::make_unique<TableClient>(this->core_thread.First(),
                                               this->settings.table);
+  this->row_writer =
+      std::make_unique<AgentRowWriter>(*this->table, this->settings.admin);
   this->links = std::make_unique<AgentLinks>(
       this->self, this->core_thread.First(), this->input_output, this->metrics,
       [this](AgentEvent event) { this->Dispatch(std::move(event)); });
@@ -190,28 +191,47 @@
     // Entries that confirm heartbeats send newer views. An open connection
     // alone shows nothing: the entry at its other end may be gone.
     if (this->core.RenewalAt(WallClockNow()) == LeaseRenewal::kAllowed) {
-      this->ScheduleViewRead(this->ViewReadInterval());
+      this->ScheduleNextViewRead();
       return;
     }
-    this->table->ReadRow(kViewRow, [this](const std::optional<Row>& row) {
-      if (row && row->version != RowVersion()) {
-        const std::optional<View> view = DecodeViewRow(row->value);
-        if (view) {
-          this->Handle(AgentViewRead{*view});
-        } else {
-          this->metrics.Count("unreadable_configurations_total", "kind",
-                              "view");
-          LogStateChange(ConfigurationUnreadable{"row " + row->key});
-        }
-      }
-      this->ScheduleViewRead(this->ViewReadInterval());
-    });
+    this->ReadView();
+  });
+}
+
+void AgentServer::ScheduleNextViewRead() {
+  this->ScheduleViewRead(
+      this->view_reading.NextPause(this->core.RenewalAt(WallClockNow())));
+}
+
+void AgentServer::ReadView() {
+  if (!this->settings.lists_address) {
+    this->ReadViewRow();
+    return;
+  }
+  // Entries that join conclude from the list that they know all agents that
+  // were ready before.
+  this->row_writer->EnsureListed([this](bool is_listed) {
+    if (is_listed) {
+      this->ReadViewRow();
+    } else {
+      this->ScheduleNextViewRead();
+    }
   });
 }
 
-Duration AgentServer::ViewReadInterval() const {
-  const auto spread = static_cast<std::uint64_t>(kViewReadSpread.count());
-  return kViewReadInterval + Duration(this->self.value() % spread);
+void AgentServer::ReadViewRow() {
+  this->table->ReadRow(kViewRow, [this](const std::optional<Row>& row) {
+    if (row && row->version != RowVersion()) {
+      const std::optional<View> view = DecodeViewRow(row->value);
+      if (view) {
+        this->Handle(AgentViewRead{*view});
+      } else {
+        this->metrics.Count("unreadable_configurations_total", "kind", "view");
+        LogStateChange(ConfigurationUnreadable{"row " + row->key});
+      }
+    }
+    this->ScheduleNextViewRead();
+  });
 }
 
 void AgentServer::SetUpstream(const AgentDescription& description,
@@ -286,6 +306,11 @@
   this->refusals.Count(effect.reason);
 }
 
+void AgentServer::Apply(const RenewalChanged& effect) {
+  // The entries may have been replaced by others, which only the table tells.
+  if (effect.renewal == LeaseRenewal::kSuspended) this->ScheduleNextViewRead();
+}
+
 void AgentServer::UpdateGauges() {
   this->metrics.Set("tasks_running", static_cast<double>(this->core.running()));
   this->metrics.Set("tasks_remembered",
--- a/services/agent/agent_server.h
+++ b/services/agent/agent_server.h
@@ -6,10 +6,12 @@
 #include <optional>
 
 #include "libraries/agent_core/agent_core.h"
+#include "libraries/agent_core/view_reading.h"
 #include "libraries/configuration/settings.h"
 #include "libraries/decision_log/agent_decision_log.h"
 #include "platform/table_client.h"
 #include "services/agent/agent_links.h"
+#include "services/agent/agent_row_writer.h"
 #include "services/agent/platform_upstream.h"
 #include "services/agent/upstream_client.h"
 #include "services/runtime/record_uploader.h"
@@ -51,7 +53,9 @@
   void Handle(const AgentEvent& event);
   void ScheduleTick();
   void ScheduleViewRead(Duration delay);
-  [[nodiscard]] Duration ViewReadInterval() const;
+  void ScheduleNextViewRead();
+  void ReadView();
+  void ReadViewRow();
   // Adds this agent's id and admin endpoint to announcements of the upstream.
   void OnUpstreamEvent(AgentEvent event);
   void SetUpstream(const AgentDescription& description,
@@ -66,9 +70,8 @@
   void Apply(const ConnectToMembers& effect);
   void Apply(const AgentDrained& effect);
   void Apply(const StartRefusalCounted& effect);
-  // Logged by the decision log only: PlatformUpstream queries the renewal state
-  // for each lease.
-  void Apply(const RenewalChanged& /*effect*/) {}
+  // PlatformUpstream itself queries the renewal state for each lease.
+  void Apply(const RenewalChanged& effect);
 
   AgentSettings settings;
   AgentId self;
@@ -89,8 +92,10 @@
   std::unique_ptr<AgentLinks> links;
   std::unique_ptr<RecordUploader<AgentCore>> records;
   std::unique_ptr<TableClient> table;
+  std::unique_ptr<AgentRowWriter> row_writer;
   boost::asio::steady_timer tick_timer;
   boost::asio::steady_timer view_timer;
+  ViewReading view_reading;
   std::unique_ptr<HttpServer> admin_server;
 };
 
--- a/services/entry/table_watcher.cc
+++ b/services/entry/table_watcher.cc
@@ -6,6 +6,7 @@
 
 #include "libraries/configuration/object_reader.h"
 #include "libraries/decision_log/log_events.h"
+#include "libraries/protocol/agent_row.h"
 #include "libraries/protocol/parse_json.h"
 #include "libraries/protocol/view_row.h"
 #include "libraries/telemetry/log.h"
@@ -268,6 +269,32 @@
     this->joining = false;
   }
   this->sink(ViewRead{this->view});
+  const bool has_joined = this->view.Find(this->own_member.entry) != nullptr;
+  if (has_joined && !this->agents_requested) this->ReadAgentAddresses();
+}
+
+void TableWatcher::ReadAgentAddresses() {
+  if (!this->settings.agents_are_listed) return;
+  this->agents_requested = true;
+  this->table.ReadChanges(
+      TableName::kOwn, TableRevision(), Duration(),
+      [this, epoch = this->view.epoch](const std::optional<RowChanges>& read) {
+        // A list that lacks an agent would be worse than none. The next view
+        // that is read causes another attempt.
+        this->agents_requested = read && read->unreadable_rows.empty();
+        if (!this->agents_requested) return;
+        AgentAddressesRead listed{epoch, {}};
+        for (const Row& row : read->rows) {
+          if (!IsAgentRowKey(row.key)) continue;
+          const std::optional<Endpoint> address = DecodeAgentRow(row.value);
+          if (!address) {
+            this->ReportUnreadable("agent", "row " + row.key);
+            return;
+          }
+          listed.addresses.push_back(*address);
+        }
+        this->sink(std::move(listed));
+      });
 }
 
 void TableWatcher::OnJoinRow(const Row& row) {
--- a/services/entry/table_watcher.h
+++ b/services/entry/table_watcher.h
@@ -98,6 +98,8 @@
   // Reads the view after a write of it, to adopt what the table holds now.
   void RereadView();
   void OnViewRow(const Row& row);
+  // Reads the addresses of all agents, once this entry is a member.
+  void ReadAgentAddresses();
   // Makes this entry a member, unless it is one or its request is under way.
   void Join();
   void RequestToJoin();
@@ -137,6 +139,8 @@
   bool joining = true;
   JoinRequests join_requests;
   bool join_requested = false;
+  // Whether the agents' addresses have been read, or are being read.
+  bool agents_requested = false;
   bool admission_scheduled = false;
   boost::asio::steady_timer admission_timer;
   bool reachable = true;
--- a/tests/agent_core/agent_core_test.cc
+++ b/tests/agent_core/agent_core_test.cc
@@ -7,6 +7,8 @@
 #include <set>
 #include <vector>
 
+#include "libraries/agent_core/view_reading.h"
+
 namespace dandelionspur {
 namespace {
 
@@ -801,5 +803,86 @@
   EXPECT_EQ(parts, 6U);
 }
 
+// How long an agent without an upstream has run, and whether it reports then
+// that no task of an earlier agent is left at its address.
+struct VacancyCase {
+  const char* name;
+  Duration tick_interval;
+  std::uint32_t ticks = 0;
+  bool has_upstream = false;
+  bool is_vacant = false;
+};
+
+class VacancyTest : public testing::TestWithParam<VacancyCase> {};
+
+// Guards against two runs of one task: what an earlier agent has started runs
+// on until its lease expires, while entries that join take it for over.
+TEST_P(VacancyTest, IsReportedOnceTheLeasesOfEarlierAgentsHaveExpired) {
+  const VacancyCase& tested = this->GetParam();
+  AgentCoreSettings settings;
+  settings.self = AgentId(7);
+  settings.bucket_count = 1;
+  settings.admin_endpoint = {"10.0.0.1", 80};
+  settings.lease_run_time = MaximumLeaseRunTime(std::chrono::seconds(1));
+  AgentCore agent(settings);
+  Timestamp now{std::chrono::seconds(1000)};
+  if (tested.has_upstream) agent.Handle(UpstreamAnnounced{}, now);
+  agent.Handle(EntryConnected{EntryId(kEntry)}, now);
+  std::optional<Endpoint> reported;
+  for (std::uint32_t i = 0; i < tested.ticks; ++i) {
+    now += tested.tick_interval;
+    for (const AgentEffect& effect : agent.Handle(AgentTick{}, now)) {
+      const auto* sent = std::get_if<SendToEntry>(&effect);
+      if (sent == nullptr) continue;
+      const auto* heartbeat = std::get_if<AgentHeartbeat>(&sent->message);
+      if (heartbeat != nullptr) reported = heartbeat->vacant_address;
+    }
+  }
+  EXPECT_EQ(reported.has_value(), tested.is_vacant);
+  if (tested.is_vacant) {
+    EXPECT_EQ(reported, settings.admin_endpoint);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ages, VacancyTest,
+    testing::Values(
+        VacancyCase{"LeasesMayRun", milliseconds(50), 23, false, false},
+        VacancyCase{"LeasesHaveExpired", milliseconds(50), 28, false, true},
+        VacancyCase{"HasAnUpstream", milliseconds(50), 28, true, false},
+        VacancyCase{"ClockWasSetForward", std::chrono::seconds(1), 10, false,
+                    false}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
+// The pauses of an agent between readings of the view after it has lost contact
+// with the entries, and how many of them fit into the first half second.
+struct ViewReadingCase {
+  std::uint64_t agent;
+  std::size_t at_least;
+};
+
+class ViewReadingTest : public testing::TestWithParam<ViewReadingCase> {};
+
+// Guards against agents that learn of restarted entries a second late, and
+// against a crowd at the table while no entry returns.
+TEST_P(ViewReadingTest, IsFrequentAtFirst) {
+  ViewReading reading{AgentId(this->GetParam().agent)};
+  std::size_t early = 0;
+  Duration total{};
+  for (int i = 0; i < 20; ++i) {
+    total += reading.NextPause(LeaseRenewal::kSuspended);
+    if (total <= milliseconds(500)) ++early;
+  }
+  EXPECT_GE(early, this->GetParam().at_least);
+  EXPECT_GE(reading.NextPause(LeaseRenewal::kSuspended),
+            std::chrono::seconds(1));
+  EXPECT_GE(reading.NextPause(LeaseRenewal::kAllowed), std::chrono::seconds(1));
+  EXPECT_LE(reading.NextPause(LeaseRenewal::kSuspended), milliseconds(180));
+}
+
+INSTANTIATE_TEST_SUITE_P(Agents, ViewReadingTest,
+                         testing::Values(ViewReadingCase{0, 3},
+                                         ViewReadingCase{49, 2}));
+
 }  // namespace
 }  // namespace dandelionspur
--- a/tests/entry_core/deliberate_fault_test.cc
+++ b/tests/entry_core/deliberate_fault_test.cc
@@ -108,6 +108,8 @@
             RerunPolicy::kAfterLease, false, FaultMix::kCrashingUpstreams},
         FaultCase{"ForgetCancelling", DeliberateFault::kForgetCancelling, 1,
                   RerunPolicy::kAfterLease},
+        FaultCase{"OmitAgentFromTable", DeliberateFault::kOmitAgentFromTable, 1,
+                  RerunPolicy::kAfterLease},
         FaultCase{"KeepPredecessorTasks",
                   DeliberateFault::kKeepPredecessorTasks, 1,
                   RerunPolicy::kAfterLease}),
--- a/tests/entry_core/joining_entry_test.cc
+++ b/tests/entry_core/joining_entry_test.cc
@@ -197,6 +197,119 @@
   EXPECT_TRUE(this->KnowsAllRunningAgents());
 }
 
+Endpoint AddressOf(AgentId agent) {
+  return {"10.0.0.1", static_cast<std::uint16_t>(agent.value())};
+}
+
+// What an entry that has joined beside a silent member is told within half a
+// second, and whether it then knows all agents that may be running tasks.
+struct RosterCase {
+  std::string name;
+  // The view after which the addresses were listed; 0: they are not read.
+  std::uint64_t listed_after = 0;
+  std::vector<AgentId> listed;
+  std::vector<AgentId> registered;
+  std::vector<AgentId> vacant;
+  bool knows_all = false;
+};
+
+class AgentRosterTest : public JoiningEntryTest,
+                        public testing::WithParamInterface<RosterCase> {
+ protected:
+  void Introduce(AgentId agent) {
+    this->Handle(AgentConnected{agent});
+    Register message;
+    message.description.agent = agent;
+    message.description.service = kService;
+    message.description.admin_endpoint = AddressOf(agent);
+    message.epoch = this->view.epoch;
+    this->Handle(AgentMessageReceived{agent, message});
+  }
+  void ReportVacant(AgentId agent) {
+    this->Handle(AgentConnected{agent});
+    AgentHeartbeat heartbeat;
+    heartbeat.sent_at = this->now;
+    heartbeat.vacant_address = AddressOf(agent);
+    this->Handle(AgentMessageReceived{agent, heartbeat});
+  }
+};
+
+// Guards against a restart of all processes after which jobs wait for leases
+// although every agent has shown that nothing runs, and against two runs of one
+// task of an agent that has not shown it.
+TEST_P(AgentRosterTest, AllListedAddressesMustBeAccountedFor) {
+  const RosterCase& tested = this->GetParam();
+  this->Join();
+  if (!tested.registered.empty()) this->Introduce(tested.registered.front());
+  if (tested.listed_after > 0) {
+    AgentAddressesRead read{Epoch(tested.listed_after), {}};
+    for (const AgentId agent : tested.listed) {
+      read.addresses.push_back(AddressOf(agent));
+    }
+    this->Handle(read);
+  }
+  // After the first one, which may come before the list.
+  for (const AgentId agent : tested.registered) this->Introduce(agent);
+  for (const AgentId agent : tested.vacant) this->ReportVacant(agent);
+  this->Advance(milliseconds(500), {kOther});
+  EXPECT_EQ(this->KnowsAllRunningAgents(), tested.knows_all);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Lists, AgentRosterTest,
+    testing::Values(
+        RosterCase{"NotRead", 0, {}, {AgentId(1)}, {}, false},
+        RosterCase{"NoAgentListed", 7, {}, {}, {}, true},
+        RosterCase{"AllRegistered",
+                   7,
+                   {AgentId(1), AgentId(2)},
+                   {AgentId(1), AgentId(2)},
+                   {},
+                   true},
+        RosterCase{"OneIsMissing",
+                   7,
+                   {AgentId(1), AgentId(2)},
+                   {AgentId(1)},
+                   {},
+                   false},
+        RosterCase{"OneHasNoUpstream",
+                   7,
+                   {AgentId(1), AgentId(2)},
+                   {AgentId(1)},
+                   {AgentId(2)},
+                   true},
+        RosterCase{"AnotherOneHasNoUpstream",
+                   7,
+                   {AgentId(1), AgentId(2)},
+                   {AgentId(1)},
+                   {AgentId(3)},
+                   false},
+        // An agent may have become ready in between, without this entry.
+        RosterCase{"ListedBeforeThisEntryJoined",
+                   6,
+                   {AgentId(1)},
+                   {AgentId(1)},
+                   {},
+                   false}),
+    [](const auto& tested) { return tested.param.name; });
+
+// After a restart of all, an entry acts as home as soon as the agents that are
+// listed have promised, and not only when all leases must have expired.
+TEST_F(AgentRosterTest, BucketsBecomeActiveOnceTheListedAgentsHavePromised) {
+  this->view.members = {MemberOf(kSelf)};
+  this->view.losses = {{kOlder, this->now, LossProof::kSilent}};
+  this->Handle(ViewRead{this->view});
+  this->Handle(AgentAddressesRead{this->view.epoch, {AddressOf(kAgent)}});
+  this->Introduce(kAgent);
+  EXPECT_FALSE(this->entry.buckets().IsActive(BucketId(0)));
+  AgentPromiseReply reply;
+  reply.part.sequence = 1;
+  reply.buckets = {
+      {BucketId(0), this->entry.buckets().Promised(BucketId(0)), true}};
+  this->Handle(AgentMessageReceived{kAgent, reply});
+  EXPECT_TRUE(this->entry.buckets().IsActive(BucketId(0)));
+}
+
 bool ConfirmsAgent(const std::vector<EntryEffect>& effects) {
   return std::any_of(effects.begin(), effects.end(), [](const auto& effect) {
     const auto* sent = std::get_if<SendToAgent>(&effect);
--- a/tests/services/table_watcher_test.cc
+++ b/tests/services/table_watcher_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "libraries/protocol/agent_row.h"
 #include "libraries/protocol/view_row.h"
 #include "platform/base64.h"
 
@@ -63,6 +64,7 @@
     this->server = std::move(created);
     EntrySettings settings;
     settings.table = {"127.0.0.1", this->server->port()};
+    settings.agents_are_listed = this->agents_are_listed;
     this->watcher = std::make_unique<TableWatcher>(
         settings, Member(1), this->context, this->metrics,
         [this](const EntryEvent& event) { this->Note(event); });
@@ -96,6 +98,8 @@
   std::vector<VersionedDocument> documents;
   std::vector<std::string> services;
   std::vector<Epoch> epochs;
+  bool agents_are_listed = false;
+  std::vector<AgentAddressesRead> agent_lists;
 
  private:
   static std::string Answer(const json& rows) {
@@ -130,6 +134,9 @@
       this->services.push_back(read->document.service.value());
       this->documents.push_back(read->document);
     }
+    if (const auto* read = std::get_if<AgentAddressesRead>(&event)) {
+      this->agent_lists.push_back(*read);
+    }
     if (const auto* read = std::get_if<ViewRead>(&event)) {
       this->epochs.push_back(read->view.epoch);
     }
@@ -217,6 +224,57 @@
   EXPECT_TRUE(this->Failed(3));
 }
 
+// The agents' rows beside a view, and the addresses that the entry takes from
+// them.
+struct AgentRowsCase {
+  const char* name;
+  bool agents_are_listed = true;
+  std::uint64_t member = 1;
+  std::vector<std::string> values;
+  std::optional<std::size_t> listed;
+};
+
+class AgentRowsTest : public TableWatcherTest,
+                      public testing::WithParamInterface<AgentRowsCase> {};
+
+// Guards against an entry that takes a list for complete that lacks agents.
+TEST_P(AgentRowsTest, AreReadOnceTheEntryIsAMember) {
+  const AgentRowsCase& tested = this->GetParam();
+  this->agents_are_listed = tested.agents_are_listed;
+  View view;
+  view.epoch = Epoch(4);
+  view.members = {Member(tested.member)};
+  json rows = json::array();
+  for (const std::string& value : tested.values) {
+    rows.push_back(
+        WireRow("agent.10.0.0." + std::to_string(rows.size()), value));
+  }
+  rows.push_back(WireRow(kViewRow, EncodeViewRow(view)));
+  this->Read(rows, json::array());
+  ASSERT_EQ(this->agent_lists.size(), tested.listed ? 1U : 0U);
+  if (!tested.listed) return;
+  EXPECT_EQ(this->agent_lists[0].epoch, Epoch(4));
+  EXPECT_EQ(this->agent_lists[0].addresses.size(), *tested.listed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Lists, AgentRowsTest,
+    testing::Values(AgentRowsCase{"None", true, 1, {}, 0},
+                    AgentRowsCase{"Two",
+                                  true,
+                                  1,
+                                  {EncodeAgentRow({"10.0.0.1", 80}),
+                                   EncodeAgentRow({"10.0.0.2", 80})},
+                                  2},
+                    AgentRowsCase{"OneIsOdd",
+                                  true,
+                                  1,
+                                  {EncodeAgentRow({"10.0.0.1", 80}), "odd"},
+                                  std::nullopt},
+                    AgentRowsCase{"NotAMember", true, 2, {}, std::nullopt},
+                    AgentRowsCase{"NotSetUp", false, 1, {}, std::nullopt}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
 struct OddRowCase {
   const char* name;
   // The JSON text of the odd row.
--- a/tests/support/simulated_processes.cc
+++ b/tests/support/simulated_processes.cc
@@ -103,7 +103,7 @@
   this->NotifyReplaced(slot);
   this->JoinView(id);
   if (!this->table.IsUp()) return;
-  this->HandleEntry(id, ViewRead{this->table.view()});
+  this->ReadView(EntryId(id));
 }
 
 void SimulatedProcesses::StartAgent(std::uint32_t slot) {
@@ -113,7 +113,7 @@
   this->log.Append("agent " + std::to_string(id) + " starts");
   this->HandleAgent(id, UpstreamAnnounced{DescriptionOf(slot)});
   if (!this->table.IsUp()) return;
-  this->HandleAgent(id, AgentViewRead{this->table.view()});
+  this->ReadView(id);
 }
 
 void SimulatedProcesses::AnnounceUpstream(NodeId agent) {
@@ -195,11 +195,23 @@
   if (this->cut_from_table.contains(entry)) return;
   Entry& reader = this->entries.at(entry);
   if (!reader.frozen) reader.view_read_at = this->clock.Now();
-  this->HandleEntry(entry, ViewRead{this->table.view()});
+  this->ReadView(EntryId(entry));
   this->HandleEntry(entry, DocumentRead{this->table.Document()});
 }
 
+void SimulatedProcesses::ReadView(EntryId entry) {
+  const View& view = this->table.view();
+  this->HandleEntry(entry.value(), ViewRead{view});
+  if (view.Find(entry) == nullptr) return;
+  this->HandleEntry(entry.value(),
+                    AgentAddressesRead{view.epoch, this->table.ListedAgents()});
+}
+
 void SimulatedProcesses::ReadView(NodeId agent) {
+  const bool is_listed =
+      this->options.fault != DeliberateFault::kOmitAgentFromTable;
+  const std::uint32_t slot = this->agents.at(agent).slot;
+  if (is_listed) this->table.ListAgent(DescriptionOf(slot).admin_endpoint);
   this->HandleAgent(agent, AgentViewRead{this->table.view()});
 }
 
--- a/tests/support/simulated_processes.h
+++ b/tests/support/simulated_processes.h
@@ -64,7 +64,7 @@
   // The entry reads and writes nothing in the table until RestoreTable.
   void CutFromTable(NodeId entry) { this->cut_from_table.insert(entry); }
   void RestoreTable() { this->cut_from_table.clear(); }
-  // Has the agent read the view from the table.
+  // Has the agent list its address in the table, and read the view there.
   void ReadView(NodeId agent);
   // A timer of the entry is due.
   void Tick(NodeId entry);
@@ -141,6 +141,8 @@
   void ReviveEntry(NodeId id);
   void ReviveAgent(NodeId id);
   void JoinView(NodeId entry);
+  // The entry reads the view, and the agents' addresses once it is a member.
+  void ReadView(EntryId entry);
   // Another process answers at the address of the entries that have ended
   // there.
   void NotifyReplaced(std::uint32_t slot);
--- a/tests/support/simulated_table.cc
+++ b/tests/support/simulated_table.cc
@@ -20,6 +20,10 @@
   this->current_view = WithMember(this->current_view, member, now);
 }
 
+void SimulatedTable::ListAgent(const Endpoint& address) {
+  if (this->up) this->agents.insert(address);
+}
+
 SimulatedTable::ProposalResult SimulatedTable::Propose(const View& proposed) {
   const bool follows =
       proposed.epoch.value() == this->current_view.epoch.value() + 1;
--- a/tests/support/simulated_table.h
+++ b/tests/support/simulated_table.h
@@ -1,6 +1,9 @@
 #ifndef DANDELIONSPUR_TESTS_SUPPORT_SIMULATED_TABLE_H_
 #define DANDELIONSPUR_TESTS_SUPPORT_SIMULATED_TABLE_H_
 
+#include <set>
+#include <vector>
+
 #include "libraries/entry_core/entry_core.h"
 
 namespace dandelionspur {
@@ -20,6 +23,12 @@
   // Adds a member to the view.
   void AddMember(const ViewMember& member, Timestamp now);
 
+  // Lists the address of an agent.
+  void ListAgent(const Endpoint& address);
+  [[nodiscard]] std::vector<Endpoint> ListedAgents() const {
+    return {this->agents.begin(), this->agents.end()};
+  }
+
   enum class ProposalResult { kAccepted, kRejected };
   // Replaces the view, if `proposed` directly follows it.
   ProposalResult Propose(const View& proposed);
@@ -29,6 +38,7 @@
  private:
   bool up = true;
   View current_view;
+  std::set<Endpoint> agents;
   DocumentVersion version;
 };
 
--- a/tests/support/simulation_options.h
+++ b/tests/support/simulation_options.h
@@ -43,6 +43,8 @@
   kAssumeLeaseExpiredEarly,
   // A restarted agent does not stop the tasks that its predecessor started.
   kKeepPredecessorTasks,
+  // Agents read the view without having listed their addresses in the table.
+  kOmitAgentFromTable,
   // Entries do not send each other their last contacts with agents.
   kHideSightings,
   // The relays to an entry that ends are returned to their senders as if it had
