--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -9,6 +9,8 @@
 
 // Entries are told of neighbours for this long after a start asked for it.
 constexpr Duration kReportNeighbours = std::chrono::seconds(5);
+// Ticks come more often. A longer interval may be a step of the clock.
+constexpr Duration kLongestTick = std::chrono::milliseconds(60);
 
 // Why the upstream did not start a task; nothing for results after which the
 // task may have run.
@@ -216,6 +218,9 @@
 }
 
 void AgentCore::On(const AgentTick& /*event*/) {
+  const Duration since_tick = this->current_time - this->latest_tick;
+  this->running_for += std::clamp(since_tick, Duration(), kLongestTick);
+  this->latest_tick = this->current_time;
   this->started.Expire(this->current_time);
   this->losses.Expire(this->current_time);
   this->recent_losses.Expire(this->current_time);
@@ -240,7 +245,8 @@
   }
   if (message.has_promises) this->promises_received.insert(from);
   this->AdoptEvacuations(from, message.evacuations);
-  this->AdoptView(message.view);
+  // The first view comes from the table, once this agent is listed there.
+  if (this->view.epoch != Epoch()) this->AdoptView(message.view);
   const bool is_complete =
       this->connected.contains(from) && this->promises_received.contains(from);
   if (!is_complete) return;
@@ -609,9 +615,17 @@
   if (this->ReportsNeighbours()) {
     heartbeat.running_groups = this->neighbours.Running();
   }
+  heartbeat.vacant_address = this->VacantAddress();
   this->Send(entry, std::move(heartbeat));
 }
 
+std::optional<Endpoint> AgentCore::VacantAddress() const {
+  const bool is_vacant =
+      !this->description && this->running_for > this->settings.lease_run_time;
+  return is_vacant ? std::optional(this->settings.admin_endpoint)
+                   : std::nullopt;
+}
+
 void AgentCore::OfferFreeCapacity(std::optional<EntryId> reported) {
   const bool accepts =
       this->admission.waiting_count() == 0 && !this->NotAcceptingReason();
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -32,12 +32,18 @@
   // latest heartbeat that an entry has confirmed.
   Duration contact_limit = kContactLimit;
   DataCentreName data_centre;
+  // Where this agent and all earlier ones on its instance are reached.
+  Endpoint admin_endpoint{};
+  // The longest time for which tasks that an earlier agent has started can run
+  // on after this one has begun.
+  Duration lease_run_time = MaximumLeaseRunTime(std::chrono::seconds(1));
 };
 BOOST_DESCRIBE_STRUCT(StartedSetLimits, (),
                       (maximum_tasks, maximum_answer_bytes, duplicate_window))
 BOOST_DESCRIBE_STRUCT(AgentCoreSettings, (),
                       (self, bucket_count, started_set, registration_interval,
-                       heartbeat_interval, contact_limit, data_centre))
+                       heartbeat_interval, contact_limit, data_centre,
+                       admin_endpoint, lease_run_time))
 
 // All decisions of an agent, as a deterministic state machine: the last check
 // before a task reaches its upstream. It uses no socket, thread, clock or
@@ -189,7 +195,14 @@
   std::map<EntryId, Epoch> ready_announced;
   // Running tasks for which the upstream has received a stop order.
   std::set<TaskId> stopping;
+  // This agent's address, once no task is left there of an earlier agent.
+  // Nothing while there is an upstream: a registration shows the same.
+  [[nodiscard]] std::optional<Endpoint> VacantAddress() const;
+
   Timestamp current_time;
+  // For how long this agent has run; a step of the clock adds little.
+  Duration running_for{};
+  Timestamp latest_tick;
   Timestamp next_registration;
   Timestamp next_heartbeat;
   // Increases whenever a task is queued, started, withdrawn or completed, or
--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -205,6 +205,7 @@
       "stop_within_s", kStopRangeMilliseconds, kDefaultStopWithin);
   settings.client_limits = ReadClientLimits(reader);
   settings.interference = ReadInterference(reader);
+  settings.agents_are_listed = reader.BooleanOr("agents_are_listed", false);
   settings.link_bytes_per_second = ReadLink(reader);
   settings.memory_bytes = ReadMemoryLimit(reader);
   settings.recording = ReadRecording(reader);
@@ -255,6 +256,7 @@
   settings.lease =
       reader.MillisecondsOr("lease_ms", kLeaseRangeMilliseconds, kDefaultLease);
   settings.client_limits = ReadClientLimits(reader);
+  settings.lists_address = reader.BooleanOr("lists_address", false);
   settings.recording = ReadRecording(reader);
   settings.log = ReadLog(reader);
   BOOST_LEAF_CHECK(reader.Finish());
--- a/libraries/configuration/settings.h
+++ b/libraries/configuration/settings.h
@@ -100,6 +100,9 @@
   Duration stop_within{};
   // For services whose document names none.
   InterferenceHandling interference = InterferenceHandling::kIgnore;
+  // Whether all agents list their addresses in the table: `lists_address` of
+  // their settings.
+  bool agents_are_listed = false;
   RecordingSettings recording;
   LogSettings log;
 };
@@ -109,7 +112,7 @@
                        memory_bytes, input_output_threads, bucket_count,
                        duplicate_window, suspect_after, remove_after, lease,
                        client_limits, drain_accepts, stop_within, interference,
-                       recording, log))
+                       agents_are_listed, recording, log))
 
 struct AgentSettings {
   DataCentreName data_centre;
@@ -130,6 +133,8 @@
   // after half of it.
   Duration lease{};
   ClientLimitSettings client_limits;
+  // Whether this agent lists its address in the table before it reads a view.
+  bool lists_address = false;
   RecordingSettings recording;
   LogSettings log;
 };
@@ -138,7 +143,7 @@
                        input_output_threads, table, upstream_connections,
                        bucket_count, maximum_remembered_tasks,
                        maximum_answer_bytes, duplicate_window, lease,
-                       client_limits, recording, log))
+                       client_limits, lists_address, recording, log))
 
 // Parse and validate the text of a settings file. Errors name the text by
 // `source`, the field and the allowed values.
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -284,10 +284,13 @@
   // The groups whose tasks run at the upstream. Empty unless a start of the
   // last seconds asked for it.
   std::vector<JobGroupId> running_groups{};
+  // The agent's address, if it has no upstream and no task runs any more that
+  // an earlier agent at this address has started.
+  std::optional<Endpoint> vacant_address{};
 };
 BOOST_DESCRIBE_STRUCT(AgentHeartbeat, (),
                       (load, sent_at, epoch, recent_losses, evacuations,
-                       running_groups))
+                       running_groups, vacant_address))
 
 using AgentMessage = std::variant<Register, AgentReady, AgentPromiseReply,
                                   TaskFinished, TaskNotRun, RenounceReply,
