--- a/tests/entry_core/evacuated_home_test.cc
+++ b/tests/entry_core/evacuated_home_test.cc
@@ -25,8 +25,9 @@
 class EvacuatedHomeTest : public testing::Test {
  protected:
   EvacuatedHomeTest() {
-    for (const std::uint32_t agent : {0, 1})
+    for (const std::uint32_t agent : {0, 1}) {
       this->Register(agent, std::nullopt);
+    }
   }
 
   std::vector<EntryEffect> Register(std::uint32_t agent,
