entry_core, agent_core: Mend what the review of the contention part found

An account with only late jobs blocked jobs in time of others while it yielded; the peers' queues counted under every placement; offers preferred long queues without bound and stayed open after a notice that says they weren't used; room for urgent tasks could take half of a small upstream; an upstream's measured slowness never aged; a start's new placement reasons can't be decoded by earlier agents, so they travel in a field of their own. Found by reading.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -186,11 +186,12 @@
   TaskOutcome outcome = TaskOutcome::kUnknown;
   if (event.result == UpstreamResult::kSucceeded) {
     outcome = TaskOutcome::kSucceeded;
-    this->performance.ObserveSuccess(declared, event.elapsed);
+    this->performance.ObserveSuccess(declared, event.elapsed,
+                                     this->current_time);
   }
   if (event.result == UpstreamResult::kFailed) {
     outcome = TaskOutcome::kFailed;
-    this->performance.ObserveFailure();
+    this->performance.ObserveFailure(this->current_time);
   }
   this->started.MarkFinished(event.task, outcome, event.body);
   // Built from the event, since the size limit of the set may have evicted the
@@ -383,6 +384,8 @@
 void AgentCore::OnMessage(EntryId from, const DemandNotice& message) {
   const auto sender = this->connected.find(from);
   if (sender == this->connected.end()) return;
+  // The entry has not used what it was offered.
+  this->offers.Settle(from);
   sender->second.demand = message.queued;
   // Answered only if the load has changed since the last report to this entry;
   // otherwise the two would exchange notices and heartbeats without end.
@@ -592,7 +595,7 @@
   }
   load.accepting = !this->NotAcceptingReason();
   load.leaving = this->leaving || this->upstream_leaving;
-  load.performance = this->performance.Report();
+  load.performance = this->performance.Report(this->current_time);
   return load;
 }
 
@@ -656,8 +659,9 @@
                                   ? total / kTasksOfIdleUpstream
                                   : in_use / this->admission.running_count();
   if (in_use >= total) return 0;
-  // Rounded, since tasks differ in size.
-  return (total - in_use + usual / 2) / std::max<std::uint64_t>(1, usual);
+  // Tasks differ in size, so one may fit into less than the usual one takes.
+  return std::max<std::uint64_t>(
+      1, (total - in_use) / std::max<std::uint64_t>(1, usual));
 }
 
 void AgentCore::SendHeartbeats() {
--- a/libraries/agent_core/free_capacity_offers.cc
+++ b/libraries/agent_core/free_capacity_offers.cc
@@ -5,6 +5,9 @@
 namespace dandelionspur {
 namespace {
 
+// Entries with longer queues are preferred only up to this length, so that one
+// with a single urgent task has its turn soon.
+constexpr std::uint32_t kLongQueue = 4;
 // An entry that has not sent a start by then needs the capacity no more.
 constexpr Duration kOfferTime = std::chrono::milliseconds(20);
 
@@ -27,7 +30,8 @@
     still_waiting[entry.entry] = passed;
     if (this->open.contains(entry.entry)) continue;
     const std::uint64_t turns = std::uint64_t{passed} + 1;
-    candidates.push_back({entry.entry, turns * entry.queued_tasks});
+    candidates.push_back(
+        {entry.entry, turns * std::min(kLongQueue, entry.queued_tasks)});
   }
   this->passed_over = std::move(still_waiting);
   std::stable_sort(candidates.begin(), candidates.end(),
--- a/libraries/agent_core/upstream_admission.h
+++ b/libraries/agent_core/upstream_admission.h
@@ -44,8 +44,8 @@
   // Whether a task may be queued: it fits into the total capacity, and the
   // queue is short enough.
   [[nodiscard]] bool Admits(const Resources& need) const;
-  // Starts that can still meet their objective are served first, by the time
-  // left until then; the others in the order of their arrival.
+  // Starts that could still meet their objective when they arrived are served
+  // first, by their latest start; the others in the order of their arrival.
   void Enqueue(AcceptedStart accepted);
   // Removes the first start from the queue and counts its task as running.
   // Returns nothing if the queue is empty or the free capacity is too small.
--- a/libraries/agent_core/upstream_performance.cc
+++ b/libraries/agent_core/upstream_performance.cc
@@ -10,6 +10,7 @@
 // A single task that runs far longer than declared says little of its upstream.
 constexpr double kMaximumRatio = 20;
 constexpr double kPercent = 100;
+constexpr Duration kValidFor = std::chrono::seconds(5);
 
 double Average(double average, double sample, double weight) {
   return average + weight * (sample - average);
@@ -17,7 +18,9 @@
 
 }  // namespace
 
-void UpstreamPerformance::ObserveSuccess(Duration declared, Duration elapsed) {
+void UpstreamPerformance::ObserveSuccess(Duration declared, Duration elapsed,
+                                         Timestamp now) {
+  this->Advance(now);
   this->failure_share = Average(this->failure_share, 0, kAverageWeight);
   if (declared <= Duration() || elapsed <= Duration()) return;
   const double ratio = static_cast<double>(elapsed.count()) /
@@ -29,12 +32,14 @@
   this->log_slowness = Average(this->log_slowness, std::log(bounded), weight);
 }
 
-void UpstreamPerformance::ObserveFailure() {
+void UpstreamPerformance::ObserveFailure(Timestamp now) {
+  this->Advance(now);
   this->failure_share = Average(this->failure_share, 1, kAverageWeight);
 }
 
-PerformanceReport UpstreamPerformance::Report() const {
+PerformanceReport UpstreamPerformance::Report(Timestamp now) const {
   PerformanceReport report;
+  if (this->IsOutdated(now)) return report;
   if (this->successes > 0) {
     report.slowness_percent = static_cast<std::uint32_t>(
         std::lround(std::exp(this->log_slowness) * kPercent));
@@ -44,4 +49,13 @@
   return report;
 }
 
+void UpstreamPerformance::Advance(Timestamp now) {
+  if (this->IsOutdated(now)) *this = UpstreamPerformance();
+  this->latest = now;
+}
+
+bool UpstreamPerformance::IsOutdated(Timestamp now) const {
+  return now - this->latest > kValidFor;
+}
+
 }  // namespace dandelionspur
--- a/libraries/agent_core/upstream_performance.h
+++ b/libraries/agent_core/upstream_performance.h
@@ -10,16 +10,23 @@
 // entries. An entry alone sees too few of them to notice a change soon.
 class UpstreamPerformance {
  public:
-  void ObserveSuccess(Duration declared, Duration elapsed);
-  void ObserveFailure();
-  [[nodiscard]] PerformanceReport Report() const;
+  void ObserveSuccess(Duration declared, Duration elapsed, Timestamp now);
+  void ObserveFailure(Timestamp now);
+  // Nothing is known once no task has ended for a while: an upstream that was
+  // slow or failed its tasks is tried again.
+  [[nodiscard]] PerformanceReport Report(Timestamp now) const;
 
  private:
+  // Forgets what is outdated.
+  void Advance(Timestamp now);
+  [[nodiscard]] bool IsOutdated(Timestamp now) const;
+
   // Logarithm of the geometric mean of measured over declared run time.
   double log_slowness = 0;
   // Share of failed tasks.
   double failure_share = 0;
   std::uint32_t successes = 0;
+  Timestamp latest;
 };
 
 }  // namespace dandelionspur
--- a/libraries/decision_log/entry_decision_log.cc
+++ b/libraries/decision_log/entry_decision_log.cc
@@ -169,7 +169,7 @@
   if (trace != nullptr && !trace->first_start) trace->first_start = this->now;
   this->AddStep(start.task.key, [&](const std::string& job) {
     TaskStartSent line{job, start.task.task.value(), start.attempt, start.agent,
-                       start.placement};
+                       start.PlacedFor()};
     line.still_queued = start.queued;
     line.scope = start.scope;
     const KnownAgent* agent = this->core.agents().Find(start.agent);
--- a/libraries/entry_core/admission.cc
+++ b/libraries/entry_core/admission.cc
@@ -69,7 +69,7 @@
   if (quarantine.Contains(group)) {
     return WaitInQuarantine(service, group, service.QueuedWorkOf(group), now);
   }
-  Duration work = service.queued_work() + service.peer_backlog().Total();
+  Duration work = service.queued_work() + service.peer_backlog().in_time;
   for (const JobGroupId quarantined : quarantine.Groups()) {
     work -= service.QueuedWorkOf(quarantined);
   }
--- a/libraries/entry_core/agent_registry.cc
+++ b/libraries/entry_core/agent_registry.cc
@@ -25,11 +25,14 @@
 }
 
 void KnownAgent::NoteLoad(const AgentLoad& reported) {
+  const bool was_measured = this->load.performance.slowness_percent > 0;
   this->load = reported;
   this->last_load = reported;
-  if (reported.performance.slowness_percent > 0) {
-    this->slowness = reported.performance.slowness_percent / kPercent;
-    this->slowness_known = true;
+  const bool is_measured = reported.performance.slowness_percent > 0;
+  if (is_measured || was_measured) {
+    this->slowness =
+        is_measured ? reported.performance.slowness_percent / kPercent : 1.0;
+    this->slowness_known = is_measured;
   }
   const bool is_idle =
       reported.running == Resources() && reported.waiting == Resources();
--- a/libraries/entry_core/agent_registry.h
+++ b/libraries/entry_core/agent_registry.h
@@ -88,11 +88,12 @@
   }
   // Whether the agent's upstream is up and takes tasks, as last reported.
   [[nodiscard]] bool TakesTasks() const {
-    return this->CountsAsCapacity() && !this->lost_at && this->load.accepting;
+    return this->CountsAsCapacity() && this->load.accepting;
   }
   // Whether the upstream is part of its service's capacity.
   [[nodiscard]] bool CountsAsCapacity() const {
-    return this->connected && this->ready && !this->leaving && !this->evacuated;
+    return this->connected && this->ready && !this->leaving &&
+           !this->evacuated && !this->lost_at;
   }
   // Records that an entry received the agent's heartbeat at `at` or earlier.
   // `heartbeat` is the agent's time of sending.
--- a/libraries/entry_core/contention/peer_backlogs.cc
+++ b/libraries/entry_core/contention/peer_backlogs.cc
@@ -9,6 +9,9 @@
 
 void PeerBacklogs::Note(EntryId from, const std::vector<ServiceBacklog>& told,
                         Timestamp now) {
+  std::erase_if(this->entries, [&](const auto& item) {
+    return now - item.second.at > kValidFor;
+  });
   if (told.empty()) {
     this->entries.erase(from);
     return;
--- a/libraries/entry_core/contention/urgent_reserve.cc
+++ b/libraries/entry_core/contention/urgent_reserve.cc
@@ -17,6 +17,9 @@
 
 void UrgentReserve::Observe(std::uint32_t priority, const Resources& need,
                             Timestamp now) {
+  std::erase_if(this->priorities, [&](const auto& item) {
+    return now - item.second.latest > kRecent;
+  });
   const auto [found, is_new] =
       this->priorities.try_emplace(priority, Demand{need, now});
   if (is_new) return;
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -536,12 +536,14 @@
                                 const std::vector<ServiceBacklog>& told,
                                 Timestamp now) {
   this->peer_backlogs.Note(from, told, now);
-  this->ApplyPeerBacklogs(now);
 }
 
 void HomeJobs::ApplyPeerBacklogs(Timestamp now) {
   for (auto& [name, service] : this->queues.all()) {
-    service.NotePeerBacklog(this->peer_backlogs.Of(name, now));
+    const bool competes =
+        service.document().placement == PlacementKind::kSoonestEnd;
+    service.NotePeerBacklog(competes ? this->peer_backlogs.Of(name, now)
+                                     : Backlog());
   }
 }
 
--- a/libraries/entry_core/service_state.cc
+++ b/libraries/entry_core/service_state.cc
@@ -81,7 +81,14 @@
 }
 
 Backlog ServiceState::OwnBacklog() const {
-  return {this->queued_total - this->queued_late, this->queued_late};
+  // Other upstreams than the peers' jobs need run the quarantined groups.
+  Duration quarantined_work{};
+  for (const JobGroupId group : this->isolation.Groups()) {
+    quarantined_work += this->QueuedWorkOf(group);
+  }
+  const Duration in_time =
+      this->queued_total - this->queued_late - quarantined_work;
+  return {std::max(Duration(), in_time), this->queued_late};
 }
 
 std::set<ServiceState::Position>& ServiceState::PositionsOf(
@@ -114,6 +121,7 @@
 }
 
 std::optional<JobKey> ServiceState::NextAbove(std::uint32_t priority) const {
+  if (priority == 0) return std::nullopt;
   const Position* best = nullptr;
   for (const auto& [name, client_account] : this->client_accounts) {
     if (client_account.running >= client_account.maximum_running) continue;
--- a/libraries/entry_core/task_dispatcher.cc
+++ b/libraries/entry_core/task_dispatcher.cc
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace dandelionspur {
+namespace {
+
+// Above it are the jobs of all priorities.
+constexpr std::uint32_t kAnyPriority = UINT32_MAX;
+
+}  // namespace
 
 TaskDispatcher::TaskDispatcher(const EntryCoreSettings& configured,
                                const HomeContext& context,
@@ -49,7 +55,10 @@
     const std::optional<JobKey> key = next_job();
     if (!key) break;
     HomeJob& job = this->jobs.At(*key);
-    if (this->YieldsToPeers(job, service)) break;
+    if (this->YieldsToPeers(job, service)) {
+      if (!this->StartInTime(kAnyPriority, service, now)) break;
+      continue;
+    }
     const TaskIndex index = job.queued.back();
     const std::optional<PlacementChoice> choice =
         this->placement.Choose(job, service, now);
@@ -62,12 +71,12 @@
       this->finisher.Refuse(job, Reason::kDeadlineTooShort, now);
       continue;
     }
-    if (!this->StartMoreUrgent(job.submission.priority, service, now)) break;
+    if (!this->StartInTime(job.submission.priority, service, now)) break;
   }
 }
 
-bool TaskDispatcher::StartMoreUrgent(std::uint32_t priority,
-                                     ServiceState& service, Timestamp now) {
+bool TaskDispatcher::StartInTime(std::uint32_t priority, ServiceState& service,
+                                 Timestamp now) {
   const std::optional<JobKey> key = service.NextAbove(priority);
   if (!key) return false;
   HomeJob& job = this->jobs.At(*key);
@@ -107,7 +116,7 @@
               record.start.attempt,
               agent.agent,
               job.TimeLeft(now),
-              choice.reason,
+              PlacementReason::kFastestFree,
               service.queued_tasks(),
               job.submission.name,
               job.submission.rerun,
@@ -118,7 +127,9 @@
               job.submission.group,
               choice.scope,
               job.SlackOf(request.declared, agent.slowness, now),
-              service.KeepsApart()};
+              service.KeepsApart(),
+              std::nullopt};
+  start.SetPlacement(choice.reason);
   agent.OmitRepeatedBody(start);
   this->send_budget.NoteSent(start.request.body.size() +
                              kJobMessageHeaderBytes);
--- a/libraries/entry_core/task_dispatcher.h
+++ b/libraries/entry_core/task_dispatcher.h
@@ -36,10 +36,11 @@
   template <typename NextJob>
   void DispatchQueue(ServiceState& service, Timestamp now,
                      const NextJob& next_job);
-  // Starts a task of a job of higher priority, which may use the room that a
-  // job of this priority must leave free. Returns whether there was one.
-  bool StartMoreUrgent(std::uint32_t priority, ServiceState& service,
-                       Timestamp now);
+  // Starts a task of a job that is in time and of higher priority than
+  // `priority`, which may use the room that the next job must leave free.
+  // Returns whether there was one.
+  bool StartInTime(std::uint32_t priority, ServiceState& service,
+                   Timestamp now);
   // Starts the next task of the job, a job of the service.
   void StartTask(HomeJob& job, ServiceState& service,
                  const PlacementChoice& choice, Timestamp now);
--- a/libraries/entry_core/task_placement.cc
+++ b/libraries/entry_core/task_placement.cc
@@ -11,6 +11,16 @@
 // failed before.
 constexpr std::uint32_t kReliableFailedPercent = 10;
 
+// Whether `reserve` is left free at the agent once the task runs there. An
+// upstream of which it would be a large part keeps nothing free.
+bool LeavesRoom(const KnownAgent& agent, const Resources& need,
+                const Resources& reserve) {
+  constexpr std::uint64_t kLargePartDivisor = 4;
+  const bool is_large =
+      reserve.millicores * kLargePartDivisor > agent.load.capacity.millicores;
+  return is_large || agent.HasCapacityFor(need + reserve);
+}
+
 // Whether tasks that are placed in this scope may run at the agent.
 bool IsInScope(const KnownAgent& agent, PlacementScope scope,
                JobGroupId group) {
@@ -52,16 +62,16 @@
   const Quarantine& quarantine = service.quarantine();
   PlacementChoice choice;
   choice.scope = this->ScopeOf(job, task.need, quarantine, now);
-  const bool yields =
+  const bool leaves_room =
       service.document().placement == PlacementKind::kSoonestEnd;
   const Resources reserve =
-      yields ? service.urgent_reserve().For(job.submission.priority, now)
-             : Resources();
+      leaves_room ? service.urgent_reserve().For(job.submission.priority, now)
+                  : Resources();
   this->CollectCandidates(job, index, choice.scope, reserve, now);
   if (job.tasks[index.value()].failures > 0) this->KeepReliable();
   const PlacementRequest request{
       id, {task.need.millicores, task.declared, service.usual_run_time()}, now};
-  if (yields) choice.reason = PlacementReason::kSoonestEnd;
+  if (leaves_room) choice.reason = PlacementReason::kSoonestEnd;
   if (this->candidates.size() == 1) {
     choice.reason = PlacementReason::kOnlyCandidate;
   }
@@ -117,11 +127,8 @@
   const KnownAgent* last_resort = nullptr;
   for (const KnownAgent* agent :
        this->agents.OfService(job.submission.service)) {
-    // An upstream that is too small for both has no room to keep free.
-    const Resources with_reserve = need + reserve;
-    const Resources& room =
-        with_reserve.FitsIn(agent->load.capacity) ? with_reserve : need;
-    if (!this->health.MayTakeTask(*agent, room, now)) continue;
+    if (!this->health.MayTakeTask(*agent, need, now)) continue;
+    if (!LeavesRoom(*agent, need, reserve)) continue;
     if (!IsInScope(*agent, scope, job.submission.group)) continue;
     if (task.retried && agent->agent == task.agent) {
       last_resort = agent;
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -352,15 +352,27 @@
   std::optional<Duration> slack;
   // Whether the home wants to know which groups run beside the task.
   bool report_neighbours = false;
+  // Set where earlier versions don't know the reason: they close the connection
+  // at such a value, so `placement` is one that they know.
+  std::optional<PlacementReason> later_placement;
 
   [[nodiscard]] StartNumber Number() const {
     return {this->ballot, this->attempt};
   }
+  [[nodiscard]] PlacementReason PlacedFor() const {
+    return this->later_placement.value_or(this->placement);
+  }
+  void SetPlacement(PlacementReason reason) {
+    const bool is_known_to_all = reason <= PlacementReason::kProbation;
+    this->placement = is_known_to_all ? reason : PlacementReason::kFastestFree;
+    if (!is_known_to_all) this->later_placement = reason;
+  }
 };
 BOOST_DESCRIBE_STRUCT(Start, (),
                       (task, ballot, attempt, agent, time_left, placement,
                        queued, job_name, rerun, contact, request, repeated_body,
-                       losses, group, scope, slack, report_neighbours))
+                       losses, group, scope, slack, report_neighbours,
+                       later_placement))
 
 // Asks for the task's state and rules out a later start: if the task has not
 // been started, no start of it up to this ballot and attempt will take effect.
--- a/services/entry/table_watcher.cc
+++ b/services/entry/table_watcher.cc
@@ -293,10 +293,13 @@
         if (!this->agents_requested) return;
         AgentAddressesRead listed{epoch, {}};
         for (const Row& row : read->rows) {
-          if (!IsAgentRowKey(row.key)) continue;
+          const bool is_present =
+              IsAgentRowKey(row.key) && row.version != RowVersion();
+          if (!is_present) continue;
           const std::optional<Endpoint> address = DecodeAgentRow(row.value);
           if (!address) {
             this->ReportUnreadable("agent", "row " + row.key);
+            this->agents_requested = false;
             return;
           }
           listed.addresses.push_back(*address);
--- a/utilities/dandelionspur/step_description.cc
+++ b/utilities/dandelionspur/step_description.cc
@@ -86,7 +86,7 @@
     return "start " + Format(message.task) + " under " +
            Format(message.ballot) + ", attempt " +
            std::to_string(message.attempt) +
-           ", placement reason: " + std::string(EnumName(message.placement)) +
+           ", placement reason: " + std::string(EnumName(message.PlacedFor())) +
            Format(message.losses);
   }
   std::string operator()(const Renounce& message) const {
