--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -322,10 +322,14 @@
 }
 
 void AgentCore::OnMessage(EntryId from, const Renounce& message) {
+  if (message.cancelled) {
+    this->started.Cancel(message.task.key, this->current_time);
+  }
   if (!this->started.Contains(message.task)) {
     this->started.Forbid(message.task, {message.ballot, message.attempt});
   }
-  RenounceReply reply{this->ReportOf(message.task)};
+  RenounceReply reply{this->ReportOf(message.task),
+                      this->started.IsCancelled(message.task.key)};
   if (reply.report.state == StartedState::kNeverStarted) {
     reply.report.start = {message.ballot, message.attempt};
   }
@@ -428,6 +432,7 @@
       this->promises[this->BucketOfKey(start.task.key).value()]) {
     return Reason::kStaleBallot;
   }
+  if (this->started.IsCancelled(start.task.key)) return Reason::kCancelled;
   const std::optional<Reason> not_accepting = this->NotAcceptingReason();
   if (not_accepting) return not_accepting;
   const bool outdated =
@@ -445,7 +450,8 @@
   const Ballot promised =
       this->promises[this->BucketOfKey(start.task.key).value()];
   this->Send(to, TaskNotRun{start.task, reason, promised, this->ReportLoad(to),
-                            start.Number()});
+                            start.Number(),
+                            this->started.IsCancelled(start.task.key)});
 }
 
 void AgentCore::RejectQueued(const AcceptedStart& accepted, Reason reason) {
@@ -454,9 +460,10 @@
   ++this->load_version;
   this->effects.emplace_back(StartRefusalCounted{reason});
   const Ballot promised = this->promises[this->BucketOfKey(task.key).value()];
-  this->Send(promised.entry, TaskNotRun{task, reason, promised,
-                                        this->ReportLoad(promised.entry),
-                                        accepted.start.Number()});
+  this->Send(
+      promised.entry,
+      TaskNotRun{task, reason, promised, this->ReportLoad(promised.entry),
+                 accepted.start.Number(), this->started.IsCancelled(task.key)});
 }
 
 void AgentCore::StartQueued() {
@@ -470,6 +477,11 @@
   }
   while (const std::optional<AcceptedStart> next =
              this->admission.TakeNext(this->current_time)) {
+    if (this->started.IsCancelled(next->start.task.key)) {
+      this->admission.Release(next->start.task);
+      this->RejectQueued(*next, Reason::kCancelled);
+      continue;
+    }
     const Duration time_left = next->deadline - this->current_time;
     ++this->load_version;
     this->effects.emplace_back(
--- a/libraries/agent_core/started_set.cc
+++ b/libraries/agent_core/started_set.cc
@@ -1,9 +1,16 @@
 #include "libraries/agent_core/started_set.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace dandelionspur {
+namespace {
+
+// Stands for a cancelled job among its tasks, of which it is the last.
+const TaskIndex kWholeJob(std::numeric_limits<std::uint32_t>::max());
+
+}  // namespace
 
 bool StartedSet::IsForbidden(const Start& start) const {
   const auto found = this->forbidden.find(start.task);
@@ -86,6 +93,11 @@
   this->forbidden_order.push_back({this->last_update_time, id});
 }
 
+void StartedSet::Cancel(const JobKey& key, Timestamp now) {
+  this->cancelled[key] = now;
+  this->cancelled_order.emplace_back(now, key);
+}
+
 StartedList StartedSet::List(const StartedQuery& query) const {
   StartedList list;
   list.covered = query.buckets.size();
@@ -105,7 +117,11 @@
       return list;
     }
     if (begins_job) list.jobs.push_back({task.id.key, {}});
-    list.jobs.back().tasks.push_back(task.id.task);
+    if (task.id.task == kWholeJob) {
+      list.jobs.back().cancelled = true;
+    } else {
+      list.jobs.back().tasks.push_back(task.id.task);
+    }
     last_position = task.position;
     ++listed;
   }
@@ -119,14 +135,18 @@
     positions.emplace(bucket, positions.size());
   }
   std::vector<QueriedTask> found;
-  for (const auto& [id, entry] : this->tasks) {
+  const auto add = [&](const TaskId& id) {
     const auto queried = positions.find(BucketOf(id.key, query.bucket_count));
-    if (queried == positions.end() || IsRerunnable(entry)) continue;
+    if (queried == positions.end()) return;
     const std::size_t position = queried->second;
     const bool is_listed_already =
         position == 0 && query.after && id.key <= *query.after;
     if (!is_listed_already) found.push_back({position, id});
+  };
+  for (const auto& [id, entry] : this->tasks) {
+    if (!IsRerunnable(entry)) add(id);
   }
+  for (const auto& item : this->cancelled) add({item.first, kWholeJob});
   std::sort(found.begin(), found.end());
   return found;
 }
@@ -161,6 +181,15 @@
                            found->second.added_at == oldest.added_at;
     if (is_latest) this->forbidden.erase(found);
   }
+  while (!this->cancelled_order.empty() &&
+         this->cancelled_order.front().first < horizon) {
+    const auto [cancelled_at, key] = this->cancelled_order.front();
+    this->cancelled_order.pop_front();
+    const auto found = this->cancelled.find(key);
+    const bool is_latest =
+        found != this->cancelled.end() && found->second == cancelled_at;
+    if (is_latest) this->cancelled.erase(found);
+  }
 }
 
 StartedSet::Expiry StartedSet::ExpireTask(const TimedTask& item) {
--- a/libraries/agent_core/started_set.h
+++ b/libraries/agent_core/started_set.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "libraries/base/ballot.h"
@@ -83,15 +84,21 @@
   }
   // Forbids every start of `id` up to and including `start`.
   void Forbid(const TaskId& id, const StartNumber& start);
+  // Records that the job was cancelled.
+  void Cancel(const JobKey& key, Timestamp now);
+  [[nodiscard]] bool IsCancelled(const JobKey& key) const {
+    return this->cancelled.contains(key);
+  }
   // Records a newer start of a task that still runs; the outcome of the run
   // then answers the newer start as well.
   void UpdateLatestStart(const Start& start);
-  // The started tasks of the buckets, grouped by job, in the order of the
-  // buckets and keys. Tasks that completed without success and may run again
-  // are left out, since another agent may have started them later.
+  // The started tasks of the buckets and the cancelled jobs, grouped by job, in
+  // the order of the buckets and keys. Tasks that completed without success and
+  // may run again are left out, since another agent may have started them
+  // later.
   [[nodiscard]] StartedList List(const StartedQuery& query) const;
-  // Removes completed tasks and forbidden starts that are older than the
-  // duplicate window.
+  // Removes completed tasks, forbidden starts and cancellings that are older
+  // than the duplicate window.
   void Expire(Timestamp now);
   [[nodiscard]] std::size_t size() const { return this->tasks.size(); }
   // The number of results in the cache, also of empty ones.
@@ -118,7 +125,8 @@
     // When a start of the task was last forbidden.
     Timestamp added_at;
   };
-  // A task of the bucket at `position` of a query.
+  // A task, or with `kWholeJob` a cancelled job, of the bucket at `position` of
+  // a query.
   struct QueriedTask {
     std::size_t position = 0;
     TaskId id;
@@ -150,6 +158,9 @@
   // Taken from `expiry_order` while their tasks still ran.
   std::vector<TimedTask> long_running;
   std::deque<TimedTask> forbidden_order;
+  // When each job was last cancelled.
+  std::map<JobKey, Timestamp> cancelled;
+  std::deque<std::pair<Timestamp, JobKey>> cancelled_order;
   std::size_t answer_bytes = 0;
   Timestamp last_update_time;
 };
--- a/libraries/entry_core/cancellations.cc
+++ b/libraries/entry_core/cancellations.cc
@@ -35,7 +35,8 @@
   const BucketId bucket = this->ownership.BucketOfKey(key);
   const bool needs_more = this->leaving || this->ownership.IsActive(bucket);
   if (needs_more) this->AskHolders(key, cancelling, now);
-  this->AnswerIfHeld(key, cancelling);
+  this->AskAgents(key, cancelling);
+  this->AnswerIfHeld(key, cancelling, now);
 }
 
 void Cancellations::OnMessage(EntryId from, const CancelJob& message,
@@ -53,17 +54,26 @@
   if (message.step == CancelStep::kRequested) {
     this->Send(from, key, CancelStep::kConfirmed);
   }
-  this->AnswerIfHeld(key, cancelling);
+  this->AnswerIfHeld(key, cancelling, now);
 }
 
-void Cancellations::OnRenounceReply(AgentId from,
-                                    const RenounceReply& message) {
+void Cancellations::OnRenounceReply(AgentId from, const RenounceReply& message,
+                                    Timestamp now) {
   const TaskReport& report = message.report;
+  const auto found = this->cancellings.find(report.task.key);
+  if (message.cancelled && found != this->cancellings.end()) {
+    found->second.agents.insert(from);
+    this->AnswerIfHeld(report.task.key, found->second, now);
+  }
   if (report.state == StartedState::kRunning) return;
   if (!this->ownership.IsCancelled(report.task.key)) return;
   this->ownership.RemoveReported(report.task.key, {report.task.task, from});
 }
 
+void Cancellations::Learn(const JobKey& key, Timestamp now) {
+  if (!this->ownership.IsCancelled(key)) this->Record(key, now);
+}
+
 void Cancellations::Record(const JobKey& key, Timestamp now) {
   this->cancellings.try_emplace(key);
   if (!this->ownership.IsCancelled(key)) this->ownership.Cancel(key, now);
@@ -81,7 +91,10 @@
       this->StopRuns(key, now);
     }
     this->TellHome(key, cancelling, now);
-    if (!cancelling.callers.empty()) this->AskHolders(key, cancelling, now);
+    if (cancelling.callers.empty()) continue;
+    this->AskHolders(key, cancelling, now);
+    this->AskAgents(key, cancelling);
+    this->AnswerIfHeld(key, cancelling, now);
   }
   std::erase_if(this->cancellings, [this](const auto& item) {
     return item.second.callers.empty() &&
@@ -130,6 +143,34 @@
   }
 }
 
+void Cancellations::AskAgents(const JobKey& key, const Cancelling& cancelling) {
+  constexpr std::uint32_t kAllAttempts =
+      std::numeric_limits<std::uint32_t>::max();
+  const Ballot promised =
+      this->ownership.Promised(this->ownership.BucketOfKey(key));
+  for (const AgentId agent : this->agents.Connected()) {
+    if (cancelling.agents.contains(agent)) continue;
+    this->outbox.ToAgent(
+        agent, Renounce{{key, TaskIndex(0)}, promised, kAllAttempts, true});
+  }
+}
+
+bool Cancellations::AgentsHold(const Cancelling& cancelling,
+                               Timestamp now) const {
+  std::size_t known = 0;
+  std::size_t holding = 0;
+  for (const auto& [id, agent] : this->agents.all()) {
+    if (agent.lost_at || agent.refuses_connections) continue;
+    ++known;
+    const bool holds = cancelling.agents.contains(id);
+    if (holds) ++holding;
+    const bool is_heard = agent.connected && now - agent.last_heard <=
+                                                 this->settings.suspect_after;
+    if (is_heard && !holds) return false;
+  }
+  return known == 0 || 2 * holding > known;
+}
+
 void Cancellations::Send(EntryId to, const JobKey& key, CancelStep step) {
   const BucketId bucket = this->ownership.BucketOfKey(key);
   this->outbox.ToPeer(to,
@@ -150,7 +191,7 @@
     if (agent == nullptr || !agent->connected) continue;
     const TaskId task{key, run.task};
     this->outbox.ToAgent(run.agent, StopTask{task, ballot});
-    this->outbox.ToAgent(run.agent, Renounce{task, ballot, kAllAttempts});
+    this->outbox.ToAgent(run.agent, Renounce{task, ballot, kAllAttempts, true});
   }
 }
 
@@ -166,8 +207,9 @@
   return is_member ? std::min(others, wanted) : wanted;
 }
 
-void Cancellations::AnswerIfHeld(const JobKey& key, Cancelling& cancelling) {
-  if (!this->Holds(cancelling)) return;
+void Cancellations::AnswerIfHeld(const JobKey& key, Cancelling& cancelling,
+                                 Timestamp now) {
+  if (!this->Holds(cancelling, now)) return;
   for (const WaitingCaller& caller : cancelling.callers) {
     this->outbox.Add(
         CancelAnswered{caller.request, key, CancelOutcome::kHolds});
--- a/libraries/entry_core/cancellations.h
+++ b/libraries/entry_core/cancellations.h
@@ -21,7 +21,9 @@
 // the home of the key's bucket until it has confirmed that it knows, and again
 // after each change of home. A home stops what agents still run of the job
 // until they have said that it is gone. A caller that cancels is answered once
-// further entries have recorded the cancelling.
+// further entries have recorded the cancelling, and all agents that are heard,
+// more than half of those that are known. Agents outlive the entries, and start
+// nothing of a job that they have recorded as cancelled, whoever asks.
 class Cancellations {
  public:
   Cancellations(const EntryCoreSettings& configured, Ownership& owner,
@@ -32,7 +34,10 @@
   void OnCaller(const JobKey& key, std::optional<RequestId> request,
                 Timestamp now);
   void OnMessage(EntryId from, const CancelJob& message, Timestamp now);
-  void OnRenounceReply(AgentId from, const RenounceReply& message);
+  void OnRenounceReply(AgentId from, const RenounceReply& message,
+                       Timestamp now);
+  // An agent has recorded that the job was cancelled.
+  void Learn(const JobKey& key, Timestamp now);
   // Repeats what is not confirmed. Call it periodically.
   void Repeat(Timestamp now);
   // Answers the callers that have waited for long enough.
@@ -58,6 +63,8 @@
     Ballot confirmed;
     // The other entries that have confirmed that they know.
     std::set<EntryId> holders;
+    // The agents that have recorded the cancelling.
+    std::set<AgentId> agents;
     std::vector<WaitingCaller> callers;
     // The entry that was told last as home, and when it may be told again.
     EntryId told;
@@ -72,16 +79,23 @@
   // missing.
   void AskHolders(const JobKey& key, const Cancelling& cancelling,
                   Timestamp now);
+  // Asks the agents that haven't confirmed to record the cancelling.
+  void AskAgents(const JobKey& key, const Cancelling& cancelling);
   void Send(EntryId to, const JobKey& key, CancelStep step);
   // Sends the agents that may run tasks of the job the order to stop them, and
   // asks what became of them.
   void StopRuns(const JobKey& key, Timestamp now);
   // The number of other entries that must know before a caller is answered.
   [[nodiscard]] std::size_t RequiredHolders() const;
-  [[nodiscard]] bool Holds(const Cancelling& cancelling) const {
-    return cancelling.holders.size() >= this->RequiredHolders();
+  // Whether enough agents know. Entries that hear none, or only a few, may be
+  // cut off together from another home and its agents.
+  [[nodiscard]] bool AgentsHold(const Cancelling& cancelling,
+                                Timestamp now) const;
+  [[nodiscard]] bool Holds(const Cancelling& cancelling, Timestamp now) const {
+    return cancelling.holders.size() >= this->RequiredHolders() &&
+           this->AgentsHold(cancelling, now);
   }
-  void AnswerIfHeld(const JobKey& key, Cancelling& cancelling);
+  void AnswerIfHeld(const JobKey& key, Cancelling& cancelling, Timestamp now);
 
   EntryCoreSettings settings;
   Ownership& ownership;
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -430,11 +430,14 @@
   const BucketId bucket = this->ownership.BucketOfKey(message.task.key);
   this->Observe({{bucket, message.promised}});
   this->home.OnTaskNotRun(from, message, this->current_time);
+  if (message.job_cancelled) {
+    this->cancellations.Learn(message.task.key, this->current_time);
+  }
 }
 
 void EntryCore::OnAgent(AgentId from, const RenounceReply& message) {
   this->home.OnRenounceReply(from, message, this->current_time);
-  this->cancellations.OnRenounceReply(from, message);
+  this->cancellations.OnRenounceReply(from, message, this->current_time);
 }
 
 void EntryCore::OnAgent(AgentId from, const AgentLeaving& /*message*/) {
--- a/libraries/entry_core/key_records.cc
+++ b/libraries/entry_core/key_records.cc
@@ -54,6 +54,7 @@
                              const std::vector<TaskIndex>& tasks, AgentId agent,
                              Timestamp now) {
   this->RememberInherited(known, now);
+  if (tasks.empty()) return;
   std::vector<ReportedTask>& found = this->reported[known.key];
   for (const TaskIndex task : tasks) {
     const ReportedTask report{task, agent};
--- a/libraries/entry_core/promise_collector.cc
+++ b/libraries/entry_core/promise_collector.cc
@@ -198,7 +198,8 @@
     if (!accepted.contains(id)) continue;
     // The age of the key is not known if only the agent has recorded it. It may
     // be as old as the oldest key that the agent keeps.
-    const KnownKey known{job.key, now - this->settings.duplicate_window};
+    const KnownKey known{job.key, now - this->settings.duplicate_window,
+                         job.cancelled};
     this->buckets.Get(id).keys.AddReported(known, job.tasks, from, now);
   }
   this->agent_requests.End(from, reply.part.sequence);
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -169,10 +169,13 @@
 
 // The tasks of one job that an agent has started.
 struct StartedJob {
+  static constexpr std::size_t kRequiredMembers = 2;
   JobKey key;
   std::vector<TaskIndex> tasks;
+  // The job was cancelled; it may have no tasks here.
+  bool cancelled = false;
 };
-BOOST_DESCRIBE_STRUCT(StartedJob, (), (key, tasks))
+BOOST_DESCRIBE_STRUCT(StartedJob, (), (key, tasks, cancelled))
 
 struct AgentPromiseReply {
   static constexpr const char* kName = "agent_promise_reply";
@@ -201,22 +204,29 @@
 // Reports that a start had no effect and never will have one.
 struct TaskNotRun {
   static constexpr const char* kName = "task_not_run";
+  static constexpr std::size_t kRequiredMembers = 5;
   TaskId task;
   Reason reason = Reason::kNoFreeSlot;
   // The highest ballot promised for the bucket.
   Ballot promised;
   AgentLoad load;
   StartNumber start;
+  // The agent has recorded that the job was cancelled.
+  bool job_cancelled = false;
 };
-BOOST_DESCRIBE_STRUCT(TaskNotRun, (), (task, reason, promised, load, start))
+BOOST_DESCRIBE_STRUCT(TaskNotRun, (),
+                      (task, reason, promised, load, start, job_cancelled))
 
 // Answers Renounce with the task's state. `kNeverStarted` means that the
 // renounced starts can no longer take effect.
 struct RenounceReply {
   static constexpr const char* kName = "renounce_reply";
+  static constexpr std::size_t kRequiredMembers = 1;
   TaskReport report;
+  // The agent has recorded that the job was cancelled.
+  bool cancelled = false;
 };
-BOOST_DESCRIBE_STRUCT(RenounceReply, (), (report))
+BOOST_DESCRIBE_STRUCT(RenounceReply, (), (report, cancelled))
 
 // Announces that the agent accepts no more starts; running tasks continue.
 struct AgentLeaving {
@@ -317,11 +327,15 @@
 // been started, no start of it up to this ballot and attempt will take effect.
 struct Renounce {
   static constexpr const char* kName = "renounce";
+  static constexpr std::size_t kRequiredMembers = 3;
   TaskId task;
   Ballot ballot;
   std::uint32_t attempt = 0;
+  // The job was cancelled. The agent starts no task of it any more, and lists
+  // the job in its promises.
+  bool cancelled = false;
 };
-BOOST_DESCRIBE_STRUCT(Renounce, (), (task, ballot, attempt))
+BOOST_DESCRIBE_STRUCT(Renounce, (), (task, ballot, attempt, cancelled))
 
 // Stops a task. Refused from a home whose ballot is below the promised one.
 struct StopTask {
--- a/tests/agent_core/agent_core_test.cc
+++ b/tests/agent_core/agent_core_test.cc
@@ -150,6 +150,27 @@
         StopCase{"EarlierVersion", kFormer, kPresent, Ballot(), true}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
+// Guards against a cancelling that is forgotten when all entries are lost.
+TEST_F(AgentCoreTest, ACancelledJobIsRefusedAndToldToEachHome) {
+  const Start start = StartOf(1);
+  const std::vector<RenounceReply> replies = Sent<RenounceReply>(this->Deliver(
+      Renounce{{start.task.key, TaskIndex(3)}, start.ballot, 1, true}));
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_TRUE(replies[0].cancelled);
+  const std::vector<AgentEffect> effects = this->Deliver(start);
+  EXPECT_TRUE(Only<RunOnUpstream>(effects).empty());
+  ASSERT_EQ(Sent<TaskNotRun>(effects).size(), 1U);
+  EXPECT_TRUE(Sent<TaskNotRun>(effects)[0].job_cancelled);
+  PromiseRequest request;
+  request.buckets.push_back({BucketId(0), {Epoch(1), 1, EntryId(kEntry)}});
+  const std::vector<AgentPromiseReply> promises =
+      Sent<AgentPromiseReply>(this->Deliver(request));
+  ASSERT_EQ(promises.size(), 1U);
+  ASSERT_EQ(promises[0].started.size(), 1U);
+  EXPECT_TRUE(promises[0].started[0].cancelled);
+  EXPECT_TRUE(promises[0].started[0].tasks.empty());
+}
+
 TEST_F(AgentCoreTest, StartsBeyondTheCapacityAreQueued) {
   EXPECT_EQ(Only<RunOnUpstream>(this->Deliver(StartOf(1))).size(), 1U);
   EXPECT_EQ(Only<RunOnUpstream>(this->Deliver(StartOf(2))).size(), 1U);
--- a/tests/entry_core/cancellation_test.cc
+++ b/tests/entry_core/cancellation_test.cc
@@ -130,6 +130,32 @@
   EXPECT_TRUE(CancelsIn(this->Advance(std::chrono::seconds(5))).empty());
 }
 
+// Guards against a cancelling that is acknowledged by entries that are cut off
+// together from all agents, and against one that is forgotten with the entries.
+TEST_F(CancellationTest, IsAcknowledgedOnceTheAgentsKnow) {
+  const AgentId agent(1000);
+  this->Handle(AgentConnected{agent});
+  this->Cancel();
+  EXPECT_TRUE(
+      OutcomesIn(this->Confirm(kHome, this->BallotOf(kHome, 1))).empty());
+  RenounceReply reply;
+  reply.report.task = {kKey, TaskIndex(0)};
+  EXPECT_TRUE(
+      OutcomesIn(this->Handle(AgentMessageReceived{agent, reply})).empty());
+  reply.cancelled = true;
+  EXPECT_EQ(OutcomesIn(this->Handle(AgentMessageReceived{agent, reply})),
+            std::vector<CancelOutcome>{CancelOutcome::kHolds});
+}
+
+TEST_F(CancellationTest, IsNotConfirmedWhileNoAgentIsHeard) {
+  this->Handle(AgentConnected{AgentId(1000)});
+  this->Advance(std::chrono::seconds(2));
+  this->Cancel();
+  this->Confirm(kHome, this->BallotOf(kHome, 1));
+  EXPECT_EQ(OutcomesIn(this->Advance(std::chrono::seconds(3))),
+            std::vector<CancelOutcome>{CancelOutcome::kNotConfirmed});
+}
+
 // Guards against a repeated cancelling that is acknowledged since an entry
 // knows of it that has ended: seed 687 of the cluster fuzzer.
 TEST_F(CancellationTest, IsConfirmedAnewWhenItIsRepeated) {
--- a/tests/support/fault_injector.cc
+++ b/tests/support/fault_injector.cc
@@ -97,6 +97,7 @@
     case DeliberateFault::kSkipWitness:
       return this->ForgeWitnessReply(from, to, message);
     case DeliberateFault::kForgetCancelling:
+      this->HideCancelling(message);
       return this->ForgeCancelConfirmation(from, to, message);
     case DeliberateFault::kRefuseWithoutConfirmation:
       return this->ForgeConfirmReply(from, to, message);
@@ -136,6 +137,17 @@
   return Outcome::kSend;
 }
 
+void FaultInjector::HideCancelling(SimulatedMessage& message) {
+  if (auto* order = FindContent<EntryToAgentMessage, Renounce>(message)) {
+    if (order->cancelled) this->hidden_cancellings.insert(order->task.key);
+    order->cancelled = false;
+  }
+  if (auto* reply = FindContent<AgentMessage, RenounceReply>(message)) {
+    reply->cancelled =
+        this->hidden_cancellings.contains(reply->report.task.key);
+  }
+}
+
 void FaultInjector::RecordRelay(NodeId from, NodeId to,
                                 const SimulatedMessage& message) {
   const auto* relay = FindContent<PeerMessage, Relay>(message);
--- a/tests/support/fault_injector.h
+++ b/tests/support/fault_injector.h
@@ -2,6 +2,7 @@
 #define DANDELIONSPUR_TESTS_SUPPORT_FAULT_INJECTOR_H_
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "libraries/agent_core/agent_core.h"
@@ -38,6 +39,8 @@
 
  private:
   // Prepares the forged return of a relay, if `message` is one.
+  // Agents confirm cancellings that they have not recorded.
+  void HideCancelling(SimulatedMessage& message);
   void RecordRelay(NodeId from, NodeId to, const SimulatedMessage& message);
   // Replies to a request in place of its receiver, if `message` is one.
   [[nodiscard]] Outcome ForgeWitnessReply(NodeId from, NodeId to,
@@ -52,6 +55,7 @@
   const SimulatedClock& clock;
   // By the entry that the relay was sent to.
   std::map<NodeId, std::vector<ForgedReturn>> forged_returns;
+  std::set<JobKey> hidden_cancellings;
 };
 
 }  // namespace dandelionspur
