--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -353,10 +353,14 @@
 }
 
 void AgentCore::OnMessage(EntryId from, const Renounce& message) {
+  if (message.cancelled) {
+    this->started.Cancel(message.task.key, this->current_time);
+  }
   if (!this->started.Contains(message.task)) {
     this->started.Forbid(message.task, {message.ballot, message.attempt});
   }
-  RenounceReply reply{this->ReportOf(message.task)};
+  RenounceReply reply{this->ReportOf(message.task),
+                      this->started.IsCancelled(message.task.key)};
   if (reply.report.state == StartedState::kNeverStarted) {
     reply.report.start = {message.ballot, message.attempt};
   }
@@ -475,6 +479,7 @@
       this->promises[this->BucketOfKey(start.task.key).value()]) {
     return Reason::kStaleBallot;
   }
+  if (this->started.IsCancelled(start.task.key)) return Reason::kCancelled;
   const std::optional<Reason> not_accepting = this->NotAcceptingReason();
   if (not_accepting) return not_accepting;
   const bool outdated =
@@ -492,7 +497,8 @@
   const Ballot promised =
       this->promises[this->BucketOfKey(start.task.key).value()];
   this->Send(to, TaskNotRun{start.task, this->ReasonFor(to, reason), promised,
-                            this->ReportLoad(to), start.Number()});
+                            this->ReportLoad(to), start.Number(),
+                            this->started.IsCancelled(start.task.key)});
 }
 
 Reason AgentCore::ReasonFor(EntryId to, Reason reason) const {
@@ -512,7 +518,8 @@
   this->Send(
       promised.entry,
       TaskNotRun{task, this->ReasonFor(promised.entry, reason), promised,
-                 this->ReportLoad(promised.entry), accepted.start.Number()});
+                 this->ReportLoad(promised.entry), accepted.start.Number(),
+                 this->started.IsCancelled(task.key)});
 }
 
 void AgentCore::StartQueued() {
@@ -526,6 +533,11 @@
   }
   while (const std::optional<AcceptedStart> next =
              this->admission.TakeNext(this->current_time)) {
+    if (this->started.IsCancelled(next->start.task.key)) {
+      this->admission.Release(next->start.task);
+      this->RejectQueued(*next, Reason::kCancelled);
+      continue;
+    }
     const Duration time_left = next->deadline - this->current_time;
     ++this->load_version;
     this->neighbours.NoteStarted(next->start.group, this->current_time);
