home: Count the latency objective from when the caller submitted the job

Cause: a job that other entries had held, while no entry was home, counted as received when its home took it over. Change: a submission carries how long its caller has waited; the objective and the useful time count from then, so such a job is refused.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -289,7 +289,7 @@
   // The relaying entry has already answered the caller.
   if (waited > Duration() && waited >= message.job.time_allowed) return;
   Relay relay = message;
-  relay.job.time_allowed -= waited;
+  relay.job.SetTimeLeft(relay.job.time_allowed - waited);
   relay.job.UnshareBody();
   this->AcceptRelay(from, relay);
 }
--- a/libraries/entry_core/home_job.h
+++ b/libraries/entry_core/home_job.h
@@ -126,8 +126,9 @@
   // deadline.
   [[nodiscard]] Timestamp DueAt() const {
     return this->submission.objective > Duration()
-               ? std::min(this->deadline,
-                          this->accepted_at + this->submission.objective)
+               ? std::min(this->deadline, this->accepted_at +
+                                              this->submission.objective -
+                                              this->submission.waited)
                : this->deadline;
   }
   // The time after which an answer is of no use to the caller.
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -233,7 +233,7 @@
                                 ? EarlierRelays::kOpen
                                 : job.earlier;
       evicted_job.submission = job.submission;
-      evicted_job.submission.time_allowed = job.TimeLeft(now);
+      evicted_job.submission.SetTimeLeft(job.TimeLeft(now));
       evicted.push_back(std::move(evicted_job));
     }
     this->finisher.Remove(job);
--- a/libraries/entry_core/relay_table.cc
+++ b/libraries/entry_core/relay_table.cc
@@ -70,7 +70,7 @@
   const BucketId bucket = this->ownership.BucketOfKey(key);
   job.target.reset();
   JobSubmission submission = job.submission;
-  submission.time_allowed = std::max(Duration(), job.deadline - now);
+  submission.SetTimeLeft(job.deadline - now);
   if (this->ownership.IsActive(bucket)) {
     const std::vector<RequestId> callers = job.callers;
     const EarlierRelays earlier = this->OpenRelays(job);
@@ -190,7 +190,7 @@
     }
     // The relaying entry has already answered the caller.
     if (parked.deadline <= now) continue;
-    parked.relay.job.time_allowed = parked.deadline - now;
+    parked.relay.job.SetTimeLeft(parked.deadline - now);
     this->AcceptAtHome(parked.from, parked.relay, now);
   }
 }
--- a/libraries/protocol/job.h
+++ b/libraries/protocol/job.h
@@ -72,6 +72,8 @@
   // which a job with equal bodies travels between entries.
   std::optional<Payload> shared_body;
   JobGroupId group;
+  // How long the caller had waited by then; 0 from versions that don't tell.
+  Duration waited{};
 
   // Sum of the declared core times of all tasks.
   [[nodiscard]] Duration CoreTime() const {
@@ -110,13 +112,20 @@
     }
     return bytes;
   }
-  // The time after which an answer is of no use to the caller: three times the
-  // latency objective, at most the time allowed.
+  // Accounts for time in which the submission was held or on its way.
+  void SetTimeLeft(Duration left) {
+    const Duration spent = this->time_allowed - left;
+    this->waited += std::max(spent, Duration());
+    this->time_allowed = std::max(left, Duration());
+  }
+  // The time left in which an answer is of use to the caller: three times the
+  // latency objective since the caller has submitted the job, at most the time
+  // allowed. Negative if an answer comes too late.
   [[nodiscard]] Duration UsefulTime() const {
     constexpr std::int64_t kUsefulObjectives = 3;
     return this->objective > Duration()
                ? std::min(this->time_allowed,
-                          kUsefulObjectives * this->objective)
+                          kUsefulObjectives * this->objective - this->waited)
                : this->time_allowed;
   }
   // How much of that time is left if the longest task runs as long as declared.
@@ -138,7 +147,7 @@
 BOOST_DESCRIBE_STRUCT(JobSubmission, (),
                       (kind, key, created, service, client_account,
                        time_allowed, objective, body_digest, name, rerun,
-                       maximum_attempts, tasks, shared_body, group))
+                       maximum_attempts, tasks, shared_body, group, waited))
 
 // The answer to a submission. Only holders of a NotRunProof can answer that the
 // job has not run.
--- a/services/entry/job_intake.cc
+++ b/services/entry/job_intake.cc
@@ -127,7 +127,7 @@
   this->call_waits.Observe(std::chrono::duration<double>(due.waited).count());
   JobSubmission& job = due.call.job;
   // The caller's time has passed while the job waited here.
-  job.time_allowed = std::max(Duration(), job.time_allowed - due.waited);
+  job.SetTimeLeft(job.time_allowed - due.waited);
   this->SubmitNow(std::move(job), std::move(due.call.callback));
 }
 
--- a/tests/entry_core/early_refusals_test.cc
+++ b/tests/entry_core/early_refusals_test.cc
@@ -36,6 +36,14 @@
     this->parts.queues.AddTask(job, TaskIndex(0));
   }
 
+  // Others have held the job under test before it was received.
+  void HoldBefore(Duration waited) {
+    HomeJob& job = this->parts.jobs.At(kJob);
+    this->parts.queues.Remove(job);
+    job.submission.SetTimeLeft(kAllowed - waited);
+    this->parts.queues.AddTask(job, TaskIndex(1));
+    this->parts.queues.AddTask(job, TaskIndex(0));
+  }
   HomeJob& Receive(const JobKey& key, Duration objective, Duration task_time,
                    std::uint32_t tasks) {
     JobSubmission submission;
@@ -90,7 +98,9 @@
 
 struct OverdueCase {
   const char* name;
+  // Since this entry has received the job, and for how long others held it.
   Duration now;
+  Duration waited;
   Duration other_work;
   bool is_started;
   bool is_late;
@@ -104,6 +114,7 @@
 // of use: the job is to be refused while the caller can still turn elsewhere.
 TEST_P(OverdueJobTest, IsRefusedIfItsAnswerWouldBeOfNoUse) {
   const OverdueCase& tested = this->GetParam();
+  this->HoldBefore(tested.waited);
   if (tested.is_started) this->StartATask();
   this->QueueWork(tested.other_work);
   this->refusals.DeprioritizeOverdue(this->Service(), kReceived + tested.now);
@@ -113,16 +124,21 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Jobs, OverdueJobTest,
-    testing::Values(OverdueCase{"InTime", milliseconds(100), Duration(), false,
-                                false, Outcome::kWaits},
-                    OverdueCase{"LateButOfUse", milliseconds(400), Duration(),
-                                false, true, Outcome::kWaits},
-                    OverdueCase{"OfNoUseBehindOthers", milliseconds(400),
-                                milliseconds(600), false, true,
-                                Outcome::kRefused},
-                    OverdueCase{"OfNoUseButStarted", milliseconds(400),
-                                milliseconds(700), true, true,
-                                Outcome::kWaits}),
+    testing::Values(
+        OverdueCase{"InTime", milliseconds(100), Duration(), Duration(), false,
+                    false, Outcome::kWaits},
+        OverdueCase{"LateButOfUse", milliseconds(400), Duration(), Duration(),
+                    false, true, Outcome::kWaits},
+        OverdueCase{"LateAsOthersHeldIt", milliseconds(100), milliseconds(300),
+                    Duration(), false, true, Outcome::kWaits},
+        // The entries were without a home of the job, for example.
+        OverdueCase{"OfNoUseAsOthersHeldIt", milliseconds(100),
+                    milliseconds(900), Duration(), false, true,
+                    Outcome::kRefused},
+        OverdueCase{"OfNoUseBehindOthers", milliseconds(400), Duration(),
+                    milliseconds(600), false, true, Outcome::kRefused},
+        OverdueCase{"OfNoUseButStarted", milliseconds(400), Duration(),
+                    milliseconds(700), true, true, Outcome::kWaits}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
 struct LateCase {
