--- a/libraries/protocol/agent_row.cc
+++ b/libraries/protocol/agent_row.cc
@@ -15,14 +15,12 @@
 
 bool IsAgentRowKey(std::string_view key) { return key.starts_with(kRowPrefix); }
 
-std::string EncodeAgentRow(const Endpoint& admin_endpoint) {
-  return EncodeTableRow(admin_endpoint);
-}
+std::string EncodeAgentRow(const AgentRow& row) { return EncodeTableRow(row); }
 
-std::optional<Endpoint> DecodeAgentRow(const std::string& text) {
-  const std::optional<Endpoint> endpoint = DecodeTableRow<Endpoint>(text);
-  const bool is_usable = endpoint && IsReachable(*endpoint);
-  return is_usable ? endpoint : std::nullopt;
+std::optional<AgentRow> DecodeAgentRow(const std::string& text) {
+  const std::optional<AgentRow> row = DecodeTableRow<AgentRow>(text);
+  const bool is_usable = row && IsReachable(row->admin_endpoint);
+  return is_usable ? row : std::nullopt;
 }
 
 }  // namespace dandelionspur
--- a/libraries/protocol/agent_row.h
+++ b/libraries/protocol/agent_row.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONSPUR_LIBRARIES_PROTOCOL_AGENT_ROW_H_
 #define DANDELIONSPUR_LIBRARIES_PROTOCOL_AGENT_ROW_H_
 
+#include <boost/describe.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -9,14 +10,21 @@
 
 namespace dandelionspur {
 
-// The rows of the platform's table that list the addresses of agents. An
-// address stays listed, so that a restarted agent finds its row and writes
-// nothing.
+// A row of the platform's table that lists the address of an agent. An address
+// stays listed when the agent is killed, so that a restarted agent finds its
+// row and writes nothing.
+struct AgentRow {
+  Endpoint admin_endpoint;
+  // The agent has left as planned, with no task running.
+  bool has_departed = false;
+};
+BOOST_DESCRIBE_STRUCT(AgentRow, (), (admin_endpoint, has_departed))
+
 std::string AgentRowKey(const Endpoint& admin_endpoint);
 [[nodiscard]] bool IsAgentRowKey(std::string_view key);
-std::string EncodeAgentRow(const Endpoint& admin_endpoint);
-// Returns nothing if the text is not an encoded address.
-std::optional<Endpoint> DecodeAgentRow(const std::string& text);
+std::string EncodeAgentRow(const AgentRow& row);
+// Returns nothing if the text is not an encoded row.
+std::optional<AgentRow> DecodeAgentRow(const std::string& text);
 
 }  // namespace dandelionspur
 
--- a/services/agent/agent_row_writer.cc
+++ b/services/agent/agent_row_writer.cc
@@ -19,23 +19,43 @@
           done(false);
           return;
         }
-        if (row->version == RowVersion()) {
-          this->Write(done);
+        const std::optional<AgentRow> known = DecodeAgentRow(row->value);
+        this->is_listed = known && !known->has_departed;
+        if (this->is_listed) {
+          done(true);
           return;
         }
-        this->is_listed = true;
-        done(true);
+        // Any other outcome shows in the next reading.
+        this->Write(*row, false, [this, done](bool is_written) {
+          this->is_listed = is_written;
+          done(is_written);
+        });
       });
 }
 
-void AgentRowWriter::Write(const Callback& callback) {
+void AgentRowWriter::MarkDeparted(Callback callback) {
+  if (!this->is_listed) {
+    callback(false);
+    return;
+  }
+  this->table.ReadRow(
+      AgentRowKey(this->address),
+      [this, done = std::move(callback)](const std::optional<Row>& row) {
+        if (!row) {
+          done(true);
+          return;
+        }
+        this->Write(*row, true, [done](bool is_written) { done(!is_written); });
+      });
+}
+
+void AgentRowWriter::Write(const Row& known, bool has_departed,
+                           const Callback& callback) {
   const Row row{AgentRowKey(this->address), RowVersion(),
-                EncodeAgentRow(this->address)};
-  this->table.WriteRow(row, RowVersion(), {},
-                       [this, callback](WriteOutcome outcome) {
-                         this->is_listed = outcome == WriteOutcome::kWritten;
-                         // Any other outcome shows in the next reading.
-                         callback(this->is_listed);
+                EncodeAgentRow({this->address, has_departed})};
+  this->table.WriteRow(row, known.version, {},
+                       [callback](WriteOutcome outcome) {
+                         callback(outcome == WriteOutcome::kWritten);
                        });
 }
 
--- a/services/agent/agent_row_writer.h
+++ b/services/agent/agent_row_writer.h
@@ -21,9 +21,13 @@
   // Makes sure that the address is listed. If the table doesn't answer, call it
   // again.
   void EnsureListed(Callback callback);
+  // Records that this agent has left and that no task is running. Passes the
+  // callback whether the address is still listed, as far as is known.
+  void MarkDeparted(Callback callback);
 
  private:
-  void Write(const Callback& callback);
+  // Replaces the row `known`. Passes whether it was written.
+  void Write(const Row& known, bool has_departed, const Callback& callback);
 
   TableClient& table;
   Endpoint address;
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -298,7 +298,9 @@
   auto timer = std::make_shared<asio::steady_timer>(this->core_thread.First(),
                                                     kSendGrace);
   timer->async_wait([this, timer](boost::system::error_code) {
-    this->records->Flush([] { Lifetime::Finish(ExitCode::kSuccess); });
+    this->row_writer->MarkDeparted([this](bool) {
+      this->records->Flush([] { Lifetime::Finish(ExitCode::kSuccess); });
+    });
   });
 }
 
--- a/services/entry/table_watcher.cc
+++ b/services/entry/table_watcher.cc
@@ -286,12 +286,13 @@
         AgentAddressesRead listed{epoch, {}};
         for (const Row& row : read->rows) {
           if (!IsAgentRowKey(row.key)) continue;
-          const std::optional<Endpoint> address = DecodeAgentRow(row.value);
-          if (!address) {
+          const std::optional<AgentRow> agent = DecodeAgentRow(row.value);
+          if (!agent) {
             this->ReportUnreadable("agent", "row " + row.key);
             return;
           }
-          listed.addresses.push_back(*address);
+          if (agent->has_departed) continue;
+          listed.addresses.push_back(agent->admin_endpoint);
         }
         this->sink(std::move(listed));
       });
