recovery: Detect the deliberate omission of an agent from the list

Change: the case plays the mix of table cuts, where the fault is caught. As strict: a violation must be found that is gone without the fault.

--- a/tests/entry_core/deliberate_fault_test.cc
+++ b/tests/entry_core/deliberate_fault_test.cc
@@ -108,8 +108,9 @@
             RerunPolicy::kAfterLease, false, FaultMix::kCrashingUpstreams},
         FaultCase{"ForgetCancelling", DeliberateFault::kForgetCancelling, 1,
                   RerunPolicy::kAfterLease},
-        FaultCase{"OmitAgentFromTable", DeliberateFault::kOmitAgentFromTable, 1,
-                  RerunPolicy::kAfterLease},
+        // Mostly, an agent meets the entries that join before any job does.
+        FaultCase{"OmitAgentFromTable", DeliberateFault::kOmitAgentFromTable,
+                  2000, RerunPolicy::kAfterLease, false, FaultMix::kTableCuts},
         FaultCase{"KeepPredecessorTasks",
                   DeliberateFault::kKeepPredecessorTasks, 1,
                   RerunPolicy::kAfterLease}),
