--- a/services/entry/table_watcher.cc
+++ b/services/entry/table_watcher.cc
@@ -296,13 +296,14 @@
           const bool is_present =
               IsAgentRowKey(row.key) && row.version != RowVersion();
           if (!is_present) continue;
-          const std::optional<Endpoint> address = DecodeAgentRow(row.value);
-          if (!address) {
+          const std::optional<AgentRow> agent = DecodeAgentRow(row.value);
+          if (!agent) {
             this->ReportUnreadable("agent", "row " + row.key);
             this->agents_requested = false;
             return;
           }
-          listed.addresses.push_back(*address);
+          if (agent->has_departed) continue;
+          listed.addresses.push_back(agent->admin_endpoint);
         }
         this->sink(std::move(listed));
       });
