would: Explain where a request would go now, without sending it

EntryCore::Preview runs the home's admission and placement on a copy of the service's state; POST /v1/would and the command would serve it. Reading a submission from a request moves from CallerRoutes to submission_reader, which both use.

--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -69,6 +69,15 @@
   return is_other ? std::optional(expected) : std::nullopt;
 }
 
+JobPreview EntryCore::Preview(const JobSubmission& job, Timestamp now) {
+  const BucketId bucket = this->ownership.BucketOfKey(job.key);
+  if (this->ownership.IsActive(bucket)) return this->home.Preview(job, now);
+  JobPreview preview;
+  preview.home = this->OtherHomeOf(job.key, now);
+  if (preview.home) preview.outlook = JobOutlook::kElsewhere;
+  return preview;
+}
+
 void EntryCore::On(const CallerSubmitted& event) {
   const JobKey& key = event.job.key;
   const CachedAnswer* answer = this->home.FindAnswer(key);
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -53,6 +53,8 @@
   // if this entry is its home or the home is not known.
   [[nodiscard]] std::optional<EntryId> OtherHomeOf(const JobKey& key,
                                                    Timestamp now) const;
+  // What would become of the job if it was submitted now. Changes nothing.
+  [[nodiscard]] JobPreview Preview(const JobSubmission& job, Timestamp now);
   // The groups that slow down others, of each service that keeps them apart.
   [[nodiscard]] std::vector<ServiceSuspicions> Suspicions() const {
     return this->home.Suspicions();
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -4,6 +4,24 @@
 #include <utility>
 
 namespace dandelionspur {
+namespace {
+
+// The queued tasks, longest last: the queue is served from the back, so that
+// the last task to complete is a short one.
+std::vector<TaskIndex> QueueOrder(const HomeJob& job) {
+  std::vector<TaskIndex> order;
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+    if (job.tasks[i].phase == TaskPhase::kQueued) order.emplace_back(i);
+  }
+  std::stable_sort(order.begin(), order.end(),
+                   [&](TaskIndex left, TaskIndex right) {
+                     return job.submission.tasks[left.value()].declared <
+                            job.submission.tasks[right.value()].declared;
+                   });
+  return order;
+}
+
+}  // namespace
 
 HomeJobs::HomeJobs(const EntryCoreSettings& configured, Ownership& owner,
                    AgentRegistry& registry, RefusalConfirmer& refusals,
@@ -183,18 +201,7 @@
       }
     }
   }
-  // Longest first, so that the last task to complete is a short one. The queue
-  // is served from the back, hence the ascending order.
-  std::vector<TaskIndex> order;
-  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
-    if (job.tasks[i].phase == TaskPhase::kQueued) order.emplace_back(i);
-  }
-  std::stable_sort(order.begin(), order.end(),
-                   [&](TaskIndex left, TaskIndex right) {
-                     return job.submission.tasks[left.value()].declared <
-                            job.submission.tasks[right.value()].declared;
-                   });
-  for (const TaskIndex task : order) this->queues.AddTask(job, task);
+  for (const TaskIndex task : QueueOrder(job)) this->queues.AddTask(job, task);
 }
 
 void HomeJobs::QueryTask(HomeJob& job, TaskIndex index, AgentId holder) {
@@ -331,6 +338,47 @@
   return all;
 }
 
+JobPreview HomeJobs::Preview(const JobSubmission& submission, Timestamp now) {
+  JobPreview preview;
+  const JobKey& key = submission.key;
+  const bool is_known =
+      this->jobs.Find(key) != nullptr ||
+      this->finisher.FindAnswer(key) != nullptr ||
+      this->ownership.IsCancelled(key) ||
+      this->ownership.StatusOf(submission, now) != KeyStatus::kFresh;
+  if (is_known) {
+    preview.outlook = JobOutlook::kKnownKey;
+    return preview;
+  }
+  HomeJob job = NewHomeJob(submission, now);
+  const ServiceState* service = this->queues.Of(job);
+  const std::optional<Reason> refusal =
+      this->admission.Check(job, service, now);
+  if (refusal) {
+    preview.outlook = JobOutlook::kRefused;
+    preview.refusal = *refusal;
+    preview.retry_after = this->finisher.RetryAfter(job, now);
+  }
+  if (service == nullptr || submission.tasks.empty()) return preview;
+  preview.queued_tasks = service->queued_tasks();
+  job.queued = QueueOrder(job);
+  const Duration longest = submission.tasks[job.queued.back().value()].declared;
+  ServiceState copy = *service;
+  preview.placement = this->dispatcher.Preview(job, copy, now);
+  if (refusal) return preview;
+  const bool starts = preview.queued_tasks == 0 && preview.placement.chosen;
+  preview.outlook = starts ? JobOutlook::kStarts : JobOutlook::kWaits;
+  if (!starts) {
+    preview.expected_start =
+        this->admission.ExpectedWait(*service, submission.group, now);
+  }
+  preview.expected_end =
+      preview.expected_start +
+      Duration(static_cast<std::int64_t>(static_cast<double>(longest.count()) *
+                                         service->declared_error()));
+  return preview;
+}
+
 void HomeJobs::OnUpstreamLosses(const std::vector<TaskLosses>& reported,
                                 Timestamp now) {
   for (const TaskLosses& item : reported) {
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -118,6 +118,10 @@
   void RepeatRequests(Timestamp now);
   // The groups of each service that slow down others, as of the latest tick.
   [[nodiscard]] std::vector<ServiceSuspicions> Suspicions() const;
+  // What would become of a new job of which this entry is the home; decided by
+  // the same code, on a copy of its service's state.
+  [[nodiscard]] JobPreview Preview(const JobSubmission& submission,
+                                   Timestamp now);
   // Starts queued tasks while agents have free capacity. Call after every
   // event.
   void Dispatch(Timestamp now) { this->dispatcher.Dispatch(now); }
--- a/libraries/entry_core/job_finisher.cc
+++ b/libraries/entry_core/job_finisher.cc
@@ -70,6 +70,13 @@
   this->Erase(job);
 }
 
+Duration JobFinisher::RetryAfter(const HomeJob& job, Timestamp now) const {
+  const ServiceState* service = this->queues.Of(job);
+  if (service == nullptr) return kMinimumRetryAfter;
+  return kMinimumRetryAfter +
+         this->admission.ExpectedWait(*service, job.submission.group, now);
+}
+
 void JobFinisher::Refuse(HomeJob& job, Reason reason, Timestamp now) {
   // A key that has expired or is inherited may have run earlier.
   const bool may_have_run = job.inherited || job.started > 0 ||
@@ -91,7 +98,7 @@
     refused.cores =
         static_cast<std::uint64_t>(this->admission.CoresFor(*service, group));
   }
-  job.retry_after = kMinimumRetryAfter + refused.expected_wait;
+  job.retry_after = this->RetryAfter(job, now);
   this->outbox.Add(refused);
   this->confirmer.Add(job.submission.key, job.submission.rerun);
   this->confirmer.Advance(now);
--- a/libraries/entry_core/job_finisher.h
+++ b/libraries/entry_core/job_finisher.h
@@ -22,6 +22,8 @@
 
   // Sends the final answer, stops the tasks that still run, and erases the job.
   void Finish(HomeJob& job, const JobAnswer& answer, Timestamp now);
+  // When a caller whose job is refused now should submit it again.
+  [[nodiscard]] Duration RetryAfter(const HomeJob& job, Timestamp now) const;
   // Answers "not run" once that is confirmed, or "may have run" at once if a
   // task may have run.
   void Refuse(HomeJob& job, Reason reason, Timestamp now);
--- a/libraries/entry_core/job_table.cc
+++ b/libraries/entry_core/job_table.cc
@@ -2,12 +2,18 @@
 
 namespace dandelionspur {
 
-HomeJob& JobTable::Add(const JobSubmission& submission, Timestamp now) {
-  HomeJob& job = this->jobs[submission.key];
+HomeJob NewHomeJob(const JobSubmission& submission, Timestamp now) {
+  HomeJob job;
   job.submission = submission;
   job.accepted_at = now;
   job.deadline = now + submission.time_allowed;
   job.tasks.resize(submission.tasks.size());
+  return job;
+}
+
+HomeJob& JobTable::Add(const JobSubmission& submission, Timestamp now) {
+  HomeJob& job = this->jobs[submission.key];
+  job = NewHomeJob(submission, now);
   this->deadlines.emplace(job.deadline, submission.key);
   return job;
 }
--- a/libraries/entry_core/job_table.h
+++ b/libraries/entry_core/job_table.h
@@ -13,6 +13,9 @@
 
 namespace dandelionspur {
 
+// A job that was submitted at `now` and is not in any table yet.
+HomeJob NewHomeJob(const JobSubmission& submission, Timestamp now);
+
 // The jobs of a home by key, with an index of their deadlines and one of the
 // jobs that are blocked: those that wait for a witness or for reports of what
 // the agents have started.
--- a/libraries/entry_core/task_dispatcher.h
+++ b/libraries/entry_core/task_dispatcher.h
@@ -28,6 +28,11 @@
     this->send_budget.NoteBacklog(bytes, now);
   }
   void Dispatch(Timestamp now);
+  // Where the next task of a job that is not queued would start; for reports.
+  [[nodiscard]] PlacementPreview Preview(const HomeJob& job,
+                                         ServiceState& service, Timestamp now) {
+    return this->placement.Preview(job, service, this->suspect_after, now);
+  }
 
  private:
   void DispatchService(ServiceState& service, Timestamp now);
--- a/libraries/entry_core/task_placement.cc
+++ b/libraries/entry_core/task_placement.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 #include <variant>
 
+#include "libraries/entry_core/candidate_verdict.h"
+
 namespace dandelionspur {
 namespace {
 
@@ -73,6 +76,44 @@
   return choice;
 }
 
+PlacementPreview TaskPlacement::Preview(const HomeJob& job,
+                                        ServiceState& service,
+                                        Duration suspect_after, Timestamp now) {
+  const TaskIndex index = job.queued.back();
+  const Resources& need = job.submission.tasks[index.value()].need;
+  const PlacementScope scope =
+      this->ScopeOf(job, need, service.quarantine(), now);
+  this->CollectCandidates(job, index, scope, now);
+  const std::set<const KnownAgent*> collected(this->candidates.begin(),
+                                              this->candidates.end());
+  this->KeepApartFromInterference(job, service);
+  const std::set<const KnownAgent*> apart(this->candidates.begin(),
+                                          this->candidates.end());
+  PlacementPreview preview;
+  preview.scope = scope;
+  const std::optional<PlacementChoice> choice = this->Choose(job, service, now);
+  if (choice) {
+    preview.chosen = choice->agent->agent;
+    preview.reason = choice->reason;
+  }
+  const auto verdict_on = [&](const KnownAgent* agent) {
+    if (preview.chosen == agent->agent) return CandidateVerdict::kChosen;
+    if (apart.contains(agent)) return CandidateVerdict::kCandidate;
+    if (collected.contains(agent)) return CandidateVerdict::kInterference;
+    const bool is_set_aside = this->health.MayTakeTask(*agent, need, now) &&
+                              !IsInScope(*agent, scope, job.submission.group);
+    if (is_set_aside) return CandidateVerdict::kQuarantine;
+    return WhyLeftOut(*agent, need, this->health, suspect_after, now);
+  };
+  for (const KnownAgent* agent :
+       this->agents.OfService(job.submission.service)) {
+    preview.candidates.push_back({agent->agent, verdict_on(agent),
+                                  agent->Taken(), agent->load.capacity,
+                                  agent->slowness, now - agent->last_heard});
+  }
+  return preview;
+}
+
 PlacementScope TaskPlacement::ScopeOf(const HomeJob& job, const Resources& need,
                                       const Quarantine& quarantine,
                                       Timestamp now) const {
--- a/libraries/entry_core/task_placement.h
+++ b/libraries/entry_core/task_placement.h
@@ -5,6 +5,7 @@
 
 #include "libraries/entry_core/agent_registry.h"
 #include "libraries/entry_core/home_job.h"
+#include "libraries/entry_core/job_preview.h"
 #include "libraries/entry_core/ownership.h"
 #include "libraries/entry_core/placement.h"
 #include "libraries/entry_core/service_state.h"
@@ -36,6 +37,12 @@
   [[nodiscard]] std::optional<PlacementChoice> Choose(const HomeJob& job,
                                                       ServiceState& service,
                                                       Timestamp now);
+  // What Choose decides for the job's next queued task now, and why it passes
+  // over the other upstreams; for reports only. Changes the service's policy
+  // like Choose.
+  [[nodiscard]] PlacementPreview Preview(const HomeJob& job,
+                                         ServiceState& service,
+                                         Duration suspect_after, Timestamp now);
 
  private:
   // Fills `candidates` with the agents that have free capacity for the task.
--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -10,6 +10,7 @@
 #include "libraries/telemetry/log.h"
 #include "platform/base64.h"
 #include "platform/job_calls.h"
+#include "services/entry/submission_reader.h"
 #include "services/runtime/admin_routes.h"
 
 namespace dandelionspur {
@@ -74,20 +75,6 @@
   return results;
 }
 
-// The product's own protocol sends a task's body as it is, the platform's
-// within JSON.
-TaskBodies BodiesFor(UpstreamProtocol protocol) {
-  return protocol == UpstreamProtocol::kOwn ? TaskBodies::kBytes
-                                            : TaskBodies::kText;
-}
-
-std::string_view HeaderValue(const HttpRequest& request,
-                             std::string_view name) {
-  const auto found = request.find(name);
-  if (found == request.end()) return {};
-  return {found->value().data(), found->value().size()};
-}
-
 }  // namespace
 
 HttpResponse AnswerResponse(const JobAnswer& answer, bool raw_answer,
@@ -192,26 +179,20 @@
 
 void CallerRoutes::Submit(const Target& target, const HttpRequest& request,
                           HttpResponder responder) {
-  RawSubmission raw;
-  raw.service = target.service;
-  raw.key = HeaderValue(request, "Idempotency-Key");
-  raw.client_account = HeaderValue(request, "Client-Account");
-  raw.body = request.body();
+  const ApiSubmission kind =
+      target.is_request ? ApiSubmission::kRequest : ApiSubmission::kJob;
   ValidatedSubmission validated =
       this->serving.Read([&](const ServingState& state) {
-        const auto found = state.documents.find(target.service);
-        const ServiceDocument* document = found == state.documents.end()
-                                              ? nullptr
-                                              : found->second->parsed.get();
-        return target.is_request ? SubmissionValidator::Request(
-                                       raw, document, this->task_bodies)
-                                 : SubmissionValidator::Job(raw, document);
+        return ReadApiSubmission(target.service, kind, request, state,
+                                 this->task_bodies);
       });
   if (const auto* rejected = std::get_if<RejectedSubmission>(&validated)) {
     this->answers.Count(rejected->answer.reason);
-    LogEvent(LogCategory::kFailure,
-             RequestRejected{std::string(raw.key), raw.service.value(),
-                             rejected->answer.reason, rejected->detail});
+    LogEvent(
+        LogCategory::kFailure,
+        RequestRejected{std::string(HeaderValue(request, "Idempotency-Key")),
+                        target.service.value(), rejected->answer.reason,
+                        rejected->detail});
     responder(AnswerResponse(rejected->answer, false, rejected->detail));
     return;
   }
@@ -275,30 +256,17 @@
 void CallerRoutes::SubmitToQueue(const RouteTable::Match& match,
                                  const HttpRequest& request,
                                  HttpResponder responder) {
-  auto decoded = DecodeJob(request.body());
-  if (const auto* problem = std::get_if<JobDecodeError>(&decoded)) {
-    this->answers.Count(problem->reason);
+  ValidatedSubmission validated = ReadQueueSubmission(match, request);
+  if (const auto* rejected = std::get_if<RejectedSubmission>(&validated)) {
+    this->answers.Count(rejected->answer.reason);
     LogEvent(LogCategory::kFailure,
              RequestRejected{std::string(match.rest), match.service.value(),
-                             problem->reason, problem->detail});
-    responder(EncodeJobAnswer(
-        SubmissionValidator::Reject(problem->reason, problem->detail).answer));
+                             rejected->answer.reason, rejected->detail});
+    responder(EncodeJobAnswer(rejected->answer));
     return;
   }
-  DecodedJob& content = std::get<DecodedJob>(decoded);
-  JobSubmission job = SubmissionValidator::QueuedJob(
-      match.service, *match.route, match.rest, request.body());
-  const std::optional<Duration> caller_timeout = CallerTimeout(request);
-  // The caller's own timeout takes precedence over the route's.
-  if (caller_timeout) job.time_allowed = *caller_timeout;
-  job.rerun = content.rerun;
-  Duration longest_task{};
-  for (const TaskRequest& task : content.tasks) {
-    longest_task = std::max(longest_task, task.declared);
-  }
-  job.objective = match.route->Objective(longest_task);
-  job.tasks = std::move(content.tasks);
-  this->SubmitToCore(std::move(job), std::move(responder), EncodeJobAnswer);
+  this->SubmitToCore(std::move(std::get<JobSubmission>(validated)),
+                     std::move(responder), EncodeJobAnswer);
 }
 
 void CallerRoutes::SubmitToCore(JobSubmission job, HttpResponder responder,
--- a/services/entry/entry_admin_routes.cc
+++ b/services/entry/entry_admin_routes.cc
@@ -20,13 +20,15 @@
     asio::io_context& core_context, const EntryCore& entry_core,
     const EntryStatus& entry_status, EntryGauges& entry_gauges,
     const Metrics& entry_metrics, DocumentRoutes& documents,
-    RecordUploader<EntryCore>& uploader, std::function<void()> begin_drain)
+    PreviewRoute& previews, RecordUploader<EntryCore>& uploader,
+    std::function<void()> begin_drain)
     : context(core_context),
       core(entry_core),
       status(entry_status),
       gauges(entry_gauges),
       metrics(entry_metrics),
       document_routes(documents),
+      preview_route(previews),
       records(uploader),
       drain(std::move(begin_drain)) {}
 
@@ -46,6 +48,8 @@
     this->SendReadiness(responder);
   } else if (path == "status") {
     this->SendStatus(responder);
+  } else if (path == "would" && request.method() == http::verb::post) {
+    this->preview_route.Handle(request, responder);
   } else if (path == "records") {
     this->SendUnsentRecords(responder);
   } else if (path == "drain" && request.method() == http::verb::post) {
--- a/services/entry/entry_admin_routes.h
+++ b/services/entry/entry_admin_routes.h
@@ -10,6 +10,7 @@
 #include "services/entry/document_routes.h"
 #include "services/entry/entry_gauges.h"
 #include "services/entry/entry_status.h"
+#include "services/entry/preview_route.h"
 #include "services/runtime/record_uploader.h"
 
 namespace dandelionspur {
@@ -21,7 +22,7 @@
   EntryAdminRoutes(boost::asio::io_context& core_context,
                    const EntryCore& entry_core, const EntryStatus& entry_status,
                    EntryGauges& entry_gauges, const Metrics& entry_metrics,
-                   DocumentRoutes& documents,
+                   DocumentRoutes& documents, PreviewRoute& previews,
                    RecordUploader<EntryCore>& uploader,
                    std::function<void()> begin_drain);
   EntryAdminRoutes(const EntryAdminRoutes&) = delete;
@@ -43,6 +44,7 @@
   EntryGauges& gauges;
   const Metrics& metrics;
   DocumentRoutes& document_routes;
+  PreviewRoute& preview_route;
   RecordUploader<EntryCore>& records;
   std::function<void()> drain;
 };
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -144,10 +144,13 @@
       this->configuration_age, this->metrics);
   this->document_routes =
       std::make_unique<DocumentRoutes>(this->serving, *this->table);
+  this->preview_route = std::make_unique<PreviewRoute>(
+      this->core_thread.First(), this->core, this->serving,
+      BodiesFor(this->settings.upstream_protocol));
   this->admin_routes = std::make_unique<EntryAdminRoutes>(
       this->core_thread.First(), this->core, this->status, *this->gauges,
-      this->metrics, *this->document_routes, *this->records,
-      [this] { this->Drain(); });
+      this->metrics, *this->document_routes, *this->preview_route,
+      *this->records, [this] { this->Drain(); });
   BOOST_LEAF_AUTO(
       admin,
       HttpServer::Create(
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -121,6 +121,7 @@
   std::unique_ptr<CallerRoutes> caller_routes;
   std::unique_ptr<DocumentRoutes> document_routes;
   std::unique_ptr<EntryGauges> gauges;
+  std::unique_ptr<PreviewRoute> preview_route;
   std::unique_ptr<EntryAdminRoutes> admin_routes;
   boost::asio::steady_timer tick_timer;
   std::atomic<bool> drain_requested = false;
--- a/tests/support/entry_harness.cc
+++ b/tests/support/entry_harness.cc
@@ -78,17 +78,8 @@
                                               std::uint32_t tasks,
                                               Duration time_allowed,
                                               Duration objective) {
-  CallerSubmitted submitted;
-  submitted.request = RequestId(number);
-  submitted.job.key = HarnessKey(number);
-  submitted.job.service = ServiceName("s");
-  submitted.job.client_account = ClientAccount("t");
-  submitted.job.time_allowed = time_allowed;
-  submitted.job.objective = objective;
-  submitted.job.rerun = RerunPolicy::kAfterLease;
-  submitted.job.tasks.resize(
-      tasks, TaskRequest{Payload(), std::chrono::milliseconds(100), kOneSlot});
-  return this->Handle(submitted);
+  return this->Handle(
+      HarnessSubmission(number, tasks, time_allowed, objective));
 }
 
 std::vector<EntryEffect> EntryHarness::RefuseStart(const SendToAgent& sent,
@@ -169,6 +160,21 @@
   return {number * kSpread, number};
 }
 
+CallerSubmitted HarnessSubmission(std::uint64_t number, std::uint32_t tasks,
+                                  Duration time_allowed, Duration objective) {
+  CallerSubmitted submitted;
+  submitted.request = RequestId(number);
+  submitted.job.key = HarnessKey(number);
+  submitted.job.service = ServiceName("s");
+  submitted.job.client_account = ClientAccount("t");
+  submitted.job.time_allowed = time_allowed;
+  submitted.job.objective = objective;
+  submitted.job.rerun = RerunPolicy::kAfterLease;
+  submitted.job.tasks.resize(
+      tasks, TaskRequest{Payload(), std::chrono::milliseconds(100), kOneSlot});
+  return submitted;
+}
+
 std::vector<SendToAgent> StartsIn(const std::vector<EntryEffect>& effects) {
   std::vector<SendToAgent> starts;
   for (const EntryEffect& effect : effects) {
--- a/tests/support/entry_harness.h
+++ b/tests/support/entry_harness.h
@@ -42,6 +42,9 @@
   [[nodiscard]] AgentLoad Load(std::uint32_t running,
                                std::uint64_t starts_seen) const;
   [[nodiscard]] Timestamp now() const { return this->time; }
+  JobPreview Preview(const JobSubmission& job) {
+    return this->entry.Preview(job, this->time);
+  }
   [[nodiscard]] MemoryUse memory_use() const {
     return this->entry.ComputeMemoryUse();
   }
@@ -64,6 +67,9 @@
 
 // Returns the key of the job that Submit submits under this number.
 JobKey HarnessKey(std::uint64_t number);
+// A submission of `tasks` tasks that may run again, as Submit submits it.
+CallerSubmitted HarnessSubmission(std::uint64_t number, std::uint32_t tasks,
+                                  Duration time_allowed, Duration objective);
 // Returns the starts among the effects.
 std::vector<SendToAgent> StartsIn(const std::vector<EntryEffect>& effects);
 // Returns the answers to callers among the effects.
--- a/tests/system/operations_test.py
+++ b/tests/system/operations_test.py
@@ -5,6 +5,7 @@
 KEY are the last values of `agent=`, `home=` and `key=` in the output of earlier commands.
 """
 
+import json
 import os
 import re
 import subprocess
@@ -74,6 +75,30 @@
             families = re.findall(r"# TYPE dandelionspur_(\w+)", exposed)
             self.assertEqual([name for name in families if f"`{name}" not in page], [])
 
+    def test_would_agrees_with_what_happens(self):
+        cluster = self.cluster(agents=3)
+        job = "00000000000000ab"
+        body = {"spec": "200", "best_effort": True, "steps": [{"count": 1, "cpu": 1000, "estimate_ms": 100}]}
+        admin = f"127.0.0.1:{cluster.entry_admin_port(0)}"
+        command = ["dandelionspur", "--entry", admin, "--json", "would", f"/jobs/{job}"]
+        command += ["-H", "Host: 127.0.0.1", "-H", "X-Deadline-Ms: 5000", "--data", json.dumps(body)]
+
+        def preview_of_start():
+            printed = subprocess.run(command, capture_output=True, text=True, timeout=30, env=COMMAND_ENVIRONMENT)
+            return json.loads(printed.stdout) if printed.returncode == 0 else None
+
+        # An agent accepts tasks once an entry has confirmed its heartbeat.
+        cluster.wait_for(preview_of_start, "agents that accept tasks", 5)
+        preview = preview_of_start()
+        chosen = [item["agent"] for item in preview["candidates"] if item["verdict"] == "chosen"]
+        self.assertEqual(len(chosen), 1, preview)
+        self.assertEqual(cluster.runs(), [])
+        self.assertEqual(cluster.submit_to_queue(0, job, "200", 1, 5000)[0], 200)
+        time.sleep(LOG_DELAY_SECONDS)
+        command = ["dandelionspur", "--entry", admin, "--table", f"127.0.0.1:{cluster.table_port()}", "explain", "demo", job]
+        explained = subprocess.run(command, capture_output=True, text=True, timeout=30, env=COMMAND_ENVIRONMENT).stdout
+        self.assertEqual(re.findall(r"to agent (\d+): start task", explained), chosen, explained)
+
     def test_refused_under_a_burst(self):
         cluster = self.cluster(agents=1, slots=2)
         answers = self.answers(self.submit_many(cluster, 64, "400", deadline_ms=1500))
--- a/utilities/dandelionspur/commands.cc
+++ b/utilities/dandelionspur/commands.cc
@@ -11,6 +11,7 @@
 #include "libraries/protocol/http_status.h"
 #include "libraries/protocol/parse_json.h"
 #include "utilities/dandelionspur/line_diff.h"
+#include "utilities/dandelionspur/preview_request.h"
 
 namespace dandelionspur {
 namespace {
@@ -79,6 +80,9 @@
     return this->Service({args.begin() + 1, args.end()});
   }
   if (command == "status" && args.size() == 1) return this->Status();
+  if (command == "would" && args.size() <= 2) {
+    return this->Would(args.size() == 2 ? args[1] : "");
+  }
   if (command == "replay" && args.size() == 1) return this->Replay();
   if (command == "drain" && args.size() == 2) return this->Drain(args[1]);
   constexpr std::size_t kExplainArgumentCount = 3;
@@ -277,6 +281,31 @@
   return CommandExit::kSuccess;
 }
 
+CommandExit Commands::Would(const std::string& target) {
+  return OrElse(
+      [&]() -> Result<CommandExit> {
+        BOOST_LEAF_AUTO(request, ReadPreviewRequest(this->options, target));
+        AdminReply reply = this->client.Send(
+            this->options.entry, http::verb::post, "/v1/would", request.dump());
+        // Only the home knows whether it would admit the job.
+        if (reply.json.is_object() && reply.json.contains("home_admin")) {
+          BOOST_LEAF_AUTO(home,
+                          ParseEndpoint(reply.json.value("home_admin", "")));
+          reply = this->client.Send(home, http::verb::post, "/v1/would",
+                                    request.dump());
+        }
+        if (reply.status != http_status::kOk) {
+          return this->ReportUnavailable(reply);
+        }
+        this->Print(reply.json, PreviewText(reply.json));
+        return PreviewExit(reply.json);
+      },
+      [](const std::string& message) {
+        std::cerr << message << "\n";
+        return CommandExit::kBadUsage;
+      });
+}
+
 CommandExit Commands::Drain(const std::string& process) {
   return OrElse(
       [&]() -> Result<CommandExit> {
--- a/utilities/dandelionspur/commands.h
+++ b/utilities/dandelionspur/commands.h
@@ -19,6 +19,8 @@
   kUnavailable = 5,
   kTimedOut = 6,
   kReplayDiffers = 7,
+  kWouldWait = 8,
+  kWouldBeRefused = 9,
 };
 
 enum class OutputFormat { kText, kJson };
@@ -35,6 +37,11 @@
   std::string change_id;
   // The longest time that a command with --wait waits.
   Duration timeout{};
+  // The request of `would`: a file with the whole request, or else its headers
+  // as "Name: value" and its body.
+  std::string request_file;
+  std::vector<std::string> headers;
+  std::string data;
 };
 
 // The subcommands of the operators' tool. Each prints its result to standard
@@ -56,6 +63,8 @@
   CommandExit Diff(const std::string& service, const std::string& from,
                    const std::string& to);
   CommandExit Status();
+  // Tells what would become of a request that came now, without sending it.
+  CommandExit Would(const std::string& target);
   CommandExit Drain(const std::string& process);
   CommandExit Replay();
   CommandExit Explain(const std::string& service, const std::string& key);
--- a/utilities/dandelionspur/main.cc
+++ b/utilities/dandelionspur/main.cc
@@ -14,6 +14,8 @@
     "service history NAME list the versions, newest first\n"
     "service diff NAME FROM TO\n"
     "status               state of an entry, its peers and its agents\n"
+    "would [PATH]         where a request would go now, and why, without "
+    "sending it (--request FILE, or -H and --data)\n"
     "drain IP:PORT        graceful shutdown of the process with this admin "
     "port\n"
     "replay               replay all records and compare every effect\n"
@@ -36,8 +38,14 @@
           "SECONDS")("change-id",
                      "identifies this change; after a lost answer, repeat the "
                      "change with the same ID",
-                     cxxopts::value<std::string>(),
-                     "ID")("help", "this text")("version", "print the version")(
+                     cxxopts::value<std::string>(), "ID")(
+          "request", "file with a whole HTTP request, for would",
+          cxxopts::value<std::string>()->default_value(""),
+          "FILE")("H,header", "a header of the request, for would",
+                  cxxopts::value<std::vector<std::string>>(), "NAME: VALUE")(
+          "d,data", "the body of the request, or @FILE, for would",
+          cxxopts::value<std::string>()->default_value(""),
+          "TEXT")("help", "this text")("version", "print the version")(
           "words", "", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({"words"});
   return options;
@@ -63,6 +71,11 @@
   options.change_id = parsed.count("change-id") > 0
                           ? parsed["change-id"].as<std::string>()
                           : NewChangeId();
+  options.request_file = parsed["request"].as<std::string>();
+  if (parsed.count("header") > 0) {
+    options.headers = parsed["header"].as<std::vector<std::string>>();
+  }
+  options.data = parsed["data"].as<std::string>();
   std::vector<std::string> args;
   if (parsed.count("words") > 0) {
     args = parsed["words"].as<std::vector<std::string>>();
