--- a/tests/system/operations_test.py
+++ b/tests/system/operations_test.py
@@ -95,7 +95,8 @@
         self.assertEqual(cluster.runs(), [])
         self.assertEqual(cluster.submit_to_queue(0, job, "200", 1, 5000)[0], 200)
         time.sleep(LOG_DELAY_SECONDS)
-        command = ["dandelionspur", "--entry", admin, "--table", f"127.0.0.1:{cluster.table_port()}", "explain", "demo", job]
+        table = f"127.0.0.1:{cluster.table_port()}"
+        command = ["dandelionspur", "--entry", admin, "--table", table, "explain", "demo", job]
         explained = subprocess.run(command, capture_output=True, text=True, timeout=30, env=COMMAND_ENVIRONMENT).stdout
         self.assertEqual(re.findall(r"to agent (\d+): start task", explained), chosen, explained)
 
