entry: Let the settings name the placement for documents that name none

InterferencePlacementTest and JobPreviewTest read the exact reason where it now stands; YieldTest keeps the upstream's agent heard.

--- a/libraries/configuration/service_document.cc
+++ b/libraries/configuration/service_document.cc
@@ -93,10 +93,7 @@
       reader.IntegerOr("version", kVersionRange, 0)));
   document.change_id = ChangeId(reader.TextOr("change_id", ""));
   document.owner = ClientAccount(reader.Text("owner"));
-  document.placement = static_cast<PlacementKind>(reader.ChoiceOr(
-      "placement",
-      {"fastest_free", "random", "round_robin", "two_choices", "soonest_end"},
-      0));
+  if (reader.Has("placement")) document.placement = ReadPlacement(reader);
   document.order = static_cast<OrderKind>(reader.ChoiceOr(
       "order", {"shortest_remaining", "first_in_first_out", "least_slack"}, 0));
   document.maximum_queued_tasks = static_cast<std::uint32_t>(reader.IntegerOr(
@@ -141,6 +138,13 @@
 
 }  // namespace
 
+PlacementKind ReadPlacement(ObjectReader& reader) {
+  return static_cast<PlacementKind>(reader.ChoiceOr(
+      "placement",
+      {"fastest_free", "random", "round_robin", "two_choices", "soonest_end"},
+      0));
+}
+
 InterferenceHandling ReadInterference(ObjectReader& reader) {
   return static_cast<InterferenceHandling>(
       reader.ChoiceOr("interference", {"ignore", "keep_apart"}, 0));
--- a/libraries/configuration/service_document.h
+++ b/libraries/configuration/service_document.h
@@ -75,7 +75,8 @@
   DocumentVersion version;
   ChangeId change_id;
   ClientAccount owner;
-  PlacementKind placement = PlacementKind::kFastestFree;
+  // Not set: what the settings of each entry say.
+  std::optional<PlacementKind> placement;
   OrderKind order = OrderKind::kShortestRemaining;
   std::uint32_t maximum_queued_tasks = 0;
   std::uint32_t maximum_tasks_per_job = 0;
@@ -106,6 +107,8 @@
                        client_accounts, routes))
 
 class ObjectReader;
+// Reads the optional field `placement`.
+PlacementKind ReadPlacement(ObjectReader& reader);
 // Reads the optional field `interference`.
 InterferenceHandling ReadInterference(ObjectReader& reader);
 
--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -204,6 +204,7 @@
   settings.stop_within = reader.SecondsOr(
       "stop_within_s", kStopRangeMilliseconds, kDefaultStopWithin);
   settings.client_limits = ReadClientLimits(reader);
+  settings.placement = ReadPlacement(reader);
   settings.interference = ReadInterference(reader);
   settings.agents_are_listed = reader.BooleanOr("agents_are_listed", false);
   settings.link_bytes_per_second = ReadLink(reader);
--- a/libraries/configuration/settings.h
+++ b/libraries/configuration/settings.h
@@ -99,6 +99,7 @@
   // The time from a request to stop until the process is killed.
   Duration stop_within{};
   // For services whose document names none.
+  PlacementKind placement = PlacementKind::kFastestFree;
   InterferenceHandling interference = InterferenceHandling::kIgnore;
   // Whether all agents list their addresses in the table: `lists_address` of
   // their settings.
@@ -111,8 +112,8 @@
                        upstream_protocol, millicores, link_bytes_per_second,
                        memory_bytes, input_output_threads, bucket_count,
                        duplicate_window, suspect_after, remove_after, lease,
-                       client_limits, drain_accepts, stop_within, interference,
-                       agents_are_listed, recording, log))
+                       client_limits, drain_accepts, stop_within, placement,
+                       interference, agents_are_listed, recording, log))
 
 struct AgentSettings {
   DataCentreName data_centre;
--- a/libraries/entry_core/entry_core_settings.h
+++ b/libraries/entry_core/entry_core_settings.h
@@ -46,13 +46,14 @@
   std::uint64_t link_bytes_per_second = 0;
   // For services whose document names none.
   InterferenceHandling interference = InterferenceHandling::kIgnore;
+  PlacementKind placement = PlacementKind::kFastestFree;
 };
 BOOST_DESCRIBE_STRUCT(EntryCoreSettings, (),
                       (self, bucket_count, duplicate_window, suspect_after,
                        remove_after, repeat_interval, heartbeat_interval,
                        agent_reply_interval, lease_over_after, drain_accepts,
                        drain_limit, maximum_answer_bytes, placement_seed,
-                       link_bytes_per_second, interference))
+                       link_bytes_per_second, interference, placement))
 
 }  // namespace dandelionspur
 
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -589,7 +589,7 @@
 void HomeJobs::ApplyPeerBacklogs(Timestamp now) {
   for (auto& [name, service] : this->queues.all()) {
     const bool competes =
-        service.document().placement == PlacementKind::kSoonestEnd;
+        service.placement_kind() == PlacementKind::kSoonestEnd;
     service.NotePeerBacklog(competes ? this->peer_backlogs.Of(name, now)
                                      : Backlog());
   }
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -48,6 +48,7 @@
     if (!document.interference) {
       document.interference = this->settings.interference;
     }
+    if (!document.placement) document.placement = this->settings.placement;
     this->queues.ApplyDocument(document);
   }
 
--- a/libraries/entry_core/service_state.cc
+++ b/libraries/entry_core/service_state.cc
@@ -16,20 +16,28 @@
 // long as the average, so that jobs with slower tasks are still in time.
 constexpr double kStretchMargin = 1.25;
 
+PlacementKind PlacementOf(const ServiceDocument& document) {
+  return document.placement.value_or(PlacementKind::kFastestFree);
+}
+
 }  // namespace
 
+PlacementKind ServiceState::placement_kind() const {
+  return PlacementOf(this->in_force);
+}
+
 ServiceState::ServiceState(const ServiceDocument& document,
                            std::uint64_t placement_seed)
     : in_force(document),
-      policy(MakePlacement(document.placement, placement_seed)),
+      policy(MakePlacement(PlacementOf(document), placement_seed)),
       seed(placement_seed),
       retry_tokens(kRetryReserve) {
   this->Apply(document);
 }
 
 void ServiceState::Apply(const ServiceDocument& document) {
-  if (document.placement != this->in_force.placement) {
-    this->policy = MakePlacement(document.placement, this->seed);
+  if (PlacementOf(document) != this->placement_kind()) {
+    this->policy = MakePlacement(PlacementOf(document), this->seed);
   }
   this->in_force = document;
   if (!this->KeepsApart()) this->estimator.Clear();
--- a/libraries/entry_core/service_state.h
+++ b/libraries/entry_core/service_state.h
@@ -28,6 +28,7 @@
     return this->in_force;
   }
   [[nodiscard]] Placement& placement() { return this->policy; }
+  [[nodiscard]] PlacementKind placement_kind() const;
 
   // Whether the document lets the client account submit.
   [[nodiscard]] bool Admits(const ClientAccount& client_account) const;
--- a/libraries/entry_core/task_placement.cc
+++ b/libraries/entry_core/task_placement.cc
@@ -26,7 +26,7 @@
 
 // What a task of the job must leave free at an upstream.
 Resources ReserveFor(const HomeJob& job, ServiceState& service, Timestamp now) {
-  if (service.document().placement != PlacementKind::kSoonestEnd) return {};
+  if (service.placement_kind() != PlacementKind::kSoonestEnd) return {};
   return service.urgent_reserve().For(job.submission.priority, now);
 }
 
@@ -76,7 +76,7 @@
   if (job.tasks[index.value()].failures > 0) this->KeepReliable();
   const PlacementRequest request{
       id, {task.need.millicores, task.declared, service.usual_run_time()}, now};
-  if (service.document().placement == PlacementKind::kSoonestEnd) {
+  if (service.placement_kind() == PlacementKind::kSoonestEnd) {
     choice.reason = PlacementReason::kSoonestEnd;
   }
   if (this->candidates.size() == 1) {
--- a/services/entry/core_settings.cc
+++ b/services/entry/core_settings.cc
@@ -44,6 +44,7 @@
   core.maximum_answer_bytes =
       MaximumAnswerBytes(core.maximum_answer_bytes, settings.memory_bytes);
   core.placement_seed = self.value();
+  core.placement = settings.placement;
   core.interference = settings.interference;
   core.link_bytes_per_second =
       LinkPacer::RateFor(settings.link_bytes_per_second);
--- a/tests/entry_core/contention/contention_test.cc
+++ b/tests/entry_core/contention/contention_test.cc
@@ -116,9 +116,14 @@
 // time: what becomes free belongs to those.
 TEST_P(YieldTest, LateJobsStartOnlyWhileNoOtherEntryQueuesJobsInTime) {
   const YieldCase& tested = this->GetParam();
-  std::uint64_t sent = this->Submit(1, 0, 8).size();
+  const std::uint64_t sent = this->Submit(1, 0, 8).size();
   this->Submit(2, 0, 2);
-  this->harness.Advance(std::chrono::seconds(2));
+  constexpr int kStepsUntilLate = 40;
+  for (int i = 0; i < kStepsUntilLate; ++i) {
+    this->harness.Advance(milliseconds(50));
+    this->harness.SendHeartbeat(this->harness.Agent(0),
+                                this->harness.Load(8, sent));
+  }
   this->TellPeerBacklog(tested.peers_queue);
   this->harness.Advance(tested.told_before);
   const auto started = StartsIn(this->harness.SendHeartbeat(
--- a/tests/entry_core/interference_placement_test.cc
+++ b/tests/entry_core/interference_placement_test.cc
@@ -116,7 +116,7 @@
   std::uint32_t chosen = 0;
   while (this->harness.Agent(chosen) != starts[0].to) ++chosen;
   EXPECT_TRUE(GetParam().expected.contains(chosen)) << chosen;
-  EXPECT_EQ(start.placement == PlacementReason::kKeptApart,
+  EXPECT_EQ(start.PlacedFor() == PlacementReason::kKeptApart,
             GetParam().kept_apart);
   EXPECT_EQ(start.report_neighbours, GetParam().interference == "keep_apart");
 }
--- a/tests/entry_core/job_preview_test.cc
+++ b/tests/entry_core/job_preview_test.cc
@@ -87,7 +87,7 @@
   ASSERT_EQ(starts.size(), preview.outlook == JobOutlook::kStarts ? 1U : 0U);
   if (!starts.empty()) {
     EXPECT_EQ(starts[0].to, preview.placement.chosen);
-    EXPECT_EQ(std::get<Start>(starts[0].message).placement,
+    EXPECT_EQ(std::get<Start>(starts[0].message).PlacedFor(),
               preview.placement.reason);
   }
   const std::vector<AnswerCaller> answers = AnswersIn(effects);
