--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -153,6 +153,9 @@
   [[nodiscard]] std::uint64_t FreeStarts() const;
   void SendHeartbeats();
   void Send(EntryId to, AgentMessage message);
+  // This agent's address, once no task is left there of an earlier agent.
+  // Nothing while there is an upstream: a registration shows the same.
+  [[nodiscard]] std::optional<Endpoint> VacantAddress() const;
   [[nodiscard]] BucketId BucketOfKey(const JobKey& key) const;
 
   struct ConnectedEntry {
@@ -195,10 +198,6 @@
   std::map<EntryId, Epoch> ready_announced;
   // Running tasks for which the upstream has received a stop order.
   std::set<TaskId> stopping;
-  // This agent's address, once no task is left there of an earlier agent.
-  // Nothing while there is an upstream: a registration shows the same.
-  [[nodiscard]] std::optional<Endpoint> VacantAddress() const;
-
   Timestamp current_time;
   // For how long this agent has run; a step of the clock adds little.
   Duration running_for{};
--- a/libraries/entry_core/bucket_activator.cc
+++ b/libraries/entry_core/bucket_activator.cc
@@ -145,9 +145,9 @@
   if (!this->IsFullyRecovered(id, bucket)) {
     // Jobs that may run again need no more than this.
     const bool settled = this->history.PriorRunsResolved(bucket, now);
-    const bool may_reply = now < this->ReplyDeadline(bucket) &&
-                           !(settled && this->MembersHavePromised(bucket));
-    if (may_reply) return false;
+    const bool awaits_replies = now < this->ReplyDeadline(bucket) &&
+                                !(settled && this->MembersHavePromised(bucket));
+    if (awaits_replies) return false;
     const std::optional<Timestamp> entries = this->EntriesDeadSince(id, bucket);
     const std::optional<Timestamp> agents_dead = this->AgentsDeadSince(bucket);
     const bool leases_over =
--- a/libraries/entry_core/task_placement.cc
+++ b/libraries/entry_core/task_placement.cc
@@ -49,12 +49,12 @@
 // task more than most neighbours do.
 constexpr double kMaximumDetour = 1.2;
 
-using Position = Candidates::const_iterator;
+using CandidateIterator = Candidates::const_iterator;
 
 // Infinite if the range is empty.
-double LowestSlowness(Position begin, Position end) {
+double LowestSlowness(CandidateIterator begin, CandidateIterator end) {
   double lowest = std::numeric_limits<double>::infinity();
-  for (Position agent = begin; agent != end; ++agent) {
+  for (CandidateIterator agent = begin; agent != end; ++agent) {
     lowest = std::min(lowest, (*agent)->slowness);
   }
   return lowest;
