--- a/libraries/agent_core/evacuation_guard.h
+++ b/libraries/agent_core/evacuation_guard.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONSPUR_LIBRARIES_AGENT_CORE_EVACUATION_GUARD_H_
 #define DANDELIONSPUR_LIBRARIES_AGENT_CORE_EVACUATION_GUARD_H_
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -21,6 +22,9 @@
     if (told.version <= this->version()) return std::nullopt;
     const bool was_evacuated = this->IsEvacuated();
     this->newest = told;
+    // The order of names that come from another process isn't relied upon.
+    std::sort(this->newest->data_centres.begin(),
+              this->newest->data_centres.end());
     if (was_evacuated == this->IsEvacuated()) return std::nullopt;
     return was_evacuated ? EvacuationPhase::kEnded : EvacuationPhase::kBegun;
   }
--- a/libraries/agent_core/upstream_performance.h
+++ b/libraries/agent_core/upstream_performance.h
@@ -10,7 +10,10 @@
 // entries. An entry alone sees too few of them to notice a change soon.
 class UpstreamPerformance {
  public:
+  // Records a task that succeeded. Without a declared or measured time it
+  // counts only for the share of failures.
   void ObserveSuccess(Duration declared, Duration elapsed, Timestamp now);
+  // Records a task that failed.
   void ObserveFailure(Timestamp now);
   // Nothing is known once no task has ended for a while: an upstream that was
   // slow or failed its tasks is tried again.
--- a/libraries/entry_core/entry_events.h
+++ b/libraries/entry_core/entry_events.h
@@ -152,8 +152,8 @@
                  EntryTick, PeerLinkRenewed, PeerRefusesConnections,
                  EvacuationsRead, AgentAddressesRead>;
 
-// Whether a cancelling holds: the job's home and another entry know of it, or
-// two entries that tell each later home.
+// Whether a cancelling holds: two entries know of it, the home or ones that
+// tell each later home, and so do the agents that Cancellations asks for.
 // kNotConfirmed: that couldn't be confirmed in time.
 BOOST_DEFINE_ENUM_CLASS(CancelOutcome, kHolds, kNotConfirmed)
 
--- a/libraries/entry_core/interference/interference_estimator.cc
+++ b/libraries/entry_core/interference/interference_estimator.cc
@@ -58,7 +58,8 @@
                        static_cast<double>(task.declared.count());
   const double logarithm =
       std::log(std::clamp(ratio, 1 / kMaximumRatio, kMaximumRatio));
-  // What a suspected neighbour does is not put down to the upstream.
+  // Tasks on either side of a suspicion don't train the upstream's estimate, so
+  // that harm isn't taken for the upstream's own slowness.
   const AvoidedGroups avoided = this->ToAvoid(task.group);
   const bool is_disturbed = std::any_of(
       task.neighbours.begin(), task.neighbours.end(),
--- a/libraries/entry_core/interference/interference_estimator.h
+++ b/libraries/entry_core/interference/interference_estimator.h
@@ -46,6 +46,7 @@
   }
 };
 
+// A suspicion that has begun or ended.
 struct SuspicionStep {
   SuspicionPhase phase = SuspicionPhase::kBegun;
   Suspicion suspicion;
@@ -72,6 +73,8 @@
 // at the same upstream: docs/design/interference.md.
 class InterferenceEstimator {
  public:
+  // Learns from a task. Ignores one without a group, a declared time or a
+  // measured time.
   void Observe(const ObservedTask& task, Timestamp now);
   // Judges the pairs that were observed, at intervals. Returns the suspicions
   // that have begun or ended.
@@ -79,11 +82,13 @@
   // Forgets everything.
   void Clear();
 
+  // The groups that slow this one down, and those that it slows down.
   [[nodiscard]] AvoidedGroups ToAvoid(JobGroupId group) const;
   // The most significant first; at most kMaximumSuspicions.
   [[nodiscard]] const std::vector<Suspicion>& suspicions() const {
     return this->held;
   }
+  // The number of pairs with evidence.
   [[nodiscard]] std::size_t pair_count() const { return this->pairs.size(); }
 
   static constexpr std::size_t kMaximumPairs = 2048;
--- a/libraries/entry_core/interference/slowness_model.h
+++ b/libraries/entry_core/interference/slowness_model.h
@@ -20,7 +20,8 @@
 class SlownessModel {
  public:
   // Returns the part of `logarithm` that the model, as it was, leaves
-  // unexplained, and learns from the observation.
+  // unexplained, and learns from the observation. 0 for the first observation
+  // of a group, and for a new group if there is no room for it.
   double Learn(JobGroupId group, AgentId upstream, double logarithm,
                UpstreamTraining training, Timestamp now);
   // Removes what hasn't been observed for long.
--- a/libraries/entry_core/peer_directory.h
+++ b/libraries/entry_core/peer_directory.h
@@ -294,9 +294,9 @@
     if (!known.lacks_view_since) return in_contact;
     return std::max(in_contact, *known.lacks_view_since + kViewTrustedFor);
   }
-  // The latest time at which the peer can still count this entry as heard
-  // within `limit`, as it was heard here last at `last_heard`. Not later than
-  // `now` for a peer that is not known.
+  // The latest time until which the peer can count a heartbeat of its own as
+  // confirmed by this entry within `limit`: this entry has confirmed none that
+  // was sent after it last heard the peer. `now` for an unknown peer.
   [[nodiscard]] Timestamp MayBeHeardUntil(EntryId peer, Duration limit,
                                           Timestamp now) const {
     const auto found = this->peers.find(peer);
--- a/libraries/entry_core/placement.h
+++ b/libraries/entry_core/placement.h
@@ -69,8 +69,8 @@
 };
 
 // The upstream where the task is expected to end first. Among upstreams where
-// it ends about as soon, each task goes to another one, so that the entries
-// don't all start their tasks at the same upstream.
+// it ends about as soon, a hash of the job's key and the task's index chooses,
+// so that the entries don't all start their tasks at the same one.
 class SoonestEnd {
  public:
   std::size_t Choose(const Candidates& agents, const PlacementRequest& request);
--- a/libraries/entry_core/placement/expected_end.cc
+++ b/libraries/entry_core/placement/expected_end.cc
@@ -10,6 +10,7 @@
 // An upstream that is reported as idle attracts the tasks of all entries, so
 // its load counts as at least this share of its capacity.
 constexpr double kLeastLoadShare = 0.25;
+// Keeps the estimate finite where all tasks fail.
 constexpr double kMaximumFailureShare = 0.9;
 
 // The mean of max(0, x) for a normally distributed x.
--- a/libraries/entry_core/placement/expected_end.h
+++ b/libraries/entry_core/placement/expected_end.h
@@ -21,6 +21,7 @@
   double failure_share = 0;
 };
 
+// What the estimate needs to know of a task.
 struct TaskOutlook {
   std::uint64_t millicores = 0;
   Duration declared{};
--- a/libraries/network/http_server.cc
+++ b/libraries/network/http_server.cc
@@ -185,7 +185,7 @@
   }
 
   // Begins to close connections that can be done without, until at most `most`
-  // are left. Returns whether there are any.
+  // are left. Returns false if there are more, and all of them are in use.
   bool MakeRoom(std::size_t most) {
     const auto victims = ChooseForRoom(this->OpenSessions(), most,
                                        HttpSessionProgress::Clock::now());
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -318,7 +318,7 @@
   // Whether `promises` is complete. It is left empty for an agent that has
   // received the promises before.
   bool has_promises = true;
-  // Set if the entry knows other evacuated data centres than the agent.
+  // Set if the entry knows newer evacuations than the agent.
   std::optional<EvacuationSet> evacuations{};
 };
 BOOST_DESCRIBE_STRUCT(RegisterAcknowledged, (),
