--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -153,7 +153,6 @@
   this->connected.erase(event.entry);
   this->acknowledged.erase(event.entry);
   this->ready_announced.erase(event.entry);
-  this->offers.Settle(event.entry);
 }
 
 void AgentCore::On(const EntryMessageReceived& event) {
@@ -180,7 +179,7 @@
     this->effects.emplace_back(StartRefusalCounted{reason});
     this->Send(home, TaskNotRun{event.task, reason, Ballot(),
                                 this->ReportLoad(home), start});
-    this->OfferFreeCapacity(home);
+    this->NotifyEntriesWithDemand(home);
     return;
   }
   TaskOutcome outcome = TaskOutcome::kUnknown;
@@ -205,7 +204,7 @@
                                                   this->current_time);
   }
   this->Send(home, std::move(finished));
-  this->OfferFreeCapacity(home);
+  this->NotifyEntriesWithDemand(home);
 }
 
 void AgentCore::On(const AgentViewRead& event) { this->AdoptView(event.view); }
@@ -226,7 +225,6 @@
   this->losses.Expire(this->current_time);
   this->recent_losses.Expire(this->current_time);
   this->StopOverdue();
-  this->OfferFreeCapacity(std::nullopt);
   const bool idle = this->admission.running_count() == 0 &&
                     this->admission.waiting_count() == 0;
   if (this->leaving && idle && !this->drained_reported) {
@@ -303,7 +301,6 @@
 void AgentCore::OnMessage(EntryId from, const Start& message) {
   const auto sender = this->connected.find(from);
   Start start = message;
-  this->offers.Settle(from);
   if (sender != this->connected.end()) {
     ++sender->second.starts_seen;
     sender->second.demand = message.queued;
@@ -388,8 +385,6 @@
 void AgentCore::OnMessage(EntryId from, const DemandNotice& message) {
   const auto sender = this->connected.find(from);
   if (sender == this->connected.end()) return;
-  // The entry has not used what it was offered.
-  this->offers.Settle(from);
   sender->second.demand = message.queued;
   // Answered only if the load has changed since the last report to this entry;
   // otherwise the two would exchange notices and heartbeats without end.
@@ -641,41 +636,16 @@
                    : std::nullopt;
 }
 
-void AgentCore::OfferFreeCapacity(std::optional<EntryId> reported) {
-  const bool accepts =
-      this->admission.waiting_count() == 0 && !this->NotAcceptingReason();
-  std::uint64_t starts = accepts ? this->FreeStarts() : 0;
-  if (starts == 0) return;
-  std::vector<WaitingEntry> waiting;
+void AgentCore::NotifyEntriesWithDemand(EntryId except) {
+  const bool has_capacity = this->admission.waiting_count() == 0 &&
+                            this->LoadFor(except).HasFreeCapacity();
+  if (!has_capacity) return;
   for (const auto& [entry, state] : this->connected) {
-    if (state.demand == 0) continue;
-    if (entry == reported) {
-      --starts;
-      continue;
-    }
-    waiting.push_back({entry, state.demand});
-  }
-  if (waiting.empty()) return;
-  for (const EntryId entry :
-       this->offers.Offer(waiting, starts, this->current_time)) {
+    if (state.demand == 0 || entry == except) continue;
     this->SendHeartbeat(entry);
   }
 }
 
-std::uint64_t AgentCore::FreeStarts() const {
-  // For an upstream where nothing runs that would tell the usual size.
-  constexpr std::uint64_t kTasksOfIdleUpstream = 8;
-  const std::uint64_t total = this->admission.total().millicores;
-  const std::uint64_t in_use = this->admission.running_need().millicores;
-  const std::uint64_t usual = this->admission.running_count() == 0
-                                  ? total / kTasksOfIdleUpstream
-                                  : in_use / this->admission.running_count();
-  if (in_use >= total) return 0;
-  // Tasks differ in size, so one may fit into less than the usual one takes.
-  return std::max<std::uint64_t>(
-      1, (total - in_use) / std::max<std::uint64_t>(1, usual));
-}
-
 void AgentCore::SendHeartbeats() {
   this->next_heartbeat = this->current_time + this->settings.heartbeat_interval;
   for (const auto& [entry, state] : this->connected) {
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -9,7 +9,6 @@
 
 #include "libraries/agent_core/agent_events.h"
 #include "libraries/agent_core/evacuation_guard.h"
-#include "libraries/agent_core/free_capacity_offers.h"
 #include "libraries/agent_core/loss_suspects.h"
 #include "libraries/agent_core/neighbour_record.h"
 #include "libraries/agent_core/recent_losses.h"
@@ -145,12 +144,9 @@
   // Returns LoadFor(entry) and records that the entry receives this load.
   AgentLoad ReportLoad(EntryId entry);
   void SendHeartbeat(EntryId entry);
-  // Offers free capacity to entries with demand. `reported`: the entry that
-  // receives the load with another message.
-  void OfferFreeCapacity(std::optional<EntryId> reported);
-  // The number of further tasks of the usual size that the upstream has room
-  // for.
-  [[nodiscard]] std::uint64_t FreeStarts() const;
+  // Sends a heartbeat to each entry with demand other than `except`, if the
+  // upstream has free capacity.
+  void NotifyEntriesWithDemand(EntryId except);
   void SendHeartbeats();
   void Send(EntryId to, AgentMessage message);
   // This agent's address, once no task is left there of an earlier agent.
@@ -175,7 +171,6 @@
   AgentCoreSettings settings;
   StartedSet started;
   UpstreamAdmission admission;
-  FreeCapacityOffers offers;
   UpstreamPerformance performance;
   UpstreamLosses losses;
   RecentLosses recent_losses;
