--- a/libraries/entry_core/task_placement.cc
+++ b/libraries/entry_core/task_placement.cc
@@ -18,7 +18,7 @@
 // upstream of which it would be a large part keeps nothing free.
 bool LeavesRoom(const KnownAgent& agent, const Resources& need,
                 const Resources& reserve) {
-  constexpr std::uint64_t kLargePartDivisor = 4;
+  constexpr std::uint64_t kLargePartDivisor = 8;
   const bool is_large =
       reserve.millicores * kLargePartDivisor > agent.load.capacity.millicores;
   return is_large || agent.HasCapacityFor(need + reserve);
