--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -186,11 +186,12 @@
   TaskOutcome outcome = TaskOutcome::kUnknown;
   if (event.result == UpstreamResult::kSucceeded) {
     outcome = TaskOutcome::kSucceeded;
-    this->performance.ObserveSuccess(declared, event.elapsed);
+    this->performance.ObserveSuccess(declared, event.elapsed,
+                                     this->current_time);
   }
   if (event.result == UpstreamResult::kFailed) {
     outcome = TaskOutcome::kFailed;
-    this->performance.ObserveFailure();
+    this->performance.ObserveFailure(this->current_time);
   }
   this->started.MarkFinished(event.task, outcome, event.body);
   // Built from the event, since the size limit of the set may have evicted the
@@ -352,10 +353,14 @@
 }
 
 void AgentCore::OnMessage(EntryId from, const Renounce& message) {
+  if (message.cancelled) {
+    this->started.Cancel(message.task.key, this->current_time);
+  }
   if (!this->started.Contains(message.task)) {
     this->started.Forbid(message.task, {message.ballot, message.attempt});
   }
-  RenounceReply reply{this->ReportOf(message.task)};
+  RenounceReply reply{this->ReportOf(message.task),
+                      this->started.IsCancelled(message.task.key)};
   if (reply.report.state == StartedState::kNeverStarted) {
     reply.report.start = {message.ballot, message.attempt};
   }
@@ -383,6 +388,8 @@
 void AgentCore::OnMessage(EntryId from, const DemandNotice& message) {
   const auto sender = this->connected.find(from);
   if (sender == this->connected.end()) return;
+  // The entry has not used what it was offered.
+  this->offers.Settle(from);
   sender->second.demand = message.queued;
   // Answered only if the load has changed since the last report to this entry;
   // otherwise the two would exchange notices and heartbeats without end.
@@ -472,6 +479,7 @@
       this->promises[this->BucketOfKey(start.task.key).value()]) {
     return Reason::kStaleBallot;
   }
+  if (this->started.IsCancelled(start.task.key)) return Reason::kCancelled;
   const std::optional<Reason> not_accepting = this->NotAcceptingReason();
   if (not_accepting) return not_accepting;
   const bool outdated =
@@ -489,7 +497,8 @@
   const Ballot promised =
       this->promises[this->BucketOfKey(start.task.key).value()];
   this->Send(to, TaskNotRun{start.task, this->ReasonFor(to, reason), promised,
-                            this->ReportLoad(to), start.Number()});
+                            this->ReportLoad(to), start.Number(),
+                            this->started.IsCancelled(start.task.key)});
 }
 
 Reason AgentCore::ReasonFor(EntryId to, Reason reason) const {
@@ -509,7 +518,8 @@
   this->Send(
       promised.entry,
       TaskNotRun{task, this->ReasonFor(promised.entry, reason), promised,
-                 this->ReportLoad(promised.entry), accepted.start.Number()});
+                 this->ReportLoad(promised.entry), accepted.start.Number(),
+                 this->started.IsCancelled(task.key)});
 }
 
 void AgentCore::StartQueued() {
@@ -523,6 +533,11 @@
   }
   while (const std::optional<AcceptedStart> next =
              this->admission.TakeNext(this->current_time)) {
+    if (this->started.IsCancelled(next->start.task.key)) {
+      this->admission.Release(next->start.task);
+      this->RejectQueued(*next, Reason::kCancelled);
+      continue;
+    }
     const Duration time_left = next->deadline - this->current_time;
     ++this->load_version;
     this->neighbours.NoteStarted(next->start.group, this->current_time);
@@ -592,7 +607,7 @@
   }
   load.accepting = !this->NotAcceptingReason();
   load.leaving = this->leaving || this->upstream_leaving;
-  load.performance = this->performance.Report();
+  load.performance = this->performance.Report(this->current_time);
   return load;
 }
 
@@ -656,8 +671,9 @@
                                   ? total / kTasksOfIdleUpstream
                                   : in_use / this->admission.running_count();
   if (in_use >= total) return 0;
-  // Rounded, since tasks differ in size.
-  return (total - in_use + usual / 2) / std::max<std::uint64_t>(1, usual);
+  // Tasks differ in size, so one may fit into less than the usual one takes.
+  return std::max<std::uint64_t>(
+      1, (total - in_use) / std::max<std::uint64_t>(1, usual));
 }
 
 void AgentCore::SendHeartbeats() {
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -69,6 +69,15 @@
   return is_other ? std::optional(expected) : std::nullopt;
 }
 
+JobPreview EntryCore::Preview(const JobSubmission& job, Timestamp now) {
+  const BucketId bucket = this->ownership.BucketOfKey(job.key);
+  if (this->ownership.IsActive(bucket)) return this->home.Preview(job, now);
+  JobPreview preview;
+  preview.home = this->OtherHomeOf(job.key, now);
+  if (preview.home) preview.outlook = JobOutlook::kElsewhere;
+  return preview;
+}
+
 void EntryCore::On(const CallerSubmitted& event) {
   const JobKey& key = event.job.key;
   const CachedAnswer* answer = this->home.FindAnswer(key);
@@ -293,7 +302,7 @@
   // The relaying entry has already answered the caller.
   if (waited > Duration() && waited >= message.job.time_allowed) return;
   Relay relay = message;
-  relay.job.time_allowed -= waited;
+  relay.job.SetTimeLeft(relay.job.time_allowed - waited);
   relay.job.UnshareBody();
   this->AcceptRelay(from, relay);
 }
@@ -445,11 +454,14 @@
   const BucketId bucket = this->ownership.BucketOfKey(message.task.key);
   this->Observe({{bucket, message.promised}});
   this->home.OnTaskNotRun(from, message, this->current_time);
+  if (message.job_cancelled) {
+    this->cancellations.Learn(message.task.key, this->current_time);
+  }
 }
 
 void EntryCore::OnAgent(AgentId from, const RenounceReply& message) {
   this->home.OnRenounceReply(from, message, this->current_time);
-  this->cancellations.OnRenounceReply(from, message);
+  this->cancellations.OnRenounceReply(from, message, this->current_time);
 }
 
 void EntryCore::OnAgent(AgentId from, const AgentLeaving& /*message*/) {
--- a/libraries/entry_core/service_state.cc
+++ b/libraries/entry_core/service_state.cc
@@ -16,20 +16,28 @@
 // long as the average, so that jobs with slower tasks are still in time.
 constexpr double kStretchMargin = 1.25;
 
+PlacementKind PlacementOf(const ServiceDocument& document) {
+  return document.placement.value_or(PlacementKind::kFastestFree);
+}
+
 }  // namespace
 
+PlacementKind ServiceState::placement_kind() const {
+  return PlacementOf(this->in_force);
+}
+
 ServiceState::ServiceState(const ServiceDocument& document,
                            std::uint64_t placement_seed)
     : in_force(document),
-      policy(MakePlacement(document.placement, placement_seed)),
+      policy(MakePlacement(PlacementOf(document), placement_seed)),
       seed(placement_seed),
       retry_tokens(kRetryReserve) {
   this->Apply(document);
 }
 
 void ServiceState::Apply(const ServiceDocument& document) {
-  if (document.placement != this->in_force.placement) {
-    this->policy = MakePlacement(document.placement, this->seed);
+  if (PlacementOf(document) != this->placement_kind()) {
+    this->policy = MakePlacement(PlacementOf(document), this->seed);
   }
   this->in_force = document;
   if (!this->KeepsApart()) this->estimator.Clear();
@@ -81,7 +89,14 @@
 }
 
 Backlog ServiceState::OwnBacklog() const {
-  return {this->queued_total - this->queued_late, this->queued_late};
+  // Other upstreams than the peers' jobs need run the quarantined groups.
+  Duration quarantined_work{};
+  for (const JobGroupId group : this->isolation.Groups()) {
+    quarantined_work += this->QueuedWorkOf(group);
+  }
+  const Duration in_time =
+      this->queued_total - this->queued_late - quarantined_work;
+  return {std::max(Duration(), in_time), this->queued_late};
 }
 
 std::set<ServiceState::Position>& ServiceState::PositionsOf(
@@ -114,6 +129,7 @@
 }
 
 std::optional<JobKey> ServiceState::NextAbove(std::uint32_t priority) const {
+  if (priority == 0) return std::nullopt;
   const Position* best = nullptr;
   for (const auto& [name, client_account] : this->client_accounts) {
     if (client_account.running >= client_account.maximum_running) continue;
--- a/libraries/entry_core/task_placement.cc
+++ b/libraries/entry_core/task_placement.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 #include <variant>
 
+#include "libraries/entry_core/candidate_verdict.h"
+
 namespace dandelionspur {
 namespace {
 
@@ -11,6 +14,22 @@
 // failed before.
 constexpr std::uint32_t kReliableFailedPercent = 10;
 
+// Whether `reserve` is left free at the agent once the task runs there. An
+// upstream of which it would be a large part keeps nothing free.
+bool LeavesRoom(const KnownAgent& agent, const Resources& need,
+                const Resources& reserve) {
+  constexpr std::uint64_t kLargePartDivisor = 4;
+  const bool is_large =
+      reserve.millicores * kLargePartDivisor > agent.load.capacity.millicores;
+  return is_large || agent.HasCapacityFor(need + reserve);
+}
+
+// What a task of the job must leave free at an upstream.
+Resources ReserveFor(const HomeJob& job, ServiceState& service, Timestamp now) {
+  if (service.placement_kind() != PlacementKind::kSoonestEnd) return {};
+  return service.urgent_reserve().For(job.submission.priority, now);
+}
+
 // Whether tasks that are placed in this scope may run at the agent.
 bool IsInScope(const KnownAgent& agent, PlacementScope scope,
                JobGroupId group) {
@@ -52,16 +71,14 @@
   const Quarantine& quarantine = service.quarantine();
   PlacementChoice choice;
   choice.scope = this->ScopeOf(job, task.need, quarantine, now);
-  const bool yields =
-      service.document().placement == PlacementKind::kSoonestEnd;
-  const Resources reserve =
-      yields ? service.urgent_reserve().For(job.submission.priority, now)
-             : Resources();
-  this->CollectCandidates(job, index, choice.scope, reserve, now);
+  this->CollectCandidates(job, index, choice.scope,
+                          ReserveFor(job, service, now), now);
   if (job.tasks[index.value()].failures > 0) this->KeepReliable();
   const PlacementRequest request{
       id, {task.need.millicores, task.declared, service.usual_run_time()}, now};
-  if (yields) choice.reason = PlacementReason::kSoonestEnd;
+  if (service.placement_kind() == PlacementKind::kSoonestEnd) {
+    choice.reason = PlacementReason::kSoonestEnd;
+  }
   if (this->candidates.size() == 1) {
     choice.reason = PlacementReason::kOnlyCandidate;
   }
@@ -89,6 +106,45 @@
   return choice;
 }
 
+PlacementPreview TaskPlacement::Preview(const HomeJob& job,
+                                        ServiceState& service,
+                                        Duration suspect_after, Timestamp now) {
+  const TaskIndex index = job.queued.back();
+  const Resources& need = job.submission.tasks[index.value()].need;
+  const PlacementScope scope =
+      this->ScopeOf(job, need, service.quarantine(), now);
+  this->CollectCandidates(job, index, scope, ReserveFor(job, service, now),
+                          now);
+  const std::set<const KnownAgent*> collected(this->candidates.begin(),
+                                              this->candidates.end());
+  this->KeepApartFromInterference(job, service);
+  const std::set<const KnownAgent*> apart(this->candidates.begin(),
+                                          this->candidates.end());
+  PlacementPreview preview;
+  preview.scope = scope;
+  const std::optional<PlacementChoice> choice = this->Choose(job, service, now);
+  if (choice) {
+    preview.chosen = choice->agent->agent;
+    preview.reason = choice->reason;
+  }
+  const auto verdict_on = [&](const KnownAgent* agent) {
+    if (preview.chosen == agent->agent) return CandidateVerdict::kChosen;
+    if (apart.contains(agent)) return CandidateVerdict::kCandidate;
+    if (collected.contains(agent)) return CandidateVerdict::kInterference;
+    const bool is_set_aside = this->health.MayTakeTask(*agent, need, now) &&
+                              !IsInScope(*agent, scope, job.submission.group);
+    if (is_set_aside) return CandidateVerdict::kQuarantine;
+    return WhyLeftOut(*agent, need, this->health, suspect_after, now);
+  };
+  for (const KnownAgent* agent :
+       this->agents.OfService(job.submission.service)) {
+    preview.candidates.push_back({agent->agent, verdict_on(agent),
+                                  agent->Taken(), agent->load.capacity,
+                                  agent->slowness, now - agent->last_heard});
+  }
+  return preview;
+}
+
 PlacementScope TaskPlacement::ScopeOf(const HomeJob& job, const Resources& need,
                                       const Quarantine& quarantine,
                                       Timestamp now) const {
@@ -117,11 +173,8 @@
   const KnownAgent* last_resort = nullptr;
   for (const KnownAgent* agent :
        this->agents.OfService(job.submission.service)) {
-    // An upstream that is too small for both has no room to keep free.
-    const Resources with_reserve = need + reserve;
-    const Resources& room =
-        with_reserve.FitsIn(agent->load.capacity) ? with_reserve : need;
-    if (!this->health.MayTakeTask(*agent, room, now)) continue;
+    if (!this->health.MayTakeTask(*agent, need, now)) continue;
+    if (!LeavesRoom(*agent, need, reserve)) continue;
     if (!IsInScope(*agent, scope, job.submission.group)) continue;
     if (task.retried && agent->agent == task.agent) {
       last_resort = agent;
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -190,10 +190,13 @@
 
 // The tasks of one job that an agent has started.
 struct StartedJob {
+  static constexpr std::size_t kRequiredMembers = 2;
   JobKey key;
   std::vector<TaskIndex> tasks;
+  // The job was cancelled; it may have no tasks here.
+  bool cancelled = false;
 };
-BOOST_DESCRIBE_STRUCT(StartedJob, (), (key, tasks))
+BOOST_DESCRIBE_STRUCT(StartedJob, (), (key, tasks, cancelled))
 
 struct AgentPromiseReply {
   static constexpr const char* kName = "agent_promise_reply";
@@ -232,22 +235,29 @@
 // Reports that a start had no effect and never will have one.
 struct TaskNotRun {
   static constexpr const char* kName = "task_not_run";
+  static constexpr std::size_t kRequiredMembers = 5;
   TaskId task;
   Reason reason = Reason::kNoFreeSlot;
   // The highest ballot promised for the bucket.
   Ballot promised;
   AgentLoad load;
   StartNumber start;
+  // The agent has recorded that the job was cancelled.
+  bool job_cancelled = false;
 };
-BOOST_DESCRIBE_STRUCT(TaskNotRun, (), (task, reason, promised, load, start))
+BOOST_DESCRIBE_STRUCT(TaskNotRun, (),
+                      (task, reason, promised, load, start, job_cancelled))
 
 // Answers Renounce with the task's state. `kNeverStarted` means that the
 // renounced starts can no longer take effect.
 struct RenounceReply {
   static constexpr const char* kName = "renounce_reply";
+  static constexpr std::size_t kRequiredMembers = 1;
   TaskReport report;
+  // The agent has recorded that the job was cancelled.
+  bool cancelled = false;
 };
-BOOST_DESCRIBE_STRUCT(RenounceReply, (), (report))
+BOOST_DESCRIBE_STRUCT(RenounceReply, (), (report, cancelled))
 
 // Announces that the agent accepts no more starts; running tasks continue.
 struct AgentLeaving {
@@ -352,25 +362,41 @@
   std::optional<Duration> slack;
   // Whether the home wants to know which groups run beside the task.
   bool report_neighbours = false;
+  // Set where earlier versions don't know the reason: they close the connection
+  // at such a value, so `placement` is one that they know.
+  std::optional<PlacementReason> later_placement;
 
   [[nodiscard]] StartNumber Number() const {
     return {this->ballot, this->attempt};
   }
+  [[nodiscard]] PlacementReason PlacedFor() const {
+    return this->later_placement.value_or(this->placement);
+  }
+  void SetPlacement(PlacementReason reason) {
+    const bool is_known_to_all = reason <= PlacementReason::kProbation;
+    this->placement = is_known_to_all ? reason : PlacementReason::kFastestFree;
+    if (!is_known_to_all) this->later_placement = reason;
+  }
 };
 BOOST_DESCRIBE_STRUCT(Start, (),
                       (task, ballot, attempt, agent, time_left, placement,
                        queued, job_name, rerun, contact, request, repeated_body,
-                       losses, group, scope, slack, report_neighbours))
+                       losses, group, scope, slack, report_neighbours,
+                       later_placement))
 
 // Asks for the task's state and rules out a later start: if the task has not
 // been started, no start of it up to this ballot and attempt will take effect.
 struct Renounce {
   static constexpr const char* kName = "renounce";
+  static constexpr std::size_t kRequiredMembers = 3;
   TaskId task;
   Ballot ballot;
   std::uint32_t attempt = 0;
+  // The job was cancelled. The agent starts no task of it any more, and lists
+  // the job in its promises.
+  bool cancelled = false;
 };
-BOOST_DESCRIBE_STRUCT(Renounce, (), (task, ballot, attempt))
+BOOST_DESCRIBE_STRUCT(Renounce, (), (task, ballot, attempt, cancelled))
 
 // Stops a task. Refused from a home whose ballot is below the promised one.
 struct StopTask {
--- a/services/entry/table_watcher.cc
+++ b/services/entry/table_watcher.cc
@@ -293,13 +293,17 @@
         if (!this->agents_requested) return;
         AgentAddressesRead listed{epoch, {}};
         for (const Row& row : read->rows) {
-          if (!IsAgentRowKey(row.key)) continue;
-          const std::optional<Endpoint> address = DecodeAgentRow(row.value);
-          if (!address) {
+          const bool is_present =
+              IsAgentRowKey(row.key) && row.version != RowVersion();
+          if (!is_present) continue;
+          const std::optional<AgentRow> agent = DecodeAgentRow(row.value);
+          if (!agent) {
             this->ReportUnreadable("agent", "row " + row.key);
+            this->agents_requested = false;
             return;
           }
-          listed.addresses.push_back(*address);
+          if (agent->has_departed) continue;
+          listed.addresses.push_back(agent->admin_endpoint);
         }
         this->sink(std::move(listed));
       });
