protocol: Read JSON with bounded memory and time

Callers saw no answer at all: a job of 1,000,000 tasks `{}` (3 MB, within `body_bytes`) kept an entry's threads busy for minutes, and one body of nested values grew an entry beyond the memory of its machine, which then kills it.

Cause: ParseJson gave the library's parser a callback, and at the end of each nested value the library then looks through the whole enclosing container, so time grew with the square of the number of values. And the tree of all values, up to some 100 bytes each however short the text, was built before any bound was looked at.

Change: JsonBuilder takes the events of the library's streaming parser and stops it at the first value too many (16,384 for what anyone may send; more for lists of upstreams and for the configuration). A task body of the platform's interface has the limit of our own one, 1 MiB: 860 tasks with one of 4 MB grew an agent to 104 MB. The preview route parsed by itself; it uses the same reader now. A body that isn't a string now reaches the upstream with its members in the caller's order and its numbers digit by digit.

--- a/libraries/entry_core/submission_validator.cc
+++ b/libraries/entry_core/submission_validator.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <array>
 #include <optional>
 #include <utility>
 
@@ -12,7 +13,8 @@
 namespace {
 
 constexpr std::size_t kMaximumKeyLength = 255;
-constexpr std::size_t kMaximumTaskBody = 1U * 1024U * 1024U;
+// A job has at most five values beside those of its tasks, and a task three.
+constexpr std::size_t kMaximumJobValues = 8 * kMaximumTasksPerJob;
 constexpr IntegerRange kDeadlineRangeMilliseconds{1, 3'600'000};
 constexpr IntegerRange kDeclaredRangeMilliseconds{1, 3'600'000};
 constexpr Duration kDefaultDeclared = std::chrono::milliseconds(300);
@@ -50,7 +52,20 @@
   return job;
 }
 
-TaskRequest ReadTask(ObjectReader& reader, const nlohmann::json& task) {
+// Parses a job, but for the bodies of its tasks, which no one here reads: they
+// are kept as text.
+Result<nlohmann::json> ParseJob(std::string_view text) {
+  static constexpr std::array<std::string_view, 3> kBodies = {"tasks", kAnyItem,
+                                                              "body"};
+  JsonLimits limits;
+  limits.values = kMaximumJobValues;
+  limits.text_path = kBodies;
+  limits.text_bytes = kMaximumTaskBodyBytes;
+  return ParseJson(text, "request", JsonComments::kIgnored, limits);
+}
+
+// Takes the body out of `task`, which has come from ParseJob.
+TaskRequest ReadTask(ObjectReader& reader, nlohmann::json& task) {
   TaskRequest request;
   request.declared = reader.MillisecondsOr(
       "declared_ms", kDeclaredRangeMilliseconds, kDefaultDeclared);
@@ -58,9 +73,8 @@
   reader.IgnoreField("body");
   const auto body = task.is_object() ? task.find("body") : task.end();
   if (!task.is_object() || body == task.end()) return request;
-  std::string bytes =
-      body->is_string() ? body->get<std::string>() : body->dump();
-  if (bytes.size() > kMaximumTaskBody) {
+  auto& bytes = body->get_ref<std::string&>();
+  if (bytes.size() > kMaximumTaskBodyBytes) {
     reader.ReportProblem("body", "must not exceed 1048576 bytes");
   }
   request.body = Payload::FromBytes(std::move(bytes));
@@ -69,7 +83,7 @@
 
 Result<JobSubmission> ReadJob(const RawSubmission& raw,
                               const ServiceDocument& document) {
-  BOOST_LEAF_AUTO(json, ParseJsonWithComments(raw.body, "request"));
+  BOOST_LEAF_AUTO(json, ParseJob(raw.body));
   ObjectReader reader("request", "", json);
   JobSubmission job = NewSubmission(raw, document);
   job.client_account = ClientAccount(
@@ -152,7 +166,7 @@
                   "request: field \"body\" must be UTF-8, since the upstreams "
                   "of this service take text only");
   }
-  if (raw.body.size() > kMaximumTaskBody) {
+  if (raw.body.size() > kMaximumTaskBodyBytes) {
     return Reject(Reason::kMalformedRequest,
                   "the body must not exceed 1048576 bytes");
   }
--- a/libraries/protocol/job.h
+++ b/libraries/protocol/job.h
@@ -20,6 +20,7 @@
 namespace dandelionspur {
 
 inline constexpr std::size_t kMaximumTasksPerJob = 860;
+inline constexpr std::size_t kMaximumTaskBodyBytes = 1U * 1024U * 1024U;
 
 struct TaskRequest {
   Payload body;
--- a/libraries/protocol/parse_json.cc
+++ b/libraries/protocol/parse_json.cc
@@ -1,50 +1,44 @@
 #include "libraries/protocol/parse_json.h"
 
 #include <algorithm>
-#include <cstdint>
-#include <exception>
 #include <utility>
 
+#include "libraries/protocol/json_builder.h"
+
 namespace dandelionspur {
-namespace {
 
 using nlohmann::json;
 
-// Thrown to stop the parser, which has no limit of its own.
-class NestedTooDeeply : public std::exception {
- public:
-  [[nodiscard]] const char* what() const noexcept override {
-    return "nested too deeply";
-  }
-};
-
-// `depth` is the number of arrays and objects around the value.
-bool CheckDepth(int depth, json::parse_event_t event, json& /*value*/) {
-  const bool opens = event == json::parse_event_t::object_start ||
-                     event == json::parse_event_t::array_start;
-  if (opens && std::cmp_greater_equal(depth, kMaximumJsonDepth)) {
-    throw NestedTooDeeply();
-  }
-  return true;
-}
-
-}  // namespace
-
 Result<json> ParseJson(std::string_view text, const std::string& source,
-                       JsonComments comments) {
+                       JsonComments comments, JsonLimits limits) {
   const bool ignores_comments = comments == JsonComments::kIgnored;
   // The parser checks strings but not comments.
   if (ignores_comments && !IsUtf8(text)) {
     return Fail(source + ": not valid JSON: not UTF-8");
   }
-  try {
-    return json::parse(text, CheckDepth, true, ignores_comments);
-  } catch (const json::exception& exception) {
-    return Fail(
-        BoundedMessage(source + ": not valid JSON: " + exception.what()));
-  } catch (const NestedTooDeeply& exception) {
-    return Fail(source + ": not valid JSON: " + exception.what());
-  }
+  constexpr bool kWholeText = true;
+  JsonBuilder builder(limits);
+  const bool is_valid = json::sax_parse(
+      text, &builder, json::input_format_t::json, kWholeText, ignores_comments);
+  if (is_valid) return builder.Take();
+  return Fail(BoundedMessage(
+      source + ": not valid JSON: " + builder.problem().value_or("malformed")));
+}
+
+Result<json> ParseMessage(std::string_view text, const std::string& source,
+                          JsonComments comments) {
+  return ParseJson(text, source, comments, {JsonLimits::kMessageValues});
+}
+
+Result<json> ParseLists(std::string_view text, const std::string& source) {
+  return ParseJson(text, source, JsonComments::kRefused,
+                   {JsonLimits::kListValues});
+}
+
+Result<json> ParseConfiguration(std::string_view text,
+                                const std::string& source) {
+  return ParseJson(text, source, JsonComments::kRefused,
+                   {JsonLimits::kConfigurationValues});
 }
 
 bool IsUtf8(std::string_view bytes) {
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -7,6 +7,7 @@
 
 #include "libraries/base/enum_name.h"
 #include "libraries/configuration/object_reader.h"
+#include "libraries/protocol/parse_json.h"
 #include "libraries/protocol/view_row.h"
 #include "libraries/telemetry/log.h"
 #include "services/runtime/admin_routes.h"
@@ -48,7 +49,8 @@
 };
 
 Result<Announcement> ParseAnnouncement(const std::string& text) {
-  BOOST_LEAF_AUTO(json, ParseJsonWithComments(text, "announcement"));
+  BOOST_LEAF_AUTO(json,
+                  ParseMessage(text, "announcement", JsonComments::kIgnored));
   ObjectReader reader("announcement", "", json);
   Announcement announcement;
   announcement.description.service = ServiceName(reader.Text("service"));
--- a/services/entry/preview_route.cc
+++ b/services/entry/preview_route.cc
@@ -10,6 +10,7 @@
 #include "libraries/base/enum_name.h"
 #include "libraries/protocol/endpoint.h"
 #include "libraries/protocol/http_status.h"
+#include "libraries/protocol/parse_json.h"
 #include "services/runtime/admin_routes.h"
 
 namespace dandelionspur {
@@ -20,13 +21,12 @@
       .count();
 }
 
-// The caller's request within the body of the operator's one, or nothing if
-// that isn't one.
-std::optional<HttpRequest> CallersRequest(const std::string& body) {
-  const nlohmann::json wire = nlohmann::json::parse(body, nullptr, false);
+// The caller's request within the body of the operator's one.
+Result<HttpRequest> CallersRequest(const std::string& body) {
+  BOOST_LEAF_AUTO(wire, ParseMessage(body, "request"));
   const bool is_request =
       wire.is_object() && wire.contains("target") && wire["target"].is_string();
-  if (!is_request) return std::nullopt;
+  if (!is_request) return Fail("the body must be an object with a target");
   HttpRequest request(boost::beast::http::verb::post,
                       wire["target"].get<std::string>(), 11);
   const nlohmann::json headers =
@@ -45,12 +45,16 @@
 
 void PreviewRoute::Handle(const HttpRequest& request,
                           const HttpResponder& responder) {
-  const std::optional<HttpRequest> callers = CallersRequest(request.body());
-  if (!callers) {
-    responder(ProblemResponse(http_status::kBadRequest,
-                              "the body must be an object with a target"));
-    return;
-  }
+  const std::optional<HttpRequest> callers = OrElse(
+      [&]() -> Result<std::optional<HttpRequest>> {
+        BOOST_LEAF_AUTO(found, CallersRequest(request.body()));
+        return std::optional<HttpRequest>(std::move(found));
+      },
+      [&](const std::string& problem) {
+        responder(ProblemResponse(http_status::kBadRequest, problem));
+        return std::optional<HttpRequest>();
+      });
+  if (!callers) return;
   const std::optional<SubmissionCall> call =
       this->serving.Read([&](const ServingState& state) {
         return ReadSubmissionCall(*callers, state, this->bodies);
--- a/services/entry/submission_reader.cc
+++ b/services/entry/submission_reader.cc
@@ -30,6 +30,12 @@
     return SubmissionValidator::Reject(problem->reason, problem->detail);
   }
   DecodedJob& content = std::get<DecodedJob>(decoded);
+  // The tasks of such a job have equal bodies.
+  if (content.tasks.front().body.size() > kMaximumTaskBodyBytes) {
+    return SubmissionValidator::Reject(
+        Reason::kMalformedRequest,
+        "the body of a task must not exceed 1048576 bytes");
+  }
   JobSubmission job = SubmissionValidator::QueuedJob(
       match.service, *match.route, match.rest, request.body());
   const std::optional<Duration> caller_timeout = CallerTimeout(request);
