--- a/tests/system/costly_bodies_test.py
+++ b/tests/system/costly_bodies_test.py
@@ -182,6 +182,13 @@
         self.send_from_crowd(cluster.entry_admin_port(0), lambda number: http_request("POST", "/v1/would", body))
         self.assert_sound(cluster, cluster.entries[0])
 
+    def test_document(self):
+        cluster = self.start()
+        body = filled('{"service":"demo","other":[@]}', "[]")
+        path = "/v1/services/demo/document?change_id=x&base_version=1"
+        self.send_from_crowd(cluster.entry_admin_port(0), lambda number: http_request("PUT", path, body))
+        self.assert_sound(cluster, cluster.entries[0])
+
     # What an agent listens on.
     def test_agent_announcement(self):
         cluster = self.start()
