entry_core: Forget the state of idle client accounts

What callers saw: after 2,000 jobs with made-up client accounts of 100 KB each, every job was refused with queue_full, for as long as the test waited (60 s).

Cause: an entry kept a state, with the name, for every client account it had ever heard of, where a service's document lists none. The search for the next task goes through all of them. The name had no limit of its own.

Change: an account's state goes with its last queued job and running task, unless the document names the account. A name has at most 255 bytes, as a key.

--- a/libraries/entry_core/service_state.cc
+++ b/libraries/entry_core/service_state.cc
@@ -53,7 +53,11 @@
 }
 
 bool ServiceState::Admits(const ClientAccount& client_account) const {
-  if (this->in_force.client_accounts.empty()) return true;
+  return this->in_force.client_accounts.empty() ||
+         this->IsNamed(client_account);
+}
+
+bool ServiceState::IsNamed(const ClientAccount& client_account) const {
   return std::any_of(this->in_force.client_accounts.begin(),
                      this->in_force.client_accounts.end(),
                      [&](const ClientAccountPolicy& declared) {
@@ -61,6 +65,16 @@
                      });
 }
 
+void ServiceState::ForgetIfIdle(const ClientAccount& client_account) {
+  const auto found = this->client_accounts.find(client_account);
+  if (found == this->client_accounts.end()) return;
+  const AccountState& state = found->second;
+  const bool is_idle = state.queue.IsIdle() && state.running == 0;
+  if (is_idle && !this->IsNamed(client_account)) {
+    this->client_accounts.erase(found);
+  }
+}
+
 void ServiceState::Enqueue(HomeJob& job, std::int64_t cores) {
   if (job.is_queued || job.queued.empty()) return;
   job.rank = job.accepted_at.time_since_epoch().count() / kAgeingDivisor;
@@ -86,6 +100,7 @@
   this->PositionsOf(job).erase(
       {job.rank, job.submission.key, job.submission.priority});
   if (job.is_late) this->queued_late -= job.queued_work;
+  this->ForgetIfIdle(job.submission.client_account);
 }
 
 Backlog ServiceState::OwnBacklog() const {
@@ -225,6 +240,7 @@
 void ServiceState::TaskEnded(const ClientAccount& client_account) {
   AccountState& state = this->Account(client_account);
   if (state.running > 0) --state.running;
+  this->ForgetIfIdle(client_account);
 }
 
 bool ServiceState::TakeRetry() {
--- a/libraries/entry_core/service_state.h
+++ b/libraries/entry_core/service_state.h
@@ -43,6 +43,10 @@
   // account, the document's order decides. With kShortestRemaining, waiting
   // time lowers the rank (ageing), so that large jobs don't starve.
   [[nodiscard]] std::optional<JobKey> Next() const;
+  // The number of client accounts whose state is kept.
+  [[nodiscard]] std::size_t account_count() const {
+    return this->client_accounts.size();
+  }
   // The same among the jobs that are in time and of higher priority, i.e. with
   // a lower number, than `priority`.
   [[nodiscard]] std::optional<JobKey> NextAbove(std::uint32_t priority) const;
@@ -131,6 +135,10 @@
   };
 
   AccountState& Account(const ClientAccount& client_account);
+  // Removes the state of a client account that has neither queued jobs nor
+  // running tasks, unless the document names it.
+  void ForgetIfIdle(const ClientAccount& client_account);
+  [[nodiscard]] bool IsNamed(const ClientAccount& client_account) const;
   [[nodiscard]] std::set<Position>& PositionsOf(const HomeJob& job);
   [[nodiscard]] std::vector<const Queue*> Queues() const;
 
--- a/libraries/entry_core/submission_validator.cc
+++ b/libraries/entry_core/submission_validator.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kMaximumKeyLength = 255;
+constexpr std::size_t kMaximumAccountLength = 255;
 // A job has at most five values beside those of its tasks, and a task three.
 constexpr std::size_t kMaximumJobValues = 8 * kMaximumTasksPerJob;
 constexpr IntegerRange kDeadlineRangeMilliseconds{1, 3'600'000};
@@ -88,6 +89,9 @@
   JobSubmission job = NewSubmission(raw, document);
   job.client_account = ClientAccount(
       reader.TextOr("client_account", job.client_account.value()));
+  if (job.client_account.value().size() > kMaximumAccountLength) {
+    reader.ReportProblem("client_account", "must not exceed 255 bytes");
+  }
   job.group = GroupOf(job.client_account, job.service.value());
   job.time_allowed = reader.MillisecondsOr(
       "deadline_ms", kDeadlineRangeMilliseconds, document.default_deadline);
@@ -170,6 +174,10 @@
     return Reject(Reason::kMalformedRequest,
                   "the body must not exceed 1048576 bytes");
   }
+  if (raw.client_account.size() > kMaximumAccountLength) {
+    return Reject(Reason::kMalformedRequest,
+                  "the Client-Account header has more than 255 characters");
+  }
   JobSubmission job = NewSubmission(raw, *document);
   job.tasks.push_back(
       {Payload::FromBytes(std::string(raw.body)), kDefaultDeclared, kOneSlot});
--- a/tests/entry_core/service_state_test.cc
+++ b/tests/entry_core/service_state_test.cc
@@ -51,6 +51,36 @@
   return job;
 }
 
+// Guards against a state for every name that callers make up.
+TEST(AccountStatesTest, AreForgottenWithTheLastTask) {
+  constexpr std::int64_t kCores = 8;
+  constexpr std::uint64_t kAccounts = 100;
+  ServiceDocument document;
+  ServiceState service(document, 1);
+  for (std::uint64_t number = 0; number < kAccounts; ++number) {
+    HomeJob job = JobOf({number, 0, 100, 10});
+    job.submission.client_account = ClientAccount(std::to_string(number));
+    service.Enqueue(job, kCores);
+    EXPECT_EQ(service.account_count(), 1U);
+    service.TaskStarted(job.submission.client_account);
+    service.Dequeue(job);
+    EXPECT_EQ(service.account_count(), 1U);
+    service.TaskEnded(job.submission.client_account);
+    EXPECT_EQ(service.account_count(), 0U);
+  }
+}
+
+TEST(AccountStatesTest, AreKeptForAccountsOfTheDocument) {
+  constexpr std::int64_t kCores = 8;
+  ServiceDocument document;
+  document.client_accounts = {{ClientAccount("t"), 2, 5}};
+  ServiceState service(document, 1);
+  HomeJob job = JobOf({1, 0, 100, 10});
+  service.Enqueue(job, kCores);
+  service.Dequeue(job);
+  EXPECT_EQ(service.account_count(), 1U);
+}
+
 TEST_P(LeastSlackTest, ServesJobsThatCanMeetTheirObjectiveFirst) {
   constexpr std::int64_t kCores = 8;
   ServiceDocument document;
--- a/tests/entry_core/submission_validator_test.cc
+++ b/tests/entry_core/submission_validator_test.cc
@@ -22,6 +22,12 @@
   return R"({"tasks": [)" + list + "]}";
 }
 
+std::string Zeros(std::size_t count) {
+  std::string list;
+  for (std::size_t i = 0; i < count; ++i) list += ",0";
+  return list;
+}
+
 struct BadCase {
   const char* name;
   std::string key;
@@ -82,6 +88,20 @@
                 R"({"tasks": [{"body": 1}], "deadline_ms": 900000})",
                 Reason::kMalformedRequest,
                 "request: field \"deadline_ms\" must not exceed"},
+        BadCase{"LongAccount", "k",
+                R"({"tasks": [{"body": 1}], "client_account": ")" +
+                    std::string(256, 'a') + R"("})",
+                Reason::kMalformedRequest,
+                "request: field \"client_account\" must not exceed 255"},
+        BadCase{"LongBody", "k",
+                R"({"tasks": [{"body": [")" + std::string(1'048'576, 'b') +
+                    R"("]}]})",
+                Reason::kMalformedRequest,
+                "request: field \"tasks[0].body\" must not exceed 1048576"},
+        BadCase{"TooManyValues", "k",
+                R"({"tasks": [{"body": 1}], "x": [0)" + Zeros(7'000) + "]}",
+                Reason::kMalformedRequest,
+                "request: not valid JSON: more than 6880 values"},
         BadCase{"UnknownField", "k", R"({"tasks": [{"body": 1}], "x": 1})",
                 Reason::kMalformedRequest, "request: field \"x\" is unknown"},
         BadCase{"UnknownService", "k", Tasks(1), Reason::kUnknownService,
--- a/tests/system/costly_bodies_test.py
+++ b/tests/system/costly_bodies_test.py
@@ -120,6 +120,9 @@
     def test_entry_one_text(self):
         self.check_jobs(JOBS["one_text"])
 
+    def test_entry_client_account(self):
+        self.check_jobs(JOBS["client_account"])
+
     def test_entry_crowd_within_limits(self):
         self.check_jobs(within_limits())
 
