entry_core, agent_core: Bound the keys that callers have recorded as cancelled

What callers saw: after 120,000 DELETEs of keys that nobody had submitted, all jobs were refused with queue_full for as long as the test waited (60 s).

Cause: each DELETE of an unknown key is recorded for the duplicate window, some 600 bytes at an entry (36 MB for 60,000 keys, measured) and 250 at an agent, with no bound. Once they took 60% of the memory, no job was taken in.

Change: cancelled keys may take a quarter of the memory (600 bytes each; 1,000,000 keys without a limit). Beyond it, a DELETE of a key that isn't recorded is answered 504 at once: it isn't known that the cancelling holds, and it may be repeated. Keys with a known job are always recorded. Entries and agents that are asked by others keep the same bound, an agent `maximum_remembered_tasks`, and don't confirm beyond it.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -350,10 +350,15 @@
 }
 
 void AgentCore::OnMessage(EntryId from, const Renounce& message) {
+  const bool is_known = this->started.Contains(message.task);
+  // The entry asks again, and tells its caller that the cancelling isn't known
+  // to hold.
+  const bool has_room = is_known || this->started.MayCancel(message.task.key);
+  if (message.cancelled && !has_room) return;
   if (message.cancelled) {
     this->started.Cancel(message.task.key, this->current_time);
   }
-  if (!this->started.Contains(message.task)) {
+  if (!is_known) {
     this->started.Forbid(message.task, {message.ballot, message.attempt});
   }
   RenounceReply reply{this->ReportOf(message.task),
--- a/libraries/agent_core/started_set.h
+++ b/libraries/agent_core/started_set.h
@@ -84,6 +84,11 @@
   }
   // Forbids every start of `id` up to and including `start`.
   void Forbid(const TaskId& id, const StartNumber& start);
+  // Whether there is room for the record of one more cancelled job.
+  [[nodiscard]] bool MayCancel(const JobKey& key) const {
+    return this->cancelled.size() < this->limits.maximum_tasks ||
+           this->cancelled.contains(key);
+  }
   // Records that the job was cancelled.
   void Cancel(const JobKey& key, Timestamp now);
   [[nodiscard]] bool IsCancelled(const JobKey& key) const {
--- a/libraries/entry_core/cancellations.cc
+++ b/libraries/entry_core/cancellations.cc
@@ -24,6 +24,13 @@
 
 void Cancellations::OnCaller(const JobKey& key,
                              std::optional<RequestId> request, Timestamp now) {
+  if (!this->MayRecord(key)) {
+    if (request) {
+      this->outbox.Add(
+          CancelAnswered{*request, key, CancelOutcome::kNotConfirmed});
+    }
+    return;
+  }
   // Counts from the latest cancelling, as a submission does.
   this->ownership.Cancel(key, now);
   this->Record(key, now);
@@ -43,6 +50,8 @@
                               Timestamp now) {
   const JobKey& key = message.key;
   const bool confirms = message.step == CancelStep::kConfirmed;
+  // An entry that isn't told that this one knows asks again.
+  if (!confirms && !this->MayRecord(key)) return;
   if (!confirms) this->Record(key, now);
   const auto found = this->cancellings.find(key);
   if (found == this->cancellings.end()) return;
@@ -74,6 +83,11 @@
   if (!this->ownership.IsCancelled(key)) this->Record(key, now);
 }
 
+bool Cancellations::MayRecord(const JobKey& key) const {
+  return this->cancellings.size() < this->settings.maximum_cancelled_keys ||
+         this->ownership.IsRecorded(key);
+}
+
 void Cancellations::Record(const JobKey& key, Timestamp now) {
   this->cancellings.try_emplace(key);
   if (!this->ownership.IsCancelled(key)) this->ownership.Cancel(key, now);
--- a/libraries/entry_core/cancellations.h
+++ b/libraries/entry_core/cancellations.h
@@ -31,6 +31,8 @@
                 HomeJobs& jobs, EntryOutbox& effects);
 
   // A caller of this entry cancels the job; it is answered if `request` is set.
+  // It is told at once that the cancelling doesn't hold if there is no room for
+  // one more key of which no job is known.
   void OnCaller(const JobKey& key, std::optional<RequestId> request,
                 Timestamp now);
   void OnMessage(EntryId from, const CancelJob& message, Timestamp now);
@@ -72,6 +74,8 @@
     Duration pause = kFirstPause;
   };
 
+  // Whether there is room for the record of this key.
+  [[nodiscard]] bool MayRecord(const JobKey& key) const;
   // Records the cancelling and ends the job if this entry is its home.
   void Record(const JobKey& key, Timestamp now);
   void TellHome(const JobKey& key, Cancelling& cancelling, Timestamp now);
--- a/libraries/entry_core/entry_core_settings.h
+++ b/libraries/entry_core/entry_core_settings.h
@@ -47,13 +47,17 @@
   // For services whose document names none.
   InterferenceHandling interference = InterferenceHandling::kIgnore;
   PlacementKind placement = PlacementKind::kFastestFree;
+  // Keys without a known job that callers and other entries may have this entry
+  // record as cancelled, at a time.
+  std::uint64_t maximum_cancelled_keys = 1'000'000;
 };
 BOOST_DESCRIBE_STRUCT(EntryCoreSettings, (),
                       (self, bucket_count, duplicate_window, suspect_after,
                        remove_after, repeat_interval, heartbeat_interval,
                        agent_reply_interval, lease_over_after, drain_accepts,
                        drain_limit, maximum_answer_bytes, placement_seed,
-                       link_bytes_per_second, interference, placement))
+                       link_bytes_per_second, interference, placement,
+                       maximum_cancelled_keys))
 
 }  // namespace dandelionspur
 
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -212,6 +212,9 @@
   [[nodiscard]] bool IsCancelled(const JobKey& key) const {
     return this->RecordsOf(key).IsCancelled(key);
   }
+  [[nodiscard]] bool IsRecorded(const JobKey& key) const {
+    return this->RecordsOf(key).OriginOf(key).has_value();
+  }
   // The recorded keys of cancelled jobs.
   [[nodiscard]] std::vector<JobKey> CancelledKeys() const;
   // Marks a key as having its final answer under the current ballot.
--- a/services/entry/core_settings.cc
+++ b/services/entry/core_settings.cc
@@ -27,6 +27,17 @@
   return std::min(usual, memory_bytes / kAnswerShare);
 }
 
+// Cancelled keys may take a part of the memory. `memory_bytes` may be 0: not
+// limited.
+std::uint64_t MaximumCancelledKeys(std::uint64_t usual,
+                                   std::uint64_t memory_bytes) {
+  constexpr std::uint64_t kKeyShare = 4;
+  // Of the key's record, and of who has confirmed it.
+  constexpr std::uint64_t kBytesPerKey = 600;
+  if (memory_bytes == 0) return usual;
+  return std::min(usual, memory_bytes / kKeyShare / kBytesPerKey);
+}
+
 }  // namespace
 
 EntryCoreSettings DeriveCoreSettings(const EntrySettings& settings,
@@ -43,6 +54,8 @@
                               settings.stop_within - kShutdownMargin);
   core.maximum_answer_bytes =
       MaximumAnswerBytes(core.maximum_answer_bytes, settings.memory_bytes);
+  core.maximum_cancelled_keys =
+      MaximumCancelledKeys(core.maximum_cancelled_keys, settings.memory_bytes);
   core.placement_seed = self.value();
   core.placement = settings.placement;
   core.interference = settings.interference;
--- a/tests/system/crowds_test.py
+++ b/tests/system/crowds_test.py
@@ -85,6 +85,21 @@
         self.submit_and_leave_from_crowd(cluster, WAITING_JOBS, job([slow_task(WAITING_JOB_BYTES)]))
         self.assert_all_sound(cluster)
 
+    # Guards against records of keys without end.
+    def test_cancelled_keys(self):
+        cluster = self.start()
+
+        def client(number):
+            connection = self.connect(cluster.caller_port(0))
+            for i in range(CANCELLED_KEYS):
+                key = f"{number}-{i}-".ljust(KEY_BYTES, "k")
+                answer = send_and_wait(connection, http_request("DELETE", f"/v1/services/demo/jobs/{key}"))
+                if answer.status == 0:
+                    connection = self.connect(cluster.caller_port(0))
+
+        self.run_clients(client, CLIENTS)
+        self.assert_all_sound(cluster)
+
     # Guards against a state for every name of a client account.
     def test_client_accounts(self):
         cluster = self.start()
