network: Answer new callers while a crowd's requests are in work

What callers saw: with 300 connections that each wait for a job of almost five minutes, every new connection was closed without an answer, for as long as the test tried (60 s).

Change: only 15/16 of the connections may have a request in work. Beyond that, a request is answered at once: a POST with 503 queue_full, not_run, come back in 1 s, and any other call with 504, may_have_run. Its connection is idle afterwards, so it can be closed for the next caller. Nobody's accepted request is given up. The limit is met where new connections would have been closed before.

RequestsInWorkTest shows it without processes.

--- a/libraries/network/http_limits.h
+++ b/libraries/network/http_limits.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 
 #include "libraries/base/time.h"
 
@@ -30,14 +31,18 @@
   std::uint64_t held_bytes = 256ULL * 1024 * 1024;
   // Connections at a time.
   std::size_t connections = 65'536;
+  // Connections whose requests are in work at a time. The others are closed
+  // where connections run short, so that new callers get in.
+  std::size_t requests = std::numeric_limits<std::size_t>::max();
   auto operator<=>(const HttpLimits&) const = default;
 };
 
 // The limit for which a connection was closed or a request refused.
 // kHeld: all connections together held too much, and this one the most of them.
 // kConnections: there were too many connections, or too few descriptors.
+// kRequests: too many requests were in work.
 BOOST_DEFINE_ENUM_CLASS(HttpLimit, kHeader, kBody, kFraming, kRequestTime,
-                        kAnswerTime, kHeld, kConnections)
+                        kAnswerTime, kHeld, kConnections, kRequests)
 
 // Called on any of the server's threads.
 using HttpLimitObserver = std::function<void(HttpLimit)>;
--- a/libraries/network/http_messages.cc
+++ b/libraries/network/http_messages.cc
@@ -9,6 +9,11 @@
 
 }  // namespace
 
+HttpResponse RefuseOverload(const HttpRequest& /*request*/) {
+  constexpr unsigned kServiceUnavailable = 503;
+  return MakeHttpResponse(kServiceUnavailable, "text/plain", "");
+}
+
 HttpResponse MakeHttpResponse(unsigned status, const std::string& content_type,
                               std::string body) {
   HttpResponse response;
--- a/libraries/network/http_messages.h
+++ b/libraries/network/http_messages.h
@@ -36,6 +36,12 @@
 // Called on one of the server's threads.
 using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
 
+// Builds the response to a request that was not passed to the handler.
+using HttpRefusal = std::function<HttpResponse(const HttpRequest&)>;
+
+// A response of status 503 without a body.
+HttpResponse RefuseOverload(const HttpRequest& request);
+
 // Builds a response with a body of the given media type.
 HttpResponse MakeHttpResponse(unsigned status, const std::string& content_type,
                               std::string body);
--- a/libraries/network/http_server.cc
+++ b/libraries/network/http_server.cc
@@ -49,7 +49,8 @@
         pause_timer(group.First()),
         shared(std::make_shared<HttpServerState>(
             std::move(callback), std::move(options.connection_ended),
-            options.limits, std::move(options.limit_reached))) {}
+            options.limits, std::move(options.limit_reached),
+            std::move(options.refuse_overload))) {}
 
   Result<void> Bind(const Endpoint& endpoint) {
     return BindAcceptor(this->acceptor, endpoint);
--- a/libraries/network/http_server.h
+++ b/libraries/network/http_server.h
@@ -31,6 +31,9 @@
   HttpConnectionObserver connection_ended = [](const HttpConnectionReport&) {};
   HttpLimits limits;
   HttpLimitObserver limit_reached = [](HttpLimit) {};
+  // Answers a request that isn't passed to the handler, since too many are in
+  // work.
+  HttpRefusal refuse_overload = RefuseOverload;
 };
 
 // An HTTP/1.1 server with keep-alive. A request that is malformed, too long or
--- a/libraries/network/http_server_state.h
+++ b/libraries/network/http_server_state.h
@@ -17,11 +17,13 @@
  public:
   HttpServerState(HttpHandler callback,
                   HttpConnectionObserver connection_observer,
-                  const HttpLimits& configured, HttpLimitObserver reached)
+                  const HttpLimits& configured, HttpLimitObserver reached,
+                  HttpRefusal overload)
       : handler(std::move(callback)),
         observer(std::move(connection_observer)),
         limits(configured),
-        limit_reached(std::move(reached)) {}
+        limit_reached(std::move(reached)),
+        refuse_overload(std::move(overload)) {}
 
   // The listener and each connection hold a reference; the server is drained
   // when the last one is released.
@@ -34,6 +36,7 @@
   const HttpConnectionObserver observer;
   const HttpLimits limits;
   const HttpLimitObserver limit_reached;
+  const HttpRefusal refuse_overload;
   // Set when connections are to close after a response.
   std::atomic<bool> closing = false;
   // Set when connections are to close once idle.
--- a/libraries/network/http_session.cc
+++ b/libraries/network/http_session.cc
@@ -195,6 +195,12 @@
   HttpRequest request = this->reader.Take();
   this->keep_alive = request.keep_alive();
   this->version = request.version();
+  if (this->shared->unanswered > this->shared->limits.requests) {
+    this->shared->limit_reached(HttpLimit::kRequests);
+    this->Respond(
+        [refusal = this->shared->refuse_overload(request)] { return refusal; });
+    return;
+  }
   this->shared->handler(std::move(request),
                         HttpResponder([self = this->shared_from_this()](
                                           HttpResponseFactory make) {
--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -119,6 +119,18 @@
   return JsonResponse(kOk, {{"cancel", "holds"}});
 }
 
+HttpResponse OverloadResponse(const HttpRequest& request) {
+  constexpr Duration kRetryAfter = std::chrono::seconds(1);
+  if (request.method() != http::verb::post) {
+    return AnswerResponse(JobAnswer::MayHaveRun(Reason::kHomeUnreachable),
+                          false, "too many requests wait at this entry");
+  }
+  RejectedSubmission rejected = SubmissionValidator::Reject(
+      Reason::kQueueFull, "too many requests wait at this entry");
+  rejected.answer.retry_after = kRetryAfter;
+  return AnswerResponse(rejected.answer, false, rejected.detail);
+}
+
 HttpResponse InternalErrorResponse() {
   const nlohmann::json body = {{"verdict", VerdictName(Verdict::kMayHaveRun)},
                                {"reason", "internal_error"},
--- a/services/entry/caller_routes.h
+++ b/services/entry/caller_routes.h
@@ -68,6 +68,10 @@
 
 // Encodes the answer to a cancelling: whether it holds, or a problem.
 HttpResponse CancelResponse(const JobAnswer& answer);
+// The refusal of a call that was not handled, since the entry has too many in
+// work. Says of a submission that it has not run, and of any other call that
+// nothing is known.
+HttpResponse OverloadResponse(const HttpRequest& request);
 // The response to a call whose handler has thrown: whether the job has been
 // submitted by then is not known. Callers of queues may repeat such a call.
 HttpResponse InternalErrorResponse();
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -134,9 +134,11 @@
               },
               InternalErrorResponse()),
           this->client_limits.ForCallers(
-              "callers", [this](const HttpConnectionReport& report) {
+              "callers",
+              [this](const HttpConnectionReport& report) {
                 this->OnCallerGone(report);
-              })));
+              },
+              OverloadResponse)));
   this->caller_server = std::move(callers);
   return {};
 }
--- a/services/runtime/client_limits.cc
+++ b/services/runtime/client_limits.cc
@@ -63,6 +63,13 @@
   return descriptors > reserved ? descriptors - reserved : 1;
 }
 
+// Leaves some connections to callers who come while all others wait for their
+// answers.
+std::size_t RequestsInWork(std::size_t connections) {
+  constexpr std::size_t kFreePart = 16;
+  return connections - connections / kFreePart;
+}
+
 }  // namespace
 
 void LimitReports::Report(HttpLimit limit) {
@@ -99,9 +106,12 @@
     : ClientLimits(configured, 1, counters) {}
 
 HttpServerOptions ClientLimits::ForCallers(const std::string& endpoint,
-                                           HttpConnectionObserver ended) const {
+                                           HttpConnectionObserver ended,
+                                           HttpRefusal refuse_overload) const {
   HttpServerOptions options = this->Options(endpoint, this->caller_connections);
+  options.limits.requests = RequestsInWork(this->caller_connections);
   options.connection_ended = std::move(ended);
+  options.refuse_overload = std::move(refuse_overload);
   return options;
 }
 
--- a/services/runtime/client_limits.h
+++ b/services/runtime/client_limits.h
@@ -56,8 +56,9 @@
   ClientLimits(const ClientLimitSettings& configured, Metrics& counters);
 
   // For the endpoint of callers, who take most of the descriptors.
-  [[nodiscard]] HttpServerOptions ForCallers(
-      const std::string& endpoint, HttpConnectionObserver ended) const;
+  [[nodiscard]] HttpServerOptions ForCallers(const std::string& endpoint,
+                                             HttpConnectionObserver ended,
+                                             HttpRefusal refuse_overload) const;
   // For any other endpoint.
   [[nodiscard]] HttpServerOptions ForOthers(const std::string& endpoint) const;
 
--- a/tests/network/http_limits_test.cc
+++ b/tests/network/http_limits_test.cc
@@ -207,5 +207,89 @@
   EXPECT_TRUE(server.WaitForEnd());
 }
 
+// A server that answers no request until it is told to.
+class HoldingServer {
+ public:
+  explicit HoldingServer(const HttpLimits& limits) {
+    HttpServerOptions options;
+    options.limits = limits;
+    this->server = OrElse(
+        [&]() -> Result<std::unique_ptr<HttpServer>> {
+          return HttpServer::Create(
+              {"127.0.0.1", 0}, this->threads,
+              [this](const HttpRequest&, const HttpResponder& responder) {
+                const std::lock_guard<std::mutex> lock(this->mutex);
+                this->held.push_back(responder);
+              },
+              std::move(options));
+        },
+        [](const std::string&) { return std::unique_ptr<HttpServer>(); });
+  }
+  HoldingServer(const HoldingServer&) = delete;
+  HoldingServer& operator=(const HoldingServer&) = delete;
+  ~HoldingServer() { this->threads.Stop(); }
+
+  Tcp::socket Connect() {
+    Tcp::socket caller(this->context);
+    caller.connect({asio::ip::address_v4::loopback(), this->server->port()});
+    return caller;
+  }
+  // Waits until so many requests are held.
+  bool WaitForHeld(std::size_t count) {
+    constexpr int kAttempts = 10'000;
+    for (int i = 0; i < kAttempts; ++i) {
+      {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        if (this->held.size() == count) return true;
+      }
+      std::this_thread::sleep_for(1ms);
+    }
+    return false;
+  }
+  void AnswerAll() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    for (const HttpResponder& responder : this->held) {
+      responder(MakeHttpResponse(200, "text/plain", "answer"));
+    }
+    this->held.clear();
+  }
+
+ private:
+  std::mutex mutex;
+  std::vector<HttpResponder> held;
+  asio::io_context context;
+  ThreadGroup threads{1};
+  std::unique_ptr<HttpServer> server;
+};
+
+// Guards against a server that is closed to all others while the requests of a
+// crowd are in work.
+TEST(RequestsInWorkTest, AreLimitedSoThatNewCallersGetAnAnswer) {
+  constexpr std::size_t kInWork = 3;
+  const std::string request = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+  HttpLimits limits = SmallLimits();
+  limits.requests = kInWork;
+  HoldingServer server(limits);
+  std::vector<Tcp::socket> crowd;
+  for (std::size_t i = 0; i < kInWork; ++i) {
+    crowd.push_back(server.Connect());
+    SendTo(crowd.back(), request);
+  }
+  ASSERT_TRUE(server.WaitForHeld(kInWork));
+  constexpr int kNewCallers = 10;
+  for (int i = 0; i < kNewCallers; ++i) {
+    Tcp::socket caller = server.Connect();
+    SendTo(caller, request);
+    EXPECT_EQ(StatusFrom(caller), 503);
+  }
+  server.AnswerAll();
+  for (Tcp::socket& caller : crowd) EXPECT_EQ(StatusFrom(caller), 200);
+  Tcp::socket later = server.Connect();
+  SendTo(later, request);
+  ASSERT_TRUE(server.WaitForHeld(1));
+  server.AnswerAll();
+  EXPECT_EQ(StatusFrom(later), 200);
+}
+
 }  // namespace
 }  // namespace dandelionspur
--- a/tests/system/crowds_test.py
+++ b/tests/system/crowds_test.py
@@ -134,6 +134,23 @@
         self.occupy_connections(cluster, job([slow_task()]))
         self.assert_all_sound(cluster)
 
+    def test_connections_in_work_for_long(self):
+        cluster = self.start()
+        self.occupy_connections(cluster, job([slow_task(sleep_ms=ENDLESS_TASK_MS)]))
+        # The upstream is full for as long, so the ordinary caller's job can't be served; it gets an answer that says so.
+        give_up = time.monotonic() + ANSWER_SECONDS
+        answer = Answer()
+        while answer.status == 0 and time.monotonic() < give_up:
+            body = json.dumps({"tasks": [clusters.task()], "deadline_ms": 1_000, "client_account": "guides"}).encode()
+            connection = self.connect(cluster.caller_port(0))
+            answer = send_and_wait(connection, self.post("ordinary", body))
+            connection.close()
+            time.sleep(0.2)
+        self.assertNotEqual(answer.status, 0, cluster.log("entry-0")[-2000:])
+        self.assert_truthful(answer)
+        for process in cluster.entries + cluster.agents:
+            self.assert_within_bounds(cluster, process)
+
     def test_operators_port(self):
         cluster = self.start()
 
