entry: Keep large jobs of a crowd within the memory

Cause: whether there is memory for a job was judged by a look that is up to 50 ms old, so all jobs that came since were taken in; bodies were read into jobs, which wait for the core, without any look; bodies of 16 MiB were allowed on a machine of 64 MB; and the allocator stops giving large blocks back after the first one, so holes in the heap came on top.

Change: what was taken in since the last look counts twice (the job, and its relay in the link's queue). A request with a body from 64 KiB on is refused before it is read while the memory in use is above the budget. `body_bytes` is an eighth of `memory_mb` unless set, at most 16 MiB as before (from 128 MB on nothing changes), and 1 MiB at agents. Blocks from 256 KiB on go back to the system. The first job is always taken in where memory is free, whatever its size.

Evidence: crowds_test, bound 64 MB, two entries.

--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -135,7 +135,6 @@
         nested.IntegerOr(name, range, static_cast<std::int64_t>(value)));
   };
   integer("header_bytes", kHeaderBytesRange, limits.header_bytes);
-  integer("body_bytes", kByteRange, limits.body_bytes);
   integer("framing_bytes", kByteRange, limits.framing_bytes);
   limits.request_time = nested.SecondsOr(
       "request_s", kClientTimeRangeMilliseconds, limits.request_time);
@@ -144,10 +143,14 @@
   const auto if_given = [&](const char* name, IntegerRange range, auto& value) {
     if (nested.Has(name)) integer(name, range, value);
   };
+  if_given("body_bytes", kByteRange, limits.body_bytes);
   if_given("held_bytes", kByteRange, limits.held_bytes);
   if_given("descriptors", kDescriptorRange, limits.descriptors);
   if_given("connections", kClientConnectionRange, limits.connections);
-  if (limits.held_bytes != 0 && limits.held_bytes <= limits.body_bytes) {
+  const std::uint64_t largest_body =
+      limits.body_bytes != 0 ? limits.body_bytes
+                             : ClientLimitSettings::kMaximumUsualBodyBytes;
+  if (limits.held_bytes != 0 && limits.held_bytes <= largest_body) {
     nested.ReportProblem("held_bytes", "must be above body_bytes");
   }
   reader.FinishNested(nested);
--- a/libraries/configuration/settings.h
+++ b/libraries/configuration/settings.h
@@ -35,9 +35,11 @@
 // What the callers of a process can make it hold. The defaults exceed what the
 // requests need that this software serves.
 struct ClientLimitSettings {
+  static constexpr std::uint64_t kMaximumUsualBodyBytes = 16ULL * 1024 * 1024;
   // The request line and the header fields of a request.
   std::uint32_t header_bytes = 16'384;
-  std::uint64_t body_bytes = 16'777'216;
+  // 0: derived from the process's memory, at most kMaximumUsualBodyBytes.
+  std::uint64_t body_bytes = 0;
   // Sizes and extensions of a request's chunks, and its trailer.
   std::uint64_t framing_bytes = 1'048'576;
   // From a request's first byte to its last.
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -45,6 +45,7 @@
                        : *this->network_threads),
       client_limits(configured.client_limits, configured.memory_bytes,
                     this->metrics),
+      large_requests(configured.memory_bytes),
       retries(this->metrics, "retries_total"),
       refusals(this->metrics, "refusals_decided_total"),
       agent_messages(this->metrics, "messages_from_agents_total"),
@@ -130,7 +131,7 @@
           GuardRequests(
               this->metrics,
               [this](const HttpRequest& request, HttpResponder responder) {
-                this->caller_routes->Handle(request, std::move(responder));
+                this->HandleCaller(request, std::move(responder));
               },
               InternalErrorResponse()),
           this->client_limits.ForCallers(
@@ -183,6 +184,17 @@
   return {};
 }
 
+void EntryServer::HandleCaller(const HttpRequest& request,
+                               HttpResponder responder) {
+  if (this->large_requests.Admits(request.body().size())) {
+    this->caller_routes->Handle(request, std::move(responder));
+    return;
+  }
+  this->metrics.Count("overload_refusals_total", "resource",
+                      EnumName(ScarceResource::kMemory));
+  responder(OverloadResponse(request));
+}
+
 void EntryServer::Drain() {
   if (this->drain_requested.exchange(true)) return;
   LogStateChange(ProcessDraining{});
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -19,6 +19,7 @@
 #include "services/entry/entry_status.h"
 #include "services/entry/graceful_shutdown.h"
 #include "services/entry/job_intake.h"
+#include "services/entry/large_request_gate.h"
 #include "services/entry/load_monitor.h"
 #include "services/entry/serving_state.h"
 #include "services/entry/table_watcher.h"
@@ -67,6 +68,8 @@
   void Dispatch(EntryEvent event);
   // Counts and logs how a caller's connection has ended. Safe from any thread.
   void OnCallerGone(const HttpConnectionReport& report);
+  // Handles a request of a caller. Safe from any thread.
+  void HandleCaller(const HttpRequest& request, HttpResponder responder);
   void HandleReadiness(const HttpResponder& responder);
 
   // On the core's thread only.
@@ -104,6 +107,7 @@
   std::optional<ThreadGroup> network_threads;
   ThreadGroup& input_output;
   ClientLimits client_limits;
+  LargeRequestGate large_requests;
   ReasonCounters retries;
   ReasonCounters refusals;
   MessageCounters<AgentMessage> agent_messages;
--- a/services/entry/job_intake.cc
+++ b/services/entry/job_intake.cc
@@ -147,6 +147,7 @@
     callback(this->RefuseOverload(job, *overload));
     return;
   }
+  if (is_new) this->load.NoteAdmitted(job);
   const RequestId request = this->waiting_callers.Add(job, std::move(callback));
   this->handle(CallerSubmitted{request, std::move(job)});
 }
--- a/services/entry/load_guard.cc
+++ b/services/entry/load_guard.cc
@@ -30,13 +30,24 @@
 }  // namespace
 
 LoadGuard::LoadGuard(std::uint64_t memory_limit)
-    : memory_budget(memory_limit / kPercent * kBudgetPercent) {}
+    : memory_budget(BudgetOf(memory_limit)) {}
+
+std::uint64_t LoadGuard::BudgetOf(std::uint64_t memory_limit) {
+  return memory_limit / kPercent * kBudgetPercent;
+}
 
 void LoadGuard::NoteMemory(std::uint64_t bytes, SteadyTime now) {
   this->memory_in_use = bytes;
+  this->memory_admitted = 0;
   this->memory_drain.Note(static_cast<double>(bytes), now);
 }
 
+void LoadGuard::NoteAdmitted(std::uint64_t bytes) {
+  // The job itself, and its relay while it waits for the link.
+  constexpr std::uint64_t kCopies = 2;
+  this->memory_admitted += kCopies * bytes;
+}
+
 void LoadGuard::NoteDelay(Duration interval_delay, SteadyTime now) {
   this->delay.Note(interval_delay, now);
   this->delay_drain.Note(static_cast<double>(this->delay.value().count()), now);
@@ -57,7 +68,8 @@
 
 std::optional<Overload> LoadGuard::CheckMemory() const {
   const bool has_room =
-      this->memory_budget == 0 || this->memory_in_use <= this->memory_budget;
+      this->memory_budget == 0 ||
+      this->memory_in_use + this->memory_admitted <= this->memory_budget;
   if (has_room) return std::nullopt;
   const auto target = static_cast<double>(this->memory_budget);
   return Overload{ScarceResource::kMemory,
--- a/services/entry/load_guard.h
+++ b/services/entry/load_guard.h
@@ -45,10 +45,15 @@
   // `memory_limit`: the process is killed above this many bytes; 0: there is no
   // limit.
   explicit LoadGuard(std::uint64_t memory_limit);
+  // The part of the memory up to which new jobs are taken in.
+  [[nodiscard]] static std::uint64_t BudgetOf(std::uint64_t memory_limit);
 
   // Records the bytes that the process has allocated and not freed. Call it
   // periodically.
   void NoteMemory(std::uint64_t bytes, SteadyTime now);
+  // Records that a job of this size was taken in, whose memory NoteMemory tells
+  // only later.
+  void NoteAdmitted(std::uint64_t bytes);
   // Records the delay of the process in the interval that ends at `now`, from
   // the arrival of an event to its handling.
   void NoteDelay(Duration delay, SteadyTime now);
@@ -64,6 +69,8 @@
 
   std::uint64_t memory_budget;
   std::uint64_t memory_in_use = 0;
+  // What the jobs may need that were taken in since then.
+  std::uint64_t memory_admitted = 0;
   DrainEstimate memory_drain;
   StandingDelay delay;
   DrainEstimate delay_drain;
--- a/services/entry/load_monitor.h
+++ b/services/entry/load_monitor.h
@@ -40,6 +40,10 @@
   void ObserveResources();
   // Why no new job with this submission may be taken in, or nothing.
   [[nodiscard]] std::optional<Overload> Check(const JobSubmission& job) const;
+  // Counts the memory of a job that was taken in after Check().
+  void NoteAdmitted(const JobSubmission& job) {
+    this->load_guard.NoteAdmitted(job.HeldBytes());
+  }
   // Whether the process is so far behind that callers notice it.
   [[nodiscard]] bool IsBehind() const { return this->load_guard.IsBehind(); }
 
--- a/services/runtime/client_limits.cc
+++ b/services/runtime/client_limits.cc
@@ -15,6 +15,8 @@
 // Callers may hold this part of the process's memory.
 constexpr std::uint64_t kMemoryPart = 8;
 constexpr std::uint64_t kUnlimitedHeldBytes = 256ULL * 1024 * 1024;
+// More than any announcement of an upstream has.
+constexpr std::uint64_t kShortBodyBytes = 1024ULL * 1024;
 // Beside the largest body, so that a single request is always served.
 constexpr std::uint64_t kBesideBodyBytes = 4ULL * 1024 * 1024;
 // Descriptors that callers leave to links, the table, upstreams and files.
@@ -41,6 +43,13 @@
   return std::max(share, configured.body_bytes + kBesideBodyBytes);
 }
 
+// The settings with a largest body, of `usual` bytes unless they have one.
+ClientLimitSettings WithBody(ClientLimitSettings configured,
+                             std::uint64_t usual) {
+  if (configured.body_bytes == 0) configured.body_bytes = usual;
+  return configured;
+}
+
 HttpLimits BaseLimits(const ClientLimitSettings& configured,
                       std::uint64_t share) {
   HttpLimits limits;
@@ -93,7 +102,23 @@
 
 ClientLimits::ClientLimits(const ClientLimitSettings& configured,
                            std::uint64_t memory_bytes, Metrics& counters)
-    : limits(BaseLimits(configured, ShareOf(memory_bytes))),
+    : ClientLimits(
+          BaseLimits(
+              WithBody(configured,
+                       std::min(ClientLimitSettings::kMaximumUsualBodyBytes,
+                                ShareOf(memory_bytes))),
+              ShareOf(memory_bytes)),
+          configured, counters) {}
+
+ClientLimits::ClientLimits(const ClientLimitSettings& configured,
+                           Metrics& counters)
+    : ClientLimits(BaseLimits(WithBody(configured, kShortBodyBytes), 0),
+                   configured, counters) {}
+
+ClientLimits::ClientLimits(const HttpLimits& derived,
+                           const ClientLimitSettings& configured,
+                           Metrics& counters)
+    : limits(derived),
       descriptors(configured.descriptors != 0 ? configured.descriptors
                                               : SystemDescriptors()),
       caller_connections(configured.connections != 0
@@ -101,10 +126,6 @@
                              : CallerConnections(this->descriptors)),
       metrics(counters) {}
 
-ClientLimits::ClientLimits(const ClientLimitSettings& configured,
-                           Metrics& counters)
-    : ClientLimits(configured, 1, counters) {}
-
 HttpServerOptions ClientLimits::ForCallers(const std::string& endpoint,
                                            HttpConnectionObserver ended,
                                            HttpRefusal refuse_overload) const {
--- a/services/runtime/client_limits.h
+++ b/services/runtime/client_limits.h
@@ -52,7 +52,7 @@
   // `memory_bytes`: the process is killed above them; 0: not limited.
   ClientLimits(const ClientLimitSettings& configured,
                std::uint64_t memory_bytes, Metrics& counters);
-  // For a process that holds little for its callers, whatever its memory.
+  // For a process whose callers send short messages, whatever its memory.
   ClientLimits(const ClientLimitSettings& configured, Metrics& counters);
 
   // For the endpoint of callers, who take most of the descriptors.
@@ -63,6 +63,8 @@
   [[nodiscard]] HttpServerOptions ForOthers(const std::string& endpoint) const;
 
  private:
+  ClientLimits(const HttpLimits& derived, const ClientLimitSettings& configured,
+               Metrics& counters);
   [[nodiscard]] HttpServerOptions Options(const std::string& endpoint,
                                           std::size_t connections) const;
 
--- a/services/runtime/run_daemon.h
+++ b/services/runtime/run_daemon.h
@@ -8,6 +8,7 @@
 #include "libraries/configuration/object_reader.h"
 #include "libraries/decision_log/log_events.h"
 #include "libraries/telemetry/log.h"
+#include "services/runtime/allocator_settings.h"
 #include "services/runtime/daemon.h"
 #include "services/runtime/fatal_error.h"
 #include "services/runtime/settings_reloader.h"
@@ -42,6 +43,7 @@
       identity.program, identity.description, argument_count, arguments);
   InitializeLogging(identity.log_name);
   EndProcessOnFatalErrors();
+  ReturnLargeBlocksToSystem();
   const ExitCode code = OrElse(
       [&]() -> Result<ExitCode> {
         BOOST_LEAF_AUTO(text, ReadFile(command.settings_path));
--- a/tests/services/load_guard_test.cc
+++ b/tests/services/load_guard_test.cc
@@ -206,5 +206,34 @@
   EXPECT_FALSE(guard.Check(job));
 }
 
+// Guards against large jobs that are all taken in between two looks at the
+// memory.
+TEST(LoadGuardAdmissionTest, CountsJobsSinceTheLastLookAtTheMemory) {
+  constexpr std::uint64_t kJob = 10 * kMegabyte;
+  LoadGuard guard(kSmallInstance);
+  LoadGuard::SteadyTime now(std::chrono::seconds(1));
+  guard.NoteMemory(20 * kMegabyte, now);
+  int admitted = 0;
+  while (!guard.Check({{}, kLongSlack})) {
+    guard.NoteAdmitted(kJob);
+    ++admitted;
+  }
+  EXPECT_EQ(admitted, 3);
+  now += milliseconds(50);
+  guard.NoteMemory(50 * kMegabyte, now);
+  EXPECT_FALSE(guard.Check({{}, kLongSlack}));
+}
+
+// A single request of any size is taken in.
+TEST(LoadGuardAdmissionTest, ALargeJobIsTakenInWhereMemoryIsFree) {
+  LoadGuard guard(kSmallInstance);
+  guard.NoteMemory(6 * kMegabyte, LoadGuard::SteadyTime());
+  EXPECT_FALSE(guard.Check({{}, kLongSlack}));
+  guard.NoteAdmitted(kSmallInstance);
+  const std::optional<Overload> overload = guard.Check({{}, kLongSlack});
+  ASSERT_TRUE(overload.has_value());
+  EXPECT_EQ(overload->resource, ScarceResource::kMemory);
+}
+
 }  // namespace
 }  // namespace dandelionspur
--- a/tests/system/crowds_test.py
+++ b/tests/system/crowds_test.py
@@ -85,6 +85,11 @@
         self.submit_and_leave_from_crowd(cluster, WAITING_JOBS, job([slow_task(WAITING_JOB_BYTES)]))
         self.assert_all_sound(cluster)
 
+    def test_large_jobs(self):
+        cluster = self.start()
+        self.submit_and_leave_from_crowd(cluster, LARGE_JOBS, job([slow_task(LARGE_TASK_BYTES)] * LARGE_TASKS))
+        self.assert_all_sound(cluster)
+
     # Guards against records of keys without end.
     def test_cancelled_keys(self):
         cluster = self.start()
@@ -166,6 +171,30 @@
         self.run_clients(client, CLIENTS)
         self.assert_all_sound(cluster)
 
+    # Several kinds together.
+    def test_mixed(self):
+        cluster = self.start()
+        large = job([slow_task(LARGE_TASK_BYTES)] * LARGE_TASKS)
+        waiting = job([slow_task(WAITING_JOB_BYTES)])
+        empty_arrays = b'{"tasks":[{"body":[' + b",".join([b"[]"] * 1_200_000) + b"]}]}"
+
+        def client(number):
+            port = cluster.caller_port(number % 2)
+            for i in range(WAITING_JOBS // 4):
+                key = f"mixed-{number}-{i}"
+                kind = number % 4
+                if kind == 0:
+                    self.submit_and_leave(port, key, waiting)
+                elif kind == 1 and i < LARGE_JOBS:
+                    self.submit_and_leave(port, key, large)
+                elif kind == 2 and i < LARGE_JOBS:
+                    self.submit_and_leave(port, key, empty_arrays)
+                elif kind == 3:
+                    send_and_wait(self.connect(port), http_request("DELETE", f"/v1/services/demo/jobs/{key}"))
+
+        self.run_clients(client, CLIENTS)
+        self.assert_all_sound(cluster)
+
 
 if __name__ == "__main__":
     unittest.main()
