entry: Log a large request that is refused before it is read

Cause: the refusal was counted but had no line, so a caller's question could not be answered from the log. Change: the line that other refusals for memory have, and a detail that fits both causes of OverloadResponse.

--- a/services/entry/caller_routes.cc
+++ b/services/entry/caller_routes.cc
@@ -121,12 +121,13 @@
 
 HttpResponse OverloadResponse(const HttpRequest& request) {
   constexpr Duration kRetryAfter = std::chrono::seconds(1);
+  const char* const detail = "this entry has no room for the request";
   if (request.method() != http::verb::post) {
     return AnswerResponse(JobAnswer::MayHaveRun(Reason::kHomeUnreachable),
-                          false, "too many requests wait at this entry");
+                          false, detail);
   }
-  RejectedSubmission rejected = SubmissionValidator::Reject(
-      Reason::kQueueFull, "too many requests wait at this entry");
+  RejectedSubmission rejected =
+      SubmissionValidator::Reject(Reason::kQueueFull, detail);
   rejected.answer.retry_after = kRetryAfter;
   return AnswerResponse(rejected.answer, false, rejected.detail);
 }
--- a/services/entry/caller_routes.h
+++ b/services/entry/caller_routes.h
@@ -68,8 +68,8 @@
 
 // Encodes the answer to a cancelling: whether it holds, or a problem.
 HttpResponse CancelResponse(const JobAnswer& answer);
-// The refusal of a call that was not handled, since the entry has too many in
-// work. Says of a submission that it has not run, and of any other call that
+// The refusal of a call that was not handled, since the entry has no room for
+// it. Says of a submission that it has not run, and of any other call that
 // nothing is known.
 HttpResponse OverloadResponse(const HttpRequest& request);
 // The response to a call whose handler has thrown: whether the job has been
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -8,9 +8,11 @@
 #include <vector>
 
 #include "libraries/base/enum_name.h"
+#include "libraries/decision_log/log_events.h"
 #include "libraries/telemetry/log.h"
 #include "platform/job_calls.h"
 #include "services/entry/core_settings.h"
+#include "services/entry/submission_reader.h"
 #include "services/runtime/daemon.h"
 #include "services/runtime/fatal_error.h"
 #include "services/runtime/handler_boundary.h"
@@ -192,6 +194,12 @@
   }
   this->metrics.Count("overload_refusals_total", "resource",
                       EnumName(ScarceResource::kMemory));
+  // Calls of queues have their job in the path, and no such header.
+  std::string job(HeaderValue(request, "Idempotency-Key"));
+  if (job.empty()) job = std::string(request.target());
+  LogEvent(LogCategory::kFailure,
+           RequestRejected{job, "", Reason::kQueueFull,
+                           "the memory of this entry is full"});
   responder(OverloadResponse(request));
 }
 
