--- a/review/13/run.py
+++ b/review/13/run.py
@@ -9,9 +9,11 @@
 sys.path.insert(0, str(HERE.parent / "shared-3"))
 from cluster import new_id, play  # noqa: E402
 
-ROUNDS = 3
+ROUNDS = 5
+CALM_TASKS = 20
 RESEND_S = 1.3
 KILLED_FOR_S = 3.5
+LEAST_OVERLAP_S = 0.1
 
 
 async def client(cluster, job):
@@ -24,14 +26,16 @@
 
 
 async def round_of(cluster, trouble):
+    # One start in over twenty is late, as on the days of the site file (x = 0.055).
+    await cluster.submit(cluster.entries[0], new_id(), "20 calm", CALM_TASKS, cpu=100)
     chosen = []
     sent = asyncio.Event()
 
     def late_at(number):
         def late(path, order):
-            if path != "/-/run-start" or chosen not in ([], [number]):
+            if path != "/-/run-start" or chosen:
                 return None
-            chosen[:] = [number]
+            chosen.append(number)
             sent.set()
             return random.uniform(2.0, 2.6)
 
@@ -40,7 +44,7 @@
     for number, worker in enumerate(cluster.workers):
         worker.late_counts_from_arrival = True
         worker.late = late_at(number) if trouble else None
-    jobs = [asyncio.create_task(client(cluster, new_id())) for _ in range(6)]
+    jobs = [asyncio.create_task(client(cluster, new_id()))]
     if trouble:
         try:
             await asyncio.wait_for(sent.wait(), 1)
@@ -61,7 +65,9 @@
 async def scenario(cluster, trouble):
     for _ in range(ROUNDS):
         await round_of(cluster, trouble)
-    return [f"TWICE: {cluster.describe(a)} and {cluster.describe(b)}" for a, b in cluster.overlaps()]
+    # Shorter overlaps may come from the stand-ins' own delays.
+    return [f"TWICE: {cluster.describe(a)} and {cluster.describe(b)}" for a, b in cluster.overlaps()
+            if min(a[4], b[4]) - b[3] > LEAST_OVERLAP_S]
 
 
 play(HERE, scenario)
