upstream_session: Don't take an unanswered start for over with its lease

What callers saw: two runs of a task at once, if the upstream was out of the agent's reach when the order was sent.

Cause: an agent whose upstream was silent took all tasks for ended one lease after its last order (`LeaseGrants`). An order without an answer may be carried out 2 to 12 s later, and an upstream may count the lease from then.

Change: a task whose start isn't confirmed (answered, or listed under a higher token) counts as running until the last order that may extend its lease is older than the latest late order and one lease. Confirmed ones end with the lease, as before: a late order finds none of them, as long as leases are shorter than 2 s.

Result: `SilentStartTest` (CarriedOutLate, CarriedOutAndEnded) fails with one lease for all tasks, and passes with this change; `ARunningTaskIsOverWithItsLease` and the crash tests hold as before.

--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -31,6 +31,28 @@
   return lease * kSlowClockPercent / 100 + kLapseSlack;
 }
 
+// An upstream may carry out an order that it has not answered late: so long
+// after the order was sent.
+inline constexpr Duration kEarliestLateOrder = std::chrono::seconds(2);
+inline constexpr Duration kLatestLateOrder = std::chrono::seconds(12);
+
+// Whether a start is confirmed: the agent knows that the upstream has carried
+// out the order. One that isn't may be carried out late.
+BOOST_DEFINE_ENUM_CLASS(StartConfirmation, kConfirmed, kUnconfirmed)
+
+// The longest time, by the caller's clock, for which a task can run, or can
+// begin to run, after the last order of its agent to the upstream. `lease`: the
+// longest that the upstream grants. A late order may begin a task whose start
+// isn't confirmed, and extends the lease of what runs by then: of a task with a
+// confirmed start only if its lease lasts until the earliest such order.
+[[nodiscard]] constexpr Duration MaximumRunTime(
+    Duration lease, StartConfirmation confirmation) {
+  const Duration run_time = MaximumLeaseRunTime(lease);
+  const bool ends_first = confirmation == StartConfirmation::kConfirmed &&
+                          run_time < kEarliestLateOrder;
+  return ends_first ? run_time : kLatestLateOrder + run_time;
+}
+
 struct TaskId {
   JobKey key;
   TaskIndex task;
--- a/libraries/upstream_session/lease_grants.cc
+++ b/libraries/upstream_session/lease_grants.cc
@@ -3,15 +3,20 @@
 namespace dandelionspur {
 
 LeaseGrantNumber LeaseGrants::Add(SteadyTime now) {
-  std::erase_if(this->expiries,
-                [&](const auto& grant) { return grant.second < now; });
+  const Duration longest =
+      MaximumRunTime(this->maximum_lease, StartConfirmation::kUnconfirmed);
+  while (!this->sent.empty() && this->sent.begin()->second + longest < now) {
+    this->sent.erase(this->sent.begin());
+  }
   const LeaseGrantNumber number(++this->last_number);
-  this->expiries.emplace(number, now + this->maximum_run_time);
+  this->sent.emplace(number, now);
   return number;
 }
 
-bool LeaseGrants::AllExpired(SteadyTime now) const {
-  return this->expiries.empty() || this->expiries.rbegin()->second < now;
+bool LeaseGrants::AllExpired(StartConfirmation starts, SteadyTime now) const {
+  if (this->sent.empty()) return true;
+  const SteadyTime latest = this->sent.rbegin()->second;
+  return latest + MaximumRunTime(this->maximum_lease, starts) < now;
 }
 
 }  // namespace dandelionspur
--- a/libraries/upstream_session/leased_upstream.cc
+++ b/libraries/upstream_session/leased_upstream.cc
@@ -130,7 +130,7 @@
   const bool is_own =
       same_id && this->upstream->incarnation == gone.incarnation;
   if (is_own && this->tasks.empty()) {
-    this->EndSession(now);
+    this->EndSession();
   } else if (is_own ||
              (same_id && gone.incarnation.started_milliseconds == 0)) {
     // The upstream runs on until it has the answer to the notice, or an earlier
@@ -144,9 +144,8 @@
   }
 }
 
-void LeasedUpstream::EndSession(SteadyTime now) {
+void LeasedUpstream::EndSession() {
   this->ReportEnd(SessionEndEvidence::kDepartureNotice);
-  this->CompleteAll(UpstreamResult::kBroken, now);
   this->orders.ForgetLists();
   this->unknown_runs_stopped = false;
   this->successor.reset();
@@ -333,24 +332,12 @@
   if (needs_list && unresponsive) {
     this->reporter.SetContact(UpstreamContact::kSilent);
   }
-  if (!this->tasks.empty() && unresponsive &&
-      this->orders.AllLeasesExpired(now)) {
-    this->orders.Supersede();
-    // While renewal is suspended, the leases expire because this process was
-    // frozen or cut off, which says nothing about the upstream.
-    const bool renews = this->renewal == LeaseRenewal::kAllowed;
-    // One that is merely silent may be cut off or overloaded.
-    if (renews && !this->IsEndPlanned() && this->refused_since_answer) {
-      this->ReportLoss(LossEvidence::kSilent);
-    }
-    this->ReportEnd(SessionEndEvidence::kLeasesExpired);
-    this->CompleteAll(UpstreamResult::kBroken, now);
-  }
+  if (unresponsive) this->CompleteExpired(now);
   this->FollowSuccessor(now);
   const bool departed = this->departure_noticed && this->tasks.empty() &&
                         this->reporter.contact() == UpstreamContact::kSilent;
   if (departed) {
-    this->EndSession(now);
+    this->EndSession();
     return;
   }
   this->RequestListIfDue(now);
@@ -398,9 +385,26 @@
   for (const EndedTask& task : ended) this->Complete(task, now);
 }
 
-void LeasedUpstream::CompleteAll(UpstreamResult result, SteadyTime now) {
-  for (const std::string& name : this->tasks.Names()) {
-    this->Complete({name, result}, now);
+void LeasedUpstream::CompleteExpired(SteadyTime now) {
+  std::vector<std::string> ended;
+  for (const StartConfirmation starts :
+       {StartConfirmation::kConfirmed, StartConfirmation::kUnconfirmed}) {
+    if (!this->orders.AllLeasesExpired(starts, now)) continue;
+    const std::vector<std::string> names = this->tasks.Names(starts);
+    ended.insert(ended.end(), names.begin(), names.end());
+  }
+  if (ended.empty()) return;
+  this->orders.Supersede();
+  // While renewal is suspended, the leases expire because this process was
+  // frozen or cut off, which says nothing about the upstream.
+  const bool renews = this->renewal == LeaseRenewal::kAllowed;
+  // One that is merely silent may be cut off or overloaded.
+  if (renews && !this->IsEndPlanned() && this->refused_since_answer) {
+    this->ReportLoss(LossEvidence::kSilent);
+  }
+  this->ReportEnd(SessionEndEvidence::kLeasesExpired);
+  for (const std::string& name : ended) {
+    this->Complete({name, UpstreamResult::kBroken}, now);
   }
 }
 
--- a/libraries/upstream_session/leased_upstream.h
+++ b/libraries/upstream_session/leased_upstream.h
@@ -39,7 +39,9 @@
 // session resolves this with a list request under a higher fencing token: once
 // the upstream has seen that token, the order has no further effect, and the
 // list shows whether the order was carried out before. A list request that
-// renews the lease and gets no answer is superseded in the same way.
+// renews the lease and gets no answer is superseded in the same way. While the
+// upstream can't be reached, the task counts as running for as long as such an
+// order may be carried out.
 //
 // A heartbeat of another incarnation does not end the tasks of the present one,
 // since it may have been delayed. They end when the other incarnation answers
@@ -70,6 +72,10 @@
   void SetLeaseRenewal(LeaseRenewal wanted) { this->renewal = wanted; }
 
   std::vector<SessionEffect> TakeEffects();
+  // The tasks whose start orders the upstream is not known to have carried out.
+  [[nodiscard]] std::vector<TaskId> UnconfirmedTasks() const {
+    return this->tasks.Unconfirmed();
+  }
 
  private:
   void OnOtherIncarnation(const UpstreamHeartbeat& heartbeat, SteadyTime now);
@@ -80,8 +86,8 @@
   void OnProbeAnswer(const ListAnswer& list, SteadyTime now);
   void ReplaceUpstream(SteadyTime now);
   void Adopt(const UpstreamHeartbeat& heartbeat, SteadyTime now);
-  // Ends the session with an upstream that has departed.
-  void EndSession(SteadyTime now);
+  // Ends the session with an upstream that has departed and runs no task.
+  void EndSession();
   void OrderStart(UpstreamTask& task, SteadyTime now);
   void OrderStop(UpstreamTask& task, SteadyTime now);
   void RequestList(Duration poll_timeout, SteadyTime now);
@@ -91,10 +97,13 @@
   // Stops listed runs that this session did not start, such as those of an
   // earlier process of this agent. Returns true if there are none.
   bool StopUnknownRuns(const ListAnswer& list);
+  // Ends the tasks of an unresponsive upstream that can't be running any more.
+  // Those whose start isn't confirmed may begin to run long after the others
+  // have ended.
+  void CompleteExpired(SteadyTime now);
   // Does nothing for a task that has ended before.
   void Complete(const EndedTask& ended, SteadyTime now);
   void Complete(const std::vector<EndedTask>& ended, SteadyTime now);
-  void CompleteAll(UpstreamResult result, SteadyTime now);
   // Whether the upstream is leaving or has announced its end.
   [[nodiscard]] bool IsEndPlanned() const;
   // Reports the upstream as lost, if tasks were running there.
--- a/libraries/upstream_session/upstream_orders.cc
+++ b/libraries/upstream_session/upstream_orders.cc
@@ -12,9 +12,7 @@
 }  // namespace
 
 UpstreamOrders::UpstreamOrders(FencingToken first, Duration maximum_lease)
-    : tokens(first),
-      clock(maximum_lease),
-      leases(MaximumLeaseRunTime(maximum_lease)) {}
+    : tokens(first), clock(maximum_lease), leases(maximum_lease) {}
 
 void UpstreamOrders::BeginIncarnation(Duration upstream_clock, SteadyTime now) {
   this->tokens.BeginIncarnation();
--- a/libraries/upstream_session/upstream_orders.h
+++ b/libraries/upstream_session/upstream_orders.h
@@ -83,9 +83,11 @@
   void ForgetListsOlderThan(Duration age, SteadyTime now) {
     this->lists.RemoveOlderThan(age, now);
   }
-  // Whether every lease that may have been granted has expired.
-  [[nodiscard]] bool AllLeasesExpired(SteadyTime now) const {
-    return this->leases.AllExpired(now);
+  // Whether no task can be running, nor begin to run, whose start is confirmed,
+  // or isn't.
+  [[nodiscard]] bool AllLeasesExpired(StartConfirmation starts,
+                                      SteadyTime now) const {
+    return this->leases.AllExpired(starts, now);
   }
 
  private:
--- a/libraries/upstream_session/upstream_tasks.cc
+++ b/libraries/upstream_session/upstream_tasks.cc
@@ -99,10 +99,21 @@
   return ended;
 }
 
-std::vector<std::string> UpstreamTasks::Names() const {
-  std::vector<std::string> all;
-  for (const auto& [name, task] : this->tasks) all.push_back(name);
-  return all;
+std::vector<std::string> UpstreamTasks::Names(StartConfirmation starts) const {
+  std::vector<std::string> found;
+  for (const auto& [name, task] : this->tasks) {
+    if (task.confirmation() == starts) found.push_back(name);
+  }
+  return found;
+}
+
+std::vector<TaskId> UpstreamTasks::Unconfirmed() const {
+  std::vector<TaskId> found;
+  for (const auto& [name, task] : this->tasks) {
+    if (task.confirmation() == StartConfirmation::kConfirmed) continue;
+    found.push_back(task.id);
+  }
+  return found;
 }
 
 UpstreamTask* UpstreamTasks::Find(const TaskRun& run) {
--- a/libraries/upstream_session/upstream_tasks.h
+++ b/libraries/upstream_session/upstream_tasks.h
@@ -47,6 +47,11 @@
   std::uint32_t orders = 0;
   bool stopping = false;
   SteadyTime next_stop;
+
+  [[nodiscard]] StartConfirmation confirmation() const {
+    return this->phase == Phase::kRunning ? StartConfirmation::kConfirmed
+                                          : StartConfirmation::kUnconfirmed;
+  }
 };
 
 // A task that has ended, by its name at the upstream.
@@ -84,7 +89,10 @@
   [[nodiscard]] bool Contains(const std::string& name) const {
     return this->tasks.contains(name);
   }
-  [[nodiscard]] std::vector<std::string> Names() const;
+  // The names of the tasks whose starts are confirmed, or aren't.
+  [[nodiscard]] std::vector<std::string> Names(StartConfirmation starts) const;
+  // The tasks whose starts aren't confirmed.
+  [[nodiscard]] std::vector<TaskId> Unconfirmed() const;
   // The latest completion that was processed.
   [[nodiscard]] CompletionNumber acknowledged() const {
     return this->last_completion;
--- a/tests/upstream_session/late_order_test.cc
+++ b/tests/upstream_session/late_order_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <optional>
 #include <string>
 
 #include "tests/upstream_session/leased_upstream_fixture.h"
@@ -111,5 +113,101 @@
   EXPECT_EQ(this->All<SendList>().back().order.token, raised);
 }
 
+struct SilentStartCase {
+  std::string name;
+  // How long the upstream is silent after the start order.
+  std::chrono::milliseconds silence;
+  // What the first list shows once it answers again; nothing while it stays
+  // silent.
+  std::optional<RunOutcome> listed_end;
+  bool listed_running;
+  // The result that the agent is told; nothing while the task may still run.
+  std::optional<UpstreamResult> result;
+};
+
+// The upstream stops to answer.
+class SilentUpstreamTest : public LeasedUpstreamTest {
+ protected:
+  // Every request fails for the given time.
+  void BeSilentFor(milliseconds duration) {
+    const SteadyTime end = this->now + duration;
+    while (this->now < end) {
+      this->now += milliseconds(50);
+      this->upstream.Tick(this->now);
+      for (const SendList& sent : this->All<SendList>()) {
+        if (!this->answered.insert(sent.number).second) continue;
+        ListAnswer failed;
+        failed.answer.outcome = OrderOutcome::kUnknown;
+        this->upstream.OnListAnswer(sent.number, failed, this->now);
+      }
+    }
+  }
+};
+
+// It does so with a start.
+class SilentStartTest : public SilentUpstreamTest,
+                        public testing::WithParamInterface<SilentStartCase> {};
+
+// Guards against two runs of a task at once: the order was carried out seconds
+// later, after the agent had reported that the lease was over.
+TEST_P(SilentStartTest, ATaskIsOverOnlyOnceItsOrderHasNoEffect) {
+  const SilentStartCase& tested = this->GetParam();
+  this->Announce();
+  const StartOrder order = this->Start(1);
+  this->AnswerStart(order, OrderOutcome::kUnknown);
+  this->BeSilentFor(tested.silence);
+  if (tested.listed_end || tested.listed_running || !tested.result) {
+    ListAnswer list;
+    if (tested.listed_end) list = Ended(order.run, 1, *tested.listed_end);
+    if (tested.listed_running) list.running.push_back(order.run);
+    EXPECT_TRUE(this->Events<UpstreamTaskCompleted>().empty());
+    EXPECT_EQ(this->upstream.UnconfirmedTasks().size(), 1U);
+    this->upstream.Tick(this->now += milliseconds(50));
+    EXPECT_GT(this->All<SendList>().back().order.token, order.token);
+    this->AnswerList(list);
+  }
+  const auto completed = this->Events<UpstreamTaskCompleted>();
+  ASSERT_EQ(completed.size(), tested.result ? 1U : 0U);
+  if (tested.result) {
+    EXPECT_EQ(completed.front().result, *tested.result);
+  }
+  EXPECT_TRUE(this->upstream.UnconfirmedTasks().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Silences, SilentStartTest,
+    testing::Values(
+        SilentStartCase{"CarriedOutLate", std::chrono::milliseconds(3000),
+                        std::nullopt, true, std::nullopt},
+        SilentStartCase{"CarriedOutAndEnded", std::chrono::milliseconds(9000),
+                        RunOutcome::kDone, false, UpstreamResult::kSucceeded},
+        SilentStartCase{"SilentForLongerThanAnOrderIsLate",
+                        std::chrono::milliseconds(14'000), std::nullopt, false,
+                        UpstreamResult::kBroken}),
+    [](const auto& test) { return test.param.name; });
+
+// Guards against waiting for late orders where none can have an effect: a task
+// that is known to run is over before the earliest one.
+TEST_F(SilentUpstreamTest, ARunningTaskIsOverWithItsLease) {
+  this->Announce();
+  this->AnswerStart(this->Start(1), OrderOutcome::kDone);
+  EXPECT_TRUE(this->upstream.UnconfirmedTasks().empty());
+  const SteadyTime started = this->now;
+  while (this->Events<UpstreamTaskCompleted>().empty()) {
+    ASSERT_LT(this->now, started + kEarliestLateOrder);
+    this->BeSilentFor(milliseconds(50));
+  }
+}
+
+// Guards against a lease that lasts until the earliest late order and counts as
+// over before the latest one.
+TEST(MaximumRunTimeTest, ALongLeaseMayBeExtendedByALateOrder) {
+  constexpr auto kConfirmed = StartConfirmation::kConfirmed;
+  constexpr Duration kShort = std::chrono::milliseconds(1'000);
+  constexpr Duration kLong = std::chrono::milliseconds(2'000);
+  EXPECT_EQ(MaximumRunTime(kShort, kConfirmed), MaximumLeaseRunTime(kShort));
+  EXPECT_GT(MaximumRunTime(kLong, kConfirmed), kLatestLateOrder);
+}
+
 }  // namespace
 }  // namespace dandelionspur
