--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -144,6 +144,7 @@
 
 void AgentCore::On(const EntryConnected& event) {
   this->connected[event.entry] = ConnectedEntry();
+  this->admission.ForgetNumbers(event.entry);
   this->acknowledged.erase(event.entry);
   this->ready_announced.erase(event.entry);
   this->SendRegistrations();
@@ -217,7 +218,8 @@
   }
 }
 
-void AgentCore::On(const AgentTick& /*event*/) {
+void AgentCore::On(const AgentTick& event) {
+  this->admission.NoteUnconfirmed(event.unconfirmed);
   const Duration since_tick = this->current_time - this->latest_tick;
   this->running_for += std::clamp(since_tick, Duration(), kLongestTick);
   this->latest_tick = this->current_time;
@@ -344,6 +346,10 @@
   promised = std::max(promised, message.ballot);
   ++this->load_version;
   AcceptedStart accepted{message, from, this->current_time + message.time_left};
+  const auto sender = this->connected.find(from);
+  if (sender != this->connected.end()) {
+    accepted.number = sender->second.starts_seen;
+  }
   if (message.slack) accepted.start_by = this->current_time + *message.slack;
   this->admission.Enqueue(std::move(accepted));
   this->StartQueued();
@@ -604,6 +610,7 @@
   const auto receiver = this->connected.find(entry);
   if (receiver != this->connected.end()) {
     load.starts_seen = receiver->second.starts_seen;
+    load.starts_unconfirmed = this->UnconfirmedStarts(entry);
   }
   load.accepting = !this->NotAcceptingReason();
   load.leaving = this->leaving || this->upstream_leaving;
@@ -611,6 +618,14 @@
   return load;
 }
 
+std::uint32_t AgentCore::UnconfirmedStarts(EntryId entry) const {
+  const std::optional<std::uint64_t> first =
+      this->admission.FirstUnconfirmed(entry);
+  if (!first) return 0;
+  const std::uint64_t seen = this->connected.at(entry).starts_seen;
+  return static_cast<std::uint32_t>(seen + 1 - *first);
+}
+
 AgentLoad AgentCore::ReportLoad(EntryId entry) {
   const auto receiver = this->connected.find(entry);
   if (receiver != this->connected.end()) {
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -141,6 +141,9 @@
     return this->current_time < this->report_neighbours_until;
   }
   [[nodiscard]] AgentLoad LoadFor(EntryId entry) const;
+  // How many of the latest starts of the entry, which is connected, follow the
+  // first one that is not confirmed and has not ended, including that one.
+  [[nodiscard]] std::uint32_t UnconfirmedStarts(EntryId entry) const;
   // Returns LoadFor(entry) and records that the entry receives this load.
   AgentLoad ReportLoad(EntryId entry);
   void SendHeartbeat(EntryId entry);
--- a/libraries/agent_core/agent_events.h
+++ b/libraries/agent_core/agent_events.h
@@ -2,8 +2,10 @@
 #define DANDELIONSPUR_LIBRARIES_AGENT_CORE_AGENT_EVENTS_H_
 
 #include <boost/describe.hpp>
+#include <cstddef>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "libraries/protocol/agent_messages.h"
 
@@ -108,8 +110,11 @@
 
 struct AgentTick {
   static constexpr const char* kName = "tick";
+  static constexpr std::size_t kRequiredMembers = 0;
+  // The tasks at the upstream whose starts aren't confirmed.
+  std::vector<TaskId> unconfirmed{};
 };
-BOOST_DESCRIBE_STRUCT(AgentTick, (), ())
+BOOST_DESCRIBE_STRUCT(AgentTick, (), (unconfirmed))
 
 using AgentEvent =
     std::variant<UpstreamAnnounced, EntryConnected, EntryDisconnected,
--- a/libraries/agent_core/upstream_admission.cc
+++ b/libraries/agent_core/upstream_admission.cc
@@ -40,9 +40,10 @@
   this->queue.pop_front();
   this->waiting = Without(this->waiting, need);
   this->in_use += need;
-  this->running.emplace(next.start.task,
-                        Running{need, next.deadline, next.start.group, now,
-                                next.start.request.declared});
+  this->running.emplace(
+      next.start.task,
+      Running{need, next.deadline, next.start.group, now,
+              next.start.request.declared, next.from, next.number});
   return next;
 }
 
@@ -98,6 +99,41 @@
   return {task, state.group, state.started_at};
 }
 
+void UpstreamAdmission::NoteUnconfirmed(
+    const std::vector<TaskId>& unconfirmed) {
+  for (auto& [task, state] : this->running) {
+    const bool is_confirmed = std::find(unconfirmed.begin(), unconfirmed.end(),
+                                        task) == unconfirmed.end();
+    if (is_confirmed) state.confirmation = StartConfirmation::kConfirmed;
+  }
+}
+
+std::optional<std::uint64_t> UpstreamAdmission::FirstUnconfirmed(
+    EntryId from) const {
+  std::optional<std::uint64_t> first;
+  const auto consider = [&](EntryId sender, std::uint64_t number) {
+    if (sender != from || number == 0) return;
+    first = std::min(first.value_or(number), number);
+  };
+  for (const AcceptedStart& accepted : this->queue) {
+    consider(accepted.from, accepted.number);
+  }
+  for (const auto& [task, state] : this->running) {
+    if (state.confirmation == StartConfirmation::kConfirmed) continue;
+    consider(state.from, state.number);
+  }
+  return first;
+}
+
+void UpstreamAdmission::ForgetNumbers(EntryId from) {
+  for (AcceptedStart& accepted : this->queue) {
+    if (accepted.from == from) accepted.number = 0;
+  }
+  for (auto& [task, state] : this->running) {
+    if (state.from == from) state.number = 0;
+  }
+}
+
 std::vector<TaskId> UpstreamAdmission::Overdue(Timestamp now) const {
   std::vector<TaskId> overdue;
   for (const auto& [task, state] : this->running) {
--- a/libraries/agent_core/upstream_admission.h
+++ b/libraries/agent_core/upstream_admission.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONSPUR_LIBRARIES_AGENT_CORE_UPSTREAM_ADMISSION_H_
 #define DANDELIONSPUR_LIBRARIES_AGENT_CORE_UPSTREAM_ADMISSION_H_
 
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <unordered_map>
@@ -21,6 +22,9 @@
   // The latest start with which the task ends within its objective; not set if
   // it can't any more.
   std::optional<Timestamp> start_by{};
+  // The number of the start among those of the entry on its connection, from 1.
+  // 0 once that connection has ended.
+  std::uint64_t number = 0;
 };
 
 // A task that is at the upstream.
@@ -65,6 +69,14 @@
   }
   // `task` must be running.
   [[nodiscard]] TaskAtUpstream RunningTask(const TaskId& task) const;
+  // Records that the starts of all running tasks but these are confirmed.
+  void NoteUnconfirmed(const std::vector<TaskId>& unconfirmed);
+  // The number of the entry's first start that is neither confirmed nor has
+  // ended, or nothing if there is none on its present connection.
+  [[nodiscard]] std::optional<std::uint64_t> FirstUnconfirmed(
+      EntryId from) const;
+  // The entry numbers its starts anew, on another connection.
+  void ForgetNumbers(EntryId from);
   // Running tasks whose deadline is `now` or earlier.
   [[nodiscard]] std::vector<TaskId> Overdue(Timestamp now) const;
   // In the order of the ids.
@@ -84,6 +96,9 @@
     JobGroupId group;
     Timestamp started_at;
     Duration declared{};
+    EntryId from;
+    std::uint64_t number = 0;
+    StartConfirmation confirmation = StartConfirmation::kUnconfirmed;
   };
 
   // Removes all starts from the queue for which `condition` holds.
--- a/libraries/decision_log/entry_decision_log.cc
+++ b/libraries/decision_log/entry_decision_log.cc
@@ -207,10 +207,10 @@
 void EntryDecisionLog::OnEffect(const AgentLost& effect) {
   const KnownAgent* agent = this->core.agents().Find(effect.agent);
   const bool described = agent != nullptr && agent->description.has_value();
-  LogStateChange(
-      AgentGivenUp{effect.agent, described ? agent->description->upstream : "",
-                   effect.runs_are_over, this->UnheardFor(effect.agent),
-                   effect.tasks_started, effect.evidence});
+  LogStateChange(AgentGivenUp{
+      effect.agent, described ? agent->description->upstream : "",
+      effect.runs_are_over, this->UnheardFor(effect.agent),
+      effect.tasks_started, effect.evidence, effect.tasks_unconfirmed});
 }
 
 void EntryDecisionLog::Finish(const JobKey& key, EntryId to,
--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -401,10 +401,13 @@
   Duration unheard_ms{};
   std::uint64_t tasks_started = 0;
   DeathEvidence evidence = DeathEvidence::kOtherIncarnation;
+  // Those of the tasks whose starts aren't confirmed: unless `runs_are_over`,
+  // they wait until no late order can start them.
+  std::uint64_t tasks_unconfirmed = 0;
 };
 BOOST_DESCRIBE_STRUCT(AgentGivenUp, (),
                       (agent, upstream, runs_are_over, unheard_ms,
-                       tasks_started, evidence))
+                       tasks_started, evidence, tasks_unconfirmed))
 
 // The most tasks that one line names.
 inline constexpr std::size_t kMaximumNamedTasks = 32;
--- a/libraries/entry_core/agent_contacts.cc
+++ b/libraries/entry_core/agent_contacts.cc
@@ -119,36 +119,60 @@
   return message.lost_agents;
 }
 
-bool AgentContacts::RunsAreOver(const KnownAgent& agent, const View& view,
-                                Timestamp now) const {
-  const Duration lease_over = this->settings.lease_over_after;
+Timestamp AgentContacts::RunsOverAt(const KnownAgent& agent,
+                                    StartConfirmation starts,
+                                    const View& view) const {
+  const Duration over_after = this->settings.RunsOver(starts);
   if (agent.lost_at) {
     // A dead process renews no lease, whatever contact it had before its death.
-    return agent.ended_idle ||
-           now >= *agent.lost_at + lease_over - kContactLimit;
+    return agent.ended_idle ? *agent.lost_at
+                            : *agent.lost_at + over_after - kContactLimit;
   }
-  if (now < agent.contact_at + lease_over) return false;
-  if (this->RemovedMayHaveRuns(now)) return false;
-  const Timestamp over_at =
-      this->LatestPossibleContact(agent, view) + lease_over;
+  const Timestamp latest = this->LatestPossibleContact(agent, view);
+  if (starts == StartConfirmation::kConfirmed) return latest + over_after;
+  return std::max(latest, this->left_confirm_until) + over_after;
+}
+
+bool AgentContacts::RunsAreOver(const KnownAgent& agent,
+                                StartConfirmation starts, const View& view,
+                                Timestamp now) const {
+  if (agent.lost_at) return now >= this->RunsOverAt(agent, starts, view);
+  if (now < agent.contact_at + this->settings.RunsOver(starts)) return false;
+  if (this->RemovedMayHaveRuns(starts, now)) return false;
+  const Timestamp over_at = this->RunsOverAt(agent, starts, view);
   if (now < over_at) return false;
   const bool hears_most = this->HearsMostMembers(view, now);
-  return std::all_of(
-      view.members.begin(), view.members.end(), [&](const ViewMember& member) {
-        if (member.entry == this->settings.self) return true;
-        // The member would have reported a contact that renewed a lease.
-        if (this->peers.SightingsUpTo(member.entry) >= over_at) return true;
-        return this->HasLongStoppedConfirming(member.entry, hears_most, now);
-      });
+  return std::all_of(view.members.begin(), view.members.end(),
+                     [&](const ViewMember& member) {
+                       if (member.entry == this->settings.self) return true;
+                       // The member would have reported a contact that renewed
+                       // a lease.
+                       if (this->peers.SightingsUpTo(member.entry) >= over_at)
+                         return true;
+                       return this->HasLongStoppedConfirming(
+                           member.entry, starts, hears_most, now);
+                     });
+}
+
+void AgentContacts::NoteMembersLeft(const View& former, const View& next) {
+  for (const ViewMember& member : former.members) {
+    const bool has_left = member.entry != this->settings.self &&
+                          next.Find(member.entry) == nullptr;
+    if (!has_left) continue;
+    this->left_confirm_until =
+        std::max(this->left_confirm_until,
+                 this->peers.MayConfirmAgentsUntil(member.entry));
+  }
 }
 
 bool AgentContacts::HasLongStoppedConfirming(EntryId member,
+                                             StartConfirmation starts,
                                              bool hears_most_members,
                                              Timestamp now) const {
   const bool is_dead = this->peers.DeadSince(member).has_value();
   return (hears_most_members || is_dead) &&
          now >= this->peers.MayConfirmAgentsUntil(member) +
-                    this->settings.lease_over_after;
+                    this->settings.RunsOver(starts);
 }
 
 bool AgentContacts::UnknownRunsAreOver(const Membership& membership,
@@ -156,17 +180,19 @@
   const std::optional<Timestamp> before = membership.LatestUnknownContact();
   if (!before) return false;
   // An entry that had left the view relies on the lost members that it hears.
+  constexpr auto kStarts = StartConfirmation::kUnconfirmed;
   const Timestamp over_at = std::max(*before, this->removed_act_until) +
-                            kContactLimit + this->settings.lease_over_after;
+                            kContactLimit + this->settings.RunsOver(kStarts);
   if (now < over_at) return false;
   const View& view = membership.view();
   const bool hears_most = this->HearsMostMembers(view, now);
-  return std::all_of(
-      view.members.begin(), view.members.end(), [&](const ViewMember& member) {
-        return member.entry == this->settings.self ||
-               membership.HasToldAgents(member.entry) ||
-               this->HasLongStoppedConfirming(member.entry, hears_most, now);
-      });
+  return std::all_of(view.members.begin(), view.members.end(),
+                     [&](const ViewMember& member) {
+                       return member.entry == this->settings.self ||
+                              membership.HasToldAgents(member.entry) ||
+                              this->HasLongStoppedConfirming(
+                                  member.entry, kStarts, hears_most, now);
+                     });
 }
 
 bool AgentContacts::IsViewTrusted(Timestamp now) const {
--- a/libraries/entry_core/agent_contacts.h
+++ b/libraries/entry_core/agent_contacts.h
@@ -32,11 +32,20 @@
   std::vector<AgentSummary> OnHeartbeat(EntryId from,
                                         const PeerHeartbeat& message,
                                         Timestamp now);
-  // Whether no task that the agent has started can still be running: after the
-  // last contact with any member of `view`, the agent's leases expire within
-  // `lease_over_after`.
-  [[nodiscard]] bool RunsAreOver(const KnownAgent& agent, const View& view,
+  // Whether no task that the agent has started can still be running, or begin
+  // to run: after its last contact with any member of `view` it extends no
+  // lease, and starts that are not confirmed may be carried out late.
+  [[nodiscard]] bool RunsAreOver(const KnownAgent& agent,
+                                 StartConfirmation starts, const View& view,
                                  Timestamp now) const;
+  // The time at which that holds at the latest if nothing more is heard of the
+  // agent, by what is known of its contacts now.
+  [[nodiscard]] Timestamp RunsOverAt(const KnownAgent& agent,
+                                     StartConfirmation starts,
+                                     const View& view) const;
+  // Records that the members of `former` that `next` lacks can't be asked about
+  // their contacts any more.
+  void NoteMembersLeft(const View& former, const View& next);
 
   // Whether no agent that is missing in the registry can be running tasks: each
   // other member has told this entry its agents since this entry is a member,
@@ -52,8 +61,9 @@
   // removed. Returns whether there are any.
   bool NoteRemovals(const View& former, const View& next, Timestamp now);
   // Whether runs that such members have started may continue.
-  [[nodiscard]] bool RemovedMayHaveRuns(Timestamp now) const {
-    return now < this->removed_act_until + this->settings.lease_over_after;
+  [[nodiscard]] bool RemovedMayHaveRuns(StartConfirmation starts,
+                                        Timestamp now) const {
+    return now < this->removed_act_until + this->settings.RunsOver(starts);
   }
   // Whether most living members of the view have recently confirmed heartbeats
   // of this entry. At least one of these then also hears any other entry for
@@ -88,8 +98,9 @@
                    PeerHeartbeat& heartbeat) const;
   [[nodiscard]] PeerContact ContactOf(EntryId peer, Timestamp now) const;
   // Whether a member that is silent can't have had contact with any agent
-  // within the last `lease_over_after`.
+  // within the last RunsOver(starts).
   [[nodiscard]] bool HasLongStoppedConfirming(EntryId member,
+                                              StartConfirmation starts,
                                               bool hears_most_members,
                                               Timestamp now) const;
   struct MemberCount {
@@ -112,6 +123,9 @@
   std::optional<Timestamp> view_current_at;
   // Until when members that were removed as silent may confirm agents.
   Timestamp removed_act_until;
+  // Until when members that have left the view may have confirmed agents. When
+  // they are removed, only confirmed starts must be over.
+  Timestamp left_confirm_until;
 };
 
 }  // namespace dandelionspur
--- a/libraries/entry_core/agent_registry.cc
+++ b/libraries/entry_core/agent_registry.cc
@@ -9,12 +9,28 @@
 
 }  // namespace
 
-void KnownAgent::NoteStartSent(const Resources& need) {
+void KnownAgent::NoteStartSent(const SentStart& start, const Resources& need) {
   ++this->starts_sent;
+  this->unconfirmed_starts.push_back(start);
   this->unreported_starts.push_back(need);
   this->unreported_total += need;
 }
 
+std::vector<SentStart> KnownAgent::TakeConfirmedStarts() {
+  const std::uint64_t seen = this->load.starts_seen;
+  const bool is_reported =
+      this->load.starts_unconfirmed && seen <= this->starts_sent;
+  if (!is_reported) return {};
+  const std::uint64_t unconfirmed =
+      this->starts_sent - seen + *this->load.starts_unconfirmed;
+  std::vector<SentStart> confirmed;
+  while (this->unconfirmed_starts.size() > unconfirmed) {
+    confirmed.push_back(this->unconfirmed_starts.front());
+    this->unconfirmed_starts.pop_front();
+  }
+  return confirmed;
+}
+
 void KnownAgent::OmitRepeatedBody(Start& start) {
   const Payload body = start.request.body;
   const bool is_known = this->reports_epoch && this->latest_body == body;
@@ -52,6 +68,7 @@
   this->latest_body.reset();
   this->unreported_starts.clear();
   this->unreported_total = Resources();
+  this->unconfirmed_starts.clear();
 }
 
 KnownAgent& AgentRegistry::Add(AgentId agent) {
--- a/libraries/entry_core/agent_registry.h
+++ b/libraries/entry_core/agent_registry.h
@@ -16,6 +16,12 @@
 
 namespace dandelionspur {
 
+// A start that an entry has sent to an agent.
+struct SentStart {
+  TaskId task;
+  StartNumber number;
+};
+
 // An entry's record of one agent incarnation.
 struct KnownAgent {
   AgentId agent;
@@ -65,6 +71,9 @@
   // first.
   std::deque<Resources> unreported_starts;
   Resources unreported_total;
+  // The starts sent on this connection that `load` does not report as confirmed
+  // or ended, oldest first.
+  std::deque<SentStart> unconfirmed_starts;
   // Whether the agent was last notified that tasks are queued here.
   bool demand_notified = false;
   // Tasks started by this entry that have not completed.
@@ -119,7 +128,9 @@
     return this->load.running + this->load.waiting + this->unreported_total;
   }
   // Records that a start was sent to the agent.
-  void NoteStartSent(const Resources& need);
+  void NoteStartSent(const SentStart& start, const Resources& need);
+  // Removes and returns the starts that `load` reports as confirmed or ended.
+  std::vector<SentStart> TakeConfirmedStarts();
   // Leaves out the body of a start that is about to be sent, if the agent has
   // received it with the preceding start.
   void OmitRepeatedBody(Start& start);
--- a/libraries/entry_core/cancellations.cc
+++ b/libraries/entry_core/cancellations.cc
@@ -197,7 +197,7 @@
   const BucketId bucket = this->ownership.BucketOfKey(key);
   const Ballot ballot = this->ownership.Promised(bucket);
   for (const ReportedTask& run : this->ownership.ReportedTasks(key)) {
-    if (this->ownership.RunsAreOver(run.agent, now)) {
+    if (this->ownership.RunsAreOver(run.agent, run.start, now)) {
       this->ownership.RemoveReported(key, run);
       continue;
     }
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -509,6 +509,7 @@
   const View former = this->view();
   const bool removed_may_act =
       this->contacts.NoteRemovals(former, view, this->current_time);
+  this->contacts.NoteMembersLeft(former, view);
   const Ownership::ViewChange change = this->ownership.AdoptView(
       view, removed_may_act ? OtherHomes::kPossible : OtherHomes::kNone,
       this->current_time);
@@ -665,7 +666,8 @@
   this->registry.RecountCapacity();
   this->disconnected_agents.erase(agent);
   this->outbox.Add(AgentLost{agent, runs == AgentRuns::kEnded,
-                             this->home.StartedAt(agent), evidence});
+                             this->home.StartedAt(agent), evidence,
+                             this->home.UnconfirmedAt(agent)});
   this->home.OnAgentLost(agent, runs, this->current_time);
 }
 
--- a/libraries/entry_core/entry_core_settings.h
+++ b/libraries/entry_core/entry_core_settings.h
@@ -12,11 +12,17 @@
 namespace dandelionspur {
 
 // The time after the last contact between an agent and any entry after which
-// no task that the agent has started can still be running, since an agent
-// without contact renews no lease. docs/design/platform.md has the argument.
-[[nodiscard]] constexpr Duration LeaseOverAfter(Duration lease) {
+// no task that the agent has started can still be running, or begin to run,
+// since an agent without contact renews no lease. docs/design/platform.md has
+// the argument.
+[[nodiscard]] constexpr Duration RunsOverAfter(Duration lease,
+                                               StartConfirmation starts) {
   constexpr Duration kMargin = std::chrono::milliseconds(80);
-  return kContactLimit + MaximumLeaseRunTime(lease) + kMargin;
+  return kContactLimit + MaximumRunTime(lease, starts) + kMargin;
+}
+// The same for tasks whose starts are confirmed.
+[[nodiscard]] constexpr Duration LeaseOverAfter(Duration lease) {
+  return RunsOverAfter(lease, StartConfirmation::kConfirmed);
 }
 
 struct EntryCoreSettings {
@@ -33,6 +39,7 @@
   Duration heartbeat_interval = std::chrono::milliseconds(150);
   // Minimum time between two answers to heartbeats of the same agent.
   Duration agent_reply_interval = std::chrono::milliseconds(100);
+  // RunsOverAfter for confirmed starts, and for the others.
   Duration lease_over_after = LeaseOverAfter(std::chrono::seconds(1));
   // After a request to drain, submissions may still arrive for this long.
   Duration drain_accepts = std::chrono::milliseconds(2100);
@@ -50,6 +57,14 @@
   // Keys without a known job that callers and other entries may have this entry
   // record as cancelled, at a time.
   std::uint64_t maximum_cancelled_keys = 1'000'000;
+  Duration unconfirmed_over_after =
+      RunsOverAfter(std::chrono::seconds(1), StartConfirmation::kUnconfirmed);
+
+  [[nodiscard]] Duration RunsOver(StartConfirmation starts) const {
+    return starts == StartConfirmation::kConfirmed
+               ? this->lease_over_after
+               : this->unconfirmed_over_after;
+  }
 };
 BOOST_DESCRIBE_STRUCT(EntryCoreSettings, (),
                       (self, bucket_count, duplicate_window, suspect_after,
@@ -57,7 +72,7 @@
                        agent_reply_interval, lease_over_after, drain_accepts,
                        drain_limit, maximum_answer_bytes, placement_seed,
                        link_bytes_per_second, interference, placement,
-                       maximum_cancelled_keys))
+                       maximum_cancelled_keys, unconfirmed_over_after))
 
 }  // namespace dandelionspur
 
--- a/libraries/entry_core/entry_events.h
+++ b/libraries/entry_core/entry_events.h
@@ -243,9 +243,12 @@
   bool runs_are_over = false;
   std::uint64_t tasks_started = 0;
   DeathEvidence evidence = DeathEvidence::kOtherIncarnation;
+  // Those of the tasks whose starts aren't confirmed.
+  std::uint64_t tasks_unconfirmed = 0;
 };
 BOOST_DESCRIBE_STRUCT(AgentLost, (),
-                      (agent, runs_are_over, tasks_started, evidence))
+                      (agent, runs_are_over, tasks_started, evidence,
+                       tasks_unconfirmed))
 
 BOOST_DEFINE_ENUM_CLASS(QuarantinePhase, kBegun, kReleased)
 
--- a/libraries/entry_core/home_job.h
+++ b/libraries/entry_core/home_job.h
@@ -46,6 +46,7 @@
   // The latest start sent by this home. Attempt 0 stands for a start by an
   // earlier home, found in an agent's started set.
   StartNumber start;
+  StartConfirmation confirmation = StartConfirmation::kUnconfirmed;
   // Number of runs that completed with outcome kFailed.
   std::uint32_t failures = 0;
   // Set when the task is queued again because of a refused start or a failed
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -143,6 +143,7 @@
     job.phase = JobPhase::kAwaitingHistory;
     this->jobs.Block(job.submission.key);
     const HistoryState history = this->ownership.HistoryOf(job.submission, now);
+    if (this->RefuseIfUnsettled(job, now)) return;
     if (history == HistoryState::kIncomplete) return;
     const std::vector<ReportedTask> found =
         this->ownership.ReportedTasks(job.submission.key);
@@ -159,7 +160,7 @@
                           now);
     return;
   }
-  this->StartRunning(job);
+  this->StartRunning(job, now);
 }
 
 std::size_t HomeJobs::RequiredWitnesses(const HomeJob& job) const {
@@ -184,35 +185,47 @@
   this->outbox.ToPeer(*witness, WitnessRequest{{key}});
 }
 
-void HomeJobs::StartRunning(HomeJob& job) {
+void HomeJobs::StartRunning(HomeJob& job, Timestamp now) {
   job.phase = JobPhase::kRunning;
   if (job.inherited) {
     for (const ReportedTask& found :
          this->ownership.ReportedTasks(job.submission.key)) {
       if (found.task.value() >= job.tasks.size()) continue;
-      const KnownAgent* holder = this->agents.Find(found.agent);
       const bool may_run_again =
-          job.IsRerunnable() && (holder == nullptr || holder->lost_at);
-      // The agent's lease has expired; the task is queued below.
+          job.IsRerunnable() &&
+          this->ownership.RunsAreOver(found.agent, found.start, now);
+      // The task is queued below.
       if (may_run_again) continue;
       TaskRecord& task = job.tasks[found.task.value()];
       if (task.phase == TaskPhase::kQuerying) {
         task.unsettled_agents.push_back(found.agent);
       } else {
-        this->QueryTask(job, found.task, found.agent);
+        this->QueryTask(job, found);
       }
     }
   }
   for (const TaskIndex task : QueueOrder(job)) this->queues.AddTask(job, task);
 }
 
-void HomeJobs::QueryTask(HomeJob& job, TaskIndex index, AgentId holder) {
-  this->outstanding.Add(job, index, holder, TaskPhase::kQuerying,
+bool HomeJobs::RefuseIfUnsettled(HomeJob& job, Timestamp now) {
+  if (!job.IsRerunnable()) return false;
+  const std::optional<Timestamp> settled_at =
+      this->ownership.HistoryCompleteAt(job.submission, now);
+  if (!settled_at || *settled_at <= job.UsefulUntil()) return false;
+  this->finisher.Finish(
+      job, JobAnswer::MayHaveRun(Reason::kAgentLost, *settled_at - now), now);
+  return true;
+}
+
+void HomeJobs::QueryTask(HomeJob& job, const ReportedTask& run) {
+  this->outstanding.Add(job, run.task, run.agent, TaskPhase::kQuerying,
                         StartSuspicion::kNone);
+  job.tasks[run.task.value()].confirmation = run.start;
   const JobKey& key = job.submission.key;
   const BucketId bucket = this->ownership.BucketOfKey(key);
   this->outbox.ToAgent(
-      holder, Renounce{{key, index}, this->ownership.Promised(bucket), 0});
+      run.agent,
+      Renounce{{key, run.task}, this->ownership.Promised(bucket), 0});
 }
 
 void HomeJobs::Cancel(const JobKey& key, Timestamp now) {
@@ -275,7 +288,7 @@
 void HomeJobs::OnTaskFinished(AgentId from, const TaskFinished& message,
                               Timestamp now) {
   KnownAgent* agent = this->agents.Find(from);
-  if (agent != nullptr) agent->NoteLoad(message.load);
+  if (agent != nullptr) this->NoteLoad(*agent, message.load);
   const TaskReport& report = message.report;
   HomeJob* job = this->jobs.Find(report.task.key);
   const bool known_task =
@@ -452,7 +465,7 @@
                             Timestamp now) {
   KnownAgent* agent = this->agents.Find(from);
   if (agent != nullptr) {
-    agent->NoteLoad(message.load);
+    this->NoteLoad(*agent, message.load);
     if (message.reason == Reason::kUpstreamUnreachable) {
       this->health.ObserveUnreachable(*agent, now);
     }
@@ -508,11 +521,22 @@
 void HomeJobs::OnAgentLoad(AgentId from, const AgentLoad& load) {
   KnownAgent* agent = this->agents.Find(from);
   if (agent == nullptr) return;
-  agent->NoteLoad(load);
+  this->NoteLoad(*agent, load);
   // An agent that reports no free capacity keeps its record of the demand.
   if (load.HasFreeCapacity()) agent->demand_notified = false;
 }
 
+void HomeJobs::NoteLoad(KnownAgent& agent, const AgentLoad& load) {
+  agent.NoteLoad(load);
+  for (const SentStart& start : agent.TakeConfirmedStarts()) {
+    HomeJob* job = this->jobs.Find(start.task.key);
+    if (job == nullptr) continue;
+    TaskRecord& task = job->tasks[start.task.task.value()];
+    const bool is_latest = task.start == start.number;
+    if (is_latest) task.confirmation = StartConfirmation::kConfirmed;
+  }
+}
+
 void HomeJobs::OnRunningGroups(AgentId from,
                                const std::vector<JobGroupId>& groups) {
   KnownAgent* agent = this->agents.Find(from);
@@ -530,6 +554,17 @@
   }
 }
 
+std::size_t HomeJobs::UnconfirmedAt(AgentId agent) {
+  const std::vector<TaskId> started = this->outstanding.StartedAt(agent);
+  const auto unconfirmed =
+      std::count_if(started.begin(), started.end(), [&](const TaskId& id) {
+        const HomeJob* job = this->jobs.Find(id.key);
+        return job != nullptr && job->tasks[id.task.value()].confirmation ==
+                                     StartConfirmation::kUnconfirmed;
+      });
+  return static_cast<std::size_t>(unconfirmed);
+}
+
 void HomeJobs::OnAgentLost(AgentId agent, AgentRuns runs, Timestamp now) {
   for (const TaskId& id : this->outstanding.StartedAt(agent)) {
     HomeJob* job = this->jobs.Find(id.key);
@@ -542,27 +577,49 @@
       this->Requeue(*job, id.task, Reason::kAgentLost, now);
       continue;
     }
-    // Waiting for the lease to expire makes sense only if the answer is still
-    // of use by then.
+    // Waiting until the run is over makes sense only if the answer is still of
+    // use by then.
     const bool may_wait =
         may_run_again &&
-        now + this->settings.lease_over_after <= job->UsefulUntil();
+        now + this->settings.RunsOver(task.confirmation) <= job->UsefulUntil();
     if (may_wait) continue;
-    this->finisher.Finish(*job, JobAnswer::MayHaveRun(Reason::kAgentLost), now);
+    const Duration retry_after =
+        may_run_again ? this->UnsettledFor(*job, now) : Duration();
+    this->finisher.Finish(
+        *job, JobAnswer::MayHaveRun(Reason::kAgentLost, retry_after), now);
+  }
+}
+
+Duration HomeJobs::UnsettledFor(const HomeJob& job, Timestamp now) const {
+  Timestamp settled_at = now;
+  for (const TaskRecord& task : job.tasks) {
+    if (!task.IsOutstanding()) continue;
+    const KnownAgent* agent = this->agents.Find(task.agent);
+    const bool can_be_asked =
+        agent != nullptr && !agent->lost_at && !agent->refuses_connections;
+    if (can_be_asked) continue;
+    settled_at = std::max(settled_at, this->ownership.RunsOverAt(
+                                          task.agent, task.confirmation, now));
   }
+  return settled_at - now;
 }
 
 void HomeJobs::RequeueAfterLeases(Timestamp now) {
   this->outstanding.RemoveIdleAgents();
-  std::vector<TaskId> expired;
+  std::vector<TaskId> at_silent_agents;
   for (const auto& [agent, tasks] : this->outstanding.by_agent()) {
-    if (!this->ownership.RunsAreOver(agent, now)) continue;
-    expired.insert(expired.end(), tasks.begin(), tasks.end());
+    const bool is_silent =
+        this->ownership.RunsAreOver(agent, StartConfirmation::kConfirmed, now);
+    if (!is_silent) continue;
+    at_silent_agents.insert(at_silent_agents.end(), tasks.begin(), tasks.end());
   }
-  for (const TaskId& id : expired) {
+  for (const TaskId& id : at_silent_agents) {
     HomeJob* job = this->jobs.Find(id.key);
     if (job == nullptr) continue;
     TaskRecord& task = job->tasks[id.task.value()];
+    const bool is_over =
+        this->ownership.RunsAreOver(task.agent, task.confirmation, now);
+    if (!is_over) continue;
     // Tasks that must not run again wait for the agent's report after it
     // reconnects.
     if (!this->MayRunAgain(*job, task, TaskOutcome::kUnknown)) continue;
@@ -638,7 +695,7 @@
   if (!task.unsettled_agents.empty()) {
     const AgentId next = task.unsettled_agents.back();
     task.unsettled_agents.pop_back();
-    this->QueryTask(job, index, next);
+    this->QueryTask(job, {index, next});
     return;
   }
   ServiceState* service = this->queues.Of(job);
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -150,6 +150,8 @@
   [[nodiscard]] std::size_t StartedAt(AgentId agent) const {
     return this->outstanding.CountAt(agent);
   }
+  // Number of those whose starts aren't confirmed.
+  [[nodiscard]] std::size_t UnconfirmedAt(AgentId agent);
   [[nodiscard]] const CachedAnswer* FindAnswer(const JobKey& key) const {
     return this->finisher.FindAnswer(key);
   }
@@ -168,9 +170,19 @@
   }
   // Asks a further entry to record the job's key.
   void RequestWitness(const HomeJob& job, Timestamp now);
-  void StartRunning(HomeJob& job);
-  // Asks the agent for its run of the task.
-  void QueryTask(HomeJob& job, TaskIndex index, AgentId holder);
+  void StartRunning(HomeJob& job, Timestamp now);
+  // Answers the callers of a job that may run again at once if lost or
+  // unreachable agents may still run its tasks, or begin to, for longer than
+  // the callers can wait. Returns whether it did.
+  bool RefuseIfUnsettled(HomeJob& job, Timestamp now);
+  // How long lost or unreachable agents may still run tasks that this home has
+  // started for the job, or begin to.
+  [[nodiscard]] Duration UnsettledFor(const HomeJob& job, Timestamp now) const;
+  // Asks the agent of the run for its state.
+  void QueryTask(HomeJob& job, const ReportedTask& run);
+  // Applies the agent's report of its load, and of the starts that are
+  // confirmed.
+  void NoteLoad(KnownAgent& agent, const AgentLoad& load);
   // Applies the outcome of a run, if its task is outstanding at `from`.
   void OnRunCompleted(AgentId from, const TaskReport& report, Timestamp now);
   // Brings what the other entries queue to the service states.
--- a/libraries/entry_core/job_finisher.cc
+++ b/libraries/entry_core/job_finisher.cc
@@ -13,7 +13,9 @@
   std::vector<ReportedTask> started;
   for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
     const TaskRecord& task = job.tasks[i];
-    if (task.IsOutstanding()) started.push_back({TaskIndex(i), task.agent});
+    if (task.IsOutstanding()) {
+      started.push_back({TaskIndex(i), task.agent, task.confirmation});
+    }
     for (const AgentId agent : task.unsettled_agents) {
       started.push_back({TaskIndex(i), agent});
     }
--- a/libraries/entry_core/key_history.cc
+++ b/libraries/entry_core/key_history.cc
@@ -5,6 +5,13 @@
 #include <vector>
 
 namespace dandelionspur {
+namespace {
+
+// Starts by other homes of which this entry does not know whether they are
+// confirmed.
+constexpr auto kAnyStart = StartConfirmation::kUnconfirmed;
+
+}  // namespace
 
 KeyHistory::KeyHistory(const EntryCoreSettings& configured,
                        const Membership& current_membership,
@@ -54,7 +61,9 @@
 bool KeyHistory::FormerHomeReportedAllStarts(const BucketState& bucket,
                                              Timestamp now) const {
   // A later home may be among them.
-  if (this->contacts.RemovedMayHaveRuns(now)) return false;
+  if (this->contacts.RemovedMayHaveRuns(StartConfirmation::kUnconfirmed, now)) {
+    return false;
+  }
   const auto has_reported = [&](EntryId entry) {
     return entry == this->settings.self ||
            bucket.entry_promises.contains(entry);
@@ -83,17 +92,55 @@
   return std::all_of(this->agents.all().begin(), this->agents.all().end(),
                      [&](const auto& item) {
                        return bucket.agent_promises.contains(item.first) ||
-                              this->RunsAreOver(item.second, now);
+                              this->RunsAreOver(item.second, kAnyStart, now);
                      });
 }
 
-bool KeyHistory::RunsAreOver(AgentId agent, Timestamp now) const {
+bool KeyHistory::RunsAreOver(AgentId agent, StartConfirmation starts,
+                             Timestamp now) const {
+  const KnownAgent* known = this->agents.Find(agent);
+  return known == nullptr || this->RunsAreOver(*known, starts, now);
+}
+
+bool KeyHistory::RunsAreOver(const KnownAgent& agent, StartConfirmation starts,
+                             Timestamp now) const {
+  return this->contacts.RunsAreOver(agent, starts, this->membership.view(),
+                                    now);
+}
+
+Timestamp KeyHistory::RunsOverAt(AgentId agent, StartConfirmation starts,
+                                 Timestamp now) const {
   const KnownAgent* known = this->agents.Find(agent);
-  return known == nullptr || this->RunsAreOver(*known, now);
+  if (known == nullptr) return now;
+  return this->contacts.RunsOverAt(*known, starts, this->membership.view());
+}
+
+bool KeyHistory::IsUnreachable(const KnownAgent& agent, Timestamp now) const {
+  return agent.lost_at || agent.refuses_connections ||
+         now - agent.last_heard > this->settings.suspect_after;
 }
 
-bool KeyHistory::RunsAreOver(const KnownAgent& agent, Timestamp now) const {
-  return this->contacts.RunsAreOver(agent, this->membership.view(), now);
+std::optional<Timestamp> KeyHistory::HistoryCompleteAt(const JobSubmission& job,
+                                                       Timestamp now) const {
+  const BucketState& bucket =
+      this->buckets.Get(BucketOf(job.key, this->settings.bucket_count));
+  if (!this->KnowsAllRunningAgents(now)) return std::nullopt;
+  Timestamp complete_at = now;
+  for (const auto& [id, agent] : this->agents.all()) {
+    const bool is_resolved = bucket.agent_promises.contains(id) ||
+                             this->RunsAreOver(agent, kAnyStart, now);
+    if (is_resolved) continue;
+    if (!this->IsUnreachable(agent, now)) return std::nullopt;
+    complete_at = std::max(complete_at, this->RunsOverAt(id, kAnyStart, now));
+  }
+  for (const ReportedTask& task : bucket.keys.ReportedTasks(job.key)) {
+    if (this->RunsAreOver(task.agent, task.start, now)) continue;
+    const KnownAgent& holder = *this->agents.Find(task.agent);
+    if (!this->IsUnreachable(holder, now)) return std::nullopt;
+    complete_at =
+        std::max(complete_at, this->RunsOverAt(task.agent, task.start, now));
+  }
+  return complete_at;
 }
 
 bool KeyHistory::HasRunsOfLostAgents(const BucketState& bucket,
@@ -103,7 +150,7 @@
                      [&](const ReportedTask& task) {
                        const KnownAgent* holder = this->agents.Find(task.agent);
                        return holder != nullptr && holder->lost_at &&
-                              !this->RunsAreOver(*holder, now);
+                              !this->RunsAreOver(*holder, task.start, now);
                      });
 }
 
--- a/libraries/entry_core/key_history.h
+++ b/libraries/entry_core/key_history.h
@@ -1,6 +1,8 @@
 #ifndef DANDELIONSPUR_LIBRARIES_ENTRY_CORE_KEY_HISTORY_H_
 #define DANDELIONSPUR_LIBRARIES_ENTRY_CORE_KEY_HISTORY_H_
 
+#include <optional>
+
 #include "libraries/entry_core/agent_contacts.h"
 #include "libraries/entry_core/agent_registry.h"
 #include "libraries/entry_core/bucket_state.h"
@@ -57,21 +59,37 @@
   // Whether every key that a former home may have started is recorded, or all
   // earlier runs are resolved. Keeps a positive result in the bucket.
   bool AllStartsRecorded(BucketState& bucket, Timestamp now) const;
-  // Whether every run that another home has started in this bucket has ended or
-  // was reported with an agent's promise.
+  // Whether every run that another home has started in this bucket, or may
+  // begin late, has ended or was reported with an agent's promise.
   [[nodiscard]] bool PriorRunsResolved(const BucketState& bucket,
                                        Timestamp now) const;
   // Whether no agent that this entry does not know can be running tasks. Only
   // an entry that has joined recently can lack agents.
   [[nodiscard]] bool KnowsAllRunningAgents(Timestamp now) const;
-  // Whether no task that the agent has started can still be running.
-  [[nodiscard]] bool RunsAreOver(AgentId agent, Timestamp now) const;
+  // Whether no task that the agent has started can still be running, or begin
+  // to run.
+  [[nodiscard]] bool RunsAreOver(AgentId agent, StartConfirmation starts,
+                                 Timestamp now) const;
+  // The time at which that holds at the latest if nothing more is heard of the
+  // agent; `now` for an unknown agent.
+  [[nodiscard]] Timestamp RunsOverAt(AgentId agent, StartConfirmation starts,
+                                     Timestamp now) const;
+  // Of a job that may run again, and whose history is incomplete: the time at
+  // which it is complete at the latest, if that depends only on agents that are
+  // lost or can't be reached. Nothing if it may be complete at any time, since
+  // others have yet to answer.
+  [[nodiscard]] std::optional<Timestamp> HistoryCompleteAt(
+      const JobSubmission& job, Timestamp now) const;
 
  private:
   [[nodiscard]] bool FormerHomeReportedAllStarts(const BucketState& bucket,
                                                  Timestamp now) const;
   // The same for an agent in the registry.
-  [[nodiscard]] bool RunsAreOver(const KnownAgent& agent, Timestamp now) const;
+  [[nodiscard]] bool RunsAreOver(const KnownAgent& agent,
+                                 StartConfirmation starts, Timestamp now) const;
+  // Whether the agent has been silent for so long that it may have ended.
+  [[nodiscard]] bool IsUnreachable(const KnownAgent& agent,
+                                   Timestamp now) const;
   // When an entry first saw the job's key, or an earlier time if that is not
   // known.
   [[nodiscard]] Timestamp FirstSeen(const BucketState& bucket,
--- a/libraries/entry_core/key_records.cc
+++ b/libraries/entry_core/key_records.cc
@@ -57,10 +57,11 @@
   if (tasks.empty()) return;
   std::vector<ReportedTask>& found = this->reported[known.key];
   for (const TaskIndex task : tasks) {
-    const ReportedTask report{task, agent};
     const bool is_known =
-        std::find(found.begin(), found.end(), report) != found.end();
-    if (!is_known) found.push_back(report);
+        std::any_of(found.begin(), found.end(), [&](const ReportedTask& other) {
+          return other.task == task && other.agent == agent;
+        });
+    if (!is_known) found.push_back({task, agent});
   }
 }
 
--- a/libraries/entry_core/key_records.h
+++ b/libraries/entry_core/key_records.h
@@ -7,14 +7,17 @@
 #include <unordered_map>
 #include <vector>
 
+#include "libraries/protocol/agent_messages.h"
 #include "libraries/protocol/entry_messages.h"
 
 namespace dandelionspur {
 
-// A task that an agent has reported as started.
+// A task that this home has started at an agent, or that the agent has reported
+// as started.
 struct ReportedTask {
   TaskIndex task;
   AgentId agent;
+  StartConfirmation start = StartConfirmation::kUnconfirmed;
   bool operator==(const ReportedTask&) const = default;
 };
 
--- a/libraries/entry_core/ownership.h
+++ b/libraries/entry_core/ownership.h
@@ -190,9 +190,15 @@
            this->activator.buckets_examined();
   }
 
-  // Whether no task that the agent has started can still be running.
-  [[nodiscard]] bool RunsAreOver(AgentId agent, Timestamp now) const {
-    return this->history.RunsAreOver(agent, now);
+  // Whether no task that the agent has started can still be running, or begin
+  // to run.
+  [[nodiscard]] bool RunsAreOver(AgentId agent, StartConfirmation starts,
+                                 Timestamp now) const {
+    return this->history.RunsAreOver(agent, starts, now);
+  }
+  [[nodiscard]] Timestamp RunsOverAt(AgentId agent, StartConfirmation starts,
+                                     Timestamp now) const {
+    return this->history.RunsOverAt(agent, starts, now);
   }
 
   // Records a key that this entry handles as home, or as witness.
@@ -237,6 +243,10 @@
                                        Timestamp now) const {
     return this->history.HistoryOf(job, now);
   }
+  [[nodiscard]] std::optional<Timestamp> HistoryCompleteAt(
+      const JobSubmission& job, Timestamp now) const {
+    return this->history.HistoryCompleteAt(job, now);
+  }
   [[nodiscard]] std::vector<ReportedTask> ReportedTasks(
       const JobKey& key) const;
   [[nodiscard]] bool AgentPromised(BucketId bucket, AgentId agent) const;
--- a/libraries/entry_core/task_dispatcher.cc
+++ b/libraries/entry_core/task_dispatcher.cc
@@ -106,11 +106,12 @@
                         this->losses.SuspectedCount(id) > 0
                             ? StartSuspicion::kSuspect
                             : StartSuspicion::kNone);
-  agent.NoteStartSent(request.need);
   agent.demand_notified = service.queued_tasks() > 0;
   const BucketId bucket = this->ownership.BucketOfKey(job.submission.key);
   TaskRecord& record = job.tasks[task.value()];
   record.start = {this->ownership.Promised(bucket), ++this->last_start};
+  record.confirmation = StartConfirmation::kUnconfirmed;
+  agent.NoteStartSent({id, record.start}, request.need);
   Start start{id,
               record.start.ballot,
               record.start.attempt,
--- a/libraries/protocol/agent_messages.h
+++ b/libraries/protocol/agent_messages.h
@@ -3,6 +3,7 @@
 
 #include <boost/describe.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -189,6 +190,9 @@
   // Whether the upstream or its agent is shutting down.
   bool leaving = false;
   PerformanceReport performance;
+  // Of the starts that were seen, all but the latest so many are confirmed or
+  // have completed or been refused. Absent from versions that don't report it.
+  std::optional<std::uint32_t> starts_unconfirmed{};
 
   // Whether the upstream has free capacity for a new task. Sending a report
   // for which this holds clears the receiver's DemandNotice at the agent.
@@ -201,7 +205,7 @@
 };
 BOOST_DESCRIBE_STRUCT(AgentLoad, (),
                       (capacity, running, waiting, starts_seen, accepting,
-                       leaving, performance))
+                       leaving, performance, starts_unconfirmed))
 
 struct AgentBucketPromise {
   BucketId bucket;
--- a/libraries/protocol/job.h
+++ b/libraries/protocol/job.h
@@ -170,8 +170,10 @@
   static JobAnswer Ran(Reason reason) {
     return JobAnswer{Verdict::kRan, reason, {}, {}};
   }
-  static JobAnswer MayHaveRun(Reason reason) {
-    return JobAnswer{Verdict::kMayHaveRun, reason, {}, {}};
+  // `retry_after`: zero if it is not known when the job can be served.
+  static JobAnswer MayHaveRun(Reason reason,
+                              Duration retry_after = Duration()) {
+    return JobAnswer{Verdict::kMayHaveRun, reason, {}, retry_after};
   }
   static JobAnswer NotRun(Reason reason, const NotRunProof& /*proof*/,
                           Duration retry_after) {
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -183,7 +183,11 @@
   this->tick_timer.expires_after(kTickInterval);
   this->tick_timer.async_wait([this](boost::system::error_code error) {
     if (error) return;
-    this->Handle(AgentTick{});
+    AgentTick tick;
+    if (this->platform_upstream) {
+      tick.unconfirmed = this->platform_upstream->UnconfirmedTasks();
+    }
+    this->Handle(tick);
     FlushLog();
     this->ScheduleTick();
   });
--- a/services/agent/platform_upstream.h
+++ b/services/agent/platform_upstream.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <vector>
 
 #include "libraries/configuration/settings.h"
 #include "libraries/network/http_client.h"
@@ -34,6 +35,10 @@
 
   void Run(const RunOnUpstream& task);
   void Stop(const TaskId& task);
+  // The tasks whose start orders the upstream is not known to have carried out.
+  [[nodiscard]] std::vector<TaskId> UnconfirmedTasks() const {
+    return this->session.UnconfirmedTasks();
+  }
 
  private:
   PlatformUpstream(const AgentSettings& settings, ThreadGroup& thread,
--- a/services/entry/core_settings.cc
+++ b/services/entry/core_settings.cc
@@ -49,6 +49,8 @@
   core.suspect_after = settings.suspect_after;
   core.remove_after = settings.remove_after;
   core.lease_over_after = LeaseOverAfter(settings.lease);
+  core.unconfirmed_over_after =
+      RunsOverAfter(settings.lease, StartConfirmation::kUnconfirmed);
   core.drain_accepts = settings.drain_accepts + kDrainNoticeDelay;
   core.drain_limit = std::min(core.drain_accepts + kMaximumHandOverTime,
                               settings.stop_within - kShutdownMargin);
--- a/tests/agent_core/agent_core_test.cc
+++ b/tests/agent_core/agent_core_test.cc
@@ -252,6 +252,57 @@
   EXPECT_TRUE(promises[0].started[0].tasks.empty());
 }
 
+struct ConfirmationCase {
+  std::string name;
+  // The jobs whose starts the upstream has not answered at the tick.
+  std::vector<std::uint64_t> unanswered;
+  // The jobs that have completed by then.
+  std::vector<std::uint64_t> completed;
+  std::uint32_t reported;
+};
+
+class ConfirmationTest : public AgentCoreTest,
+                         public testing::WithParamInterface<ConfirmationCase> {
+};
+
+// Guards against a home that takes a start for carried out, or for over with
+// its lease, which the upstream has not answered.
+TEST_P(ConfirmationTest, HeartbeatsTellHowManyStartsAreUnconfirmed) {
+  // The third one waits for capacity.
+  for (const std::uint64_t job : {1, 2, 3}) this->Deliver(StartOf(job));
+  for (const std::uint64_t job : this->GetParam().completed) {
+    this->Handle(UpstreamTaskCompleted{StartOf(job).task,
+                                       UpstreamResult::kSucceeded, Payload(),
+                                       milliseconds(1)});
+  }
+  AgentTick tick;
+  for (const std::uint64_t job : this->GetParam().unanswered) {
+    tick.unconfirmed.push_back(StartOf(job).task);
+  }
+  this->now += milliseconds(200);
+  const auto heartbeats = Sent<AgentHeartbeat>(this->Handle(tick));
+  ASSERT_EQ(heartbeats.size(), 1U);
+  EXPECT_EQ(heartbeats.front().load.starts_seen, 3U);
+  EXPECT_EQ(heartbeats.front().load.starts_unconfirmed,
+            this->GetParam().reported);
+  // Another connection has starts of its own.
+  this->Handle(EntryConnected{EntryId(kEntry)});
+  const auto next = Sent<AgentHeartbeat>(
+      this->Deliver(RegisterAcknowledged{View(), {}, true}));
+  for (const AgentHeartbeat& heartbeat : next) {
+    EXPECT_EQ(heartbeat.load.starts_unconfirmed, 0U);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Starts, ConfirmationTest,
+    testing::Values(ConfirmationCase{"OneWaits", {}, {}, 1},
+                    ConfirmationCase{"TheSecondIsUnanswered", {2}, {}, 2},
+                    ConfirmationCase{"TheFirstIsUnanswered", {1}, {}, 3},
+                    ConfirmationCase{"TheThirdHasStarted", {}, {1}, 0},
+                    ConfirmationCase{"AllHaveCompleted", {}, {1, 2, 3}, 0}),
+    [](const auto& test) { return test.param.name; });
+
 TEST_F(AgentCoreTest, StartsBeyondTheCapacityAreQueued) {
   EXPECT_EQ(Only<RunOnUpstream>(this->Deliver(StartOf(1))).size(), 1U);
   EXPECT_EQ(Only<RunOnUpstream>(this->Deliver(StartOf(2))).size(), 1U);
--- a/tests/entry_core/agent_contacts_test.cc
+++ b/tests/entry_core/agent_contacts_test.cc
@@ -59,7 +59,8 @@
     return WireCodec::ToMessagePack(message).size();
   }
   bool RunsAreOver() {
-    return this->contacts.RunsAreOver(*this->agents.Find(kAgent), this->view,
+    return this->contacts.RunsAreOver(*this->agents.Find(kAgent),
+                                      StartConfirmation::kConfirmed, this->view,
                                       this->now);
   }
 
--- a/tests/entry_core/joining_entry_test.cc
+++ b/tests/entry_core/joining_entry_test.cc
@@ -124,7 +124,7 @@
 // agent, while a member of its view has its agents run and renew tasks.
 TEST_F(JoiningEntryTest, NoAgentKnownIsNoEvidenceWhileAMemberHasNotTold) {
   this->Join();
-  this->Advance(Settings().lease_over_after + seconds(1), {kOther});
+  this->Advance(Settings().unconfirmed_over_after + seconds(1), {kOther});
   EXPECT_FALSE(this->KnowsAllRunningAgents());
   this->SendState(kOlder, {});
   EXPECT_TRUE(this->KnowsAllRunningAgents());
@@ -135,7 +135,8 @@
   this->Join();
   this->Handle(
       PeerMessageReceived{kOlder, PeerState{this->view, false, {}, {}, false}});
-  this->Advance(Settings().lease_over_after + milliseconds(500), {kOther});
+  this->Advance(Settings().unconfirmed_over_after + milliseconds(500),
+                {kOther});
   EXPECT_FALSE(this->KnowsAllRunningAgents());
 }
 
@@ -143,7 +144,7 @@
 TEST_F(JoiningEntryTest, ASilentMemberIsWaitedForUntilItTrustsNoViewAnyMore) {
   this->Join();
   this->Advance(
-      kViewTrustedFor + Settings().lease_over_after - milliseconds(50),
+      kViewTrustedFor + Settings().unconfirmed_over_after - milliseconds(50),
       {kOther});
   EXPECT_FALSE(this->KnowsAllRunningAgents());
   this->Advance(milliseconds(50), {kOther});
@@ -160,24 +161,25 @@
   this->view.epoch = Epoch(this->view.epoch.value() + 1);
   this->view.members.push_back(older);
   this->Handle(ViewRead{this->view});
-  this->Advance(kContactLimit + Settings().lease_over_after, {kOlder, kOther});
+  this->Advance(kContactLimit + Settings().unconfirmed_over_after,
+                {kOlder, kOther});
   EXPECT_TRUE(this->KnowsAllRunningAgents());
 }
 
 // Both would wait for each other otherwise, and a restart of all would last.
-TEST_F(JoiningEntryTest, EntriesThatJoinTogetherWaitForTheLeasesOnly) {
+TEST_F(JoiningEntryTest, EntriesThatJoinTogetherWaitForLateOrdersOnly) {
   this->view.members.erase(this->view.members.begin());
   this->Join();
-  this->Advance(kContactLimit + Settings().lease_over_after, {kOther});
+  this->Advance(kContactLimit + Settings().unconfirmed_over_after, {kOther});
   EXPECT_TRUE(this->KnowsAllRunningAgents());
 }
 
-// What a dead member renewed before its death may run on for a lease.
+// What an agent ordered that a dead member confirmed may be carried out late.
 TEST_F(JoiningEntryTest, AMemberThatIsProvenDeadIsWaitedForAfterItsDeath) {
   this->Join();
   this->Advance(seconds(1), {kOther});
   this->Handle(PeerProvenDead{kOlder});
-  this->Advance(Settings().lease_over_after - milliseconds(50), {kOther});
+  this->Advance(Settings().unconfirmed_over_after - milliseconds(50), {kOther});
   EXPECT_FALSE(this->KnowsAllRunningAgents());
   this->Advance(milliseconds(50), {kOther});
   EXPECT_TRUE(this->KnowsAllRunningAgents());
@@ -190,8 +192,9 @@
   this->view.epoch = Epoch(this->view.epoch.value() + 1);
   this->view.members.erase(this->view.members.begin());
   this->Handle(ViewRead{this->view});
-  this->Advance(kContactLimit + Settings().lease_over_after - milliseconds(50),
-                {kOther});
+  this->Advance(
+      kContactLimit + Settings().unconfirmed_over_after - milliseconds(50),
+      {kOther});
   EXPECT_FALSE(this->KnowsAllRunningAgents());
   this->Advance(milliseconds(50), {kOther});
   EXPECT_TRUE(this->KnowsAllRunningAgents());
--- a/tests/entry_core/lost_upstreams_test.cc
+++ b/tests/entry_core/lost_upstreams_test.cc
@@ -66,7 +66,7 @@
       }
     }
     // Longer than entries wait that join without knowing the agents of others.
-    this->Advance(seconds(3));
+    this->Advance(EntryCoreSettings().unconfirmed_over_after + seconds(1));
   }
 
   static EntryCoreSettings EntrySettings(std::uint64_t id) {
--- a/tests/entry_core/refused_connection_test.cc
+++ b/tests/entry_core/refused_connection_test.cc
@@ -30,7 +30,10 @@
     const std::vector<SendToAgent> starts =
         StartsIn(this->entry.Submit(1, /*tasks=*/1, seconds(5)));
     EXPECT_EQ(starts.size(), 1U);
-    if (!starts.empty()) this->agent = starts.front().to;
+    if (starts.empty()) return;
+    this->agent = starts.front().to;
+    // The upstream has carried out the start.
+    this->entry.SendHeartbeat(this->agent, this->entry.Load(1, 1));
   }
 
   // The connection to the task's agent breaks, and another is refused.
--- a/tests/support/entry_harness.cc
+++ b/tests/support/entry_harness.cc
@@ -111,6 +111,7 @@
   load.running.millicores = running * kOneSlot.millicores;
   load.starts_seen = starts_seen;
   load.accepting = true;
+  load.starts_unconfirmed = 0;
   return load;
 }
 
