tests: Crash an upstream only once the bystanders run

Cause: entries that have just joined confirm no agent for some 200 ms, so the bystanders, submitted 200 ms before, sometimes started together with the task that crashes its upstream. Who starts within 50 ms of it is suspected as well, by design, and a bystander that met it twice was given up (log: upstream_contact_broken with four suspects, all started at 28.115). Change: the test waits until the agents have started all bystanders, then 200 ms as before. The checks are as they were.

--- a/meta/cluster.py
+++ b/meta/cluster.py
@@ -256,6 +256,10 @@
     def status(self, entry):
         return call_json("GET", self.entry_admin_port(entry), "/v1/status", timeout=2)[1]
 
+    def started_tasks(self):
+        """The number of tasks that the agents have started and not forgotten, by their own account."""
+        return sum(call_json("GET", self.agent_admin_port(agent), "/status")[1]["remembered"] for agent in range(self.agent_count))
+
     def live_entries(self):
         return [e for e in range(self.entry_count) if self.entries[e] and self.entries[e].popen.poll() is None]
 
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -63,6 +63,8 @@
     def test_task_that_crashes_its_upstreams_is_given_up(self):
         cluster = self.cluster(agents=4, slots=4)
         bystanders = self.submit_many(cluster, 12, "700", tasks=1, first=256)
+        # Who starts together with the task that crashes its upstream is suspected as well.
+        cluster.wait_for(lambda: cluster.started_tasks() == 12, "the bystanders", 5)
         time.sleep(0.2)
         deadly = self.pool.submit(cluster.submit_to_queue, 0, "00000000000000dd", "8 crash", 1)
         crashes = cluster.restart_crashed_upstreams(deadly)
