--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -34,6 +34,11 @@
   return std::nullopt;
 }
 
+// Entries release the address of an agent only after they have not heard it for
+// longer than this.
+constexpr Duration kLongSilence = std::chrono::seconds(8);
+static_assert(kLongSilence + kContactLimit < kLatestLateOrder);
+
 // Whether an agent that has promised `promised` grants a request for a promise.
 bool MayGrant(EntryId from, const BucketBallot& request,
               const Ballot& promised) {
@@ -47,7 +52,8 @@
       started(configured.started_set),
       losses(configured.started_set.duplicate_window),
       evacuation(configured.data_centre),
-      promises(configured.bucket_count) {}
+      promises(configured.bucket_count),
+      claim(configured.claims_address) {}
 
 std::vector<AgentEffect> AgentCore::Handle(const AgentEvent& event,
                                            Timestamp now) {
@@ -68,6 +74,7 @@
   ++this->load_version;
   this->upstream_leaving = false;
   this->contact = UpstreamContact::kAnswering;
+  this->ClaimAddressIfReleased();
   // Entries need the description of an upstream that returned with changes.
   this->acknowledged.clear();
   this->SendRegistrations();
@@ -86,6 +93,7 @@
   this->contact = event.contact;
   if (event.contact == UpstreamContact::kAnswering) {
     this->WithdrawContactBreak();
+    this->ClaimAddressIfReleased();
   }
   this->StartQueued();
   this->SendHeartbeats();
@@ -208,7 +216,44 @@
   this->NotifyEntriesWithDemand(home);
 }
 
-void AgentCore::On(const AgentViewRead& event) { this->AdoptView(event.view); }
+void AgentCore::On(const AgentViewRead& event) {
+  this->claim.NoteViewRead();
+  this->AdoptView(event.view);
+  this->CheckReady();
+}
+
+void AgentCore::On(const AddressFoundVacant& /*event*/) {
+  this->predecessors_over = true;
+}
+
+void AgentCore::On(const AddressClaimed& /*event*/) {
+  this->claim.NoteListed();
+}
+
+void AgentCore::ReleaseAddressIfVacant() {
+  using Upstream = AddressClaim::Upstream;
+  const bool is_idle = this->admission.running_count() == 0 &&
+                       this->admission.waiting_count() == 0;
+  const bool is_silent =
+      this->description && this->contact == UpstreamContact::kSilent;
+  Upstream upstream = Upstream::kPresent;
+  if (is_idle && this->upstream_leaving) {
+    upstream = Upstream::kDeparted;
+  } else if (is_idle && (is_silent || this->VacantAddress())) {
+    upstream = Upstream::kSilent;
+  }
+  if (!this->claim.Release(upstream, this->current_time)) return;
+  this->effects.emplace_back(ReleaseAddress{});
+}
+
+void AgentCore::ClaimAddressIfReleased() {
+  if (!this->claim.BeginClaim()) return;
+  this->ready = false;
+  this->ready_announced.clear();
+  this->acknowledged.clear();
+  this->effects.emplace_back(ClaimAddress{});
+  this->SendRegistrations();
+}
 
 void AgentCore::On(const LeaveRequested& /*event*/) {
   if (this->leaving) return;
@@ -227,6 +272,7 @@
   this->losses.Expire(this->current_time);
   this->recent_losses.Expire(this->current_time);
   this->StopOverdue();
+  this->ReleaseAddressIfVacant();
   const bool idle = this->admission.running_count() == 0 &&
                     this->admission.waiting_count() == 0;
   if (this->leaving && idle && !this->drained_reported) {
@@ -405,7 +451,7 @@
 
 void AgentCore::OnMessage(EntryId from, const EntryHeartbeat& message) {
   this->AdoptEvacuations(from, message.evacuations);
-  this->last_confirmed = std::max(this->last_confirmed, message.heard);
+  this->NoteConfirmed(message.heard);
   this->UpdateRenewal();
 }
 
@@ -460,7 +506,7 @@
 }
 
 void AgentCore::CheckReady() {
-  if (this->ready) return;
+  if (this->ready || !this->claim.is_claimed()) return;
   for (const ViewMember& member : this->view.members) {
     if (!this->acknowledged.contains(member.entry)) return;
   }
@@ -589,6 +635,18 @@
   this->StartQueued();
 }
 
+void AgentCore::NoteConfirmed(Timestamp sent_at) {
+  const Timestamp before = this->last_confirmed;
+  this->last_confirmed = std::max(before, sent_at);
+  const bool was_long_silent =
+      before != Timestamp() && this->last_confirmed - before > kLongSilence;
+  if (!was_long_silent) return;
+  this->claim.NoteLongSilence();
+  const bool has_upstream =
+      this->description && this->contact == UpstreamContact::kAnswering;
+  if (has_upstream) this->ClaimAddressIfReleased();
+}
+
 std::optional<Reason> AgentCore::NotAcceptingReason() const {
   if (!this->ready) return Reason::kAgentNotReady;
   if (this->leaving || this->upstream_leaving) return Reason::kAgentLeaving;
@@ -650,8 +708,10 @@
 }
 
 std::optional<Endpoint> AgentCore::VacantAddress() const {
+  const bool is_over = this->predecessors_over ||
+                       this->running_for > this->settings.predecessor_run_time;
   const bool is_vacant =
-      !this->description && this->running_for > this->settings.lease_run_time;
+      this->description ? this->claim.is_released() : is_over;
   return is_vacant ? std::optional(this->settings.admin_endpoint)
                    : std::nullopt;
 }
--- a/libraries/agent_core/agent_core.h
+++ b/libraries/agent_core/agent_core.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <vector>
 
+#include "libraries/agent_core/address_claim.h"
 #include "libraries/agent_core/agent_events.h"
 #include "libraries/agent_core/evacuation_guard.h"
 #include "libraries/agent_core/loss_suspects.h"
@@ -33,16 +34,19 @@
   DataCentreName data_centre;
   // Where this agent and all earlier ones on its instance are reached.
   Endpoint admin_endpoint{};
-  // The longest time for which tasks that an earlier agent has started can run
-  // on after this one has begun.
-  Duration lease_run_time = MaximumLeaseRunTime(std::chrono::seconds(1));
+  // The longest time for which tasks of an earlier agent can run, or begin to,
+  // after this one has begun.
+  Duration predecessor_run_time =
+      MaximumRunTime(std::chrono::seconds(1), StartConfirmation::kUnconfirmed);
+  // Whether the table lists the agents' addresses.
+  bool claims_address = false;
 };
 BOOST_DESCRIBE_STRUCT(StartedSetLimits, (),
                       (maximum_tasks, maximum_answer_bytes, duplicate_window))
 BOOST_DESCRIBE_STRUCT(AgentCoreSettings, (),
                       (self, bucket_count, started_set, registration_interval,
                        heartbeat_interval, contact_limit, data_centre,
-                       admin_endpoint, lease_run_time))
+                       admin_endpoint, predecessor_run_time, claims_address))
 
 // All decisions of an agent, as a deterministic state machine: the last check
 // before a task reaches its upstream. It uses no socket, thread, clock or
@@ -90,6 +94,8 @@
   void On(const UpstreamContactChanged& event);
   void On(const UpstreamLost& event);
   void On(const UpstreamContactBroken& event);
+  void On(const AddressFoundVacant& event);
+  void On(const AddressClaimed& event);
 
   void OnMessage(EntryId from, const RegisterAcknowledged& message);
   void OnMessage(EntryId from, const PromiseRequest& message);
@@ -135,6 +141,9 @@
   // Updates whether leases may be granted; returns the queued starts while they
   // may not.
   void UpdateRenewal();
+  // Records that an entry has confirmed the heartbeat that was sent at this
+  // time.
+  void NoteConfirmed(Timestamp sent_at);
   // Why the agent accepts no tasks; nothing while it accepts them.
   [[nodiscard]] std::optional<Reason> NotAcceptingReason() const;
   [[nodiscard]] bool ReportsNeighbours() const {
@@ -152,9 +161,15 @@
   void NotifyEntriesWithDemand(EntryId except);
   void SendHeartbeats();
   void Send(EntryId to, AgentMessage message);
-  // This agent's address, once no task is left there of an earlier agent.
-  // Nothing while there is an upstream: a registration shows the same.
+  // This agent's address, while no task is left there and none can start before
+  // each member of the view has acknowledged another registration. Nothing
+  // while there is an upstream: a registration shows the same.
   [[nodiscard]] std::optional<Endpoint> VacantAddress() const;
+  // Releases the address once no upstream is there and no task runs.
+  void ReleaseAddressIfVacant();
+  // Claims it for an upstream that is there. Until then the agent is not ready:
+  // entries that have joined meanwhile don't know it.
+  void ClaimAddressIfReleased();
   [[nodiscard]] BucketId BucketOfKey(const JobKey& key) const;
 
   struct ConnectedEntry {
@@ -199,6 +214,9 @@
   Timestamp current_time;
   // For how long this agent has run; a step of the clock adds little.
   Duration running_for{};
+  // The table has said that no task of an earlier agent is left.
+  bool predecessors_over = false;
+  AddressClaim claim;
   Timestamp latest_tick;
   Timestamp next_registration;
   Timestamp next_heartbeat;
--- a/libraries/agent_core/agent_events.h
+++ b/libraries/agent_core/agent_events.h
@@ -103,6 +103,20 @@
 };
 BOOST_DESCRIBE_STRUCT(AgentViewRead, (), (view))
 
+// The table says of this agent's address that no task of an earlier agent there
+// is running, nor will begin to.
+struct AddressFoundVacant {
+  static constexpr const char* kName = "address_found_vacant";
+};
+BOOST_DESCRIBE_STRUCT(AddressFoundVacant, (), ())
+
+// The table lists this agent's address again, after a ClaimAddress. A view that
+// is read from now on names every entry that does not know so.
+struct AddressClaimed {
+  static constexpr const char* kName = "address_claimed";
+};
+BOOST_DESCRIBE_STRUCT(AddressClaimed, (), ())
+
 struct LeaveRequested {
   static constexpr const char* kName = "leave_requested";
 };
@@ -120,7 +134,8 @@
     std::variant<UpstreamAnnounced, EntryConnected, EntryDisconnected,
                  EntryMessageReceived, UpstreamTaskCompleted, AgentViewRead,
                  LeaveRequested, AgentTick, UpstreamLeaving,
-                 UpstreamContactChanged, UpstreamLost, UpstreamContactBroken>;
+                 UpstreamContactChanged, UpstreamLost, UpstreamContactBroken,
+                 AddressFoundVacant, AddressClaimed>;
 
 struct SendToEntry {
   static constexpr const char* kName = "send_to_entry";
@@ -181,10 +196,25 @@
 };
 BOOST_DESCRIBE_STRUCT(OwnEvacuationChanged, (), (phase, version))
 
+// The upstream is gone and no task is running, nor will begin to. The agent
+// starts none before an AddressClaimed, so the table may mark its address as
+// vacant: entries that join need not wait for it.
+struct ReleaseAddress {
+  static constexpr const char* kName = "release_address";
+};
+BOOST_DESCRIBE_STRUCT(ReleaseAddress, (), ())
+
+// The upstream is back after a ReleaseAddress. The table must list the address
+// before any task is started.
+struct ClaimAddress {
+  static constexpr const char* kName = "claim_address";
+};
+BOOST_DESCRIBE_STRUCT(ClaimAddress, (), ())
+
 using AgentEffect =
     std::variant<SendToEntry, RunOnUpstream, StopOnUpstream, ConnectToMembers,
                  AgentDrained, StartRefusalCounted, RenewalChanged,
-                 OwnEvacuationChanged>;
+                 OwnEvacuationChanged, ReleaseAddress, ClaimAddress>;
 
 }  // namespace dandelionspur
 
--- a/libraries/decision_log/log_events.h
+++ b/libraries/decision_log/log_events.h
@@ -304,6 +304,16 @@
 };
 BOOST_DESCRIBE_STRUCT(OwnEvacuationLine, (), (phase, version, tasks_running))
 
+// The table is to mark an agent's address as vacant, so that entries that join
+// don't wait for it: its upstream is gone and no task is left (logged by the
+// agent), or the agent is, and no order of its can have an effect any more
+// (logged by an entry).
+struct AddressReleased {
+  static constexpr const char* kName = "address_released";
+  std::string address;
+};
+BOOST_DESCRIBE_STRUCT(AddressReleased, (), (address))
+
 // Callers reached a limit of client_limits; their connections were closed or
 // their requests refused. At most one line a second for each limit and
 // endpoint.
--- a/libraries/entry_core/agent_contacts.cc
+++ b/libraries/entry_core/agent_contacts.cc
@@ -136,6 +136,7 @@
 bool AgentContacts::RunsAreOver(const KnownAgent& agent,
                                 StartConfirmation starts, const View& view,
                                 Timestamp now) const {
+  if (agent.is_vacant) return true;
   if (agent.lost_at) return now >= this->RunsOverAt(agent, starts, view);
   if (now < agent.contact_at + this->settings.RunsOver(starts)) return false;
   if (this->RemovedMayHaveRuns(starts, now)) return false;
--- a/libraries/entry_core/agent_registry.cc
+++ b/libraries/entry_core/agent_registry.cc
@@ -101,6 +101,7 @@
     this->services[description.service].agents.push_back(&known);
   }
   known.description = description;
+  known.is_vacant = false;
   std::vector<AgentId> replaced;
   for (const auto& [id, other] : this->agents) {
     const bool same_address =
@@ -147,6 +148,8 @@
   std::vector<AgentSummary> summaries;
   summaries.reserve(this->agents.size());
   for (const auto& [id, known] : this->agents) {
+    // It has to register with the receiver before it starts a task.
+    if (known.is_vacant) continue;
     summaries.push_back({id, known.lost_at, known.ended_idle});
   }
   return summaries;
--- a/libraries/entry_core/agent_registry.h
+++ b/libraries/entry_core/agent_registry.h
@@ -41,6 +41,9 @@
   bool has_departed = false;
   // Since the last connection; no proof that the agent is dead.
   bool refuses_connections = false;
+  // The agent has reported since its latest registration that nothing runs at
+  // its address. It starts no task before this entry acknowledges another one.
+  bool is_vacant = false;
   // Set once the agent is proven dead or has departed.
   std::optional<Timestamp> lost_at;
   // No task was running there when the agent ended.
--- a/libraries/entry_core/entry_core.cc
+++ b/libraries/entry_core/entry_core.cc
@@ -9,11 +9,14 @@
 // An agent is sent a new view by this many entries, so that it learns of it if
 // some of them are lost.
 constexpr std::size_t kViewSenders = 3;
+// A release that the table has not carried out is repeated.
+constexpr Duration kReleaseInterval = std::chrono::seconds(2);
 
 }  // namespace
 
 EntryCore::EntryCore(const EntryCoreSettings& configured)
     : settings(configured),
+      lost_addresses(configured.self, this->registry),
       peers(configured.suspect_after),
       contacts(this->settings, this->registry, this->peers),
       view_spread(configured.self, this->peers),
@@ -224,6 +227,7 @@
     this->cancellations.Repeat(now);
     this->hand_over.ReplaceUnreachable(now);
     this->RemoveDeadMembers();
+    this->ReleaseLostAddresses();
     this->ownership.Expire(now - this->settings.duplicate_window);
     this->registry.Expire(now - this->settings.duplicate_window);
   }
@@ -481,6 +485,10 @@
   }
   KnownAgent* agent = this->registry.Find(from);
   if (agent != nullptr) {
+    // An older one may be read late, after the agent has registered.
+    if (message.sent_at > agent->newest_heartbeat) {
+      agent->is_vacant = message.vacant_address.has_value();
+    }
     agent->NoteHeartbeat(message.sent_at, this->current_time);
     agent->reports_epoch = message.epoch != Epoch();
     if (agent->reports_epoch) this->SendViewIfOutdated(*agent, message.epoch);
@@ -696,6 +704,20 @@
       WithLosses(WithoutLossesBefore(this->view(), horizon), losses)});
 }
 
+void EntryCore::ReleaseLostAddresses() {
+  if (!this->IsMember() || this->current_time < this->next_release) return;
+  this->next_release = this->current_time + kReleaseInterval;
+  constexpr auto kStarts = StartConfirmation::kUnconfirmed;
+  const std::vector<Endpoint> released =
+      this->lost_addresses.Find(this->view(), [&](AgentId agent) {
+        return this->ownership.RunsAreOver(agent, kStarts, this->current_time);
+      });
+  for (const Endpoint& address : released) {
+    this->outbox.Add(
+        ReleaseAgentAddress{address, this->settings.RunsOver(kStarts)});
+  }
+}
+
 std::vector<EntryLoss> EntryCore::LostMembers() const {
   const Timestamp now = this->current_time;
   std::vector<EntryLoss> losses;
--- a/libraries/entry_core/entry_core.h
+++ b/libraries/entry_core/entry_core.h
@@ -20,6 +20,7 @@
 #include "libraries/entry_core/memory_use.h"
 #include "libraries/entry_core/ownership.h"
 #include "libraries/entry_core/peer_directory.h"
+#include "libraries/entry_core/recovery/lost_addresses.h"
 #include "libraries/entry_core/refusal_confirmer.h"
 #include "libraries/entry_core/relay_table.h"
 #include "libraries/entry_core/view_spread.h"
@@ -155,6 +156,8 @@
   void Observe(const std::vector<BucketBallot>& seen);
   void MarkAgentLost(AgentId agent, AgentRuns runs, DeathEvidence evidence);
   void RemoveDeadMembers();
+  // Has the table forget the addresses of agents that have gone for good.
+  void ReleaseLostAddresses();
   // The members that have ended, or that seem to have ended.
   [[nodiscard]] std::vector<EntryLoss> LostMembers() const;
   void SendHeartbeats();
@@ -176,6 +179,7 @@
   EntryCoreSettings settings;
   EntryOutbox outbox;
   AgentRegistry registry;
+  LostAddresses lost_addresses;
   LocalHealth health;
   PeerDirectory peers;
   AgentContacts contacts;
@@ -192,6 +196,7 @@
   std::map<AgentId, Timestamp> disconnected_agents;
   Timestamp current_time;
   Timestamp next_repeat;
+  Timestamp next_release;
   Timestamp next_heartbeat;
   // When this entry first became a member. Only other members can report keys
   // and losses from before that time.
--- a/libraries/entry_core/entry_events.h
+++ b/libraries/entry_core/entry_events.h
@@ -220,6 +220,16 @@
 };
 BOOST_DESCRIBE_STRUCT(RetryCounted, (), (task, reason, agent))
 
+// No task of the agents at this address is running, nor will begin to, and none
+// of them has been heard for long. The table may mark the address as vacant
+// unless the row has changed within `unchanged_for`.
+struct ReleaseAgentAddress {
+  static constexpr const char* kName = "release_agent_address";
+  Endpoint address;
+  Duration unchanged_for{};
+};
+BOOST_DESCRIBE_STRUCT(ReleaseAgentAddress, (), (address, unchanged_for))
+
 // The home has refused a job; the members are the basis of the decision.
 struct JobRefused {
   static constexpr const char* kName = "job_refused";
@@ -330,7 +340,7 @@
                  ViewInForce, DocumentInForce, RetryCounted, JobRefused,
                  AgentLost, OwnershipChanged, RemovedFromView, EntryDrained,
                  QuarantineChanged, CancelAnswered, EvacuationChanged,
-                 InterferenceChanged>;
+                 InterferenceChanged, ReleaseAgentAddress>;
 
 }  // namespace dandelionspur
 
--- a/libraries/protocol/agent_row.h
+++ b/libraries/protocol/agent_row.h
@@ -15,7 +15,8 @@
 // row and writes nothing.
 struct AgentRow {
   Endpoint admin_endpoint;
-  // The agent has left as planned, with no task running.
+  // No task of the agents at the address is running, nor will begin to: the
+  // agent has left as planned, or its upstream has.
   bool has_departed = false;
 };
 BOOST_DESCRIBE_STRUCT(AgentRow, (), (admin_endpoint, has_departed))
--- a/services/agent/agent_row_writer.h
+++ b/services/agent/agent_row_writer.h
@@ -8,26 +8,38 @@
 
 namespace dandelionspur {
 
-// Lists the agent's address in the table, before the agent reads a view. Runs
-// on the table client's thread.
+// Whether the table lists an agent's address.
+enum class AddressListing {
+  // The table has not answered.
+  kUnknown,
+  kListed,
+  // There is no row, or one that says that no task of the agents there is
+  // running, nor will begin to.
+  kVacant,
+};
+
+// Lists the agent's address in the table, before the agent starts tasks, and
+// marks it as vacant. Runs on the table client's thread.
 class AgentRowWriter {
  public:
-  // Passed whether the address is known to be listed.
-  using Callback = std::function<void(bool is_listed)>;
+  using Callback = std::function<void(AddressListing)>;
 
   AgentRowWriter(TableClient& client, const Endpoint& admin_endpoint)
       : table(client), address(admin_endpoint) {}
 
-  // Makes sure that the address is listed. If the table doesn't answer, call it
-  // again.
-  void EnsureListed(Callback callback);
-  // Records that this agent has left and that no task is running. Passes the
-  // callback whether the address is still listed, as far as is known.
-  void MarkDeparted(Callback callback);
+  // Finds out whether the address is listed. If the table doesn't answer, call
+  // it again.
+  void Check(const Callback& callback);
+  // Lists the address. Always writes, so that a MarkVacant has no effect any
+  // more that the table carries out late. The same holds then.
+  void Claim(const Callback& callback);
+  // Records that no task is running at the address, nor will begin to.
+  void MarkVacant(const Callback& callback);
 
  private:
-  // Replaces the row `known`. Passes whether it was written.
-  void Write(const Row& known, bool has_departed, const Callback& callback);
+  // Replaces the row `known`, and passes `written` if that succeeds.
+  void Write(const Row& known, bool is_vacant, AddressListing written,
+             const Callback& callback);
 
   TableClient& table;
   Endpoint address;
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -23,6 +23,7 @@
 namespace http = boost::beast::http;
 
 constexpr std::chrono::milliseconds kTickInterval{50};
+constexpr std::chrono::milliseconds kClaimRetryInterval{200};
 constexpr IntegerRange kSlotRange{1, 1024};
 constexpr unsigned kOk = 200;
 constexpr unsigned kAccepted = 202;
@@ -39,7 +40,9 @@
                       static_cast<std::size_t>(settings.maximum_answer_bytes),
                       settings.duplicate_window};
   core.admin_endpoint = settings.admin;
-  core.lease_run_time = MaximumLeaseRunTime(settings.lease);
+  core.predecessor_run_time =
+      MaximumRunTime(settings.lease, StartConfirmation::kUnconfirmed);
+  core.claims_address = settings.lists_address;
   return core;
 }
 
@@ -91,6 +94,7 @@
       core(CoreSettings(configured, own)),
       log(this->core),
       tick_timer(this->core_thread.First()),
+      claim_timer(this->core_thread.First()),
       view_timer(this->core_thread.First()),
       view_reading(own) {
   this->log.Follow(configured.log.jobs_followed_per_thousand);
@@ -218,31 +222,61 @@
     return;
   }
   // Entries that join conclude from the list that they know all agents that
-  // were ready before.
-  this->row_writer->EnsureListed([this](bool is_listed) {
-    if (is_listed) {
-      this->ReadViewRow();
-    } else {
+  // were ready before. One that is not listed claims its address first.
+  this->row_writer->Check([this](AddressListing listing) {
+    if (listing == AddressListing::kUnknown) {
       this->ScheduleNextViewRead();
+      return;
+    }
+    if (listing == AddressListing::kVacant) this->Handle(AddressFoundVacant{});
+    this->ReadViewRow();
+  });
+}
+
+void AgentServer::Claim() {
+  this->row_writer->Claim([this](AddressListing listing) {
+    if (listing == AddressListing::kUnknown) {
+      this->claim_timer.expires_after(kClaimRetryInterval);
+      this->claim_timer.async_wait([this](boost::system::error_code error) {
+        if (!error) this->Claim();
+      });
+      return;
     }
+    this->Handle(AddressClaimed{});
+    this->ReadClaimedView();
+  });
+}
+
+void AgentServer::ReadClaimedView() {
+  this->table->ReadRow(kViewRow, [this](const std::optional<Row>& row) {
+    const bool is_read = this->HandleViewRow(row);
+    if (is_read) return;
+    this->claim_timer.expires_after(kClaimRetryInterval);
+    this->claim_timer.async_wait([this](boost::system::error_code error) {
+      if (!error) this->ReadClaimedView();
+    });
   });
 }
 
 void AgentServer::ReadViewRow() {
   this->table->ReadRow(kViewRow, [this](const std::optional<Row>& row) {
-    if (row && row->version != RowVersion()) {
-      const std::optional<View> view = DecodeViewRow(row->value);
-      if (view) {
-        this->Handle(AgentViewRead{*view});
-      } else {
-        this->metrics.Count("unreadable_configurations_total", "kind", "view");
-        LogStateChange(ConfigurationUnreadable{"row " + row->key});
-      }
-    }
+    this->HandleViewRow(row);
     this->ScheduleNextViewRead();
   });
 }
 
+bool AgentServer::HandleViewRow(const std::optional<Row>& row) {
+  if (!row || row->version == RowVersion()) return false;
+  const std::optional<View> view = DecodeViewRow(row->value);
+  if (!view) {
+    this->metrics.Count("unreadable_configurations_total", "kind", "view");
+    LogStateChange(ConfigurationUnreadable{"row " + row->key});
+    return false;
+  }
+  this->Handle(AgentViewRead{*view});
+  return true;
+}
+
 void AgentServer::SetUpstream(const AgentDescription& description,
                               const Endpoint& endpoint) {
   if (endpoint != this->upstream_endpoint) {
@@ -307,7 +341,7 @@
   auto timer = std::make_shared<asio::steady_timer>(this->core_thread.First(),
                                                     kSendGrace);
   timer->async_wait([this, timer](boost::system::error_code) {
-    this->row_writer->MarkDeparted([this](bool) {
+    this->row_writer->MarkVacant([this](AddressListing) {
       this->records->Flush([] { Lifetime::Finish(ExitCode::kSuccess); });
     });
   });
@@ -322,6 +356,17 @@
   if (effect.renewal == LeaseRenewal::kSuspended) this->ScheduleNextViewRead();
 }
 
+void AgentServer::Apply(const ReleaseAddress& /*effect*/) {
+  LogStateChange(AddressReleased{EndpointText(this->settings.admin)});
+  // If that fails, entries that join wait for this address as for any other.
+  this->row_writer->MarkVacant([](AddressListing) {});
+}
+
+void AgentServer::Apply(const ClaimAddress& /*effect*/) {
+  // Posted, since the core's other effects are still to be applied.
+  asio::post(this->core_thread.First(), [this] { this->Claim(); });
+}
+
 void AgentServer::UpdateGauges() {
   this->metrics.Set("tasks_running", static_cast<double>(this->core.running()));
   this->metrics.Set("tasks_remembered",
--- a/services/agent/agent_server.h
+++ b/services/agent/agent_server.h
@@ -57,6 +57,11 @@
   void ScheduleNextViewRead();
   void ReadView();
   void ReadViewRow();
+  // Returns whether the row holds a view.
+  bool HandleViewRow(const std::optional<Row>& row);
+  // Lists the address in the table again, and reads the view then.
+  void Claim();
+  void ReadClaimedView();
   // Adds this agent's id and admin endpoint to announcements of the upstream.
   void OnUpstreamEvent(AgentEvent event);
   void SetUpstream(const AgentDescription& description,
@@ -75,6 +80,8 @@
   void Apply(const OwnEvacuationChanged& /*effect*/) {}
   // PlatformUpstream itself queries the renewal state for each lease.
   void Apply(const RenewalChanged& effect);
+  void Apply(const ReleaseAddress& effect);
+  void Apply(const ClaimAddress& effect);
 
   AgentSettings settings;
   AgentId self;
@@ -98,6 +105,7 @@
   std::unique_ptr<TableClient> table;
   std::unique_ptr<AgentRowWriter> row_writer;
   boost::asio::steady_timer tick_timer;
+  boost::asio::steady_timer claim_timer;
   boost::asio::steady_timer view_timer;
   ViewReading view_reading;
   std::unique_ptr<HttpServer> admin_server;
--- a/services/entry/entry_server.cc
+++ b/services/entry/entry_server.cc
@@ -303,6 +303,10 @@
   this->table->Propose(effect.view);
 }
 
+void EntryServer::Apply(const ReleaseAgentAddress& effect) {
+  this->table->Release(effect);
+}
+
 void EntryServer::Apply(const ViewInForce& effect) {
   LogStateChange(
       ViewAdopted{effect.view.epoch.value(), effect.view.members.size()});
--- a/services/entry/entry_server.h
+++ b/services/entry/entry_server.h
@@ -85,6 +85,7 @@
   void Apply(SendToPeer& effect);
   void Apply(SendToAgent& effect);
   void Apply(const ProposeView& effect);
+  void Apply(const ReleaseAgentAddress& effect);
   void Apply(const ViewInForce& effect);
   void Apply(const DocumentInForce& effect);
   void Apply(const RetryCounted& effect);
--- a/services/entry/table_watcher.cc
+++ b/services/entry/table_watcher.cc
@@ -87,6 +87,7 @@
       table(thread, configured.table),
       own_feed(TableName::kOwn, thread),
       operator_feed(TableName::kOperators, thread),
+      agent_rows(this->table),
       admission_timer(thread) {}
 
 void TableWatcher::Start() {
@@ -182,6 +183,8 @@
     this->OnViewRow(row);
   } else if (JoinRequests::IsRowKey(row.key)) {
     this->OnJoinRow(row);
+  } else if (IsAgentRowKey(row.key)) {
+    this->agent_rows.OnRow(row, WallClockNow());
   } else if (row.key.starts_with(kServicePrefix)) {
     this->OnDocumentRow(row);
   }
@@ -366,6 +369,12 @@
              [this, proposed] { this->WriteView(proposed, {}); });
 }
 
+void TableWatcher::Release(const ReleaseAgentAddress& released) {
+  asio::post(this->context, [this, released] {
+    this->agent_rows.Release(released, WallClockNow());
+  });
+}
+
 void TableWatcher::WriteView(const View& proposed,
                              const std::vector<std::string>& obsolete_rows) {
   if (proposed.epoch.value() != this->view.epoch.value() + 1) return;
--- a/services/entry/table_watcher.h
+++ b/services/entry/table_watcher.h
@@ -14,6 +14,7 @@
 #include "libraries/configuration/settings.h"
 #include "libraries/telemetry/metrics.h"
 #include "platform/table_client.h"
+#include "services/entry/agent_row_releaser.h"
 #include "services/entry/entry_links.h"
 #include "services/entry/evacuation_rows.h"
 #include "services/entry/join_requests.h"
@@ -60,6 +61,8 @@
   // How long ago the latest finished reading of the view began; not set before
   // the first one.
   [[nodiscard]] std::optional<Duration> ViewAge(Timestamp now) const;
+  // Marks the address as vacant in the table.
+  void Release(const ReleaseAgentAddress& released);
   // Stops adding this entry to views that lack it.
   void StopJoining();
   // Writes the next version of a document if the table holds version `base`. If
@@ -134,6 +137,7 @@
   Feed own_feed;
   Feed operator_feed;
   EvacuationRows evacuation_rows;
+  AgentRowReleaser agent_rows;
   // The latest version of the operators' configuration, and its services.
   DocumentVersion newest_configuration;
   std::set<ServiceName> configured_services;
--- a/tests/agent_core/agent_core_test.cc
+++ b/tests/agent_core/agent_core_test.cc
@@ -20,19 +20,24 @@
 // An agent that one entry has acknowledged.
 class AgentCoreTest : public testing::Test {
  protected:
-  AgentCoreTest() : agent(Settings()) {
-    AgentDescription description;
-    description.capacity.millicores = 2 * kMillicoresPerCore;
-    this->Handle(UpstreamAnnounced{description});
+  explicit AgentCoreTest(const AgentCoreSettings& settings = Settings())
+      : agent(settings) {
+    this->Announce();
     ViewMember member;
     member.entry = EntryId(kEntry);
-    const View view = WithMember(View(), member, this->now);
-    this->Handle(AgentViewRead{view});
+    this->first_view = WithMember(View(), member, this->now);
+    this->Handle(AgentViewRead{this->first_view});
     this->Handle(EntryConnected{EntryId(kEntry)});
-    this->Deliver(RegisterAcknowledged{view, {}});
+    this->Deliver(RegisterAcknowledged{this->first_view, {}});
     this->Confirm();
   }
 
+  // An upstream with two cores announces itself.
+  std::vector<AgentEffect> Announce() {
+    AgentDescription description;
+    description.capacity.millicores = 2 * kMillicoresPerCore;
+    return this->Handle(UpstreamAnnounced{description});
+  }
   // The entry confirms a heartbeat that the agent sent at `now`.
   std::vector<AgentEffect> Confirm() {
     return this->Deliver(EntryHeartbeat{this->now});
@@ -88,6 +93,7 @@
 
   AgentCore agent;
   Timestamp now{std::chrono::seconds(1000)};
+  View first_view;
 };
 
 // One task of group 1 runs from 100 to 200 ms. The others run in these times.
@@ -1035,22 +1041,27 @@
   std::uint32_t ticks = 0;
   bool has_upstream = false;
   bool is_vacant = false;
+  // Whether the table says so of the agents before this one.
+  bool is_found_vacant = false;
 };
 
 class VacancyTest : public testing::TestWithParam<VacancyCase> {};
 
 // Guards against two runs of one task: what an earlier agent has started runs
-// on until its lease expires, while entries that join take it for over.
-TEST_P(VacancyTest, IsReportedOnceTheLeasesOfEarlierAgentsHaveExpired) {
+// on until its lease expires, or begins late, while entries that join take it
+// for over.
+TEST_P(VacancyTest, IsReportedOnceNoTaskOfAnEarlierAgentCanRun) {
   const VacancyCase& tested = this->GetParam();
   AgentCoreSettings settings;
   settings.self = AgentId(7);
   settings.bucket_count = 1;
   settings.admin_endpoint = {"10.0.0.1", 80};
-  settings.lease_run_time = MaximumLeaseRunTime(std::chrono::seconds(1));
+  settings.predecessor_run_time =
+      MaximumRunTime(std::chrono::seconds(1), StartConfirmation::kUnconfirmed);
   AgentCore agent(settings);
   Timestamp now{std::chrono::seconds(1000)};
   if (tested.has_upstream) agent.Handle(UpstreamAnnounced{}, now);
+  if (tested.is_found_vacant) agent.Handle(AddressFoundVacant{}, now);
   agent.Handle(EntryConnected{EntryId(kEntry)}, now);
   std::optional<Endpoint> reported;
   for (std::uint32_t i = 0; i < tested.ticks; ++i) {
@@ -1071,11 +1082,114 @@
 INSTANTIATE_TEST_SUITE_P(
     Ages, VacancyTest,
     testing::Values(
-        VacancyCase{"LeasesMayRun", milliseconds(50), 23, false, false},
-        VacancyCase{"LeasesHaveExpired", milliseconds(50), 28, false, true},
-        VacancyCase{"HasAnUpstream", milliseconds(50), 28, true, false},
-        VacancyCase{"ClockWasSetForward", std::chrono::seconds(1), 10, false,
-                    false}),
+        VacancyCase{"LateOrdersMayRun", milliseconds(50), 263, false, false},
+        VacancyCase{"NothingMayRun", milliseconds(50), 268, false, true},
+        VacancyCase{"HasAnUpstream", milliseconds(50), 268, true, false},
+        VacancyCase{"ClockWasSetForward", std::chrono::seconds(1), 200, false,
+                    false},
+        VacancyCase{"TableSaysSo", milliseconds(50), 4, false, true, true},
+        VacancyCase{"TableSaysSoBeforeAnUpstreamCame", milliseconds(50), 4,
+                    true, false, true}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
+struct ReleaseCase {
+  const char* name;
+  // Whether the upstream has announced its end before it falls silent.
+  bool departs = false;
+  // Whether a task runs, with its result unknown.
+  bool is_busy = false;
+  std::chrono::milliseconds silent_for{};
+  bool is_released = false;
+};
+
+class ReleaseTest : public AgentCoreTest,
+                    public testing::WithParamInterface<ReleaseCase> {
+ protected:
+  ReleaseTest() : AgentCoreTest(ClaimingSettings()) {
+    this->Claim();
+    this->Confirm();
+  }
+  static AgentCoreSettings ClaimingSettings() {
+    AgentCoreSettings settings = Settings();
+    settings.claims_address = true;
+    return settings;
+  }
+  // The address is listed, a view is read after that, and its entry knows the
+  // agent.
+  void Claim() {
+    this->Handle(AddressClaimed{});
+    this->Handle(AgentViewRead{this->first_view});
+    this->Deliver(RegisterAcknowledged{this->first_view, {}});
+  }
+  // Falls silent for the time of the case. Returns whether the address is
+  // released.
+  bool FallSilent() {
+    if (this->GetParam().is_busy) this->Deliver(StartOf(1));
+    if (this->GetParam().departs) this->Handle(UpstreamLeaving{});
+    this->Handle(UpstreamContactChanged{UpstreamContact::kSilent});
+    bool is_released = false;
+    const Timestamp until = this->now + this->GetParam().silent_for;
+    while (this->now < until) {
+      this->now += milliseconds(50);
+      this->Confirm();
+      is_released = is_released ||
+                    !Only<ReleaseAddress>(this->Handle(AgentTick{})).empty();
+    }
+    return is_released;
+  }
+  // Starts another task. Returns whether it runs.
+  bool Starts(std::uint64_t job) {
+    return !Only<RunOnUpstream>(this->Deliver(StartOf(job))).empty();
+  }
+};
+
+// Guards against entries that join after a loss of all processes and wait for
+// an upstream that is gone for good; and against an address that is released
+// while a task runs there or may begin to.
+TEST_P(ReleaseTest, AnAddressIsReleasedOnceItsUpstreamIsGone) {
+  EXPECT_EQ(this->FallSilent(), this->GetParam().is_released);
+}
+
+// Guards against entries that take the address of an agent that returns for
+// released: they may have released it after a silence for longer than a late
+// order takes.
+TEST_P(ReleaseTest, AfterALongSilenceTheAddressIsClaimedAgain) {
+  for (const bool is_long : {false, true}) {
+    this->now += is_long ? std::chrono::seconds(9) : std::chrono::seconds(7);
+    this->Handle(AgentTick{});
+    const auto claims = Only<ClaimAddress>(this->Confirm());
+    EXPECT_EQ(!claims.empty(), is_long);
+    EXPECT_EQ(this->Starts(1), !is_long);
+  }
+  this->Claim();
+  EXPECT_TRUE(this->Starts(2));
+}
+
+// Guards against tasks of an agent that entries which have joined meanwhile
+// don't know: it starts none before its address is listed and it has asked the
+// members of a view that was read after that.
+TEST_P(ReleaseTest, AfterAReleaseTheAddressIsClaimedBeforeAnyTaskStarts) {
+  const bool was_released = this->FallSilent();
+  const auto claims = Only<ClaimAddress>(this->Announce());
+  EXPECT_EQ(!claims.empty(), was_released);
+  EXPECT_EQ(this->Starts(2), !was_released);
+  if (!was_released) return;
+  this->Deliver(RegisterAcknowledged{this->first_view, {}});
+  this->Handle(AgentViewRead{this->first_view});
+  EXPECT_FALSE(this->Starts(3));
+  this->Handle(AddressClaimed{});
+  EXPECT_FALSE(this->Starts(4));
+  this->Handle(AgentViewRead{this->first_view});
+  EXPECT_TRUE(this->Starts(5));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Silences, ReleaseTest,
+    testing::Values(
+        ReleaseCase{"Short", false, false, milliseconds(4'900), false},
+        ReleaseCase{"Long", false, false, milliseconds(5'100), true},
+        ReleaseCase{"Departed", true, false, milliseconds(50), true},
+        ReleaseCase{"Busy", true, true, milliseconds(400), false}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
 // The pauses of an agent between readings of the view after it has lost contact
--- a/tests/entry_core/deliberate_fault_test.cc
+++ b/tests/entry_core/deliberate_fault_test.cc
@@ -110,6 +110,11 @@
             RerunPolicy::kAfterLease, false, FaultMix::kCrashingUpstreams},
         FaultCase{"ForgetCancelling", DeliberateFault::kForgetCancelling, 1,
                   RerunPolicy::kAfterLease},
+        FaultCase{"ConfirmUnansweredStarts",
+                  DeliberateFault::kConfirmUnansweredStarts, 301'000,
+                  RerunPolicy::kAfterLease, false, FaultMix::kLateOrders},
+        FaultCase{"IgnoreLateOrders", DeliberateFault::kIgnoreLateOrders, 1,
+                  RerunPolicy::kAfterLease, false, FaultMix::kLateOrders},
         // Mostly, an agent meets the entries that join before any job does.
         FaultCase{"OmitAgentFromTable", DeliberateFault::kOmitAgentFromTable,
                   2000, RerunPolicy::kAfterLease, false, FaultMix::kTableCuts},
--- a/tests/entry_core/protocol_fuzz_main.cc
+++ b/tests/entry_core/protocol_fuzz_main.cc
@@ -84,6 +84,7 @@
       "table-cuts",
       "also cut one entry off from the table in a restart of all")(
       "partitions", "also divide the network for long")(
+      "late-orders", "some orders are carried out late, while agents end")(
       "crashing-upstreams", "some tasks crash upstreams; capacities change")(
       "leases", "jobs may run again after their lease has expired")(
       "log", "print the events of every run")(
@@ -122,6 +123,9 @@
   if (parsed.count("crashing-upstreams") > 0) {
     options.simulation.fault_mix = dandelionspur::FaultMix::kCrashingUpstreams;
   }
+  if (parsed.count("late-orders") > 0) {
+    options.simulation.fault_mix = dandelionspur::FaultMix::kLateOrders;
+  }
   options.simulation.fault =
       static_cast<dandelionspur::DeliberateFault>(parsed["fault"].as<int>());
   return dandelionspur::Fuzz(options);
--- a/tests/entry_core/protocol_fuzz_test.cc
+++ b/tests/entry_core/protocol_fuzz_test.cc
@@ -90,6 +90,11 @@
                     // Guards against two sides of a partition that both act.
                     ClusterCase{"Partitions", 3, 3, RerunPolicy::kAfterLease,
                                 FaultMix::kPartitions},
+                    // Guards against two runs of a task where a start is
+                    // carried out late while its agent, and perhaps its home,
+                    // is lost, frozen or cut off.
+                    ClusterCase{"LateOrders", 3, 3, RerunPolicy::kAfterLease,
+                                FaultMix::kLateOrders},
                     ClusterCase{"CrashingUpstreams", 3, 3,
                                 RerunPolicy::kAfterLease,
                                 FaultMix::kCrashingUpstreams}),
--- a/tests/entry_core/unconfirmed_start_test.cc
+++ b/tests/entry_core/unconfirmed_start_test.cc
@@ -63,13 +63,28 @@
     description.agent = AgentId(this->agent.value() + 1'000);
     description.service = ServiceName("s");
     description.capacity = kOneSlot;
-    description.admin_endpoint.port = static_cast<std::uint16_t>(
-        this->agent.value() - this->entry.Agent(0).value() + 1);
+    description.admin_endpoint = this->AddressOfAgent();
     this->entry.Handle(AgentConnected{description.agent});
     return this->entry.Handle(AgentMessageReceived{
         description.agent, Register{description, Epoch(1)}});
   }
 
+  [[nodiscard]] Endpoint AddressOfAgent() const {
+    Endpoint address;
+    address.port = static_cast<std::uint16_t>(this->agent.value() -
+                                              this->entry.Agent(0).value() + 1);
+    return address;
+  }
+  static std::vector<Endpoint> ReleasesIn(
+      const std::vector<EntryEffect>& effects) {
+    std::vector<Endpoint> addresses;
+    for (const EntryEffect& effect : effects) {
+      const auto* release = std::get_if<ReleaseAgentAddress>(&effect);
+      if (release != nullptr) addresses.push_back(release->address);
+    }
+    return addresses;
+  }
+
   static constexpr std::uint64_t kJob = 1;
   EntryHarness entry;
   AgentId agent;
@@ -140,6 +155,21 @@
       StartsIn(this->entry.Submit(kJob, /*tasks=*/1, time_allowed)).size(), 1U);
 }
 
+// Guards against entries that join after a later loss of all processes and wait
+// for an agent that has gone for good; and against an address that is released
+// while a late order may start a task there.
+TEST_F(UnconfirmedStartTest, TheAddressOfALostAgentIsReleasedOnce) {
+  this->StartTask(seconds(1), 1U);
+  this->LoseAgent();
+  EXPECT_TRUE(ReleasesIn(this->Advance(kUnconfirmedOver - kSlack)).empty());
+  const std::vector<Endpoint> released =
+      ReleasesIn(this->Advance(seconds(2) + 2 * kSlack));
+  ASSERT_FALSE(released.empty());
+  EXPECT_EQ(released.front(), this->AddressOfAgent());
+  this->RegisterSuccessor();
+  EXPECT_TRUE(ReleasesIn(this->Advance(seconds(5))).empty());
+}
+
 // Guards against jobs that wait for a start of another one.
 TEST_F(UnconfirmedStartTest, OtherJobsDoNotWait) {
   this->StartTask(seconds(30), 1U);
--- a/tests/services/table_watcher_test.cc
+++ b/tests/services/table_watcher_test.cc
@@ -72,6 +72,13 @@
     this->context.run_for(kLongEnough);
   }
 
+  void Release(const ReleaseAgentAddress& released) {
+    this->writes.clear();
+    this->watcher->Release(released);
+    this->context.restart();
+    this->context.run_for(kLongEnough);
+  }
+
   [[nodiscard]] bool Counted(const std::string& kind) const {
     return this->metrics.SerializeToText().find(
                "unreadable_configurations_total{kind=\"" + kind + "\"}") !=
@@ -101,6 +108,8 @@
   std::vector<EvacuationSet> evacuations;
   bool agents_are_listed = false;
   std::vector<AgentAddressesRead> agent_lists;
+  // The transactions that the watcher has sent. None takes effect.
+  std::vector<json> writes;
 
  private:
   static std::string Answer(const json& rows) {
@@ -112,6 +121,7 @@
     constexpr unsigned kOk = 200;
     constexpr unsigned kConflict = 412;
     if (target.starts_with("/-/rows-tx")) {
+      this->writes.push_back(json::parse(request.body()));
       responder(MakeHttpResponse(kConflict, "application/json", "{}"));
       return;
     }
@@ -307,6 +317,47 @@
                     AgentRowsCase{"NotSetUp", false, 1, {}, std::nullopt}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
+struct ReleasedRowCase {
+  const char* name;
+  AgentRow row;
+  Duration unchanged_for{};
+  bool is_written = false;
+};
+
+class ReleasedRowTest : public TableWatcherTest,
+                        public testing::WithParamInterface<ReleasedRowCase> {};
+
+// Guards against the address of an agent that is marked as vacant although
+// another one has claimed it lately, or claims it just then.
+TEST_P(ReleasedRowTest, IsWrittenOnlyIfNoAgentCanHaveClaimedItSince) {
+  const Endpoint address{"10.0.0.1", 80};
+  const std::string key = AgentRowKey(address);
+  json rows = json::array();
+  rows.push_back(WireRow(key, EncodeAgentRow(this->GetParam().row)));
+  this->Read(rows, json::array());
+  this->Release({address, this->GetParam().unchanged_for});
+  std::vector<json> of_agent;
+  for (const json& write : this->writes) {
+    if (write["writes"][0]["key"] == key) of_agent.push_back(write);
+  }
+  ASSERT_EQ(of_agent.size(), this->GetParam().is_written ? 1U : 0U);
+  if (of_agent.empty()) return;
+  EXPECT_EQ(of_agent[0]["expected_rev"][0]["schema_version"], 5);
+  EXPECT_EQ(of_agent[0]["writes"][0]["value"],
+            EncodeBase64(EncodeAgentRow({address, true})));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, ReleasedRowTest,
+    testing::Values(ReleasedRowCase{"Listed", {{"10.0.0.1", 80}}, {}, true},
+                    ReleasedRowCase{"ListedLately",
+                                    {{"10.0.0.1", 80}},
+                                    std::chrono::seconds(14),
+                                    false},
+                    ReleasedRowCase{
+                        "Vacant", {{"10.0.0.1", 80}, true}, {}, false}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
 struct OddRowCase {
   const char* name;
   // The JSON text of the odd row.
--- a/tests/support/budgeted_cluster.cc
+++ b/tests/support/budgeted_cluster.cc
@@ -48,9 +48,11 @@
       log(this->clock),
       oracle(this->options, this->log),
       upstreams(this->clock),
+      late_orders(this->clock),
       faults(this->options.fault, this->network, this->clock),
       processes({this->options, this->clock, this->network, this->upstreams,
-                 this->table, this->faults, this->oracle, this->log}) {
+                 this->late_orders, this->table, this->faults, this->oracle,
+                 this->log}) {
   for (std::uint32_t i = 0; i < this->options.entries; ++i) {
     this->processes.StartEntry(i);
     Entry entry{0, ProcessorBudget(this->options.MillicoresOf(i)), {}, {}, 0,
@@ -195,7 +197,7 @@
   if (this->clock.Now() < this->next_agent_tick) return;
   this->next_agent_tick = this->clock.Now() + kTick;
   for (const NodeId agent : this->processes.AliveAgents()) {
-    this->processes.HandleAgent(agent, AgentTick{});
+    this->processes.TickAgent(agent);
   }
 }
 
--- a/tests/support/budgeted_cluster.h
+++ b/tests/support/budgeted_cluster.h
@@ -8,6 +8,7 @@
 
 #include "libraries/entry_core/call_queue.h"
 #include "tests/support/fault_injector.h"
+#include "tests/support/late_orders.h"
 #include "tests/support/processor_budget.h"
 #include "tests/support/simulated_clock.h"
 #include "tests/support/simulated_network.h"
@@ -104,6 +105,7 @@
   SimulationOracle oracle;
   SimulatedNetwork network;
   SimulatedUpstreams upstreams;
+  LateOrders late_orders;
   SimulatedTable table;
   FaultInjector faults;
   SimulatedProcesses processes;
--- a/tests/support/simulated_cluster.cc
+++ b/tests/support/simulated_cluster.cc
@@ -39,9 +39,11 @@
       log(this->clock),
       oracle(this->options, this->log),
       upstreams(this->clock),
+      late_orders(this->clock),
       faults(this->options.fault, this->network, this->clock),
       processes({this->options, this->clock, this->network, this->upstreams,
-                 this->table, this->faults, this->oracle, this->log}),
+                 this->late_orders, this->table, this->faults, this->oracle,
+                 this->log}),
       crashes(this->options, this->upstreams, this->processes, this->oracle) {
   for (std::uint32_t i = 0; i < this->options.entries; ++i) {
     this->processes.StartEntry(i);
@@ -154,6 +156,11 @@
   if (this->options.fault_mix == FaultMix::kCrashingUpstreams) {
     return this->InjectCrashFault(kind, choice);
   }
+  // Cancellings that the loss of all processes forgets have mixes of their own.
+  const bool ends_more_agents =
+      this->options.fault_mix == FaultMix::kLateOrders &&
+      (kind == 116 || kind == 123);
+  if (ends_more_agents) return this->KillAgent(choice);
   if (kind < 110) return this->DisturbLink(choice);
   if (kind < 113) return this->FreezeOrThaw(choice);
   if (kind < 117) return this->CutOrReconnect(choice);
@@ -181,7 +188,8 @@
     if (choice % 8 == 0) return this->Partition(choice / 8);
     return this->DeliverOutOfOrder(choice / 8);
   }
-  const bool refuses = this->options.fault_mix == FaultMix::kRefusingCuts;
+  const bool refuses = this->options.fault_mix == FaultMix::kRefusingCuts ||
+                       this->options.fault_mix == FaultMix::kLateOrders;
   if (choice % 2 == 0 && refuses) return this->CutWithRefusals(choice / 2);
   if (choice % 2 == 0) return this->CutPartially(choice / 2);
   this->DeliverOutOfOrder(choice / 2);
@@ -431,13 +439,14 @@
 void SimulatedCluster::AdvanceTime(Duration step) {
   this->clock.Advance(step);
   this->ExpireLeases();
+  this->processes.CarryOutLateOrders();
   for (const NodeId entry : this->processes.AliveEntries()) {
     if (this->processes.IsFrozen(entry)) continue;
     this->processes.Tick(entry);
   }
   for (const NodeId agent : this->processes.AliveAgents()) {
     if (this->processes.IsFrozen(agent)) continue;
-    this->processes.HandleAgent(agent, AgentTick{});
+    this->processes.TickAgent(agent);
     this->ExtendLeases(agent);
   }
 }
@@ -456,6 +465,10 @@
 void SimulatedCluster::ExtendLeases(NodeId agent) {
   if (!this->processes.IsAlive(agent)) return;
   if (this->processes.RenewalOf(agent) == LeaseRenewal::kSuspended) return;
+  if (this->late_orders.IsUpstreamSilent(agent)) return;
+  const bool is_unanswered = this->options.fault_mix == FaultMix::kLateOrders &&
+                             this->late_orders.IsNextUnanswered();
+  if (is_unanswered) return this->late_orders.AddRenewal(agent);
   this->upstreams.Renew(agent);
 }
 
--- a/tests/support/simulated_cluster.h
+++ b/tests/support/simulated_cluster.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "tests/support/fault_injector.h"
+#include "tests/support/late_orders.h"
 #include "tests/support/simulated_clock.h"
 #include "tests/support/simulated_crashes.h"
 #include "tests/support/simulated_network.h"
@@ -133,6 +134,7 @@
   SimulationOracle oracle;
   SimulatedNetwork network;
   SimulatedUpstreams upstreams;
+  LateOrders late_orders;
   SimulatedTable table;
   FaultInjector faults;
   SimulatedProcesses processes;
--- a/tests/support/simulated_processes.cc
+++ b/tests/support/simulated_processes.cc
@@ -62,6 +62,7 @@
       clock(surroundings.clock),
       network(surroundings.network),
       upstreams(surroundings.upstreams),
+      late_orders(surroundings.late_orders),
       table(surroundings.table),
       faults(surroundings.faults),
       oracle(surroundings.oracle),
@@ -73,6 +74,10 @@
   settings.bucket_count = this->options.buckets;
   if (this->options.fault == DeliberateFault::kAssumeLeaseExpiredEarly) {
     settings.lease_over_after = kMaximumLease / 4;
+    settings.unconfirmed_over_after = settings.lease_over_after;
+  }
+  if (this->options.fault == DeliberateFault::kIgnoreLateOrders) {
+    settings.unconfirmed_over_after = settings.lease_over_after;
   }
   return settings;
 }
@@ -90,6 +95,8 @@
   AgentCoreSettings settings;
   settings.self = AgentId(id);
   settings.bucket_count = this->options.buckets;
+  settings.claims_address =
+      this->options.fault != DeliberateFault::kOmitAgentFromTable;
   Agent agent;
   agent.core = std::make_unique<AgentCore>(settings);
   agent.slot = slot;
@@ -133,7 +140,9 @@
       this->options.fault != DeliberateFault::kKeepPredecessorTasks;
   if (!stops) return;
   for (const auto& [id, agent] : this->agents) {
-    if (agent.slot == slot) this->upstreams.Stop(id);
+    if (agent.slot != slot) continue;
+    this->upstreams.Stop(id);
+    this->late_orders.SupersedeAll(id);
   }
 }
 
@@ -211,13 +220,62 @@
 
 void SimulatedProcesses::ReadView(NodeId agent) {
   if (this->cut_from_table.contains(agent)) return;
-  const bool is_listed =
-      this->options.fault != DeliberateFault::kOmitAgentFromTable;
   const std::uint32_t slot = this->agents.at(agent).slot;
-  if (is_listed) this->table.ListAgent(DescriptionOf(slot).admin_endpoint);
+  const bool is_listed =
+      this->table.IsListed(DescriptionOf(slot).admin_endpoint);
+  if (!is_listed) this->HandleAgent(agent, AddressFoundVacant{});
   this->HandleAgent(agent, AgentViewRead{this->table.view()});
 }
 
+void SimulatedProcesses::TickAgent(NodeId agent) {
+  if (this->options.fault_mix == FaultMix::kLateOrders) {
+    this->ResolveLateOrders(agent);
+  }
+  AgentTick tick;
+  if (this->options.fault != DeliberateFault::kConfirmUnansweredStarts) {
+    tick.unconfirmed = this->late_orders.UnansweredStarts(agent);
+  }
+  this->HandleAgent(agent, tick);
+  const bool may_claim = this->claiming.contains(agent) && this->table.IsUp() &&
+                         !this->cut_from_table.contains(agent);
+  if (!may_claim) return;
+  this->claiming.erase(agent);
+  this->table.ListAgent(
+      DescriptionOf(this->agents.at(agent).slot).admin_endpoint,
+      this->clock.Now());
+  this->HandleAgent(agent, AddressClaimed{});
+  this->ReadView(agent);
+}
+
+void SimulatedProcesses::ResolveLateOrders(NodeId agent) {
+  const bool is_silent = this->late_orders.IsUpstreamSilent(agent);
+  this->HandleAgent(
+      agent, UpstreamContactChanged{is_silent ? UpstreamContact::kSilent
+                                              : UpstreamContact::kAnswering});
+  if (is_silent) return;
+  for (const TaskId& task : this->late_orders.SupersedeOverdue(agent)) {
+    this->HandleAgent(agent,
+                      UpstreamTaskCompleted{task, UpstreamResult::kUnanswered,
+                                            Payload(), Duration()});
+  }
+}
+
+void SimulatedProcesses::CarryOutLateOrders() {
+  for (const NodeId agent : this->late_orders.TakeDueRenewals()) {
+    this->log.Append("a late renewal of agent " + std::to_string(agent));
+    this->upstreams.Renew(agent);
+  }
+  for (const auto& start : this->late_orders.TakeDueStarts()) {
+    this->log.Append("a late start of " + ShortName(start.run.task) +
+                     " by agent " + std::to_string(start.agent));
+    SimulationOracle::StartConditions conditions;
+    conditions.still_runs = this->upstreams.IsRunning(start.run.task);
+    conditions.is_late = true;
+    this->oracle.RecordStart(start.run, conditions);
+    this->upstreams.Run(start.agent, start.run.task);
+  }
+}
+
 void SimulatedProcesses::Tick(NodeId entry) {
   EntryTick tick;
   const Timestamp read_at = this->entries.at(entry).view_read_at;
@@ -536,6 +594,15 @@
                    " by entry " + std::to_string(from));
 }
 
+void SimulatedProcesses::Apply(NodeId from,
+                               const ReleaseAgentAddress& released) {
+  const bool may_write =
+      this->table.IsUp() && !this->cut_from_table.contains(from);
+  if (!may_write) return;
+  this->log.Append("entry " + std::to_string(from) + " releases an address");
+  this->table.ReleaseAgent(released, this->clock.Now());
+}
+
 void SimulatedProcesses::Apply(NodeId from, const ViewInForce& in_force) {
   for (const ViewMember& member : in_force.view.members) {
     if (member.entry.value() == from) continue;
@@ -608,12 +675,32 @@
                                             Payload(), Duration()});
     return;
   }
+  const bool is_unanswered = this->options.fault_mix == FaultMix::kLateOrders &&
+                             this->late_orders.IsNextUnanswered();
+  if (is_unanswered) {
+    this->log.Append("the start gets no answer");
+    this->late_orders.AddStart(from, run);
+    return;
+  }
   this->oracle.RecordStart(
       run, {this->upstreams.IsRunning(run.task), this->agents.at(from).leaving,
             this->upstreams.IsFull(from)});
   this->upstreams.Run(from, run.task);
 }
 
+void SimulatedProcesses::Apply(NodeId from,
+                               const ReleaseAddress& /*released*/) {
+  const bool may_write =
+      this->table.IsUp() && !this->cut_from_table.contains(from);
+  if (!may_write) return;
+  this->table.ReleaseAgent(
+      DescriptionOf(this->agents.at(from).slot).admin_endpoint);
+}
+
+void SimulatedProcesses::Apply(NodeId from, const ClaimAddress& /*claimed*/) {
+  this->claiming.insert(from);
+}
+
 void SimulatedProcesses::Apply(NodeId from, const ConnectToMembers& members) {
   for (const ViewMember& member : members.view.members) {
     this->Connect(member.entry.value(), from);
--- a/tests/support/simulated_processes.h
+++ b/tests/support/simulated_processes.h
@@ -14,6 +14,7 @@
 #include "libraries/entry_core/entry_core.h"
 #include "tests/support/bucket_homes.h"
 #include "tests/support/fault_injector.h"
+#include "tests/support/late_orders.h"
 #include "tests/support/simulated_clock.h"
 #include "tests/support/simulated_network.h"
 #include "tests/support/simulated_table.h"
@@ -30,6 +31,7 @@
   const SimulatedClock& clock;
   SimulatedNetwork& network;
   SimulatedUpstreams& upstreams;
+  LateOrders& late_orders;
   SimulatedTable& table;
   FaultInjector& faults;
   SimulationOracle& oracle;
@@ -64,8 +66,12 @@
   // The entry reads and writes nothing in the table until RestoreTable.
   void CutFromTable(NodeId entry) { this->cut_from_table.insert(entry); }
   void RestoreTable() { this->cut_from_table.clear(); }
-  // Has the agent list its address in the table, and read the view there.
+  // Has the agent look its address up in the table, and read the view there.
   void ReadView(NodeId agent);
+  // A timer of the agent is due.
+  void TickAgent(NodeId agent);
+  // The upstreams carry out the late orders that are due.
+  void CarryOutLateOrders();
   // A timer of the entry is due.
   void Tick(NodeId entry);
   // Adds the entry to the view again if it has been removed from it.
@@ -147,6 +153,9 @@
   // there.
   void NotifyReplaced(std::uint32_t slot);
   void StopPredecessorTasks(std::uint32_t slot);
+  // Unless its upstream is silent, the agent has raised the token there after
+  // orders without an answer.
+  void ResolveLateOrders(NodeId agent);
   void ThawEntry(NodeId id);
   void ThawAgent(NodeId id);
   void NotifyConnectionChange(NodeId node, NodeId other, LinkChange change);
@@ -163,6 +172,7 @@
   void Apply(NodeId from, const SendToPeer& sent);
   void Apply(NodeId from, const SendToAgent& sent);
   void Apply(NodeId from, const ProposeView& proposal);
+  void Apply(NodeId from, const ReleaseAgentAddress& released);
   void Apply(NodeId from, const ViewInForce& in_force);
   void Apply(NodeId from, const RetryCounted& retried);
   void Apply(NodeId from, const OwnershipChanged& change);
@@ -173,6 +183,8 @@
   void Apply(NodeId from, const RunOnUpstream& run);
   void Apply(NodeId from, const ConnectToMembers& members);
   void Apply(NodeId from, const AgentDrained& drained);
+  void Apply(NodeId from, const ReleaseAddress& released);
+  void Apply(NodeId from, const ClaimAddress& claimed);
   // The other effects have none on the simulation.
   template <typename Effect>
   void Apply(NodeId /*from*/, const Effect& /*effect*/) {}
@@ -181,6 +193,7 @@
   const SimulatedClock& clock;
   SimulatedNetwork& network;
   SimulatedUpstreams& upstreams;
+  LateOrders& late_orders;
   SimulatedTable& table;
   FaultInjector& faults;
   SimulationOracle& oracle;
@@ -189,6 +202,8 @@
   std::map<NodeId, Agent> agents;
   BucketHomes bucket_homes;
   std::set<NodeId> cut_from_table;
+  // The agents that have yet to list their addresses in the table again.
+  std::set<NodeId> claiming;
   // The connections between entries, each from the one that has dialed it.
   std::set<std::pair<NodeId, NodeId>> dialed;
   NodeId last_node = 0;
--- a/tests/support/simulated_table.cc
+++ b/tests/support/simulated_table.cc
@@ -20,8 +20,20 @@
   this->current_view = WithMember(this->current_view, member, now);
 }
 
-void SimulatedTable::ListAgent(const Endpoint& address) {
-  if (this->up) this->agents.insert(address);
+void SimulatedTable::ReleaseAgent(const ReleaseAgentAddress& released,
+                                  Timestamp now) {
+  const auto found = this->agents.find(released.address);
+  if (found == this->agents.end()) return;
+  if (now - found->second < released.unchanged_for) return;
+  this->agents.erase(found);
+}
+
+std::vector<Endpoint> SimulatedTable::ListedAgents() const {
+  std::vector<Endpoint> listed;
+  for (const auto& [address, claimed_at] : this->agents) {
+    listed.push_back(address);
+  }
+  return listed;
 }
 
 SimulatedTable::ProposalResult SimulatedTable::Propose(const View& proposed) {
--- a/tests/support/simulated_table.h
+++ b/tests/support/simulated_table.h
@@ -1,7 +1,7 @@
 #ifndef DANDELIONSPUR_TESTS_SUPPORT_SIMULATED_TABLE_H_
 #define DANDELIONSPUR_TESTS_SUPPORT_SIMULATED_TABLE_H_
 
-#include <set>
+#include <map>
 #include <vector>
 
 #include "libraries/entry_core/entry_core.h"
@@ -24,10 +24,17 @@
   void AddMember(const ViewMember& member, Timestamp now);
 
   // Lists the address of an agent.
-  void ListAgent(const Endpoint& address);
-  [[nodiscard]] std::vector<Endpoint> ListedAgents() const {
-    return {this->agents.begin(), this->agents.end()};
+  void ListAgent(const Endpoint& address, Timestamp now) {
+    this->agents[address] = now;
   }
+  // Marks the address of an agent as vacant, so that it is not listed.
+  void ReleaseAgent(const Endpoint& address) { this->agents.erase(address); }
+  // The same, unless it was listed within `unchanged_for`.
+  void ReleaseAgent(const ReleaseAgentAddress& released, Timestamp now);
+  [[nodiscard]] bool IsListed(const Endpoint& address) const {
+    return this->agents.contains(address);
+  }
+  [[nodiscard]] std::vector<Endpoint> ListedAgents() const;
 
   enum class ProposalResult { kAccepted, kRejected };
   // Replaces the view, if `proposed` directly follows it.
@@ -38,7 +45,8 @@
  private:
   bool up = true;
   View current_view;
-  std::set<Endpoint> agents;
+  // The listed addresses, with the times at which they were claimed.
+  std::map<Endpoint, Timestamp> agents;
   DocumentVersion version;
 };
 
--- a/tests/support/simulation_options.h
+++ b/tests/support/simulation_options.h
@@ -62,6 +62,10 @@
   kForgetCancelling,
   // Entries are not told how old their reading of the view is.
   kHideViewAge,
+  // Agents report starts as confirmed that their upstreams have not answered.
+  kConfirmUnansweredStarts,
+  // Entries take starts for over with the lease that are not confirmed.
+  kIgnoreLateOrders,
 };
 
 // What happens to messages between entries that are in flight on a connection
@@ -80,15 +84,18 @@
 // on the connection that it has dialed itself, as a member of its view.
 // kPartitions: the network is divided for long, with one entry beside the table
 // and the others without it; each agent is on one side or the other.
-// kCrashingUpstreams: some tasks crash the upstreams that run them, capacities
-// change, and entries end; messages are delivered soon, and agents live on.
+// kLateOrders: as kRefusingCuts, with more agents that end; upstreams leave
+// some orders unanswered and carry them out late. kCrashingUpstreams: some
+// tasks crash the upstreams that run them, capacities change, and entries end;
+// messages are delivered soon, and agents live on.
 enum class FaultMix {
   kGeneral,
   kPartialCuts,
   kRefusingCuts,
   kTableCuts,
   kCrashingUpstreams,
-  kPartitions
+  kPartitions,
+  kLateOrders
 };
 
 // Whether the events of each entry are kept for a replay.
--- a/tests/support/simulation_oracle.cc
+++ b/tests/support/simulation_oracle.cc
@@ -53,6 +53,7 @@
   if (conditions.agent_leaves) this->Fail("a leaving agent starts");
   if (!(run.body == BodyOf(run.task))) this->Fail("a task has a wrong body");
   if (!this->IsWanted(run.task.key)) this->Fail("a refused submission starts");
+  if (conditions.is_late) return;
   const std::optional<std::string> cancelled =
       this->cancellations.OnStart(run.task.key);
   if (cancelled) this->Fail(*cancelled);
--- a/tests/support/simulation_oracle.h
+++ b/tests/support/simulation_oracle.h
@@ -57,6 +57,9 @@
     bool agent_leaves = false;
     // Whether the tasks that run there need all of the upstream's capacity.
     bool upstream_full = false;
+    // The upstream carries the order out late, perhaps after the job was
+    // cancelled.
+    bool is_late = false;
   };
   void RecordStart(const RunOnUpstream& run, const StartConditions& conditions);
   // Records that the agent's upstream was lost while it ran these tasks.
