--- a/libraries/entry_core/agent_contacts.cc
+++ b/libraries/entry_core/agent_contacts.cc
@@ -143,16 +143,15 @@
   const Timestamp over_at = this->RunsOverAt(agent, starts, view);
   if (now < over_at) return false;
   const bool hears_most = this->HearsMostMembers(view, now);
-  return std::all_of(view.members.begin(), view.members.end(),
-                     [&](const ViewMember& member) {
-                       if (member.entry == this->settings.self) return true;
-                       // The member would have reported a contact that renewed
-                       // a lease.
-                       if (this->peers.SightingsUpTo(member.entry) >= over_at)
-                         return true;
-                       return this->HasLongStoppedConfirming(
-                           member.entry, starts, hears_most, now);
-                     });
+  const auto is_over_at = [&](EntryId member) {
+    if (member == this->settings.self) return true;
+    // The member would have reported a contact that renewed a lease.
+    if (this->peers.SightingsUpTo(member) >= over_at) return true;
+    return this->HasLongStoppedConfirming(member, starts, hears_most, now);
+  };
+  return std::all_of(
+      view.members.begin(), view.members.end(),
+      [&](const ViewMember& member) { return is_over_at(member.entry); });
 }
 
 void AgentContacts::NoteMembersLeft(const View& former, const View& next) {
