entry_core: Take what concerns lost agents out of HomeJobs

LostRuns decides when tasks of lost agents run again, TaskRequeuer queues them; no behaviour changes. The tests of lost agents share their fixture.

--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -37,6 +37,8 @@
               this->queues, this->outstanding, effects},
       admission(configured.duplicate_window, registry),
       finisher(configured, this->context, this->admission, refusals),
+      requeuer(this->context, this->finisher),
+      lost_runs(configured, this->context, this->finisher, this->requeuer),
       early_refusals(this->context, this->admission, this->finisher),
       quarantine(this->context, this->early_refusals),
       losses(configured.duplicate_window),
@@ -143,7 +145,7 @@
     job.phase = JobPhase::kAwaitingHistory;
     this->jobs.Block(job.submission.key);
     const HistoryState history = this->ownership.HistoryOf(job.submission, now);
-    if (this->RefuseIfUnsettled(job, now)) return;
+    if (this->lost_runs.RefuseIfUnsettled(job, now)) return;
     if (history == HistoryState::kIncomplete) return;
     const std::vector<ReportedTask> found =
         this->ownership.ReportedTasks(job.submission.key);
@@ -200,34 +202,13 @@
       if (task.phase == TaskPhase::kQuerying) {
         task.unsettled_agents.push_back(found.agent);
       } else {
-        this->QueryTask(job, found);
+        this->requeuer.Query(job, found);
       }
     }
   }
   for (const TaskIndex task : QueueOrder(job)) this->queues.AddTask(job, task);
 }
 
-bool HomeJobs::RefuseIfUnsettled(HomeJob& job, Timestamp now) {
-  if (!job.IsRerunnable()) return false;
-  const std::optional<Timestamp> settled_at =
-      this->ownership.HistoryCompleteAt(job.submission, now);
-  if (!settled_at || *settled_at <= job.UsefulUntil()) return false;
-  this->finisher.Finish(
-      job, JobAnswer::MayHaveRun(Reason::kAgentLost, *settled_at - now), now);
-  return true;
-}
-
-void HomeJobs::QueryTask(HomeJob& job, const ReportedTask& run) {
-  this->outstanding.Add(job, run.task, run.agent, TaskPhase::kQuerying,
-                        StartSuspicion::kNone);
-  job.tasks[run.task.value()].confirmation = run.start;
-  const JobKey& key = job.submission.key;
-  const BucketId bucket = this->ownership.BucketOfKey(key);
-  this->outbox.ToAgent(
-      run.agent,
-      Renounce{{key, run.task}, this->ownership.Promised(bucket), 0});
-}
-
 void HomeJobs::Cancel(const JobKey& key, Timestamp now) {
   HomeJob* job = this->jobs.Find(key);
   if (job != nullptr) this->finisher.Abandon(*job, Reason::kCancelled, now);
@@ -423,12 +404,12 @@
   if (stale) return;
   this->outstanding.Remove(*job, report.task.task);
   if (report.outcome == TaskOutcome::kFailed) ++task.failures;
-  if (this->MayRunAgain(*job, task, report.outcome)) {
-    this->Requeue(*job, report.task.task,
-                  report.outcome == TaskOutcome::kFailed
-                      ? Reason::kTaskFailed
-                      : Reason::kUpstreamBroken,
-                  now);
+  if (TaskRequeuer::MayRunAgain(*job, task, report.outcome)) {
+    this->requeuer.Requeue(*job, report.task.task,
+                           report.outcome == TaskOutcome::kFailed
+                               ? Reason::kTaskFailed
+                               : Reason::kUpstreamBroken,
+                           now);
     return;
   }
   task.phase = TaskPhase::kSucceeded;
@@ -454,13 +435,6 @@
   this->finisher.Finish(*job, JobAnswer::Complete(std::move(results)), now);
 }
 
-bool HomeJobs::MayRunAgain(const HomeJob& job, const TaskRecord& task,
-                           TaskOutcome outcome) {
-  if (!job.IsRerunnable()) return false;
-  if (outcome == TaskOutcome::kSucceeded) return false;
-  return task.failures < job.submission.maximum_attempts;
-}
-
 void HomeJobs::OnTaskNotRun(AgentId from, const TaskNotRun& message,
                             Timestamp now) {
   KnownAgent* agent = this->agents.Find(from);
@@ -484,7 +458,7 @@
         job->submission.tasks[message.task.task.value()];
     this->health.ObserveFull(*agent, request.need, now);
   }
-  this->Requeue(*job, message.task.task, message.reason, now);
+  this->requeuer.Requeue(*job, message.task.task, message.reason, now);
 }
 
 void HomeJobs::OnRenounceReply(AgentId from, const RenounceReply& message,
@@ -515,7 +489,7 @@
   }
   this->outstanding.Remove(*job, report.task.task);
   --job->started;
-  this->Requeue(*job, report.task.task, Reason::kRenounced, now);
+  this->requeuer.Requeue(*job, report.task.task, Reason::kRenounced, now);
 }
 
 void HomeJobs::OnAgentLoad(AgentId from, const AgentLoad& load) {
@@ -554,80 +528,6 @@
   }
 }
 
-std::size_t HomeJobs::UnconfirmedAt(AgentId agent) {
-  const std::vector<TaskId> started = this->outstanding.StartedAt(agent);
-  const auto unconfirmed =
-      std::count_if(started.begin(), started.end(), [&](const TaskId& id) {
-        const HomeJob* job = this->jobs.Find(id.key);
-        return job != nullptr && job->tasks[id.task.value()].confirmation ==
-                                     StartConfirmation::kUnconfirmed;
-      });
-  return static_cast<std::size_t>(unconfirmed);
-}
-
-void HomeJobs::OnAgentLost(AgentId agent, AgentRuns runs, Timestamp now) {
-  for (const TaskId& id : this->outstanding.StartedAt(agent)) {
-    HomeJob* job = this->jobs.Find(id.key);
-    if (job == nullptr) continue;
-    TaskRecord& task = job->tasks[id.task.value()];
-    const bool may_run_again =
-        this->MayRunAgain(*job, task, TaskOutcome::kUnknown);
-    if (may_run_again && runs == AgentRuns::kEnded) {
-      this->outstanding.Remove(*job, id.task);
-      this->Requeue(*job, id.task, Reason::kAgentLost, now);
-      continue;
-    }
-    // Waiting until the run is over makes sense only if the answer is still of
-    // use by then.
-    const bool may_wait =
-        may_run_again &&
-        now + this->settings.RunsOver(task.confirmation) <= job->UsefulUntil();
-    if (may_wait) continue;
-    const Duration retry_after =
-        may_run_again ? this->UnsettledFor(*job, now) : Duration();
-    this->finisher.Finish(
-        *job, JobAnswer::MayHaveRun(Reason::kAgentLost, retry_after), now);
-  }
-}
-
-Duration HomeJobs::UnsettledFor(const HomeJob& job, Timestamp now) const {
-  Timestamp settled_at = now;
-  for (const TaskRecord& task : job.tasks) {
-    if (!task.IsOutstanding()) continue;
-    const KnownAgent* agent = this->agents.Find(task.agent);
-    const bool can_be_asked =
-        agent != nullptr && !agent->lost_at && !agent->refuses_connections;
-    if (can_be_asked) continue;
-    settled_at = std::max(settled_at, this->ownership.RunsOverAt(
-                                          task.agent, task.confirmation, now));
-  }
-  return settled_at - now;
-}
-
-void HomeJobs::RequeueAfterLeases(Timestamp now) {
-  this->outstanding.RemoveIdleAgents();
-  std::vector<TaskId> at_silent_agents;
-  for (const auto& [agent, tasks] : this->outstanding.by_agent()) {
-    const bool is_silent =
-        this->ownership.RunsAreOver(agent, StartConfirmation::kConfirmed, now);
-    if (!is_silent) continue;
-    at_silent_agents.insert(at_silent_agents.end(), tasks.begin(), tasks.end());
-  }
-  for (const TaskId& id : at_silent_agents) {
-    HomeJob* job = this->jobs.Find(id.key);
-    if (job == nullptr) continue;
-    TaskRecord& task = job->tasks[id.task.value()];
-    const bool is_over =
-        this->ownership.RunsAreOver(task.agent, task.confirmation, now);
-    if (!is_over) continue;
-    // Tasks that must not run again wait for the agent's report after it
-    // reconnects.
-    if (!this->MayRunAgain(*job, task, TaskOutcome::kUnknown)) continue;
-    this->outstanding.Remove(*job, id.task);
-    this->Requeue(*job, id.task, Reason::kAgentLost, now);
-  }
-}
-
 std::vector<ServiceBacklog> HomeJobs::Backlogs() {
   std::vector<ServiceBacklog> backlogs;
   for (const auto& [name, service] : this->queues.all()) {
@@ -659,7 +559,7 @@
   this->early_refusals.AbandonBeforeDeadlines(now);
   this->early_refusals.RefuseUnservable(now);
   this->early_refusals.RefuseEvacuated(now);
-  this->RequeueAfterLeases(now);
+  this->lost_runs.RequeueEnded(now);
   this->AdvanceBlocked(now);
   this->finisher.Expire(now);
   this->losses.Expire(now);
@@ -682,32 +582,4 @@
   }
 }
 
-void HomeJobs::Requeue(HomeJob& job, TaskIndex index, Reason reason,
-                       Timestamp now) {
-  TaskRecord& task = job.tasks[index.value()];
-  task.phase = TaskPhase::kQueued;
-  // kNoFreeSlot is no failure: another home has taken the slot, and the agent's
-  // load reports show when to try again. Nor is an evacuation.
-  const bool has_failed =
-      reason != Reason::kNoFreeSlot && reason != Reason::kDataCentreEvacuated;
-  if (has_failed) task.retried = true;
-  if (job.phase != JobPhase::kRunning) return;
-  if (!task.unsettled_agents.empty()) {
-    const AgentId next = task.unsettled_agents.back();
-    task.unsettled_agents.pop_back();
-    this->QueryTask(job, {index, next});
-    return;
-  }
-  ServiceState* service = this->queues.Of(job);
-  const bool may_retry =
-      !has_failed || service == nullptr || service->TakeRetry();
-  if (!may_retry) {
-    this->finisher.Refuse(job, Reason::kRetryBudgetExhausted, now);
-    return;
-  }
-  this->outbox.Add(
-      RetryCounted{{job.submission.key, index}, reason, task.agent});
-  this->queues.AddTask(job, index);
-}
-
 }  // namespace dandelionspur
--- a/libraries/entry_core/home_jobs.h
+++ b/libraries/entry_core/home_jobs.h
@@ -17,20 +17,19 @@
 #include "libraries/entry_core/home_job.h"
 #include "libraries/entry_core/job_finisher.h"
 #include "libraries/entry_core/job_table.h"
+#include "libraries/entry_core/lost_runs.h"
 #include "libraries/entry_core/outstanding_tasks.h"
 #include "libraries/entry_core/ownership.h"
 #include "libraries/entry_core/quarantine_control.h"
 #include "libraries/entry_core/refusal_confirmer.h"
 #include "libraries/entry_core/service_queues.h"
 #include "libraries/entry_core/task_dispatcher.h"
+#include "libraries/entry_core/task_requeuer.h"
 #include "libraries/entry_core/upstream_health.h"
 #include "libraries/protocol/upstream_losses.h"
 
 namespace dandelionspur {
 
-// Whether runs started by a lost agent may still continue at its upstream.
-enum class AgentRuns { kMayContinue, kEnded };
-
 struct ServiceSuspicions {
   ServiceName service;
   std::vector<Suspicion> suspicions;
@@ -107,10 +106,9 @@
   // The agent has connected or reconnected. Queries the state of tasks that
   // were sent to it earlier.
   void OnAgentConnected(AgentId agent);
-  void OnAgentLost(AgentId agent, AgentRuns runs, Timestamp now);
-  // Queues again the rerunnable tasks that were started at agents whose leases
-  // must have expired because the agent was lost, suspended or disconnected.
-  void RequeueAfterLeases(Timestamp now);
+  void OnAgentLost(AgentId agent, AgentRuns runs, Timestamp now) {
+    this->lost_runs.OnAgentLost(agent, runs, now);
+  }
   // Advances the jobs that wait for a witness or for reports of what the agents
   // have started.
   void AdvanceBlocked(Timestamp now);
@@ -151,7 +149,9 @@
     return this->outstanding.CountAt(agent);
   }
   // Number of those whose starts aren't confirmed.
-  [[nodiscard]] std::size_t UnconfirmedAt(AgentId agent);
+  [[nodiscard]] std::size_t UnconfirmedAt(AgentId agent) {
+    return this->lost_runs.UnconfirmedAt(agent);
+  }
   [[nodiscard]] const CachedAnswer* FindAnswer(const JobKey& key) const {
     return this->finisher.FindAnswer(key);
   }
@@ -171,15 +171,6 @@
   // Asks a further entry to record the job's key.
   void RequestWitness(const HomeJob& job, Timestamp now);
   void StartRunning(HomeJob& job, Timestamp now);
-  // Answers the callers of a job that may run again at once if lost or
-  // unreachable agents may still run its tasks, or begin to, for longer than
-  // the callers can wait. Returns whether it did.
-  bool RefuseIfUnsettled(HomeJob& job, Timestamp now);
-  // How long lost or unreachable agents may still run tasks that this home has
-  // started for the job, or begin to.
-  [[nodiscard]] Duration UnsettledFor(const HomeJob& job, Timestamp now) const;
-  // Asks the agent of the run for its state.
-  void QueryTask(HomeJob& job, const ReportedTask& run);
   // Applies the agent's report of its load, and of the starts that are
   // confirmed.
   void NoteLoad(KnownAgent& agent, const AgentLoad& load);
@@ -192,13 +183,6 @@
                          const KnownAgent& agent, const TaskFinished& message,
                          Timestamp now);
   void UpdateInterference(Timestamp now);
-  // Whether a task may be started again after a run with this outcome.
-  static bool MayRunAgain(const HomeJob& job, const TaskRecord& task,
-                          TaskOutcome outcome);
-  // Queues a task again after its start was proven "not run", or after its run
-  // if the task may run again. Draws on the retry budget unless the agent had
-  // no free slot.
-  void Requeue(HomeJob& job, TaskIndex index, Reason reason, Timestamp now);
 
   EntryCoreSettings settings;
   Ownership& ownership;
@@ -211,6 +195,8 @@
   HomeContext context;
   Admission admission;
   JobFinisher finisher;
+  TaskRequeuer requeuer;
+  LostRuns lost_runs;
   EarlyRefusals early_refusals;
   QuarantineControl quarantine;
   UpstreamLosses losses;
--- a/tests/entry_core/refused_connection_test.cc
+++ b/tests/entry_core/refused_connection_test.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <vector>
 
-#include "tests/support/entry_harness.h"
+#include "tests/support/lost_agent_case.h"
 
 namespace dandelionspur {
 namespace {
@@ -22,11 +22,10 @@
   return proposals;
 }
 
-// An entry that is the home of all buckets, with two agents of one slot, and
-// one running task.
-class RefusedConnectionTest : public testing::Test {
+// One task runs at the agent that is lost.
+class RefusedConnectionTest : public LostAgentCase {
  protected:
-  RefusedConnectionTest() : entry(/*agent_count=*/2, /*slots=*/1) {
+  RefusedConnectionTest() {
     const std::vector<SendToAgent> starts =
         StartsIn(this->entry.Submit(1, /*tasks=*/1, seconds(5)));
     EXPECT_EQ(starts.size(), 1U);
@@ -35,31 +34,6 @@
     // The upstream has carried out the start.
     this->entry.SendHeartbeat(this->agent, this->entry.Load(1, 1));
   }
-
-  // The connection to the task's agent breaks, and another is refused.
-  std::vector<EntryEffect> RefuseConnections() {
-    this->entry.Handle(AgentDisconnected{this->agent});
-    return this->entry.Handle(AgentRefusesConnections{this->agent});
-  }
-  AgentId OtherAgent() const {
-    const AgentId first = this->entry.Agent(0);
-    return this->agent == first ? this->entry.Agent(1) : first;
-  }
-  // Advances time while the other agent sends heartbeats.
-  std::vector<EntryEffect> Advance(Duration step) {
-    std::vector<EntryEffect> all;
-    const Timestamp until = this->entry.now() + step;
-    while (this->entry.now() < until) {
-      this->entry.SendHeartbeat(this->OtherAgent(), this->entry.Load(0, 0));
-      for (EntryEffect& effect : this->entry.Advance(milliseconds(50))) {
-        all.push_back(std::move(effect));
-      }
-    }
-    return all;
-  }
-
-  EntryHarness entry;
-  AgentId agent;
 };
 
 // Guards against two runs of one task: the agent of a refused connection may
--- a/tests/entry_core/unconfirmed_start_test.cc
+++ b/tests/entry_core/unconfirmed_start_test.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "tests/support/entry_harness.h"
+#include "tests/support/lost_agent_case.h"
 
 namespace dandelionspur {
 namespace {
@@ -18,13 +18,10 @@
 constexpr Duration kConfirmedOver =
     RunsOverAfter(seconds(1), StartConfirmation::kConfirmed);
 
-// An entry that is the home of all buckets, with two agents of one slot. It has
-// started a task at one of them, whose report says whether the upstream has
-// carried out the start; then that agent is gone.
-class UnconfirmedStartTest : public testing::Test {
+// The entry has started a task at the agent that is lost, whose last report
+// says whether the upstream has carried out the start.
+class UnconfirmedStartTest : public LostAgentCase {
  protected:
-  UnconfirmedStartTest() : entry(/*agent_count=*/2, /*slots=*/1) {}
-
   // Submits a job and lets its agent report how many of its starts aren't
   // confirmed; nothing from an earlier version.
   void StartTask(Duration time_allowed, std::optional<std::uint32_t> reported) {
@@ -36,27 +33,6 @@
     load.starts_unconfirmed = reported;
     this->entry.SendHeartbeat(this->agent, load);
   }
-  // The connection to the task's agent breaks, and another is refused.
-  std::vector<EntryEffect> LoseAgent() {
-    this->entry.Handle(AgentDisconnected{this->agent});
-    return this->entry.Handle(AgentRefusesConnections{this->agent});
-  }
-  AgentId OtherAgent() const {
-    const AgentId first = this->entry.Agent(0);
-    return this->agent == first ? this->entry.Agent(1) : first;
-  }
-  // Advances time while the other agent sends heartbeats.
-  std::vector<EntryEffect> Advance(Duration step) {
-    std::vector<EntryEffect> all;
-    const Timestamp until = this->entry.now() + step;
-    while (this->entry.now() < until) {
-      this->entry.SendHeartbeat(this->OtherAgent(), this->entry.Load(0, 0));
-      for (EntryEffect& effect : this->entry.Advance(milliseconds(50))) {
-        all.push_back(std::move(effect));
-      }
-    }
-    return all;
-  }
   // Another agent at the address has found nothing running, and registers.
   std::vector<EntryEffect> RegisterSuccessor() {
     AgentDescription description;
@@ -86,8 +62,6 @@
   }
 
   static constexpr std::uint64_t kJob = 1;
-  EntryHarness entry;
-  AgentId agent;
 };
 
 struct ReportCase {
@@ -105,7 +79,7 @@
 // guards against waiting for starts that the upstream has answered.
 TEST_P(StartReportTest, ATaskRunsElsewhereOnceItsStartHasNoEffect) {
   this->StartTask(seconds(30), this->GetParam().unconfirmed);
-  EXPECT_TRUE(StartsIn(this->LoseAgent()).empty());
+  EXPECT_TRUE(StartsIn(this->RefuseConnections()).empty());
   EXPECT_TRUE(
       StartsIn(this->Advance(this->GetParam().over_after - kSlack)).empty());
   const std::vector<SendToAgent> restarts = StartsIn(this->Advance(2 * kSlack));
@@ -125,7 +99,7 @@
 // fencing token at the upstream.
 TEST_F(UnconfirmedStartTest, TheSuccessorOfTheAgentEndsTheWait) {
   this->StartTask(seconds(30), 1U);
-  this->LoseAgent();
+  this->RefuseConnections();
   EXPECT_TRUE(StartsIn(this->Advance(seconds(4))).empty());
   EXPECT_EQ(StartsIn(this->RegisterSuccessor()).size(), 1U);
 }
@@ -135,7 +109,7 @@
 TEST_F(UnconfirmedStartTest, CallersThatCannotWaitAreToldWhenToComeBack) {
   const Duration time_allowed = milliseconds(1'500);
   this->StartTask(time_allowed, 1U);
-  const std::vector<AnswerCaller> lost = AnswersIn(this->LoseAgent());
+  const std::vector<AnswerCaller> lost = AnswersIn(this->RefuseConnections());
   ASSERT_EQ(lost.size(), 1U);
   EXPECT_EQ(lost.front().answer.verdict, Verdict::kMayHaveRun);
   EXPECT_EQ(lost.front().answer.reason, Reason::kAgentLost);
@@ -160,7 +134,7 @@
 // while a late order may start a task there.
 TEST_F(UnconfirmedStartTest, TheAddressOfALostAgentIsReleasedOnce) {
   this->StartTask(seconds(1), 1U);
-  this->LoseAgent();
+  this->RefuseConnections();
   EXPECT_TRUE(ReleasesIn(this->Advance(kUnconfirmedOver - kSlack)).empty());
   const std::vector<Endpoint> released =
       ReleasesIn(this->Advance(seconds(2) + 2 * kSlack));
@@ -173,7 +147,7 @@
 // Guards against jobs that wait for a start of another one.
 TEST_F(UnconfirmedStartTest, OtherJobsDoNotWait) {
   this->StartTask(seconds(30), 1U);
-  this->LoseAgent();
+  this->RefuseConnections();
   this->Advance(milliseconds(50));
   EXPECT_EQ(StartsIn(this->entry.Submit(2, /*tasks=*/1, seconds(1))).size(),
             1U);
