agent_core, entry_core: A returning agent with a task isn't vacant

`AnAddressWithATaskIsNotReportedAsVacant` fails without the change. - A confirmed start was looked up in the job of its key without regard to the number of tasks: after a refusal, another job with fewer tasks may have come under the same key.

--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -710,8 +710,10 @@
 std::optional<Endpoint> AgentCore::VacantAddress() const {
   const bool is_over = this->predecessors_over ||
                        this->running_for > this->settings.predecessor_run_time;
+  const bool is_idle = this->admission.running_count() == 0 &&
+                       this->admission.waiting_count() == 0;
   const bool is_vacant =
-      this->description ? this->claim.is_released() : is_over;
+      this->description ? is_idle && this->claim.is_released() : is_over;
   return is_vacant ? std::optional(this->settings.admin_endpoint)
                    : std::nullopt;
 }
--- a/libraries/entry_core/home_jobs.cc
+++ b/libraries/entry_core/home_jobs.cc
@@ -504,7 +504,10 @@
   agent.NoteLoad(load);
   for (const SentStart& start : agent.TakeConfirmedStarts()) {
     HomeJob* job = this->jobs.Find(start.task.key);
-    if (job == nullptr) continue;
+    // After a refusal another job may have come under the same key.
+    const bool is_known =
+        job != nullptr && start.task.task.value() < job->tasks.size();
+    if (!is_known) continue;
     TaskRecord& task = job->tasks[start.task.task.value()];
     const bool is_latest = task.start == start.number;
     if (is_latest) task.confirmation = StartConfirmation::kConfirmed;
--- a/tests/agent_core/agent_core_test.cc
+++ b/tests/agent_core/agent_core_test.cc
@@ -1165,6 +1165,21 @@
   EXPECT_TRUE(this->Starts(2));
 }
 
+// Guards against an agent that returns after a long silence and reports its
+// address as vacant, although a start that its upstream has not answered may
+// still begin.
+TEST_P(ReleaseTest, AnAddressWithATaskIsNotReportedAsVacant) {
+  if (!this->GetParam().is_busy) return;
+  this->Deliver(StartOf(1));
+  this->Handle(UpstreamContactChanged{UpstreamContact::kSilent});
+  this->now += std::chrono::seconds(9);
+  this->Confirm();
+  this->now += milliseconds(200);
+  const auto heartbeats = Sent<AgentHeartbeat>(this->Handle(AgentTick{}));
+  ASSERT_EQ(heartbeats.size(), 1U);
+  EXPECT_FALSE(heartbeats.front().vacant_address.has_value());
+}
+
 // Guards against tasks of an agent that entries which have joined meanwhile
 // don't know: it starts none before its address is listed and it has asked the
 // members of a view that was read after that.
