agent_core: Count only a view that was read after the claim

Found by reading: a reading of the view that was under way when the row was claimed could finish after it, and counted as read since; an entry that had joined in between would not have known the agent. The claim now brings the view that was read after it (`AddressClaimed`). Not shown by a run; the tests of the claim and the fuzzer's mix pass as before.

--- a/libraries/agent_core/address_claim.h
+++ b/libraries/agent_core/address_claim.h
@@ -49,13 +49,9 @@
     this->state = State::kClaiming;
     return true;
   }
-  // The table lists the address.
-  void NoteListed() {
-    if (this->state == State::kClaiming) this->state = State::kListed;
-  }
-  // A view was read from the table.
-  void NoteViewRead() {
-    if (this->state == State::kListed) this->state = State::kClaimed;
+  // The table lists the address, and a view was read since.
+  void NoteClaimed() {
+    if (this->state == State::kClaiming) this->state = State::kClaimed;
   }
   // Whether the agent may become ready: the view that it uses was read after
   // its address had been listed.
@@ -68,7 +64,7 @@
   }
 
  private:
-  enum class State { kClaimed, kReleased, kClaiming, kListed };
+  enum class State { kClaimed, kReleased, kClaiming };
 
   // A claim needs the table, so an upstream that is silent for a moment is not
   // given up.
--- a/libraries/agent_core/agent_core.cc
+++ b/libraries/agent_core/agent_core.cc
@@ -216,18 +216,16 @@
   this->NotifyEntriesWithDemand(home);
 }
 
-void AgentCore::On(const AgentViewRead& event) {
-  this->claim.NoteViewRead();
-  this->AdoptView(event.view);
-  this->CheckReady();
-}
+void AgentCore::On(const AgentViewRead& event) { this->AdoptView(event.view); }
 
 void AgentCore::On(const AddressFoundVacant& /*event*/) {
   this->predecessors_over = true;
 }
 
-void AgentCore::On(const AddressClaimed& /*event*/) {
-  this->claim.NoteListed();
+void AgentCore::On(const AddressClaimed& event) {
+  this->claim.NoteClaimed();
+  this->AdoptView(event.view);
+  this->CheckReady();
 }
 
 void AgentCore::ReleaseAddressIfVacant() {
--- a/libraries/agent_core/agent_events.h
+++ b/libraries/agent_core/agent_events.h
@@ -110,12 +110,13 @@
 };
 BOOST_DESCRIBE_STRUCT(AddressFoundVacant, (), ())
 
-// The table lists this agent's address again, after a ClaimAddress. A view that
-// is read from now on names every entry that does not know so.
+// The table lists this agent's address, after a ClaimAddress, and this view was
+// read since. It names every entry that does not know so.
 struct AddressClaimed {
   static constexpr const char* kName = "address_claimed";
+  View view;
 };
-BOOST_DESCRIBE_STRUCT(AddressClaimed, (), ())
+BOOST_DESCRIBE_STRUCT(AddressClaimed, (), (view))
 
 struct LeaveRequested {
   static constexpr const char* kName = "leave_requested";
--- a/services/agent/agent_server.cc
+++ b/services/agent/agent_server.cc
@@ -242,15 +242,17 @@
       });
       return;
     }
-    this->Handle(AddressClaimed{});
     this->ReadClaimedView();
   });
 }
 
 void AgentServer::ReadClaimedView() {
   this->table->ReadRow(kViewRow, [this](const std::optional<Row>& row) {
-    const bool is_read = this->HandleViewRow(row);
-    if (is_read) return;
+    const std::optional<View> view = this->DecodeView(row);
+    if (view) {
+      this->Handle(AddressClaimed{*view});
+      return;
+    }
     this->claim_timer.expires_after(kClaimRetryInterval);
     this->claim_timer.async_wait([this](boost::system::error_code error) {
       if (!error) this->ReadClaimedView();
@@ -260,21 +262,19 @@
 
 void AgentServer::ReadViewRow() {
   this->table->ReadRow(kViewRow, [this](const std::optional<Row>& row) {
-    this->HandleViewRow(row);
+    const std::optional<View> view = this->DecodeView(row);
+    if (view) this->Handle(AgentViewRead{*view});
     this->ScheduleNextViewRead();
   });
 }
 
-bool AgentServer::HandleViewRow(const std::optional<Row>& row) {
-  if (!row || row->version == RowVersion()) return false;
-  const std::optional<View> view = DecodeViewRow(row->value);
-  if (!view) {
-    this->metrics.Count("unreadable_configurations_total", "kind", "view");
-    LogStateChange(ConfigurationUnreadable{"row " + row->key});
-    return false;
-  }
-  this->Handle(AgentViewRead{*view});
-  return true;
+std::optional<View> AgentServer::DecodeView(const std::optional<Row>& row) {
+  if (!row || row->version == RowVersion()) return std::nullopt;
+  std::optional<View> view = DecodeViewRow(row->value);
+  if (view) return view;
+  this->metrics.Count("unreadable_configurations_total", "kind", "view");
+  LogStateChange(ConfigurationUnreadable{"row " + row->key});
+  return std::nullopt;
 }
 
 void AgentServer::SetUpstream(const AgentDescription& description,
--- a/services/agent/agent_server.h
+++ b/services/agent/agent_server.h
@@ -57,8 +57,8 @@
   void ScheduleNextViewRead();
   void ReadView();
   void ReadViewRow();
-  // Returns whether the row holds a view.
-  bool HandleViewRow(const std::optional<Row>& row);
+  // The view in the row; nothing, with a log line, if it can't be read.
+  std::optional<View> DecodeView(const std::optional<Row>& row);
   // Lists the address in the table again, and reads the view then.
   void Claim();
   void ReadClaimedView();
