tests: Let cuts and partitions outlast late orders

Both need entries that take runs for over which go on. Since starts that aren't confirmed wait for 13.7 s, the simulated cuts (9 s) and partitions (14 s) ended before that, so these mixes tested less than their comments say. Change: both last longer than the new bound (23 s, 28 s).

--- a/tests/entry_core/deliberate_fault_test.cc
+++ b/tests/entry_core/deliberate_fault_test.cc
@@ -81,8 +81,10 @@
         FaultCase{"InflateDocumentVersion",
                   DeliberateFault::kInflateDocumentVersion},
         FaultCase{"IgnoreLeaveRequest", DeliberateFault::kIgnoreLeaveRequest},
+        // Only a cut that outlasts the leases shows it: unconfirmed starts wait
+        // for longer.
         FaultCase{"RenewUnconfirmed", DeliberateFault::kRenewUnconfirmed, 1,
-                  RerunPolicy::kAfterLease},
+                  RerunPolicy::kAfterLease, false, FaultMix::kRefusingCuts},
         FaultCase{"AssumeLeaseExpiredEarly",
                   DeliberateFault::kAssumeLeaseExpiredEarly, 1,
                   RerunPolicy::kAfterLease},
--- a/tests/support/simulated_cluster.cc
+++ b/tests/support/simulated_cluster.cc
@@ -18,13 +18,13 @@
 // 2.5 s, which is longer than the leases of an agent that nobody hears can
 // last.
 constexpr int kPartialCutTicks = 50;
-// 9 s, which is longer than an entry that is cut off trusts its view and the
-// leases that it has confirmed can last.
-constexpr int kTableCutTicks = 180;
+// 23 s, which is longer than an entry that is cut off trusts its view and late
+// orders of the agents that it has confirmed can have an effect.
+constexpr int kTableCutTicks = 460;
 constexpr int kRestartTicks = 6;
-// 14 s, which is longer than an entry waits before it removes the others and
-// takes their runs for over.
-constexpr int kPartitionTicks = 280;
+// 28 s, which is longer than an entry waits before it removes the others and
+// takes their runs for over, also those that late orders may begin.
+constexpr int kPartitionTicks = 560;
 constexpr int kTicksPerFinish = 30;
 constexpr Duration kTaskTime = std::chrono::milliseconds(100);
 
