--- a/libraries/entry_core/key_history.cc
+++ b/libraries/entry_core/key_history.cc
@@ -116,8 +116,7 @@
 }
 
 bool KeyHistory::IsUnreachable(const KnownAgent& agent, Timestamp now) const {
-  return agent.lost_at || agent.refuses_connections ||
-         now - agent.last_heard > this->settings.suspect_after;
+  return agent.lost_at || now - agent.contact_at > this->settings.suspect_after;
 }
 
 std::optional<Timestamp> KeyHistory::HistoryCompleteAt(const JobSubmission& job,
--- a/libraries/entry_core/key_history.h
+++ b/libraries/entry_core/key_history.h
@@ -87,7 +87,8 @@
   // The same for an agent in the registry.
   [[nodiscard]] bool RunsAreOver(const KnownAgent& agent,
                                  StartConfirmation starts, Timestamp now) const;
-  // Whether the agent has been silent for so long that it may have ended.
+  // Whether the agent is lost, or no entry has heard it for so long that it may
+  // have ended. One that others hear may connect to this entry at any time.
   [[nodiscard]] bool IsUnreachable(const KnownAgent& agent,
                                    Timestamp now) const;
   // When an entry first saw the job's key, or an earlier time if that is not
--- a/tests/entry_core/unconfirmed_start_test.cc
+++ b/tests/entry_core/unconfirmed_start_test.cc
@@ -129,6 +129,20 @@
       StartsIn(this->entry.Submit(kJob, /*tasks=*/1, time_allowed)).size(), 1U);
 }
 
+// Guards against a Retry-After that isn't true: while other entries hear the
+// agent, its contact is renewed all the time, and it may return at any moment.
+TEST_F(UnconfirmedStartTest, WhileOthersHearTheAgentCallersWait) {
+  const Duration time_allowed = milliseconds(1'500);
+  this->StartTask(time_allowed, 1U);
+  this->RefuseConnections();
+  this->Advance(milliseconds(1'300));
+  PeerHeartbeat heard;
+  heard.sightings = {{this->agent, this->entry.now(), Duration()}};
+  this->entry.Handle(PeerMessageReceived{EntryId(2), heard});
+  EXPECT_TRUE(
+      AnswersIn(this->entry.Submit(kJob, /*tasks=*/1, time_allowed)).empty());
+}
+
 // Guards against entries that join after a later loss of all processes and wait
 // for an agent that has gone for good; and against an address that is released
 // while a late order may start a task there.
